--- /dev/null
+++ b/crates/gateway/src/edge/call.rs
@@ -0,0 +1,115 @@
+//! A caller's request on its way: what it asks for, its route, and its time.
+
+use crate::edge::refusal::Refusal;
+use crate::ports::configuration::Route;
+use crate::ports::dialect::{CallMetadata, Dialect, ForwardedCall};
+use bytes::Bytes;
+use http::{header, HeaderMap, Request};
+use http_body_util::Full;
+use std::time::{Duration, Instant};
+
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+];
+/// What is left of the caller's time for the way back.
+const RETURN_TIME: Duration = Duration::from_millis(5);
+/// The least time that an engine is given.
+const LEAST_ENGINE_TIME: Duration = Duration::from_millis(5);
+
+/// A request with its route.
+pub struct Call {
+    /// What it says of itself.
+    pub metadata: CallMetadata,
+    /// Its route.
+    pub route: Route,
+    /// The service that it goes to.
+    pub service: String,
+    /// When its head had been read.
+    pub arrived_at: Instant,
+    /// When its time is over.
+    pub expires_at: Instant,
+    /// Its method, path and headers.
+    pub head: http::request::Parts,
+    /// What the caller sent.
+    pub input: Bytes,
+}
+
+impl Call {
+    /// A call whose time runs from `arrived_at`.
+    pub fn new(
+        metadata: CallMetadata,
+        route: Route,
+        service: String,
+        arrived_at: Instant,
+        head: http::request::Parts,
+        input: Bytes,
+    ) -> Self {
+        let allowed = metadata.deadline_ms.map_or(route.timeout_ms, |deadline| deadline.min(route.timeout_ms));
+        let expires_at = arrived_at + Duration::from_millis(allowed);
+        Self { metadata, route, service, arrived_at, expires_at, head, input }
+    }
+
+    /// Time that an engine may take from now on; none when it is over.
+    pub fn engine_time(&self) -> Option<Duration> {
+        let left = self.expires_at.saturating_duration_since(Instant::now()).saturating_sub(RETURN_TIME);
+        (left >= LEAST_ENGINE_TIME).then_some(left)
+    }
+
+    /// The moment up to which a place at an engine is sought.
+    pub fn place_deadline(&self) -> Instant {
+        let objective = Duration::from_millis(self.route.objective_ms.max(1));
+        (self.arrived_at + objective).min(self.expires_at)
+    }
+
+    /// The request as the engine `engine` gets it.
+    ///
+    /// # Errors
+    /// [`Refusal::OutOfTime`].
+    pub fn to_engine(
+        &self,
+        dialect: &dyn Dialect,
+        engine: &str,
+        body: Bytes,
+        last_event: Option<&str>,
+    ) -> Result<Request<Full<Bytes>>, Refusal> {
+        let time = self.engine_time().ok_or(Refusal::OutOfTime)?;
+        let mut headers = self.head.headers.clone();
+        remove_connection_headers(&mut headers);
+        headers.remove(header::CONTENT_LENGTH);
+        let priority =
+            (!self.metadata.parts.is_empty() || self.metadata.most_tokens > 0).then_some(self.route.priority);
+        let call = ForwardedCall { deadline_ms: time.as_millis() as u64, engine, priority, last_event };
+        dialect.write_call(&mut headers, &call);
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self.head.uri.clone();
+        *request.headers_mut() = headers;
+        Ok(request)
+    }
+}
+
+/// Removes headers that concern one connection only, those that `Connection` names included.
+pub fn remove_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in named {
+        headers.remove(name.as_str());
+    }
+    for name in CONNECTION_HEADERS {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/edge/handler.rs
@@ -0,0 +1,200 @@
+//! Takes one request of a caller to its answer.
+
+use crate::edge::body::AnswerBody;
+use crate::edge::call::Call;
+use crate::edge::refusal::Refusal;
+use crate::edge::routes::{RouteTable, ServiceShares};
+use crate::edge::turns::TurnKeeper;
+use crate::edge::{stream_call, whole_call};
+use crate::engines::attempt::{self, AttemptError, EngineAnswer};
+use crate::engines::selector::{choose, Placement};
+use crate::engines::table::EngineTable;
+use crate::logging::part;
+use crate::peers::view::ViewHolder;
+use crate::ports::configuration::RouteKind;
+use crate::ports::dialect::Dialect;
+use bytes::Bytes;
+use http::{header, Request, Response};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Pause before engines that all refused are tried again.
+const ROOM_PAUSE: Duration = Duration::from_millis(15);
+
+/// Everything that serving a request needs.
+pub struct Gateway {
+    /// The zone of this gateway.
+    pub zone: String,
+    /// What is known of the platform.
+    pub view: Arc<ViewHolder>,
+    /// Reads and writes headers.
+    pub dialect: Arc<dyn Dialect>,
+    /// The engines.
+    pub engines: EngineTable,
+    /// Turns and budgets.
+    pub turns: Arc<TurnKeeper>,
+    /// Shares of services.
+    pub shares: ServiceShares,
+    /// The routes in force.
+    pub routes: Mutex<Option<Arc<RouteTable>>>,
+    /// Whether the gateway is about to stop.
+    pub draining: AtomicBool,
+    /// Work that has to be finished before the process ends.
+    pub under_way: Arc<AtomicUsize>,
+}
+
+/// Counts work until it is dropped.
+pub struct WorkGuard(Arc<AtomicUsize>);
+
+impl WorkGuard {
+    /// Counts one piece of work.
+    pub fn new(counter: &Arc<AtomicUsize>) -> Self {
+        counter.fetch_add(1, Ordering::Relaxed);
+        Self(counter.clone())
+    }
+}
+
+impl Drop for WorkGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Gateway {
+    /// Takes over the view: routes and engines.
+    pub fn update(&self) {
+        let view = self.view.get();
+        self.engines.update(&view);
+        if view.configuration.revision == 0 {
+            return;
+        }
+        let mut routes = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
+        let current =
+            routes.as_ref().is_some_and(|table| Arc::ptr_eq(table.configuration(), &view.configuration.value));
+        if !current {
+            *routes = Some(Arc::new(RouteTable::new(view.configuration.value)));
+        }
+    }
+
+    /// The routes in force.
+    pub fn routes(&self) -> Option<Arc<RouteTable>> {
+        self.routes.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Whether the gateway takes connections.
+    pub fn is_ready(&self) -> bool {
+        !self.draining.load(Ordering::Relaxed) && self.routes().is_some()
+    }
+
+    /// Serves one request.
+    pub async fn serve(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        let arrived_at = Instant::now();
+        let _work = WorkGuard::new(&self.under_way);
+        let attempt = self.dialect.read_call(request.headers()).attempt;
+        let outcome = self.clone().answer(request, arrived_at).await;
+        let mut response = match outcome {
+            Ok(response) => response,
+            Err(refusal) => {
+                log::info!(target: part::CALL, "Call {attempt} refused: cause={} status={} after={:?}: {refusal}.", refusal.name(), refusal.status().as_u16(), arrived_at.elapsed());
+                refusal.to_response()
+            }
+        };
+        if self.draining.load(Ordering::Relaxed) {
+            response.headers_mut().insert(header::CONNECTION, header::HeaderValue::from_static("close"));
+        }
+        response
+    }
+
+    async fn answer(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        arrived_at: Instant,
+    ) -> Result<Response<AnswerBody>, Refusal> {
+        let routes = self.routes().ok_or(Refusal::NoConfiguration)?;
+        let (head, body) = request.into_parts();
+        let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+        let host = host.ok_or(Refusal::Malformed("it names no host"))?;
+        let route = routes.find(host, head.uri.path()).ok_or(Refusal::NoRoute)?.clone();
+        let metadata = self.dialect.read_call(&head.headers);
+        let input = read_body(body, routes.configuration().limits.body_bytes).await?;
+        let service = self.shares.next(&route).ok_or(Refusal::NoRoute)?;
+        let call = Call::new(metadata, route, service, arrived_at, head, input);
+        match call.route.kind {
+            RouteKind::Streaming => stream_call::serve(self, call).await,
+            RouteKind::Idempotent | RouteKind::NonIdempotent => whole_call::serve(&self, &call).await,
+        }
+    }
+
+    /// Finds an engine that takes the request, and returns the head of its answer.
+    ///
+    /// A send that may have run is repeated only for what may be repeated, and to no more engines than the route allows.
+    ///
+    /// # Errors
+    /// The final refusal.
+    pub async fn offer(
+        &self,
+        call: &Call,
+        body: &Bytes,
+        last_event: Option<&str>,
+        sent: &mut u32,
+    ) -> Result<EngineAnswer, Refusal> {
+        let place_deadline = call.place_deadline();
+        let is_model = call.route.kind == RouteKind::Streaming;
+        let mut tried: Vec<String> = Vec::new();
+        let mut ran: Vec<String> = Vec::new();
+        loop {
+            let candidates = self.engines.candidates(&call.service);
+            let placement = Placement { prompt: &call.metadata.parts, is_model, zone: &self.zone, last_engine: None };
+            let Some(engine) = choose(&candidates, &placement, &tried) else {
+                if Instant::now() + ROOM_PAUSE > place_deadline {
+                    return Err(if ran.is_empty() { Refusal::NoRoom } else { lost("no other engine has room") });
+                }
+                tried.clone_from(&ran);
+                tokio::time::sleep(ROOM_PAUSE).await;
+                continue;
+            };
+            let request = match call.to_engine(&*self.dialect, &engine.entry.id, body.clone(), last_event) {
+                Ok(request) => request,
+                Err(refusal) => return Err(if ran.is_empty() { refusal } else { Refusal::TimedOut }),
+            };
+            if is_model {
+                engine.parts().insert(&call.metadata.parts, call.metadata.most_tokens);
+            }
+            let attempt = &call.metadata.attempt;
+            let outcome = attempt::send(&engine, request, attempt, &*self.dialect, call.expires_at).await;
+            let error = match outcome {
+                Ok(answer) => return Ok(answer),
+                Err(error) => error,
+            };
+            log::info!(target: part::ENGINE, "Call {attempt} not answered: engine={} service={} not_run={}: {error}.", engine.entry.id, call.service, error.is_not_run());
+            tried.push(engine.entry.id.clone());
+            if error.is_not_run() {
+                continue;
+            }
+            *sent += 1;
+            ran.push(engine.entry.id.clone());
+            if error == AttemptError::TimedOut {
+                return Err(Refusal::TimedOut);
+            }
+            if !call.route.is_repeatable() || *sent >= call.route.attempts {
+                return Err(lost(&error.to_string()));
+            }
+        }
+    }
+}
+
+fn lost(problem: &str) -> Refusal {
+    Refusal::MayHaveRun(problem.to_owned())
+}
+
+/// Reads a body of at most `limit` bytes.
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+    match Limited::new(body, limit).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::TooLarge(limit)),
+        Err(_) => Err(Refusal::Malformed("its body ends early")),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/edge/mod.rs
@@ -0,0 +1,14 @@
+//! The gateway: takes callers' requests, keeps turns and budgets, and passes requests on to engines.
+
+pub mod accept;
+pub mod body;
+pub mod call;
+pub mod events;
+pub mod handler;
+pub mod process;
+pub mod refusal;
+pub mod routes;
+pub mod stream_call;
+pub mod turn_cache;
+pub mod turns;
+pub mod whole_call;
--- /dev/null
+++ b/crates/gateway/src/edge/process.rs
@@ -0,0 +1,228 @@
+//! The gateway as a process: start, readiness, planned stop.
+
+use crate::clock::SteadyClock;
+use crate::edge::accept;
+use crate::edge::body::AnswerBody;
+use crate::edge::handler::Gateway;
+use crate::edge::turn_cache::TurnCache;
+use crate::edge::turns::TurnKeeper;
+use crate::engines::table::EngineTable;
+use crate::logging::part;
+use crate::network;
+use crate::peers::members::Members;
+use crate::peers::rpc_client::RpcClient;
+use crate::peers::rpc_server::{self, RpcHandler};
+use crate::peers::view::{Origin, ViewHolder};
+use crate::peers::view_exchange;
+use crate::ports::dialect::Dialect;
+use crate::ports::store::{Kind, MetadataStore, ObjectBody};
+use crate::replica::process::reload;
+use crate::settings::{ProcessSettings, SettingsError};
+use crate::store_watch::{follow, ConfigurationFollower, EngineFollower};
+use anyhow::Context;
+use foxnotch_turns::identity::{node_id, zone_hash};
+use foxnotch_wire::{NodeId, RpcBody};
+use futures_util::future::BoxFuture;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use std::convert::Infallible;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{watch, Notify, Semaphore};
+
+/// The part of the memory that cached turns may take.
+const CACHE_SHARE: u64 = 10;
+/// Descriptors kept for engines, nodes and files.
+const RESERVED_DESCRIPTORS: u64 = 1000;
+/// Time between two looks for the replica set while it is wanted.
+const SET_PERIOD: Duration = Duration::from_millis(400);
+/// Time after the signal to stop at which resting connections are closed: by then no new ones are sent here.
+const CLOSE_AFTER: Duration = Duration::from_millis(2800);
+/// The end of the time to stop that is left unused.
+const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// Time between two looks whether all is done.
+const DRAIN_PERIOD: Duration = Duration::from_millis(50);
+
+/// What a gateway needs from the platform's adapter.
+pub struct Platform {
+    /// The store.
+    pub store: Arc<dyn MetadataStore>,
+    /// Headers.
+    pub dialect: Arc<dyn Dialect>,
+}
+
+/// Runs a gateway until it is told to stop.
+///
+/// # Errors
+/// When an address cannot be bound.
+pub async fn run(settings: ProcessSettings, path: PathBuf, platform: Platform) -> anyhow::Result<()> {
+    let caller_address = settings.caller_address.ok_or(SettingsError::Missing("caller_address", "gateway"))?;
+    let readiness_address = settings.readiness_address.ok_or(SettingsError::Missing("readiness_address", "gateway"))?;
+    let clock = SteadyClock::start();
+    let own = node_id(&settings.node);
+    let view = Arc::new(ViewHolder::default());
+    let client = Arc::new(RpcClient::new(own));
+    let callers = network::listen(caller_address).context("the callers' address cannot be bound")?;
+    let readiness = network::listen(readiness_address).context("the readiness address cannot be bound")?;
+    let peers = network::listen(settings.peer_address()).context("the port for nodes cannot be bound")?;
+    let members = Members::bind(&settings, clock, client.clone(), view.clone())
+        .await
+        .context("the port for datagrams cannot be bound")?;
+    let cache = TurnCache::new((settings.resources.memory_mb * 1024 * 1024 / CACHE_SHARE) as usize);
+    let losses = settings.tolerance.machines;
+    let turns = Arc::new(TurnKeeper::new(client, view.clone(), cache, zone_hash(&settings.zone), losses));
+    let gateway = Arc::new(Gateway {
+        zone: settings.zone.clone(),
+        view: view.clone(),
+        dialect: platform.dialect,
+        engines: EngineTable::default(),
+        turns: turns.clone(),
+        shares: Default::default(),
+        routes: Mutex::default(),
+        draining: AtomicBool::new(false),
+        under_way: Arc::new(AtomicUsize::new(0)),
+    });
+    let answers = Arc::new(PeerAnswers { members: members.clone(), view: view.clone() });
+    tokio::spawn(rpc_server::serve(peers, own, answers.clone()));
+    if let Some(address) = settings.contact_address {
+        let contact = network::listen(address).context("the contact address cannot be bound")?;
+        tokio::spawn(rpc_server::serve(contact, own, answers));
+    }
+    tokio::spawn(members.clone().run());
+    tokio::spawn(follow_view(gateway.clone()));
+    let configurations = ConfigurationFollower { view: view.clone() };
+    tokio::spawn(follow(platform.store.clone(), Kind::Configuration, configurations));
+    tokio::spawn(follow(platform.store.clone(), Kind::Engines, EngineFollower::new(view.clone())));
+    tokio::spawn(find_set(platform.store, view, turns.set_wanted()));
+    tokio::spawn(serve_readiness(readiness, gateway.clone()));
+    let count = settings.resources.descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(64) as usize;
+    let places = Arc::new(Semaphore::new(count));
+    let (close, closing) = watch::channel(false);
+    tokio::spawn(accept::serve(callers, gateway.clone(), places.clone(), closing));
+    log::info!(target: part::PROCESS, "Gateway started: node={} id={own} zone={} callers={caller_address}.", settings.node, settings.zone);
+    wait_for_stop(&path, &members).await?;
+    drain(&settings, &gateway, &members, &close, &places, count).await;
+    Ok(())
+}
+
+async fn wait_for_stop(path: &std::path::Path, members: &Members) -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = hangup.recv() => reload(path, members),
+        }
+    }
+}
+
+/// Answers what is under way, and what still comes, until nothing does.
+async fn drain(
+    settings: &ProcessSettings,
+    gateway: &Gateway,
+    members: &Members,
+    close: &watch::Sender<bool>,
+    places: &Semaphore,
+    count: usize,
+) {
+    let begun_at = Instant::now();
+    let end_at = begun_at + settings.grace().saturating_sub(GRACE_MARGIN);
+    log::info!(target: part::PROCESS, "Stopping: under_way={}.", gateway.under_way.load(Ordering::Relaxed));
+    gateway.draining.store(true, Ordering::Relaxed);
+    members.leave();
+    tokio::time::sleep_until((begun_at + CLOSE_AFTER).min(end_at).into()).await;
+    // Connections that have ended are not told.
+    let _ = close.send(true);
+    while Instant::now() < end_at {
+        // One place is held by the loop that waits for the next connection.
+        let connections = count - places.available_permits().min(count);
+        if connections <= 1 && gateway.under_way.load(Ordering::Relaxed) == 0 {
+            break;
+        }
+        tokio::time::sleep(DRAIN_PERIOD).await;
+    }
+    log::info!(target: part::PROCESS, "Stopped: under_way={} after={:?}.", gateway.under_way.load(Ordering::Relaxed), begun_at.elapsed());
+}
+
+async fn follow_view(gateway: Arc<Gateway>) {
+    let mut changed = gateway.view.subscribe();
+    loop {
+        gateway.update();
+        if changed.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Reads the replica set from the store whenever it is wanted.
+async fn find_set(store: Arc<dyn MetadataStore>, view: Arc<ViewHolder>, wanted: Arc<Notify>) {
+    loop {
+        match store.list(Kind::ReplicaSet).await {
+            Ok(listing) => {
+                for object in listing.objects {
+                    if let ObjectBody::ReplicaSet(set) = object.body {
+                        view.adopt_set(&set, Origin::Store);
+                    }
+                }
+            }
+            Err(error) => log::debug!(target: part::STORE, "The replica set could not be read: {error}."),
+        }
+        tokio::time::sleep(SET_PERIOD).await;
+        if view.set().version > 0 {
+            wanted.notified().await;
+        }
+    }
+}
+
+/// Answers other nodes.
+struct PeerAnswers {
+    members: Arc<Members>,
+    view: Arc<ViewHolder>,
+}
+
+impl RpcHandler for PeerAnswers {
+    fn handle(self: Arc<Self>, _from: NodeId, body: RpcBody) -> BoxFuture<'static, RpcBody> {
+        let answer = match body {
+            RpcBody::PullMembers(asker) => self.members.answer_pull(asker),
+            RpcBody::PullView(known) => RpcBody::View(view_exchange::newer_than(&self.view.get(), &known)),
+            _ => RpcBody::NotServed,
+        };
+        Box::pin(std::future::ready(answer))
+    }
+}
+
+async fn serve_readiness(listener: TcpListener, gateway: Arc<Gateway>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(DRAIN_PERIOD).await;
+            continue;
+        };
+        network::prepare_stream(&stream);
+        let gateway = gateway.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let ready = gateway.is_ready();
+            let known = request.uri().path() == gateway.dialect.readiness_path();
+            async move {
+                let mut response = Response::new(AnswerBody::whole(if ready { "ready\n" } else { "not ready\n" }));
+                *response.status_mut() = match (known, ready) {
+                    (false, _) => StatusCode::NOT_FOUND,
+                    (true, true) => StatusCode::OK,
+                    (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+                };
+                Ok::<_, Infallible>(response)
+            }
+        });
+        // A questioner that leaves needs no answer.
+        tokio::spawn(async move {
+            drop(hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service).await);
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/edge/refusal.rs
@@ -0,0 +1,105 @@
+//! Answers that the gateway gives by itself.
+
+use crate::edge::body::AnswerBody;
+use http::{header, HeaderValue, Response, StatusCode};
+use std::time::Duration;
+
+/// Why the gateway answers by itself. Messages name the remedy.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Refusal {
+    /// Not run: no configuration is known yet.
+    #[error("this gateway has no configuration yet; ask again")]
+    NoConfiguration,
+    /// Not run: no route for host and path.
+    #[error("no route serves this host and path; check both")]
+    NoRoute,
+    /// Not run: the request is malformed.
+    #[error("the request cannot be read ({0}); correct it")]
+    Malformed(&'static str),
+    /// Not run: the body is over the limit.
+    #[error("the body is over {0} bytes; send less")]
+    TooLarge(usize),
+    /// Not run: no engine has room.
+    #[error("no engine has room; ask again after the time given")]
+    NoRoom,
+    /// Not run: the replicas cannot be asked.
+    #[error("turns cannot be kept now ({0}); ask again after the time given")]
+    NoQuorum(String),
+    /// Not run: nobody can tell whether the turn exists.
+    #[error("the turn that this one continues cannot be read now; ask again after the time given")]
+    ChainUnknown,
+    /// Not run: the turn does not exist.
+    #[error("the turn that this one continues does not exist; start anew")]
+    NoSuchTurn,
+    /// Not run: the budget is spent.
+    #[error("the program's budget is spent; raise it or end the program")]
+    BudgetSpent,
+    /// Not run: the time was over before it could run.
+    #[error("the time was over before an engine had room; ask again with more time")]
+    OutOfTime,
+    /// It may have run.
+    #[error("the answer was lost ({0}); it may have run")]
+    MayHaveRun(String),
+    /// It may have run: the time is over.
+    #[error("no answer came in time; it may have run")]
+    TimedOut,
+}
+
+impl Refusal {
+    /// The status.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Self::NoRoute | Self::NoSuchTurn => StatusCode::NOT_FOUND,
+            Self::Malformed(_) => StatusCode::BAD_REQUEST,
+            Self::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
+            Self::NoConfiguration | Self::NoRoom | Self::NoQuorum(_) | Self::ChainUnknown | Self::OutOfTime => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::MayHaveRun(_) => StatusCode::BAD_GATEWAY,
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// When the caller may come back, for what has not run.
+    pub fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Self::NoRoom => Some(Duration::from_millis(100)),
+            Self::OutOfTime | Self::NoQuorum(_) | Self::ChainUnknown => Some(Duration::from_millis(200)),
+            Self::NoConfiguration => Some(Duration::from_millis(300)),
+            _ => None,
+        }
+    }
+
+    /// A short name, for logs and counters.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "no_configuration",
+            Self::NoRoute => "no_route",
+            Self::Malformed(_) => "malformed",
+            Self::TooLarge(_) => "too_large",
+            Self::NoRoom => "no_room",
+            Self::NoQuorum(_) => "no_quorum",
+            Self::ChainUnknown => "chain_unknown",
+            Self::NoSuchTurn => "no_such_turn",
+            Self::BudgetSpent => "budget_spent",
+            Self::OutOfTime => "out_of_time",
+            Self::MayHaveRun(_) => "may_have_run",
+            Self::TimedOut => "timed_out",
+        }
+    }
+
+    /// The answer.
+    pub fn to_response(&self) -> Response<AnswerBody> {
+        let mut response = Response::new(AnswerBody::whole(format!("{self}\n")));
+        *response.status_mut() = self.status();
+        let headers = response.headers_mut();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        if let Some(after) = self.retry_after() {
+            if let Ok(value) = HeaderValue::from_str(&format!("{:.3}", after.as_secs_f64())) {
+                headers.insert(header::RETRY_AFTER, value);
+            }
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/edge/routes.rs
@@ -0,0 +1,76 @@
+//! Which route serves a request, and which of its services gets the next one.
+
+use crate::ports::configuration::{Backend, Configuration, Route};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+
+/// The routes of one configuration by host.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    configuration: Arc<Configuration>,
+    hosts: HashMap<String, Vec<usize>>,
+}
+
+impl RouteTable {
+    /// The table of a configuration.
+    pub fn new(configuration: Arc<Configuration>) -> Self {
+        let mut hosts: HashMap<String, Vec<usize>> = HashMap::new();
+        for (index, route) in configuration.routes.iter().enumerate() {
+            hosts.entry(route.host.to_ascii_lowercase()).or_default().push(index);
+        }
+        for indexes in hosts.values_mut() {
+            indexes.sort_by_key(|index| std::cmp::Reverse(configuration.routes[*index].path_prefix.len()));
+        }
+        Self { configuration, hosts }
+    }
+
+    /// The configuration.
+    pub fn configuration(&self) -> &Arc<Configuration> {
+        &self.configuration
+    }
+
+    /// The route of the host with the longest prefix that begins the path.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
+        let indexes = self.hosts.get(&host)?;
+        let mut routes = indexes.iter().map(|index| &self.configuration.routes[*index]);
+        routes.find(|route| path.starts_with(&route.path_prefix))
+    }
+}
+
+/// Shares each route's requests among its services by smooth weighted round robin.
+#[derive(Debug, Default)]
+pub struct ServiceShares {
+    credits: Mutex<HashMap<String, HashMap<String, i64>>>,
+}
+
+impl ServiceShares {
+    /// The service that gets the next request of a route.
+    pub fn next(&self, route: &Route) -> Option<String> {
+        match route.backends.as_slice() {
+            [] => None,
+            [only] => Some(only.service.clone()),
+            several => Some(self.next_of(&route.name, several)),
+        }
+    }
+
+    fn next_of(&self, route: &str, backends: &[Backend]) -> String {
+        let mut credits = self.credits.lock().unwrap_or_else(PoisonError::into_inner);
+        let credits = credits.entry(route.to_owned()).or_default();
+        credits.retain(|service, _| backends.iter().any(|backend| backend.service == *service));
+        let total: i64 = backends.iter().map(|backend| i64::from(backend.weight)).sum();
+        let mut best: Option<(&str, i64)> = None;
+        for backend in backends.iter().filter(|backend| backend.weight > 0) {
+            let credit = credits.entry(backend.service.clone()).or_default();
+            *credit += i64::from(backend.weight);
+            if best.is_none_or(|(_, most)| *credit > most) {
+                best = Some((&backend.service, *credit));
+            }
+        }
+        let chosen = best.map_or_else(|| backends[0].service.clone(), |(service, _)| service.to_owned());
+        if let Some(credit) = credits.get_mut(&chosen) {
+            *credit -= total;
+        }
+        chosen
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -0,0 +1,263 @@
+//! Requests that are answered by a stream of events: turns of programs, mostly.
+//!
+//! Events are passed on whole and as they come. The end of a kept turn is passed on only after its record is on a quorum
+//! of replicas; a stream that cannot be finished is broken off, so that it never looks whole.
+
+use crate::edge::body::{AnswerBody, Piece};
+use crate::edge::call::{remove_connection_headers, Call};
+use crate::edge::events::{Event, EventSplitter};
+use crate::edge::handler::{Gateway, WorkGuard};
+use crate::edge::refusal::Refusal;
+use crate::edge::turns::{ChainError, ChainRecords, TurnError};
+use crate::edge::whole_call::read_whole;
+use crate::engines::attempt::{finish, EngineAnswer};
+use crate::engines::connection::EngineConnection;
+use crate::engines::engine::EngineLease;
+use crate::logging::part;
+use bytes::Bytes;
+use foxnotch_turns::chain::{compose_body, NO_TURN};
+use foxnotch_turns::identity::{program_key, turn_id};
+use foxnotch_wire::{Content, TurnEntry, TurnId, TurnRecord, NOT_SETTLED};
+use http::{header, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc;
+
+/// Pieces that wait for a caller that reads slowly.
+const QUEUE_PIECES: usize = 16;
+/// The longest time for a reservation or a chain.
+const PREPARE_TIME: Duration = Duration::from_millis(900);
+/// The least time to keep a turn that has ended.
+const KEEP_TIME: Duration = Duration::from_millis(1500);
+/// Time to settle a turn in the background.
+const SETTLE_TIME: Duration = Duration::from_secs(4);
+
+/// A turn's place in the books. Dropped, it settles what was handed out.
+struct TurnAccount {
+    gateway: Arc<Gateway>,
+    entry: TurnEntry,
+    /// Whether the entry may be on replicas.
+    is_reserved: bool,
+    /// Tokens in one event.
+    tokens_per_event: u32,
+    /// Events handed to the caller.
+    events: u32,
+}
+
+impl TurnAccount {
+    fn used(&self) -> u32 {
+        self.events.saturating_mul(self.tokens_per_event).min(self.entry.reserved)
+    }
+}
+
+impl Drop for TurnAccount {
+    fn drop(&mut self) {
+        if !self.is_reserved {
+            return;
+        }
+        let gateway = self.gateway.clone();
+        let entry = self.entry.clone();
+        let used = self.used();
+        let work = WorkGuard::new(&gateway.under_way);
+        tokio::spawn(async move {
+            gateway.turns.settle(entry, used, Instant::now() + SETTLE_TIME).await;
+            drop(work);
+        });
+    }
+}
+
+/// Serves a call on a streaming route.
+///
+/// # Errors
+/// The refusal that the caller gets.
+pub async fn serve(gateway: Arc<Gateway>, call: Call) -> Result<Response<AnswerBody>, Refusal> {
+    let prepare_until = (call.arrived_at + PREPARE_TIME).min(call.expires_at);
+    let mut account = open_account(&gateway, &call);
+    let previous = call.metadata.previous.as_deref().filter(|_| call.route.retain).map(turn_id);
+    let (chain, reserved) = tokio::join!(
+        read_chain(&gateway, previous, prepare_until),
+        reserve(&gateway, &call, &mut account, prepare_until)
+    );
+    let chain = chain?;
+    reserved?;
+    let body = if chain.is_empty() { call.input.clone() } else { Bytes::from(compose_body(&chain, &call.input)) };
+    let mut sent = 0;
+    let answer = gateway.offer(&call, &body, call.metadata.last_event.as_deref(), &mut sent).await?;
+    if answer.response.status() != StatusCode::OK {
+        return read_whole(&call, answer).await;
+    }
+    Ok(begin_stream(gateway, call, account, answer, previous.unwrap_or(NO_TURN)))
+}
+
+fn open_account(gateway: &Arc<Gateway>, call: &Call) -> TurnAccount {
+    let metadata = &call.metadata;
+    let program = metadata.program.as_deref().unwrap_or(&metadata.attempt);
+    let configuration = gateway.view.get().configuration.value;
+    let model = configuration.service(&call.service).and_then(|service| service.model.as_ref());
+    let entry = TurnEntry {
+        turn: turn_id(&metadata.attempt),
+        program: program_key(program),
+        retention_ms: u32::try_from(call.route.retention_ms).unwrap_or(u32::MAX),
+        reserved: if metadata.token_budget.is_some() { metadata.most_tokens } else { 0 },
+        used: NOT_SETTLED,
+        record: Vec::new(),
+    };
+    let tokens_per_event = model.map_or(1, |model| model.tokens_per_event.max(1));
+    TurnAccount { gateway: gateway.clone(), entry, is_reserved: false, tokens_per_event, events: 0 }
+}
+
+async fn reserve(gateway: &Gateway, call: &Call, account: &mut TurnAccount, deadline: Instant) -> Result<(), Refusal> {
+    let Some(budget) = call.metadata.token_budget else { return Ok(()) };
+    account.is_reserved = true;
+    match gateway.turns.reserve(&account.entry, budget, deadline).await {
+        Ok(true) => Ok(()),
+        Ok(false) => Err(Refusal::BudgetSpent),
+        Err(error) => Err(Refusal::NoQuorum(error.to_string())),
+    }
+}
+
+async fn read_chain(gateway: &Gateway, previous: Option<TurnId>, deadline: Instant) -> Result<ChainRecords, Refusal> {
+    let Some(previous) = previous else { return Ok(Vec::new()) };
+    match gateway.turns.chain(previous, deadline).await {
+        Ok(chain) => Ok(chain),
+        Err(ChainError::NoSuchTurn) => Err(Refusal::NoSuchTurn),
+        Err(ChainError::Unknown(TurnError::NoSet | TurnError::NoQuorum { .. })) => Err(Refusal::ChainUnknown),
+    }
+}
+
+/// Passes the head on and leaves the events to a task.
+fn begin_stream(
+    gateway: Arc<Gateway>,
+    call: Call,
+    account: TurnAccount,
+    answer: EngineAnswer,
+    previous: TurnId,
+) -> Response<AnswerBody> {
+    let EngineAnswer { response, connection, lease, .. } = answer;
+    let (mut head, body) = response.into_parts();
+    remove_connection_headers(&mut head.headers);
+    head.headers.remove(header::CONTENT_LENGTH);
+    let (pieces, queue) = mpsc::channel(QUEUE_PIECES);
+    let work = WorkGuard::new(&gateway.under_way);
+    let stream =
+        Stream { gateway, call, account, previous, connection: Some(connection), lease, pieces, output: Vec::new() };
+    tokio::spawn(async move {
+        stream.run(body).await;
+        drop(work);
+    });
+    Response::from_parts(head, AnswerBody::Stream(queue))
+}
+
+/// How a stream ended.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+enum StreamEnd {
+    #[error("the engine broke off ({0})")]
+    EngineBroke(String),
+    #[error("the caller left")]
+    CallerLeft,
+    #[error("the time was over")]
+    TimedOut,
+    #[error("the turn could not be kept ({0})")]
+    NotKept(TurnError),
+}
+
+/// A stream under way.
+struct Stream {
+    gateway: Arc<Gateway>,
+    call: Call,
+    account: TurnAccount,
+    previous: TurnId,
+    connection: Option<EngineConnection>,
+    lease: EngineLease,
+    pieces: mpsc::Sender<Piece>,
+    /// The data of each event followed by a line feed, when the turn is kept.
+    output: Vec<u8>,
+}
+
+impl Stream {
+    async fn run(mut self, body: Incoming) {
+        let outcome = match self.relay(body).await {
+            Ok(()) => self.keep().await,
+            Err(end) => Err(end),
+        };
+        let attempt = &self.call.metadata.attempt;
+        let engine = &self.lease.engine().entry.id;
+        match outcome {
+            Ok(()) => {
+                // A caller that has left needs no end.
+                let _ = self.pieces.send(Piece::End).await;
+                log::info!(target: part::CALL, "Call {attempt} answered: route={} service={} engine={engine} events={} after={:?}.", self.call.route.name, self.call.service, self.account.events, self.call.arrived_at.elapsed());
+            }
+            Err(end) => {
+                log::warn!(target: part::CALL, "Call {attempt} broken off: route={} service={} engine={engine} events={} after={:?}: {end}.", self.call.route.name, self.call.service, self.account.events, self.call.arrived_at.elapsed());
+                // The engine stops when its connection closes; the caller's breaks because no end was sent.
+                self.connection = None;
+            }
+        }
+    }
+
+    /// Passes events on until the engine's answer is whole.
+    async fn relay(&mut self, mut body: Incoming) -> Result<(), StreamEnd> {
+        let mut splitter = EventSplitter::default();
+        loop {
+            let frame = tokio::select! {
+                frame = body.frame() => frame,
+                () = self.pieces.closed() => return Err(StreamEnd::CallerLeft),
+                () = tokio::time::sleep_until(self.call.expires_at.into()) => return Err(StreamEnd::TimedOut),
+            };
+            let Some(frame) = frame else { break };
+            let frame = frame.map_err(|error| {
+                self.lease.engine().note_failure();
+                StreamEnd::EngineBroke(error.to_string())
+            })?;
+            let Ok(data) = frame.into_data() else { continue };
+            splitter.push(&data);
+            while let Some(event) = splitter.next_event() {
+                self.pass_on(event).await?;
+            }
+        }
+        if splitter.waiting() > 0 {
+            return Err(StreamEnd::EngineBroke("its last event is not whole".to_owned()));
+        }
+        if let Some(connection) = self.connection.take() {
+            finish(connection, &self.lease);
+        }
+        Ok(())
+    }
+
+    async fn pass_on(&mut self, event: Event) -> Result<(), StreamEnd> {
+        if let Some(data) = &event.data {
+            self.account.events += 1;
+            if self.call.route.retain {
+                self.output.extend_from_slice(data);
+                self.output.push(b'\n');
+            }
+        }
+        let sending = self.pieces.send(Piece::Data(event.raw));
+        match tokio::time::timeout_at(self.call.expires_at.into(), sending).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(StreamEnd::CallerLeft),
+            Err(_) => Err(StreamEnd::TimedOut),
+        }
+    }
+
+    /// Keeps the turn, so that the end of the stream may be passed on.
+    async fn keep(&mut self) -> Result<(), StreamEnd> {
+        if !self.call.route.retain {
+            return Ok(());
+        }
+        let mut entry = self.account.entry.clone();
+        entry.used = self.account.used();
+        entry.record = vec![TurnRecord {
+            previous: self.previous,
+            input: Content::from(self.call.input.to_vec()),
+            output: Content::from(std::mem::take(&mut self.output)),
+        }];
+        let deadline = self.call.expires_at.max(Instant::now() + KEEP_TIME);
+        self.gateway.turns.keep(&entry, deadline).await.map_err(StreamEnd::NotKept)?;
+        self.account.is_reserved = false;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/edge/turns.rs
@@ -0,0 +1,303 @@
+//! Keeps turns and budgets on the replicas, and reads chains back.
+
+use crate::edge::turn_cache::TurnCache;
+use crate::logging::part;
+use crate::peers::rpc_client::RpcClient;
+use crate::peers::view::{Origin, ViewHolder};
+use crate::replica::sync::address_of;
+use foxnotch_turns::budget::{BudgetVerdict, BudgetView};
+use foxnotch_turns::chain::{ChainAssembly, NO_TURN};
+use foxnotch_turns::quorum::Tally;
+use foxnotch_turns::replica_set;
+use foxnotch_wire::{
+    ProgramKey, ReadChain, ReadProgram, ReplicaMember, ReplicaSet, ReplicaStanding, RpcBody, SetNews, StoreEntry,
+    Stored, TurnEntry, TurnId, TurnRecord, NOT_SETTLED,
+};
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+
+/// Pause before a replica that failed is asked again.
+const RETRY_PAUSE: Duration = Duration::from_millis(60);
+/// Time for which the nearest replica alone is asked for a chain.
+const NEAREST_ALONE: Duration = Duration::from_millis(30);
+/// Pause while no replica set is known.
+const SET_PAUSE: Duration = Duration::from_millis(50);
+
+/// Why the replicas did not do what was asked.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum TurnError {
+    /// Too few answered.
+    #[error("{counted} of {needed} replicas answered")]
+    NoQuorum {
+        /// Answers that counted.
+        counted: usize,
+        /// Answers needed.
+        needed: usize,
+    },
+    /// No replica set is known.
+    #[error("no replica set is known")]
+    NoSet,
+}
+
+/// What is known of a turn that another continues.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ChainError {
+    /// So many complete replicas lack it that it cannot exist.
+    #[error("it does not exist")]
+    NoSuchTurn,
+    /// Nobody can tell.
+    #[error("nobody can tell whether it exists ({0})")]
+    Unknown(TurnError),
+}
+
+/// A chain, oldest first.
+pub type ChainRecords = Vec<(TurnId, Arc<TurnRecord>)>;
+
+/// What a replica answered to one request.
+enum MemberAnswer {
+    Body(RpcBody),
+    NewerSet(ReplicaSet),
+}
+
+/// Asks the replicas.
+pub struct TurnKeeper {
+    client: Arc<RpcClient>,
+    view: Arc<ViewHolder>,
+    cache: TurnCache,
+    zone: u32,
+    losses: usize,
+    /// Told when the replica set seems out of date.
+    set_wanted: Arc<Notify>,
+}
+
+impl TurnKeeper {
+    /// A keeper that goes by the view's replica set. `losses` replicas may be lost at once.
+    pub fn new(client: Arc<RpcClient>, view: Arc<ViewHolder>, cache: TurnCache, zone: u32, losses: usize) -> Self {
+        Self { client, view, cache, zone, losses, set_wanted: Arc::default() }
+    }
+
+    /// Told when the replica set seems out of date.
+    pub fn set_wanted(&self) -> Arc<Notify> {
+        self.set_wanted.clone()
+    }
+
+    fn needed(&self, set: &ReplicaSet) -> usize {
+        replica_set::write_quorum(set.members.len(), self.losses)
+    }
+
+    /// Waits for a replica set.
+    async fn wait_for_set(&self, deadline: Instant) -> Result<Arc<ReplicaSet>, TurnError> {
+        loop {
+            let set = self.view.set();
+            if set.version > 0 {
+                return Ok(set);
+            }
+            self.set_wanted.notify_one();
+            if Instant::now() + SET_PAUSE > deadline {
+                return Err(TurnError::NoSet);
+            }
+            tokio::time::sleep(SET_PAUSE).await;
+        }
+    }
+
+    /// Asks one replica until it gives an answer that counts, or the set turns out to be old, or time is over.
+    async fn ask_member(
+        &self,
+        member: ReplicaMember,
+        set: &ReplicaSet,
+        body: RpcBody,
+        deadline: Instant,
+    ) -> Option<MemberAnswer> {
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return None;
+            }
+            match self.client.call(address_of(&member), body.clone(), left).await {
+                Ok(RpcBody::OtherSet(news)) if news.set.version > set.version => {
+                    return Some(MemberAnswer::NewerSet(news.set));
+                }
+                Ok(RpcBody::OtherSet(_)) => {
+                    let news = SetNews { set: set.clone(), synced: 0 };
+                    // A replica that cannot be told is asked again below.
+                    let _ = self.client.call(address_of(&member), RpcBody::AdoptSet(news), left).await;
+                    continue;
+                }
+                Ok(RpcBody::Stored(stored)) if stored.witness.standing == ReplicaStanding::Counts => {
+                    return Some(MemberAnswer::Body(RpcBody::Stored(stored)));
+                }
+                Ok(RpcBody::Chain(chain)) => return Some(MemberAnswer::Body(RpcBody::Chain(chain))),
+                Ok(_) | Err(_) => {}
+            }
+            tokio::time::sleep(RETRY_PAUSE.min(left)).await;
+        }
+    }
+
+    /// Makes one round over all replicas: returns the merged answers once a quorum of them counts.
+    async fn round(&self, deadline: Instant, request: impl Fn(u64) -> RpcBody) -> Result<BudgetView, TurnError> {
+        loop {
+            let set = self.wait_for_set(deadline).await?;
+            let needed = self.needed(&set);
+            let body = request(set.version);
+            let mut tally = Tally::default();
+            let mut view = BudgetView::default();
+            let members = set.members.iter();
+            let mut asks: FuturesUnordered<_> =
+                members.map(|member| self.ask_member(*member, &set, body.clone(), deadline)).collect();
+            let mut newer = None;
+            while let Some(answer) = asks.next().await {
+                match answer {
+                    Some(MemberAnswer::Body(RpcBody::Stored(Stored { witness, charges }))) => {
+                        tally.add(witness);
+                        view.merge(&charges);
+                    }
+                    Some(MemberAnswer::NewerSet(set)) => {
+                        newer = Some(set);
+                        break;
+                    }
+                    Some(MemberAnswer::Body(_)) | None => {}
+                }
+                if tally.count() >= needed {
+                    return Ok(view);
+                }
+            }
+            let Some(newer) = newer else {
+                self.set_wanted.notify_one();
+                return Err(TurnError::NoQuorum { counted: tally.count(), needed });
+            };
+            self.view.adopt_set(&newer, Origin::Peer);
+        }
+    }
+
+    /// Reserves a turn's most, if the budget holds it. A reservation that is refused is released.
+    ///
+    /// # Errors
+    /// [`TurnError`]; the reservation may then be on some replicas and has to be released.
+    pub async fn reserve(&self, entry: &TurnEntry, budget: u64, deadline: Instant) -> Result<bool, TurnError> {
+        let first = self.write(entry, deadline).await?;
+        let mut verdict = first.first_verdict(budget);
+        let mut total = first.total();
+        if verdict == BudgetVerdict::ReadAgain {
+            let second = self.read(entry.program, deadline).await?;
+            verdict = second.second_verdict(budget);
+            total = second.total();
+        }
+        if verdict != BudgetVerdict::Granted {
+            log::info!(target: part::TURN, "Budget spent: turn={} program={:016x} total={total} budget={budget}.", entry.turn, entry.program.0);
+        }
+        Ok(verdict == BudgetVerdict::Granted)
+    }
+
+    /// Writes an entry to a quorum.
+    ///
+    /// # Errors
+    /// [`TurnError`].
+    pub async fn write(&self, entry: &TurnEntry, deadline: Instant) -> Result<BudgetView, TurnError> {
+        self.round(deadline, |set_version| RpcBody::StoreEntry(StoreEntry { set_version, entry: entry.clone() })).await
+    }
+
+    async fn read(&self, program: ProgramKey, deadline: Instant) -> Result<BudgetView, TurnError> {
+        self.round(deadline, |set_version| RpcBody::ReadProgram(ReadProgram { set_version, program })).await
+    }
+
+    /// Settles a turn without a record.
+    pub async fn settle(&self, mut entry: TurnEntry, used: u32, deadline: Instant) {
+        debug_assert!(used != NOT_SETTLED);
+        entry.used = used;
+        if let Err(error) = self.write(&entry, deadline).await {
+            log::warn!(target: part::TURN, "Turn {} is not settled and counts at its most: {error}.", entry.turn);
+        }
+    }
+
+    /// Writes a turn that ended whole; afterwards it can be continued everywhere.
+    ///
+    /// # Errors
+    /// [`TurnError`]; the turn may then be kept or not.
+    pub async fn keep(&self, entry: &TurnEntry, deadline: Instant) -> Result<(), TurnError> {
+        self.write(entry, deadline).await?;
+        if let Some(record) = entry.record.first() {
+            self.cache.insert(entry.turn, Arc::new(record.clone()));
+        }
+        Ok(())
+    }
+
+    /// The chain that ends with `newest`.
+    ///
+    /// # Errors
+    /// [`ChainError`].
+    pub async fn chain(&self, newest: TurnId, deadline: Instant) -> Result<ChainRecords, ChainError> {
+        let mut assembly = ChainAssembly::default();
+        if let Some(chain) = self.cached_chain(newest, &mut assembly) {
+            return Ok(chain);
+        }
+        let chain = self.read_chain(newest, assembly, deadline).await?;
+        for (turn, record) in &chain {
+            self.cache.insert(*turn, record.clone());
+        }
+        Ok(chain)
+    }
+
+    fn cached_chain(&self, newest: TurnId, assembly: &mut ChainAssembly) -> Option<ChainRecords> {
+        let mut next = newest;
+        while next != NO_TURN {
+            let record = self.cache.get(next)?;
+            let previous = record.previous;
+            assembly.insert(next, record);
+            next = previous;
+        }
+        assembly.resolve(newest).ok()
+    }
+
+    async fn read_chain(
+        &self,
+        newest: TurnId,
+        mut assembly: ChainAssembly,
+        deadline: Instant,
+    ) -> Result<ChainRecords, ChainError> {
+        loop {
+            let set = self.wait_for_set(deadline).await.map_err(ChainError::Unknown)?;
+            let denials = replica_set::denial_quorum(set.members.len(), self.losses);
+            let body = RpcBody::ReadChain(ReadChain { set_version: set.version, turn: newest });
+            let mut asks = FuturesUnordered::new();
+            let nearest = set.members.iter().find(|member| member.zone == self.zone).copied();
+            asks.extend(nearest.map(|member| self.ask_member(member, &set, body.clone(), deadline)));
+            let mut others: Vec<ReplicaMember> =
+                set.members.iter().filter(|member| Some(member.node) != nearest.map(|n| n.node)).copied().collect();
+            let mut newer = None;
+            loop {
+                let answer = if others.is_empty() {
+                    asks.next().await
+                } else {
+                    let waited = tokio::time::timeout(NEAREST_ALONE, asks.next()).await;
+                    asks.extend(others.drain(..).map(|member| self.ask_member(member, &set, body.clone(), deadline)));
+                    let Ok(answer) = waited else { continue };
+                    answer.or(Some(None))
+                };
+                match answer {
+                    Some(Some(MemberAnswer::Body(RpcBody::Chain(chain)))) => assembly.merge(newest, chain),
+                    Some(Some(MemberAnswer::NewerSet(set))) => {
+                        newer = Some(set);
+                        break;
+                    }
+                    Some(_) => {}
+                    None => break,
+                }
+                match assembly.resolve(newest) {
+                    Ok(chain) => return Ok(chain),
+                    Err(missing) if missing == newest && assembly.denials() >= denials => {
+                        return Err(ChainError::NoSuchTurn);
+                    }
+                    Err(_) => {}
+                }
+            }
+            let Some(newer) = newer else {
+                self.set_wanted.notify_one();
+                let counted = assembly.denials();
+                return Err(ChainError::Unknown(TurnError::NoQuorum { counted, needed: denials }));
+            };
+            self.view.adopt_set(&newer, Origin::Peer);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/edge/whole_call.rs
@@ -0,0 +1,76 @@
+//! Requests whose answers are read whole before they are passed on.
+
+use crate::edge::body::AnswerBody;
+use crate::edge::call::{remove_connection_headers, Call};
+use crate::edge::handler::Gateway;
+use crate::edge::refusal::Refusal;
+use crate::engines::attempt::{finish, EngineAnswer};
+use crate::logging::part;
+use bytes::Bytes;
+use http::{header, Response, StatusCode};
+use http_body_util::BodyExt;
+
+/// Serves a call on a route of a plain service.
+///
+/// # Errors
+/// The refusal that the caller gets.
+pub async fn serve(gateway: &Gateway, call: &Call) -> Result<Response<AnswerBody>, Refusal> {
+    let mut sent = 0;
+    loop {
+        let answer = gateway.offer(call, &call.input, None, &mut sent).await?;
+        match read_whole(call, answer).await {
+            Ok(response) => return Ok(response),
+            Err(refusal) => {
+                sent += 1;
+                if !call.route.is_repeatable() || sent >= call.route.attempts || refusal == Refusal::TimedOut {
+                    return Err(refusal);
+                }
+            }
+        }
+    }
+}
+
+/// Reads an answer to its end.
+///
+/// # Errors
+/// [`Refusal::MayHaveRun`] when it breaks off, [`Refusal::TimedOut`].
+pub async fn read_whole(call: &Call, answer: EngineAnswer) -> Result<Response<AnswerBody>, Refusal> {
+    let EngineAnswer { response, connection, lease, .. } = answer;
+    let (head, body) = response.into_parts();
+    let collected = match tokio::time::timeout_at(call.expires_at.into(), body.collect()).await {
+        Ok(Ok(collected)) => collected,
+        Ok(Err(error)) => {
+            lease.engine().note_failure();
+            return Err(Refusal::MayHaveRun(format!("it broke off: {error}")));
+        }
+        Err(_) => return Err(Refusal::TimedOut),
+    };
+    finish(connection, &lease);
+    log::info!(target: part::CALL, "Call {} answered: route={} service={} engine={} status={} after={:?}.", call.metadata.attempt, call.route.name, call.service, lease.engine().entry.id, head.status.as_u16(), call.arrived_at.elapsed());
+    pass_on(head, collected.to_bytes())
+}
+
+/// The engine's answer as the caller gets it. A status that promises that nothing has run is not passed on when the
+/// engine did not say so.
+fn pass_on(mut head: http::response::Parts, body: Bytes) -> Result<Response<AnswerBody>, Refusal> {
+    if promises_not_run(head.status) {
+        return Err(Refusal::MayHaveRun(format!(
+            "the engine answered {} and does not say that it has not run",
+            head.status
+        )));
+    }
+    remove_connection_headers(&mut head.headers);
+    head.headers.remove(header::CONTENT_LENGTH);
+    Ok(Response::from_parts(head, AnswerBody::whole(body)))
+}
+
+/// Whether callers take the status for a promise that the request has not run.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
--- /dev/null
+++ b/crates/gateway/src/engines/attempt.rs
@@ -0,0 +1,146 @@
+//! Sending a request to one engine, at most once.
+
+use crate::engines::connection::{EngineConnection, SendError};
+use crate::engines::engine::{Engine, EngineLease};
+use crate::ports::dialect::{AnswerMetadata, Dialect};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use std::sync::Arc;
+use std::time::Instant;
+
+/// Why an engine gave no answer that counts.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum AttemptError {
+    /// It has not run: the engine refused it for lack of room.
+    #[error("the engine is full")]
+    Full,
+    /// It has not run: another engine has the address.
+    #[error("another engine has the address")]
+    Replaced,
+    /// It has not run: no connection could be made.
+    #[error("the engine cannot be reached ({0})")]
+    Unreachable(String),
+    /// It may have run.
+    #[error("the engine's answer was lost ({0})")]
+    AnswerLost(String),
+    /// It may have run: the time was over.
+    #[error("the engine did not answer in time")]
+    TimedOut,
+}
+
+impl AttemptError {
+    /// Whether the request has certainly not run.
+    pub fn is_not_run(&self) -> bool {
+        matches!(self, Self::Full | Self::Replaced | Self::Unreachable(_))
+    }
+}
+
+/// The head of an answer that belongs to the request; its body is still to be read.
+pub struct EngineAnswer {
+    /// The answer.
+    pub response: http::Response<Incoming>,
+    /// What it says of itself.
+    pub metadata: AnswerMetadata,
+    /// The connection. Dropping it stops the engine.
+    pub connection: EngineConnection,
+    /// The engine, counted as busy.
+    pub lease: EngineLease,
+}
+
+impl EngineAnswer {
+    /// Lets the connection rest after the whole answer was read.
+    pub fn finish(self) {
+        finish(self.connection, &self.lease);
+    }
+}
+
+/// Lets a connection rest after the whole answer was read.
+pub fn finish(connection: EngineConnection, lease: &EngineLease) {
+    lease.engine().note_success();
+    lease.engine().keep_connection(connection);
+}
+
+/// Sends a request to an engine and waits for the head of its answer until `give_up_at`.
+///
+/// # Errors
+/// [`AttemptError`].
+pub async fn send(
+    engine: &Arc<Engine>,
+    request: http::Request<Full<Bytes>>,
+    attempt: &str,
+    dialect: &dyn Dialect,
+    give_up_at: Instant,
+) -> Result<EngineAnswer, AttemptError> {
+    let lease = engine.begin();
+    let exchange = exchange(engine, request);
+    let outcome = tokio::time::timeout_at(give_up_at.into(), exchange).await;
+    let (response, mut connection) = match outcome {
+        Ok(Ok(answered)) => answered,
+        Ok(Err(error)) => {
+            engine.note_failure();
+            return Err(error);
+        }
+        Err(_) => return Err(AttemptError::TimedOut),
+    };
+    connection.set_rest_limit(keep_alive_seconds(response.headers()));
+    let metadata = dialect.read_answer(response.headers());
+    if metadata.not_executed || response.status() == http::StatusCode::MISDIRECTED_REQUEST {
+        return Err(refused(engine, response, connection).await);
+    }
+    if metadata.attempt.as_deref() != Some(attempt) {
+        let problem = format!("an answer to {:?} came", metadata.attempt);
+        return Err(AttemptError::AnswerLost(problem));
+    }
+    if response.status().is_success() && !metadata.sealed {
+        return Err(AttemptError::AnswerLost("it is not signed".to_owned()));
+    }
+    Ok(EngineAnswer { response, metadata, connection, lease })
+}
+
+async fn exchange(
+    engine: &Arc<Engine>,
+    mut request: http::Request<Full<Bytes>>,
+) -> Result<(http::Response<Incoming>, EngineConnection), AttemptError> {
+    while let Some(mut connection) = engine.take_connection() {
+        match connection.send(request).await {
+            Ok(response) => return Ok((response, connection)),
+            Err(SendError::NotSent(again)) => request = *again,
+            Err(SendError::MayHaveRun(problem)) => return Err(AttemptError::AnswerLost(problem)),
+        }
+    }
+    let opened = EngineConnection::open(engine.address).await;
+    let mut connection = opened.map_err(|error| AttemptError::Unreachable(error.to_string()))?;
+    match connection.send(request).await {
+        Ok(response) => Ok((response, connection)),
+        Err(SendError::NotSent(_)) => Err(AttemptError::Unreachable("the connection closed".to_owned())),
+        Err(SendError::MayHaveRun(problem)) => Err(AttemptError::AnswerLost(problem)),
+    }
+}
+
+/// Reads a refusal to its end, so that the connection can be used again.
+async fn refused(
+    engine: &Arc<Engine>,
+    response: http::Response<Incoming>,
+    connection: EngineConnection,
+) -> AttemptError {
+    use http_body_util::BodyExt;
+    let replaced = response.status() == http::StatusCode::MISDIRECTED_REQUEST;
+    if response.into_body().collect().await.is_ok() && !replaced {
+        engine.keep_connection(connection);
+    }
+    if replaced {
+        engine.note_replaced();
+        AttemptError::Replaced
+    } else {
+        engine.note_full();
+        AttemptError::Full
+    }
+}
+
+/// The time in `Keep-Alive: timeout=5`.
+fn keep_alive_seconds(headers: &http::HeaderMap) -> Option<u64> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let mut parameters = text.split(',').map(str::trim);
+    parameters.find_map(|parameter| parameter.strip_prefix("timeout=")?.trim().parse().ok())
+}
--- /dev/null
+++ b/crates/gateway/src/engines/connection.rs
@@ -0,0 +1,87 @@
+//! A connection to an engine. It carries one request at a time and is given up when anything about it is in doubt.
+
+use crate::network;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper_util::rt::TokioIo;
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::task::AbortHandle;
+
+/// Time to make a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How much earlier than the engine said a resting connection is given up.
+const REST_MARGIN: Duration = Duration::from_millis(700);
+/// The rest after which a connection is given up when the engine said nothing.
+const DEFAULT_REST: Duration = Duration::from_secs(10);
+
+/// Why a request was not answered.
+#[derive(Debug)]
+pub enum SendError {
+    /// Not a byte has left; here is the request again.
+    NotSent(Box<http::Request<Full<Bytes>>>),
+    /// It may have run.
+    MayHaveRun(String),
+}
+
+/// An open connection. Dropping it closes the socket at once.
+#[derive(Debug)]
+pub struct EngineConnection {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    rested_since: Instant,
+    rest_limit: Duration,
+}
+
+impl Drop for EngineConnection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl EngineConnection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    /// The error of the connection; nothing was sent.
+    pub async fn open(address: SocketAddr) -> io::Result<Self> {
+        let stream = network::connect(address, CONNECT_TIMEOUT).await?;
+        let (sender, connection) = Builder::new().handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        // The connection's own error reaches whoever waits for an answer.
+        let task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
+        Ok(Self { sender, task, rested_since: Instant::now(), rest_limit: DEFAULT_REST })
+    }
+
+    /// Whether another request may be sent.
+    pub fn is_usable(&self) -> bool {
+        !self.sender.is_closed() && self.sender.is_ready() && self.rested_since.elapsed() < self.rest_limit
+    }
+
+    /// Notes how long the engine lets the connection rest.
+    pub fn set_rest_limit(&mut self, seconds: Option<u64>) {
+        self.rest_limit =
+            seconds.map_or(DEFAULT_REST, |seconds| Duration::from_secs(seconds).saturating_sub(REST_MARGIN));
+    }
+
+    /// Begins a rest.
+    pub fn rest(&mut self) {
+        self.rested_since = Instant::now();
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    /// [`SendError`].
+    pub async fn send(&mut self, request: http::Request<Full<Bytes>>) -> Result<http::Response<Incoming>, SendError> {
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(response),
+            Err(mut error) => match error.take_message() {
+                Some(request) => Err(SendError::NotSent(Box::new(request))),
+                None => Err(SendError::MayHaveRun(error.into_error().to_string())),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/engines/engine.rs
@@ -0,0 +1,179 @@
+//! One engine: its entry, its load as far as this gateway causes it, its health, and its resting connections.
+
+use crate::engines::connection::EngineConnection;
+use crate::engines::part_cache::PartCache;
+use crate::ports::configuration::EngineEntry;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Time for which an engine that refused for lack of room is passed over.
+const FULL_PAUSE: Duration = Duration::from_millis(40);
+/// The first time for which an engine that failed is passed over; doubled for each failure in a row.
+const FIRST_EJECTION: Duration = Duration::from_millis(400);
+/// The longest such time.
+const LONGEST_EJECTION: Duration = Duration::from_secs(4);
+/// Connections that rest at one engine.
+const MAXIMUM_RESTING: usize = 64;
+
+/// What was seen of an engine lately.
+#[derive(Debug, Default)]
+struct Health {
+    failures: u32,
+    ejected_until: Option<Instant>,
+    full_until: Option<Instant>,
+}
+
+/// An engine.
+#[derive(Debug)]
+pub struct Engine {
+    /// Its entry when it was first seen; all but the state stays for the life of the engine.
+    pub entry: EngineEntry,
+    /// Where it listens.
+    pub address: SocketAddr,
+    under_way: AtomicU32,
+    draining: AtomicBool,
+    replaced: AtomicBool,
+    health: Mutex<Health>,
+    resting: Mutex<VecDeque<EngineConnection>>,
+    parts: Mutex<PartCache>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Engine {
+    /// An engine that was just listed; none when its address cannot be read.
+    pub fn new(entry: EngineEntry, memory_tokens: u64) -> Option<Self> {
+        let address = entry.address.parse().ok()?;
+        let draining = AtomicBool::new(entry.draining);
+        Some(Self {
+            entry,
+            address,
+            under_way: AtomicU32::new(0),
+            draining,
+            replaced: AtomicBool::new(false),
+            health: Mutex::default(),
+            resting: Mutex::default(),
+            parts: Mutex::new(PartCache::new(memory_tokens)),
+        })
+    }
+
+    /// Requests of this gateway under way.
+    pub fn under_way(&self) -> u32 {
+        self.under_way.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request until the returned value is dropped.
+    pub fn begin(self: &Arc<Self>) -> EngineLease {
+        self.under_way.fetch_add(1, Ordering::Relaxed);
+        EngineLease { engine: self.clone() }
+    }
+
+    /// Notes the state that the engine lists.
+    pub fn set_draining(&self, draining: bool) {
+        self.draining.store(draining, Ordering::Relaxed);
+    }
+
+    /// Whether the engine may get new work at all.
+    pub fn takes_work(&self) -> bool {
+        !self.draining.load(Ordering::Relaxed) && !self.replaced.load(Ordering::Relaxed)
+    }
+
+    /// Whether the engine is thought well and not full.
+    pub fn is_inviting(&self) -> bool {
+        let now = Instant::now();
+        let health = lock(&self.health);
+        let passed = |until: Option<Instant>| until.is_none_or(|until| until <= now);
+        passed(health.ejected_until) && passed(health.full_until)
+    }
+
+    /// Whether the engine failed lately.
+    pub fn is_ejected(&self) -> bool {
+        let now = Instant::now();
+        lock(&self.health).ejected_until.is_some_and(|until| until > now)
+    }
+
+    /// Another engine has its address now.
+    pub fn note_replaced(&self) {
+        self.replaced.store(true, Ordering::Relaxed);
+        lock(&self.resting).clear();
+    }
+
+    /// It refused for lack of room.
+    pub fn note_full(&self) {
+        lock(&self.health).full_until = Some(Instant::now() + FULL_PAUSE);
+    }
+
+    /// It answered.
+    pub fn note_success(&self) {
+        let mut health = lock(&self.health);
+        health.failures = 0;
+        health.ejected_until = None;
+    }
+
+    /// It could not be reached, or broke off.
+    pub fn note_failure(&self) {
+        let mut health = lock(&self.health);
+        let ejection = FIRST_EJECTION.saturating_mul(1 << health.failures.min(8)).min(LONGEST_EJECTION);
+        health.failures += 1;
+        health.ejected_until = Some(Instant::now() + ejection);
+    }
+
+    /// A resting connection: the one that has rested longest, so that all stay in use.
+    pub fn take_connection(&self) -> Option<EngineConnection> {
+        let mut resting = lock(&self.resting);
+        while let Some(connection) = resting.pop_front() {
+            if connection.is_usable() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Whether a connection rests.
+    pub fn has_connection(&self) -> bool {
+        lock(&self.resting).iter().any(EngineConnection::is_usable)
+    }
+
+    /// Lets a connection rest.
+    pub fn keep_connection(&self, mut connection: EngineConnection) {
+        connection.rest();
+        let mut resting = lock(&self.resting);
+        if resting.len() < MAXIMUM_RESTING && self.takes_work() {
+            resting.push_back(connection);
+        }
+    }
+
+    /// Closes all resting connections.
+    pub fn close_connections(&self) {
+        lock(&self.resting).clear();
+    }
+
+    /// What it probably holds.
+    pub fn parts(&self) -> MutexGuard<'_, PartCache> {
+        lock(&self.parts)
+    }
+}
+
+/// A request under way at an engine.
+#[derive(Debug)]
+pub struct EngineLease {
+    engine: Arc<Engine>,
+}
+
+impl EngineLease {
+    /// The engine.
+    pub fn engine(&self) -> &Arc<Engine> {
+        &self.engine
+    }
+}
+
+impl Drop for EngineLease {
+    fn drop(&mut self) {
+        self.engine.under_way.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/engines/mod.rs
@@ -0,0 +1,8 @@
+//! Engines as the gateway sees them: which there are, how loaded they are, what they hold, and sending to one.
+
+pub mod attempt;
+pub mod connection;
+pub mod engine;
+pub mod part_cache;
+pub mod selector;
+pub mod table;
--- /dev/null
+++ b/crates/gateway/src/engines/selector.rs
@@ -0,0 +1,72 @@
+//! Which engine gets a request: the one that will answer soonest, as far as this gateway can tell.
+
+use crate::engines::engine::Engine;
+use crate::ports::dialect::PromptPart;
+use rand::Rng;
+use std::sync::Arc;
+
+/// Prompt tokens that an engine computes in a millisecond, roughly: only the order of costs matters.
+const PREFILL_TOKENS_PER_MS: f64 = 64.0;
+/// Milliseconds that each request of this gateway under way at a model engine costs a new one, roughly.
+const MODEL_LOAD_MS: f64 = 1.5;
+/// Milliseconds that a full plain engine costs a new request, roughly.
+const PLAIN_LOAD_MS: f64 = 30.0;
+/// Milliseconds that another zone costs.
+const ZONE_MS: f64 = 3.0;
+/// Milliseconds that a new connection costs; also a price to be avoided.
+const CONNECTION_MS: f64 = 2.5;
+/// Milliseconds of chance, so that gateways do not all choose alike.
+const CHANCE_MS: f64 = 1.0;
+/// The cost of an engine that is full or failed lately: it is taken only when there is no other.
+const UNINVITING_MS: f64 = 1_000.0;
+
+/// What is to be placed.
+#[derive(Clone, Copy, Debug)]
+pub struct Placement<'a> {
+    /// The prompt's parts; empty for plain requests.
+    pub prompt: &'a [PromptPart],
+    /// Whether the service runs a model.
+    pub is_model: bool,
+    /// The zone of this gateway.
+    pub zone: &'a str,
+    /// The engine that ran the session's last turn.
+    pub last_engine: Option<&'a str>,
+}
+
+/// The cost of an engine in milliseconds, lower is better.
+fn cost(engine: &Engine, placement: &Placement<'_>) -> f64 {
+    let under_way = f64::from(engine.under_way());
+    let slots = f64::from(engine.entry.slots.max(1));
+    let mut cost = rand::rng().random_range(0.0..CHANCE_MS);
+    if placement.is_model {
+        let prompt_tokens: u32 = placement.prompt.iter().map(|part| part.tokens).sum();
+        let held = engine.parts().held_tokens(placement.prompt);
+        cost += f64::from(prompt_tokens - held.min(prompt_tokens)) / PREFILL_TOKENS_PER_MS;
+        cost += MODEL_LOAD_MS * under_way;
+        if under_way >= slots {
+            cost += UNINVITING_MS;
+        }
+    } else {
+        cost += PLAIN_LOAD_MS * under_way / slots;
+    }
+    if engine.entry.zone != placement.zone {
+        cost += ZONE_MS;
+    }
+    if !engine.has_connection() {
+        cost += CONNECTION_MS;
+    }
+    if !engine.is_inviting() {
+        cost += UNINVITING_MS;
+    }
+    if engine.is_ejected() {
+        cost += UNINVITING_MS;
+    }
+    cost
+}
+
+/// The engine of least cost that was not tried before.
+pub fn choose(candidates: &[Arc<Engine>], placement: &Placement<'_>, tried: &[String]) -> Option<Arc<Engine>> {
+    let untried = candidates.iter().filter(|engine| !tried.contains(&engine.entry.id));
+    let priced = untried.map(|engine| (cost(engine, placement), engine));
+    priced.min_by(|left, right| left.0.total_cmp(&right.0)).map(|(_, engine)| engine.clone())
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,15 @@
+//! The gateway, which stands between callers and engines, and the replica, which keeps turns and budgets on disk.
+//!
+//! What the platform around them says is translated by an adapter behind the [`ports`]; nothing here knows its names.
+//! Decisions about turns are in `foxnotch-turns`; here are sockets, files, connections and the choice of engines.
+
+pub mod clock;
+pub mod edge;
+pub mod engines;
+pub mod logging;
+pub mod network;
+pub mod peers;
+pub mod ports;
+pub mod replica;
+pub mod settings;
+pub mod store_watch;
--- /dev/null
+++ b/crates/gateway/src/logging.rs
@@ -0,0 +1,145 @@
+//! Logs on standard output: one short sentence a line, with a fixed prefix for each part.
+//!
+//! A line is handed to a thread over a bounded queue. When standard output does not keep up, or a second brings more
+//! lines than the limit, lines are left out and counted; nothing ever waits for a log line.
+
+use log::{LevelFilter, Record};
+use log4rs::append::Append;
+use log4rs::config::{Appender, Config, Logger, Root};
+use log4rs::encode::pattern::PatternEncoder;
+use log4rs::encode::writer::simple::SimpleWriter;
+use log4rs::encode::Encode;
+use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender};
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// The form of a line: time, level, part, sentence.
+const PATTERN: &str = "{d(%H:%M:%S%.3f)(utc)} {l} {t}: {m}{n}";
+/// Lines that wait to be written.
+const QUEUE_LINES: usize = 1024;
+/// Lines a second; warnings and errors are written beyond it.
+const LINES_PER_SECOND: u64 = 400;
+/// Lines that are written together.
+const LINES_PER_WRITE: usize = 64;
+/// Time between two reports of lines left out.
+const REPORT_PERIOD: Duration = Duration::from_secs(1);
+
+/// The parts that log, as they stand before each sentence.
+pub mod part {
+    /// Start, stop, reload.
+    pub const PROCESS: &str = "process";
+    /// Callers' requests.
+    pub const CALL: &str = "call";
+    /// Engines.
+    pub const ENGINE: &str = "engine";
+    /// Turns and budgets.
+    pub const TURN: &str = "turn";
+    /// Other nodes.
+    pub const PEER: &str = "peer";
+    /// What is known of the platform.
+    pub const VIEW: &str = "view";
+    /// The platform's store.
+    pub const STORE: &str = "store";
+    /// The replica.
+    pub const REPLICA: &str = "replica";
+    /// Files.
+    pub const DISK: &str = "disk";
+    /// All of them.
+    pub const ALL: [&str; 9] = [PROCESS, CALL, ENGINE, TURN, PEER, VIEW, STORE, REPLICA, DISK];
+}
+
+/// Lines left out since the start.
+static LINES_LEFT_OUT: AtomicU64 = AtomicU64::new(0);
+
+/// Lines left out since the start, because standard output did not keep up or the limit was reached.
+pub fn lines_left_out() -> u64 {
+    LINES_LEFT_OUT.load(Ordering::Relaxed)
+}
+
+/// Lines of the present second.
+#[derive(Debug)]
+struct Second {
+    begun_at: Instant,
+    lines: u64,
+}
+
+/// Hands lines to the writing thread.
+#[derive(Debug)]
+struct QueueAppender {
+    encoder: PatternEncoder,
+    queue: SyncSender<Vec<u8>>,
+    second: Mutex<Second>,
+}
+
+impl QueueAppender {
+    /// Whether the limit allows another line.
+    fn take_place(&self) -> bool {
+        let mut second = self.second.lock().unwrap_or_else(PoisonError::into_inner);
+        if second.begun_at.elapsed() >= Duration::from_secs(1) {
+            *second = Second { begun_at: Instant::now(), lines: 0 };
+        }
+        second.lines += 1;
+        second.lines <= LINES_PER_SECOND
+    }
+}
+
+impl Append for QueueAppender {
+    fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
+        if !self.take_place() && record.level() > log::Level::Warn {
+            LINES_LEFT_OUT.fetch_add(1, Ordering::Relaxed);
+            return Ok(());
+        }
+        let mut line = SimpleWriter(Vec::with_capacity(200));
+        self.encoder.encode(&mut line, record)?;
+        if self.queue.try_send(line.0).is_err() {
+            LINES_LEFT_OUT.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) {}
+}
+
+/// Writes lines until the process ends.
+fn write_lines(queue: &Receiver<Vec<u8>>, mut output: impl Write) {
+    let mut reported = 0;
+    loop {
+        let mut text = match queue.recv_timeout(REPORT_PERIOD) {
+            Ok(line) => line,
+            Err(RecvTimeoutError::Timeout) => Vec::new(),
+            Err(RecvTimeoutError::Disconnected) => return,
+        };
+        for _ in 1..LINES_PER_WRITE {
+            let Ok(line) = queue.try_recv() else { break };
+            text.extend_from_slice(&line);
+        }
+        let left_out = lines_left_out();
+        if left_out > reported {
+            text.extend_from_slice(format!("log: {} lines were left out.\n", left_out - reported).as_bytes());
+            reported = left_out;
+        }
+        // Standard output that is gone leaves nothing to do.
+        let _ = output.write_all(&text);
+    }
+}
+
+/// Starts logging.
+///
+/// # Errors
+/// When logging was started before, or no thread can be had.
+pub fn start(level: &str) -> anyhow::Result<()> {
+    let (queue, lines) = sync_channel(QUEUE_LINES);
+    std::thread::Builder::new().name("log".to_owned()).spawn(move || write_lines(&lines, std::io::stdout()))?;
+    let second = Mutex::new(Second { begun_at: Instant::now(), lines: 0 });
+    let appender = QueueAppender { encoder: PatternEncoder::new(PATTERN), queue, second };
+    let level: LevelFilter = level.parse().unwrap_or(LevelFilter::Info);
+    let mut config = Config::builder().appender(Appender::builder().build("stdout", Box::new(appender)));
+    for name in part::ALL {
+        config = config.logger(Logger::builder().build(name, level));
+    }
+    let root = Root::builder().appender("stdout").build(LevelFilter::Warn.min(level));
+    log4rs::init_config(config.build(root)?)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/network.rs
@@ -0,0 +1,46 @@
+//! Options of sockets: a silent peer is noticed within seconds.
+
+use socket2::{SockRef, TcpKeepalive};
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+
+/// Time for which sent bytes may stay unacknowledged before the connection fails.
+const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Rest after which a connection is probed, and the time between probes.
+const KEEPALIVE_PERIOD: Duration = Duration::from_secs(1);
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// Sets the options of a connection.
+pub fn prepare_stream(stream: &TcpStream) {
+    // An option that cannot be set costs time at a failure, nothing else.
+    let _ = stream.set_nodelay(true);
+    let socket = SockRef::from(stream);
+    let _ = socket.set_tcp_user_timeout(Some(USER_TIMEOUT));
+    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_PERIOD).with_interval(KEEPALIVE_PERIOD).with_retries(2);
+    let _ = socket.set_tcp_keepalive(&keepalive);
+}
+
+/// Connects within a time.
+///
+/// # Errors
+/// The connection's error; `TimedOut` when the time is over.
+pub async fn connect(address: SocketAddr, within: Duration) -> io::Result<TcpStream> {
+    let stream = tokio::time::timeout(within, TcpStream::connect(address)).await;
+    let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    prepare_stream(&stream);
+    Ok(stream)
+}
+
+/// Listens at an address.
+///
+/// # Errors
+/// When the address cannot be bound.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
--- /dev/null
+++ b/crates/gateway/src/peers/frame.rs
@@ -0,0 +1,71 @@
+//! Frames of a stream between nodes: a length, then a coded message.
+
+use bytes::{Buf, BytesMut};
+use foxnotch_wire::{decode_rpc, encode_rpc, NodeId, RpcBody, RpcMessage, WireError, MAXIMUM_MESSAGE_BYTES};
+use std::io;
+use tokio::io::{AsyncRead, AsyncReadExt};
+
+/// Bytes of a frame's length.
+const LENGTH_BYTES: usize = 4;
+/// Bytes reserved for reading.
+const READ_BYTES: usize = 16 * 1024;
+
+/// Codes a frame.
+///
+/// # Errors
+/// [`WireError`].
+pub fn code_frame(from: NodeId, exchange: u64, body: RpcBody) -> Result<Vec<u8>, WireError> {
+    let message = encode_rpc(from, exchange, body)?;
+    let mut frame = Vec::with_capacity(message.len() + LENGTH_BYTES);
+    frame.extend_from_slice(&(message.len() as u32).to_le_bytes());
+    frame.extend_from_slice(&message);
+    Ok(frame)
+}
+
+/// Reads frames from a stream.
+pub struct FrameReader<S> {
+    stream: S,
+    buffer: BytesMut,
+}
+
+impl<S: AsyncRead + Unpin> FrameReader<S> {
+    /// A reader of `stream`.
+    pub fn new(stream: S) -> Self {
+        Self { stream, buffer: BytesMut::with_capacity(READ_BYTES) }
+    }
+
+    /// The next message; none at the end of the stream.
+    ///
+    /// # Errors
+    /// The stream's error, or `InvalidData` for a frame that cannot be read.
+    pub async fn next(&mut self) -> io::Result<Option<RpcMessage>> {
+        loop {
+            if let Some(message) = self.take_frame()? {
+                return Ok(Some(message));
+            }
+            self.buffer.reserve(READ_BYTES);
+            if self.stream.read_buf(&mut self.buffer).await? == 0 {
+                return Ok(None);
+            }
+        }
+    }
+
+    fn take_frame(&mut self) -> io::Result<Option<RpcMessage>> {
+        let Some(header) = self.buffer.get(..LENGTH_BYTES) else { return Ok(None) };
+        let length = u32::from_le_bytes([header[0], header[1], header[2], header[3]]) as usize;
+        if length > MAXIMUM_MESSAGE_BYTES {
+            return Err(invalid(&format!("a frame of {length} bytes is over the limit")));
+        }
+        if self.buffer.len() < LENGTH_BYTES + length {
+            return Ok(None);
+        }
+        self.buffer.advance(LENGTH_BYTES);
+        let bytes = self.buffer.split_to(length);
+        let message = decode_rpc(&bytes).map_err(|error| invalid(&error.to_string()))?;
+        Ok(Some(message))
+    }
+}
+
+fn invalid(problem: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, problem.to_owned())
+}
--- /dev/null
+++ b/crates/gateway/src/peers/members.rs
@@ -0,0 +1,273 @@
+//! Membership among gateways and replicas: the SWIM state machine of `foxnotch-core` over datagrams.
+//!
+//! Probes carry the revision of the sender's view. A node that sees a higher one pulls the view; one that has just
+//! learned something from the store tells three members at once.
+
+use crate::clock::SteadyClock;
+use crate::logging::part;
+use crate::peers::rpc_client::RpcClient;
+use crate::peers::view::ViewHolder;
+use crate::peers::view_exchange;
+use crate::settings::ProcessSettings;
+use foxnotch_core::membership::{Datagram, Membership};
+use foxnotch_turns::identity::node_id;
+use foxnotch_wire::{decode, encode, MemberAddress, MemberState, MemberUpdate, Message, NodeId, RpcBody};
+use std::net::{Ipv6Addr, SocketAddr};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::UdpSocket;
+
+/// Time between two steps of the state machine.
+const TICK: Duration = Duration::from_millis(150);
+/// Time between two tries to find the first member.
+const SEED_PERIOD: Duration = Duration::from_millis(500);
+/// Time between two pulls of all members.
+const LIST_PERIOD: Duration = Duration::from_secs(20);
+/// Time for one exchange with a seed.
+const SEED_TIMEOUT: Duration = Duration::from_millis(800);
+/// Members told at once of something new.
+const FANOUT: usize = 3;
+/// Time left to the store's own watch before another node is asked for what is new.
+const PULL_DELAY: Duration = Duration::from_millis(150);
+/// The longest datagram, in bytes.
+const MAXIMUM_DATAGRAM: usize = 2048;
+/// Pause after a failed receive.
+const PAUSE_AFTER_ERROR: Duration = Duration::from_millis(100);
+
+/// The members as this node sees them, kept up to date by [`Members::run`].
+pub struct Members {
+    own: NodeId,
+    clock: SteadyClock,
+    membership: Mutex<Membership>,
+    socket: UdpSocket,
+    client: Arc<RpcClient>,
+    view: Arc<ViewHolder>,
+    seeds: Mutex<Vec<SocketAddr>>,
+    peer_port: u16,
+}
+
+/// Where a member listens for nodes.
+fn socket_of(address: &MemberAddress) -> Option<SocketAddr> {
+    let ip = Ipv6Addr::from(address.ip).to_ipv4_mapped()?;
+    Some(SocketAddr::from((ip, address.peer_port)))
+}
+
+impl Members {
+    /// Binds the socket for datagrams.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    pub async fn bind(
+        settings: &ProcessSettings,
+        clock: SteadyClock,
+        client: Arc<RpcClient>,
+        view: Arc<ViewHolder>,
+    ) -> std::io::Result<Arc<Self>> {
+        let socket = UdpSocket::bind(settings.peer_address()).await?;
+        let own = node_id(&settings.node);
+        let started = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |age| age.as_millis() as u64);
+        let update = MemberUpdate {
+            node: own,
+            state: MemberState::Alive,
+            incarnation: started,
+            zone: settings.zone_number(&settings.zone),
+            address: MemberAddress {
+                ip: settings.ip.to_ipv6_mapped().octets(),
+                peer_port: settings.peer_port,
+                caller_port: settings.caller_address.map_or(0, |address| address.port()),
+            },
+            config_revision: 0,
+        };
+        let membership = Mutex::new(Membership::new(update, &[], clock.now()));
+        let seeds = Mutex::new(settings.seeds.clone());
+        Ok(Arc::new(Self { own, clock, membership, socket, client, view, seeds, peer_port: settings.peer_port }))
+    }
+
+    fn with<T>(&self, act: impl FnOnce(&mut Membership) -> T) -> T {
+        act(&mut self.membership.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Goes by other seeds from now on.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        *self.seeds.lock().unwrap_or_else(PoisonError::into_inner) = seeds;
+    }
+
+    /// Announces that this node takes no new work.
+    pub fn leave(&self) {
+        self.with(Membership::leave);
+    }
+
+    /// Whether a node answers probes, as far as is known.
+    pub fn is_reachable(&self, node: NodeId) -> bool {
+        self.with(|membership| membership.is_reachable(node))
+    }
+
+    /// Whether a node is known and answers no probes.
+    pub fn is_dead(&self, node: NodeId) -> bool {
+        self.with(|membership| {
+            let member = membership.members().find(|member| member.update.node == node);
+            member.is_some_and(|member| member.update.state == MemberState::Dead)
+        })
+    }
+
+    /// Answers a node that asks for all members.
+    pub fn answer_pull(&self, asker: MemberUpdate) -> RpcBody {
+        let now = self.clock.now();
+        self.with(|membership| {
+            membership.on_list(&[asker], now);
+            RpcBody::Members(membership.list())
+        })
+    }
+
+    /// Members known that are not dead, with where they listen.
+    fn alive(&self) -> Vec<MemberUpdate> {
+        self.with(|membership| {
+            let members = membership.members().map(|member| member.update);
+            members.filter(|update| update.state != MemberState::Dead).collect()
+        })
+    }
+
+    /// Runs membership for ever.
+    pub async fn run(self: Arc<Self>) {
+        tokio::spawn(self.clone().receive());
+        tokio::spawn(self.clone().find_members());
+        tokio::spawn(self.clone().follow_view());
+        loop {
+            let revision = self.view.get().revision();
+            let now = self.clock.now();
+            let datagrams = self.with(|membership| {
+                membership.set_revision(revision);
+                membership.tick(now)
+            });
+            self.send(datagrams);
+            tokio::time::sleep(TICK).await;
+        }
+    }
+
+    fn send(&self, datagrams: Vec<Datagram>) {
+        for datagram in datagrams {
+            let Some(address) = socket_of(&datagram.address) else { continue };
+            if let Ok(bytes) = encode(self.own, datagram.message) {
+                // A datagram that cannot be sent is as good as lost.
+                let _ = self.socket.try_send_to(&bytes, address);
+            }
+        }
+    }
+
+    async fn receive(self: Arc<Self>) {
+        let mut buffer = vec![0; MAXIMUM_DATAGRAM];
+        loop {
+            let Ok((length, _)) = self.socket.recv_from(&mut buffer).await else {
+                tokio::time::sleep(PAUSE_AFTER_ERROR).await;
+                continue;
+            };
+            if let Ok(envelope) = decode(&buffer[..length]) {
+                self.on_message(envelope.from, envelope.message);
+            }
+        }
+    }
+
+    fn on_message(self: &Arc<Self>, from: NodeId, message: Message) {
+        let now = self.clock.now();
+        let datagrams = self.with(|membership| match message {
+            Message::Ping(ping) => membership.on_ping(from, ping, now),
+            Message::PingRequest(request) => membership.on_ping_request(from, request, now),
+            Message::Ack(ack) => membership.on_ack(ack, now),
+            _ => Vec::new(),
+        });
+        self.send(datagrams);
+        self.pull_if_behind(from);
+    }
+
+    /// Pulls the view of a member that has a newer one, unless the store's watch brings it first.
+    fn pull_if_behind(self: &Arc<Self>, from: NodeId) {
+        let known = self.with(|membership| {
+            let member = membership.members().find(|member| member.update.node == from);
+            member.map(|member| member.update)
+        });
+        let Some(update) = known else { return };
+        if update.config_revision <= self.view.get().revision() {
+            return;
+        }
+        let Some(address) = socket_of(&update.address) else { return };
+        let members = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(PULL_DELAY).await;
+            if update.config_revision > members.view.get().revision() {
+                view_exchange::pull(&members.client, &members.view, address).await;
+            }
+        });
+    }
+
+    /// Asks seeds, and now and then a member, for all members and for their view.
+    async fn find_members(self: Arc<Self>) {
+        loop {
+            let alive = self.alive();
+            let addresses = if alive.is_empty() {
+                self.seed_addresses()
+            } else {
+                let index = self.with(|membership| membership.random_below(alive.len()));
+                alive.get(index).and_then(|member| socket_of(&member.address)).into_iter().collect()
+            };
+            for address in addresses {
+                self.pull_members(address).await;
+            }
+            let lonely = self.alive().is_empty();
+            tokio::time::sleep(if lonely { SEED_PERIOD } else { LIST_PERIOD }).await;
+        }
+    }
+
+    /// The seeds' addresses for nodes: all machines use the same port.
+    fn seed_addresses(&self) -> Vec<SocketAddr> {
+        let seeds = self.seeds.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let own = self.with(|membership| socket_of(&membership.own().address));
+        let addresses = seeds.into_iter().map(|seed| SocketAddr::new(seed.ip(), self.peer_port));
+        addresses.filter(|address| Some(*address) != own).collect()
+    }
+
+    async fn pull_members(&self, address: SocketAddr) {
+        let own = self.with(|membership| *membership.own());
+        let Ok(RpcBody::Members(list)) = self.client.call(address, RpcBody::PullMembers(own), SEED_TIMEOUT).await
+        else {
+            return;
+        };
+        let now = self.clock.now();
+        self.with(|membership| membership.on_list(&list.members, now));
+        view_exchange::pull(&self.client, &self.view, address).await;
+        log::debug!(target: part::PEER, "Members pulled from {address}: {} known.", list.members.len());
+    }
+
+    /// Tells some members at once when the view has changed.
+    async fn follow_view(self: Arc<Self>) {
+        let mut changed = self.view.subscribe();
+        let mut told = 0;
+        while changed.changed().await.is_ok() {
+            let revision = self.view.get().revision();
+            if revision <= told {
+                continue;
+            }
+            told = revision;
+            let mut alive = self.alive();
+            for _ in 0..FANOUT.min(alive.len()) {
+                let index = self.with(|membership| membership.random_below(alive.len()));
+                let member = alive.swap_remove(index);
+                if member.config_revision < revision {
+                    self.tell(&member).await;
+                }
+            }
+        }
+    }
+
+    /// Probes a member: the probe carries this node's revision, and the member pulls what it lacks.
+    async fn tell(&self, member: &MemberUpdate) {
+        let Some(address) = socket_of(&member.address) else { return };
+        let own = self.with(|membership| {
+            membership.set_revision(self.view.get().revision());
+            *membership.own()
+        });
+        let ping = foxnotch_wire::Ping { sequence: 0, updates: vec![own] };
+        if let Ok(bytes) = encode(self.own, Message::Ping(ping)) {
+            let _ = self.socket.send_to(&bytes, address).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers/mod.rs
@@ -0,0 +1,8 @@
+//! Other nodes: requests and answers by stream, membership by datagram, and the view of the platform they share.
+
+pub mod frame;
+pub mod members;
+pub mod rpc_client;
+pub mod rpc_server;
+pub mod view;
+pub mod view_exchange;
--- /dev/null
+++ b/crates/gateway/src/peers/rpc_client.rs
@@ -0,0 +1,148 @@
+//! Asks other nodes: one connection a node, many exchanges at a time.
+
+use crate::logging::part;
+use crate::network;
+use crate::peers::frame::{code_frame, FrameReader};
+use foxnotch_wire::{NodeId, RpcBody};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot};
+
+/// Time to make a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Rest after which a connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Why an exchange failed. In each case the request may have arrived.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum RpcError {
+    /// No connection, or it broke.
+    #[error("node at {0} cannot be reached; check whether it runs")]
+    Unreachable(SocketAddr),
+    /// No answer in time.
+    #[error("node at {0} did not answer in time; check its load and the network")]
+    TimedOut(SocketAddr),
+    /// The request cannot be coded.
+    #[error("a request cannot be coded ({0}); report this with the log")]
+    Uncodable(String),
+}
+
+type Pending = Arc<Mutex<HashMap<u64, oneshot::Sender<RpcBody>>>>;
+
+/// A connection, seen from the asker.
+#[derive(Clone)]
+struct Connection {
+    outgoing: mpsc::UnboundedSender<Vec<u8>>,
+    pending: Pending,
+}
+
+/// Asks other nodes.
+pub struct RpcClient {
+    own: NodeId,
+    connections: Mutex<HashMap<SocketAddr, Connection>>,
+    next_exchange: AtomicU64,
+}
+
+/// Removes an exchange that nobody waits for any more.
+struct Exchange {
+    pending: Pending,
+    number: u64,
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        lock(&self.pending).remove(&self.number);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl RpcClient {
+    /// A client without connections.
+    pub fn new(own: NodeId) -> Self {
+        Self { own, connections: Mutex::default(), next_exchange: AtomicU64::new(1) }
+    }
+
+    /// Sends a request and waits for its answer.
+    ///
+    /// # Errors
+    /// Any [`RpcError`].
+    pub async fn call(&self, address: SocketAddr, body: RpcBody, within: Duration) -> Result<RpcBody, RpcError> {
+        let number = self.next_exchange.fetch_add(1, Ordering::Relaxed);
+        let frame = code_frame(self.own, number, body).map_err(|error| RpcError::Uncodable(error.to_string()))?;
+        let connection = self.connection(address);
+        let (answer, waiting) = oneshot::channel();
+        lock(&connection.pending).insert(number, answer);
+        let _exchange = Exchange { pending: connection.pending.clone(), number };
+        if connection.outgoing.send(frame).is_err() {
+            return Err(RpcError::Unreachable(address));
+        }
+        drop(connection);
+        match tokio::time::timeout(within, waiting).await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(_)) => Err(RpcError::Unreachable(address)),
+            Err(_) => Err(RpcError::TimedOut(address)),
+        }
+    }
+
+    fn connection(&self, address: SocketAddr) -> Connection {
+        let mut connections = lock(&self.connections);
+        if let Some(known) = connections.get(&address).filter(|known| !known.outgoing.is_closed()) {
+            return known.clone();
+        }
+        connections.retain(|_, known| !known.outgoing.is_closed());
+        let (outgoing, queue) = mpsc::unbounded_channel();
+        let connection = Connection { outgoing, pending: Pending::default() };
+        connections.insert(address, connection.clone());
+        tokio::spawn(run_connection(address, queue, connection.pending.clone()));
+        connection
+    }
+
+    /// Closes all connections: after a pause of the process nothing is known of them.
+    pub fn reset(&self) {
+        lock(&self.connections).clear();
+    }
+}
+
+/// Carries one connection until it breaks or rests; then all that still wait are told.
+async fn run_connection(address: SocketAddr, mut queue: mpsc::UnboundedReceiver<Vec<u8>>, pending: Pending) {
+    match network::connect(address, CONNECT_TIMEOUT).await {
+        Ok(stream) => exchange(stream, &mut queue, &pending).await,
+        Err(error) => log::debug!(target: part::PEER, "The node at {address} cannot be reached: {error}."),
+    }
+    queue.close();
+    lock(&pending).clear();
+}
+
+async fn exchange(stream: TcpStream, queue: &mut mpsc::UnboundedReceiver<Vec<u8>>, pending: &Pending) {
+    let (read, mut write) = stream.into_split();
+    let mut reader = FrameReader::new(read);
+    loop {
+        tokio::select! {
+            frame = queue.recv() => {
+                let Some(mut bytes) = frame else { return };
+                while let Ok(next) = queue.try_recv() {
+                    bytes.extend_from_slice(&next);
+                }
+                if write.write_all(&bytes).await.is_err() {
+                    return;
+                }
+            }
+            message = reader.next() => {
+                let Ok(Some(message)) = message else { return };
+                if let Some(waiting) = lock(pending).remove(&message.exchange) {
+                    // Nobody waits any more when the asker had enough answers.
+                    let _ = waiting.send(message.body);
+                }
+            }
+            () = tokio::time::sleep(IDLE_TIMEOUT) => return,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers/view_exchange.rs
@@ -0,0 +1,76 @@
+//! Brings the view from node to node, besides the store's own watches.
+
+use crate::logging::part;
+use crate::peers::rpc_client::RpcClient;
+use crate::peers::view::{Origin, View, ViewHolder};
+use foxnotch_wire::{Content, RpcBody, ViewNews};
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time for one exchange.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What the asker has, without contents.
+fn revisions_of(view: &View) -> ViewNews {
+    ViewNews {
+        configuration_revision: view.configuration.revision,
+        engines_revision: view.engines.revision,
+        set: (*view.set).clone(),
+        ..ViewNews::default()
+    }
+}
+
+fn to_content<T: serde::Serialize>(value: &T) -> Content {
+    Content::from(serde_json::to_vec(value).unwrap_or_default())
+}
+
+/// What `view` has that an asker with `known` lacks.
+pub fn newer_than(view: &View, known: &ViewNews) -> ViewNews {
+    let mut news = revisions_of(view);
+    if view.configuration.revision > known.configuration_revision {
+        news.configuration = to_content(&*view.configuration.value);
+    }
+    if view.engines.revision > known.engines_revision {
+        news.engines = to_content(&*view.engines.value);
+    }
+    news
+}
+
+fn from_content<T: DeserializeOwned>(content: &Content) -> Option<T> {
+    if content.bytes.is_empty() {
+        return None;
+    }
+    match serde_json::from_slice(&content.bytes) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            log::warn!(target: part::VIEW, "A view from another node was refused: {error}.");
+            None
+        }
+    }
+}
+
+/// Takes what is newer.
+pub fn adopt(holder: &ViewHolder, news: &ViewNews) {
+    if let Some(configuration) = from_content(&news.configuration) {
+        holder.adopt_configuration(news.configuration_revision, configuration, Origin::Peer);
+    }
+    if let Some(engines) = from_content(&news.engines) {
+        holder.adopt_engines(news.engines_revision, engines, Origin::Peer);
+    }
+    holder.adopt_set(&news.set, Origin::Peer);
+}
+
+/// Pulls what another node has and this one lacks.
+pub async fn pull(client: &Arc<RpcClient>, holder: &ViewHolder, address: SocketAddr) -> bool {
+    let known = revisions_of(&holder.get());
+    let answer = client.call(address, RpcBody::PullView(known), EXCHANGE_TIMEOUT).await;
+    match answer {
+        Ok(RpcBody::View(news)) => {
+            adopt(holder, &news);
+            true
+        }
+        Ok(_) | Err(_) => false,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/ports/store.rs
@@ -0,0 +1,109 @@
+//! The platform's metadata store as the product uses it: objects with revisions, lists and watches.
+
+use crate::ports::configuration::{Configuration, EngineEntry};
+use foxnotch_wire::ReplicaSet;
+use futures_util::future::BoxFuture;
+use std::time::Duration;
+
+/// What is stored.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Kind {
+    /// The operator's configuration.
+    Configuration,
+    /// The engines.
+    Engines,
+    /// The replica set.
+    ReplicaSet,
+    /// Requests to take a replica out of service.
+    Retirements,
+}
+
+/// The content of an object.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ObjectBody {
+    /// Of [`Kind::Configuration`].
+    Configuration(Configuration),
+    /// Of [`Kind::Engines`].
+    Engine(EngineEntry),
+    /// Of [`Kind::ReplicaSet`].
+    ReplicaSet(ReplicaSet),
+    /// Of [`Kind::Retirements`]: the time allowed, and whether it is already reported as done.
+    Retirement {
+        /// The time allowed.
+        within: Duration,
+        /// Whether it is reported as done.
+        done: bool,
+    },
+    /// An object that cannot be read, with the reason.
+    Unreadable(String),
+}
+
+/// An object with its name and revision.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoredObject {
+    /// Its name.
+    pub name: String,
+    /// The revision of its last change.
+    pub revision: u64,
+    /// Its content.
+    pub body: ObjectBody,
+}
+
+/// All objects of a kind.
+#[derive(Clone, Debug)]
+pub struct Listing {
+    /// The objects.
+    pub objects: Vec<StoredObject>,
+    /// The revision that the list shows.
+    pub revision: u64,
+}
+
+/// A change to an object.
+#[derive(Clone, Debug)]
+pub struct Change {
+    /// The object; what it was when it is gone.
+    pub object: StoredObject,
+    /// Whether it is gone.
+    pub gone: bool,
+}
+
+/// What has changed since a revision.
+#[derive(Clone, Debug)]
+pub struct Changes {
+    /// The changes, oldest first.
+    pub changes: Vec<Change>,
+    /// The revision to go on from.
+    pub revision: u64,
+}
+
+/// Why the store did not do what was asked.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum StoreError {
+    /// Nothing was sent, or the store says that nothing was done.
+    #[error("the metadata store does not serve this now ({0}); it is asked again")]
+    Unavailable(String),
+    /// No answer: it may have been done, or may be done later.
+    #[error("the metadata store did not answer ({0}); read the object before trying again")]
+    Unanswered(String),
+    /// The history since the revision is gone.
+    #[error("the metadata store has dropped the history that was asked for; list the objects anew")]
+    HistoryGone,
+    /// The object has another revision, or exists already.
+    #[error("the object has changed meanwhile; read it and decide anew")]
+    Conflict,
+    /// The answer cannot be read.
+    #[error("the metadata store's answer cannot be read ({0}); check its version")]
+    Unreadable(String),
+}
+
+/// The store. No call is repeated by itself.
+pub trait MetadataStore: Send + Sync + 'static {
+    /// Lists all objects of a kind.
+    fn list(&self, kind: Kind) -> BoxFuture<'_, Result<Listing, StoreError>>;
+    /// Waits until something of a kind has changed since a revision, or until the wait is over.
+    fn watch(&self, kind: Kind, revision: u64, wait: Duration) -> BoxFuture<'_, Result<Changes, StoreError>>;
+    /// Writes the replica set: creates it, or replaces the one with this revision.
+    fn write_replica_set(&self, set: ReplicaSet, revision: Option<u64>) -> BoxFuture<'_, Result<(), StoreError>>;
+    /// Reports how far a retirement is.
+    fn report_retirement(&self, name: String, done: bool) -> BoxFuture<'_, Result<(), StoreError>>;
+}
--- /dev/null
+++ b/crates/gateway/src/replica/core.rs
@@ -0,0 +1,284 @@
+//! What a replica answers.
+//!
+//! Invariant: an answer that counts leaves only after what it depends on is synced, and only while the replica goes by
+//! the same version of the set as the asker.
+
+use crate::clock::SteadyClock;
+use crate::logging::part;
+use crate::peers::members::Members;
+use crate::peers::rpc_server::RpcHandler;
+use crate::peers::view::{Origin, ViewHolder};
+use crate::peers::view_exchange;
+use crate::replica::disk::{Disk, DiskError};
+use foxnotch_turns::ledger::Ledger;
+use foxnotch_turns::replica_set;
+use foxnotch_turns::segment::{Record, ReplicaState};
+use foxnotch_wire::{
+    Chain, DiskIdentity, Entries, ListMarks, Marks, NodeId, ReadChain, ReadProgram, ReplicaSet, ReplicaStanding,
+    RpcBody, SetNews, StoreEntry, Stored, TurnEntry, TurnId, Witness,
+};
+use futures_util::future::BoxFuture;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// Bytes of entries in one answer.
+const PAGE_BYTES: usize = 512 * 1024;
+
+/// The state of one replica.
+pub struct ReplicaCore {
+    own: NodeId,
+    clock: SteadyClock,
+    disk: Disk,
+    ledger: Mutex<Ledger>,
+    state: Mutex<ReplicaState>,
+    /// Held while the state is being written, so that changes are written in order.
+    state_order: tokio::sync::Mutex<()>,
+    memory_limit: usize,
+    view: Arc<ViewHolder>,
+    members: Arc<Members>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl ReplicaCore {
+    /// A replica that starts from what its disk holds.
+    pub fn new(
+        own: NodeId,
+        clock: SteadyClock,
+        disk: Disk,
+        records: Vec<Record>,
+        memory_limit: usize,
+        view: Arc<ViewHolder>,
+        members: Arc<Members>,
+    ) -> Self {
+        let mut ledger = Ledger::default();
+        let mut state = ReplicaState::default();
+        for record in records {
+            match record {
+                Record::Entry(entry) => ledger.apply(entry, clock.now()),
+                Record::State(newer) => state = newer,
+            }
+        }
+        view.adopt_set(&state.set, Origin::Disk);
+        log::info!(target: part::REPLICA, "Disk read: turns={} bytes={} disk={:016x} complete={} set={}.", ledger.len(), ledger.bytes(), state.disk, state.complete, state.set.version);
+        let ledger = Mutex::new(ledger);
+        let state = Mutex::new(state);
+        let state_order = tokio::sync::Mutex::new(());
+        Self { own, clock, disk, ledger, state, state_order, memory_limit, view, members }
+    }
+
+    /// This node.
+    pub fn own(&self) -> NodeId {
+        self.own
+    }
+
+    /// The replica's state as it is.
+    pub fn state(&self) -> ReplicaState {
+        lock(&self.state).clone()
+    }
+
+    /// The set that the replica goes by.
+    pub fn set(&self) -> ReplicaSet {
+        lock(&self.state).set.clone()
+    }
+
+    /// Whether the replica is a member of its set.
+    pub fn is_member(&self) -> bool {
+        replica_set::contains(&lock(&self.state).set, self.own)
+    }
+
+    /// Changes the state and writes it. The change holds in memory even when the disk is full.
+    pub async fn change_state(&self, change: impl FnOnce(&mut ReplicaState)) -> Result<(), DiskError> {
+        let _order = self.state_order.lock().await;
+        let mut state = self.state();
+        change(&mut state);
+        if state == *lock(&self.state) {
+            return Ok(());
+        }
+        let written = self.disk.write(vec![Record::State(state.clone())]).await;
+        *lock(&self.state) = state;
+        written
+    }
+
+    /// Takes a set if it is newer. From then on askers with an older one are refused.
+    pub async fn adopt_set(&self, set: &ReplicaSet, origin: Origin) {
+        if set.version <= lock(&self.state).set.version {
+            return;
+        }
+        let newer = set.clone();
+        let written = self
+            .change_state(move |state| {
+                if newer.version > state.set.version {
+                    state.set = newer;
+                }
+            })
+            .await;
+        if let Err(error) = written {
+            log::warn!(target: part::REPLICA, "Replica set {} is known but not on disk: {error}.", set.version);
+        }
+        self.view.adopt_set(set, origin);
+    }
+
+    /// Notes another replica's disk before anything is told to it.
+    pub async fn note_disk(&self, identity: DiskIdentity) {
+        if identity.node == self.own {
+            return;
+        }
+        let known = lock(&self.state).peers.contains(&identity);
+        if known {
+            return;
+        }
+        let written = self
+            .change_state(move |state| {
+                state.peers.retain(|peer| peer.node != identity.node);
+                state.peers.push(identity);
+            })
+            .await;
+        log::info!(target: part::REPLICA, "Disk {:016x} of node {} noted: written={}.", identity.disk, identity.node, written.is_ok());
+    }
+
+    /// Writes entries and merges them.
+    ///
+    /// # Errors
+    /// [`DiskError`]; nothing is merged then.
+    pub async fn store(&self, entries: Vec<TurnEntry>) -> Result<(), DiskError> {
+        let records = entries.iter().cloned().map(Record::Entry).collect();
+        self.disk.write(records).await?;
+        let now = self.clock.now();
+        let mut ledger = lock(&self.ledger);
+        for entry in entries {
+            ledger.apply(entry, now);
+        }
+        Ok(())
+    }
+
+    /// Of what another replica holds, the turns of which this one knows less.
+    pub fn missing(&self, marks: &Marks) -> Vec<TurnId> {
+        lock(&self.ledger).missing(&marks.marks)
+    }
+
+    /// Turns and bytes held.
+    pub fn size(&self) -> (usize, usize) {
+        let ledger = lock(&self.ledger);
+        (ledger.len(), ledger.bytes())
+    }
+
+    /// Drops what has been kept long enough.
+    pub fn expire(&self) {
+        let mut ledger = lock(&self.ledger);
+        if ledger.expire(self.clock.now()) > 0 {
+            self.disk.retain(ledger.programs());
+        }
+    }
+
+    /// This replica's disk.
+    pub fn identity(&self) -> DiskIdentity {
+        DiskIdentity { node: self.own, disk: lock(&self.state).disk }
+    }
+
+    fn witness(&self) -> Witness {
+        let state = lock(&self.state);
+        let counts = state.complete == 1 && replica_set::contains(&state.set, self.own);
+        let standing = if counts { ReplicaStanding::Counts } else { ReplicaStanding::Refilling };
+        let own = DiskIdentity { node: self.own, disk: state.disk };
+        Witness { own, standing, others: state.peers.clone() }
+    }
+
+    fn set_news(&self) -> SetNews {
+        let state = lock(&self.state);
+        SetNews { set: state.set.clone(), synced: state.synced }
+    }
+
+    /// The answer to an asker that goes by another set.
+    fn other_set(&self, version: u64) -> Option<RpcBody> {
+        let news = self.set_news();
+        (news.set.version != version).then_some(RpcBody::OtherSet(news))
+    }
+
+    async fn on_store(&self, request: StoreEntry) -> RpcBody {
+        if let Some(other) = self.other_set(request.set_version) {
+            return other;
+        }
+        let program = request.entry.program;
+        let full = lock(&self.ledger).bytes() > self.memory_limit;
+        let stored = if full {
+            Err(DiskError::Refused("the memory for turns is full".to_owned()))
+        } else {
+            self.store(vec![request.entry]).await
+        };
+        if let Some(other) = self.other_set(request.set_version) {
+            return other;
+        }
+        let charges = lock(&self.ledger).charges(program);
+        let mut witness = self.witness();
+        if let Err(error) = stored {
+            log::warn!(target: part::REPLICA, "An entry was refused: {error}.");
+            witness.standing = ReplicaStanding::Full;
+        }
+        RpcBody::Stored(Stored { witness, charges })
+    }
+
+    fn on_read_program(&self, request: ReadProgram) -> RpcBody {
+        if let Some(other) = self.other_set(request.set_version) {
+            return other;
+        }
+        let charges = lock(&self.ledger).charges(request.program);
+        RpcBody::Stored(Stored { witness: self.witness(), charges })
+    }
+
+    fn on_read_chain(&self, request: ReadChain) -> RpcBody {
+        if let Some(other) = self.other_set(request.set_version) {
+            return other;
+        }
+        let links = lock(&self.ledger).chain(request.turn);
+        RpcBody::Chain(Chain { witness: self.witness(), links })
+    }
+
+    async fn on_list(&self, request: ListMarks) -> RpcBody {
+        self.note_disk(request.own).await;
+        self.adopt_set(&request.set, Origin::Peer).await;
+        let news = self.set_news();
+        let marks = lock(&self.ledger).marks();
+        let complete = lock(&self.state).complete;
+        RpcBody::Marks(Marks { witness: self.witness(), set: news.set, synced: news.synced, complete, marks })
+    }
+
+    fn on_fetch(&self, turns: &[TurnId]) -> RpcBody {
+        let ledger = lock(&self.ledger);
+        let mut entries = Vec::new();
+        let mut bytes = 0;
+        for entry in turns.iter().filter_map(|turn| ledger.entry(*turn)) {
+            bytes +=
+                entry.record.iter().map(|record| record.input.bytes.len() + record.output.bytes.len()).sum::<usize>();
+            if !entries.is_empty() && bytes > PAGE_BYTES {
+                break;
+            }
+            entries.push(entry.clone());
+        }
+        RpcBody::Entries(Entries { entries })
+    }
+
+    async fn answer(&self, body: RpcBody) -> RpcBody {
+        match body {
+            RpcBody::StoreEntry(request) => self.on_store(request).await,
+            RpcBody::ReadProgram(request) => self.on_read_program(request),
+            RpcBody::ReadChain(request) => self.on_read_chain(request),
+            RpcBody::ListMarks(request) => self.on_list(request).await,
+            RpcBody::FetchEntries(request) => self.on_fetch(&request.turns),
+            RpcBody::AdoptSet(news) => {
+                self.adopt_set(&news.set, Origin::Peer).await;
+                RpcBody::SetKnown(self.set_news())
+            }
+            RpcBody::PullMembers(asker) => self.members.answer_pull(asker),
+            RpcBody::PullView(known) => RpcBody::View(view_exchange::newer_than(&self.view.get(), &known)),
+            _ => RpcBody::NotServed,
+        }
+    }
+}
+
+impl RpcHandler for ReplicaCore {
+    fn handle(self: Arc<Self>, _from: NodeId, body: RpcBody) -> BoxFuture<'static, RpcBody> {
+        Box::pin(async move { self.answer(body).await })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/replica/process.rs
@@ -0,0 +1,179 @@
+//! The replica as a process.
+
+use crate::clock::SteadyClock;
+use crate::logging::part;
+use crate::network;
+use crate::peers::members::Members;
+use crate::peers::rpc_client::RpcClient;
+use crate::peers::rpc_server;
+use crate::peers::view::{Origin, ViewHolder};
+use crate::ports::store::{Changes, Kind, Listing, MetadataStore, ObjectBody, StoredObject};
+use crate::replica::core::ReplicaCore;
+use crate::replica::disk::Disk;
+use crate::replica::steward::{Steward, StewardParts};
+use crate::settings::{ProcessSettings, SettingsError};
+use crate::store_watch::{follow, Follower};
+use anyhow::Context;
+use foxnotch_turns::identity::{node_id, zone_hash};
+use foxnotch_wire::ReplicaMember;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::signal::unix::{signal, SignalKind};
+
+/// Time between two looks for what has been kept long enough.
+const EXPIRY_PERIOD: Duration = Duration::from_secs(2);
+/// The part of the memory that turns may take.
+const MEMORY_SHARE: u64 = 3;
+
+/// Runs a replica until it is told to stop.
+///
+/// # Errors
+/// When an address cannot be bound or the data folder cannot be used.
+pub async fn run(settings: ProcessSettings, path: PathBuf, store: Arc<dyn MetadataStore>) -> anyhow::Result<()> {
+    let folder = settings.data_folder.clone().ok_or(SettingsError::Missing("data_folder", "replica"))?;
+    let clock = SteadyClock::start();
+    let own = node_id(&settings.node);
+    let view = Arc::new(ViewHolder::default());
+    let client = Arc::new(RpcClient::new(own));
+    let listener = network::listen(settings.peer_address()).context("the port for nodes cannot be bound")?;
+    let members = Members::bind(&settings, clock, client.clone(), view.clone())
+        .await
+        .context("the port for datagrams cannot be bound")?;
+    let (disk, records) = Disk::open(&folder).context("the data folder cannot be used; check the disk")?;
+    let memory_limit = (settings.resources.memory_mb * 1024 * 1024 / MEMORY_SHARE) as usize;
+    let core = Arc::new(ReplicaCore::new(own, clock, disk, records, memory_limit, view.clone(), members.clone()));
+    identify(&core, settings.first_start).await?;
+    let member = ReplicaMember {
+        node: own,
+        zone: zone_hash(&settings.zone),
+        ip: settings.ip.octets(),
+        port: settings.peer_port,
+    };
+    let parts = StewardParts {
+        core: core.clone(),
+        client,
+        members: members.clone(),
+        view: view.clone(),
+        store: store.clone(),
+        own: member,
+        name: settings.node.clone(),
+        losses: settings.tolerance.machines,
+    };
+    let steward = Arc::new(Steward::new(parts));
+    tokio::spawn(rpc_server::serve(listener, own, core.clone()));
+    tokio::spawn(members.clone().run());
+    tokio::spawn(steward.clone().run());
+    tokio::spawn(follow(store.clone(), Kind::ReplicaSet, SetFollower { view }));
+    tokio::spawn(follow(store, Kind::Retirements, RetirementFollower { name: settings.node.clone(), steward }));
+    tokio::spawn(expire(core.clone()));
+    log::info!(target: part::PROCESS, "Replica started: node={} id={own} zone={} first_start={}.", settings.node, settings.zone, settings.first_start);
+    wait_for_stop(&path, &members).await?;
+    log::info!(target: part::PROCESS, "Replica stopped: what was acknowledged is on disk.");
+    Ok(())
+}
+
+/// Gives an empty disk its identity.
+async fn identify(core: &Arc<ReplicaCore>, first_start: bool) -> anyhow::Result<()> {
+    if core.state().disk != 0 {
+        return Ok(());
+    }
+    let disk = rand::random::<u64>().max(1);
+    let written = core
+        .change_state(move |state| {
+            state.disk = disk;
+            state.complete = u8::from(first_start);
+        })
+        .await;
+    log::info!(target: part::REPLICA, "The disk was empty: disk={disk:016x} complete={first_start}.");
+    written.context("the disk's identity cannot be written; check the disk")
+}
+
+async fn expire(core: Arc<ReplicaCore>) {
+    loop {
+        tokio::time::sleep(EXPIRY_PERIOD).await;
+        core.expire();
+    }
+}
+
+async fn wait_for_stop(path: &std::path::Path, members: &Members) -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = hangup.recv() => reload(path, members),
+        }
+    }
+}
+
+/// Takes over what may change while a process runs: the seeds.
+pub fn reload(path: &std::path::Path, members: &Members) {
+    match ProcessSettings::load(path) {
+        Ok(settings) => {
+            log::info!(target: part::PROCESS, "Settings read again: seeds={:?}.", settings.seeds);
+            members.set_seeds(settings.seeds);
+        }
+        Err(error) => log::error!(target: part::PROCESS, "The settings stay as they were: {error}."),
+    }
+}
+
+/// Brings the replica set into the view.
+struct SetFollower {
+    view: Arc<ViewHolder>,
+}
+
+impl SetFollower {
+    fn take(&self, object: StoredObject) {
+        if let ObjectBody::ReplicaSet(set) = object.body {
+            self.view.adopt_set(&set, Origin::Store);
+        }
+    }
+}
+
+impl Follower for SetFollower {
+    fn listed(&mut self, listing: Listing) {
+        for object in listing.objects {
+            self.take(object);
+        }
+    }
+
+    fn changed(&mut self, changes: Changes) {
+        for change in changes.changes.into_iter().filter(|change| !change.gone) {
+            self.take(change.object);
+        }
+    }
+}
+
+/// Tells the steward when this machine is to be retired.
+struct RetirementFollower {
+    name: String,
+    steward: Arc<Steward>,
+}
+
+impl RetirementFollower {
+    fn take(&self, object: StoredObject) {
+        if object.name != self.name {
+            return;
+        }
+        if let ObjectBody::Retirement { within, done } = object.body {
+            self.steward.retire(within, done);
+        }
+    }
+}
+
+impl Follower for RetirementFollower {
+    fn listed(&mut self, listing: Listing) {
+        for object in listing.objects {
+            self.take(object);
+        }
+    }
+
+    fn changed(&mut self, changes: Changes) {
+        for change in changes.changes.into_iter().filter(|change| !change.gone) {
+            self.take(change.object);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/replica/steward.rs
@@ -0,0 +1,353 @@
+//! Keeps the replica a complete member of the set: refills it, joins, syncs after each change, takes out members that
+//! are gone, and leaves when its machine is retired.
+//!
+//! One step at a time; each step may fail and is taken again. Only compare-and-swap on the platform's store changes the
+//! set.
+
+use crate::logging::part;
+use crate::peers::members::Members;
+use crate::peers::rpc_client::RpcClient;
+use crate::peers::view::{Origin, ViewHolder};
+use crate::ports::store::{Kind, MetadataStore, ObjectBody, StoreError};
+use crate::replica::core::ReplicaCore;
+use crate::replica::sync::{address_of, pull_all, Heard};
+use foxnotch_turns::replica_set;
+use foxnotch_wire::{NodeId, ReplicaMember, ReplicaSet, RpcBody, SetNews};
+use futures_util::future::join_all;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Time between two steps while something is to be done.
+const BUSY_PERIOD: Duration = Duration::from_millis(150);
+/// Time between two looks while nothing is to be done.
+const REST_PERIOD: Duration = Duration::from_millis(500);
+/// Time for one exchange about the set.
+const SET_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time after which a member that membership holds for dead is taken out.
+const REMOVAL_DELAY: Duration = Duration::from_millis(1500);
+/// Time for which a member may stay unknown after this process has started.
+const UNKNOWN_DELAY: Duration = Duration::from_secs(6);
+/// Share of the time allowed for a retirement after which the set may become smaller than is safe for a further loss.
+const PATIENCE: f64 = 0.55;
+
+/// A request to take this replica out of service.
+#[derive(Clone, Copy, Debug)]
+pub struct Retirement {
+    /// When it was seen.
+    pub since: Instant,
+    /// The time allowed.
+    pub within: Duration,
+    /// Whether the start of it was reported.
+    pub started: bool,
+    /// Whether it was reported as done.
+    pub done: bool,
+}
+
+/// Why a step was not taken.
+#[derive(Debug, thiserror::Error)]
+enum StepError {
+    #[error("{0}")]
+    Store(#[from] StoreError),
+    #[error("the set has changed meanwhile")]
+    Overtaken,
+    #[error("no majority is synced to version {0} yet; check that the other replicas run")]
+    NotSynced(u64),
+    #[error("too few complete replicas were heard ({0}); check that the other replicas run")]
+    TooFewHeard(usize),
+}
+
+/// Takes the steps.
+pub struct Steward {
+    core: Arc<ReplicaCore>,
+    client: Arc<RpcClient>,
+    members: Arc<Members>,
+    view: Arc<ViewHolder>,
+    store: Arc<dyn MetadataStore>,
+    own: ReplicaMember,
+    name: String,
+    losses: usize,
+    retirement: Mutex<Option<Retirement>>,
+    silent_since: Mutex<HashMap<NodeId, Instant>>,
+}
+
+/// What the steward works with.
+pub struct StewardParts {
+    /// The replica.
+    pub core: Arc<ReplicaCore>,
+    /// Asks other nodes.
+    pub client: Arc<RpcClient>,
+    /// The members.
+    pub members: Arc<Members>,
+    /// The view.
+    pub view: Arc<ViewHolder>,
+    /// The platform's store.
+    pub store: Arc<dyn MetadataStore>,
+    /// This replica as a member.
+    pub own: ReplicaMember,
+    /// This node's name.
+    pub name: String,
+    /// Disks that may be lost at once.
+    pub losses: usize,
+}
+
+impl Steward {
+    /// A steward that has not begun.
+    pub fn new(parts: StewardParts) -> Self {
+        let StewardParts { core, client, members, view, store, own, name, losses } = parts;
+        let retirement = Mutex::default();
+        let silent_since = Mutex::default();
+        Self { core, client, members, view, store, own, name, losses, retirement, silent_since }
+    }
+
+    /// Takes a request to retire this replica.
+    pub fn retire(&self, within: Duration, done: bool) {
+        let mut retirement = self.retirement.lock().unwrap_or_else(PoisonError::into_inner);
+        if retirement.is_none() {
+            log::info!(target: part::REPLICA, "Retirement asked for: within={within:?} done={done}.");
+            *retirement = Some(Retirement { since: Instant::now(), within, started: done, done });
+        }
+    }
+
+    fn retirement(&self) -> Option<Retirement> {
+        *self.retirement.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn mark_retirement(&self, mark: impl FnOnce(&mut Retirement)) {
+        if let Some(retirement) = self.retirement.lock().unwrap_or_else(PoisonError::into_inner).as_mut() {
+            mark(retirement);
+        }
+    }
+
+    /// Takes steps for ever.
+    pub async fn run(self: Arc<Self>) {
+        let mut last_problem = String::new();
+        loop {
+            let period = match self.step().await {
+                Ok(true) => BUSY_PERIOD,
+                Ok(false) => REST_PERIOD,
+                Err(error) => {
+                    let problem = error.to_string();
+                    if problem != last_problem {
+                        log::info!(target: part::REPLICA, "A step waits: {problem}.");
+                        last_problem = problem;
+                    }
+                    BUSY_PERIOD
+                }
+            };
+            tokio::time::sleep(period).await;
+        }
+    }
+
+    /// Takes one step. Returns whether another may follow at once.
+    async fn step(&self) -> Result<bool, StepError> {
+        let newest = self.view.set();
+        self.core.adopt_set(&newest, Origin::Peer).await;
+        let state = self.core.state();
+        if state.set.version == 0 {
+            return self.found(state.complete == 1).await;
+        }
+        if state.complete != 1 {
+            return self.refill(&state.set).await;
+        }
+        if replica_set::contains(&state.set, self.own.node) && state.synced < state.set.version {
+            return self.sync(&state.set).await;
+        }
+        if let Some(retirement) = self.retirement().filter(|retirement| !retirement.done) {
+            return self.leave(&state.set, retirement).await;
+        }
+        if self.retirement().is_none() && replica_set::member(&state.set, self.own.node) != Some(&self.own) {
+            return self.join(&state.set).await;
+        }
+        self.remove_dead(&state.set).await
+    }
+
+    /// Finds the set in the store, or writes the first one.
+    async fn found(&self, complete: bool) -> Result<bool, StepError> {
+        if let Some((set, _)) = self.read_set().await? {
+            self.core.adopt_set(&set, Origin::Store).await;
+            return Ok(true);
+        }
+        if !complete {
+            return Ok(false);
+        }
+        let set = replica_set::founding(self.own);
+        self.store.write_replica_set(set.clone(), None).await?;
+        self.core.adopt_set(&set, Origin::Store).await;
+        Ok(true)
+    }
+
+    async fn read_set(&self) -> Result<Option<(ReplicaSet, u64)>, StoreError> {
+        let listing = self.store.list(Kind::ReplicaSet).await?;
+        let found = listing.objects.into_iter().find_map(|object| match object.body {
+            ObjectBody::ReplicaSet(set) => Some((set, object.revision)),
+            _ => None,
+        });
+        Ok(found)
+    }
+
+    /// Fills an empty replica. Whether or not it is a member, it counts for nothing before.
+    async fn refill(&self, set: &ReplicaSet) -> Result<bool, StepError> {
+        let heard = pull_all(&self.core, &self.client, set).await;
+        self.check_current(set)?;
+        let counted = complete_members(&heard, &set.members);
+        let before = complete_members(&heard, &set.previous);
+        let enough = counted >= replica_set::refill_quorum(set.members.len())
+            && (set.previous.is_empty() || before >= replica_set::refill_quorum(set.previous.len()));
+        if !enough {
+            return Err(StepError::TooFewHeard(counted));
+        }
+        let version = set.version;
+        let is_member = replica_set::contains(set, self.own.node);
+        let written = self
+            .core
+            .change_state(move |state| {
+                if state.set.version == version {
+                    state.complete = 1;
+                    state.synced = if is_member { version } else { 0 };
+                }
+            })
+            .await;
+        log::info!(target: part::REPLICA, "Refilled: heard={counted} set={version} written={}.", written.is_ok());
+        Ok(true)
+    }
+
+    /// Pulls what a majority of the version before holds.
+    async fn sync(&self, set: &ReplicaSet) -> Result<bool, StepError> {
+        let heard = pull_all(&self.core, &self.client, set).await;
+        self.check_current(set)?;
+        let complete: Vec<NodeId> = heard.iter().filter(|heard| heard.complete).map(|heard| heard.node).collect();
+        if !replica_set::covers_previous(set, self.own.node, &complete) {
+            return Err(StepError::TooFewHeard(complete.len()));
+        }
+        let version = set.version;
+        let written = self
+            .core
+            .change_state(move |state| {
+                if state.set.version == version {
+                    state.synced = version;
+                }
+            })
+            .await;
+        log::info!(target: part::REPLICA, "Synced to replica set {version}: heard={} written={}.", complete.len(), written.is_ok());
+        Ok(true)
+    }
+
+    fn check_current(&self, set: &ReplicaSet) -> Result<(), StepError> {
+        if self.core.set().version == set.version {
+            Ok(())
+        } else {
+            Err(StepError::Overtaken)
+        }
+    }
+
+    /// Tells all members the set and asks which are synced to it.
+    async fn synced_members(&self, set: &ReplicaSet) -> Vec<NodeId> {
+        let own = self.core.state();
+        let news = SetNews { set: set.clone(), synced: own.synced };
+        let asks = set.members.iter().filter(|member| member.node != self.own.node).map(|member| {
+            let body = RpcBody::AdoptSet(news.clone());
+            async move { (member.node, self.client.call(address_of(member), body, SET_TIMEOUT).await) }
+        });
+        let mut synced = Vec::new();
+        for (node, answer) in join_all(asks).await {
+            let Ok(RpcBody::SetKnown(news)) = answer else { continue };
+            self.core.adopt_set(&news.set, Origin::Peer).await;
+            if news.synced == set.version {
+                synced.push(node);
+            }
+        }
+        if replica_set::contains(set, self.own.node) && own.synced == set.version {
+            synced.push(self.own.node);
+        }
+        synced
+    }
+
+    /// Writes the next version if the present one allows it, and tells all members.
+    async fn change_set(&self, set: &ReplicaSet, next: ReplicaSet) -> Result<bool, StepError> {
+        let synced = self.synced_members(set).await;
+        self.check_current(set)?;
+        if !replica_set::may_follow(set, &synced) {
+            return Err(StepError::NotSynced(set.version));
+        }
+        let Some((stored, revision)) = self.read_set().await? else { return Err(StepError::Overtaken) };
+        if stored.version != set.version {
+            self.core.adopt_set(&stored, Origin::Store).await;
+            return Err(StepError::Overtaken);
+        }
+        self.store.write_replica_set(next.clone(), Some(revision)).await?;
+        log::info!(target: part::REPLICA, "Replica set changed: version={} members={:?} synced={synced:?}.", next.version, next.members.iter().map(|member| member.node.0).collect::<Vec<_>>());
+        self.core.adopt_set(&next, Origin::Store).await;
+        self.synced_members(&next).await;
+        Ok(true)
+    }
+
+    /// Becomes a member, with all that the members hold.
+    async fn join(&self, set: &ReplicaSet) -> Result<bool, StepError> {
+        let heard = pull_all(&self.core, &self.client, set).await;
+        self.check_current(set)?;
+        let counted = complete_members(&heard, &set.members);
+        let own = usize::from(replica_set::contains(set, self.own.node));
+        if counted + own < replica_set::majority(set.members.len()) {
+            return Err(StepError::TooFewHeard(counted));
+        }
+        self.change_set(set, replica_set::with_member(set, self.own)).await
+    }
+
+    /// Leaves the set, waits until the rest holds everything, reports.
+    async fn leave(&self, set: &ReplicaSet, retirement: Retirement) -> Result<bool, StepError> {
+        if !retirement.started {
+            self.store.report_retirement(self.name.clone(), false).await?;
+            self.mark_retirement(|retirement| retirement.started = true);
+        }
+        if replica_set::contains(set, self.own.node) {
+            let safe = set.members.len() > 2 * self.losses + 1;
+            let waited = retirement.since.elapsed().as_secs_f64() > retirement.within.as_secs_f64() * PATIENCE;
+            if !safe && !waited {
+                return Ok(false);
+            }
+            return self.change_set(set, replica_set::without_member(set, self.own.node)).await;
+        }
+        let synced = self.synced_members(set).await;
+        self.check_current(set)?;
+        let reachable = set.members.iter().filter(|member| self.members.is_reachable(member.node)).count();
+        if !replica_set::may_follow(set, &synced) || synced.len() < reachable {
+            return Err(StepError::NotSynced(set.version));
+        }
+        self.store.report_retirement(self.name.clone(), true).await?;
+        self.mark_retirement(|retirement| retirement.done = true);
+        log::info!(target: part::REPLICA, "Retired: all turns are held by {} others.", synced.len());
+        Ok(true)
+    }
+
+    /// Takes out a member that has been silent for long, if this replica is the first of those alive and enough remain.
+    async fn remove_dead(&self, set: &ReplicaSet) -> Result<bool, StepError> {
+        let dead = self.long_dead(set);
+        let alive = |member: &&ReplicaMember| member.node == self.own.node || !self.members.is_dead(member.node);
+        let first = set.members.iter().find(alive).map(|member| member.node);
+        let enough = set.members.len() > 2 * self.losses + 1;
+        let Some(node) = dead.filter(|_| enough && first == Some(self.own.node)) else { return Ok(false) };
+        log::info!(target: part::REPLICA, "Node {node} has been silent for long and is taken out of replica set {}.", set.version);
+        self.change_set(set, replica_set::without_member(set, node)).await
+    }
+
+    /// A member that has been dead, or never heard of, for long.
+    fn long_dead(&self, set: &ReplicaSet) -> Option<NodeId> {
+        let others = set.members.iter().map(|member| member.node).filter(|node| *node != self.own.node);
+        let silent: Vec<NodeId> = others.filter(|node| !self.members.is_reachable(*node)).collect();
+        let mut silent_since = self.silent_since.lock().unwrap_or_else(PoisonError::into_inner);
+        silent_since.retain(|node, _| silent.contains(node));
+        for node in &silent {
+            silent_since.entry(*node).or_insert_with(Instant::now);
+        }
+        silent.into_iter().find(|node| {
+            let delay = if self.members.is_dead(*node) { REMOVAL_DELAY } else { UNKNOWN_DELAY };
+            silent_since.get(node).is_some_and(|since| since.elapsed() > delay)
+        })
+    }
+}
+
+fn complete_members(heard: &[Heard], members: &[ReplicaMember]) -> usize {
+    let is_complete = |member: &&ReplicaMember| heard.iter().any(|heard| heard.complete && heard.node == member.node);
+    members.iter().filter(is_complete).count()
+}
--- /dev/null
+++ b/crates/gateway/src/replica/sync.rs
@@ -0,0 +1,74 @@
+//! Pulls from other replicas what this one lacks: after a loss of the disk, before it joins, and after each change of
+//! the set.
+
+use crate::logging::part;
+use crate::peers::rpc_client::RpcClient;
+use crate::peers::view::Origin;
+use crate::replica::core::ReplicaCore;
+use foxnotch_turns::replica_set;
+use foxnotch_wire::{FetchEntries, ListMarks, NodeId, ReplicaMember, ReplicaSet, RpcBody, TurnId};
+use futures_util::future::join_all;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time for a list of marks.
+const LIST_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time for one page of entries.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
+/// Turns asked for in one page.
+const TURNS_PER_PAGE: usize = 2000;
+
+/// Another replica of which all was pulled.
+#[derive(Clone, Copy, Debug)]
+pub struct Heard {
+    /// The replica.
+    pub node: NodeId,
+    /// Whether it holds all that it ever acknowledged.
+    pub complete: bool,
+}
+
+/// Where a member listens.
+pub fn address_of(member: &ReplicaMember) -> SocketAddr {
+    SocketAddr::from((member.ip, member.port))
+}
+
+/// Pulls from all other members of the set and of the one before. Returns those of which all was pulled.
+pub async fn pull_all(core: &Arc<ReplicaCore>, client: &Arc<RpcClient>, set: &ReplicaSet) -> Vec<Heard> {
+    let mut others: Vec<ReplicaMember> = set.members.clone();
+    others.extend(set.previous.iter().filter(|member| !replica_set::contains(set, member.node)));
+    others.retain(|member| member.node != core.own());
+    let pulls = others.iter().map(|member| pull_from(core, client, set, member));
+    join_all(pulls).await.into_iter().flatten().collect()
+}
+
+async fn pull_from(
+    core: &Arc<ReplicaCore>,
+    client: &Arc<RpcClient>,
+    set: &ReplicaSet,
+    member: &ReplicaMember,
+) -> Option<Heard> {
+    let address = address_of(member);
+    let request = ListMarks { own: core.identity(), set: set.clone() };
+    let answer = client.call(address, RpcBody::ListMarks(request), LIST_TIMEOUT).await;
+    let Ok(RpcBody::Marks(marks)) = answer else { return None };
+    core.note_disk(marks.witness.own).await;
+    core.adopt_set(&marks.set, Origin::Peer).await;
+    let mut wanted = core.missing(&marks);
+    let count = wanted.len();
+    while !wanted.is_empty() {
+        let page: Vec<TurnId> = wanted.iter().take(TURNS_PER_PAGE).copied().collect();
+        let request = RpcBody::FetchEntries(FetchEntries { turns: page.clone() });
+        let Ok(RpcBody::Entries(entries)) = client.call(address, request, FETCH_TIMEOUT).await else { return None };
+        let brought: Vec<TurnId> = entries.entries.iter().map(|entry| entry.turn).collect();
+        if !brought.is_empty() && core.store(entries.entries).await.is_err() {
+            return None;
+        }
+        // What was asked for and not brought has expired there, unless the page was full.
+        let last = brought.last().and_then(|last| page.iter().position(|turn| turn == last));
+        wanted.drain(..last.map_or(page.len(), |index| index + 1));
+    }
+    let complete = marks.complete == 1;
+    log::info!(target: part::REPLICA, "Pulled from node {}: entries={count} complete={complete} set={}.", member.node, marks.set.version);
+    Some(Heard { node: member.node, complete })
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,204 @@
+//! The settings of a gateway or a replica, read from a TOML file and checked whole before anything is bound.
+
+use serde::Deserialize;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// Why settings are refused.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[error("the settings file {0} cannot be read ({1}); check the path given by --settings or FOXNOTCH_CONFIG")]
+    Unreadable(PathBuf, std::io::Error),
+    /// The file is not of the form.
+    #[error("the settings file {0} is not valid: {1}")]
+    Malformed(PathBuf, String),
+    /// A value is out of its range.
+    #[error("the setting {field} is {value}; it has to be {allowed}")]
+    OutOfRange {
+        /// The field.
+        field: &'static str,
+        /// Its value.
+        value: String,
+        /// What is allowed.
+        allowed: &'static str,
+    },
+    /// A field that this role needs is missing.
+    #[error("the setting {0} is missing; a {1} needs it")]
+    Missing(&'static str, &'static str),
+}
+
+/// Times that the deployment promises or demands.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TimeSettings {
+    /// Milliseconds within which an engine that drains gets no new work.
+    pub drain_ms: u64,
+    /// Seconds from SIGTERM to SIGKILL.
+    pub grace_s: f64,
+    /// Milliseconds within which a turn's end has to be settled.
+    pub settle_ms: u64,
+    /// Seconds within which an empty replica has to be refilled.
+    pub refill_s: f64,
+    /// Milliseconds without a sign after which a member counts as gone.
+    pub contact_ms: u64,
+    /// Seconds within which service has to be back after a loss of all machines.
+    pub recovery_s: f64,
+}
+
+/// Bounds on what the process uses.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ResourceSettings {
+    /// Megabytes of memory.
+    pub memory_mb: u64,
+    /// File descriptors.
+    pub descriptors: u64,
+    /// Megabytes of disk; 0 without a disk.
+    pub disk_mb: u64,
+}
+
+/// What may be lost at the same moment with all promises kept.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ToleranceSettings {
+    /// Machines with a disk.
+    pub machines: usize,
+    /// Zones.
+    pub zones: usize,
+}
+
+/// Everything that can be set.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ProcessSettings {
+    /// The name of this node, unique in the deployment.
+    pub node: String,
+    /// Its zone.
+    pub zone: String,
+    /// All zones of the deployment.
+    pub zones: Vec<String>,
+    /// The address of this machine.
+    pub ip: Ipv4Addr,
+    /// The port for other nodes, UDP and TCP; the same on all machines.
+    pub peer_port: u16,
+    /// The port for metrics.
+    pub metrics_port: u16,
+    /// Where a gateway listens for callers.
+    #[serde(default, deserialize_with = "optional_address")]
+    pub caller_address: Option<SocketAddr>,
+    /// Where a gateway tells whether it is ready.
+    #[serde(default, deserialize_with = "optional_address")]
+    pub readiness_address: Option<SocketAddr>,
+    /// Where other nodes find this one first, besides the port for nodes.
+    #[serde(default, deserialize_with = "optional_address")]
+    pub contact_address: Option<SocketAddr>,
+    /// Contact addresses of some nodes; they may be stale.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The platform's metadata store.
+    pub store_address: SocketAddr,
+    /// Whether the whole deployment starts for the first time, with empty disks.
+    pub first_start: bool,
+    /// The folder for a replica's files.
+    #[serde(default, deserialize_with = "optional_path")]
+    pub data_folder: Option<PathBuf>,
+    /// The least severe log lines written.
+    #[serde(default = "default_log_level")]
+    pub log_level: String,
+    /// What may be lost.
+    pub tolerance: ToleranceSettings,
+    /// Times.
+    pub times: TimeSettings,
+    /// Resources.
+    pub resources: ResourceSettings,
+}
+
+fn default_log_level() -> String {
+    "info".to_owned()
+}
+
+/// An address; an empty text stands for none.
+fn optional_address<'de, D: serde::Deserializer<'de>>(deserializer: D) -> Result<Option<SocketAddr>, D::Error> {
+    let text = String::deserialize(deserializer)?;
+    if text.is_empty() {
+        return Ok(None);
+    }
+    text.parse().map(Some).map_err(|_| serde::de::Error::custom(format!("{text:?} is no IP:port")))
+}
+
+/// A path; an empty text stands for none.
+fn optional_path<'de, D: serde::Deserializer<'de>>(deserializer: D) -> Result<Option<PathBuf>, D::Error> {
+    let text = String::deserialize(deserializer)?;
+    Ok((!text.is_empty()).then(|| PathBuf::from(text)))
+}
+
+impl ProcessSettings {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    /// Any [`SettingsError`]; it names the field and what is allowed.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path).map_err(|error| SettingsError::Unreadable(path.to_owned(), error))?;
+        let settings: Self =
+            toml::from_str(&text).map_err(|error| SettingsError::Malformed(path.to_owned(), error.to_string()))?;
+        settings.validate()?;
+        Ok(settings)
+    }
+
+    /// Checks every value.
+    ///
+    /// # Errors
+    /// [`SettingsError::OutOfRange`].
+    pub fn validate(&self) -> Result<(), SettingsError> {
+        check(!self.node.is_empty(), "node", &self.node, "a name")?;
+        check(self.zones.contains(&self.zone), "zone", &self.zone, "one of the zones")?;
+        check(self.peer_port > 0, "peer_port", self.peer_port, "1 to 65535")?;
+        check(self.metrics_port != self.peer_port, "metrics_port", self.metrics_port, "another port than peer_port")?;
+        let grace = self.times.grace_s;
+        check(grace.is_finite() && grace >= 1.0, "times.grace_s", grace, "1 or more")?;
+        let refill = self.times.refill_s;
+        check(refill.is_finite() && refill > 0.0, "times.refill_s", refill, "above 0")?;
+        let recovery = self.times.recovery_s;
+        check(recovery.is_finite() && recovery > 0.0, "times.recovery_s", recovery, "above 0")?;
+        check(self.resources.memory_mb >= 16, "resources.memory_mb", self.resources.memory_mb, "16 or more")?;
+        check(self.resources.descriptors >= 256, "resources.descriptors", self.resources.descriptors, "256 or more")?;
+        check(
+            self.log_level.parse::<log::LevelFilter>().is_ok(),
+            "log_level",
+            &self.log_level,
+            "off, error, warn, info, debug or trace",
+        )
+    }
+
+    /// Where other nodes reach this one.
+    pub fn peer_address(&self) -> SocketAddr {
+        SocketAddr::from((self.ip, self.peer_port))
+    }
+
+    /// Where metrics are served.
+    pub fn metrics_address(&self) -> SocketAddr {
+        SocketAddr::from((self.ip, self.metrics_port))
+    }
+
+    /// The time from SIGTERM to SIGKILL.
+    pub fn grace(&self) -> Duration {
+        Duration::from_secs_f64(self.times.grace_s)
+    }
+
+    /// The number of a zone, the same on all nodes.
+    pub fn zone_number(&self, zone: &str) -> u8 {
+        let mut names: Vec<&String> = self.zones.iter().collect();
+        names.sort();
+        names.iter().position(|name| *name == zone).map_or(u8::MAX, |index| index.min(254) as u8)
+    }
+}
+
+fn check(holds: bool, field: &'static str, value: impl ToString, allowed: &'static str) -> Result<(), SettingsError> {
+    if holds {
+        Ok(())
+    } else {
+        Err(SettingsError::OutOfRange { field, value: value.to_string(), allowed })
+    }
+}
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -4,10 +4,14 @@
 use crate::process;
 use crate::settings::{SettingFlags, Settings, SettingsError};
 use crate::storage;
-use clap::{Parser, Subcommand};
+use clap::{Args, Parser, Subcommand};
+use foxnotch_gateway::settings::ProcessSettings;
+use foxnotch_gateway::{edge, replica};
+use foxnotch_platform::{PlatformDialect, PlatformStore};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
 
 /// What was asked was done.
 const EXIT_DONE: u8 = 0;
@@ -42,6 +46,10 @@
         #[command(flatten)]
         flags: Box<SettingFlags>,
     },
+    /// Run a gateway, which callers reach
+    Gateway(ProcessFlags),
+    /// Run a replica, which keeps turns on its disk
+    Replica(ProcessFlags),
     /// Mark an empty data folder as the first of a new deployment, so that its replica votes at once
     InitialiseReplica {
         /// The data folder
@@ -85,6 +93,17 @@
     },
 }
 
+/// How a gateway or a replica is started.
+#[derive(Args, Debug)]
+struct ProcessFlags {
+    /// The settings file, TOML
+    #[arg(long, env = "FOXNOTCH_CONFIG")]
+    settings: PathBuf,
+    /// Only check the settings
+    #[arg(long)]
+    check: bool,
+}
+
 /// Runs the command line.
 pub fn run() -> ExitCode {
     let command = CommandLine::parse().command;
@@ -110,6 +129,46 @@
 }
 
 fn execute(command: Command) -> Result<String, CommandError> {
+    match command {
+        Command::Gateway(flags) => run_process(&flags, Role::Gateway),
+        Command::Replica(flags) => run_process(&flags, Role::Replica),
+        other => execute_on_many_threads(other),
+    }
+}
+
+/// What a process on one small machine does.
+#[derive(Clone, Copy, Debug)]
+enum Role {
+    Gateway,
+    Replica,
+}
+
+/// Runs a gateway or a replica: one thread, since its machine has a part of a core.
+fn run_process(flags: &ProcessFlags, role: Role) -> Result<String, CommandError> {
+    let settings = ProcessSettings::load(&flags.settings).map_err(|error| CommandError::Invalid(error.to_string()))?;
+    if flags.check {
+        return Ok("the settings are valid\n".to_owned());
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| CommandError::Other(error.into()))?;
+    foxnotch_gateway::logging::start(&settings.log_level)?;
+    let store = Arc::new(PlatformStore::new(settings.store_address));
+    let path = flags.settings.clone();
+    runtime.block_on(async {
+        match role {
+            Role::Gateway => {
+                let platform = edge::process::Platform { store, dialect: Arc::new(PlatformDialect) };
+                edge::process::run(settings, path, platform).await
+            }
+            Role::Replica => replica::process::run(settings, path, store).await,
+        }
+    })?;
+    Ok(String::new())
+}
+
+fn execute_on_many_threads(command: Command) -> Result<String, CommandError> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
@@ -123,6 +182,7 @@
             runtime.block_on(process::run(settings))?;
             Ok(String::new())
         }
+        Command::Gateway(_) | Command::Replica(_) => Ok(String::new()),
         Command::InitialiseReplica { data_folder } => initialise(&data_folder),
         Command::Check { files } => operator::check(&files),
         Command::Diff { object_api, files } => runtime.block_on(operator::diff(object_api, &files)),
--- /dev/null
+++ b/crates/turns/src/budget.rs
@@ -0,0 +1,58 @@
+//! Whether a turn fits its program's budget.
+
+use foxnotch_wire::{TurnCharge, TurnId};
+use std::collections::BTreeMap;
+
+/// What replicas know of a program's turns, merged.
+#[derive(Clone, Debug, Default)]
+pub struct BudgetView {
+    charges: BTreeMap<TurnId, u32>,
+}
+
+/// What follows from a view.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BudgetVerdict {
+    /// The turn may run.
+    Granted,
+    /// The program's turns have to be read again, now that the reservation is on a quorum.
+    ReadAgain,
+    /// The budget does not hold the turn.
+    Spent,
+}
+
+impl BudgetView {
+    /// Takes one replica's answer. Charges only ever fall, so the lowest known is the newest.
+    pub fn merge(&mut self, charges: &[TurnCharge]) {
+        for charge in charges {
+            let known = self.charges.entry(charge.turn).or_insert(charge.tokens);
+            *known = (*known).min(charge.tokens);
+        }
+    }
+
+    /// Tokens of all turns.
+    pub fn total(&self) -> u64 {
+        self.charges.values().map(|tokens| u64::from(*tokens)).sum()
+    }
+
+    /// Decides on the first round: the answers to the write of the reservation itself.
+    ///
+    /// Of reservations made at the same time each pair is seen by at least one of the two. So if each sees at most
+    /// half of the budget, all of them together fit it; beyond that a second round has to read.
+    pub fn first_verdict(&self, budget: u64) -> BudgetVerdict {
+        if self.total().saturating_mul(2) <= budget {
+            BudgetVerdict::Granted
+        } else {
+            BudgetVerdict::ReadAgain
+        }
+    }
+
+    /// Decides on the second round: read from a quorum after the reservation was on a quorum. Of all that are granted
+    /// the one written last has seen all others.
+    pub fn second_verdict(&self, budget: u64) -> BudgetVerdict {
+        if self.total() <= budget {
+            BudgetVerdict::Granted
+        } else {
+            BudgetVerdict::Spent
+        }
+    }
+}
--- /dev/null
+++ b/crates/turns/src/ledger.rs
@@ -0,0 +1,165 @@
+//! What a replica holds: the entries of all programs that are kept.
+//!
+//! Entries merge and are never taken back; a program goes as a whole once nothing of it, and nothing that continues
+//! from it, has been touched for its retention.
+
+use crate::chain::NO_TURN;
+use foxnotch_core::time::Millis;
+use foxnotch_wire::{ChainLink, ProgramKey, TurnCharge, TurnEntry, TurnId, TurnMark, NOT_SETTLED};
+use std::collections::{HashMap, HashSet};
+
+/// Milliseconds by which a program is kept longer than asked for: the caller counts from a later moment.
+const RETENTION_MARGIN: u64 = 15_000;
+
+/// A kept program.
+#[derive(Clone, Debug, Default)]
+struct KeptProgram {
+    turns: HashSet<TurnId>,
+    /// Programs that a turn of this one continues.
+    parents: HashSet<ProgramKey>,
+    retention: u64,
+    expires_at: Millis,
+}
+
+/// The entries of one replica.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    entries: HashMap<TurnId, TurnEntry>,
+    programs: HashMap<ProgramKey, KeptProgram>,
+    bytes: usize,
+}
+
+impl Ledger {
+    /// Merges an entry into what is known of its turn.
+    pub fn apply(&mut self, entry: TurnEntry, now: Millis) {
+        let turn = entry.turn;
+        let program = entry.program;
+        let retention = u64::from(entry.retention_ms) + RETENTION_MARGIN;
+        let previous = entry.record.first().map(|record| record.previous);
+        self.merge(entry);
+        let kept = self.programs.entry(program).or_default();
+        kept.turns.insert(turn);
+        kept.retention = kept.retention.max(retention);
+        if let Some(parent) = previous.and_then(|previous| self.entries.get(&previous)).map(|entry| entry.program) {
+            if parent != program {
+                self.programs.entry(program).or_default().parents.insert(parent);
+            }
+        }
+        self.touch(program, now);
+    }
+
+    fn merge(&mut self, entry: TurnEntry) {
+        let Some(known) = self.entries.get_mut(&entry.turn) else {
+            self.bytes += entry_bytes(&entry);
+            self.entries.insert(entry.turn, entry);
+            return;
+        };
+        known.retention_ms = known.retention_ms.max(entry.retention_ms);
+        known.reserved = known.reserved.max(entry.reserved);
+        known.used = known.used.min(entry.used);
+        if known.record.is_empty() && !entry.record.is_empty() {
+            self.bytes -= entry_bytes(known);
+            known.record = entry.record;
+            self.bytes += entry_bytes(known);
+        }
+    }
+
+    /// Keeps a program, and those that it continues, for its retention from now on.
+    fn touch(&mut self, program: ProgramKey, now: Millis) {
+        let Some(retention) = self.programs.get(&program).map(|kept| kept.retention) else { return };
+        let expires_at = now.plus(retention);
+        let mut waiting = vec![program];
+        while let Some(next) = waiting.pop() {
+            let Some(kept) = self.programs.get_mut(&next) else { continue };
+            if next != program && kept.expires_at >= expires_at {
+                continue;
+            }
+            kept.expires_at = kept.expires_at.max(expires_at);
+            waiting.extend(kept.parents.iter().filter(|parent| **parent != program));
+        }
+    }
+
+    /// What the turns of a program count for.
+    pub fn charges(&self, program: ProgramKey) -> Vec<TurnCharge> {
+        let Some(kept) = self.programs.get(&program) else { return Vec::new() };
+        let entries = kept.turns.iter().filter_map(|turn| self.entries.get(turn));
+        entries.map(|entry| TurnCharge { turn: entry.turn, tokens: entry.charge() }).collect()
+    }
+
+    /// The records from `newest` back, up to the first one that is missing.
+    pub fn chain(&self, newest: TurnId) -> Vec<ChainLink> {
+        let mut links = Vec::new();
+        let mut next = newest;
+        while next != NO_TURN {
+            let Some(record) = self.entries.get(&next).and_then(|entry| entry.record.first()) else { break };
+            links.push(ChainLink { turn: next, record: record.clone() });
+            next = record.previous;
+        }
+        links
+    }
+
+    /// Everything that is held, in short.
+    pub fn marks(&self) -> Vec<TurnMark> {
+        let mark = |entry: &TurnEntry| TurnMark {
+            turn: entry.turn,
+            settled: u8::from(entry.used != NOT_SETTLED),
+            recorded: u8::from(!entry.record.is_empty()),
+        };
+        self.entries.values().map(mark).collect()
+    }
+
+    /// Of what another replica holds, the turns of which this one knows less.
+    pub fn missing(&self, marks: &[TurnMark]) -> Vec<TurnId> {
+        let lacks = |mark: &&TurnMark| match self.entries.get(&mark.turn) {
+            None => true,
+            Some(entry) => {
+                (mark.settled == 1 && entry.used == NOT_SETTLED) || (mark.recorded == 1 && entry.record.is_empty())
+            }
+        };
+        marks.iter().filter(lacks).map(|mark| mark.turn).collect()
+    }
+
+    /// The entry of a turn.
+    pub fn entry(&self, turn: TurnId) -> Option<&TurnEntry> {
+        self.entries.get(&turn)
+    }
+
+    /// The programs of which anything is held.
+    pub fn programs(&self) -> HashSet<ProgramKey> {
+        self.programs.keys().copied().collect()
+    }
+
+    /// Drops the programs whose retention has passed. Returns how many.
+    pub fn expire(&mut self, now: Millis) -> usize {
+        let expired: Vec<ProgramKey> =
+            self.programs.iter().filter(|(_, kept)| kept.expires_at <= now).map(|(program, _)| *program).collect();
+        for program in &expired {
+            let Some(kept) = self.programs.remove(program) else { continue };
+            for turn in kept.turns {
+                if let Some(entry) = self.entries.remove(&turn) {
+                    self.bytes -= entry_bytes(&entry);
+                }
+            }
+        }
+        expired.len()
+    }
+
+    /// Turns held.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether nothing is held.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Bytes of texts held.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+}
+
+fn entry_bytes(entry: &TurnEntry) -> usize {
+    entry.record.iter().map(|record| record.input.bytes.len() + record.output.bytes.len()).sum()
+}
--- /dev/null
+++ b/crates/turns/src/replica_set.rs
@@ -0,0 +1,74 @@
+//! The versioned set of replicas and the rules by which it changes.
+//!
+//! Invariant: two versions in a row differ by one member, so a majority of one meets a majority of the other.
+//! Version v + 1 follows only once a majority of v is synced to v; see [`may_follow`].
+
+use foxnotch_wire::{NodeId, ReplicaMember, ReplicaSet};
+
+/// How many replicas have to hold a write: a majority, and one more than may be lost at once.
+pub fn write_quorum(members: usize, losses: usize) -> usize {
+    (members / 2 + 1).max(losses + 1)
+}
+
+/// How many replicas without an entry prove that no quorum holds it.
+pub fn denial_quorum(members: usize, losses: usize) -> usize {
+    (members + 1).saturating_sub(write_quorum(members, losses)).max(1)
+}
+
+/// How many other replicas an empty one has to hear before it counts.
+pub fn refill_quorum(members: usize) -> usize {
+    members - (members / 2 + 1) + 1
+}
+
+/// A plain majority.
+pub fn majority(members: usize) -> usize {
+    members / 2 + 1
+}
+
+/// The member `node`, if it is in.
+pub fn member(set: &ReplicaSet, node: NodeId) -> Option<&ReplicaMember> {
+    set.members.iter().find(|member| member.node == node)
+}
+
+/// Whether `node` is in the set.
+pub fn contains(set: &ReplicaSet, node: NodeId) -> bool {
+    member(set, node).is_some()
+}
+
+/// The first version, with one member.
+pub fn founding(member: ReplicaMember) -> ReplicaSet {
+    ReplicaSet { version: 1, members: vec![member], previous: Vec::new() }
+}
+
+/// The next version, with `member` added or, when the node is in already, with its new address.
+pub fn with_member(set: &ReplicaSet, member: ReplicaMember) -> ReplicaSet {
+    let mut members: Vec<_> = set.members.iter().filter(|known| known.node != member.node).copied().collect();
+    members.push(member);
+    members.sort_by_key(|member| member.node);
+    ReplicaSet { version: set.version + 1, members, previous: set.members.clone() }
+}
+
+/// The next version, without `node`.
+pub fn without_member(set: &ReplicaSet, node: NodeId) -> ReplicaSet {
+    let members = set.members.iter().filter(|known| known.node != node).copied().collect();
+    ReplicaSet { version: set.version + 1, members, previous: set.members.clone() }
+}
+
+/// Whether a version may follow `set` when the nodes of `synced` are synced to it.
+///
+/// Before: every acknowledged write is on a majority of `set.previous`. After: also on a majority of `set`, and no
+/// gateway that goes by an older version gets a majority any more.
+pub fn may_follow(set: &ReplicaSet, synced: &[NodeId]) -> bool {
+    let count = set.members.iter().filter(|member| synced.contains(&member.node)).count();
+    count >= majority(set.members.len())
+}
+
+/// Whether the members in `heard`, and the node itself, are a majority of the version before: what they hold is all
+/// that was acknowledged under it.
+pub fn covers_previous(set: &ReplicaSet, own: NodeId, heard: &[NodeId]) -> bool {
+    if set.previous.is_empty() {
+        return true;
+    }
+    let known = |member: &&ReplicaMember| member.node == own || heard.contains(&member.node);
+    set.previous.iter().filter(known).count() >= majority(set.previous.len())
+}
--- /dev/null
+++ b/crates/turns/src/segment.rs
@@ -0,0 +1,108 @@
+//! The form of a replica's files: frames of a length, a checksum and a record.
+//!
+//! After a loss of power, writes that were not synced may be there, missing or torn. Reading stops at the first frame
+//! that does not check: whatever stands behind it was not synced either, or it would have been covered by the sync of
+//! the one before.
+
+use deku::prelude::*;
+use foxnotch_wire::{DiskIdentity, ReplicaSet, TurnEntry};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Bytes before the record: its length and its checksum.
+const FRAME_HEADER_BYTES: usize = 12;
+/// The longest record, in bytes.
+const MAXIMUM_RECORD_BYTES: usize = 32 * 1024 * 1024;
+
+/// Why a record cannot be written.
+#[derive(Debug, thiserror::Error)]
+pub enum SegmentError {
+    /// The record cannot be coded.
+    #[error("a record cannot be coded ({0}); report this with the log")]
+    Uncodable(String),
+    /// The record is too long.
+    #[error("a record of {0} bytes is over the limit of {MAXIMUM_RECORD_BYTES}; lower the limit of request bodies")]
+    TooLong(usize),
+}
+
+/// What a replica is: its disk, its standing, the set that it knows.
+#[deku_derive(DekuRead, DekuWrite)]
+#[derive(Clone, Debug, PartialEq, Eq, Default)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct ReplicaState {
+    /// The disk's identity.
+    pub disk: u64,
+    /// 1 once the replica holds all that it ever acknowledged.
+    pub complete: u8,
+    /// The version of the set that it is synced to.
+    pub synced: u64,
+    /// The newest set that it knows.
+    pub set: ReplicaSet,
+    #[deku(temp, temp_value = "peers.len() as u16")]
+    length: u16,
+    /// The disks of the others.
+    #[deku(count = "length")]
+    pub peers: Vec<DiskIdentity>,
+}
+
+/// One record.
+#[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "little", id_type = "u8")]
+pub enum Record {
+    /// An entry; merges with earlier ones of the same turn.
+    #[deku(id = "0")]
+    Entry(TurnEntry),
+    /// The replica's state; replaces earlier ones.
+    #[deku(id = "1")]
+    State(ReplicaState),
+}
+
+/// Appends a frame to `buffer`.
+///
+/// # Errors
+/// [`SegmentError`]; `buffer` is then as it was.
+pub fn append_frame(buffer: &mut Vec<u8>, record: &Record) -> Result<(), SegmentError> {
+    let bytes = record.to_bytes().map_err(|error| SegmentError::Uncodable(error.to_string()))?;
+    if bytes.len() > MAXIMUM_RECORD_BYTES {
+        return Err(SegmentError::TooLong(bytes.len()));
+    }
+    buffer.extend_from_slice(&(bytes.len() as u32).to_le_bytes());
+    buffer.extend_from_slice(&xxh3_64(&bytes).to_le_bytes());
+    buffer.extend_from_slice(&bytes);
+    Ok(())
+}
+
+/// What a file holds.
+#[derive(Debug, Default)]
+pub struct SegmentContent {
+    /// The records before the first frame that does not check.
+    pub records: Vec<Record>,
+    /// Bytes behind them.
+    pub torn_bytes: usize,
+}
+
+/// Reads a file.
+pub fn read_segment(bytes: &[u8]) -> SegmentContent {
+    let mut content = SegmentContent::default();
+    let mut rest = bytes;
+    while let Some((record, length)) = read_frame(rest) {
+        content.records.push(record);
+        rest = &rest[length..];
+    }
+    content.torn_bytes = rest.len();
+    content
+}
+
+fn read_frame(bytes: &[u8]) -> Option<(Record, usize)> {
+    let header = bytes.get(..FRAME_HEADER_BYTES)?;
+    let length = u32::from_le_bytes(header[..4].try_into().ok()?) as usize;
+    let checksum = u64::from_le_bytes(header[4..].try_into().ok()?);
+    if length == 0 || length > MAXIMUM_RECORD_BYTES {
+        return None;
+    }
+    let payload = bytes.get(FRAME_HEADER_BYTES..FRAME_HEADER_BYTES + length)?;
+    if xxh3_64(payload) != checksum {
+        return None;
+    }
+    let (_, record) = Record::from_bytes((payload, 0)).ok()?;
+    Some((record, FRAME_HEADER_BYTES + length))
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,6 +11,7 @@
 mod length;
 mod membership;
 mod text;
+mod turns;
 
 pub use codec::{decode, encode, Envelope, Message, WireError, MAXIMUM_MESSAGE_BYTES, PROTOCOL_VERSION};
 pub use configuration::{ConfigDelta, ConfigObject, ConfigPull, ObjectKind};
@@ -23,3 +24,9 @@
     Ack, MemberAddress, MemberList, MemberPull, MemberState, MemberUpdate, Ping, PingRequest, MAXIMUM_UPDATES,
 };
 pub use text::Text;
+pub use turns::ProgramKey;
+pub use turns::{
+    decode_rpc, encode_rpc, Chain, ChainLink, Content, DiskIdentity, Entries, FetchEntries, ListMarks, Marks,
+    ReadChain, ReadProgram, ReplicaMember, ReplicaSet, ReplicaStanding, RpcBody, RpcMessage, SetNews, StoreEntry,
+    Stored, TurnCharge, TurnEntry, TurnId, TurnMark, TurnRecord, ViewNews, Witness, NOT_SETTLED,
+};
--- /dev/null
+++ b/crates/wire/src/turns.rs
@@ -0,0 +1,449 @@
+//! Messages about turns: records, token reservations, the replica set, and the newest view of the platform.
+//!
+//! They travel by stream between gateways and replicas, each request with a number that its answer repeats.
+
+use crate::length::Length;
+use crate::{MemberList, MemberUpdate, NodeId, WireError, MAXIMUM_MESSAGE_BYTES, PROTOCOL_VERSION};
+use deku::prelude::*;
+
+/// The most turns of one program or one page.
+pub const MAXIMUM_TURNS: u32 = 200_000;
+/// The most replicas in a set.
+pub const MAXIMUM_REPLICAS: u32 = 256;
+/// The longest text of a record, in bytes.
+const MAXIMUM_CONTENT_BYTES: u32 = 8 * 1024 * 1024;
+
+/// A turn: the hash of the identifier that its caller gave it.
+#[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Default)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct TurnId(pub u128);
+
+impl std::fmt::Display for TurnId {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{:032x}", self.0)
+    }
+}
+
+/// A program: the hash of the identifier that its caller gave it.
+#[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Default)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct ProgramKey(pub u64);
+
+/// Bytes of at most eight megabytes.
+#[deku_derive(DekuRead, DekuWrite)]
+#[derive(Clone, PartialEq, Eq, Default)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct Content {
+    #[deku(temp, temp_value = "Length::of(&bytes)")]
+    length: Length<MAXIMUM_CONTENT_BYTES>,
+    /// The bytes.
+    #[deku(count = "length.get()")]
+    pub bytes: Vec<u8>,
+}
+
+impl std::fmt::Debug for Content {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "<{} bytes>", self.bytes.len())
+    }
+}
+
+impl From<Vec<u8>> for Content {
+    fn from(bytes: Vec<u8>) -> Self {
+        Self { bytes }
+    }
+}
+
+/// What a turn that ended whole was given and gave. Written once.
+#[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct TurnRecord {
+    /// The turn that it continues; 0 at the start of a chain.
+    pub previous: TurnId,
+    /// The caller's input.
+    pub input: Content,
+    /// The data of each event followed by a line feed.
+    pub output: Content,
+}
+
+/// The value of [`TurnEntry::used`] while the turn runs.
+pub const NOT_SETTLED: u32 = u32::MAX;
+
+/// What a replica knows of one turn. Two states of one entry merge: a settlement and a record are never taken back.
+#[deku_derive(DekuRead, DekuWrite)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct TurnEntry {
+    /// The turn.
+    pub turn: TurnId,
+    /// The program that it belongs to.
+    pub program: ProgramKey,
+    /// Milliseconds for which the program is kept after this.
+    pub retention_ms: u32,
+    /// Tokens reserved: the most that the turn may generate.
+    pub reserved: u32,
+    /// Tokens handed out, or [`NOT_SETTLED`].
+    pub used: u32,
+    #[deku(temp, temp_value = "Length::of(&record)")]
+    records: Length<1>,
+    /// The record, once the turn has ended whole: none or one.
+    #[deku(count = "records.get()")]
+    pub record: Vec<TurnRecord>,
+}
+
+impl TurnEntry {
+    /// Tokens that count against the budget.
+    pub fn charge(&self) -> u32 {
+        if self.used == NOT_SETTLED {
+            self.reserved
+        } else {
+            self.used
+        }
+    }
+}
+
+/// A replica in a set.
+#[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct ReplicaMember {
+    /// The node.
+    pub node: NodeId,
+    /// Its zone, as a hash of the zone's name.
+    pub zone: u32,
+    /// Its IPv4 address.
+    pub ip: [u8; 4],
+    /// Its port for other nodes.
+    pub port: u16,
+}
+
+/// The replicas of the deployment.
+#[deku_derive(DekuRead, DekuWrite)]
+#[derive(Clone, Debug, PartialEq, Eq, Default)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct ReplicaSet {
+    /// Raised by one with each change; 0 when none is known.
+    pub version: u64,
+    #[deku(temp, temp_value = "Length::of(&members)")]
+    members_length: Length<MAXIMUM_REPLICAS>,
+    /// The members, ordered by node.
+    #[deku(count = "members_length.get()")]
+    pub members: Vec<ReplicaMember>,
+    #[deku(temp, temp_value = "Length::of(&previous)")]
+    previous_length: Length<MAXIMUM_REPLICAS>,
+    /// The members of the version before.
+    #[deku(count = "previous_length.get()")]
+    pub previous: Vec<ReplicaMember>,
+}
+
+/// Which disk a node has, as the sender last heard.
+#[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct DiskIdentity {
+    /// The node.
+    pub node: NodeId,
+    /// A random number made with the disk.
+    pub disk: u64,
+}
+
+/// Tokens that one turn of a program counts for.
+#[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct TurnCharge {
+    /// The turn.
+    pub turn: TurnId,
+    /// Tokens.
+    pub tokens: u32,
+}
+
+/// A turn and how much of it is known.
+#[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct TurnMark {
+    /// The turn.
+    pub turn: TurnId,
+    /// Whether it is settled.
+    pub settled: u8,
+    /// Whether its record is there.
+    pub recorded: u8,
+}
+
+/// A record with its turn.
+#[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct ChainLink {
+    /// The turn.
+    pub turn: TurnId,
+    /// Its record.
+    pub record: TurnRecord,
+}
+
+/// Stores an entry. Answered by [`RpcBody::Stored`] once it is on disk.
+#[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct StoreEntry {
+    /// The version of the replica set that the sender goes by.
+    pub set_version: u64,
+    /// The entry.
+    pub entry: TurnEntry,
+}
+
+/// Asks for the charges of a program. Answered by [`RpcBody::Stored`].
+#[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct ReadProgram {
+    /// The version of the replica set that the sender goes by.
+    pub set_version: u64,
+    /// The program.
+    pub program: ProgramKey,
+}
+
+/// Asks for a turn and the turns that it continues. Answered by [`RpcBody::Chain`].
+#[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct ReadChain {
+    /// The version of the replica set that the sender goes by.
+    pub set_version: u64,
+    /// The newest turn of the chain.
+    pub turn: TurnId,
+}
+
+/// Whether an answer may be counted.
+#[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+#[deku(id_type = "u8")]
+pub enum ReplicaStanding {
+    /// The replica holds all that it ever acknowledged and the entry is on its disk.
+    #[deku(id = "0")]
+    Counts,
+    /// The replica is being refilled or is no member: its answer is a hint.
+    #[deku(id = "1")]
+    Refilling,
+    /// The disk takes no more.
+    #[deku(id = "2")]
+    Full,
+}
+
+/// Who answers, on which disk, and which disks it knows others to have.
+#[deku_derive(DekuRead, DekuWrite)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct Witness {
+    /// The replica.
+    pub own: DiskIdentity,
+    /// Whether the answer may be counted.
+    pub standing: ReplicaStanding,
+    #[deku(temp, temp_value = "Length::of(&others)")]
+    length: Length<MAXIMUM_REPLICAS>,
+    /// The disks of the others.
+    #[deku(count = "length.get()")]
+    pub others: Vec<DiskIdentity>,
+}
+
+/// Answers [`StoreEntry`] and [`ReadProgram`].
+#[deku_derive(DekuRead, DekuWrite)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct Stored {
+    /// Who answers.
+    pub witness: Witness,
+    #[deku(temp, temp_value = "Length::of(&charges)")]
+    length: Length<MAXIMUM_TURNS>,
+    /// What the program's turns count for, the entry included.
+    #[deku(count = "length.get()")]
+    pub charges: Vec<TurnCharge>,
+}
+
+/// Answers [`ReadChain`].
+#[deku_derive(DekuRead, DekuWrite)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct Chain {
+    /// Who answers.
+    pub witness: Witness,
+    #[deku(temp, temp_value = "Length::of(&links)")]
+    length: Length<MAXIMUM_TURNS>,
+    /// What is there, newest first, up to the first turn that is missing.
+    #[deku(count = "length.get()")]
+    pub links: Vec<ChainLink>,
+}
+
+/// Tells a replica of a set and asks what it has that the sender may lack. Answered by [`RpcBody::Marks`].
+#[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct ListMarks {
+    /// The asker and its disk.
+    pub own: DiskIdentity,
+    /// The newest set that the asker knows.
+    pub set: ReplicaSet,
+}
+
+/// Answers [`ListMarks`].
+#[deku_derive(DekuRead, DekuWrite)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct Marks {
+    /// Who answers.
+    pub witness: Witness,
+    /// The newest set that it knows.
+    pub set: ReplicaSet,
+    /// The version that it is synced to.
+    pub synced: u64,
+    /// 1 when it holds all that it ever acknowledged, member or not.
+    pub complete: u8,
+    #[deku(temp, temp_value = "Length::of(&marks)")]
+    length: Length<MAXIMUM_TURNS>,
+    /// Everything that it holds.
+    #[deku(count = "length.get()")]
+    pub marks: Vec<TurnMark>,
+}
+
+/// Asks for entries. Answered by [`RpcBody::Entries`], with as many as fit.
+#[deku_derive(DekuRead, DekuWrite)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct FetchEntries {
+    #[deku(temp, temp_value = "Length::of(&turns)")]
+    length: Length<MAXIMUM_TURNS>,
+    /// The turns.
+    #[deku(count = "length.get()")]
+    pub turns: Vec<TurnId>,
+}
+
+/// Brings entries.
+#[deku_derive(DekuRead, DekuWrite)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct Entries {
+    #[deku(temp, temp_value = "Length::of(&entries)")]
+    length: Length<MAXIMUM_TURNS>,
+    /// The entries.
+    #[deku(count = "length.get()")]
+    pub entries: Vec<TurnEntry>,
+}
+
+/// Brings a set; answered by [`RpcBody::SetKnown`].
+#[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct SetNews {
+    /// The set.
+    pub set: ReplicaSet,
+    /// The version that the sender is synced to; 0 from a gateway.
+    pub synced: u64,
+}
+
+/// The sender's view of the platform: each part with the revision that it stands at, coded as JSON.
+#[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq, Default)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct ViewNews {
+    /// The revision of the configuration; 0 when there is none.
+    pub configuration_revision: u64,
+    /// The configuration; empty when the receiver has it.
+    pub configuration: Content,
+    /// The revision of the list of engines.
+    pub engines_revision: u64,
+    /// The list of engines; empty when the receiver has it.
+    pub engines: Content,
+    /// The newest replica set.
+    pub set: ReplicaSet,
+}
+
+/// What an exchange is about.
+#[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+#[deku(id_type = "u8")]
+pub enum RpcBody {
+    /// Request.
+    #[deku(id = "0")]
+    StoreEntry(StoreEntry),
+    /// Request.
+    #[deku(id = "1")]
+    ReadProgram(ReadProgram),
+    /// Request.
+    #[deku(id = "2")]
+    ReadChain(ReadChain),
+    /// Request.
+    #[deku(id = "3")]
+    ListMarks(ListMarks),
+    /// Request.
+    #[deku(id = "4")]
+    FetchEntries(FetchEntries),
+    /// Request: the receiver is to take a newer set.
+    #[deku(id = "5")]
+    AdoptSet(SetNews),
+    /// Request: the receiver's member entry is added; answered by [`RpcBody::Members`].
+    #[deku(id = "6")]
+    PullMembers(MemberUpdate),
+    /// Request: what the sender has; answered by [`RpcBody::View`] with what is newer.
+    #[deku(id = "7")]
+    PullView(ViewNews),
+    /// Answer.
+    #[deku(id = "64")]
+    Stored(Stored),
+    /// Answer.
+    #[deku(id = "65")]
+    Chain(Chain),
+    /// Answer.
+    #[deku(id = "66")]
+    Marks(Marks),
+    /// Answer.
+    #[deku(id = "67")]
+    Entries(Entries),
+    /// Answer to [`RpcBody::AdoptSet`].
+    #[deku(id = "68")]
+    SetKnown(SetNews),
+    /// Answer to a request that goes by another set: the replica's set, which may be the older one.
+    #[deku(id = "69")]
+    OtherSet(SetNews),
+    /// Answer.
+    #[deku(id = "70")]
+    Members(MemberList),
+    /// Answer.
+    #[deku(id = "71")]
+    View(ViewNews),
+    /// Answer: the receiver does not serve this.
+    #[deku(id = "72")]
+    NotServed,
+}
+
+/// A request or its answer.
+#[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "little")]
+pub struct RpcMessage {
+    /// [`PROTOCOL_VERSION`] of the sender.
+    #[deku(assert_eq = "PROTOCOL_VERSION")]
+    pub version: u8,
+    /// The sender.
+    pub from: NodeId,
+    /// Chosen by the asker, repeated in the answer.
+    pub exchange: u64,
+    /// What it is about.
+    pub body: RpcBody,
+}
+
+/// Codes a request or an answer.
+///
+/// # Errors
+/// [`WireError::TooLong`] when the receiver would refuse the result.
+pub fn encode_rpc(from: NodeId, exchange: u64, body: RpcBody) -> Result<Vec<u8>, WireError> {
+    let message = RpcMessage { version: PROTOCOL_VERSION, from, exchange, body };
+    let bytes = message.to_bytes().map_err(|error| WireError::Malformed(error.to_string()))?;
+    if bytes.len() > MAXIMUM_MESSAGE_BYTES {
+        return Err(WireError::TooLong(bytes.len()));
+    }
+    Ok(bytes)
+}
+
+/// Reads a request or an answer that fills `bytes`.
+///
+/// # Errors
+/// Any [`WireError`].
+pub fn decode_rpc(bytes: &[u8]) -> Result<RpcMessage, WireError> {
+    if bytes.len() > MAXIMUM_MESSAGE_BYTES {
+        return Err(WireError::TooLong(bytes.len()));
+    }
+    let ((rest, _), message) =
+        RpcMessage::from_bytes((bytes, 0)).map_err(|error| WireError::Malformed(error.to_string()))?;
+    if !rest.is_empty() {
+        return Err(WireError::TrailingBytes(rest.len()));
+    }
+    Ok(message)
+}
