Watches wait 2.5 s, not 10 s: a silent store swallows them

The store was silent from 0.5 to 7.4 s; watches that waited or were sent meanwhile were swallowed, and nothing tells of it: they ended 12.5 s after they were sent, at 15.8 s. Ruled out: connections (they stayed up, so keepalive and user timeout say nothing), the peers' path (no peer knew more). Change: the wait bounds the echo of a silence, so it is 2.5 s and the adapter gives up 1 s later. Test: store_watch_tests, fails with 10 s. Also the first tests of turns and gateway.

--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -9,8 +9,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// The longest wait of one watch.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// The longest wait of one watch. A store that falls silent swallows the watches that wait, and says nothing of it when
+/// it is back; so this bounds the time for which nothing is heard.
+const WATCH_WAIT: Duration = Duration::from_millis(2500);
 /// The first pause after a failure, in milliseconds; doubled for each one that follows.
 const FIRST_PAUSE_MS: u64 = 80;
 /// The longest pause, in milliseconds.
--- /dev/null
+++ b/crates/gateway/tests/store_watch_tests.rs
@@ -0,0 +1,108 @@
+//! Following the platform's store through its faults, in virtual time.
+
+mod support;
+
+use foxnotch_gateway::peers::view::ViewHolder;
+use foxnotch_gateway::ports::configuration::{Configuration, EngineEntry};
+use foxnotch_gateway::ports::store::{Kind, ObjectBody};
+use foxnotch_gateway::store_watch::{follow, ConfigurationFollower, EngineFollower};
+use std::sync::Arc;
+use std::time::Duration;
+use support::store::StubStore;
+
+/// The longest time for which a silence of the store may be felt after it has ended.
+const LONGEST_ECHO: Duration = Duration::from_secs(4);
+
+fn configuration(version: u64) -> ObjectBody {
+    ObjectBody::Configuration(Configuration { version, ..Configuration::default() })
+}
+
+fn engine(id: &str, draining: bool) -> ObjectBody {
+    ObjectBody::Engine(EngineEntry {
+        id: id.to_owned(),
+        service: "s".to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        zone: "z".to_owned(),
+        slots: 1,
+        draining,
+    })
+}
+
+fn follow_both(store: &StubStore) -> Arc<ViewHolder> {
+    let view = Arc::new(ViewHolder::default());
+    let shared = Arc::new(store.clone());
+    tokio::spawn(follow(shared.clone(), Kind::Configuration, ConfigurationFollower { view: view.clone() }));
+    tokio::spawn(follow(shared, Kind::Engines, EngineFollower::new(view.clone())));
+    view
+}
+
+async fn wait(milliseconds: u64) {
+    tokio::time::sleep(Duration::from_millis(milliseconds)).await;
+}
+
+fn version(view: &ViewHolder) -> u64 {
+    view.get().configuration.value.version
+}
+
+#[tokio::test(start_paused = true)]
+async fn changes_are_followed() {
+    let store = StubStore::default();
+    store.put(Kind::Configuration, "main", configuration(1));
+    let view = follow_both(&store);
+    wait(20).await;
+    assert_eq!(version(&view), 1);
+    store.put(Kind::Configuration, "main", configuration(4));
+    store.put(Kind::Engines, "a", engine("a", false));
+    wait(20).await;
+    assert_eq!(version(&view), 4);
+    store.put(Kind::Engines, "a", engine("a", true));
+    wait(20).await;
+    assert!(view.get().engines.value[0].draining);
+    store.remove(Kind::Engines, "a", engine("a", true));
+    wait(20).await;
+    assert!(view.get().engines.value.is_empty());
+}
+
+/// Found by `trouble-1` of the dairy: the store fell silent, swallowed the watches, and a configuration that was written
+/// afterwards was not seen for ten seconds.
+#[tokio::test(start_paused = true)]
+async fn watches_that_a_silent_store_swallowed_are_made_anew_soon() {
+    let store = StubStore::default();
+    store.put(Kind::Configuration, "main", configuration(1));
+    let view = follow_both(&store);
+    wait(500).await;
+    store.fall_silent();
+    wait(100).await;
+    store.speak_again();
+    store.put(Kind::Configuration, "main", configuration(2));
+    tokio::time::sleep(LONGEST_ECHO).await;
+    assert_eq!(version(&view), 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn forgotten_history_is_made_up_for_by_a_list() {
+    let store = StubStore::default();
+    store.put(Kind::Configuration, "main", configuration(1));
+    let view = follow_both(&store);
+    wait(100).await;
+    store.fall_silent();
+    wait(100).await;
+    store.put(Kind::Configuration, "main", configuration(2));
+    store.put(Kind::Engines, "a", engine("a", false));
+    store.forget_history();
+    store.speak_again();
+    tokio::time::sleep(LONGEST_ECHO).await;
+    assert_eq!(version(&view), 2);
+    assert_eq!(view.get().engines.value.len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_configuration_that_cannot_be_read_leaves_the_one_in_force() {
+    let store = StubStore::default();
+    store.put(Kind::Configuration, "main", configuration(3));
+    let view = follow_both(&store);
+    wait(100).await;
+    store.put(Kind::Configuration, "main", ObjectBody::Unreadable("no routes".to_owned()));
+    wait(100).await;
+    assert_eq!(version(&view), 3);
+}
--- /dev/null
+++ b/crates/gateway/tests/support/mod.rs
@@ -0,0 +1,5 @@
+//! Stand-ins for tests of the gateway and the replica.
+
+#![allow(dead_code, reason = "each test binary uses a part")]
+
+pub mod store;
--- /dev/null
+++ b/crates/gateway/tests/support/store.rs
@@ -0,0 +1,200 @@
+//! The platform's metadata store as a stand-in: objects with revisions, watches, and the faults that it may have.
+
+use foxnotch_gateway::ports::store::{
+    Change, Changes, Kind, Listing, MetadataStore, ObjectBody, StoreError, StoredObject,
+};
+use foxnotch_wire::ReplicaSet;
+use futures_util::future::BoxFuture;
+use std::collections::HashSet;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// Time after which a call to a silent store is given up, as the adapter does.
+const SILENCE: Duration = Duration::from_secs(1);
+
+#[derive(Clone, Debug)]
+struct Entry {
+    kind: Kind,
+    object: StoredObject,
+    gone: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    /// Every change, oldest first.
+    history: Vec<Entry>,
+    /// Changes before this revision are forgotten.
+    forgotten: u64,
+    silent: bool,
+    lose_answers: bool,
+    waits: Vec<Duration>,
+    retired: HashSet<String>,
+}
+
+/// A store in memory.
+#[derive(Clone, Default)]
+pub struct StubStore {
+    state: Arc<Mutex<State>>,
+    changed: Arc<Notify>,
+}
+
+impl StubStore {
+    fn with<T>(&self, act: impl FnOnce(&mut State) -> T) -> T {
+        act(&mut self.state.lock().expect("no test panics while it holds the store"))
+    }
+
+    /// Writes an object.
+    pub fn put(&self, kind: Kind, name: &str, body: ObjectBody) -> u64 {
+        self.record(kind, name, body, false)
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: Kind, name: &str, body: ObjectBody) -> u64 {
+        self.record(kind, name, body, true)
+    }
+
+    fn record(&self, kind: Kind, name: &str, body: ObjectBody, gone: bool) -> u64 {
+        let revision = self.with(|state| {
+            state.revision += 1;
+            let object = StoredObject { name: name.to_owned(), revision: state.revision, body };
+            state.history.push(Entry { kind, object, gone });
+            state.revision
+        });
+        self.changed.notify_waiters();
+        revision
+    }
+
+    /// Calls that are waiting or come from now on are swallowed.
+    pub fn fall_silent(&self) {
+        self.with(|state| state.silent = true);
+        self.changed.notify_waiters();
+    }
+
+    /// The store answers new calls again. Those that it swallowed stay unanswered.
+    pub fn speak_again(&self) {
+        self.with(|state| state.silent = false);
+    }
+
+    /// Writes are done and not answered.
+    pub fn lose_answers(&self, lose: bool) {
+        self.with(|state| state.lose_answers = lose);
+    }
+
+    /// Drops the history.
+    pub fn forget_history(&self) {
+        self.with(|state| state.forgotten = state.revision);
+    }
+
+    /// The waits of all watches so far.
+    pub fn waits(&self) -> Vec<Duration> {
+        self.with(|state| state.waits.clone())
+    }
+
+    /// Retirements reported as done.
+    pub fn retired(&self) -> HashSet<String> {
+        self.with(|state| state.retired.clone())
+    }
+
+    /// The replica set as it is stored.
+    pub fn replica_set(&self) -> Option<ReplicaSet> {
+        self.current(Kind::ReplicaSet).into_iter().find_map(|object| match object.body {
+            ObjectBody::ReplicaSet(set) => Some(set),
+            _ => None,
+        })
+    }
+
+    fn current(&self, kind: Kind) -> Vec<StoredObject> {
+        self.with(|state| {
+            let mut objects: Vec<StoredObject> = Vec::new();
+            for entry in state.history.iter().filter(|entry| entry.kind == kind) {
+                objects.retain(|known| known.name != entry.object.name);
+                if !entry.gone {
+                    objects.push(entry.object.clone());
+                }
+            }
+            objects
+        })
+    }
+
+    async fn swallow<T>(&self) -> Result<T, StoreError> {
+        tokio::time::sleep(SILENCE).await;
+        Err(StoreError::Unanswered("silent".to_owned()))
+    }
+
+    fn changes_since(&self, kind: Kind, since: u64) -> Result<Changes, StoreError> {
+        self.with(|state| {
+            if since < state.forgotten {
+                return Err(StoreError::HistoryGone);
+            }
+            let news = state.history.iter().filter(|entry| entry.kind == kind && entry.object.revision > since);
+            let changes =
+                news.map(|entry| Change { object: entry.object.clone(), gone: entry.gone }).collect::<Vec<_>>();
+            Ok(Changes { changes, revision: state.revision })
+        })
+    }
+
+    async fn watch_changes(&self, kind: Kind, since: u64, wait: Duration) -> Result<Changes, StoreError> {
+        self.with(|state| state.waits.push(wait));
+        let until = tokio::time::Instant::now() + wait;
+        loop {
+            let notified = self.changed.notified();
+            if self.with(|state| state.silent) {
+                tokio::time::sleep_until(until).await;
+                return self.swallow().await;
+            }
+            let changes = self.changes_since(kind, since)?;
+            if !changes.changes.is_empty() || tokio::time::Instant::now() >= until {
+                return Ok(changes);
+            }
+            // Either a change or the end of the wait: both are looked at above.
+            let _ = tokio::time::timeout_at(until, notified).await;
+        }
+    }
+}
+
+impl MetadataStore for StubStore {
+    fn list(&self, kind: Kind) -> BoxFuture<'_, Result<Listing, StoreError>> {
+        Box::pin(async move {
+            if self.with(|state| state.silent) {
+                return self.swallow().await;
+            }
+            let objects = self.current(kind);
+            Ok(Listing { objects, revision: self.with(|state| state.revision) })
+        })
+    }
+
+    fn watch(&self, kind: Kind, revision: u64, wait: Duration) -> BoxFuture<'_, Result<Changes, StoreError>> {
+        Box::pin(self.watch_changes(kind, revision, wait))
+    }
+
+    fn write_replica_set(&self, set: ReplicaSet, revision: Option<u64>) -> BoxFuture<'_, Result<(), StoreError>> {
+        Box::pin(async move {
+            if self.with(|state| state.silent) {
+                return self.swallow().await;
+            }
+            let current = self.current(Kind::ReplicaSet).first().map(|object| object.revision);
+            if current != revision {
+                return Err(StoreError::Conflict);
+            }
+            self.put(Kind::ReplicaSet, "main", ObjectBody::ReplicaSet(set));
+            if self.with(|state| state.lose_answers) {
+                return Err(StoreError::Unanswered("lost".to_owned()));
+            }
+            Ok(())
+        })
+    }
+
+    fn report_retirement(&self, name: String, done: bool) -> BoxFuture<'_, Result<(), StoreError>> {
+        Box::pin(async move {
+            if self.with(|state| state.silent) {
+                return self.swallow().await;
+            }
+            if done {
+                self.with(|state| state.retired.insert(name));
+            }
+            Ok(())
+        })
+    }
+}
--- /dev/null
+++ b/crates/turns/tests/budget_tests.rs
@@ -0,0 +1,109 @@
+//! Budgets: whatever the order in which reservations meet at the replicas, grants never exceed the budget.
+
+use foxnotch_turns::budget::{BudgetVerdict, BudgetView};
+use foxnotch_wire::{TurnCharge, TurnId};
+use proptest::prelude::*;
+
+/// One reservation in the making.
+#[derive(Clone, Debug)]
+struct Reserving {
+    turn: TurnId,
+    tokens: u32,
+    /// Replicas that have not answered yet, in the order in which they are reached.
+    first_round: Vec<usize>,
+    second_round: Vec<usize>,
+    view: BudgetView,
+    verdict: Option<BudgetVerdict>,
+}
+
+/// Carries out one step of a reservation against the replicas' ledgers.
+fn step(reserving: &mut Reserving, replicas: &mut [Vec<TurnCharge>], budget: u64) {
+    if reserving.verdict.is_some() {
+        return;
+    }
+    if let Some(replica) = reserving.first_round.pop() {
+        replicas[replica].push(TurnCharge { turn: reserving.turn, tokens: reserving.tokens });
+        reserving.view.merge(&replicas[replica]);
+        if reserving.first_round.is_empty() {
+            let verdict = reserving.view.first_verdict(budget);
+            if verdict == BudgetVerdict::Granted {
+                reserving.verdict = Some(verdict);
+            } else {
+                reserving.view = BudgetView::default();
+            }
+        }
+        return;
+    }
+    if let Some(replica) = reserving.second_round.pop() {
+        reserving.view.merge(&replicas[replica]);
+    }
+    if reserving.second_round.is_empty() {
+        reserving.verdict = Some(reserving.view.second_verdict(budget));
+    }
+}
+
+fn quorum(replicas: usize, seed: usize) -> Vec<usize> {
+    let needed = replicas / 2 + 1;
+    (0..needed).map(|index| (seed + index) % replicas).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2000, rng_seed: proptest::test_runner::RngSeed::Fixed(9), ..ProptestConfig::default() })]
+
+    #[test]
+    fn grants_never_exceed_the_budget(
+        replicas in 2_usize..6,
+        tokens in prop::collection::vec(1_u32..100, 1..8),
+        seeds in prop::collection::vec((0_usize..6, 0_usize..6), 8),
+        order in prop::collection::vec(0_usize..8, 0..120),
+        budget in 1_u64..400,
+    ) {
+        let mut ledgers = vec![Vec::new(); replicas];
+        let mut all: Vec<Reserving> = tokens.iter().enumerate().map(|(index, tokens)| Reserving {
+            turn: TurnId(index as u128 + 1),
+            tokens: *tokens,
+            first_round: quorum(replicas, seeds[index].0),
+            second_round: quorum(replicas, seeds[index].1),
+            view: BudgetView::default(),
+            verdict: None,
+        }).collect();
+        for index in order {
+            let index = index % all.len();
+            step(&mut all[index], &mut ledgers, budget);
+        }
+        for reserving in &mut all {
+            while reserving.verdict.is_none() {
+                step(reserving, &mut ledgers, budget);
+            }
+        }
+        let granted: u64 = all.iter().filter(|r| r.verdict == Some(BudgetVerdict::Granted)).map(|r| u64::from(r.tokens)).sum();
+        prop_assert!(granted <= budget, "granted {granted} of {budget}");
+    }
+}
+
+#[test]
+fn a_settled_charge_replaces_the_reservation() {
+    let mut view = BudgetView::default();
+    view.merge(&[TurnCharge { turn: TurnId(1), tokens: 80 }]);
+    view.merge(&[TurnCharge { turn: TurnId(1), tokens: 27 }]);
+    view.merge(&[TurnCharge { turn: TurnId(1), tokens: 80 }]);
+    assert_eq!(view.total(), 27);
+}
+
+#[test]
+fn a_released_reservation_counts_nothing() {
+    let mut view = BudgetView::default();
+    view.merge(&[TurnCharge { turn: TurnId(1), tokens: 80 }]);
+    view.merge(&[TurnCharge { turn: TurnId(1), tokens: 0 }]);
+    assert_eq!(view.second_verdict(0), BudgetVerdict::Granted);
+}
+
+#[test]
+fn one_round_is_enough_up_to_half_of_the_budget() {
+    let mut view = BudgetView::default();
+    view.merge(&[TurnCharge { turn: TurnId(1), tokens: 50 }]);
+    assert_eq!(view.first_verdict(100), BudgetVerdict::Granted);
+    assert_eq!(view.first_verdict(99), BudgetVerdict::ReadAgain);
+    assert_eq!(view.second_verdict(50), BudgetVerdict::Granted);
+    assert_eq!(view.second_verdict(49), BudgetVerdict::Spent);
+}
--- /dev/null
+++ b/crates/turns/tests/ledger_tests.rs
@@ -0,0 +1,128 @@
+//! What a replica holds, and for how long.
+
+use foxnotch_core::time::Millis;
+use foxnotch_turns::chain::{compose_body, ChainAssembly, NO_TURN};
+use foxnotch_turns::ledger::Ledger;
+use foxnotch_wire::{
+    Chain, ChainLink, Content, DiskIdentity, NodeId, ProgramKey, ReplicaStanding, TurnEntry, TurnId, TurnRecord,
+    Witness, NOT_SETTLED,
+};
+use std::sync::Arc;
+
+const START: Millis = Millis(1_000_000);
+
+fn reserved(turn: u128, program: u64, tokens: u32) -> TurnEntry {
+    TurnEntry {
+        turn: TurnId(turn),
+        program: ProgramKey(program),
+        retention_ms: 60_000,
+        reserved: tokens,
+        used: NOT_SETTLED,
+        record: Vec::new(),
+    }
+}
+
+fn recorded(turn: u128, program: u64, previous: u128, input: &str, output: &str) -> TurnEntry {
+    let record = TurnRecord {
+        previous: TurnId(previous),
+        input: Content::from(input.as_bytes().to_vec()),
+        output: Content::from(output.as_bytes().to_vec()),
+    };
+    TurnEntry { used: 5, record: vec![record], ..reserved(turn, program, 80) }
+}
+
+fn witness(node: u32) -> Witness {
+    let own = DiskIdentity { node: NodeId(node), disk: u64::from(node) };
+    Witness { own, standing: ReplicaStanding::Counts, others: Vec::new() }
+}
+
+#[test]
+fn a_settlement_is_never_taken_back() {
+    let mut ledger = Ledger::default();
+    ledger.apply(recorded(1, 7, 0, "in", "out\n"), START);
+    ledger.apply(reserved(1, 7, 80), START);
+    let charges = ledger.charges(ProgramKey(7));
+    assert_eq!(charges.len(), 1);
+    assert_eq!(charges[0].tokens, 5);
+    assert_eq!(ledger.chain(TurnId(1)).len(), 1);
+}
+
+#[test]
+fn a_chain_is_read_from_the_newest_turn_back() {
+    let mut ledger = Ledger::default();
+    ledger.apply(recorded(1, 7, 0, "a", "b\n"), START);
+    ledger.apply(recorded(2, 7, 1, "c", "d\n"), START);
+    ledger.apply(recorded(3, 7, 1, "x", "y\n"), START);
+    let turns: Vec<u128> = ledger.chain(TurnId(2)).iter().map(|link| link.turn.0).collect();
+    assert_eq!(turns, vec![2, 1]);
+    assert!(ledger.chain(TurnId(9)).is_empty());
+}
+
+#[test]
+fn an_engine_gets_inputs_and_outputs_oldest_first_and_then_the_new_input() {
+    let mut ledger = Ledger::default();
+    ledger.apply(recorded(1, 7, 0, "a", "b\n"), START);
+    ledger.apply(recorded(2, 7, 1, "c", "d\n"), START);
+    let mut assembly = ChainAssembly::default();
+    assembly.merge(TurnId(2), Chain { witness: witness(1), links: ledger.chain(TurnId(2)) });
+    let chain = assembly.resolve(TurnId(2)).expect("the chain is whole");
+    assert_eq!(compose_body(&chain, b"e"), b"ab\ncd\ne");
+}
+
+#[test]
+fn a_chain_is_put_together_from_several_replicas() {
+    let record = |previous| {
+        Arc::new(TurnRecord { previous: TurnId(previous), input: Content::default(), output: Content::default() })
+    };
+    let mut assembly = ChainAssembly::default();
+    let link = ChainLink { turn: TurnId(2), record: (*record(1)).clone() };
+    assembly.merge(TurnId(2), Chain { witness: witness(1), links: vec![link] });
+    assert_eq!(assembly.resolve(TurnId(2)), Err(TurnId(1)));
+    assert_eq!(assembly.denials(), 0);
+    assembly.insert(TurnId(1), record(0));
+    assert!(assembly.resolve(TurnId(2)).is_ok());
+    assert_eq!(assembly.resolve(NO_TURN), Ok(Vec::new()));
+}
+
+#[test]
+fn replicas_without_the_newest_turn_deny_it() {
+    let mut assembly = ChainAssembly::default();
+    assembly.merge(TurnId(2), Chain { witness: witness(1), links: Vec::new() });
+    let refilling = Witness { standing: ReplicaStanding::Refilling, ..witness(2) };
+    assembly.merge(TurnId(2), Chain { witness: refilling, links: Vec::new() });
+    assert_eq!(assembly.denials(), 1);
+}
+
+#[test]
+fn a_program_goes_as_a_whole_after_its_retention() {
+    let mut ledger = Ledger::default();
+    ledger.apply(recorded(1, 7, 0, "a", "b\n"), START);
+    ledger.apply(recorded(2, 7, 1, "c", "d\n"), START.plus(50_000));
+    assert_eq!(ledger.expire(START.plus(109_000)), 0);
+    assert_eq!(ledger.len(), 2);
+    assert_eq!(ledger.expire(START.plus(200_000)), 1);
+    assert!(ledger.is_empty());
+    assert_eq!(ledger.bytes(), 0);
+}
+
+#[test]
+fn a_program_that_another_continues_is_kept_with_it() {
+    let mut ledger = Ledger::default();
+    ledger.apply(recorded(1, 7, 0, "a", "b\n"), START);
+    ledger.apply(recorded(2, 8, 1, "c", "d\n"), START.plus(50_000));
+    ledger.expire(START.plus(100_000));
+    assert_eq!(ledger.chain(TurnId(2)).len(), 2);
+}
+
+#[test]
+fn what_another_replica_knows_better_is_asked_for() {
+    let mut full = Ledger::default();
+    full.apply(recorded(1, 7, 0, "a", "b\n"), START);
+    full.apply(reserved(2, 7, 80), START);
+    let mut other = Ledger::default();
+    other.apply(reserved(1, 7, 80), START);
+    let mut missing = other.missing(&full.marks());
+    missing.sort();
+    assert_eq!(missing, vec![TurnId(1), TurnId(2)]);
+    assert!(full.missing(&other.marks()).is_empty());
+}
--- /dev/null
+++ b/crates/turns/tests/quorum_tests.rs
@@ -0,0 +1,105 @@
+//! Counting answers, sizes of quorums, and when a set may change.
+
+use foxnotch_turns::quorum::Tally;
+use foxnotch_turns::replica_set::{
+    contains, covers_previous, denial_quorum, founding, majority, may_follow, refill_quorum, with_member,
+    without_member, write_quorum,
+};
+use foxnotch_wire::{DiskIdentity, NodeId, ReplicaMember, ReplicaStanding, Witness};
+use rstest::rstest;
+
+fn witness(node: u32, disk: u64, others: &[(u32, u64)]) -> Witness {
+    let identity = |(node, disk): (u32, u64)| DiskIdentity { node: NodeId(node), disk };
+    Witness {
+        own: identity((node, disk)),
+        standing: ReplicaStanding::Counts,
+        others: others.iter().copied().map(identity).collect(),
+    }
+}
+
+fn member(node: u32) -> ReplicaMember {
+    ReplicaMember { node: NodeId(node), zone: 0, ip: [127, 0, 0, 1], port: 1 }
+}
+
+#[rstest]
+#[case(3, 1, 2)]
+#[case(4, 1, 3)]
+#[case(5, 1, 3)]
+#[case(5, 2, 3)]
+#[case(3, 2, 3)]
+#[case(1, 1, 2)]
+fn a_write_needs_a_majority_and_one_more_than_may_be_lost(
+    #[case] members: usize,
+    #[case] losses: usize,
+    #[case] needed: usize,
+) {
+    assert_eq!(write_quorum(members, losses), needed);
+}
+
+#[rstest]
+fn denials_and_writes_always_meet(#[values(1, 2, 3, 4, 5, 6, 7, 9)] members: usize, #[values(0, 1, 2)] losses: usize) {
+    assert!(write_quorum(members, losses) + denial_quorum(members, losses) > members);
+}
+
+#[rstest]
+fn whoever_refills_meets_every_majority_of_the_others(#[values(2, 3, 4, 5, 6, 7, 9)] members: usize) {
+    let others = members - 1;
+    let copies_without_the_lost_disk = majority(members) - 1;
+    assert!(refill_quorum(members) + copies_without_the_lost_disk > others);
+}
+
+#[test]
+fn an_answer_counts_once_for_each_replica() {
+    let mut tally = Tally::default();
+    tally.add(witness(1, 10, &[]));
+    tally.add(witness(1, 10, &[]));
+    assert_eq!(tally.count(), 1);
+}
+
+#[test]
+fn a_replica_that_is_refilled_does_not_count() {
+    let mut tally = Tally::default();
+    tally.add(Witness { standing: ReplicaStanding::Refilling, ..witness(1, 10, &[]) });
+    tally.add(Witness { standing: ReplicaStanding::Full, ..witness(2, 20, &[]) });
+    assert_eq!(tally.count(), 0);
+}
+
+#[test]
+fn the_answer_of_a_lost_disk_does_not_count_beside_one_that_knows_of_the_loss() {
+    let mut tally = Tally::default();
+    tally.add(witness(1, 10, &[]));
+    tally.add(witness(2, 20, &[(1, 11)]));
+    assert_eq!(tally.counted().collect::<Vec<_>>(), vec![NodeId(2)]);
+}
+
+#[test]
+fn versions_in_a_row_have_majorities_that_meet() {
+    let mut set = founding(member(1));
+    for node in 2..8 {
+        let next = with_member(&set, member(node));
+        assert_eq!(next.version, set.version + 1);
+        assert_eq!(next.previous, set.members);
+        assert!(majority(set.members.len()) + majority(next.members.len()) > next.members.len());
+        set = next;
+    }
+    let smaller = without_member(&set, NodeId(3));
+    assert!(!contains(&smaller, NodeId(3)));
+    assert!(majority(set.members.len()) + majority(smaller.members.len()) > set.members.len());
+}
+
+#[test]
+fn a_version_follows_only_when_a_majority_is_synced() {
+    let set = with_member(&with_member(&founding(member(1)), member(2)), member(3));
+    assert!(!may_follow(&set, &[NodeId(1)]));
+    assert!(!may_follow(&set, &[NodeId(1), NodeId(9)]));
+    assert!(may_follow(&set, &[NodeId(1), NodeId(3)]));
+}
+
+#[test]
+fn a_sync_hears_a_majority_of_the_version_before() {
+    let three = with_member(&with_member(&founding(member(1)), member(2)), member(3));
+    let four = with_member(&three, member(4));
+    assert!(!covers_previous(&four, NodeId(4), &[NodeId(1)]));
+    assert!(covers_previous(&four, NodeId(4), &[NodeId(1), NodeId(2)]));
+    assert!(covers_previous(&four, NodeId(3), &[NodeId(1)]));
+}
--- /dev/null
+++ b/crates/turns/tests/segment_tests.rs
@@ -0,0 +1,71 @@
+//! Files after a loss of power: torn, missing and mangled writes never bring back a wrong record.
+
+use foxnotch_turns::segment::{append_frame, read_segment, Record, ReplicaState};
+use foxnotch_wire::{Content, DiskIdentity, NodeId, ProgramKey, TurnEntry, TurnId, TurnRecord};
+use proptest::prelude::*;
+
+fn record(turn: u128, length: usize) -> Record {
+    let content = TurnRecord {
+        previous: TurnId(turn - 1),
+        input: Content::from(vec![turn as u8; length]),
+        output: Content::from(vec![1; length / 2]),
+    };
+    Record::Entry(TurnEntry {
+        turn: TurnId(turn),
+        program: ProgramKey(3),
+        retention_ms: 1,
+        reserved: 2,
+        used: 1,
+        record: vec![content],
+    })
+}
+
+fn file(records: &[Record]) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    for record in records {
+        append_frame(&mut bytes, record).expect("a record can be coded");
+    }
+    bytes
+}
+
+#[test]
+fn a_whole_file_is_read_whole() {
+    let peers = vec![DiskIdentity { node: NodeId(1), disk: 9 }];
+    let records = vec![record(1, 10), Record::State(ReplicaState { disk: 4, peers, ..ReplicaState::default() })];
+    let content = read_segment(&file(&records));
+    assert_eq!(content.records, records);
+    assert_eq!(content.torn_bytes, 0);
+}
+
+#[test]
+fn zeros_behind_the_last_record_are_left_out() {
+    let mut bytes = file(&[record(1, 10)]);
+    bytes.extend_from_slice(&[0; 100]);
+    let content = read_segment(&bytes);
+    assert_eq!(content.records.len(), 1);
+    assert_eq!(content.torn_bytes, 100);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 500, rng_seed: proptest::test_runner::RngSeed::Fixed(5), ..ProptestConfig::default() })]
+
+    #[test]
+    fn what_was_synced_is_read_whatever_happened_to_the_rest(
+        synced in 0_usize..5,
+        later in 1_usize..4,
+        keep in 0.0_f64..1.0,
+        hole in 0_usize..200,
+        fill in any::<u8>(),
+    ) {
+        let all: Vec<Record> = (1..=synced + later).map(|turn| record(turn as u128, 20 + turn)).collect();
+        let safe = file(&all[..synced]);
+        let mut bytes = file(&all);
+        let torn_at = safe.len() + ((bytes.len() - safe.len()) as f64 * keep) as usize;
+        for byte in bytes.iter_mut().skip(torn_at).take(hole) {
+            *byte = fill;
+        }
+        let content = read_segment(&bytes);
+        prop_assert!(content.records.len() >= synced);
+        prop_assert_eq!(&content.records[..], &all[..content.records.len()]);
+    }
+}
