Gateways tell each other what they have under way; logs are flushed at the end

Change: load messages by datagram to four gateways at a time (constant cost a node), engine cost by the load of all.

--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -362,6 +362,8 @@
                 }
             }
             Message::RefillPage(page) => self.on_refill_page(from, page, now, effects),
+            // Gateways share loads among themselves; an owner goes by the engines' reports.
+            Message::LoadNews(_) => {}
         }
     }
 
--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -10,6 +10,7 @@
 use crate::engines::selector::{choose, Placement};
 use crate::engines::table::EngineTable;
 use crate::logging::part;
+use crate::peers::members::Members;
 use crate::peers::view::ViewHolder;
 use crate::ports::configuration::RouteKind;
 use crate::ports::dialect::Dialect;
@@ -32,6 +33,8 @@
     pub view: Arc<ViewHolder>,
     /// Reads and writes headers.
     pub dialect: Arc<dyn Dialect>,
+    /// The other nodes.
+    pub members: Arc<Members>,
     /// The engines.
     pub engines: EngineTable,
     /// Turns and budgets.
@@ -147,7 +150,13 @@
         let mut ran: Vec<String> = Vec::new();
         loop {
             let candidates = self.engines.candidates(&call.service);
-            let placement = Placement { prompt: &call.metadata.parts, is_model, zone: &self.zone, last_engine: None };
+            let placement = Placement {
+                prompt: &call.metadata.parts,
+                is_model,
+                zone: &self.zone,
+                loads: self.members.loads(),
+                gateways: self.members.gateway_count(),
+            };
             let Some(engine) = choose(&candidates, &placement, &tried) else {
                 if Instant::now() + ROOM_PAUSE > place_deadline {
                     return Err(if ran.is_empty() { Refusal::NoRoom } else { lost("no other engine has room") });
--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -6,6 +6,7 @@
 use crate::edge::handler::Gateway;
 use crate::edge::turn_cache::TurnCache;
 use crate::edge::turns::TurnKeeper;
+use crate::engines::load_exchange;
 use crate::engines::table::EngineTable;
 use crate::logging::part;
 use crate::network;
@@ -81,6 +82,7 @@
         zone: settings.zone.clone(),
         view: view.clone(),
         dialect: platform.dialect,
+        members: members.clone(),
         engines: EngineTable::default(),
         turns: turns.clone(),
         shares: Default::default(),
@@ -96,6 +98,7 @@
     }
     tokio::spawn(members.clone().run());
     tokio::spawn(follow_view(gateway.clone()));
+    tokio::spawn(load_exchange::run(gateway.clone(), members.clone()));
     let configurations = ConfigurationFollower { view: view.clone() };
     tokio::spawn(follow(platform.store.clone(), Kind::Configuration, configurations));
     tokio::spawn(follow(platform.store.clone(), Kind::Engines, EngineFollower::new(view.clone())));
--- a/crates/gateway/src/engines/engine.rs
+++ b/crates/gateway/src/engines/engine.rs
@@ -1,6 +1,7 @@
 //! One engine: its entry, its load as far as this gateway causes it, its health, and its resting connections.
 
 use crate::engines::connection::EngineConnection;
+use crate::engines::load_board::engine_number;
 use crate::engines::part_cache::PartCache;
 use crate::ports::configuration::EngineEntry;
 use std::collections::VecDeque;
@@ -33,6 +34,8 @@
     pub entry: EngineEntry,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Its number in messages about load.
+    pub number: u32,
     under_way: AtomicU32,
     draining: AtomicBool,
     replaced: AtomicBool,
@@ -50,9 +53,11 @@
     pub fn new(entry: EngineEntry, memory_tokens: u64) -> Option<Self> {
         let address = entry.address.parse().ok()?;
         let draining = AtomicBool::new(entry.draining);
+        let number = engine_number(&entry.id);
         Some(Self {
             entry,
             address,
+            number,
             under_way: AtomicU32::new(0),
             draining,
             replaced: AtomicBool::new(false),
--- a/crates/gateway/src/engines/mod.rs
+++ b/crates/gateway/src/engines/mod.rs
@@ -3,6 +3,8 @@
 pub mod attempt;
 pub mod connection;
 pub mod engine;
+pub mod load_board;
+pub mod load_exchange;
 pub mod part_cache;
 pub mod selector;
 pub mod table;
--- a/crates/gateway/src/engines/selector.rs
+++ b/crates/gateway/src/engines/selector.rs
@@ -1,14 +1,17 @@
 //! Which engine gets a request: the one that will answer soonest, as far as this gateway can tell.
 
 use crate::engines::engine::Engine;
+use crate::engines::load_board::LoadBoard;
 use crate::ports::dialect::PromptPart;
 use rand::Rng;
 use std::sync::Arc;
 
 /// Prompt tokens that an engine computes in a millisecond, roughly: only the order of costs matters.
 const PREFILL_TOKENS_PER_MS: f64 = 64.0;
-/// Milliseconds that each request of this gateway under way at a model engine costs a new one, roughly.
+/// Milliseconds that each request under way at a model engine costs a new one, roughly.
 const MODEL_LOAD_MS: f64 = 1.5;
+/// Milliseconds that each request beyond a model engine's slots makes a new one wait, roughly.
+const MODEL_WAIT_MS: f64 = 25.0;
 /// Milliseconds that a full plain engine costs a new request, roughly.
 const PLAIN_LOAD_MS: f64 = 30.0;
 /// Milliseconds that another zone costs.
@@ -21,7 +24,7 @@
 const UNINVITING_MS: f64 = 1_000.0;
 
 /// What is to be placed.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy)]
 pub struct Placement<'a> {
     /// The prompt's parts; empty for plain requests.
     pub prompt: &'a [PromptPart],
@@ -29,13 +32,15 @@
     pub is_model: bool,
     /// The zone of this gateway.
     pub zone: &'a str,
-    /// The engine that ran the session's last turn.
-    pub last_engine: Option<&'a str>,
+    /// What other gateways have under way.
+    pub loads: &'a LoadBoard,
+    /// How many other gateways there are.
+    pub gateways: usize,
 }
 
 /// The cost of an engine in milliseconds, lower is better.
 fn cost(engine: &Engine, placement: &Placement<'_>) -> f64 {
-    let under_way = f64::from(engine.under_way());
+    let under_way = f64::from(engine.under_way()) + placement.loads.under_way(engine.number, placement.gateways);
     let slots = f64::from(engine.entry.slots.max(1));
     let mut cost = rand::rng().random_range(0.0..CHANCE_MS);
     if placement.is_model {
@@ -43,9 +48,7 @@
         let held = engine.parts().held_tokens(placement.prompt);
         cost += f64::from(prompt_tokens - held.min(prompt_tokens)) / PREFILL_TOKENS_PER_MS;
         cost += MODEL_LOAD_MS * under_way;
-        if under_way >= slots {
-            cost += UNINVITING_MS;
-        }
+        cost += MODEL_WAIT_MS * (under_way + 1.0 - slots).max(0.0);
     } else {
         cost += PLAIN_LOAD_MS * under_way / slots;
     }
--- a/crates/gateway/src/engines/table.rs
+++ b/crates/gateway/src/engines/table.rs
@@ -20,6 +20,12 @@
         engines.filter(|engine| engine.takes_work()).cloned().collect()
     }
 
+    /// All engines.
+    pub fn all(&self) -> Vec<Arc<Engine>> {
+        let services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        services.values().flatten().cloned().collect()
+    }
+
     /// Takes over a view. Engines that stay keep their connections and what is known of them.
     pub fn update(&self, view: &View) {
         let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/gateway/src/logging.rs
+++ b/crates/gateway/src/logging.rs
@@ -23,6 +23,10 @@
 const LINES_PER_SECOND: u64 = 400;
 /// Lines that are written together.
 const LINES_PER_WRITE: usize = 64;
+/// The longest wait for lines at the end of the process.
+const FINISH_TIME: Duration = Duration::from_millis(150);
+/// Time between two looks whether they are written.
+const FINISH_PERIOD: Duration = Duration::from_millis(5);
 /// Time between two reports of lines left out.
 const REPORT_PERIOD: Duration = Duration::from_secs(1);
 
@@ -53,6 +57,9 @@
 /// Lines left out since the start.
 static LINES_LEFT_OUT: AtomicU64 = AtomicU64::new(0);
 
+/// Lines handed over and not yet written.
+static LINES_WAITING: AtomicU64 = AtomicU64::new(0);
+
 /// Lines left out since the start, because standard output did not keep up or the limit was reached.
 pub fn lines_left_out() -> u64 {
     LINES_LEFT_OUT.load(Ordering::Relaxed)
@@ -93,7 +100,9 @@
         }
         let mut line = SimpleWriter(Vec::with_capacity(200));
         self.encoder.encode(&mut line, record)?;
+        LINES_WAITING.fetch_add(1, Ordering::Relaxed);
         if self.queue.try_send(line.0).is_err() {
+            LINES_WAITING.fetch_sub(1, Ordering::Relaxed);
             LINES_LEFT_OUT.fetch_add(1, Ordering::Relaxed);
         }
         Ok(())
@@ -106,14 +115,19 @@
 fn write_lines(queue: &Receiver<Vec<u8>>, mut output: impl Write) {
     let mut reported = 0;
     loop {
+        let mut lines = 1;
         let mut text = match queue.recv_timeout(REPORT_PERIOD) {
             Ok(line) => line,
-            Err(RecvTimeoutError::Timeout) => Vec::new(),
+            Err(RecvTimeoutError::Timeout) => {
+                lines = 0;
+                Vec::new()
+            }
             Err(RecvTimeoutError::Disconnected) => return,
         };
-        for _ in 1..LINES_PER_WRITE {
+        while lines < LINES_PER_WRITE {
             let Ok(line) = queue.try_recv() else { break };
             text.extend_from_slice(&line);
+            lines += 1;
         }
         let left_out = lines_left_out();
         if left_out > reported {
@@ -122,6 +136,15 @@
         }
         // Standard output that is gone leaves nothing to do.
         let _ = output.write_all(&text);
+        LINES_WAITING.fetch_sub(lines as u64, Ordering::Relaxed);
+    }
+}
+
+/// Waits a little for lines that are still to be written.
+pub fn finish() {
+    let until = Instant::now() + FINISH_TIME;
+    while LINES_WAITING.load(Ordering::Relaxed) > 0 && Instant::now() < until {
+        std::thread::sleep(FINISH_PERIOD);
     }
 }
 
--- a/crates/gateway/src/peers/members.rs
+++ b/crates/gateway/src/peers/members.rs
@@ -4,6 +4,7 @@
 //! learned something from the store tells three members at once.
 
 use crate::clock::SteadyClock;
+use crate::engines::load_board::LoadBoard;
 use crate::logging::part;
 use crate::peers::rpc_client::RpcClient;
 use crate::peers::view::ViewHolder;
@@ -44,6 +45,7 @@
     view: Arc<ViewHolder>,
     seeds: Mutex<Vec<SocketAddr>>,
     peer_port: u16,
+    loads: LoadBoard,
 }
 
 /// Where a member listens for nodes.
@@ -80,7 +82,9 @@
         };
         let membership = Mutex::new(Membership::new(update, &[], clock.now()));
         let seeds = Mutex::new(settings.seeds.clone());
-        Ok(Arc::new(Self { own, clock, membership, socket, client, view, seeds, peer_port: settings.peer_port }))
+        let peer_port = settings.peer_port;
+        let loads = LoadBoard::default();
+        Ok(Arc::new(Self { own, clock, membership, socket, client, view, seeds, peer_port, loads }))
     }
 
     fn with<T>(&self, act: impl FnOnce(&mut Membership) -> T) -> T {
@@ -119,6 +123,36 @@
         })
     }
 
+    /// What other gateways have under way.
+    pub fn loads(&self) -> &LoadBoard {
+        &self.loads
+    }
+
+    /// Other gateways that are not dead: members that callers reach.
+    fn gateways(&self) -> Vec<MemberUpdate> {
+        let mut alive = self.alive();
+        alive.retain(|update| update.address.caller_port != 0);
+        alive
+    }
+
+    /// How many other gateways there are.
+    pub fn gateway_count(&self) -> usize {
+        self.with(|membership| {
+            let members = membership.members().map(|member| member.update);
+            members.filter(|update| update.state != MemberState::Dead && update.address.caller_port != 0).count()
+        })
+    }
+
+    /// Sends a datagram to some other gateways, drawn by lot.
+    pub fn tell_gateways(&self, count: usize, message: &Message) {
+        let mut gateways = self.gateways();
+        for _ in 0..count.min(gateways.len()) {
+            let index = self.with(|membership| membership.random_below(gateways.len()));
+            let update = gateways.swap_remove(index);
+            self.send(vec![Datagram { to: update.node, address: update.address, message: message.clone() }]);
+        }
+    }
+
     /// Members known that are not dead, with where they listen.
     fn alive(&self) -> Vec<MemberUpdate> {
         self.with(|membership| {
@@ -168,6 +202,10 @@
     }
 
     fn on_message(self: &Arc<Self>, from: NodeId, message: Message) {
+        if let Message::LoadNews(news) = &message {
+            self.loads.take(from, &news.loads);
+            return;
+        }
         let now = self.clock.now();
         let datagrams = self.with(|membership| match message {
             Message::Ping(ping) => membership.on_ping(from, ping, now),
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -156,7 +156,7 @@
     foxnotch_gateway::logging::start(&settings.log_level)?;
     let store = Arc::new(PlatformStore::new(settings.store_address));
     let path = flags.settings.clone();
-    runtime.block_on(async {
+    let outcome = runtime.block_on(async {
         match role {
             Role::Gateway => {
                 let platform = edge::process::Platform { store, dialect: Arc::new(PlatformDialect) };
@@ -164,7 +164,9 @@
             }
             Role::Replica => replica::process::run(settings, path, store).await,
         }
-    })?;
+    });
+    foxnotch_gateway::logging::finish();
+    outcome?;
     Ok(String::new())
 }
 
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -1,7 +1,7 @@
 //! The envelope around every message.
 
 use crate::{
-    Accept, AcceptReply, Ack, ConfigDelta, ConfigPull, MemberList, MemberPull, NodeId, Ping, PingRequest, Prepare,
+    Accept, AcceptReply, Ack, ConfigDelta, ConfigPull, LoadNews, MemberList, MemberPull, NodeId, Ping, PingRequest, Prepare,
     Promise, RefillPage, RefillRequest,
 };
 use deku::prelude::*;
@@ -55,6 +55,9 @@
     /// Brings all members.
     #[deku(id = "12")]
     MemberList(MemberList),
+    /// Tells what a gateway has under way.
+    #[deku(id = "13")]
+    LoadNews(LoadNews),
 }
 
 /// What travels: version, sender, message.
--- a/crates/wire/src/membership.rs
+++ b/crates/wire/src/membership.rs
@@ -119,3 +119,28 @@
     #[deku(count = "length.get()")]
     pub updates: Vec<MemberUpdate>,
 }
+
+/// The most engines in one message about load.
+pub const MAXIMUM_LOADS: u32 = 256;
+
+/// Requests that one gateway has under way at one engine.
+#[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct EngineLoad {
+    /// The engine, as a hash of its identifier.
+    pub engine: u32,
+    /// Requests under way.
+    pub under_way: u16,
+}
+
+/// What one gateway has under way. Travels by datagram; each replaces the one before.
+#[deku_derive(DekuRead, DekuWrite)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct LoadNews {
+    #[deku(temp, temp_value = "Length::of(&loads)")]
+    length: Length<MAXIMUM_LOADS>,
+    /// The engines at which anything is under way.
+    #[deku(count = "length.get()")]
+    pub loads: Vec<EngineLoad>,
+}
