--- a/crates/gateway/src/engines/selector.rs
+++ b/crates/gateway/src/engines/selector.rs
@@ -5,6 +5,7 @@
 use crate::ports::dialect::PromptPart;
 use rand::Rng;
 use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Prompt tokens that an engine computes in a millisecond, roughly: only the order of costs matters.
 const PREFILL_TOKENS_PER_MS: f64 = 64.0;
@@ -23,6 +24,11 @@
 /// The cost of an engine that is full or failed lately: it is taken only when there is no other.
 const UNINVITING_MS: f64 = 1_000.0;
 
+/// Slots from which on an engine keeps one for the most urgent.
+const RESERVE_FROM_SLOTS: f64 = 3.0;
+/// How sure it is that a program's home holds what the program has read so far, between 0 and 1.
+const HOME_TRUST: f64 = 0.8;
+
 /// What is to be placed.
 #[derive(Clone, Copy)]
 pub struct Placement<'a> {
@@ -36,17 +42,39 @@
     pub loads: &'a LoadBoard,
     /// How many other gateways there are.
     pub gateways: usize,
+    /// The program that the request belongs to; empty when there is none.
+    pub program: &'a str,
+}
+
+/// The engine at which a program is at home: the same for all gateways that know the same engines, so that turns that
+/// enter elsewhere find what was read before. Rendezvous hashing: it changes only when that engine leaves.
+fn home_of(candidates: &[Arc<Engine>], program: &str) -> Option<u32> {
+    if program.is_empty() {
+        return None;
+    }
+    let score = |engine: &&Arc<Engine>| xxh3_64_with_seed(program.as_bytes(), u64::from(engine.number));
+    candidates.iter().max_by_key(score).map(|engine| engine.number)
+}
+
+/// Prompt tokens that the engine probably holds.
+fn held_tokens(engine: &Engine, placement: &Placement<'_>, home: Option<u32>) -> f64 {
+    let known = f64::from(engine.parts().held_tokens(placement.prompt));
+    if home != Some(engine.number) {
+        return known;
+    }
+    let prompt: u32 = placement.prompt.iter().map(|part| part.tokens).sum();
+    known.max(f64::from(prompt) * HOME_TRUST)
 }
 
 /// The cost of an engine in milliseconds, lower is better.
-fn cost(engine: &Engine, placement: &Placement<'_>) -> f64 {
+fn cost(engine: &Engine, placement: &Placement<'_>, home: Option<u32>) -> f64 {
     let under_way = f64::from(engine.under_way()) + placement.loads.under_way(engine.number, placement.gateways);
     let slots = f64::from(engine.entry.slots.max(1));
     let mut cost = rand::rng().random_range(0.0..CHANCE_MS);
     if placement.is_model {
         let prompt_tokens: u32 = placement.prompt.iter().map(|part| part.tokens).sum();
-        let held = engine.parts().held_tokens(placement.prompt);
-        cost += f64::from(prompt_tokens - held.min(prompt_tokens)) / PREFILL_TOKENS_PER_MS;
+        let held = held_tokens(engine, placement, home);
+        cost += (f64::from(prompt_tokens) - held).max(0.0) / PREFILL_TOKENS_PER_MS;
         cost += MODEL_LOAD_MS * under_way;
         cost += MODEL_WAIT_MS * (under_way + 1.0 - slots).max(0.0);
     } else {
@@ -67,9 +95,19 @@
     cost
 }
 
+/// Whether a model engine has a place for a request, as far as this gateway can tell. Those that are not the most urgent
+/// leave one place free, so that the most urgent seldom put them back.
+pub fn has_room(engine: &Engine, placement: &Placement<'_>, priority: u8) -> bool {
+    let under_way = f64::from(engine.under_way()) + placement.loads.under_way(engine.number, placement.gateways);
+    let slots = f64::from(engine.entry.slots.max(1));
+    let reserve = if priority > 0 && slots > RESERVE_FROM_SLOTS { 1.0 } else { 0.0 };
+    under_way + 1.0 + reserve <= slots
+}
+
 /// The engine of least cost that was not tried before.
 pub fn choose(candidates: &[Arc<Engine>], placement: &Placement<'_>, tried: &[String]) -> Option<Arc<Engine>> {
+    let home = if placement.is_model { home_of(candidates, placement.program) } else { None };
     let untried = candidates.iter().filter(|engine| !tried.contains(&engine.entry.id));
-    let priced = untried.map(|engine| (cost(engine, placement), engine));
+    let priced = untried.map(|engine| (cost(engine, placement, home), engine));
     priced.min_by(|left, right| left.0.total_cmp(&right.0)).map(|(_, engine)| engine.clone())
 }
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -1,8 +1,8 @@
 //! The envelope around every message.
 
 use crate::{
-    Accept, AcceptReply, Ack, ConfigDelta, ConfigPull, LoadNews, MemberList, MemberPull, NodeId, Ping, PingRequest, Prepare,
-    Promise, RefillPage, RefillRequest,
+    Accept, AcceptReply, Ack, ConfigDelta, ConfigPull, LoadNews, MemberList, MemberPull, NodeId, Ping, PingRequest,
+    Prepare, Promise, RefillPage, RefillRequest,
 };
 use deku::prelude::*;
 
