--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -7,10 +7,8 @@
 use crate::edge::turns::TurnKeeper;
 use crate::edge::{stream_call, whole_call};
 use crate::engines::attempt::{self, AttemptError, EngineAnswer};
-use crate::engines::engine::Engine;
-use crate::engines::selector::{choose, has_room, Placement};
+use crate::engines::selector::{choose, Placement};
 use crate::engines::table::EngineTable;
-use crate::engines::waiting::WaitingLine;
 use crate::logging::part;
 use crate::peers::members::Members;
 use crate::peers::view::ViewHolder;
@@ -24,10 +22,6 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-/// The longest wait for a place at a model engine.
-const LONGEST_WAIT: Duration = Duration::from_millis(1200);
-/// Time between two looks for a place.
-const WAIT_PERIOD: Duration = Duration::from_millis(8);
 /// Pause before engines that all refused are tried again.
 const ROOM_PAUSE: Duration = Duration::from_millis(15);
 
@@ -43,8 +37,6 @@
     pub members: Arc<Members>,
     /// The engines.
     pub engines: EngineTable,
-    /// Requests that wait for a place.
-    pub waiting: WaitingLine,
     /// Turns and budgets.
     pub turns: Arc<TurnKeeper>,
     /// Shares of services.
@@ -139,41 +131,6 @@
         }
     }
 
-    /// Waits until some engine has a place, the more urgent first, and leaves only those that have one.
-    ///
-    /// # Errors
-    /// [`Refusal::NoRoom`] when none has had one for long.
-    async fn wait_for_room(
-        &self,
-        call: &Call,
-        candidates: &mut Vec<Arc<Engine>>,
-        placement: &Placement<'_>,
-    ) -> Result<(), Refusal> {
-        let priority = call.route.priority;
-        let roomy = |engines: &[Arc<Engine>]| -> Vec<Arc<Engine>> {
-            engines.iter().filter(|engine| has_room(engine, placement, priority)).cloned().collect()
-        };
-        let found = roomy(candidates);
-        if !found.is_empty() && !self.waiting.has_before(&call.service, priority) {
-            *candidates = found;
-            return Ok(());
-        }
-        let ticket = self.waiting.join(&call.service, priority, call.arrived_at);
-        let until = (Instant::now() + LONGEST_WAIT).min(call.expires_at);
-        while Instant::now() + WAIT_PERIOD < until {
-            tokio::time::sleep(WAIT_PERIOD).await;
-            if !ticket.is_first() {
-                continue;
-            }
-            let found = roomy(&self.engines.candidates(&call.service));
-            if !found.is_empty() {
-                *candidates = found;
-                return Ok(());
-            }
-        }
-        Err(Refusal::NoRoom)
-    }
-
     /// Finds an engine that takes the request, and returns the head of its answer.
     ///
     /// A send that may have run is repeated only for what may be repeated, and to no more engines than the route allows.
@@ -192,7 +149,7 @@
         let mut tried: Vec<String> = Vec::new();
         let mut ran: Vec<String> = Vec::new();
         loop {
-            let mut candidates = self.engines.candidates(&call.service);
+            let candidates = self.engines.candidates(&call.service);
             let placement = Placement {
                 prompt: &call.metadata.parts,
                 is_model,
@@ -201,9 +158,6 @@
                 gateways: self.members.gateway_count(),
                 program: call.metadata.program.as_deref().unwrap_or_default(),
             };
-            if is_model && !candidates.is_empty() {
-                self.wait_for_room(call, &mut candidates, &placement).await?;
-            }
             let Some(engine) = choose(&candidates, &placement, &tried) else {
                 if Instant::now() + ROOM_PAUSE > place_deadline {
                     return Err(if ran.is_empty() { Refusal::NoRoom } else { lost("no other engine has room") });
--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -84,7 +84,6 @@
         dialect: platform.dialect,
         members: members.clone(),
         engines: EngineTable::default(),
-        waiting: Default::default(),
         turns: turns.clone(),
         shares: Default::default(),
         routes: Mutex::default(),
--- a/crates/gateway/src/engines/mod.rs
+++ b/crates/gateway/src/engines/mod.rs
@@ -8,4 +8,3 @@
 pub mod part_cache;
 pub mod selector;
 pub mod table;
-pub mod waiting;
--- a/crates/gateway/src/engines/selector.rs
+++ b/crates/gateway/src/engines/selector.rs
@@ -24,8 +24,6 @@
 /// The cost of an engine that is full or failed lately: it is taken only when there is no other.
 const UNINVITING_MS: f64 = 1_000.0;
 
-/// Slots from which on an engine keeps one for the most urgent.
-const RESERVE_FROM_SLOTS: f64 = 3.0;
 /// How sure it is that a program's home holds what the program has read so far, between 0 and 1.
 const HOME_TRUST: f64 = 0.8;
 
@@ -95,15 +93,6 @@
     cost
 }
 
-/// Whether a model engine has a place for a request, as far as this gateway can tell. Those that are not the most urgent
-/// leave one place free, so that the most urgent seldom put them back.
-pub fn has_room(engine: &Engine, placement: &Placement<'_>, priority: u8) -> bool {
-    let under_way = f64::from(engine.under_way()) + placement.loads.under_way(engine.number, placement.gateways);
-    let slots = f64::from(engine.entry.slots.max(1));
-    let reserve = if priority > 0 && slots > RESERVE_FROM_SLOTS { 1.0 } else { 0.0 };
-    under_way + 1.0 + reserve <= slots
-}
-
 /// The engine of least cost that was not tried before.
 pub fn choose(candidates: &[Arc<Engine>], placement: &Placement<'_>, tried: &[String]) -> Option<Arc<Engine>> {
     let home = if placement.is_model { home_of(candidates, placement.program) } else { None };
