A retirement waits when too few disks would remain; replicas tested as they run

Ruled out: a fault of the hand-over (each retired replica had been synced by the rest). Change: a replica leaves only if more remain than may be lost; it says what to do in its log. Test: a_retirement_waits_when_too_few_disks_would_remain, red before, green after; ten more of replicas as they run (refill, replacement, silent store, lost answers, all killed at once).

--- a/crates/gateway/src/replica/steward.rs
+++ b/crates/gateway/src/replica/steward.rs
@@ -53,6 +53,8 @@
     Overtaken,
     #[error("no majority is synced to version {0} yet; check that the other replicas run")]
     NotSynced(u64),
+    #[error("only {0} replicas would remain; add a machine with a disk, then this one can go")]
+    TooFewRemain(usize),
     #[error("too few complete replicas were heard ({0}); check that the other replicas run")]
     TooFewHeard(usize),
 }
@@ -301,6 +303,11 @@
             self.mark_retirement(|retirement| retirement.started = true);
         }
         if replica_set::contains(set, self.own.node) {
+            let remaining = set.members.len() - 1;
+            if remaining <= self.losses {
+                // Without this replica a loss of disks that has to be borne would take acknowledged turns along.
+                return Err(StepError::TooFewRemain(remaining));
+            }
             let safe = set.members.len() > 2 * self.losses + 1;
             let waited = retirement.since.elapsed().as_secs_f64() > retirement.within.as_secs_f64() * PATIENCE;
             if !safe && !waited {
--- /dev/null
+++ b/crates/gateway/tests/replica_tests.rs
@@ -0,0 +1,170 @@
+//! Replicas as they run: what was acknowledged survives losses of disks, changes of the set, and a silent store.
+//!
+//! Each test waits for things to come true and asserts nothing on how long that took.
+
+mod support;
+
+use foxnotch_gateway::edge::turns::ChainError;
+use foxnotch_gateway::ports::store::{Kind, ObjectBody};
+use foxnotch_wire::TurnId;
+use std::time::{Duration, Instant};
+use support::cluster::{eventually, name, reservation, turn, Cluster};
+
+fn soon() -> Instant {
+    Instant::now() + Duration::from_secs(2)
+}
+
+fn retire(cluster: &Cluster, number: u8) {
+    let body = ObjectBody::Retirement { within: Duration::from_secs(2), done: false };
+    cluster.store.put(Kind::Retirements, &name(number), body);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_chain_is_read_back_after_any_one_disk_is_lost() {
+    for lost in 1..=3 {
+        let mut cluster = Cluster::start(10 + lost, 3).await;
+        cluster.keep(&turn(1, 0, "first")).await;
+        cluster.keep(&turn(2, 1, "second")).await;
+        cluster.wipe(lost);
+        assert_eq!(cluster.inputs(2).await, vec!["first", "second"]);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn disks_lost_one_after_the_other_are_refilled() {
+    let mut cluster = Cluster::start(20, 3).await;
+    cluster.keep(&turn(1, 0, "first")).await;
+    for lost in 1..=3 {
+        cluster.wipe(lost);
+        cluster.start_replica(lost, false);
+        cluster.wait_until_complete(lost).await;
+        // A quorum of all three shows that the refilled one counts: the next one is silent.
+        let next = lost % 3 + 1;
+        cluster.kill(next);
+        cluster.keep(&turn(10 + u128::from(lost), 1, "later")).await;
+        cluster.start_replica(next, false);
+    }
+    assert_eq!(cluster.inputs(13).await, vec!["first", "later"]);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_empty_replica_does_not_count_while_it_cannot_be_refilled() {
+    let mut cluster = Cluster::start(21, 3).await;
+    cluster.keep(&turn(1, 0, "first")).await;
+    cluster.kill(2);
+    cluster.wipe(1);
+    cluster.start_replica(1, false);
+    // Only one complete replica is left: nothing is acknowledged, and nothing is denied.
+    assert!(cluster.keeper.keep(&turn(2, 1, "second"), soon()).await.is_err());
+    assert!(matches!(cluster.keeper.chain(TurnId(99), soon()).await, Err(ChainError::Unknown(_))));
+    assert_eq!(cluster.inputs(1).await, vec!["first"]);
+    cluster.start_replica(2, false);
+    cluster.keep(&turn(2, 1, "second")).await;
+    assert_eq!(cluster.inputs(2).await, vec!["first", "second"]);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_turn_that_never_was_is_denied_by_complete_replicas() {
+    let cluster = Cluster::start(22, 3).await;
+    eventually_denied(&cluster, 99).await;
+}
+
+async fn eventually_denied(cluster: &Cluster, turn: u128) {
+    let until = Instant::now() + Duration::from_secs(20);
+    loop {
+        match cluster.keeper.chain(TurnId(turn), soon()).await {
+            Err(ChainError::NoSuchTurn) => return,
+            other => assert!(Instant::now() < until, "turn {turn} is not denied: {other:?}"),
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_budget_is_not_exceeded_by_reservations_at_the_same_time() {
+    let cluster = Cluster::start(23, 3).await;
+    cluster.keep(&turn(1, 0, "first")).await;
+    let reserving = (10..18).map(|number| {
+        let keeper = cluster.keeper.clone();
+        async move { keeper.reserve(&reservation(number, 99, 80), 250, soon()).await }
+    });
+    let granted = futures_util::future::join_all(reserving).await;
+    let count = granted.iter().filter(|granted| matches!(granted, Ok(true))).count();
+    assert!(count <= 3, "{count} turns of 80 tokens were granted of 250");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_retired_replica_leaves_once_the_others_hold_everything() {
+    let mut cluster = Cluster::start(24, 4).await;
+    cluster.keep(&turn(1, 0, "first")).await;
+    retire(&cluster, 2);
+    cluster.wait_for_members(&[1, 3, 4]).await;
+    eventually("the retirement is reported", || cluster.store.retired().contains(&name(2))).await;
+    cluster.wipe(2);
+    cluster.wipe(3);
+    assert_eq!(cluster.inputs(1).await, vec!["first"]);
+}
+
+/// Found by our own day `retire.alone`: with one machine after the other retired, the last turns had a single copy and
+/// no quorum was left.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_retirement_waits_when_too_few_disks_would_remain() {
+    let cluster = Cluster::start(25, 3).await;
+    cluster.keep(&turn(1, 0, "first")).await;
+    retire(&cluster, 1);
+    cluster.wait_for_members(&[2, 3]).await;
+    eventually("the first retirement is reported", || cluster.store.retired().contains(&name(1))).await;
+    retire(&cluster, 2);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert!(!cluster.store.retired().contains(&name(2)));
+    cluster.keep(&turn(2, 1, "second")).await;
+    assert_eq!(cluster.members().len(), 2);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_replaced_replica_is_taken_out_and_its_successor_joins() {
+    let mut cluster = Cluster::start(26, 3).await;
+    cluster.keep(&turn(1, 0, "first")).await;
+    cluster.wipe(2);
+    cluster.start_replica(5, false);
+    cluster.wait_for_members(&[1, 3, 5]).await;
+    cluster.wipe(1);
+    cluster.keep(&turn(2, 1, "second")).await;
+    assert_eq!(cluster.inputs(2).await, vec!["first", "second"]);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_silent_store_stops_neither_turns_nor_refills() {
+    let mut cluster = Cluster::start(27, 3).await;
+    cluster.keep(&turn(1, 0, "first")).await;
+    cluster.store.fall_silent();
+    cluster.wipe(3);
+    cluster.start_replica(3, false);
+    cluster.wait_until_complete(3).await;
+    cluster.kill(1);
+    cluster.keep(&turn(2, 1, "second")).await;
+    assert_eq!(cluster.inputs(2).await, vec!["first", "second"]);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_change_of_the_set_whose_answer_was_lost_is_found_again() {
+    let mut cluster = Cluster::start(28, 3).await;
+    cluster.store.lose_answers(true);
+    cluster.start_replica(4, false);
+    cluster.wait_for_members(&[1, 2, 3, 4]).await;
+    cluster.store.lose_answers(false);
+    cluster.keep(&turn(1, 0, "first")).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn all_replicas_killed_at_once_come_back_with_everything() {
+    let mut cluster = Cluster::start(29, 3).await;
+    cluster.keep(&turn(1, 0, "first")).await;
+    for number in 1..=3 {
+        cluster.kill(number);
+    }
+    for number in 1..=3 {
+        cluster.start_replica(number, false);
+    }
+    assert_eq!(cluster.inputs(1).await, vec!["first"]);
+    cluster.keep(&turn(2, 1, "second")).await;
+}
--- /dev/null
+++ b/crates/gateway/tests/support/cluster.rs
@@ -0,0 +1,225 @@
+//! Replicas in one process, each with a runtime and a loopback address of its own, around a stand-in of the store.
+
+use crate::support::store::StubStore;
+use foxnotch_gateway::edge::turn_cache::TurnCache;
+use foxnotch_gateway::edge::turns::TurnKeeper;
+use foxnotch_gateway::peers::rpc_client::RpcClient;
+use foxnotch_gateway::peers::view::{Origin, ViewHolder};
+use foxnotch_gateway::replica::process;
+use foxnotch_gateway::settings::{ProcessSettings, ResourceSettings, TimeSettings, ToleranceSettings};
+use foxnotch_turns::identity::{node_id, zone_hash};
+use foxnotch_wire::{
+    Content, DiskIdentity, ListMarks, NodeId, ProgramKey, ReplicaSet, RpcBody, TurnEntry, TurnId, TurnRecord,
+    NOT_SETTLED,
+};
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+use tokio::runtime::{Builder, Runtime};
+
+/// The port of all nodes.
+const PEER_PORT: u16 = 7380;
+/// The longest wait for something to come true.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A replica that runs.
+struct RunningReplica {
+    runtime: Runtime,
+}
+
+/// Replicas, the store, and a gateway's keeper of turns.
+pub struct Cluster {
+    /// The store.
+    pub store: StubStore,
+    /// What a gateway keeps turns with.
+    pub keeper: Arc<TurnKeeper>,
+    /// What the gateway knows.
+    pub view: Arc<ViewHolder>,
+    client: Arc<RpcClient>,
+    net: u8,
+    folder: TempDir,
+    running: BTreeMap<u8, RunningReplica>,
+}
+
+/// The name of a replica.
+pub fn name(number: u8) -> String {
+    format!("replica-{number}")
+}
+
+/// Waits until something is true.
+pub async fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < until, "it never came true that {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// A turn that ended whole.
+pub fn turn(number: u128, previous: u128, input: &str) -> TurnEntry {
+    let record = TurnRecord {
+        previous: TurnId(previous),
+        input: Content::from(input.as_bytes().to_vec()),
+        output: Content::from(b"out\n".to_vec()),
+    };
+    TurnEntry { used: 5, record: vec![record], ..reservation(number, 7, 80) }
+}
+
+/// A turn that is to run.
+pub fn reservation(number: u128, program: u64, tokens: u32) -> TurnEntry {
+    TurnEntry {
+        turn: TurnId(number),
+        program: ProgramKey(program),
+        retention_ms: 60_000,
+        reserved: tokens,
+        used: NOT_SETTLED,
+        record: Vec::new(),
+    }
+}
+
+impl Cluster {
+    /// A deployment with `replicas` replicas that starts for the first time. `net` keeps tests apart.
+    pub async fn start(net: u8, replicas: u8) -> Self {
+        let store = StubStore::default();
+        let view = Arc::new(ViewHolder::default());
+        let client = Arc::new(RpcClient::new(NodeId(1)));
+        let cache = TurnCache::new(0);
+        let keeper = Arc::new(TurnKeeper::new(client.clone(), view.clone(), cache, zone_hash("a"), 1));
+        let folder = TempDir::new().expect("a folder can be made");
+        let mut cluster = Self { store, keeper, view, client, net, folder, running: BTreeMap::new() };
+        for number in 1..=replicas {
+            cluster.start_replica(number, true);
+        }
+        cluster.wait_for_members(&(1..=replicas).collect::<Vec<_>>()).await;
+        cluster
+    }
+
+    fn ip(&self, number: u8) -> Ipv4Addr {
+        Ipv4Addr::new(127, 77, self.net, number)
+    }
+
+    fn data_folder(&self, number: u8) -> PathBuf {
+        self.folder.path().join(name(number))
+    }
+
+    fn settings(&self, number: u8, first_start: bool) -> ProcessSettings {
+        ProcessSettings {
+            node: name(number),
+            zone: "a".to_owned(),
+            zones: vec!["a".to_owned()],
+            ip: self.ip(number),
+            peer_port: PEER_PORT,
+            metrics_port: PEER_PORT + 1,
+            caller_address: None,
+            readiness_address: None,
+            contact_address: None,
+            seeds: (1..=4).map(|seed| (self.ip(seed), PEER_PORT).into()).collect(),
+            store_address: (self.ip(99), 1).into(),
+            first_start,
+            data_folder: Some(self.data_folder(number)),
+            log_level: "info".to_owned(),
+            tolerance: ToleranceSettings { machines: 1, zones: 0 },
+            times: TimeSettings {
+                drain_ms: 2000,
+                grace_s: 8.0,
+                settle_ms: 1000,
+                refill_s: 4.0,
+                contact_ms: 3000,
+                recovery_s: 12.0,
+            },
+            resources: ResourceSettings { memory_mb: 200, descriptors: 4000, disk_mb: 300 },
+        }
+    }
+
+    /// Starts a replica with whatever its folder holds.
+    pub fn start_replica(&mut self, number: u8, first_start: bool) {
+        let settings = self.settings(number, first_start);
+        let store = Arc::new(self.store.clone());
+        let runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build().expect("a runtime can be had");
+        runtime.spawn(async move {
+            if let Err(error) = process::run(settings, PathBuf::new(), store).await {
+                eprintln!("a replica ended: {error:#}");
+            }
+        });
+        self.running.insert(number, RunningReplica { runtime });
+    }
+
+    /// Kills a replica: nothing of it runs on, its folder stays.
+    pub fn kill(&mut self, number: u8) {
+        if let Some(replica) = self.running.remove(&number) {
+            tokio::task::block_in_place(|| replica.runtime.shutdown_timeout(Duration::from_secs(5)));
+        }
+    }
+
+    /// Kills a replica and empties its disk.
+    pub fn wipe(&mut self, number: u8) {
+        self.kill(number);
+        std::fs::remove_dir_all(self.data_folder(number)).expect("the folder can be removed");
+    }
+
+    /// Waits until a replica holds all that it has to.
+    pub async fn wait_until_complete(&self, number: u8) {
+        let until = Instant::now() + PATIENCE;
+        let address = (self.ip(number), PEER_PORT).into();
+        let own = DiskIdentity { node: NodeId(1), disk: 1 };
+        loop {
+            let request = RpcBody::ListMarks(ListMarks { own, set: ReplicaSet::default() });
+            let answer = self.client.call(address, request, Duration::from_secs(1)).await;
+            if matches!(answer, Ok(RpcBody::Marks(marks)) if marks.complete == 1) {
+                return;
+            }
+            assert!(Instant::now() < until, "replica {number} is not refilled");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// The members of the set in the store.
+    pub fn members(&self) -> Vec<NodeId> {
+        self.store.replica_set().map_or(Vec::new(), |set| set.members.iter().map(|member| member.node).collect())
+    }
+
+    /// Waits until the set in the store has exactly these members, and tells the gateway.
+    pub async fn wait_for_members(&self, numbers: &[u8]) {
+        let mut wanted: Vec<NodeId> = numbers.iter().map(|number| node_id(&name(*number))).collect();
+        wanted.sort();
+        eventually(&format!("the members are {numbers:?}"), || self.members() == wanted).await;
+        if let Some(set) = self.store.replica_set() {
+            self.view.adopt_set(&set, Origin::Store);
+        }
+    }
+
+    /// Keeps a turn, trying again until it is kept.
+    pub async fn keep(&self, entry: &TurnEntry) {
+        let until = Instant::now() + PATIENCE;
+        while let Err(error) = self.keeper.keep(entry, Instant::now() + Duration::from_secs(1)).await {
+            assert!(Instant::now() < until, "a turn cannot be kept: {error}");
+        }
+    }
+
+    /// The inputs of a chain, trying again until it can be read.
+    pub async fn inputs(&self, newest: u128) -> Vec<String> {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let deadline = Instant::now() + Duration::from_secs(1);
+            match self.keeper.chain(TurnId(newest), deadline).await {
+                Ok(chain) => {
+                    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+                    return chain.iter().map(|(_, record)| text(&record.input.bytes)).collect();
+                }
+                Err(error) => assert!(Instant::now() < until, "turn {newest} cannot be read: {error}"),
+            }
+        }
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        let numbers: Vec<u8> = self.running.keys().copied().collect();
+        for number in numbers {
+            self.kill(number);
+        }
+    }
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -2,4 +2,5 @@
 
 #![allow(dead_code, reason = "each test binary uses a part")]
 
+pub mod cluster;
 pub mod store;
