Turns leave their home only for a much less loaded engine

Change: the home is trusted to hold the whole prompt; a request under way costs 0.2 ms, one beyond the slots 3 ms.

--- a/crates/gateway/src/engines/selector.rs
+++ b/crates/gateway/src/engines/selector.rs
@@ -10,9 +10,9 @@
 /// Prompt tokens that an engine computes in a millisecond, roughly: only the order of costs matters.
 const PREFILL_TOKENS_PER_MS: f64 = 64.0;
 /// Milliseconds that each request under way at a model engine costs a new one, roughly.
-const MODEL_LOAD_MS: f64 = 1.5;
+const MODEL_LOAD_MS: f64 = 0.2;
 /// Milliseconds that each request beyond a model engine's slots makes a new one wait, roughly.
-const MODEL_WAIT_MS: f64 = 25.0;
+const MODEL_WAIT_MS: f64 = 3.0;
 /// Milliseconds that a full plain engine costs a new request, roughly.
 const PLAIN_LOAD_MS: f64 = 30.0;
 /// Milliseconds that another zone costs.
@@ -25,7 +25,7 @@
 const UNINVITING_MS: f64 = 1_000.0;
 
 /// How sure it is that a program's home holds what the program has read so far, between 0 and 1.
-const HOME_TRUST: f64 = 0.8;
+const HOME_TRUST: f64 = 1.0;
 
 /// What is to be placed.
 #[derive(Clone, Copy)]
