A set of two no longer stops for good when one is lost

Cause: a test of replicas as they run, a_replaced_replica_is_taken_out..., failed in 2 of 4 runs: replica 2 was lost before any other was synced to version 3, whose sync asked for a majority of version 2, both members of two. No version could follow. Ruled out: load (it failed alone on the machine), membership (the dead member was known as dead). Change: a sync hears as many as meet every majority of the version before (one of two), which is also what shuts out late writes of it; in a set of two the newcomer takes the place of the dead member in one step, once the other is synced.

--- a/crates/gateway/src/replica/steward.rs
+++ b/crates/gateway/src/replica/steward.rs
@@ -272,6 +272,11 @@
         if !replica_set::may_follow(set, &synced) {
             return Err(StepError::NotSynced(set.version));
         }
+        self.write_set(set, next, &synced).await
+    }
+
+    /// Writes the next version by compare-and-swap, and tells all members.
+    async fn write_set(&self, set: &ReplicaSet, next: ReplicaSet, synced: &[NodeId]) -> Result<bool, StepError> {
         let Some((stored, revision)) = self.read_set().await? else { return Err(StepError::Overtaken) };
         if stored.version != set.version {
             self.core.adopt_set(&stored, Origin::Store).await;
@@ -290,12 +295,32 @@
         self.check_current(set)?;
         let counted = complete_members(&heard, &set.members);
         let own = usize::from(replica_set::contains(set, self.own.node));
-        if counted + own < replica_set::majority(set.members.len()) {
+        if counted + own < replica_set::refill_quorum(set.members.len()) {
             return Err(StepError::TooFewHeard(counted));
         }
+        if let Some(lost) = self.lost_of_two(set) {
+            return self.replace(set, lost).await;
+        }
         self.change_set(set, replica_set::with_member(set, self.own)).await
     }
 
+    /// In a set of two: the member that is dead.
+    fn lost_of_two(&self, set: &ReplicaSet) -> Option<NodeId> {
+        let pair = set.members.len() == 2 && !replica_set::contains(set, self.own.node);
+        let dead = set.members.iter().map(|member| member.node).find(|node| self.members.is_dead(*node));
+        dead.filter(|_| pair)
+    }
+
+    /// Takes the place of the dead member of a set of two, once the other is synced.
+    async fn replace(&self, set: &ReplicaSet, lost: NodeId) -> Result<bool, StepError> {
+        let synced = self.synced_members(set).await;
+        self.check_current(set)?;
+        if !set.members.iter().all(|member| member.node == lost || synced.contains(&member.node)) {
+            return Err(StepError::NotSynced(set.version));
+        }
+        self.write_set(set, replica_set::with_replacement(set, lost, self.own), &synced).await
+    }
+
     /// Leaves the set, waits until the rest holds everything, reports.
     async fn leave(&self, set: &ReplicaSet, retirement: Retirement) -> Result<bool, StepError> {
         if !retirement.started {
--- a/crates/gateway/tests/replica_tests.rs
+++ b/crates/gateway/tests/replica_tests.rs
@@ -132,6 +132,19 @@
     assert_eq!(cluster.inputs(2).await, vec!["first", "second"]);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn of_two_replicas_one_can_be_replaced() {
+    let mut cluster = Cluster::start(30, 3).await;
+    cluster.keep(&turn(1, 0, "first")).await;
+    retire(&cluster, 1);
+    cluster.wait_for_members(&[2, 3]).await;
+    cluster.wipe(2);
+    cluster.start_replica(5, false);
+    cluster.wait_for_members(&[3, 5]).await;
+    cluster.keep(&turn(2, 1, "second")).await;
+    assert_eq!(cluster.inputs(2).await, vec!["first", "second"]);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_silent_store_stops_neither_turns_nor_refills() {
     let mut cluster = Cluster::start(27, 3).await;
--- a/crates/gateway/tests/support/cluster.rs
+++ b/crates/gateway/tests/support/cluster.rs
@@ -83,6 +83,10 @@
 impl Cluster {
     /// A deployment with `replicas` replicas that starts for the first time. `net` keeps tests apart.
     pub async fn start(net: u8, replicas: u8) -> Self {
+        if std::env::var_os("SHOW_LOGS").is_some() {
+            // Only the first cluster of a process starts the logs.
+            let _ = foxnotch_gateway::logging::start("info");
+        }
         let store = StubStore::default();
         let view = Arc::new(ViewHolder::default());
         let client = Arc::new(RpcClient::new(NodeId(1)));
--- a/crates/turns/src/replica_set.rs
+++ b/crates/turns/src/replica_set.rs
@@ -54,6 +54,15 @@
     ReplicaSet { version: set.version + 1, members, previous: set.members.clone() }
 }
 
+/// The next version of a set of two, with `member` in the place of `lost`. All that was acknowledged is on the other one,
+/// and every majority of the next version holds that one too.
+pub fn with_replacement(set: &ReplicaSet, lost: NodeId, member: ReplicaMember) -> ReplicaSet {
+    let mut members: Vec<_> = set.members.iter().filter(|known| known.node != lost).copied().collect();
+    members.push(member);
+    members.sort_by_key(|member| member.node);
+    ReplicaSet { version: set.version + 1, members, previous: set.members.clone() }
+}
+
 /// Whether a version may follow `set` when the nodes of `synced` are synced to it.
 ///
 /// Before: every acknowledged write is on a majority of `set.previous`. After: also on a majority of `set`, and no
@@ -63,12 +72,12 @@
     count >= majority(set.members.len())
 }
 
-/// Whether the members in `heard`, and the node itself, are a majority of the version before: what they hold is all
-/// that was acknowledged under it.
+/// Whether the members in `heard`, and the node itself, meet every majority of the version before: what they hold is all
+/// that was acknowledged under it. Since they know the new version, no majority of the old one is left for a late write.
 pub fn covers_previous(set: &ReplicaSet, own: NodeId, heard: &[NodeId]) -> bool {
     if set.previous.is_empty() {
         return true;
     }
     let known = |member: &&ReplicaMember| member.node == own || heard.contains(&member.node);
-    set.previous.iter().filter(known).count() >= majority(set.previous.len())
+    set.previous.iter().filter(known).count() >= refill_quorum(set.previous.len())
 }
