Metrics on the metrics address, a log line for each send with what decided, foxnotch explain

Cause: on-call engineers had lines at the end of calls only, no counters, and no way from an id to a cause but grep. Change: counters and histograms (prometheus-client) for calls, sends, quorum rounds, what is known and held; each send logs loads, what the engine holds, the versions of configuration and engines; 'foxnotch explain ID FILE...' merges logs and states the cause. 8 tests.

--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -7,9 +7,11 @@
 use crate::edge::turns::TurnKeeper;
 use crate::edge::{stream_call, whole_call};
 use crate::engines::attempt::{self, AttemptError, EngineAnswer};
+use crate::engines::engine::Engine;
 use crate::engines::selector::{choose, Placement};
 use crate::engines::table::EngineTable;
 use crate::logging::part;
+use crate::metrics::Metrics;
 use crate::peers::members::Members;
 use crate::peers::view::ViewHolder;
 use crate::ports::configuration::RouteKind;
@@ -37,6 +39,8 @@
     pub members: Arc<Members>,
     /// The engines.
     pub engines: EngineTable,
+    /// Counters and histograms.
+    pub metrics: Arc<Metrics>,
     /// Turns and budgets.
     pub turns: Arc<TurnKeeper>,
     /// Shares of services.
@@ -101,6 +105,7 @@
         let mut response = match outcome {
             Ok(response) => response,
             Err(refusal) => {
+                self.metrics.count_call(refusal.name(), arrived_at.elapsed());
                 log::info!(target: part::CALL, "Call {attempt} refused: cause={} status={} after={:?}: {refusal}.", refusal.name(), refusal.status().as_u16(), arrived_at.elapsed());
                 refusal.to_response()
             }
@@ -174,11 +179,19 @@
                 engine.parts().insert(&call.metadata.parts, call.metadata.most_tokens);
             }
             let attempt = &call.metadata.attempt;
+            if tried.is_empty() {
+                self.metrics.dispatch_seconds.observe(call.arrived_at.elapsed().as_secs_f64());
+            }
+            self.log_send(call, &engine, candidates.len());
             let outcome = attempt::send(&engine, request, attempt, &*self.dialect, call.expires_at).await;
             let error = match outcome {
-                Ok(answer) => return Ok(answer),
+                Ok(answer) => {
+                    self.metrics.count_send("answered");
+                    return Ok(answer);
+                }
                 Err(error) => error,
             };
+            self.metrics.count_send(error.name());
             log::info!(target: part::ENGINE, "Call {attempt} not answered: engine={} service={} not_run={}: {error}.", engine.entry.id, call.service, error.is_not_run());
             tried.push(engine.entry.id.clone());
             if error.is_not_run() {
@@ -196,6 +209,18 @@
     }
 }
 
+impl Gateway {
+    /// Logs what decided for an engine: loads, what it holds, and how old the knowledge of engines is.
+    fn log_send(&self, call: &Call, engine: &Engine, candidates: usize) {
+        let metadata = &call.metadata;
+        let view = self.view.get();
+        let others = self.members.loads().under_way(engine.number, self.members.gateway_count());
+        let held = engine.parts().held_tokens(&metadata.parts);
+        log::info!(target: part::ENGINE, "Call {} sent: program={} route={} engine={} of={candidates} own={} others={others:.0} held={held}/{} left={:?} configuration={} engines={}.",
+            metadata.attempt, metadata.program.as_deref().unwrap_or("-"), call.route.name, engine.entry.id, engine.under_way(), metadata.prompt_tokens, call.engine_time().unwrap_or_default(), view.configuration.value.version, view.engines.revision);
+    }
+}
+
 fn lost(problem: &str) -> Refusal {
     Refusal::MayHaveRun(problem.to_owned())
 }
--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -9,6 +9,7 @@
 use crate::engines::load_exchange;
 use crate::engines::table::EngineTable;
 use crate::logging::part;
+use crate::metrics::{self, Metrics};
 use crate::network;
 use crate::peers::members::Members;
 use crate::peers::rpc_client::RpcClient;
@@ -77,13 +78,16 @@
         .context("the port for datagrams cannot be bound")?;
     let cache = TurnCache::new((settings.resources.memory_mb * 1024 * 1024 / CACHE_SHARE) as usize);
     let losses = settings.tolerance.machines;
-    let turns = Arc::new(TurnKeeper::new(client, view.clone(), cache, zone_hash(&settings.zone), losses));
+    let metrics = gateway_metrics(&view, &members);
+    let keeper = TurnKeeper::new(client, view.clone(), cache, zone_hash(&settings.zone), losses);
+    let turns = Arc::new(keeper.with_metrics(metrics.clone()));
     let gateway = Arc::new(Gateway {
         zone: settings.zone.clone(),
         view: view.clone(),
         dialect: platform.dialect,
         members: members.clone(),
         engines: EngineTable::default(),
+        metrics: metrics.clone(),
         turns: turns.clone(),
         shares: Default::default(),
         routes: Mutex::default(),
@@ -103,6 +107,7 @@
     tokio::spawn(follow(platform.store.clone(), Kind::Configuration, configurations));
     tokio::spawn(follow(platform.store.clone(), Kind::Engines, EngineFollower::new(view.clone())));
     tokio::spawn(find_set(platform.store, view, turns.set_wanted()));
+    tokio::spawn(metrics::serve(settings.metrics_address(), metrics));
     tokio::spawn(serve_readiness(readiness, gateway.clone()));
     let count = settings.resources.descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(64) as usize;
     let places = Arc::new(Semaphore::new(count));
@@ -155,6 +160,22 @@
     log::info!(target: part::PROCESS, "Stopped: under_way={} after={:?}.", gateway.under_way.load(Ordering::Relaxed), begun_at.elapsed());
 }
 
+/// The metrics of a gateway, with what it knows.
+fn gateway_metrics(view: &Arc<ViewHolder>, members: &Arc<Members>) -> Arc<Metrics> {
+    let mut metrics = Metrics::default();
+    let known = view.clone();
+    metrics.read("configuration_version", "The configuration in force", move || {
+        known.get().configuration.value.version as i64
+    });
+    let known = view.clone();
+    metrics.read("engines_known", "Engines listed", move || known.get().engines.value.len() as i64);
+    let known = view.clone();
+    metrics.read("replica_set_version", "The replica set known", move || known.set().version as i64);
+    let members = members.clone();
+    metrics.read("gateways_known", "Other gateways that answer", move || members.gateway_count() as i64);
+    Arc::new(metrics)
+}
+
 async fn follow_view(gateway: Arc<Gateway>) {
     let mut changed = gateway.view.subscribe();
     loop {
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -86,7 +86,7 @@
     let mut sent = 0;
     let answer = gateway.offer(&call, &body, call.metadata.last_event.as_deref(), &mut sent).await?;
     if answer.response.status() != StatusCode::OK {
-        return read_whole(&call, answer).await;
+        return read_whole(&gateway.metrics, &call, answer).await;
     }
     Ok(begin_stream(gateway, call, account, answer, previous.unwrap_or(NO_TURN)))
 }
@@ -163,6 +163,18 @@
     NotKept(TurnError),
 }
 
+impl StreamEnd {
+    /// A short name, for counters.
+    fn name(&self) -> &'static str {
+        match self {
+            Self::EngineBroke(_) => "engine_broke",
+            Self::CallerLeft => "caller_left",
+            Self::TimedOut => "stream_timed_out",
+            Self::NotKept(_) => "not_kept",
+        }
+    }
+}
+
 /// A stream under way.
 struct Stream {
     gateway: Arc<Gateway>,
@@ -182,6 +194,8 @@
             Ok(()) => self.keep().await,
             Err(end) => Err(end),
         };
+        let name = outcome.as_ref().err().map_or("answered", StreamEnd::name);
+        self.gateway.metrics.count_call(name, self.call.arrived_at.elapsed());
         let attempt = &self.call.metadata.attempt;
         let engine = &self.lease.engine().entry.id;
         match outcome {
--- a/crates/gateway/src/edge/turns.rs
+++ b/crates/gateway/src/edge/turns.rs
@@ -2,6 +2,7 @@
 
 use crate::edge::turn_cache::TurnCache;
 use crate::logging::part;
+use crate::metrics::Metrics;
 use crate::peers::rpc_client::RpcClient;
 use crate::peers::view::{Origin, ViewHolder};
 use crate::replica::sync::address_of;
@@ -68,6 +69,7 @@
     cache: TurnCache,
     zone: u32,
     losses: usize,
+    metrics: Arc<Metrics>,
     /// Told when the replica set seems out of date.
     set_wanted: Arc<Notify>,
 }
@@ -75,7 +77,14 @@
 impl TurnKeeper {
     /// A keeper that goes by the view's replica set. `losses` replicas may be lost at once.
     pub fn new(client: Arc<RpcClient>, view: Arc<ViewHolder>, cache: TurnCache, zone: u32, losses: usize) -> Self {
-        Self { client, view, cache, zone, losses, set_wanted: Arc::default() }
+        let metrics = Arc::default();
+        Self { client, view, cache, zone, losses, metrics, set_wanted: Arc::default() }
+    }
+
+    /// Counts rounds in these metrics.
+    pub fn with_metrics(mut self, metrics: Arc<Metrics>) -> Self {
+        self.metrics = metrics;
+        self
     }
 
     /// Told when the replica set seems out of date.
@@ -137,6 +146,7 @@
 
     /// Makes one round over all replicas: returns the merged answers once a quorum of them counts.
     async fn round(&self, deadline: Instant, request: impl Fn(u64) -> RpcBody) -> Result<BudgetView, TurnError> {
+        let begun_at = Instant::now();
         loop {
             let set = self.wait_for_set(deadline).await?;
             let needed = self.needed(&set);
@@ -160,6 +170,7 @@
                     Some(MemberAnswer::Body(_)) | None => {}
                 }
                 if tally.count() >= needed {
+                    self.metrics.quorum_seconds.observe(begun_at.elapsed().as_secs_f64());
                     return Ok(view);
                 }
             }
--- a/crates/gateway/src/edge/whole_call.rs
+++ b/crates/gateway/src/edge/whole_call.rs
@@ -6,6 +6,7 @@
 use crate::edge::refusal::Refusal;
 use crate::engines::attempt::{finish, EngineAnswer};
 use crate::logging::part;
+use crate::metrics::Metrics;
 use bytes::Bytes;
 use http::{header, Response, StatusCode};
 use http_body_util::BodyExt;
@@ -18,7 +19,7 @@
     let mut sent = 0;
     loop {
         let answer = gateway.offer(call, &call.input, None, &mut sent).await?;
-        match read_whole(call, answer).await {
+        match read_whole(&gateway.metrics, call, answer).await {
             Ok(response) => return Ok(response),
             Err(refusal) => {
                 sent += 1;
@@ -34,7 +35,7 @@
 ///
 /// # Errors
 /// [`Refusal::MayHaveRun`] when it breaks off, [`Refusal::TimedOut`].
-pub async fn read_whole(call: &Call, answer: EngineAnswer) -> Result<Response<AnswerBody>, Refusal> {
+pub async fn read_whole(metrics: &Metrics, call: &Call, answer: EngineAnswer) -> Result<Response<AnswerBody>, Refusal> {
     let EngineAnswer { response, connection, lease, .. } = answer;
     let (head, body) = response.into_parts();
     let collected = match tokio::time::timeout_at(call.expires_at.into(), body.collect()).await {
@@ -46,6 +47,7 @@
         Err(_) => return Err(Refusal::TimedOut),
     };
     finish(connection, &lease);
+    metrics.count_call("answered", call.arrived_at.elapsed());
     log::info!(target: part::CALL, "Call {} answered: route={} service={} engine={} status={} after={:?}.", call.metadata.attempt, call.route.name, call.service, lease.engine().entry.id, head.status.as_u16(), call.arrived_at.elapsed());
     pass_on(head, collected.to_bytes())
 }
--- a/crates/gateway/src/engines/attempt.rs
+++ b/crates/gateway/src/engines/attempt.rs
@@ -30,6 +30,17 @@
 }
 
 impl AttemptError {
+    /// A short name, for counters.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Full => "full",
+            Self::Replaced => "replaced",
+            Self::Unreachable(_) => "unreachable",
+            Self::AnswerLost(_) => "answer_lost",
+            Self::TimedOut => "timed_out",
+        }
+    }
+
     /// Whether the request has certainly not run.
     pub fn is_not_run(&self) -> bool {
         matches!(self, Self::Full | Self::Replaced | Self::Unreachable(_))
--- a/crates/gateway/src/engines/connection.rs
+++ b/crates/gateway/src/engines/connection.rs
@@ -8,6 +8,7 @@
 use hyper_util::rt::TokioIo;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 use tokio::task::AbortHandle;
 
@@ -18,6 +19,14 @@
 /// The rest after which a connection is given up when the engine said nothing.
 const DEFAULT_REST: Duration = Duration::from_secs(10);
 
+/// Connections opened since the start.
+static OPENED: AtomicU64 = AtomicU64::new(0);
+
+/// Connections opened to engines since the start.
+pub fn opened() -> u64 {
+    OPENED.load(Ordering::Relaxed)
+}
+
 /// Why a request was not answered.
 #[derive(Debug)]
 pub enum SendError {
@@ -50,6 +59,7 @@
     pub async fn open(address: SocketAddr) -> io::Result<Self> {
         let stream = network::connect(address, CONNECT_TIMEOUT).await?;
         let (sender, connection) = Builder::new().handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        OPENED.fetch_add(1, Ordering::Relaxed);
         // The connection's own error reaches whoever waits for an answer.
         let task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
         Ok(Self { sender, task, rested_since: Instant::now(), rest_limit: DEFAULT_REST })
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod edge;
 pub mod engines;
 pub mod logging;
+pub mod metrics;
 pub mod network;
 pub mod peers;
 pub mod ports;
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,149 @@
+//! Counters and latency histograms, served as text on the metrics address.
+
+use crate::edge::body::AnswerBody;
+use crate::engines::connection::opened;
+use crate::logging::{lines_left_out, part};
+use crate::network;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
+use prometheus_client::registry::Registry;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The lowest bound of a histogram, in seconds.
+const FIRST_BUCKET: f64 = 0.0005;
+/// Each bound is this many times the one before.
+const BUCKET_FACTOR: f64 = 1.5;
+/// Bounds of a histogram: up to some 11 s.
+const BUCKETS: u16 = 26;
+/// Pause after a failed accept.
+const PAUSE_AFTER_ERROR: Duration = Duration::from_millis(100);
+
+/// What something ended with.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Outcome {
+    /// A short name.
+    pub outcome: &'static str,
+}
+
+/// A gauge of a value that is read when it is asked for.
+type Reading = Box<dyn Fn() -> i64 + Send + Sync>;
+
+/// All metrics of a process.
+pub struct Metrics {
+    registry: Registry,
+    readings: Vec<(Gauge, Reading)>,
+    /// Calls by how they ended.
+    pub calls: Family<Outcome, Counter>,
+    /// Sends to engines by how they ended.
+    pub sends: Family<Outcome, Counter>,
+    /// Seconds from a call's arrival to the end of its answer.
+    pub call_seconds: Histogram,
+    /// Seconds from a call's arrival to its first send to an engine: what the gateway adds before.
+    pub dispatch_seconds: Histogram,
+    /// Seconds of a round to a quorum of replicas.
+    pub quorum_seconds: Histogram,
+}
+
+fn histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET, BUCKET_FACTOR, BUCKETS))
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("foxnotch"),
+            readings: Vec::new(),
+            calls: Family::default(),
+            sends: Family::default(),
+            call_seconds: histogram(),
+            dispatch_seconds: histogram(),
+            quorum_seconds: histogram(),
+        };
+        let registry = &mut metrics.registry;
+        registry.register("calls", "Calls by how they ended", metrics.calls.clone());
+        registry.register("sends", "Sends to engines by how they ended", metrics.sends.clone());
+        registry.register(
+            "call_seconds",
+            "From a call's arrival to the end of its answer",
+            metrics.call_seconds.clone(),
+        );
+        registry.register(
+            "dispatch_seconds",
+            "From a call's arrival to its first send",
+            metrics.dispatch_seconds.clone(),
+        );
+        registry.register("quorum_seconds", "A round to a quorum of replicas", metrics.quorum_seconds.clone());
+        metrics.read("engine_connections_opened", "Connections opened to engines", || opened() as i64);
+        metrics.read("log_lines_left_out", "Log lines left out", || lines_left_out() as i64);
+        metrics
+    }
+}
+
+impl Metrics {
+    /// Adds a gauge that is read whenever the metrics are asked for.
+    pub fn read(&mut self, name: &str, help: &str, reading: impl Fn() -> i64 + Send + Sync + 'static) {
+        let gauge = Gauge::default();
+        self.registry.register(name, help, gauge.clone());
+        self.readings.push((gauge, Box::new(reading)));
+    }
+
+    /// Counts the end of a call.
+    pub fn count_call(&self, outcome: &'static str, after: Duration) {
+        self.calls.get_or_create(&Outcome { outcome }).inc();
+        self.call_seconds.observe(after.as_secs_f64());
+    }
+
+    /// Counts the end of a send.
+    pub fn count_send(&self, outcome: &'static str) {
+        self.sends.get_or_create(&Outcome { outcome }).inc();
+    }
+
+    /// The metrics as text.
+    pub fn to_text(&self) -> String {
+        for (gauge, reading) in &self.readings {
+            gauge.inner().store(reading(), Ordering::Relaxed);
+        }
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
+
+/// Serves the metrics for ever, whatever the path.
+pub async fn serve(address: SocketAddr, metrics: Arc<Metrics>) {
+    let listener = match network::listen(address) {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::warn!(target: part::PROCESS, "No metrics are served: {address} cannot be bound ({error}); check metrics_port.");
+            return;
+        }
+    };
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(PAUSE_AFTER_ERROR).await;
+            continue;
+        };
+        let metrics = metrics.clone();
+        let service = service_fn(move |_: Request<Incoming>| {
+            let response = Response::new(AnswerBody::whole(metrics.to_text()));
+            async move { Ok::<_, Infallible>(response) }
+        });
+        // A reader that leaves needs no answer.
+        tokio::spawn(async move {
+            drop(hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service).await);
+        });
+    }
+}
--- a/crates/gateway/src/replica/process.rs
+++ b/crates/gateway/src/replica/process.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::SteadyClock;
 use crate::logging::part;
+use crate::metrics::{self, Metrics};
 use crate::network;
 use crate::peers::members::Members;
 use crate::peers::rpc_client::RpcClient;
@@ -67,6 +68,7 @@
     tokio::spawn(follow(store.clone(), Kind::ReplicaSet, SetFollower { view }));
     tokio::spawn(follow(store, Kind::Retirements, RetirementFollower { name: settings.node.clone(), steward }));
     tokio::spawn(expire(core.clone()));
+    tokio::spawn(metrics::serve(settings.metrics_address(), replica_metrics(&core)));
     log::info!(target: part::PROCESS, "Replica started: node={} id={own} zone={} first_start={}.", settings.node, settings.zone, settings.first_start);
     wait_for_stop(&path, &members).await?;
     log::info!(target: part::PROCESS, "Replica stopped: what was acknowledged is on disk.");
@@ -89,6 +91,20 @@
     written.context("the disk's identity cannot be written; check the disk")
 }
 
+/// The metrics of a replica: what it holds and how it stands.
+fn replica_metrics(core: &Arc<ReplicaCore>) -> Arc<Metrics> {
+    let mut metrics = Metrics::default();
+    let replica = core.clone();
+    metrics.read("turns_held", "Turns held", move || replica.size().0 as i64);
+    let replica = core.clone();
+    metrics.read("turn_bytes_held", "Bytes of turns held", move || replica.size().1 as i64);
+    let replica = core.clone();
+    metrics.read("replica_complete", "1 once refilled", move || i64::from(replica.state().complete));
+    let replica = core.clone();
+    metrics.read("replica_set_version", "The replica set gone by", move || replica.set().version as i64);
+    Arc::new(metrics)
+}
+
 async fn expire(core: Arc<ReplicaCore>) {
     loop {
         tokio::time::sleep(EXPIRY_PERIOD).await;
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use crate::explain;
 use crate::operator::{self, CommandError};
 use crate::process;
 use crate::settings::{SettingFlags, Settings, SettingsError};
@@ -50,6 +51,16 @@
     Gateway(ProcessFlags),
     /// Run a replica, which keeps turns on its disk
     Replica(ProcessFlags),
+    /// Explain what became of a call or a program, from the processes' logs
+    ///
+    /// Example: foxnotch explain 9c41d07be2a35f68 logs/*.log
+    Explain {
+        /// The call's or the program's identifier
+        identifier: String,
+        /// The logs of gateways and replicas
+        #[arg(required = true)]
+        logs: Vec<PathBuf>,
+    },
     /// Mark an empty data folder as the first of a new deployment, so that its replica votes at once
     InitialiseReplica {
         /// The data folder
@@ -132,6 +143,9 @@
     match command {
         Command::Gateway(flags) => run_process(&flags, Role::Gateway),
         Command::Replica(flags) => run_process(&flags, Role::Replica),
+        Command::Explain { identifier, logs } => {
+            explain::explain(&identifier, &logs).map_err(|error| CommandError::Invalid(error.to_string()))
+        }
         other => execute_on_many_threads(other),
     }
 }
@@ -184,7 +198,7 @@
             runtime.block_on(process::run(settings))?;
             Ok(String::new())
         }
-        Command::Gateway(_) | Command::Replica(_) => Ok(String::new()),
+        Command::Gateway(_) | Command::Replica(_) | Command::Explain { .. } => Ok(String::new()),
         Command::InitialiseReplica { data_folder } => initialise(&data_folder),
         Command::Check { files } => operator::check(&files),
         Command::Diff { object_api, files } => runtime.block_on(operator::diff(object_api, &files)),
--- /dev/null
+++ b/crates/node/src/explain.rs
@@ -0,0 +1,139 @@
+//! Explains what became of a call or a program, from the processes' logs alone.
+//!
+//! A program's calls are found by the lines that name both; a call's lines, also those that name its turn on replicas,
+//! are merged by time. The last line states the cause.
+
+use foxnotch_turns::identity::turn_id;
+use std::collections::BTreeSet;
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+
+/// A line of a log.
+#[derive(Clone, Debug, PartialEq)]
+struct LogLine {
+    /// Seconds; of the day, or of a play of the bench.
+    seconds: f64,
+    process: String,
+    text: String,
+}
+
+/// Why nothing can be explained.
+#[derive(Debug, thiserror::Error)]
+pub enum ExplainError {
+    /// A log cannot be read.
+    #[error("the log {0} cannot be read ({1}); check the path")]
+    Unreadable(PathBuf, io::Error),
+    /// No line names it.
+    #[error("no line names {0}; check the identifier, and that the logs of all gateways are given")]
+    Unknown(String),
+}
+
+/// What ends a call, as it stands in a line, and the cause that it shows.
+const CAUSES: [(&str, &str); 20] = [
+    (
+        "cause=no_configuration",
+        "refused, not run: the gateway had no configuration yet (see its 'view:' and 'store:' lines)",
+    ),
+    ("cause=no_route", "refused, not run: no route of the configuration in force serves its host and path"),
+    ("cause=malformed", "refused, not run: the request could not be read"),
+    ("cause=too_large", "refused, not run: its body is over the limit"),
+    ("cause=no_room", "refused, not run: no engine had room, or none could be reached"),
+    ("cause=no_quorum", "refused, not run: too few replicas answered in time to reserve its tokens"),
+    ("cause=chain_unknown", "refused, not run: too few replicas answered to read the turn that it continues"),
+    ("cause=no_such_turn", "refused, not run: the turn that it continues does not exist"),
+    ("cause=budget_spent", "refused, not run: its program's token budget was spent"),
+    ("cause=out_of_time", "refused, not run: its time was over before an engine had room"),
+    ("cause=may_have_run", "failed: the engine's answer was lost; it may have run and was not sent again"),
+    ("cause=timed_out", "failed: no answer came before its time was over; it may have run"),
+    ("the engine broke off", "broken off: the engine's stream ended early"),
+    ("the caller left", "ended by its caller, who closed the connection"),
+    ("the time was over", "broken off: its time was over before the stream had ended"),
+    ("the turn could not be kept", "broken off: too few replicas answered to keep the turn that had ended"),
+    ("status=200", "answered"),
+    ("status=", "answered by the engine with a failure of its own"),
+    ("answered:", "answered"),
+    (" sent:", "sent to an engine; no end is in these logs (the process ended, or its log is missing)"),
+];
+
+/// Explains `identifier` from the logs in `files`.
+///
+/// # Errors
+/// [`ExplainError`].
+pub fn explain(identifier: &str, files: &[PathBuf]) -> Result<String, ExplainError> {
+    let mut lines = Vec::new();
+    for file in files {
+        lines.extend(read_log(file)?);
+    }
+    let calls = calls_of(identifier, &lines);
+    let names: Vec<String> = calls.iter().flat_map(|call| [call.clone(), turn_id(call).to_string()]).collect();
+    let mut life: Vec<&LogLine> =
+        lines.iter().filter(|line| names.iter().any(|name| line.text.contains(name.as_str()))).collect();
+    if life.is_empty() {
+        return Err(ExplainError::Unknown(identifier.to_owned()));
+    }
+    life.sort_by(|left, right| left.seconds.total_cmp(&right.seconds));
+    let mut text = String::new();
+    for line in &life {
+        text.push_str(&format!("{:>12.4} {} {}\n", line.seconds, line.process, line.text));
+    }
+    text.push_str(&format!("cause: {}\n", cause(&life)));
+    Ok(text)
+}
+
+/// The calls that an identifier stands for: itself, or those of the program with that name.
+fn calls_of(identifier: &str, lines: &[LogLine]) -> BTreeSet<String> {
+    let program = format!("program={identifier} ");
+    let of_program = lines.iter().filter(|line| line.text.contains(&program)).filter_map(|line| call_in(&line.text));
+    let calls: BTreeSet<String> = of_program.collect();
+    if calls.is_empty() {
+        BTreeSet::from([identifier.to_owned()])
+    } else {
+        calls
+    }
+}
+
+/// The call that a line is about.
+fn call_in(text: &str) -> Option<String> {
+    let (_, rest) = text.split_once("Call ")?;
+    rest.split_whitespace().next().map(str::to_owned)
+}
+
+/// The cause in the last line that shows one.
+fn cause(life: &[&LogLine]) -> String {
+    for line in life.iter().rev() {
+        if let Some((_, cause)) = CAUSES.iter().find(|(mark, _)| line.text.contains(mark)) {
+            return format!("{cause} ({} at {:.4})", line.process, line.seconds);
+        }
+    }
+    "none of the lines shows an end".to_owned()
+}
+
+fn read_log(path: &Path) -> Result<Vec<LogLine>, ExplainError> {
+    let bytes = fs::read(path).map_err(|error| ExplainError::Unreadable(path.to_owned(), error))?;
+    let process = path.file_stem().map_or(String::new(), |name| name.to_string_lossy().into_owned());
+    Ok(String::from_utf8_lossy(&bytes).lines().filter_map(|line| parse_line(line, &process)).collect())
+}
+
+/// Reads `12:03:04.005 INFO call: …`, also behind the bench's `SECONDS PROCESS`.
+fn parse_line(line: &str, process: &str) -> Option<LogLine> {
+    let line = line.trim_start();
+    let (first, rest) = line.split_once(' ')?;
+    if let Some(seconds) = time_of_day(first) {
+        return Some(LogLine { seconds, process: process.to_owned(), text: rest.to_owned() });
+    }
+    let seconds: f64 = first.parse().ok()?;
+    let (process, rest) = rest.trim_start().split_once(' ')?;
+    let (time, text) = rest.trim_start().split_once(' ')?;
+    time_of_day(time)?;
+    Some(LogLine { seconds, process: process.to_owned(), text: text.to_owned() })
+}
+
+/// Seconds of the day.
+fn time_of_day(text: &str) -> Option<f64> {
+    let mut parts = text.splitn(3, ':');
+    let hours: f64 = parts.next()?.parse().ok()?;
+    let minutes: f64 = parts.next()?.parse().ok()?;
+    let seconds: f64 = parts.next()?.parse().ok()?;
+    Some(hours * 3600.0 + minutes * 60.0 + seconds)
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod cli;
 pub mod declarations;
 pub mod driver;
+pub mod explain;
 pub mod http;
 pub mod logging;
 pub mod metrics;
--- /dev/null
+++ b/crates/node/tests/explain_tests.rs
@@ -0,0 +1,81 @@
+//! Explaining calls and programs from logs.
+
+use foxnotch::explain::explain;
+use foxnotch_turns::identity::turn_id;
+use rstest::rstest;
+use std::io::Write;
+use std::path::PathBuf;
+use tempfile::TempDir;
+
+struct Logs {
+    folder: TempDir,
+    files: Vec<PathBuf>,
+}
+
+impl Logs {
+    fn new() -> Self {
+        Self { folder: TempDir::new().expect("a folder can be made"), files: Vec::new() }
+    }
+
+    fn add(&mut self, name: &str, lines: &[String]) {
+        let path = self.folder.path().join(name);
+        let mut file = std::fs::File::create(&path).expect("a file can be made");
+        file.write_all(lines.join("\n").as_bytes()).expect("the file can be written");
+        self.files.push(path);
+    }
+}
+
+fn sent(time: &str, call: &str, program: &str) -> String {
+    format!("{time} INFO engine: Call {call} sent: program={program} route=r engine=e1 of=3 own=1 others=0 held=0/9.")
+}
+
+#[rstest]
+#[case("INFO call: Call c1 refused: cause=no_quorum status=503 after=1ms: too few.", "too few replicas")]
+#[case("INFO call: Call c1 refused: cause=budget_spent status=402 after=1ms: spent.", "budget was spent")]
+#[case(
+    "WARN call: Call c1 broken off: route=r engine=e1 events=2 after=1ms: the engine broke off (reset).",
+    "ended early"
+)]
+#[case("INFO call: Call c1 answered: route=r service=s engine=e1 status=200 after=3ms.", "answered")]
+#[case("INFO call: Call c1 answered: route=r service=s engine=e1 status=500 after=3ms.", "failure of its own")]
+fn the_last_line_states_the_cause(#[case] end: &str, #[case] cause: &str) {
+    let mut logs = Logs::new();
+    logs.add("gateway-1.log", &[sent("10:00:01.000", "c1", "p1"), format!("10:00:01.500 {end}")]);
+    let text = explain("c1", &logs.files).expect("the call is known");
+    let last = text.lines().last().expect("there is a last line");
+    assert!(last.starts_with("cause: ") && last.contains(cause), "{last}");
+}
+
+#[test]
+fn a_program_is_followed_through_all_gateways_and_replicas() {
+    let mut logs = Logs::new();
+    let turn = turn_id("c1");
+    logs.add("gateway-1.log", &[sent("10:00:01.000", "c1", "p1"), sent("10:00:01.200", "c77", "p2")]);
+    logs.add("gateway-2.log", &[sent("10:00:03.000", "c2", "p1")]);
+    logs.add("replica-1.log", &[format!("10:00:02.000 WARN turn: Turn {turn} is not settled.")]);
+    let text = explain("p1", &logs.files).expect("the program is known");
+    let processes: Vec<&str> = text.lines().filter_map(|line| line.split_whitespace().nth(1)).collect();
+    assert_eq!(processes[..3], ["gateway-1", "replica-1", "gateway-2"]);
+    assert!(!text.contains("c77"));
+}
+
+#[test]
+fn lines_of_the_bench_are_read_too() {
+    let mut logs = Logs::new();
+    logs.add(
+        "all.txt",
+        &["   2.5000 edge-1 10:00:01.000 INFO call: Call c1 refused: cause=no_room status=503 after=1ms: x."
+            .to_owned()],
+    );
+    let text = explain("c1", &logs.files).expect("the call is known");
+    assert!(text.contains("2.5000 edge-1"));
+    assert!(text.contains("no engine had room"));
+}
+
+#[test]
+fn what_no_line_names_is_said_so() {
+    let mut logs = Logs::new();
+    logs.add("gateway-1.log", &["nothing".to_owned()]);
+    let error = explain("c9", &logs.files).expect_err("no line names it");
+    assert!(error.to_string().contains("c9"));
+}
