--- a/crates/gateway/src/engines/selector.rs
+++ b/crates/gateway/src/engines/selector.rs
@@ -18,7 +18,7 @@
 /// Milliseconds that another zone costs.
 const ZONE_MS: f64 = 3.0;
 /// Milliseconds that a new connection costs; also a price to be avoided.
-const CONNECTION_MS: f64 = 2.5;
+const CONNECTION_MS: f64 = 8.0;
 /// Milliseconds of chance, so that gateways do not all choose alike.
 const CHANCE_MS: f64 = 1.0;
 /// The cost of an engine that is full or failed lately: it is taken only when there is no other.
