Pauses of a process are logged and explained; one way to wait for signals, one shape of followers; selector and second path tested

Cause: of ten failed requests drawn blindly, explain named the last event of one rightly and not its cause: its gateway had been frozen for 6 s, and no line said so. duplicates showed the signals and the followers twice. Change: a line when the process stood still, taken up by explain; signals.rs; followers take objects one by one. Tests: home engines, loads of others, a gateway that the store does not serve goes by what others know.

--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -1,11 +1,29 @@
-//! The steady clock. No decision rests on the time of day.
+//! The steady clock, and pauses of the process. No decision rests on the time of day.
 
+use crate::logging::part;
 use foxnotch_core::time::Millis;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Milliseconds that the clock shows at the start, so that earlier times can be stated.
 const START_MS: u64 = 1_000_000;
 
+/// Time between two looks at the clock.
+const LOOK_PERIOD: Duration = Duration::from_millis(250);
+/// How late a look has to be to be told of.
+const PAUSE: Duration = Duration::from_millis(800);
+
+/// Tells of pauses of the process for ever: a frozen or starved process explains what its callers saw.
+pub async fn watch_pauses() {
+    loop {
+        let begun_at = Instant::now();
+        tokio::time::sleep(LOOK_PERIOD).await;
+        let late = begun_at.elapsed().saturating_sub(LOOK_PERIOD);
+        if late > PAUSE {
+            log::warn!(target: part::PROCESS, "The process stood still: for={late:?}. What it had under way was not served meanwhile.");
+        }
+    }
+}
+
 /// Milliseconds since the start of the process.
 #[derive(Clone, Copy, Debug)]
 pub struct SteadyClock {
--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -1,6 +1,6 @@
 //! The gateway as a process: start, readiness, planned stop.
 
-use crate::clock::SteadyClock;
+use crate::clock::{watch_pauses, SteadyClock};
 use crate::edge::accept;
 use crate::edge::body::AnswerBody;
 use crate::edge::handler::Gateway;
@@ -18,8 +18,8 @@
 use crate::peers::view_exchange;
 use crate::ports::dialect::Dialect;
 use crate::ports::store::{Kind, MetadataStore, ObjectBody};
-use crate::replica::process::reload;
 use crate::settings::{ProcessSettings, SettingsError};
+use crate::signals::wait_for_stop;
 use crate::store_watch::{follow, ConfigurationFollower, EngineFollower};
 use anyhow::Context;
 use foxnotch_turns::identity::{node_id, zone_hash};
@@ -35,7 +35,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{watch, Notify, Semaphore};
 
 /// The part of the memory that cached turns may take.
@@ -100,6 +99,7 @@
         let contact = network::listen(address).context("the contact address cannot be bound")?;
         tokio::spawn(rpc_server::serve(contact, own, answers));
     }
+    tokio::spawn(watch_pauses());
     tokio::spawn(members.clone().run());
     tokio::spawn(follow_view(gateway.clone()));
     tokio::spawn(load_exchange::run(gateway.clone(), members.clone()));
@@ -119,19 +119,6 @@
     Ok(())
 }
 
-async fn wait_for_stop(path: &std::path::Path, members: &Members) -> anyhow::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hangup = signal(SignalKind::hangup())?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hangup.recv() => reload(path, members),
-        }
-    }
-}
-
 /// Answers what is under way, and what still comes, until nothing does.
 async fn drain(
     settings: &ProcessSettings,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod ports;
 pub mod replica;
 pub mod settings;
+pub mod signals;
 pub mod store_watch;
--- a/crates/gateway/src/replica/process.rs
+++ b/crates/gateway/src/replica/process.rs
@@ -1,6 +1,6 @@
 //! The replica as a process.
 
-use crate::clock::SteadyClock;
+use crate::clock::{watch_pauses, SteadyClock};
 use crate::logging::part;
 use crate::metrics::{self, Metrics};
 use crate::network;
@@ -8,11 +8,12 @@
 use crate::peers::rpc_client::RpcClient;
 use crate::peers::rpc_server;
 use crate::peers::view::{Origin, ViewHolder};
-use crate::ports::store::{Changes, Kind, Listing, MetadataStore, ObjectBody, StoredObject};
+use crate::ports::store::{Change, Kind, MetadataStore, ObjectBody};
 use crate::replica::core::ReplicaCore;
 use crate::replica::disk::Disk;
 use crate::replica::steward::{Steward, StewardParts};
 use crate::settings::{ProcessSettings, SettingsError};
+use crate::signals::wait_for_stop;
 use crate::store_watch::{follow, Follower};
 use anyhow::Context;
 use foxnotch_turns::identity::{node_id, zone_hash};
@@ -20,7 +21,6 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::signal::unix::{signal, SignalKind};
 
 /// Time between two looks for what has been kept long enough.
 const EXPIRY_PERIOD: Duration = Duration::from_secs(2);
@@ -63,6 +63,7 @@
     };
     let steward = Arc::new(Steward::new(parts));
     tokio::spawn(rpc_server::serve(listener, own, core.clone()));
+    tokio::spawn(watch_pauses());
     tokio::spawn(members.clone().run());
     tokio::spawn(steward.clone().run());
     tokio::spawn(follow(store.clone(), Kind::ReplicaSet, SetFollower { view }));
@@ -112,53 +113,15 @@
     }
 }
 
-async fn wait_for_stop(path: &std::path::Path, members: &Members) -> anyhow::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hangup = signal(SignalKind::hangup())?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hangup.recv() => reload(path, members),
-        }
-    }
-}
-
-/// Takes over what may change while a process runs: the seeds.
-pub fn reload(path: &std::path::Path, members: &Members) {
-    match ProcessSettings::load(path) {
-        Ok(settings) => {
-            log::info!(target: part::PROCESS, "Settings read again: seeds={:?}.", settings.seeds);
-            members.set_seeds(settings.seeds);
-        }
-        Err(error) => log::error!(target: part::PROCESS, "The settings stay as they were: {error}."),
-    }
-}
-
 /// Brings the replica set into the view.
 struct SetFollower {
     view: Arc<ViewHolder>,
 }
 
-impl SetFollower {
-    fn take(&self, object: StoredObject) {
-        if let ObjectBody::ReplicaSet(set) = object.body {
-            self.view.adopt_set(&set, Origin::Store);
-        }
-    }
-}
-
 impl Follower for SetFollower {
-    fn listed(&mut self, listing: Listing) {
-        for object in listing.objects {
-            self.take(object);
-        }
-    }
-
-    fn changed(&mut self, changes: Changes) {
-        for change in changes.changes.into_iter().filter(|change| !change.gone) {
-            self.take(change.object);
+    fn take(&mut self, change: Change) {
+        if let ObjectBody::ReplicaSet(set) = change.object.body {
+            self.view.adopt_set(&set, Origin::Store);
         }
     }
 }
@@ -169,27 +132,13 @@
     steward: Arc<Steward>,
 }
 
-impl RetirementFollower {
-    fn take(&self, object: StoredObject) {
-        if object.name != self.name {
+impl Follower for RetirementFollower {
+    fn take(&mut self, change: Change) {
+        if change.gone || change.object.name != self.name {
             return;
         }
-        if let ObjectBody::Retirement { within, done } = object.body {
+        if let ObjectBody::Retirement { within, done } = change.object.body {
             self.steward.retire(within, done);
         }
     }
 }
-
-impl Follower for RetirementFollower {
-    fn listed(&mut self, listing: Listing) {
-        for object in listing.objects {
-            self.take(object);
-        }
-    }
-
-    fn changed(&mut self, changes: Changes) {
-        for change in changes.changes.into_iter().filter(|change| !change.gone) {
-            self.take(change.object);
-        }
-    }
-}
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -3,7 +3,7 @@
 use crate::logging::part;
 use crate::peers::view::{Origin, ViewHolder};
 use crate::ports::configuration::EngineEntry;
-use crate::ports::store::{Change, Changes, Kind, Listing, MetadataStore, ObjectBody, StoreError, StoredObject};
+use crate::ports::store::{Change, Kind, MetadataStore, ObjectBody, StoreError};
 use rand::Rng;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -21,10 +21,12 @@
 
 /// Takes what is listed and what changes.
 pub trait Follower: Send + 'static {
-    /// Takes all objects.
-    fn listed(&mut self, listing: Listing);
-    /// Takes changes, oldest first.
-    fn changed(&mut self, changes: Changes);
+    /// All objects follow; what was known before may be gone.
+    fn restart(&mut self) {}
+    /// Takes an object, or the news that it is gone.
+    fn take(&mut self, change: Change);
+    /// Everything up to a revision was taken.
+    fn publish(&mut self, _revision: u64) {}
 }
 
 /// Follows a kind for ever.
@@ -66,9 +68,12 @@
 ) -> Result<u64, StoreError> {
     let Some(since) = revision else {
         let listing = store.list(kind).await?;
-        let newest = listing.revision;
-        follower.listed(listing);
-        return Ok(newest);
+        follower.restart();
+        for object in listing.objects {
+            follower.take(Change { object, gone: false });
+        }
+        follower.publish(listing.revision);
+        return Ok(listing.revision);
     };
     let wait = match kind {
         Kind::Configuration | Kind::Engines => WATCH_WAIT,
@@ -77,7 +82,10 @@
     let changes = store.watch(kind, since, wait).await?;
     let newest = changes.revision.max(since);
     if !changes.changes.is_empty() {
-        follower.changed(changes);
+        for change in changes.changes {
+            follower.take(change);
+        }
+        follower.publish(newest);
     }
     Ok(newest)
 }
@@ -93,10 +101,11 @@
     pub view: Arc<ViewHolder>,
 }
 
-impl ConfigurationFollower {
-    fn take(&self, object: StoredObject) {
+impl Follower for ConfigurationFollower {
+    fn take(&mut self, change: Change) {
+        let object = change.object;
         match object.body {
-            ObjectBody::Configuration(configuration) => {
+            ObjectBody::Configuration(configuration) if !change.gone => {
                 self.view.adopt_configuration(object.revision, configuration, Origin::Store);
             }
             ObjectBody::Unreadable(problem) => {
@@ -107,20 +116,6 @@
     }
 }
 
-impl Follower for ConfigurationFollower {
-    fn listed(&mut self, listing: Listing) {
-        for object in listing.objects {
-            self.take(object);
-        }
-    }
-
-    fn changed(&mut self, changes: Changes) {
-        for change in changes.changes.into_iter().filter(|change| !change.gone) {
-            self.take(change.object);
-        }
-    }
-}
-
 /// Brings the list of engines into the view.
 pub struct EngineFollower {
     view: Arc<ViewHolder>,
@@ -132,6 +127,12 @@
     pub fn new(view: Arc<ViewHolder>) -> Self {
         Self { view, engines: BTreeMap::new() }
     }
+}
+
+impl Follower for EngineFollower {
+    fn restart(&mut self) {
+        self.engines.clear();
+    }
 
     fn take(&mut self, change: Change) {
         if change.gone {
@@ -150,24 +151,7 @@
         }
     }
 
-    fn publish(&self, revision: u64) {
+    fn publish(&mut self, revision: u64) {
         self.view.adopt_engines(revision, self.engines.values().cloned().collect(), Origin::Store);
     }
 }
-
-impl Follower for EngineFollower {
-    fn listed(&mut self, listing: Listing) {
-        self.engines.clear();
-        for object in listing.objects {
-            self.take(Change { object, gone: false });
-        }
-        self.publish(listing.revision);
-    }
-
-    fn changed(&mut self, changes: Changes) {
-        for change in changes.changes {
-            self.take(change);
-        }
-        self.publish(changes.revision);
-    }
-}
--- a/crates/gateway/tests/edge_tests.rs
+++ b/crates/gateway/tests/edge_tests.rs
@@ -3,10 +3,13 @@
 use foxnotch_gateway::edge::events::EventSplitter;
 use foxnotch_gateway::edge::routes::{RouteTable, ServiceShares};
 use foxnotch_gateway::edge::turn_cache::TurnCache;
+use foxnotch_gateway::engines::engine::Engine;
+use foxnotch_gateway::engines::load_board::{engine_number, LoadBoard};
 use foxnotch_gateway::engines::part_cache::PartCache;
-use foxnotch_gateway::ports::configuration::{Backend, Configuration, Route, RouteKind};
+use foxnotch_gateway::engines::selector::{choose, Placement};
+use foxnotch_gateway::ports::configuration::{Backend, Configuration, EngineEntry, Route, RouteKind};
 use foxnotch_gateway::ports::dialect::PromptPart;
-use foxnotch_wire::{Content, TurnId, TurnRecord};
+use foxnotch_wire::{Content, EngineLoad, NodeId, TurnId, TurnRecord};
 use rstest::rstest;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -124,3 +127,76 @@
     assert_eq!(parts.held_tokens(&[part(1, 400)]), 400);
     assert_eq!(parts.held_tokens(&[part(3, 400)]), 400);
 }
+
+fn engine(id: &str, zone: &str, slots: u32) -> Arc<Engine> {
+    let entry = EngineEntry {
+        id: id.to_owned(),
+        service: "s".to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        zone: zone.to_owned(),
+        slots,
+        draining: false,
+    };
+    Arc::new(Engine::new(entry, 100_000).expect("the address is one"))
+}
+
+fn placement<'a>(prompt: &'a [PromptPart], loads: &'a LoadBoard, program: &'a str) -> Placement<'a> {
+    Placement { prompt, is_model: true, zone: "a", loads, gateways: 3, program }
+}
+
+#[test]
+fn all_gateways_agree_on_a_programs_home() {
+    let engines: Vec<Arc<Engine>> = (0..8).map(|index| engine(&format!("e{index}"), "a", 12)).collect();
+    let reversed: Vec<Arc<Engine>> = engines.iter().rev().cloned().collect();
+    let loads = LoadBoard::default();
+    let prompt = [part(1, 2000)];
+    for program in ["p1", "p2", "p3", "p4"] {
+        let here = choose(&engines, &placement(&prompt, &loads, program), &[]).expect("an engine is there");
+        let there = choose(&reversed, &placement(&prompt, &loads, program), &[]).expect("an engine is there");
+        assert_eq!(here.entry.id, there.entry.id);
+    }
+}
+
+#[test]
+fn a_program_leaves_its_home_when_that_fails_or_is_far_over_its_slots() {
+    let engines: Vec<Arc<Engine>> = (0..4).map(|index| engine(&format!("e{index}"), "a", 2)).collect();
+    let loads = LoadBoard::default();
+    let prompt = [part(1, 2000)];
+    let placement = placement(&prompt, &loads, "p1");
+    let home = choose(&engines, &placement, &[]).expect("an engine is there");
+    let leases: Vec<_> = (0..3).map(|_| home.begin()).collect();
+    let still = choose(&engines, &placement, &[]).expect("an engine is there");
+    assert_eq!(still.entry.id, home.entry.id, "a little load costs less than 2,000 tokens");
+    let more: Vec<_> = (0..15).map(|_| home.begin()).collect();
+    let other = choose(&engines, &placement, &[]).expect("an engine is there");
+    assert_ne!(other.entry.id, home.entry.id);
+    drop((leases, more));
+    home.note_failure();
+    let other = choose(&engines, &placement, &[]).expect("an engine is there");
+    assert_ne!(other.entry.id, home.entry.id);
+}
+
+#[test]
+fn what_others_have_under_way_counts() {
+    let engines = vec![engine("e0", "a", 6), engine("e1", "a", 6)];
+    let loads = LoadBoard::default();
+    let told = EngineLoad { engine: engine_number("e0"), under_way: 5 };
+    loads.take(NodeId(7), &[told]);
+    assert!((loads.under_way(engine_number("e0"), 3) - 15.0).abs() < 0.01, "one of three was heard");
+    let plain = Placement { is_model: false, ..placement(&[], &loads, "") };
+    for _ in 0..20 {
+        assert_eq!(choose(&engines, &plain, &[]).expect("an engine is there").entry.id, "e1");
+    }
+    loads.take(NodeId(7), &[]);
+    assert!(loads.under_way(engine_number("e0"), 3) < 0.01);
+}
+
+#[test]
+fn an_engine_that_was_tried_is_not_chosen_again() {
+    let engines = vec![engine("e0", "a", 6), engine("e1", "a", 6)];
+    let loads = LoadBoard::default();
+    let placement = placement(&[], &loads, "p");
+    let tried = ["e0".to_owned(), "e1".to_owned()];
+    assert_eq!(choose(&engines, &placement, &tried[..1]).expect("one is left").entry.id, "e1");
+    assert!(choose(&engines, &placement, &tried).is_none());
+}
--- a/crates/gateway/tests/gateway_tests.rs
+++ b/crates/gateway/tests/gateway_tests.rs
@@ -2,12 +2,13 @@
 
 mod support;
 
-use foxnotch_gateway::ports::store::Kind;
+use foxnotch_gateway::ports::store::{Kind, ObjectBody};
 use rstest::rstest;
 use std::time::Duration;
 use support::cluster::{eventually, Cluster};
 use support::engine::{Behaviour, EngineStandIn, CLOSE_TIME};
 use support::gateway::{configuration, exchange, list_engine, RunningGateway};
+use support::store::StubStore;
 use tokio::io::AsyncWriteExt;
 
 /// A deployment with two engines for each service.
@@ -255,3 +256,27 @@
     assert_eq!(statuses, vec![200, 200, 402, 402, 402, 402]);
     assert_eq!(deployment.sends(), 2);
 }
+
+/// The platform's store may refuse some machines while it serves others: what they need reaches them through the others.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_gateway_that_the_store_does_not_serve_goes_by_what_others_know() {
+    let deployment = Deployment::start(60, "write", vec![Behaviour::Answer("old")]).await;
+    let silent = StubStore::default();
+    silent.fall_silent();
+    let refused = RunningGateway::start_with(&deployment.cluster, 51, silent).await;
+    refused.wait_ready().await;
+    assert_eq!(refused.send("POST /write/", &attempt("a1"), "").await.body, "old");
+    // A change reaches it too: the only engine goes, another comes.
+    let engine = EngineStandIn::start(Behaviour::Answer("new")).await;
+    list_engine(&deployment.cluster, "e9", "write", engine.address);
+    let gone = ObjectBody::Unreadable("gone".to_owned());
+    deployment.cluster.store.remove(Kind::Engines, "e0", gone);
+    for number in 0..200 {
+        let answer = refused.send("POST /write/", &attempt(&format!("b{number}")), "").await;
+        if answer.body == "new" {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("the change never reached the gateway that the store does not serve");
+}
--- a/crates/gateway/tests/support/gateway.rs
+++ b/crates/gateway/tests/support/gateway.rs
@@ -1,6 +1,7 @@
 //! A gateway in the test's process, with a dialect of the tests' own, and a caller that speaks bare HTTP.
 
 use crate::support::cluster::{eventually, Cluster};
+use crate::support::store::StubStore;
 use foxnotch_gateway::edge::process::{self, Platform};
 use foxnotch_gateway::ports::configuration::{
     Backend, Configuration, EngineEntry, ModelService, RequestLimits, Route, RouteKind, Service,
@@ -129,13 +130,18 @@
 impl RunningGateway {
     /// Starts a gateway at an address of the cluster's net.
     pub async fn start(cluster: &Cluster) -> Self {
-        let mut settings: ProcessSettings = cluster.settings(50, false);
+        Self::start_with(cluster, 50, cluster.store.clone()).await
+    }
+
+    /// Starts a gateway that is given a store of its own.
+    pub async fn start_with(cluster: &Cluster, number: u8, store: StubStore) -> Self {
+        let mut settings: ProcessSettings = cluster.settings(number, false);
         let callers = SocketAddr::from((settings.ip, 7400));
         let readiness = SocketAddr::from((settings.ip, 7401));
         settings.caller_address = Some(callers);
         settings.readiness_address = Some(readiness);
         settings.data_folder = None;
-        let platform = Platform { store: Arc::new(cluster.store.clone()), dialect: Arc::new(TestDialect) };
+        let platform = Platform { store: Arc::new(store), dialect: Arc::new(TestDialect) };
         let runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build().expect("a runtime can be had");
         runtime.spawn(async move {
             if let Err(error) = process::run(settings, PathBuf::new(), platform).await {
--- a/crates/node/src/explain.rs
+++ b/crates/node/src/explain.rs
@@ -9,6 +9,11 @@
 use std::io;
 use std::path::{Path, PathBuf};
 
+/// What a line says that tells of a pause.
+const PAUSE_MARK: &str = "The process stood still";
+/// Seconds by which a pause may be told of later than the call's last line.
+const PAUSE_MARGIN: f64 = 1.0;
+
 /// A line of a log.
 #[derive(Clone, Debug, PartialEq)]
 struct LogLine {
@@ -73,14 +78,24 @@
         return Err(ExplainError::Unknown(identifier.to_owned()));
     }
     life.sort_by(|left, right| left.seconds.total_cmp(&right.seconds));
+    let pauses = pauses_during(&life, &lines);
     let mut text = String::new();
-    for line in &life {
+    for line in life.iter().chain(&pauses) {
         text.push_str(&format!("{:>12.4} {} {}\n", line.seconds, line.process, line.text));
     }
-    text.push_str(&format!("cause: {}\n", cause(&life)));
+    let during = if pauses.is_empty() { "" } else { "; its process stood still meanwhile" };
+    text.push_str(&format!("cause: {}{during}\n", cause(&life)));
     Ok(text)
 }
 
+/// Lines that tell of a pause of a process that had the call under way.
+fn pauses_during<'a>(life: &[&LogLine], lines: &'a [LogLine]) -> Vec<&'a LogLine> {
+    let (Some(first), Some(last)) = (life.first(), life.last()) else { return Vec::new() };
+    let had_it = |line: &LogLine| life.iter().any(|known| known.process == line.process);
+    let during = |line: &LogLine| line.seconds >= first.seconds && line.seconds <= last.seconds + PAUSE_MARGIN;
+    lines.iter().filter(|line| line.text.contains(PAUSE_MARK) && had_it(line) && during(line)).collect()
+}
+
 /// The calls that an identifier stands for: itself, or those of the program with that name.
 fn calls_of(identifier: &str, lines: &[LogLine]) -> BTreeSet<String> {
     let program = format!("program={identifier} ");
--- a/crates/node/tests/explain_tests.rs
+++ b/crates/node/tests/explain_tests.rs
@@ -79,3 +79,15 @@
     let error = explain("c9", &logs.files).expect_err("no line names it");
     assert!(error.to_string().contains("c9"));
 }
+
+#[test]
+fn a_pause_of_the_process_is_part_of_the_cause() {
+    let mut logs = Logs::new();
+    let pause = "10:00:07.010 WARN process: The process stood still: for=6s. x.".to_owned();
+    let end =
+        "10:00:07.000 WARN call: Call c1 broken off: route=r engine=e1 events=2 after=6s: the caller left.".to_owned();
+    logs.add("gateway-1.log", &[sent("10:00:01.000", "c1", "p1"), end, pause]);
+    let text = explain("c1", &logs.files).expect("the call is known");
+    let last = text.lines().last().expect("there is a last line");
+    assert!(last.contains("closed the connection") && last.contains("stood still"), "{last}");
+}
