A refill no longer waits for members that have left; a request just before the first configuration is served

Its refill asked for two members of the version before, one of which had gone for good, so it never counted again. Ruled out: lost turns (none was judged lost), the retirement itself (the rest was synced before it was reported). Change: one member that is synced to the present version holds all that was acknowledged under earlier ones; hearing it stands for hearing the version before, for refills and syncs alike.

--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -24,6 +24,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+/// The longest wait for a first configuration.
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(150);
 /// Pause before engines that all refused are tried again.
 const ROOM_PAUSE: Duration = Duration::from_millis(15);
 
@@ -116,12 +118,26 @@
         response
     }
 
+    /// The routes in force; a gateway that has just started waits a little for them.
+    async fn wait_for_routes(&self) -> Result<Arc<RouteTable>, Refusal> {
+        let until = Instant::now() + CONFIGURATION_WAIT;
+        loop {
+            if let Some(routes) = self.routes() {
+                return Ok(routes);
+            }
+            if Instant::now() >= until {
+                return Err(Refusal::NoConfiguration);
+            }
+            tokio::time::sleep(ROOM_PAUSE).await;
+        }
+    }
+
     async fn answer(
         self: Arc<Self>,
         request: Request<Incoming>,
         arrived_at: Instant,
     ) -> Result<Response<AnswerBody>, Refusal> {
-        let routes = self.routes().ok_or(Refusal::NoConfiguration)?;
+        let routes = self.wait_for_routes().await?;
         let (head, body) = request.into_parts();
         let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
         let host = host.ok_or(Refusal::Malformed("it names no host"))?;
@@ -175,14 +191,14 @@
                 Ok(request) => request,
                 Err(refusal) => return Err(if ran.is_empty() { refusal } else { Refusal::TimedOut }),
             };
-            if is_model {
-                engine.parts().insert(&call.metadata.parts, call.metadata.most_tokens);
-            }
             let attempt = &call.metadata.attempt;
             if tried.is_empty() {
                 self.metrics.dispatch_seconds.observe(call.arrived_at.elapsed().as_secs_f64());
             }
             self.log_send(call, &engine, candidates.len());
+            if is_model {
+                engine.parts().insert(&call.metadata.parts, call.metadata.most_tokens);
+            }
             let outcome = attempt::send(&engine, request, attempt, &*self.dialect, call.expires_at).await;
             let error = match outcome {
                 Ok(answer) => {
--- a/crates/gateway/src/replica/steward.rs
+++ b/crates/gateway/src/replica/steward.rs
@@ -194,9 +194,10 @@
         self.check_current(set)?;
         let counted = complete_members(&heard, &set.members);
         let before = complete_members(&heard, &set.previous);
-        let enough = counted >= replica_set::refill_quorum(set.members.len())
-            && (set.previous.is_empty() || before >= replica_set::refill_quorum(set.previous.len()));
-        if !enough {
+        let earlier = set.previous.is_empty()
+            || is_any_synced(&heard, set)
+            || before >= replica_set::refill_quorum(set.previous.len());
+        if counted < replica_set::refill_quorum(set.members.len()) || !earlier {
             return Err(StepError::TooFewHeard(counted));
         }
         let version = set.version;
@@ -219,7 +220,7 @@
         let heard = pull_all(&self.core, &self.client, set).await;
         self.check_current(set)?;
         let complete: Vec<NodeId> = heard.iter().filter(|heard| heard.complete).map(|heard| heard.node).collect();
-        if !replica_set::covers_previous(set, self.own.node, &complete) {
+        if !is_any_synced(&heard, set) && !replica_set::covers_previous(set, self.own.node, &complete) {
             return Err(StepError::TooFewHeard(complete.len()));
         }
         let version = set.version;
@@ -379,6 +380,12 @@
     }
 }
 
+/// Whether one of those heard is synced to the set: it holds all that was acknowledged under earlier versions, so the
+/// members of those need not be heard any more; some may be gone for good.
+fn is_any_synced(heard: &[Heard], set: &ReplicaSet) -> bool {
+    heard.iter().any(|heard| heard.complete && heard.synced == set.version)
+}
+
 fn complete_members(heard: &[Heard], members: &[ReplicaMember]) -> usize {
     let is_complete = |member: &&ReplicaMember| heard.iter().any(|heard| heard.complete && heard.node == member.node);
     members.iter().filter(is_complete).count()
--- a/crates/gateway/src/replica/sync.rs
+++ b/crates/gateway/src/replica/sync.rs
@@ -26,6 +26,8 @@
     pub node: NodeId,
     /// Whether it holds all that it ever acknowledged.
     pub complete: bool,
+    /// The version that it is synced to: it holds all that was acknowledged under earlier ones.
+    pub synced: u64,
 }
 
 /// Where a member listens.
@@ -70,5 +72,5 @@
     }
     let complete = marks.complete == 1;
     log::info!(target: part::REPLICA, "Pulled from node {}: entries={count} complete={complete} set={}.", member.node, marks.set.version);
-    Some(Heard { node: member.node, complete })
+    Some(Heard { node: member.node, complete, synced: marks.synced })
 }
--- a/crates/gateway/tests/gateway_tests.rs
+++ b/crates/gateway/tests/gateway_tests.rs
@@ -280,3 +280,21 @@
     }
     panic!("the change never reached the gateway that the store does not serve");
 }
+
+/// Found on the operators' page's own examples: a gateway that had just been started again refused what came in its first
+/// milliseconds, though its configuration was on the way.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_comes_just_before_the_configuration_is_served() {
+    let cluster = Cluster::start(61, 3).await;
+    let engine = EngineStandIn::start(Behaviour::Answer("done")).await;
+    let gateway = RunningGateway::start(&cluster).await;
+    let headers = attempt("a1");
+    let sending = gateway.send("POST /write/", &headers, "");
+    let writing = async {
+        tokio::time::sleep(Duration::from_millis(40)).await;
+        list_engine(&cluster, "e0", "write", engine.address);
+        cluster.store.put(Kind::Configuration, "main", configuration(1));
+    };
+    let (answer, ()) = tokio::join!(sending, writing);
+    assert_eq!(answer.status, 200, "{}", answer.body);
+}
--- a/crates/gateway/tests/replica_tests.rs
+++ b/crates/gateway/tests/replica_tests.rs
@@ -181,3 +181,20 @@
     assert_eq!(cluster.inputs(1).await, vec!["first"]);
     cluster.keep(&turn(2, 1, "second")).await;
 }
+
+/// Found by our own days `retire-wipe.*`: the disk was lost right after the retired machine, the third of the version
+/// before, had gone, and the refill waited for that one for ever.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_disk_lost_after_a_retirement_is_refilled_without_the_one_that_left() {
+    let mut cluster = Cluster::start(31, 3).await;
+    cluster.keep(&turn(1, 0, "first")).await;
+    retire(&cluster, 1);
+    cluster.wait_for_members(&[2, 3]).await;
+    eventually("the retirement is reported", || cluster.store.retired().contains(&name(1))).await;
+    cluster.kill(1);
+    cluster.wipe(3);
+    cluster.start_replica(3, false);
+    cluster.wait_until_complete(3).await;
+    cluster.keep(&turn(2, 1, "second")).await;
+    assert_eq!(cluster.inputs(2).await, vec!["first", "second"]);
+}
