One record of a request's sends: what has run is never promised not to have run

Cause: `Gateway::offer` counted sends that failed before the head of an answer; those that broke off later were counted by the caller of `offer` in a number alone. A repeatable call that had run and broken off was then answered 503 when no other engine had room, and could be sent to the same engine again. Ruled out: calls that must not be repeated (they end at the first such send), streams (not repeated after their head). Change: `Tries` holds the engines passed over and those that may have run the request, and goes through `offer`, which is cut into three. Tests: what_has_run_and_broken_off_is_not_promised_not_to_have_run_when_no_other_has_room (503 before, 502 now), what_has_run_and_broken_off_is_repeated_at_another_engine.

--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -1,7 +1,8 @@
 //! A caller's request on its way: what it asks for, its route, and its time.
 
 use crate::edge::refusal::Refusal;
-use crate::ports::configuration::Route;
+use crate::edge::tries::Tries;
+use crate::ports::configuration::{Route, RouteKind};
 use crate::ports::dialect::{CallMetadata, Dialect, ForwardedCall};
 use bytes::Bytes;
 use http::{header, HeaderMap, Request};
@@ -64,6 +65,16 @@
         (left >= LEAST_ENGINE_TIME).then_some(left)
     }
 
+    /// Whether a model engine serves it.
+    pub fn is_model(&self) -> bool {
+        self.route.kind == RouteKind::Streaming
+    }
+
+    /// Whether it may be sent again although it may have run.
+    pub fn may_be_repeated(&self, tries: &Tries) -> bool {
+        self.route.is_repeatable() && tries.runs() < self.route.attempts
+    }
+
     /// The moment up to which a place at an engine is sought.
     pub fn place_deadline(&self) -> Instant {
         let objective = Duration::from_millis(self.route.objective_ms.max(1));
--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -4,6 +4,7 @@
 use crate::edge::call::Call;
 use crate::edge::refusal::Refusal;
 use crate::edge::routes::{RouteTable, ServiceShares};
+use crate::edge::tries::Tries;
 use crate::edge::turns::TurnKeeper;
 use crate::edge::{stream_call, whole_call};
 use crate::engines::attempt::{self, AttemptError, EngineAnswer};
@@ -18,7 +19,7 @@
 use crate::ports::dialect::Dialect;
 use bytes::Bytes;
 use http::{header, Request, Response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -157,72 +158,82 @@
     /// A send that may have run is repeated only for what may be repeated, and to no more engines than the route allows.
     ///
     /// # Errors
-    /// The final refusal.
+    /// The final refusal: after a send that may have run, never one that promises the opposite.
     pub async fn offer(
         &self,
         call: &Call,
         body: &Bytes,
         last_event: Option<&str>,
-        sent: &mut u32,
+        tries: &mut Tries,
     ) -> Result<EngineAnswer, Refusal> {
-        let place_deadline = call.place_deadline();
-        let is_model = call.route.kind == RouteKind::Streaming;
-        let mut tried: Vec<String> = Vec::new();
-        let mut ran: Vec<String> = Vec::new();
         loop {
-            let candidates = self.engines.candidates(&call.service);
-            let placement = Placement {
-                prompt: &call.metadata.parts,
-                is_model,
-                zone: &self.zone,
-                loads: self.members.loads(),
-                gateways: self.members.gateway_count(),
-                program: call.metadata.program.as_deref().unwrap_or_default(),
-            };
-            let Some(engine) = choose(&candidates, &placement, &tried) else {
-                if Instant::now() + ROOM_PAUSE > place_deadline {
-                    return Err(if ran.is_empty() { Refusal::NoRoom } else { lost("no other engine has room") });
+            let Some(engine) = self.choose_engine(call, tries) else {
+                if Instant::now() + ROOM_PAUSE > call.place_deadline() {
+                    return Err(if tries.may_have_run() { lost("no other engine has room") } else { Refusal::NoRoom });
                 }
-                tried.clone_from(&ran);
+                tries.begin_again();
                 tokio::time::sleep(ROOM_PAUSE).await;
                 continue;
             };
             let request = match call.to_engine(&*self.dialect, &engine.entry.id, body.clone(), last_event) {
                 Ok(request) => request,
-                Err(refusal) => return Err(if ran.is_empty() { refusal } else { Refusal::TimedOut }),
+                Err(refusal) => return Err(if tries.may_have_run() { Refusal::TimedOut } else { refusal }),
             };
-            let attempt = &call.metadata.attempt;
-            if tried.is_empty() {
+            if tries.is_empty() {
                 self.metrics.dispatch_seconds.observe(call.arrived_at.elapsed().as_secs_f64());
             }
-            self.log_send(call, &engine, candidates.len());
-            if is_model {
+            if call.is_model() {
                 engine.parts().insert(&call.metadata.parts, call.metadata.most_tokens);
             }
-            let outcome = attempt::send(&engine, request, attempt, &*self.dialect, call.expires_at).await;
-            let error = match outcome {
-                Ok(answer) => {
-                    self.metrics.count_send("answered");
-                    return Ok(answer);
-                }
+            let error = match self.send_once(call, &engine, request).await {
+                Ok(answer) => return Ok(answer),
                 Err(error) => error,
             };
-            self.metrics.count_send(error.name());
-            log::info!(target: part::ENGINE, "Call {attempt} not answered: engine={} service={} not_run={}: {error}.", engine.entry.id, call.service, error.is_not_run());
-            tried.push(engine.entry.id.clone());
             if error.is_not_run() {
+                tries.note_not_run(&engine);
                 continue;
             }
-            *sent += 1;
-            ran.push(engine.entry.id.clone());
+            tries.note_may_have_run(&engine);
             if error == AttemptError::TimedOut {
                 return Err(Refusal::TimedOut);
             }
-            if !call.route.is_repeatable() || *sent >= call.route.attempts {
+            if !call.may_be_repeated(tries) {
                 return Err(lost(&error.to_string()));
             }
         }
     }
+
+    /// The engine that will answer soonest, of those that are not passed over.
+    fn choose_engine(&self, call: &Call, tries: &Tries) -> Option<Arc<Engine>> {
+        let candidates = self.engines.candidates(&call.service);
+        let placement = Placement {
+            prompt: &call.metadata.parts,
+            is_model: call.is_model(),
+            zone: &self.zone,
+            loads: self.members.loads(),
+            gateways: self.members.gateway_count(),
+            program: call.metadata.program.as_deref().unwrap_or_default(),
+        };
+        let engine = choose(&candidates, &placement, tries.passed_over())?;
+        self.log_send(call, &engine, candidates.len());
+        Some(engine)
+    }
+
+    /// Sends the request to one engine.
+    async fn send_once(
+        &self,
+        call: &Call,
+        engine: &Arc<Engine>,
+        request: Request<Full<Bytes>>,
+    ) -> Result<EngineAnswer, AttemptError> {
+        let attempt = &call.metadata.attempt;
+        let outcome = attempt::send(engine, request, attempt, &*self.dialect, call.expires_at).await;
+        self.metrics.count_send(outcome.as_ref().err().map_or("answered", AttemptError::name));
+        if let Err(error) = &outcome {
+            log::info!(target: part::ENGINE, "Call {attempt} not answered: engine={} service={} not_run={}: {error}.", engine.entry.id, call.service, error.is_not_run());
+        }
+        outcome
+    }
 }
 
 impl Gateway {
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -9,6 +9,7 @@
 pub mod refusal;
 pub mod routes;
 pub mod stream_call;
+pub mod tries;
 pub mod turn_cache;
 pub mod turns;
 pub mod whole_call;
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -8,6 +8,7 @@
 use crate::edge::events::{Event, EventSplitter};
 use crate::edge::handler::{Gateway, WorkGuard};
 use crate::edge::refusal::Refusal;
+use crate::edge::tries::Tries;
 use crate::edge::turns::{ChainError, ChainRecords, TurnError};
 use crate::edge::whole_call::read_whole;
 use crate::engines::attempt::{finish, EngineAnswer};
@@ -83,8 +84,8 @@
     let chain = chain?;
     reserved?;
     let body = if chain.is_empty() { call.input.clone() } else { Bytes::from(compose_body(&chain, &call.input)) };
-    let mut sent = 0;
-    let answer = gateway.offer(&call, &body, call.metadata.last_event.as_deref(), &mut sent).await?;
+    let mut tries = Tries::default();
+    let answer = gateway.offer(&call, &body, call.metadata.last_event.as_deref(), &mut tries).await?;
     if answer.response.status() != StatusCode::OK {
         return read_whole(&gateway.metrics, &call, answer).await;
     }
--- /dev/null
+++ b/crates/gateway/src/edge/tries.rs
@@ -0,0 +1,53 @@
+//! What became of one request at the engines that it was sent to.
+
+use crate::engines::engine::Engine;
+
+/// The record of one request's sends.
+///
+/// It decides what the caller may be told: once an engine may have run the request, "not run" is no longer true,
+/// whatever the engines after it answer. Invariant: every engine that may have run it is also passed over for good.
+#[derive(Debug, Default)]
+pub struct Tries {
+    /// Engines that are passed over at present.
+    passed_over: Vec<String>,
+    /// Engines that may have run the request.
+    may_have_run: Vec<String>,
+}
+
+impl Tries {
+    /// Whether nothing has been sent yet.
+    pub fn is_empty(&self) -> bool {
+        self.passed_over.is_empty()
+    }
+
+    /// The engines that are passed over.
+    pub fn passed_over(&self) -> &[String] {
+        &self.passed_over
+    }
+
+    /// Whether an engine may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        !self.may_have_run.is_empty()
+    }
+
+    /// How many engines may have run the request.
+    pub fn runs(&self) -> u32 {
+        u32::try_from(self.may_have_run.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Notes an engine that has certainly not run the request.
+    pub fn note_not_run(&mut self, engine: &Engine) {
+        self.passed_over.push(engine.entry.id.clone());
+    }
+
+    /// Notes an engine that may have run the request.
+    pub fn note_may_have_run(&mut self, engine: &Engine) {
+        self.passed_over.push(engine.entry.id.clone());
+        self.may_have_run.push(engine.entry.id.clone());
+    }
+
+    /// Lets engines that have certainly not run the request be tried again.
+    pub fn begin_again(&mut self) {
+        self.passed_over.clone_from(&self.may_have_run);
+    }
+}
--- a/crates/gateway/src/edge/whole_call.rs
+++ b/crates/gateway/src/edge/whole_call.rs
@@ -4,6 +4,7 @@
 use crate::edge::call::{remove_connection_headers, Call};
 use crate::edge::handler::Gateway;
 use crate::edge::refusal::Refusal;
+use crate::edge::tries::Tries;
 use crate::engines::attempt::{finish, EngineAnswer};
 use crate::logging::part;
 use crate::metrics::Metrics;
@@ -16,17 +17,17 @@
 /// # Errors
 /// The refusal that the caller gets.
 pub async fn serve(gateway: &Gateway, call: &Call) -> Result<Response<AnswerBody>, Refusal> {
-    let mut sent = 0;
+    let mut tries = Tries::default();
     loop {
-        let answer = gateway.offer(call, &call.input, None, &mut sent).await?;
-        match read_whole(&gateway.metrics, call, answer).await {
+        let answer = gateway.offer(call, &call.input, None, &mut tries).await?;
+        let engine = answer.lease.engine().clone();
+        let refusal = match read_whole(&gateway.metrics, call, answer).await {
             Ok(response) => return Ok(response),
-            Err(refusal) => {
-                sent += 1;
-                if !call.route.is_repeatable() || sent >= call.route.attempts || refusal == Refusal::TimedOut {
-                    return Err(refusal);
-                }
-            }
+            Err(refusal) => refusal,
+        };
+        tries.note_may_have_run(&engine);
+        if refusal == Refusal::TimedOut || !call.may_be_repeated(&tries) {
+            return Err(refusal);
         }
     }
 }
--- a/crates/gateway/tests/gateway_tests.rs
+++ b/crates/gateway/tests/gateway_tests.rs
@@ -154,6 +154,23 @@
     assert_eq!(deployment.sends(), 2);
 }
 
+/// Found by reading: the answer's head had come, so the send was taken for answered, and the record of the runs was lost.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_has_run_and_broken_off_is_not_promised_not_to_have_run_when_no_other_has_room() {
+    let deployment = Deployment::start(62, "read", vec![Behaviour::BreakOff]).await;
+    let answer = deployment.gateway.send("GET /read/", &attempt("a"), "").await;
+    assert_eq!(answer.status, 502, "{}", answer.body);
+    assert_eq!(deployment.sends(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_has_run_and_broken_off_is_repeated_at_another_engine() {
+    let deployment = Deployment::start(63, "read", vec![Behaviour::BreakOff, Behaviour::BreakOff]).await;
+    let answer = deployment.gateway.send("GET /read/", &attempt("a"), "").await;
+    assert_eq!(answer.status, 502, "{}", answer.body);
+    assert_eq!(deployment.engines.iter().map(|engine| engine.received().len()).collect::<Vec<_>>(), [1, 1]);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_engines_own_failure_is_passed_on_with_its_signature() {
     let deployment = Deployment::start(52, "write", vec![Behaviour::Failure]).await;
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -43,6 +43,8 @@
     Replaced,
     /// Reads the request and closes.
     LoseAnswer,
+    /// Begins an answer and closes in the middle of its body.
+    BreakOff,
     /// Answers another request.
     WrongAttempt,
     /// 200 without a signature.
@@ -179,6 +181,12 @@
         Behaviour::Full => whole("503 Service Unavailable", "t-not-run: 1\r\n", ""),
         Behaviour::Replaced => whole("421 Misdirected Request", "", ""),
         Behaviour::LoseAnswer => return false,
+        Behaviour::BreakOff => {
+            let begun = format!("HTTP/1.1 200 OK\r\n{signed}content-length: 100\r\n\r\nhalf");
+            // The caller may be gone already.
+            let _ = stream.write_all(begun.as_bytes()).await;
+            return false;
+        }
         Behaviour::WrongAttempt => whole("200 OK", "t-attempt: other\r\nt-seal: s\r\n", "not yours"),
         Behaviour::Unsigned => whole("200 OK", &format!("t-attempt: {attempt}\r\n"), "unsigned"),
         Behaviour::Failure => whole("500 Internal Server Error", &signed, "broken"),
