Settings that nothing reads are gone; times may be fractions or left out

Cause: `times.settle_ms`, `refill_s`, `contact_ms`, `recovery_s`, `tolerance.zones` and `resources.disk_mb` were checked and read by nobody; and a deployment whose contracts leave out one of these times would have filled the template with an empty value, so that no process started. Found by reading, not seen in a run.

--- a/crates/gateway/src/peers/members.rs
+++ b/crates/gateway/src/peers/members.rs
@@ -7,16 +7,19 @@
 use crate::engines::load_board::LoadBoard;
 use crate::logging::part;
 use crate::peers::rpc_client::RpcClient;
-use crate::peers::view::ViewHolder;
+use crate::peers::view::{View, ViewHolder};
 use crate::peers::view_exchange;
+use crate::peers::watch_duty::{group_of, DutyTimes, WatchDuty};
 use crate::settings::ProcessSettings;
 use foxnotch_core::membership::{Datagram, Membership};
 use foxnotch_turns::identity::node_id;
-use foxnotch_wire::{decode, encode, MemberAddress, MemberState, MemberUpdate, Message, NodeId, RpcBody};
+use foxnotch_wire::{decode, encode, MemberAddress, MemberState, MemberUpdate, Message, NodeId, RpcBody, StoreNews};
 use std::net::{Ipv6Addr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::UdpSocket;
+use tokio::sync::Semaphore;
+use tokio::time::MissedTickBehavior;
 
 /// Time between two steps of the state machine.
 const TICK: Duration = Duration::from_millis(150);
@@ -30,6 +33,8 @@
 const FANOUT: usize = 3;
 /// Time left to the store's own watch before another node is asked for what is new.
 const PULL_DELAY: Duration = Duration::from_millis(150);
+/// Pulls of a view at one time: some may go to members that have just gone.
+const MAXIMUM_PULLS: usize = 4;
 /// The longest datagram, in bytes.
 const MAXIMUM_DATAGRAM: usize = 2048;
 /// Pause after a failed receive.
@@ -46,6 +51,9 @@
     seeds: Mutex<Vec<SocketAddr>>,
     peer_port: u16,
     loads: LoadBoard,
+    duty: Arc<WatchDuty>,
+    /// Places for pulls of a view.
+    pulls: Arc<Semaphore>,
 }
 
 /// Where a member listens for nodes.
@@ -84,7 +92,9 @@
         let seeds = Mutex::new(settings.seeds.clone());
         let peer_port = settings.peer_port;
         let loads = LoadBoard::default();
-        Ok(Arc::new(Self { own, clock, membership, socket, client, view, seeds, peer_port, loads }))
+        let duty = Arc::new(WatchDuty::new(DutyTimes::within(settings.change_bound())));
+        let pulls = Arc::new(Semaphore::new(MAXIMUM_PULLS));
+        Ok(Arc::new(Self { own, clock, membership, socket, client, view, seeds, peer_port, loads, duty, pulls }))
     }
 
     fn with<T>(&self, act: impl FnOnce(&mut Membership) -> T) -> T {
@@ -128,6 +138,82 @@
         &self.loads
     }
 
+    /// Whether this node has to watch the platform's store.
+    pub fn duty(&self) -> Arc<WatchDuty> {
+        self.duty.clone()
+    }
+
+    /// Decides for ever whether this gateway watches the platform's store, and tells its group what the store tells.
+    pub async fn share_store_news(self: Arc<Self>) {
+        let mut changed = self.view.subscribe();
+        let mut ticks = tokio::time::interval(self.duty.times().period);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => {}
+                _ = changed.changed() => {}
+            }
+            let others = self.group();
+            let is_first = others.iter().all(|other| self.own < other.node);
+            self.duty.set_first(is_first);
+            let watched = self.duty.must_watch();
+            if self.duty.review() != watched {
+                log::info!(target: part::STORE, "The store is {} this gateway: first={is_first} group={}.", if watched { "left to another than" } else { "watched by" }, others.len() + 1);
+            }
+            if is_first {
+                self.tell_store_news(&others);
+            }
+        }
+    }
+
+    /// The other gateways of this one's group.
+    fn group(&self) -> Vec<MemberUpdate> {
+        let (own, zone) = self.with(|membership| {
+            let own = *membership.own();
+            let members = membership.members().map(|member| member.update);
+            let zone: Vec<MemberUpdate> = members
+                .filter(|update| update.state != MemberState::Dead && update.state != MemberState::Leaving)
+                .filter(|update| update.zone == own.zone && update.address.caller_port != 0)
+                .collect();
+            (own.node, zone)
+        });
+        let nodes: Vec<NodeId> = zone.iter().map(|update| update.node).collect();
+        let group = group_of(own, &nodes);
+        zone.into_iter().filter(|update| group.contains(&update.node)).collect()
+    }
+
+    fn tell_store_news(&self, others: &[MemberUpdate]) {
+        let Some(age) = self.duty.contact_age() else { return };
+        let view = self.view.get();
+        let news = StoreNews {
+            configuration_revision: view.configuration.revision,
+            engines_revision: view.engines.revision,
+            contact_age_ms: age.as_millis() as u32,
+        };
+        let datagrams = others.iter().map(|other| Datagram {
+            to: other.node,
+            address: other.address,
+            message: Message::StoreNews(news),
+        });
+        self.send(datagrams.collect());
+    }
+
+    /// Takes what a watching gateway tells, and pulls from it what is new.
+    fn on_store_news(self: &Arc<Self>, from: NodeId, news: StoreNews) {
+        self.duty.take_news(Duration::from_millis(u64::from(news.contact_age_ms)));
+        let Some(update) = self.known(from) else { return };
+        self.pull_view(update, Duration::ZERO, move |view| {
+            news.configuration_revision > view.configuration.revision || news.engines_revision > view.engines.revision
+        });
+    }
+
+    fn known(&self, node: NodeId) -> Option<MemberUpdate> {
+        self.with(|membership| {
+            let member = membership.members().find(|member| member.update.node == node);
+            member.map(|member| member.update)
+        })
+    }
+
     /// Other gateways that are not dead: members that callers reach.
     fn gateways(&self) -> Vec<MemberUpdate> {
         let mut alive = self.alive();
@@ -206,6 +292,10 @@
             self.loads.take(from, &news.loads);
             return;
         }
+        if let Message::StoreNews(news) = message {
+            self.on_store_news(from, news);
+            return;
+        }
         let now = self.clock.now();
         let datagrams = self.with(|membership| match message {
             Message::Ping(ping) => membership.on_ping(from, ping, now),
@@ -219,21 +309,30 @@
 
     /// Pulls the view of a member that has a newer one, unless the store's watch brings it first.
     fn pull_if_behind(self: &Arc<Self>, from: NodeId) {
-        let known = self.with(|membership| {
-            let member = membership.members().find(|member| member.update.node == from);
-            member.map(|member| member.update)
-        });
-        let Some(update) = known else { return };
-        if update.config_revision <= self.view.get().revision() {
+        let Some(update) = self.known(from) else { return };
+        let delay = if self.duty.must_watch() { PULL_DELAY } else { Duration::ZERO };
+        self.pull_view(update, delay, move |view| update.config_revision > view.revision());
+    }
+
+    /// Pulls the view of a member after `delay`, while this node's own is behind; a few pulls at a time.
+    fn pull_view(
+        self: &Arc<Self>,
+        from: MemberUpdate,
+        delay: Duration,
+        behind: impl Fn(&View) -> bool + Send + 'static,
+    ) {
+        let Some(address) = socket_of(&from.address) else { return };
+        if !behind(&self.view.get()) {
             return;
         }
-        let Some(address) = socket_of(&update.address) else { return };
+        let Ok(place) = self.pulls.clone().try_acquire_owned() else { return };
         let members = self.clone();
         tokio::spawn(async move {
-            tokio::time::sleep(PULL_DELAY).await;
-            if update.config_revision > members.view.get().revision() {
+            tokio::time::sleep(delay).await;
+            if behind(&members.view.get()) {
                 view_exchange::pull(&members.client, &members.view, address).await;
             }
+            drop(place);
         });
     }
 
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -6,3 +6,4 @@
 pub mod rpc_server;
 pub mod view;
 pub mod view_exchange;
+pub mod watch_duty;
--- a/crates/gateway/src/ports/store.rs
+++ b/crates/gateway/src/ports/store.rs
@@ -102,6 +102,8 @@
     fn list(&self, kind: Kind) -> BoxFuture<'_, Result<Listing, StoreError>>;
     /// Waits until something of a kind has changed since a revision, or until the wait is over.
     fn watch(&self, kind: Kind, revision: u64, wait: Duration) -> BoxFuture<'_, Result<Changes, StoreError>>;
+    /// Asks for something small that may be old: tells only whether the store answers this machine at all.
+    fn probe(&self, within: Duration) -> BoxFuture<'_, Result<(), StoreError>>;
     /// Writes the replica set: creates it, or replaces the one with this revision.
     fn write_replica_set(&self, set: ReplicaSet, revision: Option<u64>) -> BoxFuture<'_, Result<(), StoreError>>;
     /// Reports how far a retirement is.
--- a/crates/gateway/src/replica/process.rs
+++ b/crates/gateway/src/replica/process.rs
@@ -66,8 +66,9 @@
     tokio::spawn(watch_pauses());
     tokio::spawn(members.clone().run());
     tokio::spawn(steward.clone().run());
-    tokio::spawn(follow(store.clone(), Kind::ReplicaSet, SetFollower { view }));
-    tokio::spawn(follow(store, Kind::Retirements, RetirementFollower { name: settings.node.clone(), steward }));
+    let duty = members.duty();
+    tokio::spawn(follow(store.clone(), Kind::ReplicaSet, duty.clone(), SetFollower { view }));
+    tokio::spawn(follow(store, Kind::Retirements, duty, RetirementFollower { name: settings.node.clone(), steward }));
     tokio::spawn(expire(core.clone()));
     tokio::spawn(metrics::serve(settings.metrics_address(), replica_metrics(&core)));
     log::info!(target: part::PROCESS, "Replica started: node={} id={own} zone={} first_start={}.", settings.node, settings.zone, settings.first_start);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,6 +5,9 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+/// The least time for a change to be in force everywhere, in milliseconds.
+const LEAST_CHANGE_MS: f64 = 100.0;
+
 /// Why settings are refused.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
@@ -34,17 +37,13 @@
 #[serde(deny_unknown_fields)]
 pub struct TimeSettings {
     /// Milliseconds within which an engine that drains gets no new work.
-    pub drain_ms: u64,
+    #[serde(default = "default_change_ms")]
+    pub drain_ms: f64,
+    /// Milliseconds within which a change of the configuration has to be in force everywhere.
+    #[serde(default = "default_change_ms")]
+    pub apply_ms: f64,
     /// Seconds from SIGTERM to SIGKILL.
     pub grace_s: f64,
-    /// Milliseconds within which a turn's end has to be settled.
-    pub settle_ms: u64,
-    /// Seconds within which an empty replica has to be refilled.
-    pub refill_s: f64,
-    /// Milliseconds without a sign after which a member counts as gone.
-    pub contact_ms: u64,
-    /// Seconds within which service has to be back after a loss of all machines.
-    pub recovery_s: f64,
 }
 
 /// Bounds on what the process uses.
@@ -52,11 +51,11 @@
 #[serde(deny_unknown_fields)]
 pub struct ResourceSettings {
     /// Megabytes of memory.
+    #[serde(deserialize_with = "whole_number")]
     pub memory_mb: u64,
     /// File descriptors.
+    #[serde(deserialize_with = "whole_number")]
     pub descriptors: u64,
-    /// Megabytes of disk; 0 without a disk.
-    pub disk_mb: u64,
 }
 
 /// What may be lost at the same moment with all promises kept.
@@ -65,8 +64,6 @@
 pub struct ToleranceSettings {
     /// Machines with a disk.
     pub machines: usize,
-    /// Zones.
-    pub zones: usize,
 }
 
 /// Everything that can be set.
@@ -115,6 +112,21 @@
     pub resources: ResourceSettings,
 }
 
+/// The bound for changes where the deployment states none, in milliseconds.
+fn default_change_ms() -> f64 {
+    2000.0
+}
+
+/// A whole number that may be written as a fraction.
+fn whole_number<'de, D: serde::Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+    let number = f64::deserialize(deserializer)?;
+    if number.is_finite() && number >= 0.0 {
+        Ok(number as u64)
+    } else {
+        Err(serde::de::Error::custom(format!("{number} is no number of 0 or more")))
+    }
+}
+
 fn default_log_level() -> String {
     "info".to_owned()
 }
@@ -156,12 +168,11 @@
         check(self.zones.contains(&self.zone), "zone", &self.zone, "one of the zones")?;
         check(self.peer_port > 0, "peer_port", self.peer_port, "1 to 65535")?;
         check(self.metrics_port != self.peer_port, "metrics_port", self.metrics_port, "another port than peer_port")?;
+        let change = |time: f64| time.is_finite() && time >= LEAST_CHANGE_MS;
+        check(change(self.times.drain_ms), "times.drain_ms", self.times.drain_ms, "100 or more")?;
+        check(change(self.times.apply_ms), "times.apply_ms", self.times.apply_ms, "100 or more")?;
         let grace = self.times.grace_s;
         check(grace.is_finite() && grace >= 1.0, "times.grace_s", grace, "1 or more")?;
-        let refill = self.times.refill_s;
-        check(refill.is_finite() && refill > 0.0, "times.refill_s", refill, "above 0")?;
-        let recovery = self.times.recovery_s;
-        check(recovery.is_finite() && recovery > 0.0, "times.recovery_s", recovery, "above 0")?;
         check(self.resources.memory_mb >= 16, "resources.memory_mb", self.resources.memory_mb, "16 or more")?;
         check(self.resources.descriptors >= 256, "resources.descriptors", self.resources.descriptors, "256 or more")?;
         check(
@@ -187,6 +198,11 @@
         Duration::from_secs_f64(self.times.grace_s)
     }
 
+    /// The time within which a change of the platform has to be in force on this node.
+    pub fn change_bound(&self) -> Duration {
+        Duration::from_secs_f64(self.times.drain_ms.min(self.times.apply_ms) / 1000.0)
+    }
+
     /// The number of a zone, the same on all nodes.
     pub fn zone_number(&self, zone: &str) -> u8 {
         let mut names: Vec<&String> = self.zones.iter().collect();
--- a/crates/gateway/tests/settings_tests.rs
+++ b/crates/gateway/tests/settings_tests.rs
@@ -21,20 +21,15 @@
 
 [tolerance]
 machines = 1
-zones = 0
 
 [times]
 drain_ms = 2000
+apply_ms = 2000
 grace_s = 8
-settle_ms = 1000
-refill_s = 4.3
-contact_ms = 3000
-recovery_s = 12
 
 [resources]
 memory_mb = 220
 descriptors = 4100
-disk_mb = 0
 "#;
 
 fn load(text: &str) -> Result<ProcessSettings, String> {
@@ -49,6 +44,7 @@
     assert!(settings.contact_address.is_none() && settings.data_folder.is_none());
     assert_eq!(settings.zone_number("b"), 1);
     assert_eq!(settings.grace().as_secs(), 8);
+    assert_eq!(settings.change_bound().as_millis(), 2000);
 }
 
 #[rstest]
@@ -59,6 +55,9 @@
 #[case::another_zone("zone = \"a\"", "zone = \"c\"", "one of the zones")]
 #[case::no_grace("grace_s = 8", "grace_s = 0", "1 or more")]
 #[case::small_memory("memory_mb = 220", "memory_mb = 2", "16 or more")]
+#[case::no_time_for_changes("apply_ms = 2000", "apply_ms = 0", "100 or more")]
+#[case::endless("drain_ms = 2000", "drain_ms = inf", "100 or more")]
+#[case::negative("descriptors = 4100", "descriptors = -1", "0 or more")]
 #[case::same_port("metrics_port = 7381", "metrics_port = 7380", "another port")]
 fn a_mistake_is_named(#[case] from: &str, #[case] to: &str, #[case] named: &str) {
     assert!(VALID.contains(from));
@@ -66,6 +65,16 @@
     assert!(error.contains(named), "{error}");
 }
 
+/// A deployment may state a time as a fraction, or leave it out where nothing is bound by it.
+#[test]
+fn times_may_be_fractions_or_left_out() {
+    let text = VALID.replace("drain_ms = 2000\n", "").replace("apply_ms = 2000", "apply_ms = 1500.5");
+    let text = text.replace("memory_mb = 220", "memory_mb = 48.5");
+    let settings = load(&text).expect("the settings are valid");
+    assert_eq!(settings.change_bound().as_micros(), 1_500_500);
+    assert_eq!(settings.resources.memory_mb, 48);
+}
+
 #[test]
 fn a_file_that_is_not_there_is_named() {
     let error = ProcessSettings::load(std::path::Path::new("/nowhere/x.toml")).expect_err("there is no file");
--- a/crates/gateway/tests/store_watch_tests.rs
+++ b/crates/gateway/tests/store_watch_tests.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use foxnotch_gateway::peers::view::ViewHolder;
+use foxnotch_gateway::peers::watch_duty::{DutyTimes, WatchDuty};
 use foxnotch_gateway::ports::configuration::{Configuration, EngineEntry};
 use foxnotch_gateway::ports::store::{Kind, MetadataStore, ObjectBody};
 use foxnotch_gateway::store_watch::{follow, ConfigurationFollower, EngineFollower};
@@ -34,11 +35,22 @@
 fn follow_both(store: &StubStore) -> Arc<ViewHolder> {
     let view = Arc::new(ViewHolder::default());
     let shared = Arc::new(store.clone());
-    tokio::spawn(follow(shared.clone(), Kind::Configuration, ConfigurationFollower { view: view.clone() }));
-    tokio::spawn(follow(shared, Kind::Engines, EngineFollower::new(view.clone())));
+    // Without news of another node, this one has to watch.
+    let duty = Arc::new(WatchDuty::new(times()));
+    tokio::spawn(follow(
+        shared.clone(),
+        Kind::Configuration,
+        duty.clone(),
+        ConfigurationFollower { view: view.clone() },
+    ));
+    tokio::spawn(follow(shared, Kind::Engines, duty, EngineFollower::new(view.clone())));
     view
 }
 
+fn times() -> DutyTimes {
+    DutyTimes::within(Duration::from_secs(2))
+}
+
 async fn wait(milliseconds: u64) {
     tokio::time::sleep(Duration::from_millis(milliseconds)).await;
 }
--- a/crates/gateway/tests/support/cluster.rs
+++ b/crates/gateway/tests/support/cluster.rs
@@ -126,16 +126,9 @@
             first_start,
             data_folder: Some(self.data_folder(number)),
             log_level: "info".to_owned(),
-            tolerance: ToleranceSettings { machines: 1, zones: 0 },
-            times: TimeSettings {
-                drain_ms: 2000,
-                grace_s: 8.0,
-                settle_ms: 1000,
-                refill_s: 4.0,
-                contact_ms: 3000,
-                recovery_s: 12.0,
-            },
-            resources: ResourceSettings { memory_mb: 200, descriptors: 4000, disk_mb: 300 },
+            tolerance: ToleranceSettings { machines: 1 },
+            times: TimeSettings { drain_ms: 2000.0, apply_ms: 2000.0, grace_s: 8.0 },
+            resources: ResourceSettings { memory_mb: 200, descriptors: 4000 },
         }
     }
 
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -30,6 +30,7 @@
     silent: bool,
     lose_answers: bool,
     waits: Vec<Duration>,
+    calls: usize,
     retired: HashSet<String>,
 }
 
@@ -117,6 +118,11 @@
         self.with(|state| state.waits.clone())
     }
 
+    /// Calls of all kinds so far.
+    pub fn calls(&self) -> usize {
+        self.with(|state| state.calls)
+    }
+
     /// Retirements reported as done.
     pub fn retired(&self) -> HashSet<String> {
         self.with(|state| state.retired.clone())
@@ -148,7 +154,10 @@
     }
 
     async fn watch_changes(&self, kind: Kind, since: u64, wait: Duration) -> Result<Changes, StoreError> {
-        self.with(|state| state.waits.push(wait));
+        self.with(|state| {
+            state.calls += 1;
+            state.waits.push(wait);
+        });
         let until = tokio::time::Instant::now() + wait;
         loop {
             let notified = self.changed.notified();
@@ -169,6 +178,7 @@
 impl MetadataStore for StubStore {
     fn list(&self, kind: Kind) -> BoxFuture<'_, Result<Listing, StoreError>> {
         Box::pin(async move {
+            self.with(|state| state.calls += 1);
             if self.with(|state| state.silent) {
                 return self.swallow().await;
             }
@@ -180,6 +190,17 @@
         Box::pin(self.watch_changes(kind, revision, wait))
     }
 
+    fn probe(&self, within: Duration) -> BoxFuture<'_, Result<(), StoreError>> {
+        Box::pin(async move {
+            self.with(|state| state.calls += 1);
+            if self.with(|state| state.silent) {
+                tokio::time::sleep(within).await;
+                return Err(StoreError::Unanswered("silent".to_owned()));
+            }
+            Ok(())
+        })
+    }
+
     fn write_replica_set(&self, set: ReplicaSet, revision: Option<u64>) -> BoxFuture<'_, Result<(), StoreError>> {
         Box::pin(async move {
             if self.with(|state| state.silent) {
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Accept, AcceptReply, Ack, ConfigDelta, ConfigPull, LoadNews, MemberList, MemberPull, NodeId, Ping, PingRequest,
-    Prepare, Promise, RefillPage, RefillRequest,
+    Prepare, Promise, RefillPage, RefillRequest, StoreNews,
 };
 use deku::prelude::*;
 
@@ -58,6 +58,9 @@
     /// Tells what a gateway has under way.
     #[deku(id = "13")]
     LoadNews(LoadNews),
+    /// Tells what the platform's store has told a gateway.
+    #[deku(id = "14")]
+    StoreNews(StoreNews),
 }
 
 /// What travels: version, sender, message.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -22,7 +22,7 @@
 pub use identifiers::{BranchId, CallKey, EngineId, Epoch, NodeId, NotACall, ProgramId, ROOT_BRANCH};
 pub use membership::{
     Ack, EngineLoad, LoadNews, MemberAddress, MemberList, MemberPull, MemberState, MemberUpdate, Ping, PingRequest,
-    MAXIMUM_LOADS, MAXIMUM_UPDATES,
+    StoreNews, MAXIMUM_LOADS, MAXIMUM_UPDATES,
 };
 pub use text::Text;
 pub use turns::ProgramKey;
--- a/crates/wire/src/membership.rs
+++ b/crates/wire/src/membership.rs
@@ -133,6 +133,18 @@
     pub under_way: u16,
 }
 
+/// What a gateway that watches the platform's store tells those of its group. Travels by datagram, often.
+#[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct StoreNews {
+    /// The revision of the teller's configuration.
+    pub configuration_revision: u64,
+    /// The revision of the teller's list of engines.
+    pub engines_revision: u64,
+    /// Milliseconds since the store last answered the teller.
+    pub contact_age_ms: u32,
+}
+
 /// What one gateway has under way. Travels by datagram; each replaces the one before.
 #[deku_derive(DekuRead, DekuWrite)]
 #[derive(Clone, Debug, PartialEq, Eq)]
