A turn goes to the engine that ran the one before it, which its record names

Cause: a program's home was an engine by hash of its name among all zones. Change: the record of a turn holds its engine; the next turn prefers that one wherever it enters. When that engine has left, the hash decides as before. A program's first turn has no home: own zone and load decide. Tests: a_turn_goes_to_the_engine_that_ran_the_one_before, a_turn_that_enters_elsewhere_goes_to_the_engine_of_the_one_before, a_programs_first_turn_stays_in_its_zone_until_that_is_loaded; the hash's tests stand, now for an engine that has left.

--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -34,6 +34,8 @@
     pub route: Route,
     /// The service that it goes to.
     pub service: String,
+    /// The engine that ran the turn which it continues, as far as that is known.
+    pub predecessor: Option<u32>,
     /// When its head had been read.
     pub arrived_at: Instant,
     /// When its time is over.
@@ -56,7 +58,7 @@
     ) -> Self {
         let allowed = metadata.deadline_ms.map_or(route.timeout_ms, |deadline| deadline.min(route.timeout_ms));
         let expires_at = arrived_at + Duration::from_millis(allowed);
-        Self { metadata, route, service, arrived_at, expires_at, head, input }
+        Self { metadata, route, service, predecessor: None, arrived_at, expires_at, head, input }
     }
 
     /// Time that an engine may take from now on; none when it is over.
--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -213,6 +213,7 @@
             loads: self.members.loads(),
             gateways: self.members.gateway_count(),
             program: call.metadata.program.as_deref().unwrap_or_default(),
+            predecessor: call.predecessor,
         };
         let engine = choose(&candidates, &placement, tries.passed_over())?;
         self.log_send(call, &engine, candidates.len());
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -73,7 +73,7 @@
 ///
 /// # Errors
 /// The refusal that the caller gets.
-pub async fn serve(gateway: Arc<Gateway>, call: Call) -> Result<Response<AnswerBody>, Refusal> {
+pub async fn serve(gateway: Arc<Gateway>, mut call: Call) -> Result<Response<AnswerBody>, Refusal> {
     let prepare_until = (call.arrived_at + PREPARE_TIME).min(call.expires_at);
     let mut account = open_account(&gateway, &call);
     let previous = call.metadata.previous.as_deref().filter(|_| call.route.retain).map(turn_id);
@@ -83,6 +83,7 @@
     );
     let chain = chain?;
     reserved?;
+    call.predecessor = chain.last().map(|(_, record)| record.engine);
     let body = if chain.is_empty() { call.input.clone() } else { Bytes::from(compose_body(&chain, &call.input)) };
     let mut tries = Tries::default();
     let answer = gateway.offer(&call, &body, call.metadata.last_event.as_deref(), &mut tries).await?;
@@ -267,6 +268,7 @@
         entry.used = self.account.used();
         entry.record = vec![TurnRecord {
             previous: self.previous,
+            engine: self.lease.engine().number,
             input: Content::from(self.call.input.to_vec()),
             output: Content::from(std::mem::take(&mut self.output)),
         }];
--- a/crates/gateway/src/engines/selector.rs
+++ b/crates/gateway/src/engines/selector.rs
@@ -11,6 +11,8 @@
 const PREFILL_TOKENS_PER_MS: f64 = 64.0;
 /// Milliseconds that each request under way at a model engine costs a new one, roughly.
 const MODEL_LOAD_MS: f64 = 0.2;
+/// The same for the first turn of a program: its later turns will mostly go where this one does.
+const FIRST_LOAD_MS: f64 = 1.0;
 /// Milliseconds that each request beyond a model engine's slots makes a new one wait, roughly.
 const MODEL_WAIT_MS: f64 = 3.0;
 /// Milliseconds that a full plain engine costs a new request, roughly.
@@ -24,9 +26,6 @@
 /// The cost of an engine that is full or failed lately: it is taken only when there is no other.
 const UNINVITING_MS: f64 = 1_000.0;
 
-/// How sure it is that a program's home holds what the program has read so far, between 0 and 1.
-const HOME_TRUST: f64 = 1.0;
-
 /// What is to be placed.
 #[derive(Clone, Copy)]
 pub struct Placement<'a> {
@@ -42,15 +41,21 @@
     pub gateways: usize,
     /// The program that the request belongs to; empty when there is none.
     pub program: &'a str,
+    /// The engine that ran the turn which the request continues.
+    pub predecessor: Option<u32>,
 }
 
-/// The engine at which a program is at home: the same for all gateways that know the same engines, so that turns that
-/// enter elsewhere find what was read before. Rendezvous hashing: it changes only when that engine leaves.
-fn home_of(candidates: &[Arc<Engine>], program: &str) -> Option<u32> {
-    if program.is_empty() {
-        return None;
+/// The engine that probably holds what a request continues: the one that ran the turn before, wherever that entered.
+///
+/// When that one has left, all gateways that know the same engines agree on another for the program, by rendezvous hashing,
+/// so that turns that run side by side meet again. A program's first turn has no home: load and zone decide.
+fn home_of(candidates: &[Arc<Engine>], placement: &Placement<'_>) -> Option<u32> {
+    let predecessor = placement.predecessor?;
+    if candidates.iter().any(|engine| engine.number == predecessor) {
+        return Some(predecessor);
     }
-    let score = |engine: &&Arc<Engine>| xxh3_64_with_seed(program.as_bytes(), u64::from(engine.number));
+    let program = placement.program.as_bytes();
+    let score = |engine: &&Arc<Engine>| xxh3_64_with_seed(program, u64::from(engine.number));
     candidates.iter().max_by_key(score).map(|engine| engine.number)
 }
 
@@ -61,7 +66,7 @@
         return known;
     }
     let prompt: u32 = placement.prompt.iter().map(|part| part.tokens).sum();
-    known.max(f64::from(prompt) * HOME_TRUST)
+    known.max(f64::from(prompt))
 }
 
 /// The cost of an engine in milliseconds, lower is better.
@@ -73,7 +78,7 @@
         let prompt_tokens: u32 = placement.prompt.iter().map(|part| part.tokens).sum();
         let held = held_tokens(engine, placement, home);
         cost += (f64::from(prompt_tokens) - held).max(0.0) / PREFILL_TOKENS_PER_MS;
-        cost += MODEL_LOAD_MS * under_way;
+        cost += if home.is_some() { MODEL_LOAD_MS } else { FIRST_LOAD_MS } * under_way;
         cost += MODEL_WAIT_MS * (under_way + 1.0 - slots).max(0.0);
     } else {
         cost += PLAIN_LOAD_MS * under_way / slots;
@@ -95,7 +100,7 @@
 
 /// The engine of least cost that was not tried before.
 pub fn choose(candidates: &[Arc<Engine>], placement: &Placement<'_>, tried: &[String]) -> Option<Arc<Engine>> {
-    let home = if placement.is_model { home_of(candidates, placement.program) } else { None };
+    let home = if placement.is_model { home_of(candidates, placement) } else { None };
     let untried = candidates.iter().filter(|engine| !tried.contains(&engine.entry.id));
     let priced = untried.map(|engine| (cost(engine, placement, home), engine));
     priced.min_by(|left, right| left.0.total_cmp(&right.0)).map(|(_, engine)| engine.clone())
--- a/crates/gateway/tests/edge_tests.rs
+++ b/crates/gateway/tests/edge_tests.rs
@@ -88,7 +88,12 @@
 }
 
 fn record(length: usize) -> Arc<TurnRecord> {
-    Arc::new(TurnRecord { previous: TurnId(0), input: Content::from(vec![0; length]), output: Content::default() })
+    Arc::new(TurnRecord {
+        previous: TurnId(0),
+        engine: 0,
+        input: Content::from(vec![0; length]),
+        output: Content::default(),
+    })
 }
 
 #[test]
@@ -140,8 +145,37 @@
     Arc::new(Engine::new(entry, 100_000).expect("the address is one"))
 }
 
+/// The number of an engine that is not listed any more.
+const GONE: u32 = 1;
+
 fn placement<'a>(prompt: &'a [PromptPart], loads: &'a LoadBoard, program: &'a str) -> Placement<'a> {
-    Placement { prompt, is_model: true, zone: "a", loads, gateways: 3, program }
+    Placement { prompt, is_model: true, zone: "a", loads, gateways: 3, program, predecessor: Some(GONE) }
+}
+
+/// The turn before may have entered anywhere: its record names the engine that ran it.
+#[test]
+fn a_turn_goes_to_the_engine_that_ran_the_one_before() {
+    let engines: Vec<Arc<Engine>> = (0..8).map(|index| engine(&format!("e{index}"), "b", 12)).collect();
+    let loads = LoadBoard::default();
+    let prompt = [part(1, 2000)];
+    for before in &engines {
+        let placement = Placement { predecessor: Some(before.number), ..placement(&prompt, &loads, "p1") };
+        let chosen = choose(&engines, &placement, &[]).expect("an engine is there");
+        assert_eq!(chosen.entry.id, before.entry.id);
+    }
+}
+
+#[test]
+fn a_programs_first_turn_stays_in_its_zone_until_that_is_loaded() {
+    let engines = vec![engine("e0", "b", 12), engine("e1", "a", 12), engine("e2", "c", 12)];
+    let loads = LoadBoard::default();
+    let prompt = [part(1, 2000)];
+    let placement = Placement { predecessor: None, ..placement(&prompt, &loads, "p1") };
+    for _ in 0..20 {
+        assert_eq!(choose(&engines, &placement, &[]).expect("an engine is there").entry.id, "e1");
+    }
+    let _leases: Vec<_> = (0..6).map(|_| engines[1].begin()).collect();
+    assert_ne!(choose(&engines, &placement, &[]).expect("an engine is there").entry.id, "e1");
 }
 
 #[test]
--- a/crates/gateway/tests/gateway_tests.rs
+++ b/crates/gateway/tests/gateway_tests.rs
@@ -228,6 +228,30 @@
     assert_eq!(bodies, vec!["in1.", "in1.one\ntwo\nin2.", "in1.one\ntwo\nin2.one\ntwo\nin3."]);
 }
 
+/// The record of a turn names its engine: a gateway that has seen nothing of the program goes there too.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_turn_that_enters_elsewhere_goes_to_the_engine_of_the_one_before() {
+    let stream = || Behaviour::Stream(vec!["data: x\n\n"]);
+    let deployment = Deployment::start(64, "turn", (0..6).map(|_| stream()).collect()).await;
+    let other = RunningGateway::start_with(&deployment.cluster, 51, deployment.cluster.store.clone()).await;
+    other.wait_ready().await;
+    // A prompt that is dear to read anew.
+    let long = "t-parts: a:9000\r\n";
+    for program in 0..8 {
+        let first = format!("{}t-program: p{program}\r\n{long}", attempt(&format!("f{program}")));
+        assert_eq!(deployment.gateway.send("POST /turn/", &first, "in").await.status, 200);
+        let second = attempt(&format!("s{program}"));
+        let second = format!("{second}t-program: p{program}\r\nt-previous: f{program}\r\n{long}");
+        assert_eq!(other.send("POST /turn/", &second, "in").await.status, 200);
+        let ran = |engine: &EngineStandIn, turn: &str| {
+            engine.received().iter().any(|request| request.header("t-attempt") == Some(turn))
+        };
+        let first = deployment.engines.iter().position(|engine| ran(engine, &format!("f{program}")));
+        let second = deployment.engines.iter().position(|engine| ran(engine, &format!("s{program}")));
+        assert_eq!(first, second);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stream_that_breaks_off_never_looks_whole_and_is_not_kept() {
     let broken = Behaviour::BrokenStream(vec!["id: 1\ndata: one\n\n", "id: 2\nda"]);
--- a/crates/gateway/tests/support/cluster.rs
+++ b/crates/gateway/tests/support/cluster.rs
@@ -62,6 +62,7 @@
 pub fn turn(number: u128, previous: u128, input: &str) -> TurnEntry {
     let record = TurnRecord {
         previous: TurnId(previous),
+        engine: 7,
         input: Content::from(input.as_bytes().to_vec()),
         output: Content::from(b"out\n".to_vec()),
     };
--- a/crates/gateway/tests/support/gateway.rs
+++ b/crates/gateway/tests/support/gateway.rs
@@ -6,7 +6,7 @@
 use foxnotch_gateway::ports::configuration::{
     Backend, Configuration, EngineEntry, ModelService, RequestLimits, Route, RouteKind, Service,
 };
-use foxnotch_gateway::ports::dialect::{AnswerMetadata, CallMetadata, Dialect, ForwardedCall};
+use foxnotch_gateway::ports::dialect::{AnswerMetadata, CallMetadata, Dialect, ForwardedCall, PromptPart};
 use foxnotch_gateway::ports::store::{Kind, ObjectBody};
 use foxnotch_gateway::settings::ProcessSettings;
 use http::{HeaderMap, HeaderName, HeaderValue};
@@ -29,12 +29,19 @@
     text(headers, name)?.parse().ok()
 }
 
+/// Reads `ID:TOKENS`, the identifier in hexadecimal.
+fn part(text: &str) -> Option<PromptPart> {
+    let (id, tokens) = text.split_once(':')?;
+    Some(PromptPart { id: u64::from_str_radix(id, 16).ok()?, tokens: tokens.parse().ok()? })
+}
+
 impl Dialect for TestDialect {
     fn read_call(&self, headers: &HeaderMap) -> CallMetadata {
         CallMetadata {
             attempt: text(headers, "t-attempt").unwrap_or_default(),
             deadline_ms: number(headers, "t-deadline"),
             most_tokens: number(headers, "t-most").unwrap_or(0) as u32,
+            parts: text(headers, "t-parts").as_deref().and_then(part).into_iter().collect(),
             program: text(headers, "t-program"),
             token_budget: number(headers, "t-budget"),
             previous: text(headers, "t-previous"),
--- a/crates/turns/tests/ledger_tests.rs
+++ b/crates/turns/tests/ledger_tests.rs
@@ -25,6 +25,7 @@
 fn recorded(turn: u128, program: u64, previous: u128, input: &str, output: &str) -> TurnEntry {
     let record = TurnRecord {
         previous: TurnId(previous),
+        engine: 0,
         input: Content::from(input.as_bytes().to_vec()),
         output: Content::from(output.as_bytes().to_vec()),
     };
@@ -72,7 +73,12 @@
 #[test]
 fn a_chain_is_put_together_from_several_replicas() {
     let record = |previous| {
-        Arc::new(TurnRecord { previous: TurnId(previous), input: Content::default(), output: Content::default() })
+        Arc::new(TurnRecord {
+            previous: TurnId(previous),
+            engine: 0,
+            input: Content::default(),
+            output: Content::default(),
+        })
     };
     let mut assembly = ChainAssembly::default();
     let link = ChainLink { turn: TurnId(2), record: (*record(1)).clone() };
--- a/crates/turns/tests/segment_tests.rs
+++ b/crates/turns/tests/segment_tests.rs
@@ -7,6 +7,7 @@
 fn record(turn: u128, length: usize) -> Record {
     let content = TurnRecord {
         previous: TurnId(turn - 1),
+        engine: 9,
         input: Content::from(vec![turn as u8; length]),
         output: Content::from(vec![1; length / 2]),
     };
--- a/crates/wire/src/turns.rs
+++ b/crates/wire/src/turns.rs
@@ -59,6 +59,8 @@
 pub struct TurnRecord {
     /// The turn that it continues; 0 at the start of a chain.
     pub previous: TurnId,
+    /// The engine that ran it, as a hash of its identifier: it probably still holds what it has read.
+    pub engine: u32,
     /// The caller's input.
     pub input: Content,
     /// The data of each event followed by a line feed.
