--- a/crates/gateway/src/peers/members.rs
+++ b/crates/gateway/src/peers/members.rs
@@ -10,17 +10,16 @@
 use crate::peers::rpc_client::RpcClient;
 use crate::peers::view::{View, ViewHolder};
 use crate::peers::view_exchange;
-use crate::peers::watch_duty::{group_of, DutyTimes, WatchDuty};
+use crate::peers::watch_duty::{DutyTimes, WatchDuty};
 use crate::settings::ProcessSettings;
 use foxnotch_core::membership::{Datagram, Membership};
 use foxnotch_turns::identity::node_id;
-use foxnotch_wire::{decode, encode, MemberAddress, MemberState, MemberUpdate, Message, NodeId, RpcBody, StoreNews};
+use foxnotch_wire::{decode, encode, MemberAddress, MemberState, MemberUpdate, Message, NodeId, RpcBody};
 use std::net::{Ipv6Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::UdpSocket;
 use tokio::sync::Semaphore;
-use tokio::time::MissedTickBehavior;
 
 /// Time between two steps of the state machine.
 const TICK: Duration = Duration::from_millis(150);
@@ -43,16 +42,16 @@
 
 /// The members as this node sees them, kept up to date by [`Members::run`].
 pub struct Members {
-    own: NodeId,
+    pub(super) own: NodeId,
     clock: SteadyClock,
     membership: Mutex<Membership>,
     socket: UdpSocket,
     client: Arc<RpcClient>,
-    view: Arc<ViewHolder>,
+    pub(super) view: Arc<ViewHolder>,
     seeds: Mutex<Vec<SocketAddr>>,
     peer_port: u16,
     loads: LoadBoard,
-    duty: Arc<WatchDuty>,
+    pub(super) duty: Arc<WatchDuty>,
     /// Places for pulls of a view.
     pulls: Arc<Semaphore>,
 }
@@ -98,7 +97,7 @@
         Ok(Arc::new(Self { own, clock, membership, socket, client, view, seeds, peer_port, loads, duty, pulls }))
     }
 
-    fn with<T>(&self, act: impl FnOnce(&mut Membership) -> T) -> T {
+    pub(super) fn with<T>(&self, act: impl FnOnce(&mut Membership) -> T) -> T {
         act(&mut lock(&self.membership))
     }
 
@@ -144,71 +143,7 @@
         self.duty.clone()
     }
 
-    /// Decides for ever whether this gateway watches the platform's store, and tells its group what the store tells.
-    pub async fn share_store_news(self: Arc<Self>) {
-        let mut changed = self.view.subscribe();
-        let mut ticks = tokio::time::interval(self.duty.times().period);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        loop {
-            tokio::select! {
-                _ = ticks.tick() => {}
-                _ = changed.changed() => {}
-            }
-            let others = self.group();
-            let is_first = others.iter().all(|other| self.own < other.node);
-            self.duty.set_first(is_first);
-            let watched = self.duty.must_watch();
-            if self.duty.review() != watched {
-                log::info!(target: part::STORE, "The store is {} this gateway: first={is_first} group={}.", if watched { "left to another than" } else { "watched by" }, others.len() + 1);
-            }
-            if is_first {
-                self.tell_store_news(&others);
-            }
-        }
-    }
-
-    /// The other gateways of this one's group.
-    fn group(&self) -> Vec<MemberUpdate> {
-        let (own, zone) = self.with(|membership| {
-            let own = *membership.own();
-            let members = membership.members().map(|member| member.update);
-            let zone: Vec<MemberUpdate> = members
-                .filter(|update| update.state != MemberState::Dead && update.state != MemberState::Leaving)
-                .filter(|update| update.zone == own.zone && update.address.caller_port != 0)
-                .collect();
-            (own.node, zone)
-        });
-        let nodes: Vec<NodeId> = zone.iter().map(|update| update.node).collect();
-        let group = group_of(own, &nodes);
-        zone.into_iter().filter(|update| group.contains(&update.node)).collect()
-    }
-
-    fn tell_store_news(&self, others: &[MemberUpdate]) {
-        let Some(age) = self.duty.contact_age() else { return };
-        let view = self.view.get();
-        let news = StoreNews {
-            configuration_revision: view.configuration.revision,
-            engines_revision: view.engines.revision,
-            contact_age_ms: age.as_millis() as u32,
-        };
-        let datagrams = others.iter().map(|other| Datagram {
-            to: other.node,
-            address: other.address,
-            message: Message::StoreNews(news),
-        });
-        self.send(datagrams.collect());
-    }
-
-    /// Takes what a watching gateway tells, and pulls from it what is new.
-    fn on_store_news(self: &Arc<Self>, from: NodeId, news: StoreNews) {
-        self.duty.take_news(Duration::from_millis(u64::from(news.contact_age_ms)));
-        let Some(update) = self.known(from) else { return };
-        self.pull_view(update, Duration::ZERO, move |view| {
-            news.configuration_revision > view.configuration.revision || news.engines_revision > view.engines.revision
-        });
-    }
-
-    fn known(&self, node: NodeId) -> Option<MemberUpdate> {
+    pub(super) fn known(&self, node: NodeId) -> Option<MemberUpdate> {
         self.with(|membership| {
             let member = membership.members().find(|member| member.update.node == node);
             member.map(|member| member.update)
@@ -265,7 +200,7 @@
         }
     }
 
-    fn send(&self, datagrams: Vec<Datagram>) {
+    pub(super) fn send(&self, datagrams: Vec<Datagram>) {
         for datagram in datagrams {
             let Some(address) = socket_of(&datagram.address) else { continue };
             if let Ok(bytes) = encode(self.own, datagram.message) {
@@ -316,7 +251,7 @@
     }
 
     /// Pulls the view of a member after `delay`, while this node's own is behind; a few pulls at a time.
-    fn pull_view(
+    pub(super) fn pull_view(
         self: &Arc<Self>,
         from: MemberUpdate,
         delay: Duration,
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -4,6 +4,7 @@
 pub mod members;
 pub mod rpc_client;
 pub mod rpc_server;
+mod store_news;
 pub mod view;
 pub mod view_exchange;
 pub mod watch_duty;
