--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -161,6 +161,10 @@
     metrics.read("engines_known", "Engines listed", move || known.get().engines.value.len() as i64);
     let known = view.clone();
     metrics.read("replica_set_version", "The replica set known", move || known.set().version as i64);
+    let duty = members.duty();
+    metrics.read("store_watched", "1 while this gateway watches the platform's store by itself", move || {
+        i64::from(duty.must_watch())
+    });
     let members = members.clone();
     metrics.read("gateways_known", "Other gateways that answer", move || members.gateway_count() as i64);
     Arc::new(metrics)
