A zone may be the unit of loss: quorums count the members of the largest zones

Cause: quorums counted `tolerance.machines` alone; a deployment that has to bear the loss of a zone with two disks would have kept a write on as few as two of them. Change: `Tolerance::losses` over the members' zones gives the losses that write quorums, denials, retirements and removals go by. Tests: a_zone_may_be_lost_with_all_its_members (5 cases), a_refill_meets_what_a_loss_has_left (12).

--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -76,9 +76,8 @@
         .await
         .context("the port for datagrams cannot be bound")?;
     let cache = TurnCache::new((settings.resources.memory_mb * 1024 * 1024 / CACHE_SHARE) as usize);
-    let losses = settings.tolerance.machines;
     let metrics = gateway_metrics(&view, &members);
-    let keeper = TurnKeeper::new(client, view.clone(), cache, zone_hash(&settings.zone), losses);
+    let keeper = TurnKeeper::new(client, view.clone(), cache, zone_hash(&settings.zone), settings.tolerance());
     let turns = Arc::new(keeper.with_metrics(metrics.clone()));
     let gateway = Arc::new(Gateway {
         zone: settings.zone.clone(),
--- a/crates/gateway/src/edge/turns.rs
+++ b/crates/gateway/src/edge/turns.rs
@@ -9,7 +9,7 @@
 use foxnotch_turns::budget::{BudgetVerdict, BudgetView};
 use foxnotch_turns::chain::{ChainAssembly, NO_TURN};
 use foxnotch_turns::quorum::Tally;
-use foxnotch_turns::replica_set;
+use foxnotch_turns::replica_set::{self, Tolerance};
 use foxnotch_wire::{
     ProgramKey, ReadChain, ReadProgram, ReplicaMember, ReplicaSet, ReplicaStanding, RpcBody, SetNews, StoreEntry,
     Stored, TurnEntry, TurnId, TurnRecord, NOT_SETTLED,
@@ -68,17 +68,23 @@
     view: Arc<ViewHolder>,
     cache: TurnCache,
     zone: u32,
-    losses: usize,
+    tolerance: Tolerance,
     metrics: Arc<Metrics>,
     /// Told when the replica set seems out of date.
     set_wanted: Arc<Notify>,
 }
 
 impl TurnKeeper {
-    /// A keeper that goes by the view's replica set. `losses` replicas may be lost at once.
-    pub fn new(client: Arc<RpcClient>, view: Arc<ViewHolder>, cache: TurnCache, zone: u32, losses: usize) -> Self {
+    /// A keeper that goes by the view's replica set.
+    pub fn new(
+        client: Arc<RpcClient>,
+        view: Arc<ViewHolder>,
+        cache: TurnCache,
+        zone: u32,
+        tolerance: Tolerance,
+    ) -> Self {
         let metrics = Arc::default();
-        Self { client, view, cache, zone, losses, metrics, set_wanted: Arc::default() }
+        Self { client, view, cache, zone, tolerance, metrics, set_wanted: Arc::default() }
     }
 
     /// Counts rounds in these metrics.
@@ -93,7 +99,7 @@
     }
 
     fn needed(&self, set: &ReplicaSet) -> usize {
-        replica_set::write_quorum(set.members.len(), self.losses)
+        replica_set::write_quorum(set.members.len(), self.tolerance.losses(&set.members))
     }
 
     /// Waits for a replica set.
@@ -269,7 +275,7 @@
     ) -> Result<ChainRecords, ChainError> {
         loop {
             let set = self.wait_for_set(deadline).await.map_err(ChainError::Unknown)?;
-            let denials = replica_set::denial_quorum(set.members.len(), self.losses);
+            let denials = replica_set::denial_quorum(set.members.len(), self.tolerance.losses(&set.members));
             let body = RpcBody::ReadChain(ReadChain { set_version: set.version, turn: newest });
             let mut asks = FuturesUnordered::new();
             let nearest = set.members.iter().find(|member| member.zone == self.zone).copied();
--- a/crates/gateway/src/replica/process.rs
+++ b/crates/gateway/src/replica/process.rs
@@ -59,7 +59,7 @@
         store: store.clone(),
         own: member,
         name: settings.node.clone(),
-        losses: settings.tolerance.machines,
+        tolerance: settings.tolerance(),
     };
     let steward = Arc::new(Steward::new(parts));
     tokio::spawn(rpc_server::serve(listener, own, core.clone()));
--- a/crates/gateway/src/replica/steward.rs
+++ b/crates/gateway/src/replica/steward.rs
@@ -12,7 +12,7 @@
 use crate::ports::store::{Kind, MetadataStore, ObjectBody, StoreError};
 use crate::replica::core::ReplicaCore;
 use crate::replica::sync::{address_of, pull_all, Heard};
-use foxnotch_turns::replica_set;
+use foxnotch_turns::replica_set::{self, Tolerance};
 use foxnotch_wire::{NodeId, ReplicaMember, ReplicaSet, RpcBody, SetNews};
 use futures_util::future::join_all;
 use std::collections::HashMap;
@@ -69,7 +69,7 @@
     store: Arc<dyn MetadataStore>,
     own: ReplicaMember,
     name: String,
-    losses: usize,
+    tolerance: Tolerance,
     retirement: Mutex<Option<Retirement>>,
     silent_since: Mutex<HashMap<NodeId, Instant>>,
 }
@@ -90,17 +90,17 @@
     pub own: ReplicaMember,
     /// This node's name.
     pub name: String,
-    /// Disks that may be lost at once.
-    pub losses: usize,
+    /// What may be lost at once.
+    pub tolerance: Tolerance,
 }
 
 impl Steward {
     /// A steward that has not begun.
     pub fn new(parts: StewardParts) -> Self {
-        let StewardParts { core, client, members, view, store, own, name, losses } = parts;
+        let StewardParts { core, client, members, view, store, own, name, tolerance } = parts;
         let retirement = Mutex::default();
         let silent_since = Mutex::default();
-        Self { core, client, members, view, store, own, name, losses, retirement, silent_since }
+        Self { core, client, members, view, store, own, name, tolerance, retirement, silent_since }
     }
 
     /// Takes a request to retire this replica.
@@ -330,17 +330,18 @@
             self.mark_retirement(|retirement| retirement.started = true);
         }
         if replica_set::contains(set, self.own.node) {
-            let remaining = set.members.len() - 1;
-            if remaining <= self.losses {
+            let rest = replica_set::without_member(set, self.own.node);
+            let remaining = rest.members.len();
+            if remaining <= self.tolerance.losses(&rest.members) {
                 // Without this replica a loss of disks that has to be borne would take acknowledged turns along.
                 return Err(StepError::TooFewRemain(remaining));
             }
-            let safe = set.members.len() > 2 * self.losses + 1;
+            let safe = self.may_shrink(set);
             let waited = retirement.since.elapsed().as_secs_f64() > retirement.within.as_secs_f64() * PATIENCE;
             if !safe && !waited {
                 return Ok(false);
             }
-            return self.change_set(set, replica_set::without_member(set, self.own.node)).await;
+            return self.change_set(set, rest).await;
         }
         let synced = self.synced_members(set).await;
         self.check_current(set)?;
@@ -359,12 +360,18 @@
         let dead = self.long_dead(set);
         let alive = |member: &&ReplicaMember| member.node == self.own.node || !self.members.is_dead(member.node);
         let first = set.members.iter().find(alive).map(|member| member.node);
-        let enough = set.members.len() > 2 * self.losses + 1;
-        let Some(node) = dead.filter(|_| enough && first == Some(self.own.node)) else { return Ok(false) };
+        let Some(node) = dead.filter(|_| self.may_shrink(set) && first == Some(self.own.node)) else {
+            return Ok(false);
+        };
         log::info!(target: part::REPLICA, "Node {node} has been silent for long and is taken out of replica set {}.", set.version);
         self.change_set(set, replica_set::without_member(set, node)).await
     }
 
+    /// Whether a set with one member less still serves after every loss that has to be borne.
+    fn may_shrink(&self, set: &ReplicaSet) -> bool {
+        set.members.len() > 2 * self.tolerance.losses(&set.members) + 1
+    }
+
     /// A member that has been dead, or never heard of, for long.
     fn long_dead(&self, set: &ReplicaSet) -> Option<NodeId> {
         let others = set.members.iter().map(|member| member.node).filter(|node| *node != self.own.node);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! The settings of a gateway or a replica, read from a TOML file and checked whole before anything is bound.
 
+use foxnotch_turns::replica_set::Tolerance;
 use serde::Deserialize;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -64,6 +65,9 @@
 pub struct ToleranceSettings {
     /// Machines with a disk.
     pub machines: usize,
+    /// Zones, with all their machines.
+    #[serde(default)]
+    pub zones: usize,
 }
 
 /// Everything that can be set.
@@ -198,6 +202,11 @@
         Duration::from_secs_f64(self.times.grace_s)
     }
 
+    /// What may be lost at the same moment.
+    pub fn tolerance(&self) -> Tolerance {
+        Tolerance { machines: self.tolerance.machines, zones: self.tolerance.zones }
+    }
+
     /// The time within which a change of the platform has to be in force on this node.
     pub fn change_bound(&self) -> Duration {
         Duration::from_secs_f64(self.times.drain_ms.min(self.times.apply_ms) / 1000.0)
--- a/crates/gateway/tests/support/cluster.rs
+++ b/crates/gateway/tests/support/cluster.rs
@@ -8,6 +8,7 @@
 use foxnotch_gateway::replica::process;
 use foxnotch_gateway::settings::{ProcessSettings, ResourceSettings, TimeSettings, ToleranceSettings};
 use foxnotch_turns::identity::{node_id, zone_hash};
+use foxnotch_turns::replica_set::Tolerance;
 use foxnotch_wire::{
     Content, DiskIdentity, ListMarks, NodeId, ProgramKey, ReplicaSet, RpcBody, TurnEntry, TurnId, TurnRecord,
     NOT_SETTLED,
@@ -92,7 +93,13 @@
         let view = Arc::new(ViewHolder::default());
         let client = Arc::new(RpcClient::new(NodeId(1)));
         let cache = TurnCache::new(0);
-        let keeper = Arc::new(TurnKeeper::new(client.clone(), view.clone(), cache, zone_hash("a"), 1));
+        let keeper = Arc::new(TurnKeeper::new(
+            client.clone(),
+            view.clone(),
+            cache,
+            zone_hash("a"),
+            Tolerance { machines: 1, zones: 0 },
+        ));
         let folder = TempDir::new().expect("a folder can be made");
         let mut cluster = Self { store, keeper, view, client, net, folder, running: BTreeMap::new() };
         for number in 1..=replicas {
@@ -127,7 +134,7 @@
             first_start,
             data_folder: Some(self.data_folder(number)),
             log_level: "info".to_owned(),
-            tolerance: ToleranceSettings { machines: 1 },
+            tolerance: ToleranceSettings { machines: 1, zones: 0 },
             times: TimeSettings { drain_ms: 2000.0, apply_ms: 2000.0, grace_s: 8.0 },
             resources: ResourceSettings { memory_mb: 200, descriptors: 4000 },
         }
--- a/crates/turns/src/replica_set.rs
+++ b/crates/turns/src/replica_set.rs
@@ -4,6 +4,29 @@
 //! Version v + 1 follows only once a majority of v is synced to v; see [`may_follow`].
 
 use foxnotch_wire::{NodeId, ReplicaMember, ReplicaSet};
+use std::collections::HashMap;
+
+/// What may be lost at the same moment with all promises kept: so many machines, or all machines of so many zones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Tolerance {
+    /// Machines with a disk.
+    pub machines: usize,
+    /// Zones.
+    pub zones: usize,
+}
+
+impl Tolerance {
+    /// The most of these members that may be lost at the same moment.
+    pub fn losses(&self, members: &[ReplicaMember]) -> usize {
+        let mut zones: HashMap<u32, usize> = HashMap::new();
+        for member in members {
+            *zones.entry(member.zone).or_default() += 1;
+        }
+        let mut counts: Vec<usize> = zones.into_values().collect();
+        counts.sort_unstable_by(|left, right| right.cmp(left));
+        self.machines.max(counts.into_iter().take(self.zones).sum())
+    }
+}
 
 /// How many replicas have to hold a write: a majority, and one more than may be lost at once.
 pub fn write_quorum(members: usize, losses: usize) -> usize {
--- a/crates/turns/tests/quorum_tests.rs
+++ b/crates/turns/tests/quorum_tests.rs
@@ -3,7 +3,7 @@
 use foxnotch_turns::quorum::Tally;
 use foxnotch_turns::replica_set::{
     contains, covers_previous, denial_quorum, founding, majority, may_follow, refill_quorum, with_member,
-    with_replacement, without_member, write_quorum,
+    with_replacement, without_member, write_quorum, Tolerance,
 };
 use foxnotch_wire::{DiskIdentity, NodeId, ReplicaMember, ReplicaStanding, Witness};
 use rstest::rstest;
@@ -36,6 +36,34 @@
     assert_eq!(write_quorum(members, losses), needed);
 }
 
+/// Members in zones: the numbers of members of each.
+#[rstest]
+#[case::machines(&[1, 1, 1, 1], 1, 0, 1)]
+#[case::the_larger_zone(&[2, 3, 1], 1, 1, 3)]
+#[case::two_zones(&[2, 3, 1], 1, 2, 5)]
+#[case::more_machines_than_a_zone_has(&[1, 1, 1], 2, 1, 2)]
+#[case::nothing(&[2, 2], 0, 0, 0)]
+fn a_zone_may_be_lost_with_all_its_members(
+    #[case] zones: &[usize],
+    #[case] machines: usize,
+    #[case] lost_zones: usize,
+    #[case] losses: usize,
+) {
+    let numbered = zones.iter().enumerate().flat_map(|(zone, count)| vec![zone as u32; *count]).enumerate();
+    let members: Vec<ReplicaMember> =
+        numbered.map(|(node, zone)| ReplicaMember { zone, ..member(node as u32) }).collect();
+    assert_eq!(Tolerance { machines, zones: lost_zones }.losses(&members), losses);
+}
+
+/// Whatever is lost at once, a copy of each write remains among those that an empty replica has to hear.
+#[rstest]
+fn a_refill_meets_what_a_loss_has_left(#[values(3, 4, 5, 6, 8, 11)] members: usize, #[values(1, 2)] losses: usize) {
+    let copies_left = write_quorum(members, losses) - losses;
+    let others_left = members - losses;
+    let unheard = others_left.saturating_sub(refill_quorum(members));
+    assert!(copies_left > unheard, "{copies_left} copies, {unheard} not heard");
+}
+
 #[rstest]
 fn denials_and_writes_always_meet(#[values(1, 2, 3, 4, 5, 6, 7, 9)] members: usize, #[values(0, 1, 2)] losses: usize) {
     assert!(write_quorum(members, losses) + denial_quorum(members, losses) > members);
