--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -1,7 +1,6 @@
 //! The gateway: takes callers' requests, keeps turns and budgets, and passes requests on to engines.
 
 pub mod accept;
-pub mod ask_order;
 pub mod body;
 pub mod call;
 pub mod events;
--- a/crates/gateway/src/edge/turns.rs
+++ b/crates/gateway/src/edge/turns.rs
@@ -1,6 +1,5 @@
 //! Keeps turns and budgets on the replicas, and reads chains back.
 
-use crate::edge::ask_order::AskOrder;
 use crate::edge::turn_cache::TurnCache;
 use crate::logging::part;
 use crate::metrics::Metrics;
@@ -24,8 +23,6 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 /// Time for which the nearest replica alone is asked for a chain.
 const NEAREST_ALONE: Duration = Duration::from_millis(30);
-/// Time after which a replica that has not answered a write is late, and all others are asked too.
-const LATE_AFTER: Duration = Duration::from_millis(25);
 /// Pause while no replica set is known.
 const SET_PAUSE: Duration = Duration::from_millis(50);
 
@@ -65,22 +62,6 @@
     NewerSet(ReplicaSet),
 }
 
-/// The answers of one round so far.
-#[derive(Default)]
-struct RoundAnswers {
-    tally: Tally,
-    view: BudgetView,
-}
-
-impl RoundAnswers {
-    fn take(&mut self, body: RpcBody) {
-        if let RpcBody::Stored(Stored { witness, charges }) = body {
-            self.tally.add(witness);
-            self.view.merge(&charges);
-        }
-    }
-}
-
 /// Asks the replicas.
 pub struct TurnKeeper {
     client: Arc<RpcClient>,
@@ -88,7 +69,6 @@
     cache: TurnCache,
     zone: u32,
     tolerance: Tolerance,
-    order: AskOrder,
     metrics: Arc<Metrics>,
     /// Told when the replica set seems out of date.
     set_wanted: Arc<Notify>,
@@ -104,7 +84,7 @@
         tolerance: Tolerance,
     ) -> Self {
         let metrics = Arc::default();
-        Self { client, view, cache, zone, tolerance, order: AskOrder::default(), metrics, set_wanted: Arc::default() }
+        Self { client, view, cache, zone, tolerance, metrics, set_wanted: Arc::default() }
     }
 
     /// Counts rounds in these metrics.
@@ -170,51 +150,39 @@
         }
     }
 
-    /// Makes one round: returns the merged answers once a quorum of replicas counts.
-    ///
-    /// As few replicas as make a quorum are asked first, those of this zone before others: each write that crosses a zone
-    /// costs. The rest are asked when one of the first is late. `spread` varies who is first among equals.
-    async fn round(
-        &self,
-        spread: u64,
-        deadline: Instant,
-        request: impl Fn(u64) -> RpcBody,
-    ) -> Result<BudgetView, TurnError> {
+    /// Makes one round over all replicas: returns the merged answers once a quorum of them counts.
+    async fn round(&self, deadline: Instant, request: impl Fn(u64) -> RpcBody) -> Result<BudgetView, TurnError> {
         let begun_at = Instant::now();
         loop {
             let set = self.wait_for_set(deadline).await?;
             let needed = self.needed(&set);
             let body = request(set.version);
-            let mut members = self.order.ask_order(&set.members, self.zone, spread);
-            let mut others = members.split_off(needed.min(members.len()));
-            let ask = |member| self.ask_member(member, &set, body.clone(), deadline);
-            let mut asks: FuturesUnordered<_> = members.into_iter().map(ask).collect();
-            let late_at = Instant::now() + LATE_AFTER;
-            let mut round = RoundAnswers::default();
-            let newer = loop {
-                if round.tally.count() >= needed {
-                    self.metrics.quorum_seconds.observe(begun_at.elapsed().as_secs_f64());
-                    return Ok(round.view);
-                }
-                let answer = if others.is_empty() {
-                    asks.next().await
-                } else {
-                    tokio::time::timeout_at(late_at.into(), asks.next()).await.unwrap_or_default()
-                };
+            let mut tally = Tally::default();
+            let mut view = BudgetView::default();
+            let members = set.members.iter();
+            let mut asks: FuturesUnordered<_> =
+                members.map(|member| self.ask_member(*member, &set, body.clone(), deadline)).collect();
+            let mut newer = None;
+            while let Some(answer) = asks.next().await {
                 match answer {
-                    Some(Some(MemberAnswer::NewerSet(set))) => break Some(set),
-                    Some(Some(MemberAnswer::Body(body))) => round.take(body),
-                    Some(None) => {}
-                    None if others.is_empty() => break None,
-                    None => {
-                        self.order.note_late(&set.members, &others, &round.tally);
-                        asks.extend(others.drain(..).map(ask));
+                    Some(MemberAnswer::Body(RpcBody::Stored(Stored { witness, charges }))) => {
+                        tally.add(witness);
+                        view.merge(&charges);
                     }
+                    Some(MemberAnswer::NewerSet(set)) => {
+                        newer = Some(set);
+                        break;
+                    }
+                    Some(MemberAnswer::Body(_)) | None => {}
                 }
-            };
+                if tally.count() >= needed {
+                    self.metrics.quorum_seconds.observe(begun_at.elapsed().as_secs_f64());
+                    return Ok(view);
+                }
+            }
             let Some(newer) = newer else {
                 self.set_wanted.notify_one();
-                return Err(TurnError::NoQuorum { counted: round.tally.count(), needed });
+                return Err(TurnError::NoQuorum { counted: tally.count(), needed });
             };
             self.view.adopt_set(&newer, Origin::Peer);
         }
@@ -244,15 +212,11 @@
     /// # Errors
     /// [`TurnError`].
     pub async fn write(&self, entry: &TurnEntry, deadline: Instant) -> Result<BudgetView, TurnError> {
-        let spread = entry.turn.0 as u64;
-        self.round(spread, deadline, |set_version| {
-            RpcBody::StoreEntry(StoreEntry { set_version, entry: entry.clone() })
-        })
-        .await
+        self.round(deadline, |set_version| RpcBody::StoreEntry(StoreEntry { set_version, entry: entry.clone() })).await
     }
 
     async fn read(&self, program: ProgramKey, deadline: Instant) -> Result<BudgetView, TurnError> {
-        self.round(program.0, deadline, |set_version| RpcBody::ReadProgram(ReadProgram { set_version, program })).await
+        self.round(deadline, |set_version| RpcBody::ReadProgram(ReadProgram { set_version, program })).await
     }
 
     /// Settles a turn without a record.
