A chain is read although replicas have missed different turns of it

Cause: `ReadChain` brings the records from one turn back to the first that the replica lacks. With turns missed by different replicas (each frozen or cut for another while) and the one that holds all away, a chain that was on quorums throughout could not be put together: 503 until that one was back. Change: from each turn that turns out to be missing, all replicas are asked again; such an answer denies nothing of the newest turn. Test: a_chain_is_put_together_from_replicas_that_have_missed_different_turns; failed for 30 s before ("1 of 2 replicas answered"), passes in under 2 s now.

--- a/crates/gateway/src/edge/turns.rs
+++ b/crates/gateway/src/edge/turns.rs
@@ -267,6 +267,10 @@
         assembly.resolve(newest).ok()
     }
 
+    /// Reads a chain from the replicas: from the nearest alone at first, then from all.
+    ///
+    /// A replica answers with its records from a turn back to the first that it lacks. Replicas may have missed different
+    /// turns, so all are asked again from each turn that turns out to be missing.
     async fn read_chain(
         &self,
         newest: TurnId,
@@ -276,25 +280,27 @@
         loop {
             let set = self.wait_for_set(deadline).await.map_err(ChainError::Unknown)?;
             let denials = replica_set::denial_quorum(set.members.len(), self.tolerance.losses(&set.members));
-            let body = RpcBody::ReadChain(ReadChain { set_version: set.version, turn: newest });
-            let mut asks = FuturesUnordered::new();
-            let nearest = set.members.iter().find(|member| member.zone == self.zone).copied();
-            asks.extend(nearest.map(|member| self.ask_member(member, &set, body.clone(), deadline)));
-            let mut others: Vec<ReplicaMember> =
-                set.members.iter().filter(|member| Some(member.node) != nearest.map(|n| n.node)).copied().collect();
+            let ask = |member, turn| self.ask_for_chain(member, &set, turn, deadline);
+            let mut others = set.members.clone();
+            let nearest = others.iter().position(|member| member.zone == self.zone).map(|index| others.remove(index));
+            let mut asks: FuturesUnordered<_> = nearest.into_iter().map(|member| ask(member, newest)).collect();
+            let mut asked_from = vec![newest];
             let mut newer = None;
             loop {
                 let answer = if others.is_empty() {
                     asks.next().await
                 } else {
                     let waited = tokio::time::timeout(NEAREST_ALONE, asks.next()).await;
-                    asks.extend(others.drain(..).map(|member| self.ask_member(member, &set, body.clone(), deadline)));
-                    let Ok(answer) = waited else { continue };
-                    answer.or(Some(None))
+                    asks.extend(others.drain(..).map(|member| ask(member, newest)));
+                    let Ok(Some(answer)) = waited else { continue };
+                    Some(answer)
                 };
                 match answer {
-                    Some(Some(MemberAnswer::Body(RpcBody::Chain(chain)))) => assembly.merge(newest, chain),
-                    Some(Some(MemberAnswer::NewerSet(set))) => {
+                    Some((turn, Some(MemberAnswer::Body(RpcBody::Chain(chain))))) if turn == newest => {
+                        assembly.merge(newest, chain);
+                    }
+                    Some((_, Some(MemberAnswer::Body(RpcBody::Chain(chain))))) => assembly.merge_older(chain),
+                    Some((_, Some(MemberAnswer::NewerSet(set)))) => {
                         newer = Some(set);
                         break;
                     }
@@ -306,6 +312,10 @@
                     Err(missing) if missing == newest && assembly.denials() >= denials => {
                         return Err(ChainError::NoSuchTurn);
                     }
+                    Err(missing) if !asked_from.contains(&missing) => {
+                        asked_from.push(missing);
+                        asks.extend(set.members.iter().map(|member| ask(*member, missing)));
+                    }
                     Err(_) => {}
                 }
             }
@@ -317,4 +327,16 @@
             self.view.adopt_set(&newer, Origin::Peer);
         }
     }
+
+    /// Asks one replica for the chain that ends with `turn`.
+    async fn ask_for_chain(
+        &self,
+        member: ReplicaMember,
+        set: &ReplicaSet,
+        turn: TurnId,
+        deadline: Instant,
+    ) -> (TurnId, Option<MemberAnswer>) {
+        let body = RpcBody::ReadChain(ReadChain { set_version: set.version, turn });
+        (turn, self.ask_member(member, set, body, deadline).await)
+    }
 }
--- a/crates/gateway/tests/replica_tests.rs
+++ b/crates/gateway/tests/replica_tests.rs
@@ -30,6 +30,22 @@
     }
 }
 
+/// Found by a trial that wrote to quorums alone (commit 5190d36): each replica lacks another turn of the chain, and none
+/// can tell of what stands before the one that it lacks.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_chain_is_put_together_from_replicas_that_have_missed_different_turns() {
+    let mut cluster = Cluster::start(32, 3).await;
+    cluster.wait_until_synced(&[1, 2, 3]).await;
+    for number in 1..=6_u128 {
+        let holders = if number % 2 == 0 { [1, 3] } else { [2, 3] };
+        cluster.write_only_to(&holders, &turn(number, number - 1, &format!("input {number}"))).await;
+    }
+    assert!(!cluster.holds(1, 5).await && !cluster.holds(2, 6).await);
+    cluster.kill(3);
+    let expected: Vec<String> = (1..=6).map(|number| format!("input {number}")).collect();
+    assert_eq!(cluster.inputs(6).await, expected);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn disks_lost_one_after_the_other_are_refilled() {
     let mut cluster = Cluster::start(20, 3).await;
--- a/crates/gateway/tests/support/cluster.rs
+++ b/crates/gateway/tests/support/cluster.rs
@@ -10,8 +10,8 @@
 use foxnotch_turns::identity::{node_id, zone_hash};
 use foxnotch_turns::replica_set::Tolerance;
 use foxnotch_wire::{
-    Content, DiskIdentity, ListMarks, NodeId, ProgramKey, ReplicaSet, RpcBody, TurnEntry, TurnId, TurnRecord,
-    NOT_SETTLED,
+    Content, DiskIdentity, FetchEntries, ListMarks, NodeId, ProgramKey, ReplicaSet, RpcBody, SetNews, StoreEntry,
+    TurnEntry, TurnId, TurnRecord, NOT_SETTLED,
 };
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -182,6 +182,41 @@
         }
     }
 
+    /// Whether a replica holds a turn.
+    pub async fn holds(&self, number: u8, turn: u128) -> bool {
+        let address = (self.ip(number), PEER_PORT).into();
+        let request = RpcBody::FetchEntries(FetchEntries { turns: vec![TurnId(turn)] });
+        let answer = self.client.call(address, request, Duration::from_secs(5)).await;
+        matches!(answer, Ok(RpcBody::Entries(entries)) if !entries.entries.is_empty())
+    }
+
+    /// Waits until all replicas are synced to the set: none pulls from another after that.
+    pub async fn wait_until_synced(&self, numbers: &[u8]) {
+        let until = Instant::now() + PATIENCE;
+        let set = self.view.set();
+        for number in numbers {
+            let address = (self.ip(*number), PEER_PORT).into();
+            let ask = || RpcBody::AdoptSet(SetNews { set: (*set).clone(), synced: 0 });
+            while !matches!(self.client.call(address, ask(), Duration::from_secs(1)).await,
+                Ok(RpcBody::SetKnown(news)) if news.synced == set.version)
+            {
+                assert!(Instant::now() < until, "replica {number} is not synced");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+
+    /// Writes an entry to some replicas alone: the others have missed it.
+    pub async fn write_only_to(&self, numbers: &[u8], entry: &TurnEntry) {
+        let set_version = self.view.set().version;
+        for number in numbers {
+            let address = (self.ip(*number), PEER_PORT).into();
+            let request = RpcBody::StoreEntry(StoreEntry { set_version, entry: entry.clone() });
+            let answer = self.client.call(address, request, Duration::from_secs(5)).await;
+            assert!(matches!(answer, Ok(RpcBody::Stored(_))), "replica {number} does not take the entry");
+        }
+    }
+
     /// The members of the set in the store.
     pub fn members(&self) -> Vec<NodeId> {
         self.store.replica_set().map_or(Vec::new(), |set| set.members.iter().map(|member| member.node).collect())
--- a/crates/turns/src/chain.rs
+++ b/crates/turns/src/chain.rs
@@ -25,8 +25,13 @@
     pub fn merge(&mut self, newest: TurnId, chain: Chain) {
         let denied = chain.links.first().is_none_or(|link| link.turn != newest);
         if denied {
-            self.denials.add(chain.witness);
+            self.denials.add(chain.witness.clone());
         }
+        self.merge_older(chain);
+    }
+
+    /// Takes a replica's answer for an older turn of the chain: what it lacks says nothing of the newest.
+    pub fn merge_older(&mut self, chain: Chain) {
         for link in chain.links {
             self.records.insert(link.turn, Arc::new(link.record));
         }
