A plain engine's load counts by its square: free slots make nobody wait

Cause: a new connection counts 8 ms in the choice, and one request under way of six counted 5 ms, two 10 ms: gateways opened connections to engines that were no quicker. Ruled out: a higher cost of connections for all (it would hold turns at engines that are full). Change: the load's share of the slots counts by its square, so half full costs a quarter of full.

--- a/crates/gateway/src/engines/selector.rs
+++ b/crates/gateway/src/engines/selector.rs
@@ -15,7 +15,8 @@
 const FIRST_LOAD_MS: f64 = 1.0;
 /// Milliseconds that each request beyond a model engine's slots makes a new one wait, roughly.
 const MODEL_WAIT_MS: f64 = 3.0;
-/// Milliseconds that a full plain engine costs a new request, roughly.
+/// Milliseconds that a full plain engine costs a new request, roughly; half full it costs a quarter, since free slots
+/// make nobody wait.
 const PLAIN_LOAD_MS: f64 = 30.0;
 /// Milliseconds that another zone costs.
 const ZONE_MS: f64 = 3.0;
@@ -79,7 +80,8 @@
         cost += if home.is_some() { MODEL_LOAD_MS } else { FIRST_LOAD_MS } * under_way;
         cost += MODEL_WAIT_MS * (under_way + 1.0 - slots).max(0.0);
     } else {
-        cost += PLAIN_LOAD_MS * under_way / slots;
+        let filled = under_way / slots;
+        cost += PLAIN_LOAD_MS * filled * filled;
     }
     if engine.entry.zone != placement.zone {
         cost += ZONE_MS;
