--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -23,7 +23,7 @@
 use crate::store_watch::{follow, probe, ConfigurationFollower, EngineFollower};
 use anyhow::Context;
 use foxnotch_turns::identity::{node_id, zone_hash};
-use foxnotch_wire::{NodeId, RpcBody};
+use foxnotch_wire::{NodeId, RpcBody, SetNews};
 use futures_util::future::BoxFuture;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -209,6 +209,8 @@
     fn handle(self: Arc<Self>, _from: NodeId, body: RpcBody) -> BoxFuture<'static, RpcBody> {
         let answer = match body {
             RpcBody::PullMembers(asker) => self.members.answer_pull(asker),
+            RpcBody::ShowMembers => self.members.list(),
+            RpcBody::ShowSet => RpcBody::SetKnown(SetNews { set: (*self.view.set()).clone(), synced: 0 }),
             RpcBody::PullView(known) => RpcBody::View(view_exchange::newer_than(&self.view.get(), &known)),
             _ => RpcBody::NotServed,
         };
--- /dev/null
+++ b/crates/gateway/src/inspect.rs
@@ -0,0 +1,117 @@
+//! What an operator asks a running gateway or replica. Nothing is changed by it.
+
+use crate::peers::rpc_client::{RpcClient, RpcError};
+use crate::replica::sync::address_of;
+use foxnotch_turns::replica_set;
+use foxnotch_wire::{MemberState, MemberUpdate, NodeId, ReplicaMember, RpcBody, SetNews};
+use futures_util::future::join_all;
+use std::fmt::Write;
+use std::net::{Ipv6Addr, SocketAddr};
+use std::time::Duration;
+
+/// Time for one answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+/// The asker: no node has this number.
+const OPERATOR: NodeId = NodeId(0);
+
+/// Why an operator gets no answer.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum InspectError {
+    /// No answer.
+    #[error(transparent)]
+    NoAnswer(#[from] RpcError),
+    /// Another answer than was asked for.
+    #[error(
+        "the node at {0} answers something else; check that it runs this version and that this is its port for nodes"
+    )]
+    OtherAnswer(SocketAddr),
+}
+
+/// The members as the node at `address` sees them, a line each.
+///
+/// # Errors
+/// [`InspectError`].
+pub async fn members(address: SocketAddr) -> Result<String, InspectError> {
+    let client = RpcClient::new(OPERATOR);
+    let RpcBody::Members(list) = client.call(address, RpcBody::ShowMembers, ANSWER_TIMEOUT).await? else {
+        return Err(InspectError::OtherAnswer(address));
+    };
+    let mut members = list.members;
+    members.sort_by_key(|member| (member.address.caller_port == 0, member.zone, member.node));
+    let mut text = String::from("node        role     zone  state    revision  address\n");
+    for member in &members {
+        let role = if member.address.caller_port == 0 { "replica" } else { "gateway" };
+        let state = state_name(member.state);
+        // Writing into a text does not fail.
+        let _ = writeln!(
+            text,
+            "{:<11} {role:<8} {:<5} {state:<8} {:<9} {}",
+            member.node.0,
+            member.zone,
+            member.config_revision,
+            peer_address(member)
+        );
+    }
+    Ok(text)
+}
+
+/// The replica set as the node at `address` knows it, and how each replica of it stands, a line each.
+///
+/// # Errors
+/// [`InspectError`]; a replica that does not answer is told in its line.
+pub async fn replicas(address: SocketAddr) -> Result<String, InspectError> {
+    let client = RpcClient::new(OPERATOR);
+    let RpcBody::SetKnown(known) = client.call(address, RpcBody::ShowSet, ANSWER_TIMEOUT).await? else {
+        return Err(InspectError::OtherAnswer(address));
+    };
+    let set = known.set;
+    let asks = set.members.iter().map(|member| async {
+        let answer = client.call(address_of(member), RpcBody::ShowSet, ANSWER_TIMEOUT).await;
+        (*member, answer)
+    });
+    let mut text = format!("replica set version {}: {} replicas\n", set.version, set.members.len());
+    let mut synced = Vec::new();
+    for (member, answer) in join_all(asks).await {
+        let standing = standing(&member, answer, set.version, &mut synced);
+        // Writing into a text does not fail.
+        let _ = writeln!(text, "{:<11} {:<21} {standing}", member.node.0, address_of(&member));
+    }
+    let safe = replica_set::may_follow(&set, &synced);
+    let verdict =
+        if safe { "the set may change" } else { "no majority is synced: start the replicas that do not answer" };
+    let _ = writeln!(text, "synced: {} of {}; {verdict}", synced.len(), set.members.len());
+    Ok(text)
+}
+
+fn standing(
+    member: &ReplicaMember,
+    answer: Result<RpcBody, RpcError>,
+    version: u64,
+    synced: &mut Vec<NodeId>,
+) -> String {
+    match answer {
+        Ok(RpcBody::SetKnown(SetNews { set, synced: to })) if set.version == version && to == version => {
+            synced.push(member.node);
+            "synced".to_owned()
+        }
+        Ok(RpcBody::SetKnown(SetNews { set, synced: to })) => {
+            format!("goes by version {}, synced to {to}", set.version)
+        }
+        Ok(_) => "answers something else".to_owned(),
+        Err(error) => error.to_string(),
+    }
+}
+
+fn peer_address(member: &MemberUpdate) -> String {
+    let ip = Ipv6Addr::from(member.address.ip).to_canonical();
+    SocketAddr::new(ip, member.address.peer_port).to_string()
+}
+
+fn state_name(state: MemberState) -> &'static str {
+    match state {
+        MemberState::Alive => "alive",
+        MemberState::Suspect => "suspect",
+        MemberState::Leaving => "leaving",
+        MemberState::Dead => "dead",
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 pub mod edge;
 pub mod engines;
+pub mod inspect;
 pub mod locks;
 pub mod logging;
 pub mod metrics;
--- a/crates/gateway/src/peers/members.rs
+++ b/crates/gateway/src/peers/members.rs
@@ -133,6 +133,11 @@
         })
     }
 
+    /// All members, this node included, as it sees them.
+    pub fn list(&self) -> RpcBody {
+        RpcBody::Members(self.with(|membership| membership.list()))
+    }
+
     /// What other gateways have under way.
     pub fn loads(&self) -> &LoadBoard {
         &self.loads
--- a/crates/gateway/src/replica/core.rs
+++ b/crates/gateway/src/replica/core.rs
@@ -268,6 +268,8 @@
                 RpcBody::SetKnown(self.set_news())
             }
             RpcBody::PullMembers(asker) => self.members.answer_pull(asker),
+            RpcBody::ShowMembers => self.members.list(),
+            RpcBody::ShowSet => RpcBody::SetKnown(self.set_news()),
             RpcBody::PullView(known) => RpcBody::View(view_exchange::newer_than(&self.view.get(), &known)),
             _ => RpcBody::NotServed,
         }
--- a/crates/gateway/tests/replica_tests.rs
+++ b/crates/gateway/tests/replica_tests.rs
@@ -5,6 +5,7 @@
 mod support;
 
 use foxnotch_gateway::edge::turns::ChainError;
+use foxnotch_gateway::inspect;
 use foxnotch_gateway::ports::store::{Kind, ObjectBody};
 use foxnotch_wire::TurnId;
 use std::time::{Duration, Instant};
@@ -30,6 +31,24 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_operator_sees_how_each_replica_stands_and_changes_nothing() {
+    let mut cluster = Cluster::start(34, 3).await;
+    cluster.wait_until_synced(&[1, 2, 3]).await;
+    let shown = inspect::replicas(cluster.peer_address(1)).await.expect("the replica answers");
+    assert_eq!(shown.matches(" synced\n").count(), 3, "{shown}");
+    assert!(shown.contains("synced: 3 of 3; the set may change"), "{shown}");
+    let before = inspect::members(cluster.peer_address(1)).await.expect("the replica answers");
+    assert_eq!(before.matches(" replica ").count(), 3, "{before}");
+    assert_eq!(inspect::members(cluster.peer_address(1)).await.expect("it answers").lines().count(), 4);
+    cluster.kill(2);
+    cluster.kill(3);
+    let shown = inspect::replicas(cluster.peer_address(1)).await.expect("the replica answers");
+    assert!(shown.contains("synced: 1 of 3; no majority is synced"), "{shown}");
+    let nobody = inspect::members(cluster.peer_address(9)).await.expect_err("nobody listens there");
+    assert!(nobody.to_string().contains("check whether it runs"), "{nobody}");
+}
+
 /// Found by a trial that wrote to quorums alone (commit 5190d36): each replica lacks another turn of the chain, and none
 /// can tell of what stands before the one that it lacks.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/gateway/tests/support/cluster.rs
+++ b/crates/gateway/tests/support/cluster.rs
@@ -14,7 +14,7 @@
     TurnEntry, TurnId, TurnRecord, NOT_SETTLED,
 };
 use std::collections::BTreeMap;
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -169,7 +169,7 @@
     /// Waits until a replica holds all that it has to.
     pub async fn wait_until_complete(&self, number: u8) {
         let until = Instant::now() + PATIENCE;
-        let address = (self.ip(number), PEER_PORT).into();
+        let address = self.peer_address(number);
         let own = DiskIdentity { node: NodeId(1), disk: 1 };
         loop {
             let request = RpcBody::ListMarks(ListMarks { own, set: ReplicaSet::default() });
@@ -182,9 +182,14 @@
         }
     }
 
+    /// Where a node listens for nodes.
+    pub fn peer_address(&self, number: u8) -> SocketAddr {
+        (self.ip(number), PEER_PORT).into()
+    }
+
     /// Whether a replica holds a turn.
     pub async fn holds(&self, number: u8, turn: u128) -> bool {
-        let address = (self.ip(number), PEER_PORT).into();
+        let address = self.peer_address(number);
         let request = RpcBody::FetchEntries(FetchEntries { turns: vec![TurnId(turn)] });
         let answer = self.client.call(address, request, Duration::from_secs(5)).await;
         matches!(answer, Ok(RpcBody::Entries(entries)) if !entries.entries.is_empty())
@@ -195,7 +200,7 @@
         let until = Instant::now() + PATIENCE;
         let set = self.view.set();
         for number in numbers {
-            let address = (self.ip(*number), PEER_PORT).into();
+            let address = self.peer_address(*number);
             let ask = || RpcBody::AdoptSet(SetNews { set: (*set).clone(), synced: 0 });
             while !matches!(self.client.call(address, ask(), Duration::from_secs(1)).await,
                 Ok(RpcBody::SetKnown(news)) if news.synced == set.version)
@@ -210,7 +215,7 @@
     pub async fn write_only_to(&self, numbers: &[u8], entry: &TurnEntry) {
         let set_version = self.view.set().version;
         for number in numbers {
-            let address = (self.ip(*number), PEER_PORT).into();
+            let address = self.peer_address(*number);
             let request = RpcBody::StoreEntry(StoreEntry { set_version, entry: entry.clone() });
             let answer = self.client.call(address, request, Duration::from_secs(5)).await;
             assert!(matches!(answer, Ok(RpcBody::Stored(_))), "replica {number} does not take the entry");
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -6,6 +6,7 @@
 use crate::settings::{SettingFlags, Settings, SettingsError};
 use crate::storage;
 use clap::{Args, Parser, Subcommand};
+use foxnotch_gateway::inspect::{self, InspectError};
 use foxnotch_gateway::settings::ProcessSettings;
 use foxnotch_gateway::{edge, replica};
 use foxnotch_platform::{PlatformDialect, PlatformStore};
@@ -96,6 +97,22 @@
         #[arg(long)]
         node: SocketAddr,
     },
+    /// Show the members as a gateway or a replica sees them
+    ///
+    /// Example: foxnotch members --node 10.1.0.38:7380
+    Members {
+        /// Its address for nodes, IP:port
+        #[arg(long)]
+        node: SocketAddr,
+    },
+    /// Show the replica set as a gateway or a replica knows it, and how each replica stands
+    ///
+    /// Example: foxnotch replicas --node 10.1.0.38:7380
+    Replicas {
+        /// Its address for nodes, IP:port
+        #[arg(long)]
+        node: SocketAddr,
+    },
     /// Show the programs that a node owns
     Programs {
         /// The node's caller address, IP:port
@@ -204,6 +221,8 @@
         Command::Diff { object_api, files } => runtime.block_on(operator::diff(object_api, &files)),
         Command::Apply { object_api, files } => runtime.block_on(operator::apply(object_api, &files)),
         Command::Status { node } => runtime.block_on(operator::show(node, "/v1/status")),
+        Command::Members { node } => runtime.block_on(inspect::members(node)).map_err(no_answer),
+        Command::Replicas { node } => runtime.block_on(inspect::replicas(node)).map_err(no_answer),
         Command::Programs { node } => runtime.block_on(operator::show(node, "/v1/programs")),
     }
 }
@@ -212,6 +231,10 @@
     CommandError::Invalid(error.to_string())
 }
 
+fn no_answer(error: InspectError) -> CommandError {
+    CommandError::Other(error.into())
+}
+
 fn initialise(folder: &std::path::Path) -> Result<String, CommandError> {
     let store = crate::driver::wall_clock().0;
     let fresh = storage::initialise(folder, store).map_err(|error| CommandError::Other(error.into()))?;
--- a/crates/wire/src/turns.rs
+++ b/crates/wire/src/turns.rs
@@ -377,6 +377,12 @@
     /// Request: what the sender has; answered by [`RpcBody::View`] with what is newer.
     #[deku(id = "7")]
     PullView(ViewNews),
+    /// Request of an operator, who becomes no member; answered by [`RpcBody::Members`].
+    #[deku(id = "8")]
+    ShowMembers,
+    /// Request of an operator; answered by [`RpcBody::SetKnown`].
+    #[deku(id = "9")]
+    ShowSet,
     /// Answer.
     #[deku(id = "64")]
     Stored(Stored),
@@ -389,7 +395,7 @@
     /// Answer.
     #[deku(id = "67")]
     Entries(Entries),
-    /// Answer to [`RpcBody::AdoptSet`].
+    /// Answer to [`RpcBody::AdoptSet`] and [`RpcBody::ShowSet`].
     #[deku(id = "68")]
     SetKnown(SetNews),
     /// Answer to a request that goes by another set: the replica's set, which may be the older one.
--- /dev/null
+++ b/crates/wire/tests/rpc_tests.rs
@@ -0,0 +1,88 @@
+//! Requests and answers among gateways and replicas, and their news by datagram: what is coded comes back, what is cut
+//! short or altered is refused.
+
+use foxnotch_wire::*;
+use proptest::prelude::*;
+use rstest::rstest;
+
+/// Bytes of a message by datagram that is sent several times a second to many nodes.
+const SMALL_MESSAGE: usize = 32;
+
+fn record() -> TurnRecord {
+    TurnRecord {
+        previous: TurnId(4),
+        engine: 77,
+        input: Content::from(b"input".to_vec()),
+        output: Content::from(b"output\n".to_vec()),
+    }
+}
+
+fn entry() -> TurnEntry {
+    TurnEntry {
+        turn: TurnId(5),
+        program: ProgramKey(6),
+        retention_ms: 60_000,
+        reserved: 80,
+        used: NOT_SETTLED,
+        record: vec![record()],
+    }
+}
+
+fn set() -> ReplicaSet {
+    let member = ReplicaMember { node: NodeId(3), zone: 1, ip: [10, 0, 0, 1], port: 7380 };
+    ReplicaSet { version: 9, members: vec![member], previous: Vec::new() }
+}
+
+#[rstest]
+#[case::store(RpcBody::StoreEntry(StoreEntry { set_version: 9, entry: entry() }))]
+#[case::chain(RpcBody::ReadChain(ReadChain { set_version: 9, turn: TurnId(5) }))]
+#[case::set(RpcBody::AdoptSet(SetNews { set: set(), synced: 8 }))]
+#[case::show_members(RpcBody::ShowMembers)]
+#[case::show_set(RpcBody::ShowSet)]
+#[case::entries(RpcBody::Entries(Entries { entries: vec![entry(), entry()] }))]
+fn a_request_survives_the_round_trip_and_no_part_of_it_is_taken_for_one(#[case] body: RpcBody) {
+    let bytes = encode_rpc(NodeId(2), 11, body.clone()).expect("it can be coded");
+    let message = decode_rpc(&bytes).expect("it is whole");
+    assert_eq!((message.from, message.exchange, message.body), (NodeId(2), 11, body));
+    for length in 0..bytes.len() {
+        assert!(decode_rpc(&bytes[..length]).is_err(), "{length} bytes of {} were taken", bytes.len());
+    }
+}
+
+#[test]
+fn news_of_the_store_are_small_and_survive_the_round_trip() {
+    let news = StoreNews { configuration_revision: u64::MAX, engines_revision: 7, contact_age_ms: 480 };
+    let bytes = encode(NodeId(2), Message::StoreNews(news)).expect("it can be coded");
+    assert!(bytes.len() <= SMALL_MESSAGE, "{} bytes", bytes.len());
+    assert_eq!(decode(&bytes).expect("it is whole").message, Message::StoreNews(news));
+    for length in 0..bytes.len() {
+        assert!(decode(&bytes[..length]).is_err());
+    }
+}
+
+#[test]
+fn another_version_of_the_protocol_is_refused() {
+    let mut bytes = encode_rpc(NodeId(2), 11, RpcBody::ShowSet).expect("it can be coded");
+    bytes[0] = PROTOCOL_VERSION - 1;
+    assert!(decode_rpc(&bytes).is_err());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2000))]
+
+    #[test]
+    fn arbitrary_bytes_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..400)) {
+        // Whether they are a message is of no matter.
+        let _ = decode_rpc(&bytes);
+    }
+
+    #[test]
+    fn altered_requests_never_panic(index in 0_usize..200, value in any::<u8>()) {
+        let body = RpcBody::StoreEntry(StoreEntry { set_version: 9, entry: entry() });
+        let mut bytes = encode_rpc(NodeId(2), 11, body).expect("it can be coded");
+        let index = index % bytes.len();
+        bytes[index] = value;
+        // Whether it is still a message is of no matter.
+        let _ = decode_rpc(&bytes);
+    }
+}
