Chains are read in a file of their own, one step a function

edge/turns.rs had two jobs and one function of 60 lines. The duty's tests start their nodes in one place.

--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -3,6 +3,7 @@
 pub mod accept;
 pub mod body;
 pub mod call;
+pub mod chain_reader;
 pub mod events;
 pub mod handler;
 pub mod process;
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -5,11 +5,12 @@
 
 use crate::edge::body::{AnswerBody, Piece};
 use crate::edge::call::{remove_connection_headers, Call};
+use crate::edge::chain_reader::{ChainError, ChainRecords};
 use crate::edge::events::{Event, EventSplitter};
 use crate::edge::handler::{Gateway, WorkGuard};
 use crate::edge::refusal::Refusal;
 use crate::edge::tries::Tries;
-use crate::edge::turns::{ChainError, ChainRecords, TurnError};
+use crate::edge::turns::TurnError;
 use crate::edge::whole_call::read_whole;
 use crate::engines::attempt::{finish, EngineAnswer};
 use crate::engines::connection::EngineConnection;
--- a/crates/gateway/src/edge/turns.rs
+++ b/crates/gateway/src/edge/turns.rs
@@ -1,4 +1,4 @@
-//! Keeps turns and budgets on the replicas, and reads chains back.
+//! Keeps turns and budgets on the replicas.
 
 use crate::edge::turn_cache::TurnCache;
 use crate::logging::part;
@@ -7,12 +7,11 @@
 use crate::peers::view::{Origin, ViewHolder};
 use crate::replica::sync::address_of;
 use foxnotch_turns::budget::{BudgetVerdict, BudgetView};
-use foxnotch_turns::chain::{ChainAssembly, NO_TURN};
 use foxnotch_turns::quorum::Tally;
 use foxnotch_turns::replica_set::{self, Tolerance};
 use foxnotch_wire::{
-    ProgramKey, ReadChain, ReadProgram, ReplicaMember, ReplicaSet, ReplicaStanding, RpcBody, SetNews, StoreEntry,
-    Stored, TurnEntry, TurnId, TurnRecord, NOT_SETTLED,
+    ProgramKey, ReadProgram, ReplicaMember, ReplicaSet, ReplicaStanding, RpcBody, SetNews, StoreEntry, Stored,
+    TurnEntry, NOT_SETTLED,
 };
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use std::sync::Arc;
@@ -21,8 +20,6 @@
 
 /// Pause before a replica that failed is asked again.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
-/// Time for which the nearest replica alone is asked for a chain.
-const NEAREST_ALONE: Duration = Duration::from_millis(30);
 /// Pause while no replica set is known.
 const SET_PAUSE: Duration = Duration::from_millis(50);
 
@@ -42,22 +39,8 @@
     NoSet,
 }
 
-/// What is known of a turn that another continues.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum ChainError {
-    /// So many complete replicas lack it that it cannot exist.
-    #[error("it does not exist")]
-    NoSuchTurn,
-    /// Nobody can tell.
-    #[error("nobody can tell whether it exists ({0})")]
-    Unknown(TurnError),
-}
-
-/// A chain, oldest first.
-pub type ChainRecords = Vec<(TurnId, Arc<TurnRecord>)>;
-
 /// What a replica answered to one request.
-enum MemberAnswer {
+pub(super) enum MemberAnswer {
     Body(RpcBody),
     NewerSet(ReplicaSet),
 }
@@ -65,13 +48,13 @@
 /// Asks the replicas.
 pub struct TurnKeeper {
     client: Arc<RpcClient>,
-    view: Arc<ViewHolder>,
-    cache: TurnCache,
-    zone: u32,
-    tolerance: Tolerance,
+    pub(super) view: Arc<ViewHolder>,
+    pub(super) cache: TurnCache,
+    pub(super) zone: u32,
+    pub(super) tolerance: Tolerance,
     metrics: Arc<Metrics>,
     /// Told when the replica set seems out of date.
-    set_wanted: Arc<Notify>,
+    pub(super) set_wanted: Arc<Notify>,
 }
 
 impl TurnKeeper {
@@ -103,7 +86,7 @@
     }
 
     /// Waits for a replica set.
-    async fn wait_for_set(&self, deadline: Instant) -> Result<Arc<ReplicaSet>, TurnError> {
+    pub(super) async fn wait_for_set(&self, deadline: Instant) -> Result<Arc<ReplicaSet>, TurnError> {
         loop {
             let set = self.view.set();
             if set.version > 0 {
@@ -118,7 +101,7 @@
     }
 
     /// Asks one replica until it gives an answer that counts, or the set turns out to be old, or time is over.
-    async fn ask_member(
+    pub(super) async fn ask_member(
         &self,
         member: ReplicaMember,
         set: &ReplicaSet,
@@ -239,104 +222,4 @@
         }
         Ok(())
     }
-
-    /// The chain that ends with `newest`.
-    ///
-    /// # Errors
-    /// [`ChainError`].
-    pub async fn chain(&self, newest: TurnId, deadline: Instant) -> Result<ChainRecords, ChainError> {
-        let mut assembly = ChainAssembly::default();
-        if let Some(chain) = self.cached_chain(newest, &mut assembly) {
-            return Ok(chain);
-        }
-        let chain = self.read_chain(newest, assembly, deadline).await?;
-        for (turn, record) in &chain {
-            self.cache.insert(*turn, record.clone());
-        }
-        Ok(chain)
-    }
-
-    fn cached_chain(&self, newest: TurnId, assembly: &mut ChainAssembly) -> Option<ChainRecords> {
-        let mut next = newest;
-        while next != NO_TURN {
-            let record = self.cache.get(next)?;
-            let previous = record.previous;
-            assembly.insert(next, record);
-            next = previous;
-        }
-        assembly.resolve(newest).ok()
-    }
-
-    /// Reads a chain from the replicas: from the nearest alone at first, then from all.
-    ///
-    /// A replica answers with its records from a turn back to the first that it lacks. Replicas may have missed different
-    /// turns, so all are asked again from each turn that turns out to be missing.
-    async fn read_chain(
-        &self,
-        newest: TurnId,
-        mut assembly: ChainAssembly,
-        deadline: Instant,
-    ) -> Result<ChainRecords, ChainError> {
-        loop {
-            let set = self.wait_for_set(deadline).await.map_err(ChainError::Unknown)?;
-            let denials = replica_set::denial_quorum(set.members.len(), self.tolerance.losses(&set.members));
-            let ask = |member, turn| self.ask_for_chain(member, &set, turn, deadline);
-            let mut others = set.members.clone();
-            let nearest = others.iter().position(|member| member.zone == self.zone).map(|index| others.remove(index));
-            let mut asks: FuturesUnordered<_> = nearest.into_iter().map(|member| ask(member, newest)).collect();
-            let mut asked_from = vec![newest];
-            let mut newer = None;
-            loop {
-                let answer = if others.is_empty() {
-                    asks.next().await
-                } else {
-                    let waited = tokio::time::timeout(NEAREST_ALONE, asks.next()).await;
-                    asks.extend(others.drain(..).map(|member| ask(member, newest)));
-                    let Ok(Some(answer)) = waited else { continue };
-                    Some(answer)
-                };
-                match answer {
-                    Some((turn, Some(MemberAnswer::Body(RpcBody::Chain(chain))))) if turn == newest => {
-                        assembly.merge(newest, chain);
-                    }
-                    Some((_, Some(MemberAnswer::Body(RpcBody::Chain(chain))))) => assembly.merge_older(chain),
-                    Some((_, Some(MemberAnswer::NewerSet(set)))) => {
-                        newer = Some(set);
-                        break;
-                    }
-                    Some(_) => {}
-                    None => break,
-                }
-                match assembly.resolve(newest) {
-                    Ok(chain) => return Ok(chain),
-                    Err(missing) if missing == newest && assembly.denials() >= denials => {
-                        return Err(ChainError::NoSuchTurn);
-                    }
-                    Err(missing) if !asked_from.contains(&missing) => {
-                        asked_from.push(missing);
-                        asks.extend(set.members.iter().map(|member| ask(*member, missing)));
-                    }
-                    Err(_) => {}
-                }
-            }
-            let Some(newer) = newer else {
-                self.set_wanted.notify_one();
-                let counted = assembly.denials();
-                return Err(ChainError::Unknown(TurnError::NoQuorum { counted, needed: denials }));
-            };
-            self.view.adopt_set(&newer, Origin::Peer);
-        }
-    }
-
-    /// Asks one replica for the chain that ends with `turn`.
-    async fn ask_for_chain(
-        &self,
-        member: ReplicaMember,
-        set: &ReplicaSet,
-        turn: TurnId,
-        deadline: Instant,
-    ) -> (TurnId, Option<MemberAnswer>) {
-        let body = RpcBody::ReadChain(ReadChain { set_version: set.version, turn });
-        (turn, self.ask_member(member, set, body, deadline).await)
-    }
 }
--- a/crates/gateway/tests/replica_tests.rs
+++ b/crates/gateway/tests/replica_tests.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use foxnotch_gateway::edge::turns::ChainError;
+use foxnotch_gateway::edge::chain_reader::ChainError;
 use foxnotch_gateway::inspect;
 use foxnotch_gateway::ports::store::{Kind, ObjectBody};
 use foxnotch_wire::TurnId;
--- a/crates/gateway/tests/watch_duty_tests.rs
+++ b/crates/gateway/tests/watch_duty_tests.rs
@@ -24,6 +24,16 @@
     ObjectBody::Configuration(Configuration { version, ..Configuration::default() })
 }
 
+/// A node that follows the configuration while its duty says so.
+fn start_node(store: &StubStore) -> (Arc<WatchDuty>, Arc<ViewHolder>) {
+    let (duty, view) = (duty(), Arc::new(ViewHolder::default()));
+    let shared = Arc::new(store.clone());
+    let follower = ConfigurationFollower { view: view.clone() };
+    tokio::spawn(follow(shared.clone(), Kind::Configuration, duty.clone(), follower));
+    tokio::spawn(probe(shared, duty.clone()));
+    (duty, view)
+}
+
 async fn wait(milliseconds: u64) {
     tokio::time::sleep(Duration::from_millis(milliseconds)).await;
 }
@@ -99,16 +109,9 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_gateway_that_hears_fresh_news_does_not_call_the_store() {
-    let (store, duty, view) = (StubStore::default(), duty(), Arc::new(ViewHolder::default()));
+    let store = StubStore::default();
     store.put(Kind::Configuration, "main", configuration(1));
-    let shared = Arc::new(store.clone());
-    tokio::spawn(follow(
-        shared.clone(),
-        Kind::Configuration,
-        duty.clone(),
-        ConfigurationFollower { view: view.clone() },
-    ));
-    tokio::spawn(probe(shared, duty.clone()));
+    let (duty, view) = start_node(&store);
     review_for(&duty, Duration::from_secs(1), None).await;
     let before = store.calls();
     assert!(before > 0);
@@ -123,16 +126,10 @@
 /// A teller that the store swallowed goes on telling, with an age that grows: whoever goes by it watches in time.
 #[tokio::test(start_paused = true)]
 async fn a_teller_that_the_store_has_fallen_silent_to_is_not_believed_for_long() {
-    let (store, teller, listener) = (StubStore::default(), duty(), duty());
+    let (store, swallowed) = (StubStore::default(), StubStore::default());
     store.put(Kind::Configuration, "main", configuration(1));
-    let swallowed = StubStore::default();
-    let shared = Arc::new(swallowed.clone());
-    let told = Arc::new(ViewHolder::default());
-    tokio::spawn(follow(shared.clone(), Kind::Configuration, teller.clone(), ConfigurationFollower { view: told }));
-    tokio::spawn(probe(shared, teller.clone()));
-    let view = Arc::new(ViewHolder::default());
-    let follower = ConfigurationFollower { view: view.clone() };
-    tokio::spawn(follow(Arc::new(store.clone()), Kind::Configuration, listener.clone(), follower));
+    let (teller, _) = start_node(&swallowed);
+    let (listener, view) = start_node(&store);
     teller.set_first(true);
     wait(3000).await;
     swallowed.fall_silent();
@@ -151,16 +148,9 @@
 /// The watch of a silent store is made anew as soon as a question goes unanswered, not only when its own wait is over.
 #[tokio::test(start_paused = true)]
 async fn a_probe_finds_a_silent_store_before_the_watch_does() {
-    let (store, duty, view) = (StubStore::default(), duty(), Arc::new(ViewHolder::default()));
+    let store = StubStore::default();
     store.put(Kind::Configuration, "main", configuration(1));
-    let shared = Arc::new(store.clone());
-    tokio::spawn(follow(
-        shared.clone(),
-        Kind::Configuration,
-        duty.clone(),
-        ConfigurationFollower { view: view.clone() },
-    ));
-    tokio::spawn(probe(shared, duty.clone()));
+    let (_, view) = start_node(&store);
     wait(700).await;
     store.fall_silent();
     wait(1100).await;
