A gateway that stops takes only requests that it can end

The platform goes on sending connections to a gateway that is not ready while under half of its zone's gateways are; nothing stopped the gateway from taking requests until its end. Ruled out: resting connections (closed 2.8 s after the signal), the margin before the end of the grace. Change: `PlannedStop` decides: a request is taken while as much time is left as it may take, or 0.4 of the grace; else 503 with the time to come back (`cause=stopping`, known to `explain`). Test: a_gateway_that_stops_takes_only_what_it_can_end, six cases; there was no such decision before.

--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -2,6 +2,7 @@
 
 use crate::edge::body::AnswerBody;
 use crate::edge::call::Call;
+use crate::edge::planned_stop::PlannedStop;
 use crate::edge::refusal::Refusal;
 use crate::edge::routes::{RouteTable, ServiceShares};
 use crate::edge::tries::Tries;
@@ -22,8 +23,8 @@
 use http::{header, Request, Response};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 /// The longest wait for a first configuration.
@@ -51,8 +52,8 @@
     pub shares: ServiceShares,
     /// The routes in force.
     pub routes: Mutex<Option<Arc<RouteTable>>>,
-    /// Whether the gateway is about to stop.
-    pub draining: AtomicBool,
+    /// Set once the gateway is about to stop.
+    pub stop: OnceLock<PlannedStop>,
     /// Work that has to be finished before the process ends.
     pub under_way: Arc<AtomicUsize>,
 }
@@ -97,7 +98,7 @@
 
     /// Whether the gateway takes connections.
     pub fn is_ready(&self) -> bool {
-        !self.draining.load(Ordering::Relaxed) && self.routes().is_some()
+        self.stop.get().is_none() && self.routes().is_some()
     }
 
     /// Serves one request.
@@ -114,7 +115,7 @@
                 refusal.to_response()
             }
         };
-        if self.draining.load(Ordering::Relaxed) {
+        if self.stop.get().is_some() {
             response.headers_mut().insert(header::CONNECTION, header::HeaderValue::from_static("close"));
         }
         response
@@ -148,6 +149,9 @@
         let input = read_body(body, routes.configuration().limits.body_bytes).await?;
         let service = self.shares.next(&route).ok_or(Refusal::NoRoute)?;
         let call = Call::new(metadata, route, service, arrived_at, head, input);
+        if self.stop.get().is_some_and(|stop| !stop.takes(Instant::now(), call.expires_at)) {
+            return Err(Refusal::Stopping);
+        }
         match call.route.kind {
             RouteKind::Streaming => stream_call::serve(self, call).await,
             RouteKind::Idempotent | RouteKind::NonIdempotent => whole_call::serve(&self, &call).await,
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -6,6 +6,7 @@
 pub mod chain_reader;
 pub mod events;
 pub mod handler;
+pub mod planned_stop;
 pub mod process;
 pub mod refusal;
 pub mod routes;
--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -4,6 +4,7 @@
 use crate::edge::accept;
 use crate::edge::body::AnswerBody;
 use crate::edge::handler::Gateway;
+use crate::edge::planned_stop::PlannedStop;
 use crate::edge::turn_cache::TurnCache;
 use crate::edge::turns::TurnKeeper;
 use crate::engines::load_exchange;
@@ -31,8 +32,8 @@
 use hyper_util::rt::TokioIo;
 use std::convert::Infallible;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::sync::{watch, Notify, Semaphore};
@@ -45,8 +46,6 @@
 const SET_PERIOD: Duration = Duration::from_millis(400);
 /// Time after the signal to stop at which resting connections are closed: by then no new ones are sent here.
 const CLOSE_AFTER: Duration = Duration::from_millis(2800);
-/// The end of the time to stop that is left unused.
-const GRACE_MARGIN: Duration = Duration::from_millis(400);
 /// Time between two looks whether all is done.
 const DRAIN_PERIOD: Duration = Duration::from_millis(50);
 
@@ -89,7 +88,7 @@
         turns: turns.clone(),
         shares: Default::default(),
         routes: Mutex::default(),
-        draining: AtomicBool::new(false),
+        stop: OnceLock::new(),
         under_way: Arc::new(AtomicUsize::new(0)),
     });
     let answers = Arc::new(PeerAnswers { members: members.clone(), view: view.clone() });
@@ -131,9 +130,9 @@
     count: usize,
 ) {
     let begun_at = Instant::now();
-    let end_at = begun_at + settings.grace().saturating_sub(GRACE_MARGIN);
+    let stop = *gateway.stop.get_or_init(|| PlannedStop::begin(begun_at, settings.grace()));
+    let end_at = stop.ends_at();
     log::info!(target: part::PROCESS, "Stopping: under_way={}.", gateway.under_way.load(Ordering::Relaxed));
-    gateway.draining.store(true, Ordering::Relaxed);
     members.leave();
     tokio::time::sleep_until((begun_at + CLOSE_AFTER).min(end_at).into()).await;
     // Connections that have ended are not told.
--- a/crates/gateway/src/edge/refusal.rs
+++ b/crates/gateway/src/edge/refusal.rs
@@ -10,6 +10,9 @@
     /// Not run: no configuration is known yet.
     #[error("this gateway has no configuration yet; ask again")]
     NoConfiguration,
+    /// Not run: the gateway is about to stop.
+    #[error("this gateway stops before it could answer; ask again after the time given")]
+    Stopping,
     /// Not run: no route for host and path.
     #[error("no route serves this host and path; check both")]
     NoRoute,
@@ -53,9 +56,12 @@
             Self::Malformed(_) => StatusCode::BAD_REQUEST,
             Self::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
-            Self::NoConfiguration | Self::NoRoom | Self::NoQuorum(_) | Self::ChainUnknown | Self::OutOfTime => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoConfiguration
+            | Self::Stopping
+            | Self::NoRoom
+            | Self::NoQuorum(_)
+            | Self::ChainUnknown
+            | Self::OutOfTime => StatusCode::SERVICE_UNAVAILABLE,
             Self::MayHaveRun(_) => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -65,7 +71,9 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::NoRoom => Some(Duration::from_millis(100)),
-            Self::OutOfTime | Self::NoQuorum(_) | Self::ChainUnknown => Some(Duration::from_millis(200)),
+            Self::Stopping | Self::OutOfTime | Self::NoQuorum(_) | Self::ChainUnknown => {
+                Some(Duration::from_millis(200))
+            }
             Self::NoConfiguration => Some(Duration::from_millis(300)),
             _ => None,
         }
@@ -75,6 +83,7 @@
     pub fn name(&self) -> &'static str {
         match self {
             Self::NoConfiguration => "no_configuration",
+            Self::Stopping => "stopping",
             Self::NoRoute => "no_route",
             Self::Malformed(_) => "malformed",
             Self::TooLarge(_) => "too_large",
--- a/crates/gateway/tests/edge_tests.rs
+++ b/crates/gateway/tests/edge_tests.rs
@@ -1,6 +1,7 @@
 //! Parts of the gateway that need no sockets.
 
 use foxnotch_gateway::edge::events::EventSplitter;
+use foxnotch_gateway::edge::planned_stop::PlannedStop;
 use foxnotch_gateway::edge::routes::{RouteTable, ServiceShares};
 use foxnotch_gateway::edge::turn_cache::TurnCache;
 use foxnotch_gateway::engines::engine::Engine;
@@ -13,6 +14,7 @@
 use rstest::rstest;
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 fn route(name: &str, host: &str, path_prefix: &str) -> Route {
     Route {
@@ -235,3 +237,19 @@
     assert_eq!(choose(&engines, &placement, &tried[..1]).expect("one is left").entry.id, "e1");
     assert!(choose(&engines, &placement, &tried).is_none());
 }
+
+/// Found by a hunt of the archive (hunt-643a-47): a request that came 7.6 s after the signal to stop, while most other
+/// gateways were gone, was taken and cut off when the process ended 10 ms later.
+#[rstest]
+#[case::soon_after_the_signal(1.0, 4.0, true)]
+#[case::with_the_share_that_is_kept(4.3, 4.0, true)]
+#[case::with_less_than_it_may_take(4.5, 4.0, false)]
+#[case::short_enough(6.0, 1.2, true)]
+#[case::just_before_the_end(7.59, 4.0, false)]
+#[case::after_the_end(7.8, 0.5, false)]
+fn a_gateway_that_stops_takes_only_what_it_can_end(#[case] after_s: f64, #[case] may_take_s: f64, #[case] taken: bool) {
+    let begun_at = Instant::now();
+    let stop = PlannedStop::begin(begun_at, Duration::from_secs(8));
+    let now = begun_at + Duration::from_secs_f64(after_s);
+    assert_eq!(stop.takes(now, now + Duration::from_secs_f64(may_take_s)), taken);
+}
