A turn is sent to the engine that ran its program's turn before, at whatever gateway it enters

Cause: where a route keeps no chain, only the gateway that sent a turn knew where it ran. The engines' pace follows: 36 ms an event calm, 67 ms in the burst, where a lone request has some 23. Ruled out: the plain back ends (their mean stays at 20 to 26 ms through the burst), slots (10 of 24 in the mean), the shared parts (3.8 M of the 25.3 M). Change: an entry of the budget's books tells the engine, the last part of the prompt and its length once an engine has begun the turn; the answer to a reservation, which is asked for anyway, brings them back; the longest turn that a prompt continues names its engine. No message more.

--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -2,9 +2,11 @@
 
 use crate::edge::refusal::Refusal;
 use crate::edge::tries::Tries;
+use crate::engines::engine::Engine;
 use crate::ports::configuration::{Route, RouteKind};
 use crate::ports::dialect::{CallMetadata, Dialect, ForwardedCall};
 use bytes::Bytes;
+use foxnotch_wire::RunPlace;
 use http::{header, HeaderMap, Request};
 use http_body_util::Full;
 use std::time::{Duration, Instant};
@@ -77,6 +79,17 @@
         self.route.is_repeatable() && tries.runs() < self.route.attempts
     }
 
+    /// The parts of its prompt.
+    pub fn part_ids(&self) -> Vec<u64> {
+        self.metadata.parts.iter().map(|part| part.id).collect()
+    }
+
+    /// Its place in the program's books, once `engine` runs it.
+    pub fn place_at(&self, engine: &Engine) -> RunPlace {
+        let Some(last) = self.metadata.parts.last() else { return RunPlace::default() };
+        RunPlace { engine: engine.number, part: last.id, prompt_tokens: self.metadata.prompt_tokens }
+    }
+
     /// The moment up to which a place at an engine is sought.
     pub fn place_deadline(&self) -> Instant {
         let objective = Duration::from_millis(self.route.objective_ms.max(1));
--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -17,6 +17,7 @@
 use crate::metrics::Metrics;
 use crate::peers::members::Members;
 use crate::peers::view::ViewHolder;
+use crate::policy::PolicySettings;
 use crate::ports::configuration::RouteKind;
 use crate::ports::dialect::Dialect;
 use bytes::Bytes;
@@ -50,6 +51,8 @@
     pub turns: Arc<TurnKeeper>,
     /// Shares of services.
     pub shares: ServiceShares,
+    /// Mechanisms that are on.
+    pub policy: PolicySettings,
     /// The routes in force.
     pub routes: Mutex<Option<Arc<RouteTable>>>,
     /// Set once the gateway is about to stop.
--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -87,6 +87,7 @@
         metrics: metrics.clone(),
         turns: turns.clone(),
         shares: Default::default(),
+        policy: settings.policy,
         routes: Mutex::default(),
         stop: OnceLock::new(),
         under_way: Arc::new(AtomicUsize::new(0)),
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -17,9 +17,10 @@
 use crate::engines::engine::EngineLease;
 use crate::logging::part;
 use bytes::Bytes;
+use foxnotch_turns::budget::BudgetView;
 use foxnotch_turns::chain::{compose_body, NO_TURN};
 use foxnotch_turns::identity::{program_key, turn_id};
-use foxnotch_wire::{Content, TurnEntry, TurnId, TurnRecord, NOT_SETTLED};
+use foxnotch_wire::{Content, RunPlace, TurnEntry, TurnId, TurnRecord, NOT_SETTLED};
 use http::{header, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -83,8 +84,8 @@
         reserve(&gateway, &call, &mut account, prepare_until)
     );
     let chain = chain?;
-    reserved?;
-    call.predecessor = chain.last().map(|(_, record)| record.engine);
+    let known = reserved?;
+    call.predecessor = predecessor(&gateway, &call, &chain, known);
     let body = if chain.is_empty() { call.input.clone() } else { Bytes::from(compose_body(&chain, &call.input)) };
     let mut tries = Tries::default();
     let answer = gateway.offer(&call, &body, call.metadata.last_event.as_deref(), &mut tries).await?;
@@ -105,18 +106,25 @@
         retention_ms: u32::try_from(call.route.retention_ms).unwrap_or(u32::MAX),
         reserved: if metadata.token_budget.is_some() { metadata.most_tokens } else { 0 },
         used: NOT_SETTLED,
+        place: RunPlace::default(),
         record: Vec::new(),
     };
     let event_tokens = model.map_or(1, |model| model.event_tokens.max(1));
     TurnAccount { gateway: gateway.clone(), entry, is_reserved: false, event_tokens, events: 0 }
 }
 
-async fn reserve(gateway: &Gateway, call: &Call, account: &mut TurnAccount, deadline: Instant) -> Result<(), Refusal> {
-    let Some(budget) = call.metadata.token_budget else { return Ok(()) };
+/// Reserves the turn's most, and tells what is known of the program's other turns.
+async fn reserve(
+    gateway: &Gateway,
+    call: &Call,
+    account: &mut TurnAccount,
+    deadline: Instant,
+) -> Result<Option<BudgetView>, Refusal> {
+    let Some(budget) = call.metadata.token_budget else { return Ok(None) };
     account.is_reserved = true;
     match gateway.turns.reserve(&account.entry, budget, deadline).await {
-        Ok(true) => Ok(()),
-        Ok(false) => Err(Refusal::BudgetSpent),
+        Ok(reservation) if reservation.granted => Ok(Some(reservation.program)),
+        Ok(_) => Err(Refusal::BudgetSpent),
         Err(error) => Err(Refusal::NoQuorum(error.to_string())),
     }
 }
@@ -130,15 +138,24 @@
     }
 }
 
+/// The engine that ran the turn which this one continues: as its record tells, or else the program's books.
+fn predecessor(gateway: &Gateway, call: &Call, chain: &ChainRecords, program: Option<BudgetView>) -> Option<u32> {
+    if let Some((_, record)) = chain.last() {
+        return Some(record.engine);
+    }
+    program.filter(|_| gateway.policy.shared_places)?.engine_for(&call.part_ids())
+}
+
 /// Passes the head on and leaves the events to a task.
 fn begin_stream(
     gateway: Arc<Gateway>,
     call: Call,
-    account: TurnAccount,
+    mut account: TurnAccount,
     answer: EngineAnswer,
     previous: TurnId,
 ) -> Response<AnswerBody> {
     let EngineAnswer { response, connection, lease, .. } = answer;
+    account.entry.place = call.place_at(lease.engine());
     let (mut head, body) = response.into_parts();
     remove_connection_headers(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
--- a/crates/gateway/src/edge/turns.rs
+++ b/crates/gateway/src/edge/turns.rs
@@ -45,6 +45,15 @@
     NewerSet(ReplicaSet),
 }
 
+/// What became of a reservation.
+#[derive(Clone, Debug)]
+pub struct Reservation {
+    /// Whether the budget holds it.
+    pub granted: bool,
+    /// What the replicas know of the program's turns.
+    pub program: BudgetView,
+}
+
 /// Asks the replicas.
 pub struct TurnKeeper {
     client: Arc<RpcClient>,
@@ -175,19 +184,18 @@
     ///
     /// # Errors
     /// [`TurnError`]; the reservation may then be on some replicas and has to be released.
-    pub async fn reserve(&self, entry: &TurnEntry, budget: u64, deadline: Instant) -> Result<bool, TurnError> {
-        let first = self.write(entry, deadline).await?;
-        let mut verdict = first.first_verdict(budget);
-        let mut total = first.total();
+    pub async fn reserve(&self, entry: &TurnEntry, budget: u64, deadline: Instant) -> Result<Reservation, TurnError> {
+        let mut program = self.write(entry, deadline).await?;
+        let mut verdict = program.first_verdict(budget);
         if verdict == BudgetVerdict::ReadAgain {
-            let second = self.read(entry.program, deadline).await?;
-            verdict = second.second_verdict(budget);
-            total = second.total();
+            program = self.read(entry.program, deadline).await?;
+            verdict = program.second_verdict(budget);
         }
-        if verdict != BudgetVerdict::Granted {
-            log::info!(target: part::TURN, "Budget spent: turn={} program={:016x} total={total} budget={budget}.", entry.turn, entry.program.0);
+        let granted = verdict == BudgetVerdict::Granted;
+        if !granted {
+            log::info!(target: part::TURN, "Budget spent: turn={} program={:016x} total={} budget={budget}.", entry.turn, entry.program.0, program.total());
         }
-        Ok(verdict == BudgetVerdict::Granted)
+        Ok(Reservation { granted, program })
     }
 
     /// Writes an entry to a quorum.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod metrics;
 pub mod network;
 pub mod peers;
+pub mod policy;
 pub mod ports;
 pub mod replica;
 pub mod settings;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! The settings of a gateway or a replica, read from a TOML file and checked whole before anything is bound.
 
+use crate::policy::PolicySettings;
 use foxnotch_turns::replica_set::Tolerance;
 use serde::Deserialize;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -114,6 +115,9 @@
     pub times: TimeSettings,
     /// Resources.
     pub resources: ResourceSettings,
+    /// Switches of the mechanisms by which a gateway decides.
+    #[serde(default)]
+    pub policy: PolicySettings,
 }
 
 /// The bound for changes where the deployment states none, in milliseconds.
--- a/crates/gateway/tests/gateway_tests.rs
+++ b/crates/gateway/tests/gateway_tests.rs
@@ -33,6 +33,14 @@
         Self { cluster, gateway, engines }
     }
 
+    /// The engine that a request was sent to.
+    fn engine_of(&self, attempt: &str) -> Option<usize> {
+        let got = |engine: &EngineStandIn| {
+            engine.received().iter().any(|request| request.header("t-attempt") == Some(attempt))
+        };
+        self.engines.iter().position(got)
+    }
+
     fn sends(&self) -> usize {
         self.engines.iter().map(|engine| engine.received().len()).sum()
     }
@@ -387,3 +395,27 @@
     let (answer, ()) = tokio::join!(sending, writing);
     assert_eq!(answer.status, 200, "{}", answer.body);
 }
+
+/// Found by scale-2 of the further customer: a third of the turns entered at another gateway, which knew nothing of their
+/// program and sent nine of ten to an engine that had to read the whole prompt again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_turn_without_a_kept_chain_finds_the_engine_of_its_program_at_any_gateway() {
+    let stream = || Behaviour::Stream(vec!["data: x\n\n"]);
+    let deployment = Deployment::start(72, "turn", (0..6).map(|_| stream()).collect()).await;
+    let other = RunningGateway::start_with(&deployment.cluster, 51, deployment.cluster.store.clone()).await;
+    other.wait_ready().await;
+    for program in 0..8 {
+        let headers = |turn: u32| {
+            format!(
+                "{}t-program: p{program}\r\nt-budget: 500\r\nt-most: 9\r\nt-parts: {program}a:4000\r\n",
+                attempt(&format!("{program}-{turn}"))
+            )
+        };
+        assert_eq!(deployment.gateway.send("POST /turn/", &headers(1), "x").await.status, 200);
+        let ran = deployment.engine_of(&format!("{program}-1"));
+        // The turn's end is told to the replicas after the caller has it.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        assert_eq!(other.send("POST /turn/", &headers(2), "x").await.status, 200);
+        assert_eq!(deployment.engine_of(&format!("{program}-2")), ran, "program {program} has moved");
+    }
+}
--- a/crates/gateway/tests/replica_tests.rs
+++ b/crates/gateway/tests/replica_tests.rs
@@ -127,7 +127,7 @@
         async move { keeper.reserve(&reservation(number, 99, 80), 250, soon()).await }
     });
     let granted = futures_util::future::join_all(reserving).await;
-    let count = granted.iter().filter(|granted| matches!(granted, Ok(true))).count();
+    let count = granted.iter().filter(|granted| matches!(granted, Ok(reservation) if reservation.granted)).count();
     assert!(count <= 3, "{count} turns of 80 tokens were granted of 250");
 }
 
--- a/crates/gateway/tests/settings_tests.rs
+++ b/crates/gateway/tests/settings_tests.rs
@@ -59,6 +59,7 @@
 #[case::endless("drain_ms = 2000", "drain_ms = inf", "100 or more")]
 #[case::negative("descriptors = 4100", "descriptors = -1", "0 or more")]
 #[case::same_port("metrics_port = 7381", "metrics_port = 7380", "another port")]
+#[case::unknown_policy("descriptors = 4100", "descriptors = 4100\n[policy]\nshared_place = false", "shared_place")]
 fn a_mistake_is_named(#[case] from: &str, #[case] to: &str, #[case] named: &str) {
     assert!(VALID.contains(from));
     let error = load(&VALID.replacen(from, to, 1)).expect_err("the settings are wrong");
@@ -75,6 +76,13 @@
     assert_eq!(settings.resources.memory_mb, 48);
 }
 
+#[test]
+fn every_mechanism_is_on_until_it_is_switched_off() {
+    assert!(load(VALID).expect("the settings are valid").policy.shared_places);
+    let text = format!("{VALID}\n[policy]\nshared_places = false\n");
+    assert!(!load(&text).expect("the settings are valid").policy.shared_places);
+}
+
 #[test]
 fn a_file_that_is_not_there_is_named() {
     let error = ProcessSettings::load(std::path::Path::new("/nowhere/x.toml")).expect_err("there is no file");
--- a/crates/gateway/tests/support/cluster.rs
+++ b/crates/gateway/tests/support/cluster.rs
@@ -10,8 +10,8 @@
 use foxnotch_turns::identity::{node_id, zone_hash};
 use foxnotch_turns::replica_set::Tolerance;
 use foxnotch_wire::{
-    Content, DiskIdentity, FetchEntries, ListMarks, NodeId, ProgramKey, ReplicaSet, RpcBody, SetNews, StoreEntry,
-    TurnEntry, TurnId, TurnRecord, NOT_SETTLED,
+    Content, DiskIdentity, FetchEntries, ListMarks, NodeId, ProgramKey, ReplicaSet, RpcBody, RunPlace, SetNews,
+    StoreEntry, TurnEntry, TurnId, TurnRecord, NOT_SETTLED,
 };
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -78,6 +78,7 @@
         retention_ms: 60_000,
         reserved: tokens,
         used: NOT_SETTLED,
+        place: RunPlace::default(),
         record: Vec::new(),
     }
 }
@@ -120,6 +121,7 @@
     /// The settings of a node.
     pub fn settings(&self, number: u8, first_start: bool) -> ProcessSettings {
         ProcessSettings {
+            policy: Default::default(),
             node: name(number),
             zone: "a".to_owned(),
             zones: vec!["a".to_owned()],
--- a/crates/turns/src/budget.rs
+++ b/crates/turns/src/budget.rs
@@ -1,12 +1,14 @@
 //! Whether a turn fits its program's budget.
 
-use foxnotch_wire::{TurnCharge, TurnId};
+use foxnotch_wire::{RunPlace, TurnCharge, TurnId};
 use std::collections::BTreeMap;
 
 /// What replicas know of a program's turns, merged.
 #[derive(Clone, Debug, Default)]
 pub struct BudgetView {
     charges: BTreeMap<TurnId, u32>,
+    /// Where the turns ran, as far as they have begun.
+    places: Vec<RunPlace>,
 }
 
 /// What follows from a view.
@@ -27,6 +29,17 @@
             let known = self.charges.entry(charge.turn).or_insert(charge.tokens);
             *known = (*known).min(charge.tokens);
         }
+        let begun = charges.iter().map(|charge| charge.place).filter(RunPlace::is_known);
+        self.places.extend(begun);
+    }
+
+    /// The engine that holds most of a prompt with these parts: it ran the longest of the program's turns that the
+    /// prompt continues.
+    pub fn engine_for(&self, parts: &[u64]) -> Option<u32> {
+        let place_of_part = |place: &RunPlace| parts.iter().rposition(|part| *part == place.part);
+        let continued = self.places.iter().filter_map(|place| Some((place_of_part(place)?, place)));
+        let longest = continued.max_by_key(|(index, place)| (*index, place.prompt_tokens))?;
+        Some(longest.1.engine)
     }
 
     /// Tokens of all turns.
--- a/crates/turns/src/ledger.rs
+++ b/crates/turns/src/ledger.rs
@@ -57,6 +57,9 @@
         known.retention_ms = known.retention_ms.max(entry.retention_ms);
         known.reserved = known.reserved.max(entry.reserved);
         known.used = known.used.min(entry.used);
+        if !known.place.is_known() {
+            known.place = entry.place;
+        }
         if known.record.is_empty() && !entry.record.is_empty() {
             self.bytes -= entry_bytes(known);
             known.record = entry.record;
@@ -83,7 +86,7 @@
     pub fn charges(&self, program: ProgramKey) -> Vec<TurnCharge> {
         let Some(kept) = self.programs.get(&program) else { return Vec::new() };
         let entries = kept.turns.iter().filter_map(|turn| self.entries.get(turn));
-        entries.map(|entry| TurnCharge { turn: entry.turn, tokens: entry.charge() }).collect()
+        entries.map(|entry| TurnCharge { turn: entry.turn, tokens: entry.charge(), place: entry.place }).collect()
     }
 
     /// The records from `newest` back, up to the first one that is missing.
--- a/crates/turns/tests/budget_tests.rs
+++ b/crates/turns/tests/budget_tests.rs
@@ -1,8 +1,9 @@
 //! Budgets: whatever the order in which reservations meet at the replicas, grants never exceed the budget.
 
 use foxnotch_turns::budget::{BudgetVerdict, BudgetView};
-use foxnotch_wire::{TurnCharge, TurnId};
+use foxnotch_wire::{RunPlace, TurnCharge, TurnId};
 use proptest::prelude::*;
+use rstest::rstest;
 
 /// One reservation in the making.
 #[derive(Clone, Debug)]
@@ -16,13 +17,21 @@
     verdict: Option<BudgetVerdict>,
 }
 
+fn charge(turn: u128, tokens: u32) -> TurnCharge {
+    TurnCharge { turn: TurnId(turn), tokens, place: RunPlace::default() }
+}
+
+fn ran(turn: u128, engine: u32, part: u64, prompt_tokens: u32) -> TurnCharge {
+    TurnCharge { place: RunPlace { engine, part, prompt_tokens }, ..charge(turn, 5) }
+}
+
 /// Carries out one step of a reservation against the replicas' ledgers.
 fn step(reserving: &mut Reserving, replicas: &mut [Vec<TurnCharge>], budget: u64) {
     if reserving.verdict.is_some() {
         return;
     }
     if let Some(replica) = reserving.first_round.pop() {
-        replicas[replica].push(TurnCharge { turn: reserving.turn, tokens: reserving.tokens });
+        replicas[replica].push(charge(reserving.turn.0, reserving.tokens));
         reserving.view.merge(&replicas[replica]);
         if reserving.first_round.is_empty() {
             let verdict = reserving.view.first_verdict(budget);
@@ -84,26 +93,44 @@
 #[test]
 fn a_settled_charge_replaces_the_reservation() {
     let mut view = BudgetView::default();
-    view.merge(&[TurnCharge { turn: TurnId(1), tokens: 80 }]);
-    view.merge(&[TurnCharge { turn: TurnId(1), tokens: 27 }]);
-    view.merge(&[TurnCharge { turn: TurnId(1), tokens: 80 }]);
+    view.merge(&[charge(1, 80)]);
+    view.merge(&[charge(1, 27)]);
+    view.merge(&[charge(1, 80)]);
     assert_eq!(view.total(), 27);
 }
 
 #[test]
 fn a_released_reservation_counts_nothing() {
     let mut view = BudgetView::default();
-    view.merge(&[TurnCharge { turn: TurnId(1), tokens: 80 }]);
-    view.merge(&[TurnCharge { turn: TurnId(1), tokens: 0 }]);
+    view.merge(&[charge(1, 80)]);
+    view.merge(&[charge(1, 0)]);
     assert_eq!(view.second_verdict(0), BudgetVerdict::Granted);
 }
 
 #[test]
 fn one_round_is_enough_up_to_half_of_the_budget() {
     let mut view = BudgetView::default();
-    view.merge(&[TurnCharge { turn: TurnId(1), tokens: 50 }]);
+    view.merge(&[charge(1, 50)]);
     assert_eq!(view.first_verdict(100), BudgetVerdict::Granted);
     assert_eq!(view.first_verdict(99), BudgetVerdict::ReadAgain);
     assert_eq!(view.second_verdict(50), BudgetVerdict::Granted);
     assert_eq!(view.second_verdict(49), BudgetVerdict::Spent);
 }
+
+/// The caller's prompt consists of the parts 1 (shared), 2 (of its session) and 3 (of a sub-agent).
+#[rstest]
+#[case::nothing_ran(vec![charge(1, 5)], &[1, 2], None)]
+#[case::turn_of_the_same_session(vec![ran(1, 7, 2, 900)], &[1, 2], Some(7))]
+#[case::longest_turn_of_the_session(vec![ran(1, 7, 2, 900), ran(2, 8, 2, 1200), ran(3, 9, 2, 1000)], &[1, 2], Some(8))]
+#[case::parent_of_a_new_sub_agent(vec![ran(1, 7, 2, 900), charge(2, 5)], &[1, 2, 3], Some(7))]
+#[case::own_turn_before_the_parents(vec![ran(1, 7, 2, 5000), ran(2, 8, 3, 900)], &[1, 2, 3], Some(8))]
+#[case::another_session(vec![ran(1, 7, 4, 900)], &[1, 2], None)]
+fn a_prompt_goes_where_most_of_it_was_read(
+    #[case] charges: Vec<TurnCharge>,
+    #[case] parts: &[u64],
+    #[case] engine: Option<u32>,
+) {
+    let mut view = BudgetView::default();
+    view.merge(&charges);
+    assert_eq!(view.engine_for(parts), engine);
+}
--- a/crates/turns/tests/ledger_tests.rs
+++ b/crates/turns/tests/ledger_tests.rs
@@ -4,8 +4,8 @@
 use foxnotch_turns::chain::{compose_body, ChainAssembly, NO_TURN};
 use foxnotch_turns::ledger::Ledger;
 use foxnotch_wire::{
-    Chain, ChainLink, Content, DiskIdentity, NodeId, ProgramKey, ReplicaStanding, TurnEntry, TurnId, TurnRecord,
-    Witness, NOT_SETTLED,
+    Chain, ChainLink, Content, DiskIdentity, NodeId, ProgramKey, ReplicaStanding, RunPlace, TurnEntry, TurnId,
+    TurnRecord, Witness, NOT_SETTLED,
 };
 use std::sync::Arc;
 
@@ -18,6 +18,7 @@
         retention_ms: 60_000,
         reserved: tokens,
         used: NOT_SETTLED,
+        place: RunPlace::default(),
         record: Vec::new(),
     }
 }
@@ -132,3 +133,14 @@
     assert_eq!(missing, vec![TurnId(1), TurnId(2)]);
     assert!(full.missing(&other.marks()).is_empty());
 }
+
+#[test]
+fn the_place_of_a_turn_is_told_and_not_forgotten_when_an_older_state_comes_late() {
+    let place = RunPlace { engine: 7, part: 2, prompt_tokens: 900 };
+    let mut ledger = Ledger::default();
+    ledger.apply(reserved(1, 9, 80), START);
+    ledger.apply(TurnEntry { used: 5, place, ..reserved(1, 9, 80) }, START);
+    ledger.apply(reserved(1, 9, 80), START);
+    let charges = ledger.charges(ProgramKey(9));
+    assert_eq!(charges.iter().map(|charge| charge.place).collect::<Vec<_>>(), vec![place]);
+}
--- a/crates/turns/tests/segment_tests.rs
+++ b/crates/turns/tests/segment_tests.rs
@@ -1,7 +1,7 @@
 //! Files after a loss of power: torn, missing and mangled writes never bring back a wrong record.
 
 use foxnotch_turns::segment::{append_frame, read_segment, Record, ReplicaState};
-use foxnotch_wire::{Content, DiskIdentity, NodeId, ProgramKey, TurnEntry, TurnId, TurnRecord};
+use foxnotch_wire::{Content, DiskIdentity, NodeId, ProgramKey, RunPlace, TurnEntry, TurnId, TurnRecord};
 use proptest::prelude::*;
 
 fn record(turn: u128, length: usize) -> Record {
@@ -17,6 +17,7 @@
         retention_ms: 1,
         reserved: 2,
         used: 1,
+        place: RunPlace { engine: 9, part: 8, prompt_tokens: 7 },
         record: vec![content],
     })
 }
--- a/crates/wire/src/turns.rs
+++ b/crates/wire/src/turns.rs
@@ -67,6 +67,25 @@
     pub output: Content,
 }
 
+/// Where a turn ran, for the turns after it: that engine probably still holds what it has read.
+#[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq, Eq, Default)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct RunPlace {
+    /// The engine, as a hash of its identifier; 0 while none has begun the turn.
+    pub engine: u32,
+    /// The last part of the turn's prompt.
+    pub part: u64,
+    /// Tokens of the turn's whole prompt.
+    pub prompt_tokens: u32,
+}
+
+impl RunPlace {
+    /// Whether an engine has begun the turn.
+    pub fn is_known(&self) -> bool {
+        self.engine != 0
+    }
+}
+
 /// The value of [`TurnEntry::used`] while the turn runs.
 pub const NOT_SETTLED: u32 = u32::MAX;
 
@@ -85,6 +104,8 @@
     pub reserved: u32,
     /// Tokens handed out, or [`NOT_SETTLED`].
     pub used: u32,
+    /// Where the turn ran.
+    pub place: RunPlace,
     #[deku(temp, temp_value = "Length::of(&record)")]
     records: Length<1>,
     /// The record, once the turn has ended whole: none or one.
@@ -154,6 +175,8 @@
     pub turn: TurnId,
     /// Tokens.
     pub tokens: u32,
+    /// Where the turn ran.
+    pub place: RunPlace,
 }
 
 /// A turn and how much of it is known.
--- a/crates/wire/tests/rpc_tests.rs
+++ b/crates/wire/tests/rpc_tests.rs
@@ -24,6 +24,7 @@
         retention_ms: 60_000,
         reserved: 80,
         used: NOT_SETTLED,
+        place: RunPlace::default(),
         record: vec![record()],
     }
 }
