A replica whose direct path is silent is asked through another gateway

Ruled out: to leave the ready set (the platform uses all gateways of a zone when under half are ready); to refuse early alone (the turn still needs a try and a client's retry, where another gateway can bring the answer in 2 ms more). Change: after four of its usual round trips (20 to 120 ms) without an answer a replica is asked through another gateway as well, at once while its path is believed to be silent; the silent path is tried again each 0.3 s. A relay passes on what gateways ask replicas, to members of the set that it knows, directly alone. Requests may reach a replica twice by their making. Policy switch `relay`, counter `relayed`.

--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -13,10 +13,12 @@
 use crate::metrics::{self, Metrics};
 use crate::network;
 use crate::peers::members::Members;
+use crate::peers::replica_client::{Relays, ReplicaClient};
 use crate::peers::rpc_client::RpcClient;
 use crate::peers::rpc_server::{self, RpcHandler};
 use crate::peers::view::{Origin, ViewHolder};
 use crate::peers::view_exchange;
+use crate::policy::PolicySettings;
 use crate::ports::dialect::Dialect;
 use crate::ports::store::{Kind, MetadataStore, ObjectBody};
 use crate::settings::{ProcessSettings, SettingsError};
@@ -76,7 +78,9 @@
         .context("the port for datagrams cannot be bound")?;
     let cache = TurnCache::new((settings.resources.memory_mb * 1024 * 1024 / CACHE_SHARE) as usize);
     let metrics = gateway_metrics(&view, &members);
-    let keeper = TurnKeeper::new(client, view.clone(), cache, zone_hash(&settings.zone), settings.tolerance());
+    let replicas = replica_client(client, &members, &metrics, settings.policy);
+    let keeper =
+        TurnKeeper::new(replicas.clone(), view.clone(), cache, zone_hash(&settings.zone), settings.tolerance());
     let turns = Arc::new(keeper.with_metrics(metrics.clone()));
     let gateway = Arc::new(Gateway {
         zone: settings.zone.clone(),
@@ -92,7 +96,7 @@
         stop: OnceLock::new(),
         under_way: Arc::new(AtomicUsize::new(0)),
     });
-    let answers = Arc::new(PeerAnswers { members: members.clone(), view: view.clone() });
+    let answers = Arc::new(PeerAnswers { members: members.clone(), view: view.clone(), replicas });
     tokio::spawn(rpc_server::serve(peers, own, answers.clone()));
     if let Some(address) = settings.contact_address {
         let contact = network::listen(address).context("the contact address cannot be bound")?;
@@ -149,6 +153,20 @@
     log::info!(target: part::PROCESS, "Stopped: under_way={} after={:?}.", gateway.under_way.load(Ordering::Relaxed), begun_at.elapsed());
 }
 
+/// Asks replicas, through other gateways too where the policy says so.
+fn replica_client(
+    client: Arc<RpcClient>,
+    members: &Arc<Members>,
+    metrics: &Arc<Metrics>,
+    policy: PolicySettings,
+) -> Arc<ReplicaClient> {
+    let mut replicas = ReplicaClient::direct(client).with_metrics(metrics.clone());
+    if policy.relay {
+        replicas = replicas.with_relays(Relays::new(members.clone()));
+    }
+    Arc::new(replicas)
+}
+
 /// The metrics of a gateway, with what it knows.
 fn gateway_metrics(view: &Arc<ViewHolder>, members: &Arc<Members>) -> Arc<Metrics> {
     let mut metrics = Metrics::default();
@@ -203,11 +221,15 @@
 struct PeerAnswers {
     members: Arc<Members>,
     view: Arc<ViewHolder>,
+    replicas: Arc<ReplicaClient>,
 }
 
 impl RpcHandler for PeerAnswers {
     fn handle(self: Arc<Self>, _from: NodeId, body: RpcBody) -> BoxFuture<'static, RpcBody> {
         let answer = match body {
+            RpcBody::Relay(relay) => {
+                return Box::pin(async move { self.replicas.answer_relay(&self.view.set(), relay).await });
+            }
             RpcBody::PullMembers(asker) => self.members.answer_pull(asker),
             RpcBody::ShowMembers => self.members.list(),
             RpcBody::ShowSet => RpcBody::SetKnown(SetNews { set: (*self.view.set()).clone(), synced: 0 }),
--- a/crates/gateway/src/edge/turns.rs
+++ b/crates/gateway/src/edge/turns.rs
@@ -3,9 +3,8 @@
 use crate::edge::turn_cache::TurnCache;
 use crate::logging::part;
 use crate::metrics::Metrics;
-use crate::peers::rpc_client::RpcClient;
+use crate::peers::replica_client::ReplicaClient;
 use crate::peers::view::{Origin, ViewHolder};
-use crate::replica::sync::address_of;
 use foxnotch_turns::budget::{BudgetVerdict, BudgetView};
 use foxnotch_turns::quorum::Tally;
 use foxnotch_turns::replica_set::{self, Tolerance};
@@ -56,7 +55,7 @@
 
 /// Asks the replicas.
 pub struct TurnKeeper {
-    client: Arc<RpcClient>,
+    client: Arc<ReplicaClient>,
     pub(super) view: Arc<ViewHolder>,
     pub(super) cache: TurnCache,
     pub(super) zone: u32,
@@ -69,7 +68,7 @@
 impl TurnKeeper {
     /// A keeper that goes by the view's replica set.
     pub fn new(
-        client: Arc<RpcClient>,
+        client: Arc<ReplicaClient>,
         view: Arc<ViewHolder>,
         cache: TurnCache,
         zone: u32,
@@ -122,14 +121,14 @@
             if left.is_zero() {
                 return None;
             }
-            match self.client.call(address_of(&member), body.clone(), left).await {
+            match self.client.call(&member, body.clone(), left).await {
                 Ok(RpcBody::OtherSet(news)) if news.set.version > set.version => {
                     return Some(MemberAnswer::NewerSet(news.set));
                 }
                 Ok(RpcBody::OtherSet(_)) => {
                     let news = SetNews { set: set.clone(), synced: 0 };
                     // A replica that cannot be told is asked again below.
-                    let _ = self.client.call(address_of(&member), RpcBody::AdoptSet(news), left).await;
+                    let _ = self.client.call(&member, RpcBody::AdoptSet(news), left).await;
                     continue;
                 }
                 Ok(RpcBody::Stored(stored)) if stored.witness.standing == ReplicaStanding::Counts => {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -54,6 +54,8 @@
     pub dispatch_seconds: Histogram,
     /// Seconds of a round to a quorum of replicas.
     pub quorum_seconds: Histogram,
+    /// Answers of replicas that came through another gateway.
+    pub relayed: Counter,
 }
 
 fn histogram() -> Histogram {
@@ -70,6 +72,7 @@
             call_seconds: histogram(),
             dispatch_seconds: histogram(),
             quorum_seconds: histogram(),
+            relayed: Counter::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("calls", "Calls by how they ended", metrics.calls.clone());
@@ -85,6 +88,7 @@
             metrics.dispatch_seconds.clone(),
         );
         registry.register("quorum_seconds", "A round to a quorum of replicas", metrics.quorum_seconds.clone());
+        registry.register("relayed", "Answers of replicas through another gateway", metrics.relayed.clone());
         metrics.read("engine_connections_opened", "Connections opened to engines", || opened() as i64);
         metrics.read("log_lines_left_out", "Log lines left out", || lines_left_out() as i64);
         metrics
--- a/crates/gateway/src/peers/members.rs
+++ b/crates/gateway/src/peers/members.rs
@@ -57,7 +57,7 @@
 }
 
 /// Where a member listens for nodes.
-fn socket_of(address: &MemberAddress) -> Option<SocketAddr> {
+pub(super) fn socket_of(address: &MemberAddress) -> Option<SocketAddr> {
     let ip = Ipv6Addr::from(address.ip).to_ipv4_mapped()?;
     Some(SocketAddr::from((ip, address.peer_port)))
 }
@@ -170,6 +170,17 @@
         })
     }
 
+    /// A gateway that is not among `passed_over`: `preferred` if it is one, or else one drawn by lot.
+    pub fn pick_gateway(&self, preferred: Option<NodeId>, passed_over: &[NodeId]) -> Option<MemberUpdate> {
+        let mut gateways = self.gateways();
+        gateways.retain(|gateway| !passed_over.contains(&gateway.node));
+        if let Some(known) = gateways.iter().find(|gateway| Some(gateway.node) == preferred) {
+            return Some(*known);
+        }
+        let index = self.with(|membership| membership.random_below(gateways.len()));
+        gateways.get(index).copied()
+    }
+
     /// Sends a datagram to some other gateways, drawn by lot.
     pub fn tell_gateways(&self, count: usize, message: &Message) {
         let mut gateways = self.gateways();
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -1,7 +1,9 @@
 //! Other nodes: requests and answers by stream, membership by datagram, and the view of the platform they share.
 
+pub mod direct_paths;
 pub mod frame;
 pub mod members;
+pub mod replica_client;
 pub mod rpc_client;
 pub mod rpc_server;
 mod store_news;
--- /dev/null
+++ b/crates/gateway/src/peers/replica_client.rs
@@ -0,0 +1,178 @@
+//! Asks replicas, directly or, where the direct path is silent, through another gateway.
+//!
+//! A gateway may be cut off from the replicas while others reach them and it reaches those. What it asks is made such
+//! that a replica may get it twice, so a second way costs nothing but a message.
+
+use crate::locks::lock;
+use crate::logging::part;
+use crate::metrics::Metrics;
+use crate::peers::direct_paths::DirectPaths;
+use crate::peers::members::Members;
+use crate::peers::rpc_client::{RpcClient, RpcError};
+use crate::replica::sync::address_of;
+use foxnotch_wire::{
+    decode_rpc, encode_rpc, Content, MemberUpdate, NodeId, RelayRequest, ReplicaMember, ReplicaSet, RpcBody,
+};
+use std::future::pending;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Time that one gateway is given to relay.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(150);
+/// Gateways that are asked to relay one request, one after the other.
+const MAXIMUM_RELAYS: usize = 3;
+
+/// Gateways that may relay.
+pub struct Relays {
+    members: Arc<Members>,
+    /// The one that relayed last.
+    preferred: Mutex<Option<NodeId>>,
+}
+
+impl Relays {
+    /// Relays among the members.
+    pub fn new(members: Arc<Members>) -> Self {
+        Self { members, preferred: Mutex::default() }
+    }
+
+    /// A gateway that was not asked yet: the one that relayed last, or another drawn by lot.
+    fn pick(&self, asked: &[NodeId]) -> Option<MemberUpdate> {
+        let preferred = *lock(&self.preferred);
+        self.members.pick_gateway(preferred, asked)
+    }
+}
+
+/// Asks replicas.
+pub struct ReplicaClient {
+    client: Arc<RpcClient>,
+    paths: Mutex<DirectPaths>,
+    relays: Option<Relays>,
+    metrics: Arc<Metrics>,
+}
+
+impl ReplicaClient {
+    /// A client that asks directly alone.
+    pub fn direct(client: Arc<RpcClient>) -> Self {
+        Self { client, paths: Mutex::default(), relays: None, metrics: Arc::default() }
+    }
+
+    /// Lets it ask through other gateways too.
+    pub fn with_relays(mut self, relays: Relays) -> Self {
+        self.relays = Some(relays);
+        self
+    }
+
+    /// Counts in these metrics.
+    pub fn with_metrics(mut self, metrics: Arc<Metrics>) -> Self {
+        self.metrics = metrics;
+        self
+    }
+
+    /// Sends a request that may arrive twice and waits for its answer.
+    ///
+    /// # Errors
+    /// Any [`RpcError`] of the direct path.
+    pub async fn call(&self, replica: &ReplicaMember, body: RpcBody, within: Duration) -> Result<RpcBody, RpcError> {
+        let Some(relays) = &self.relays else {
+            return self.client.call(address_of(replica), body, within).await;
+        };
+        let begun_at = Instant::now();
+        let plan = lock(&self.paths).plan(replica.node, begun_at);
+        let direct = async {
+            if !plan.direct {
+                pending::<()>().await;
+            }
+            self.client.call(address_of(replica), body.clone(), within).await
+        };
+        let relayed = async {
+            tokio::time::sleep(plan.relay_after).await;
+            self.relay(relays, replica, &body, begun_at + within).await
+        };
+        tokio::pin!(direct, relayed);
+        let mut given_up = false;
+        loop {
+            tokio::select! {
+                answer = &mut direct => {
+                    self.note_direct(replica.node, &answer, begun_at);
+                    return answer;
+                }
+                answer = &mut relayed, if !given_up => match answer {
+                    Some(answer) => {
+                        self.note_relayed(replica.node, begun_at);
+                        return Ok(answer);
+                    }
+                    None if plan.direct => given_up = true,
+                    None => return Err(RpcError::Unreachable(address_of(replica))),
+                }
+            }
+        }
+    }
+
+    fn note_direct(&self, replica: NodeId, answer: &Result<RpcBody, RpcError>, begun_at: Instant) {
+        if answer.is_ok() && lock(&self.paths).note_answer(replica, begun_at.elapsed()) {
+            log::info!(target: part::PEER, "Replica {replica} answers directly again: after={:?}.", begun_at.elapsed());
+        }
+    }
+
+    fn note_relayed(&self, replica: NodeId, begun_at: Instant) {
+        self.metrics.relayed.inc();
+        if lock(&self.paths).note_silence(replica, Instant::now()) {
+            log::warn!(target: part::PEER, "Replica {replica} answers through another gateway alone: after={:?}.", begun_at.elapsed());
+        }
+    }
+
+    /// Asks through other gateways until one brings the replica's answer.
+    async fn relay(
+        &self,
+        relays: &Relays,
+        replica: &ReplicaMember,
+        body: &RpcBody,
+        deadline: Instant,
+    ) -> Option<RpcBody> {
+        let request = encode_rpc(self.client.own(), 0, body.clone()).ok()?;
+        let mut asked = Vec::new();
+        while asked.len() < MAXIMUM_RELAYS {
+            let left = deadline.saturating_duration_since(Instant::now()).min(RELAY_TIMEOUT);
+            let relay = relays.pick(&asked)?;
+            asked.push(relay.node);
+            let within_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+            let request = RelayRequest { replica: replica.node, within_ms, request: Content::from(request.clone()) };
+            let address = crate::peers::members::socket_of(&relay.address)?;
+            let answer = self.client.call(address, RpcBody::Relay(request), left).await;
+            let brought = match answer {
+                Ok(RpcBody::Relayed(answer)) => decode_rpc(&answer.bytes).ok(),
+                _ => None,
+            };
+            if let Some(message) = brought {
+                *lock(&relays.preferred) = Some(relay.node);
+                return Some(message.body);
+            }
+            lock(&relays.preferred).take_if(|preferred| *preferred == relay.node);
+        }
+        None
+    }
+
+    /// Passes another gateway's request on to a replica of `set`, directly alone.
+    pub async fn answer_relay(&self, set: &ReplicaSet, relay: RelayRequest) -> RpcBody {
+        self.pass_on(set, &relay).await.map_or(RpcBody::Unreached, |answer| RpcBody::Relayed(Content::from(answer)))
+    }
+
+    async fn pass_on(&self, set: &ReplicaSet, relay: &RelayRequest) -> Option<Vec<u8>> {
+        let replica = set.members.iter().find(|member| member.node == relay.replica)?;
+        if lock(&self.paths).is_silent(replica.node) {
+            return None;
+        }
+        let request = decode_rpc(&relay.request.bytes).ok()?;
+        if !may_be_relayed(&request.body) {
+            return None;
+        }
+        let within = Duration::from_millis(relay.within_ms.into()).min(RELAY_TIMEOUT);
+        let answer = self.client.call(address_of(replica), request.body, within).await.ok()?;
+        encode_rpc(replica.node, 0, answer).ok()
+    }
+}
+
+/// Whether a request is one of those that gateways send to replicas.
+fn may_be_relayed(body: &RpcBody) -> bool {
+    matches!(body, RpcBody::StoreEntry(_) | RpcBody::ReadProgram(_) | RpcBody::ReadChain(_) | RpcBody::AdoptSet(_))
+}
--- a/crates/gateway/src/peers/rpc_client.rs
+++ b/crates/gateway/src/peers/rpc_client.rs
@@ -67,6 +67,11 @@
         Self { own, connections: Mutex::default(), next_exchange: AtomicU64::new(1) }
     }
 
+    /// This node.
+    pub fn own(&self) -> NodeId {
+        self.own
+    }
+
     /// Sends a request and waits for its answer.
     ///
     /// # Errors
--- a/crates/gateway/src/policy.rs
+++ b/crates/gateway/src/policy.rs
@@ -8,10 +8,12 @@
 pub struct PolicySettings {
     /// A turn goes to the engine that ran its program's turn before, as the replicas tell with the budget.
     pub shared_places: bool,
+    /// A replica whose direct path is silent is asked through another gateway.
+    pub relay: bool,
 }
 
 impl Default for PolicySettings {
     fn default() -> Self {
-        Self { shared_places: true }
+        Self { shared_places: true, relay: true }
     }
 }
--- /dev/null
+++ b/crates/gateway/tests/relay_tests.rs
@@ -0,0 +1,117 @@
+//! Gateways that are cut off from replicas and ask them through other gateways.
+
+mod support;
+
+use foxnotch_gateway::clock::SteadyClock;
+use foxnotch_gateway::edge::turn_cache::TurnCache;
+use foxnotch_gateway::edge::turns::TurnKeeper;
+use foxnotch_gateway::metrics::Metrics;
+use foxnotch_gateway::peers::direct_paths::{DirectPaths, PathPlan};
+use foxnotch_gateway::peers::members::Members;
+use foxnotch_gateway::peers::replica_client::{Relays, ReplicaClient};
+use foxnotch_gateway::peers::rpc_client::RpcClient;
+use foxnotch_gateway::peers::view::{Origin, ViewHolder};
+use foxnotch_turns::identity::zone_hash;
+use foxnotch_turns::replica_set::Tolerance;
+use foxnotch_wire::{NodeId, ReplicaSet};
+use rstest::rstest;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use support::cluster::{eventually, reservation, Cluster};
+use support::gateway::RunningGateway;
+use tokio::net::TcpListener;
+
+const REPLICA: NodeId = NodeId(7);
+
+fn milliseconds(number: u64) -> Duration {
+    Duration::from_millis(number)
+}
+
+/// A keeper that reaches no replica directly: connections to them come up and stay silent.
+struct CutOff {
+    keeper: TurnKeeper,
+    metrics: Arc<Metrics>,
+    /// Takes connections and never answers.
+    _silent: TcpListener,
+}
+
+impl CutOff {
+    async fn start(cluster: &Cluster, relays: bool) -> Self {
+        let silent = TcpListener::bind((cluster.ip(60), 0)).await.expect("an address can be had");
+        let port = silent.local_addr().expect("it is bound").port();
+        let reached = cluster.view.set();
+        let mut members = reached.members.clone();
+        for member in &mut members {
+            member.ip = cluster.ip(60).octets();
+            member.port = port;
+        }
+        let view = Arc::new(ViewHolder::default());
+        view.adopt_set(&ReplicaSet { version: reached.version, members, previous: Vec::new() }, Origin::Store);
+        let metrics = Arc::new(Metrics::default());
+        let client = Arc::new(RpcClient::new(NodeId(61)));
+        let mut replicas = ReplicaClient::direct(client.clone()).with_metrics(metrics.clone());
+        if relays {
+            let settings = cluster.settings(61, false);
+            let members = Members::bind(&settings, SteadyClock::start(), client, Arc::default()).await;
+            let members = members.expect("an address can be had");
+            tokio::spawn(members.clone().run());
+            eventually("another gateway is known", || members.gateway_count() > 0).await;
+            replicas = replicas.with_relays(Relays::new(members));
+        }
+        let tolerance = Tolerance { machines: 1, zones: 0 };
+        let keeper = TurnKeeper::new(Arc::new(replicas), view, TurnCache::new(0), zone_hash("a"), tolerance);
+        Self { keeper, metrics, _silent: silent }
+    }
+}
+
+/// Found by scale-2 of the further customer: three gateways of a zone's four cut off from the replicas for 12 s, all their
+/// turns refused after 0.9 s each.
+#[rstest]
+#[case::through_another_gateway(80, true)]
+#[case::directly_alone(81, false)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_gateway_that_is_cut_off_from_the_replicas_reserves_through_another(#[case] net: u8, #[case] relays: bool) {
+    let cluster = Cluster::start(net, 3).await;
+    let _gateway = RunningGateway::start(&cluster).await;
+    let cut_off = CutOff::start(&cluster, relays).await;
+    let mut granted = 0;
+    for number in 1..=4 {
+        let deadline = Instant::now() + milliseconds(if relays { 5000 } else { 300 });
+        let reserved = cut_off.keeper.reserve(&reservation(number, 9, 10), 1000, deadline).await;
+        granted += usize::from(reserved.is_ok_and(|reservation| reservation.granted));
+    }
+    assert_eq!(granted, if relays { 4 } else { 0 });
+    assert_eq!(cut_off.metrics.relayed.get() > 0, relays);
+    if relays {
+        let read = cluster.keeper.reserve(&reservation(5, 9, 10), 45, Instant::now() + milliseconds(5000)).await;
+        let refused = read.expect("the replicas can be asked");
+        assert!(!refused.granted, "what was reserved through another gateway counts for all");
+    }
+}
+
+#[test]
+fn a_path_that_answers_is_asked_directly_and_given_a_few_of_its_round_trips() {
+    let now = Instant::now();
+    let mut paths = DirectPaths::default();
+    let unknown = paths.plan(REPLICA, now);
+    paths.note_answer(REPLICA, milliseconds(10));
+    let known = paths.plan(REPLICA, now);
+    assert!(unknown.direct && known.direct);
+    assert_eq!(known.relay_after, milliseconds(40));
+    assert!(unknown.relay_after > known.relay_after);
+}
+
+#[test]
+fn a_silent_path_is_passed_by_at_once_and_tried_again_now_and_then() {
+    let begun_at = Instant::now();
+    let mut paths = DirectPaths::default();
+    assert!(paths.note_silence(REPLICA, begun_at));
+    assert!(!paths.note_silence(REPLICA, begun_at), "no news");
+    let around = PathPlan { direct: false, relay_after: Duration::ZERO };
+    assert_eq!(paths.plan(REPLICA, begun_at + milliseconds(100)), around);
+    let both = PathPlan { direct: true, ..around };
+    assert_eq!(paths.plan(REPLICA, begun_at + milliseconds(400)), both);
+    assert_eq!(paths.plan(REPLICA, begun_at + milliseconds(500)), around, "it was tried just now");
+    assert!(paths.note_answer(REPLICA, milliseconds(2)));
+    assert!(!paths.is_silent(REPLICA) && paths.plan(REPLICA, begun_at).direct);
+}
--- a/crates/gateway/tests/support/cluster.rs
+++ b/crates/gateway/tests/support/cluster.rs
@@ -3,6 +3,7 @@
 use crate::support::store::StubStore;
 use foxnotch_gateway::edge::turn_cache::TurnCache;
 use foxnotch_gateway::edge::turns::TurnKeeper;
+use foxnotch_gateway::peers::replica_client::ReplicaClient;
 use foxnotch_gateway::peers::rpc_client::RpcClient;
 use foxnotch_gateway::peers::view::{Origin, ViewHolder};
 use foxnotch_gateway::replica::process;
@@ -95,7 +96,7 @@
         let client = Arc::new(RpcClient::new(NodeId(1)));
         let cache = TurnCache::new(0);
         let keeper = Arc::new(TurnKeeper::new(
-            client.clone(),
+            Arc::new(ReplicaClient::direct(client.clone())),
             view.clone(),
             cache,
             zone_hash("a"),
@@ -110,7 +111,8 @@
         cluster
     }
 
-    fn ip(&self, number: u8) -> Ipv4Addr {
+    /// The address of a node.
+    pub fn ip(&self, number: u8) -> Ipv4Addr {
         Ipv4Addr::new(127, 77, self.net, number)
     }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -28,6 +28,6 @@
 pub use turns::ProgramKey;
 pub use turns::{
     decode_rpc, encode_rpc, Chain, ChainLink, Content, DiskIdentity, Entries, FetchEntries, ListMarks, Marks,
-    ReadChain, ReadProgram, ReplicaMember, ReplicaSet, ReplicaStanding, RpcBody, RpcMessage, RunPlace, SetNews,
-    StoreEntry, Stored, TurnCharge, TurnEntry, TurnId, TurnMark, TurnRecord, ViewNews, Witness, NOT_SETTLED,
+    ReadChain, ReadProgram, RelayRequest, ReplicaMember, ReplicaSet, ReplicaStanding, RpcBody, RpcMessage, RunPlace,
+    SetNews, StoreEntry, Stored, TurnCharge, TurnEntry, TurnId, TurnMark, TurnRecord, ViewNews, Witness, NOT_SETTLED,
 };
--- a/crates/wire/src/turns.rs
+++ b/crates/wire/src/turns.rs
@@ -371,6 +371,19 @@
     pub set: ReplicaSet,
 }
 
+/// Asks a node to pass a request on to a replica that the asker cannot reach itself. Answered by [`RpcBody::Relayed`] or
+/// [`RpcBody::Unreached`].
+#[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct RelayRequest {
+    /// The replica.
+    pub replica: NodeId,
+    /// Milliseconds for which the asker waits.
+    pub within_ms: u32,
+    /// The request, coded by [`encode_rpc`].
+    pub request: Content,
+}
+
 /// What an exchange is about.
 #[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
@@ -406,6 +419,9 @@
     /// Request of an operator; answered by [`RpcBody::SetKnown`].
     #[deku(id = "9")]
     ShowSet,
+    /// Request: the receiver is to ask a replica for the sender.
+    #[deku(id = "10")]
+    Relay(RelayRequest),
     /// Answer.
     #[deku(id = "64")]
     Stored(Stored),
@@ -433,6 +449,12 @@
     /// Answer: the receiver does not serve this.
     #[deku(id = "72")]
     NotServed,
+    /// Answer to [`RpcBody::Relay`]: the replica's answer, coded by [`encode_rpc`].
+    #[deku(id = "73")]
+    Relayed(Content),
+    /// Answer to [`RpcBody::Relay`]: the receiver does not reach the replica either, or knows no such replica.
+    #[deku(id = "74")]
+    Unreached,
 }
 
 /// A request or its answer.
