Every request that was taken has one last line, also when its caller leaves before an answer

Change: the work on a call is watched; dropped without an outcome, it logs "broken off: the caller left" and counts it. Test: last_line_tests, eleven ways to end; without the line two of them fail.

--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -1,5 +1,6 @@
 //! Takes one request of a caller to its answer.
 
+use crate::edge::abandoned::AbandonedCall;
 use crate::edge::body::AnswerBody;
 use crate::edge::call::Call;
 use crate::edge::planned_stop::PlannedStop;
@@ -109,7 +110,9 @@
         let arrived_at = Instant::now();
         let _work = WorkGuard::new(&self.under_way);
         let attempt = self.dialect.read_call(request.headers()).attempt;
+        let watched = AbandonedCall::watch(&attempt, arrived_at, &self.metrics);
         let outcome = self.clone().answer(request, arrived_at).await;
+        watched.note_outcome();
         let mut response = match outcome {
             Ok(response) => response,
             Err(refusal) => {
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -1,5 +1,6 @@
 //! The gateway: takes callers' requests, keeps turns and budgets, and passes requests on to engines.
 
+pub mod abandoned;
 pub mod accept;
 pub mod body;
 pub mod call;
