Places of prompts are told apart from charges, the longest of each session, and not for turns whose record tells

Change: an entry has a place or none; a replica tells places beside the charges, one for each last part.

--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -84,10 +84,13 @@
         self.metadata.parts.iter().map(|part| part.id).collect()
     }
 
-    /// Its place in the program's books, once `engine` runs it.
-    pub fn place_at(&self, engine: &Engine) -> RunPlace {
-        let Some(last) = self.metadata.parts.last() else { return RunPlace::default() };
-        RunPlace { engine: engine.number, part: last.id, prompt_tokens: self.metadata.prompt_tokens }
+    /// Where it runs, for the program's books; a kept turn's record will tell that.
+    pub fn place_at(&self, engine: &Engine) -> Option<RunPlace> {
+        if self.route.retain {
+            return None;
+        }
+        let last = self.metadata.parts.last()?;
+        Some(RunPlace { engine: engine.number, part: last.id, prompt_tokens: self.metadata.prompt_tokens })
     }
 
     /// The moment up to which a place at an engine is sought.
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -20,7 +20,7 @@
 use foxnotch_turns::budget::BudgetView;
 use foxnotch_turns::chain::{compose_body, NO_TURN};
 use foxnotch_turns::identity::{program_key, turn_id};
-use foxnotch_wire::{Content, RunPlace, TurnEntry, TurnId, TurnRecord, NOT_SETTLED};
+use foxnotch_wire::{Content, TurnEntry, TurnId, TurnRecord, NOT_SETTLED};
 use http::{header, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -106,7 +106,7 @@
         retention_ms: u32::try_from(call.route.retention_ms).unwrap_or(u32::MAX),
         reserved: if metadata.token_budget.is_some() { metadata.most_tokens } else { 0 },
         used: NOT_SETTLED,
-        place: RunPlace::default(),
+        place: None,
         record: Vec::new(),
     };
     let event_tokens = model.map_or(1, |model| model.event_tokens.max(1));
--- a/crates/gateway/src/edge/turns.rs
+++ b/crates/gateway/src/edge/turns.rs
@@ -156,9 +156,10 @@
             let mut newer = None;
             while let Some(answer) = asks.next().await {
                 match answer {
-                    Some(MemberAnswer::Body(RpcBody::Stored(Stored { witness, charges }))) => {
+                    Some(MemberAnswer::Body(RpcBody::Stored(Stored { witness, charges, places }))) => {
                         tally.add(witness);
                         view.merge(&charges);
+                        view.merge_places(&places);
                     }
                     Some(MemberAnswer::NewerSet(set)) => {
                         newer = Some(set);
--- a/crates/gateway/src/replica/core.rs
+++ b/crates/gateway/src/replica/core.rs
@@ -15,8 +15,8 @@
 use foxnotch_turns::replica_set;
 use foxnotch_turns::segment::{Record, ReplicaState};
 use foxnotch_wire::{
-    Chain, DiskIdentity, Entries, ListMarks, Marks, NodeId, ReadChain, ReadProgram, ReplicaSet, ReplicaStanding,
-    RpcBody, SetNews, StoreEntry, Stored, TurnEntry, TurnId, Witness,
+    Chain, DiskIdentity, Entries, ListMarks, Marks, NodeId, ProgramKey, ReadChain, ReadProgram, ReplicaSet,
+    ReplicaStanding, RpcBody, SetNews, StoreEntry, Stored, TurnEntry, TurnId, Witness,
 };
 use futures_util::future::BoxFuture;
 use std::sync::{Arc, Mutex};
@@ -219,21 +219,26 @@
         if let Some(other) = self.other_set(request.set_version) {
             return other;
         }
-        let charges = lock(&self.ledger).charges(program);
-        let mut witness = self.witness();
+        let mut answer = self.books_of(program);
         if let Err(error) = stored {
             log::warn!(target: part::REPLICA, "An entry was refused: {error}.");
-            witness.standing = ReplicaStanding::Full;
+            answer.witness.standing = ReplicaStanding::Full;
         }
-        RpcBody::Stored(Stored { witness, charges })
+        RpcBody::Stored(answer)
+    }
+
+    /// What is known of a program's turns.
+    fn books_of(&self, program: ProgramKey) -> Stored {
+        let witness = self.witness();
+        let ledger = lock(&self.ledger);
+        Stored { witness, charges: ledger.charges(program), places: ledger.places(program) }
     }
 
     fn on_read_program(&self, request: ReadProgram) -> RpcBody {
         if let Some(other) = self.other_set(request.set_version) {
             return other;
         }
-        let charges = lock(&self.ledger).charges(request.program);
-        RpcBody::Stored(Stored { witness: self.witness(), charges })
+        RpcBody::Stored(self.books_of(request.program))
     }
 
     fn on_read_chain(&self, request: ReadChain) -> RpcBody {
--- a/crates/gateway/tests/gateway_tests.rs
+++ b/crates/gateway/tests/gateway_tests.rs
@@ -401,7 +401,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_turn_without_a_kept_chain_finds_the_engine_of_its_program_at_any_gateway() {
     let stream = || Behaviour::Stream(vec!["data: x\n\n"]);
-    let deployment = Deployment::start(72, "turn", (0..6).map(|_| stream()).collect()).await;
+    let deployment = Deployment::start(72, "draft", (0..6).map(|_| stream()).collect()).await;
     let other = RunningGateway::start_with(&deployment.cluster, 51, deployment.cluster.store.clone()).await;
     other.wait_ready().await;
     for program in 0..8 {
@@ -411,11 +411,11 @@
                 attempt(&format!("{program}-{turn}"))
             )
         };
-        assert_eq!(deployment.gateway.send("POST /turn/", &headers(1), "x").await.status, 200);
+        assert_eq!(deployment.gateway.send("POST /draft/", &headers(1), "x").await.status, 200);
         let ran = deployment.engine_of(&format!("{program}-1"));
         // The turn's end is told to the replicas after the caller has it.
         tokio::time::sleep(Duration::from_millis(50)).await;
-        assert_eq!(other.send("POST /turn/", &headers(2), "x").await.status, 200);
+        assert_eq!(other.send("POST /draft/", &headers(2), "x").await.status, 200);
         assert_eq!(deployment.engine_of(&format!("{program}-2")), ran, "program {program} has moved");
     }
 }
--- a/crates/gateway/tests/support/cluster.rs
+++ b/crates/gateway/tests/support/cluster.rs
@@ -11,8 +11,8 @@
 use foxnotch_turns::identity::{node_id, zone_hash};
 use foxnotch_turns::replica_set::Tolerance;
 use foxnotch_wire::{
-    Content, DiskIdentity, FetchEntries, ListMarks, NodeId, ProgramKey, ReplicaSet, RpcBody, RunPlace, SetNews,
-    StoreEntry, TurnEntry, TurnId, TurnRecord, NOT_SETTLED,
+    Content, DiskIdentity, FetchEntries, ListMarks, NodeId, ProgramKey, ReplicaSet, RpcBody, SetNews, StoreEntry,
+    TurnEntry, TurnId, TurnRecord, NOT_SETTLED,
 };
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -79,7 +79,7 @@
         retention_ms: 60_000,
         reserved: tokens,
         used: NOT_SETTLED,
-        place: RunPlace::default(),
+        place: None,
         record: Vec::new(),
     }
 }
--- a/crates/gateway/tests/support/gateway.rs
+++ b/crates/gateway/tests/support/gateway.rs
@@ -105,7 +105,7 @@
     }
 }
 
-/// A configuration with a repeatable, a not repeatable and a streaming route.
+/// A configuration with a repeatable and a not repeatable route, one for turns that are kept and one for streams that are not.
 pub fn configuration(version: u64) -> ObjectBody {
     let service = |name: &str, model| Service { name: name.to_owned(), maximum_connections: 100, model };
     let model = ModelService { memory_tokens: 100_000, event_tokens: 9 };
@@ -115,8 +115,14 @@
             route("read", RouteKind::Idempotent, 2),
             route("write", RouteKind::NonIdempotent, 1),
             route("turn", RouteKind::Streaming, 1),
+            Route { retain: false, ..route("draft", RouteKind::Streaming, 1) },
+        ],
+        services: vec![
+            service("read", None),
+            service("write", None),
+            service("turn", Some(model.clone())),
+            service("draft", Some(model)),
         ],
-        services: vec![service("read", None), service("write", None), service("turn", Some(model))],
         limits: RequestLimits { header_bytes: 16_384, body_bytes: 2000, idle_ms: 10_000 },
     })
 }
--- a/crates/turns/src/budget.rs
+++ b/crates/turns/src/budget.rs
@@ -7,7 +7,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct BudgetView {
     charges: BTreeMap<TurnId, u32>,
-    /// Where the turns ran, as far as they have begun.
+    /// Where its prompts were read.
     places: Vec<RunPlace>,
 }
 
@@ -29,8 +29,11 @@
             let known = self.charges.entry(charge.turn).or_insert(charge.tokens);
             *known = (*known).min(charge.tokens);
         }
-        let begun = charges.iter().map(|charge| charge.place).filter(RunPlace::is_known);
-        self.places.extend(begun);
+    }
+
+    /// Takes what one replica knows of where the program's prompts were read.
+    pub fn merge_places(&mut self, places: &[RunPlace]) {
+        self.places.extend_from_slice(places);
     }
 
     /// The engine that holds most of a prompt with these parts: it ran the longest of the program's turns that the
--- a/crates/turns/src/ledger.rs
+++ b/crates/turns/src/ledger.rs
@@ -5,7 +5,7 @@
 
 use crate::chain::NO_TURN;
 use foxnotch_core::time::Millis;
-use foxnotch_wire::{ChainLink, ProgramKey, TurnCharge, TurnEntry, TurnId, TurnMark, NOT_SETTLED};
+use foxnotch_wire::{ChainLink, ProgramKey, RunPlace, TurnCharge, TurnEntry, TurnId, TurnMark, NOT_SETTLED};
 use std::collections::{HashMap, HashSet};
 
 /// Milliseconds by which a program is kept longer than asked for: the caller counts from a later moment.
@@ -57,9 +57,7 @@
         known.retention_ms = known.retention_ms.max(entry.retention_ms);
         known.reserved = known.reserved.max(entry.reserved);
         known.used = known.used.min(entry.used);
-        if !known.place.is_known() {
-            known.place = entry.place;
-        }
+        known.place = known.place.or(entry.place);
         if known.record.is_empty() && !entry.record.is_empty() {
             self.bytes -= entry_bytes(known);
             known.record = entry.record;
@@ -86,7 +84,20 @@
     pub fn charges(&self, program: ProgramKey) -> Vec<TurnCharge> {
         let Some(kept) = self.programs.get(&program) else { return Vec::new() };
         let entries = kept.turns.iter().filter_map(|turn| self.entries.get(turn));
-        entries.map(|entry| TurnCharge { turn: entry.turn, tokens: entry.charge(), place: entry.place }).collect()
+        entries.map(|entry| TurnCharge { turn: entry.turn, tokens: entry.charge() }).collect()
+    }
+
+    /// Where the prompts of a program were read: for each last part the longest prompt that ended with it.
+    pub fn places(&self, program: ProgramKey) -> Vec<RunPlace> {
+        let Some(kept) = self.programs.get(&program) else { return Vec::new() };
+        let mut longest: HashMap<u64, RunPlace> = HashMap::new();
+        for place in kept.turns.iter().filter_map(|turn| self.entries.get(turn)?.place) {
+            let known = longest.entry(place.part).or_insert(place);
+            if place.prompt_tokens > known.prompt_tokens {
+                *known = place;
+            }
+        }
+        longest.into_values().collect()
     }
 
     /// The records from `newest` back, up to the first one that is missing.
--- a/crates/turns/tests/budget_tests.rs
+++ b/crates/turns/tests/budget_tests.rs
@@ -18,11 +18,11 @@
 }
 
 fn charge(turn: u128, tokens: u32) -> TurnCharge {
-    TurnCharge { turn: TurnId(turn), tokens, place: RunPlace::default() }
+    TurnCharge { turn: TurnId(turn), tokens }
 }
 
-fn ran(turn: u128, engine: u32, part: u64, prompt_tokens: u32) -> TurnCharge {
-    TurnCharge { place: RunPlace { engine, part, prompt_tokens }, ..charge(turn, 5) }
+fn ran(engine: u32, part: u64, prompt_tokens: u32) -> RunPlace {
+    RunPlace { engine, part, prompt_tokens }
 }
 
 /// Carries out one step of a reservation against the replicas' ledgers.
@@ -119,18 +119,18 @@
 
 /// The caller's prompt consists of the parts 1 (shared), 2 (of its session) and 3 (of a sub-agent).
 #[rstest]
-#[case::nothing_ran(vec![charge(1, 5)], &[1, 2], None)]
-#[case::turn_of_the_same_session(vec![ran(1, 7, 2, 900)], &[1, 2], Some(7))]
-#[case::longest_turn_of_the_session(vec![ran(1, 7, 2, 900), ran(2, 8, 2, 1200), ran(3, 9, 2, 1000)], &[1, 2], Some(8))]
-#[case::parent_of_a_new_sub_agent(vec![ran(1, 7, 2, 900), charge(2, 5)], &[1, 2, 3], Some(7))]
-#[case::own_turn_before_the_parents(vec![ran(1, 7, 2, 5000), ran(2, 8, 3, 900)], &[1, 2, 3], Some(8))]
-#[case::another_session(vec![ran(1, 7, 4, 900)], &[1, 2], None)]
+#[case::nothing_ran(vec![], &[1, 2], None)]
+#[case::turn_of_the_same_session(vec![ran(7, 2, 900)], &[1, 2], Some(7))]
+#[case::longest_turn_of_the_session(vec![ran(7, 2, 900), ran(8, 2, 1200), ran(9, 2, 1000)], &[1, 2], Some(8))]
+#[case::parent_of_a_new_sub_agent(vec![ran(7, 2, 900)], &[1, 2, 3], Some(7))]
+#[case::own_turn_before_the_parents(vec![ran(7, 2, 5000), ran(8, 3, 900)], &[1, 2, 3], Some(8))]
+#[case::another_session(vec![ran(7, 4, 900)], &[1, 2], None)]
 fn a_prompt_goes_where_most_of_it_was_read(
-    #[case] charges: Vec<TurnCharge>,
+    #[case] places: Vec<RunPlace>,
     #[case] parts: &[u64],
     #[case] engine: Option<u32>,
 ) {
     let mut view = BudgetView::default();
-    view.merge(&charges);
+    view.merge_places(&places);
     assert_eq!(view.engine_for(parts), engine);
 }
--- a/crates/turns/tests/ledger_tests.rs
+++ b/crates/turns/tests/ledger_tests.rs
@@ -18,7 +18,7 @@
         retention_ms: 60_000,
         reserved: tokens,
         used: NOT_SETTLED,
-        place: RunPlace::default(),
+        place: None,
         record: Vec::new(),
     }
 }
@@ -139,8 +139,20 @@
     let place = RunPlace { engine: 7, part: 2, prompt_tokens: 900 };
     let mut ledger = Ledger::default();
     ledger.apply(reserved(1, 9, 80), START);
-    ledger.apply(TurnEntry { used: 5, place, ..reserved(1, 9, 80) }, START);
+    ledger.apply(TurnEntry { used: 5, place: Some(place), ..reserved(1, 9, 80) }, START);
     ledger.apply(reserved(1, 9, 80), START);
-    let charges = ledger.charges(ProgramKey(9));
-    assert_eq!(charges.iter().map(|charge| charge.place).collect::<Vec<_>>(), vec![place]);
+    assert_eq!(ledger.places(ProgramKey(9)), vec![place]);
+}
+
+#[test]
+fn of_a_session_the_place_of_its_longest_prompt_is_told() {
+    let mut ledger = Ledger::default();
+    let places = [(1, 7, 2, 900), (2, 8, 2, 1200), (3, 9, 2, 1000), (4, 9, 3, 100)]
+        .map(|(turn, engine, part, prompt_tokens)| (turn, RunPlace { engine, part, prompt_tokens }));
+    for (turn, place) in places {
+        ledger.apply(TurnEntry { place: Some(place), ..reserved(turn, 9, 80) }, START);
+    }
+    let mut told = ledger.places(ProgramKey(9));
+    told.sort_by_key(|place| place.part);
+    assert_eq!(told, vec![places[1].1, places[3].1]);
 }
--- a/crates/turns/tests/segment_tests.rs
+++ b/crates/turns/tests/segment_tests.rs
@@ -17,7 +17,7 @@
         retention_ms: 1,
         reserved: 2,
         used: 1,
-        place: RunPlace { engine: 9, part: 8, prompt_tokens: 7 },
+        place: Some(RunPlace { engine: 9, part: 8, prompt_tokens: 7 }),
         record: vec![content],
     })
 }
--- a/crates/wire/src/turns.rs
+++ b/crates/wire/src/turns.rs
@@ -71,7 +71,7 @@
 #[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq, Eq, Default)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
 pub struct RunPlace {
-    /// The engine, as a hash of its identifier; 0 while none has begun the turn.
+    /// The engine, as a hash of its identifier.
     pub engine: u32,
     /// The last part of the turn's prompt.
     pub part: u64,
@@ -79,13 +79,6 @@
     pub prompt_tokens: u32,
 }
 
-impl RunPlace {
-    /// Whether an engine has begun the turn.
-    pub fn is_known(&self) -> bool {
-        self.engine != 0
-    }
-}
-
 /// The value of [`TurnEntry::used`] while the turn runs.
 pub const NOT_SETTLED: u32 = u32::MAX;
 
@@ -104,8 +97,11 @@
     pub reserved: u32,
     /// Tokens handed out, or [`NOT_SETTLED`].
     pub used: u32,
-    /// Where the turn ran.
-    pub place: RunPlace,
+    #[deku(temp, temp_value = "u8::from(place.is_some())")]
+    has_place: u8,
+    /// Where the turn ran, once an engine has begun it and unless its record will tell.
+    #[deku(cond = "*has_place == 1")]
+    pub place: Option<RunPlace>,
     #[deku(temp, temp_value = "Length::of(&record)")]
     records: Length<1>,
     /// The record, once the turn has ended whole: none or one.
@@ -175,8 +171,6 @@
     pub turn: TurnId,
     /// Tokens.
     pub tokens: u32,
-    /// Where the turn ran.
-    pub place: RunPlace,
 }
 
 /// A turn and how much of it is known.
@@ -275,6 +269,11 @@
     /// What the program's turns count for, the entry included.
     #[deku(count = "length.get()")]
     pub charges: Vec<TurnCharge>,
+    #[deku(temp, temp_value = "Length::of(&places)")]
+    places_length: Length<MAXIMUM_TURNS>,
+    /// Where the program's prompts were read.
+    #[deku(count = "places_length.get()")]
+    pub places: Vec<RunPlace>,
 }
 
 /// Answers [`ReadChain`].
--- a/crates/wire/tests/rpc_tests.rs
+++ b/crates/wire/tests/rpc_tests.rs
@@ -24,11 +24,20 @@
         retention_ms: 60_000,
         reserved: 80,
         used: NOT_SETTLED,
-        place: RunPlace::default(),
+        place: Some(RunPlace { engine: 9, part: 8, prompt_tokens: 7 }),
         record: vec![record()],
     }
 }
 
+fn stored() -> Stored {
+    let own = DiskIdentity { node: NodeId(3), disk: 4 };
+    Stored {
+        witness: Witness { own, standing: ReplicaStanding::Counts, others: vec![own] },
+        charges: vec![TurnCharge { turn: TurnId(5), tokens: 80 }],
+        places: vec![RunPlace { engine: 9, part: 8, prompt_tokens: 7 }],
+    }
+}
+
 fn set() -> ReplicaSet {
     let member = ReplicaMember { node: NodeId(3), zone: 1, ip: [10, 0, 0, 1], port: 7380 };
     ReplicaSet { version: 9, members: vec![member], previous: Vec::new() }
@@ -41,6 +50,7 @@
 #[case::relay(RpcBody::Relay(RelayRequest { replica: NodeId(3), within_ms: 40, request: Content::from(b"request".to_vec()) }))]
 #[case::relayed(RpcBody::Relayed(Content::from(b"answer".to_vec())))]
 #[case::unreached(RpcBody::Unreached)]
+#[case::stored(RpcBody::Stored(stored()))]
 #[case::show_members(RpcBody::ShowMembers)]
 #[case::show_set(RpcBody::ShowSet)]
 #[case::entries(RpcBody::Entries(Entries { entries: vec![entry(), entry()] }))]
