What a request costs at an engine is learned from turns; sends are priced for those that wait beside them

Cause: the choice of an engine rested on constants measured at one customer's engines (64 prompt tokens a ms, 0.2 ms a request under way, 3 ms a request beyond the slots, 30 ms a full plain engine). Change: a line through the first event's time by tokens missing, one through the pace by requests under way, means of whole turns and plain answers, for each service, older samples fading, a prior first. Reading a prompt is priced for all that wait at the engine meanwhile, a wait by the turn's time over the slots, another zone by kilobyte. Switches for home, parts, loads, prices. Replaced test: a program with 3 requests on 2 slots at its home "stays"; by its price it leaves now (300 ms of wait against 31 ms of reading). What is little load there is 1 request now, and two tests more say what decides.

--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -11,7 +11,9 @@
 use crate::edge::{stream_call, whole_call};
 use crate::engines::attempt::{self, AttemptError, EngineAnswer};
 use crate::engines::engine::Engine;
-use crate::engines::selector::{choose, Placement};
+use crate::engines::learned_costs::{LearnedCosts, ServicePrices};
+use crate::engines::load_board::LoadEstimate;
+use crate::engines::selector::{choose, Choice, Placement};
 use crate::engines::table::EngineTable;
 use crate::locks::lock;
 use crate::logging::part;
@@ -33,6 +35,8 @@
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(150);
 /// Pause before engines that all refused are tried again.
 const ROOM_PAUSE: Duration = Duration::from_millis(15);
+/// Bytes of a kilobyte.
+const BYTES_PER_KILOBYTE: f64 = 1000.0;
 
 /// Everything that serving a request needs.
 pub struct Gateway {
@@ -46,6 +50,8 @@
     pub members: Arc<Members>,
     /// The engines.
     pub engines: EngineTable,
+    /// What was learned of model engines.
+    pub costs: LearnedCosts,
     /// Counters and histograms.
     pub metrics: Arc<Metrics>,
     /// Turns and budgets.
@@ -178,7 +184,7 @@
         tries: &mut Tries,
     ) -> Result<EngineAnswer, Refusal> {
         loop {
-            let Some(engine) = self.choose_engine(call, tries) else {
+            let Some(choice) = self.choose_engine(call, body, tries) else {
                 if Instant::now() + ROOM_PAUSE > call.place_deadline() {
                     return Err(if tries.may_have_run() { lost("no other engine has room") } else { Refusal::NoRoom });
                 }
@@ -186,6 +192,8 @@
                 tokio::time::sleep(ROOM_PAUSE).await;
                 continue;
             };
+            let engine = choice.engine.clone();
+            tries.note_choice(choice);
             let request = match call.to_engine(&*self.dialect, &engine.entry.id, body.clone(), last_event) {
                 Ok(request) => request,
                 Err(refusal) => return Err(if tries.may_have_run() { Refusal::TimedOut } else { refusal }),
@@ -193,7 +201,7 @@
             if tries.is_empty() {
                 self.metrics.dispatch_seconds.observe(call.arrived_at.elapsed().as_secs_f64());
             }
-            if call.is_model() {
+            if call.is_model() && self.policy.known_parts {
                 engine.parts().insert(&call.metadata.parts, call.metadata.most_tokens);
             }
             let error = match self.send_once(call, &engine, request).await {
@@ -215,20 +223,39 @@
     }
 
     /// The engine that will answer soonest, of those that are not passed over.
-    fn choose_engine(&self, call: &Call, tries: &Tries) -> Option<Arc<Engine>> {
+    fn choose_engine(&self, call: &Call, body: &Bytes, tries: &Tries) -> Option<Choice> {
         let candidates = self.engines.candidates(&call.service);
-        let loads = self.members.loads().estimate(self.members.gateway_count());
+        let loads = self.loads_of_others();
         let placement = Placement {
             prompt: &call.metadata.parts,
             is_model: call.is_model(),
             zone: &self.zone,
             loads: &loads,
             program: call.metadata.program.as_deref().unwrap_or_default(),
-            predecessor: call.predecessor,
+            predecessor: call.predecessor.filter(|_| self.policy.home),
+            kilobytes: body.len() as f64 / BYTES_PER_KILOBYTE,
+            prices: self.prices(&call.service),
         };
-        let engine = choose(&candidates, &placement, tries.passed_over())?;
-        self.log_send(call, &engine, candidates.len(), loads.under_way(engine.number));
-        Some(engine)
+        let choice = choose(&candidates, &placement, tries.passed_over())?;
+        self.log_send(call, &choice, candidates.len(), &placement.prices);
+        Some(choice)
+    }
+
+    /// What other gateways have under way.
+    fn loads_of_others(&self) -> LoadEstimate {
+        if !self.policy.shared_loads {
+            return LoadEstimate::default();
+        }
+        self.members.loads().estimate(self.members.gateway_count())
+    }
+
+    /// Prices at the engines of a service.
+    fn prices(&self, service: &str) -> ServicePrices {
+        if self.policy.learned_prices {
+            self.costs.prices(service)
+        } else {
+            ServicePrices::default()
+        }
     }
 
     /// Sends the request to one engine.
@@ -250,12 +277,14 @@
 
 impl Gateway {
     /// Logs what decided for an engine: loads, what it holds, and how old the knowledge of engines is.
-    fn log_send(&self, call: &Call, engine: &Engine, candidates: usize, others: f64) {
+    fn log_send(&self, call: &Call, choice: &Choice, candidates: usize, prices: &ServicePrices) {
         let metadata = &call.metadata;
         let view = self.view.get();
-        let held = engine.parts().held_tokens(&metadata.parts);
-        log::info!(target: part::ENGINE, "Call {} sent: program={} route={} engine={} of={candidates} own={} others={others:.0} held={held}/{} left={:?} configuration={} engines={}.",
-            metadata.attempt, metadata.program.as_deref().unwrap_or("-"), call.route.name, engine.entry.id, engine.under_way(), metadata.prompt_tokens, call.engine_time().unwrap_or_default(), view.configuration.value.version, view.engines.revision);
+        let Choice { engine, missing_tokens, under_way, .. } = choice;
+        let predecessor = call.predecessor.unwrap_or_default();
+        let ServicePrices { token_ms, request_ms, .. } = prices;
+        log::info!(target: part::ENGINE, "Call {} sent: program={} route={} engine={} number={} before={predecessor} of={candidates} own={} all={under_way:.0} missing={missing_tokens:.0}/{} token_ms={token_ms:.4} request_ms={request_ms:.2} left={:?} configuration={} engines={}.",
+            metadata.attempt, metadata.program.as_deref().unwrap_or("-"), call.route.name, engine.entry.id, engine.number, engine.under_way(), metadata.prompt_tokens, call.engine_time().unwrap_or_default(), view.configuration.value.version, view.engines.revision);
     }
 }
 
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -14,5 +14,6 @@
 pub mod stream_call;
 pub mod tries;
 pub mod turn_cache;
+pub mod turn_pace;
 pub mod turns;
 pub mod whole_call;
--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -7,6 +7,7 @@
 use crate::edge::planned_stop::PlannedStop;
 use crate::edge::turn_cache::TurnCache;
 use crate::edge::turns::TurnKeeper;
+use crate::engines::learned_costs::LearnedCosts;
 use crate::engines::load_exchange;
 use crate::engines::table::EngineTable;
 use crate::logging::part;
@@ -88,6 +89,7 @@
         dialect: platform.dialect,
         members: members.clone(),
         engines: EngineTable::default(),
+        costs: LearnedCosts::default(),
         metrics: metrics.clone(),
         turns: turns.clone(),
         shares: Default::default(),
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -10,6 +10,7 @@
 use crate::edge::handler::{Gateway, WorkGuard};
 use crate::edge::refusal::Refusal;
 use crate::edge::tries::Tries;
+use crate::edge::turn_pace::TurnPace;
 use crate::edge::turns::TurnError;
 use crate::edge::whole_call::read_whole;
 use crate::engines::attempt::{finish, EngineAnswer};
@@ -89,10 +90,11 @@
     let body = if chain.is_empty() { call.input.clone() } else { Bytes::from(compose_body(&chain, &call.input)) };
     let mut tries = Tries::default();
     let answer = gateway.offer(&call, &body, call.metadata.last_event.as_deref(), &mut tries).await?;
+    let pace = TurnPace::begin(&tries);
     if answer.response.status() != StatusCode::OK {
         return read_whole(&gateway.metrics, &call, answer).await;
     }
-    Ok(begin_stream(gateway, call, account, answer, previous.unwrap_or(NO_TURN)))
+    Ok(begin_stream(gateway, call, account, answer, previous.unwrap_or(NO_TURN), pace))
 }
 
 fn open_account(gateway: &Arc<Gateway>, call: &Call) -> TurnAccount {
@@ -153,6 +155,7 @@
     mut account: TurnAccount,
     answer: EngineAnswer,
     previous: TurnId,
+    pace: Option<TurnPace>,
 ) -> Response<AnswerBody> {
     let EngineAnswer { response, connection, lease, .. } = answer;
     account.entry.place = call.place_at(lease.engine());
@@ -161,8 +164,17 @@
     head.headers.remove(header::CONTENT_LENGTH);
     let (pieces, queue) = mpsc::channel(QUEUE_PIECES);
     let work = WorkGuard::new(&gateway.under_way);
-    let stream =
-        Stream { gateway, call, account, previous, connection: Some(connection), lease, pieces, output: Vec::new() };
+    let stream = Stream {
+        gateway,
+        call,
+        account,
+        previous,
+        connection: Some(connection),
+        lease,
+        pieces,
+        output: Vec::new(),
+        pace,
+    };
     tokio::spawn(async move {
         stream.run(body).await;
         drop(work);
@@ -206,6 +218,8 @@
     pieces: mpsc::Sender<Piece>,
     /// The data of each event followed by a line feed, when the turn is kept.
     output: Vec<u8>,
+    /// What it tells of the engine, once it has ended whole.
+    pace: Option<TurnPace>,
 }
 
 impl Stream {
@@ -258,12 +272,18 @@
         if let Some(connection) = self.connection.take() {
             finish(connection, &self.lease);
         }
+        if let Some(sample) = self.pace.as_ref().and_then(TurnPace::sample) {
+            self.gateway.costs.learn(&self.call.service, |costs| costs.add_turn(&sample));
+        }
         Ok(())
     }
 
     async fn pass_on(&mut self, event: Event) -> Result<(), StreamEnd> {
         if let Some(data) = &event.data {
             self.account.events += 1;
+            if let Some(pace) = &mut self.pace {
+                pace.note_event();
+            }
             if self.call.route.retain {
                 self.output.extend_from_slice(data);
                 self.output.push(b'\n');
--- a/crates/gateway/src/edge/tries.rs
+++ b/crates/gateway/src/edge/tries.rs
@@ -1,6 +1,7 @@
 //! What became of one request at the engines that it was sent to.
 
 use crate::engines::engine::Engine;
+use crate::engines::selector::Choice;
 
 /// The record of one request's sends.
 ///
@@ -12,6 +13,8 @@
     passed_over: Vec<String>,
     /// Engines that may have run the request.
     may_have_run: Vec<String>,
+    /// The engine that it was sent to last, and what was known of it then.
+    last_choice: Option<Choice>,
 }
 
 impl Tries {
@@ -35,6 +38,16 @@
         u32::try_from(self.may_have_run.len()).unwrap_or(u32::MAX)
     }
 
+    /// Notes the engine that it is sent to next.
+    pub fn note_choice(&mut self, choice: Choice) {
+        self.last_choice = Some(choice);
+    }
+
+    /// The engine that it was sent to last, and what was known of it then.
+    pub fn last_choice(&self) -> Option<&Choice> {
+        self.last_choice.as_ref()
+    }
+
     /// Notes an engine that has certainly not run the request.
     pub fn note_not_run(&mut self, engine: &Engine) {
         self.passed_over.push(engine.entry.id.clone());
--- a/crates/gateway/src/edge/whole_call.rs
+++ b/crates/gateway/src/edge/whole_call.rs
@@ -22,7 +22,10 @@
         let answer = gateway.offer(call, &call.input, None, &mut tries).await?;
         let engine = answer.lease.engine().clone();
         let refusal = match read_whole(&gateway.metrics, call, answer).await {
-            Ok(response) => return Ok(response),
+            Ok(response) => {
+                note_time(gateway, call, &tries);
+                return Ok(response);
+            }
             Err(refusal) => refusal,
         };
         tries.note_may_have_run(&engine);
@@ -32,6 +35,13 @@
     }
 }
 
+/// Learns from the time that a plain service took.
+fn note_time(gateway: &Gateway, call: &Call, tries: &Tries) {
+    let Some(choice) = tries.last_choice() else { return };
+    let answer_ms = choice.chosen_at.elapsed().as_secs_f64() * 1000.0;
+    gateway.costs.learn(&call.service, |costs| costs.add_answer(answer_ms));
+}
+
 /// Reads an answer to its end.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/gateway/src/engines/learned_costs.rs
@@ -0,0 +1,179 @@
+//! What a request costs at the engines of a service, learned from what this gateway sent there.
+//!
+//! No I/O: samples go in, prices in milliseconds come out. Until enough was seen the prices are those of [`PRIOR`].
+
+use crate::locks::lock;
+use std::collections::HashMap;
+use std::sync::Mutex;
+
+/// Weight that a sample keeps when another comes: some two hundred samples count.
+const MEMORY: f64 = 0.995;
+/// Samples that the prior stands for at first; they fade like others.
+const PRIOR_WEIGHT: f64 = 20.0;
+/// What is left of the prior for good: it decides where nothing varies.
+const LEAST_PRIOR_WEIGHT: f64 = 1.0;
+/// What is assumed before anything was seen.
+const PRIOR: ServicePrices = ServicePrices { token_ms: 1.0 / 64.0, request_ms: 1.0, turn_ms: 300.0, answer_ms: 30.0 };
+/// Events of a turn that are assumed before any was seen.
+const PRIOR_EVENTS: f64 = 10.0;
+/// A learned slope stays within this factor of the prior: no samples make a price vanish or explode.
+const SLOPE_BOUND: f64 = 50.0;
+/// Spread of the tokens missing that the prior is taken to have been seen at.
+const TOKENS_SPREAD: f64 = 2000.0;
+/// Spread of the requests under way that the prior is taken to have been seen at.
+const REQUESTS_SPREAD: f64 = 4.0;
+
+/// What was seen of one turn.
+#[derive(Clone, Copy, Debug)]
+pub struct TurnSample {
+    /// Prompt tokens that the engine probably had to read.
+    pub missing_tokens: f64,
+    /// Requests that were under way there when it was sent.
+    pub under_way: f64,
+    /// Events that came.
+    pub events: f64,
+    /// Milliseconds from the send to the first event.
+    pub first_event_ms: f64,
+    /// Milliseconds from the send to the end.
+    pub total_ms: f64,
+}
+
+/// Prices of a request at the engines of a service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ServicePrices {
+    /// Milliseconds to read a prompt token that a model engine does not hold.
+    pub token_ms: f64,
+    /// Milliseconds by which each request under way at a model engine slows a turn.
+    pub request_ms: f64,
+    /// Milliseconds of a whole turn.
+    pub turn_ms: f64,
+    /// Milliseconds of a whole answer of a plain service.
+    pub answer_ms: f64,
+}
+
+impl Default for ServicePrices {
+    fn default() -> Self {
+        PRIOR
+    }
+}
+
+/// Samples that the prior still stands for when samples of this weight were seen: it fades as they come.
+fn prior_weight(weight: f64) -> f64 {
+    let faded = 1.0 - weight * (1.0 - MEMORY);
+    (PRIOR_WEIGHT * faded).max(LEAST_PRIOR_WEIGHT)
+}
+
+/// A straight line through samples, the older ones fading.
+#[derive(Clone, Copy, Debug, Default)]
+struct Line {
+    weight: f64,
+    x: f64,
+    y: f64,
+    xx: f64,
+    xy: f64,
+}
+
+impl Line {
+    fn add(&mut self, x: f64, y: f64) {
+        for sum in [&mut self.weight, &mut self.x, &mut self.y, &mut self.xx, &mut self.xy] {
+            *sum *= MEMORY;
+        }
+        self.weight += 1.0;
+        self.x += x;
+        self.y += y;
+        self.xx += x * x;
+        self.xy += x * y;
+    }
+
+    /// The slope, drawn towards `prior` as though that had been seen before with this spread of x.
+    fn slope(&self, prior: f64, spread: f64) -> f64 {
+        let weight = self.weight.max(1.0);
+        let variation = self.xx - self.x * self.x / weight;
+        let common = self.xy - self.x * self.y / weight;
+        let assumed = prior_weight(self.weight) * spread * spread;
+        let slope = (common + prior * assumed) / (variation + assumed);
+        slope.clamp(prior / SLOPE_BOUND, prior * SLOPE_BOUND)
+    }
+}
+
+/// A mean of samples, the older ones fading.
+#[derive(Clone, Copy, Debug, Default)]
+struct Mean {
+    weight: f64,
+    sum: f64,
+}
+
+impl Mean {
+    fn add(&mut self, value: f64) {
+        self.weight = self.weight * MEMORY + 1.0;
+        self.sum = self.sum * MEMORY + value;
+    }
+
+    /// The mean, drawn towards `prior` as though that had been seen before.
+    fn value(&self, prior: f64) -> f64 {
+        let assumed = prior_weight(self.weight);
+        (self.sum + prior * assumed) / (self.weight + assumed)
+    }
+}
+
+/// What was learned of one service.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ServiceCosts {
+    first_event_by_tokens: Line,
+    pace_by_requests: Line,
+    events: Mean,
+    turn: Mean,
+    answer: Mean,
+}
+
+impl ServiceCosts {
+    /// Takes a turn that has ended whole.
+    pub fn add_turn(&mut self, sample: &TurnSample) {
+        self.first_event_by_tokens.add(sample.missing_tokens, sample.first_event_ms);
+        self.turn.add(sample.total_ms);
+        self.events.add(sample.events);
+        let gaps = sample.events - 1.0;
+        if gaps >= 1.0 {
+            self.pace_by_requests.add(sample.under_way, (sample.total_ms - sample.first_event_ms) / gaps);
+        }
+    }
+
+    /// Takes the time of a whole answer of a plain service.
+    pub fn add_answer(&mut self, answer_ms: f64) {
+        self.answer.add(answer_ms);
+    }
+
+    /// The prices as they stand.
+    pub fn prices(&self) -> ServicePrices {
+        let events = self.events.value(PRIOR_EVENTS);
+        let slower = self.pace_by_requests.slope(PRIOR.request_ms / PRIOR_EVENTS, REQUESTS_SPREAD);
+        ServicePrices {
+            token_ms: self.first_event_by_tokens.slope(PRIOR.token_ms, TOKENS_SPREAD),
+            request_ms: slower * events,
+            turn_ms: self.turn.value(PRIOR.turn_ms),
+            answer_ms: self.answer.value(PRIOR.answer_ms),
+        }
+    }
+}
+
+/// What was learned of all services.
+#[derive(Debug, Default)]
+pub struct LearnedCosts {
+    services: Mutex<HashMap<String, ServiceCosts>>,
+}
+
+impl LearnedCosts {
+    /// Changes what is known of a service.
+    pub fn learn(&self, service: &str, change: impl FnOnce(&mut ServiceCosts)) {
+        let mut services = lock(&self.services);
+        match services.get_mut(service) {
+            Some(known) => change(known),
+            None => change(services.entry(service.to_owned()).or_default()),
+        }
+    }
+
+    /// The prices at a service.
+    pub fn prices(&self, service: &str) -> ServicePrices {
+        lock(&self.services).get(service).map_or(PRIOR, ServiceCosts::prices)
+    }
+}
--- a/crates/gateway/src/engines/mod.rs
+++ b/crates/gateway/src/engines/mod.rs
@@ -3,6 +3,7 @@
 pub mod attempt;
 pub mod connection;
 pub mod engine;
+pub mod learned_costs;
 pub mod load_board;
 pub mod load_exchange;
 pub mod part_cache;
--- a/crates/gateway/src/engines/selector.rs
+++ b/crates/gateway/src/engines/selector.rs
@@ -1,25 +1,18 @@
 //! Which engine gets a request: the one that will answer soonest, as far as this gateway can tell.
 
 use crate::engines::engine::Engine;
+use crate::engines::learned_costs::ServicePrices;
 use crate::engines::load_board::LoadEstimate;
 use crate::ports::dialect::PromptPart;
 use rand::Rng;
 use std::sync::Arc;
+use std::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Prompt tokens that an engine computes in a millisecond, roughly: only the order of costs matters.
-const PREFILL_TOKENS_PER_MS: f64 = 64.0;
-/// Milliseconds that each request under way at a model engine costs a new one, roughly.
-const MODEL_LOAD_MS: f64 = 0.2;
-/// The same for the first turn of a program: its later turns will mostly go where this one does.
-const FIRST_LOAD_MS: f64 = 1.0;
-/// Milliseconds that each request beyond a model engine's slots makes a new one wait, roughly.
-const MODEL_WAIT_MS: f64 = 3.0;
-/// Milliseconds that a full plain engine costs a new request, roughly; half full it costs a quarter, since free slots
-/// make nobody wait.
-const PLAIN_LOAD_MS: f64 = 30.0;
 /// Milliseconds that another zone costs.
-const ZONE_MS: f64 = 3.0;
+const ZONE_MS: f64 = 2.0;
+/// Milliseconds that each kilobyte sent to another zone costs: a price to be avoided.
+const ZONE_MS_PER_KILOBYTE: f64 = 1.0;
 /// Milliseconds that a new connection costs; also a price to be avoided.
 const CONNECTION_MS: f64 = 8.0;
 /// Milliseconds of chance, so that gateways do not all choose alike.
@@ -42,6 +35,23 @@
     pub program: &'a str,
     /// The engine that ran the turn which the request continues.
     pub predecessor: Option<u32>,
+    /// Kilobytes to be sent.
+    pub kilobytes: f64,
+    /// What was learned of the service's engines.
+    pub prices: ServicePrices,
+}
+
+/// An engine that was chosen, and what was known of it then.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// The engine.
+    pub engine: Arc<Engine>,
+    /// Prompt tokens that it probably has to read.
+    pub missing_tokens: f64,
+    /// Requests under way there.
+    pub under_way: f64,
+    /// When it was chosen.
+    pub chosen_at: Instant,
 }
 
 /// The engine that probably holds what a request continues: the one that ran the turn before, wherever that entered.
@@ -68,23 +78,41 @@
     known.max(f64::from(prompt))
 }
 
+/// Prompt tokens that the engine probably has to read.
+fn missing_tokens(engine: &Engine, placement: &Placement<'_>, home: Option<u32>) -> f64 {
+    let prompt: u32 = placement.prompt.iter().map(|part| part.tokens).sum();
+    (f64::from(prompt) - held_tokens(engine, placement, home)).max(0.0)
+}
+
+/// Requests under way at the engine, as far as this gateway can tell.
+fn requests_under_way(engine: &Engine, placement: &Placement<'_>) -> f64 {
+    f64::from(engine.under_way()) + placement.loads.under_way(engine.number)
+}
+
+/// What a request costs at a model engine, to itself and to those under way there.
+///
+/// While the engine reads a prompt all others at it wait too. A request beyond the slots waits until one is free, and each
+/// turn's time as many get free as there are slots.
+fn model_cost(missing_tokens: f64, under_way: f64, slots: f64, prices: &ServicePrices) -> f64 {
+    let reading = missing_tokens * prices.token_ms * (1.0 + under_way.min(slots));
+    let waiting = (under_way + 1.0 - slots).max(0.0) * prices.turn_ms / slots;
+    reading + prices.request_ms * under_way + waiting
+}
+
 /// The cost of an engine in milliseconds, lower is better.
 fn cost(engine: &Engine, placement: &Placement<'_>, home: Option<u32>) -> f64 {
-    let under_way = f64::from(engine.under_way()) + placement.loads.under_way(engine.number);
+    let under_way = requests_under_way(engine, placement);
     let slots = f64::from(engine.entry.slots.max(1));
     let mut cost = rand::rng().random_range(0.0..CHANCE_MS);
     if placement.is_model {
-        let prompt_tokens: u32 = placement.prompt.iter().map(|part| part.tokens).sum();
-        let held = held_tokens(engine, placement, home);
-        cost += (f64::from(prompt_tokens) - held).max(0.0) / PREFILL_TOKENS_PER_MS;
-        cost += if home.is_some() { MODEL_LOAD_MS } else { FIRST_LOAD_MS } * under_way;
-        cost += MODEL_WAIT_MS * (under_way + 1.0 - slots).max(0.0);
+        cost += model_cost(missing_tokens(engine, placement, home), under_way, slots, &placement.prices);
     } else {
+        // Free slots make nobody wait: half full an engine costs a quarter of what it costs full.
         let filled = under_way / slots;
-        cost += PLAIN_LOAD_MS * filled * filled;
+        cost += placement.prices.answer_ms * filled * filled;
     }
     if engine.entry.zone != placement.zone {
-        cost += ZONE_MS;
+        cost += ZONE_MS + ZONE_MS_PER_KILOBYTE * placement.kilobytes;
     }
     if !engine.has_connection() {
         cost += CONNECTION_MS;
@@ -99,9 +127,15 @@
 }
 
 /// The engine of least cost that was not tried before.
-pub fn choose(candidates: &[Arc<Engine>], placement: &Placement<'_>, tried: &[String]) -> Option<Arc<Engine>> {
+pub fn choose(candidates: &[Arc<Engine>], placement: &Placement<'_>, tried: &[String]) -> Option<Choice> {
     let home = if placement.is_model { home_of(candidates, placement) } else { None };
     let untried = candidates.iter().filter(|engine| !tried.contains(&engine.entry.id));
     let priced = untried.map(|engine| (cost(engine, placement, home), engine));
-    priced.min_by(|left, right| left.0.total_cmp(&right.0)).map(|(_, engine)| engine.clone())
+    let (_, engine) = priced.min_by(|left, right| left.0.total_cmp(&right.0))?;
+    Some(Choice {
+        engine: engine.clone(),
+        missing_tokens: missing_tokens(engine, placement, home),
+        under_way: requests_under_way(engine, placement),
+        chosen_at: Instant::now(),
+    })
 }
--- a/crates/gateway/src/policy.rs
+++ b/crates/gateway/src/policy.rs
@@ -6,14 +6,29 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PolicySettings {
-    /// A turn goes to the engine that ran its program's turn before, as the replicas tell with the budget.
+    /// A turn prefers the engine that ran the turn before it.
+    pub home: bool,
+    /// Where routes keep no turns, the replicas tell that engine with the budget; without this, the gateway's own sends alone.
     pub shared_places: bool,
+    /// A gateway notes which parts of prompts it has sent to which engine.
+    pub known_parts: bool,
+    /// Gateways tell each other what they have under way at the engines.
+    pub shared_loads: bool,
+    /// The prices of reading, load and waiting are learned from turns; without this, the prior's hold.
+    pub learned_prices: bool,
     /// A replica whose direct path is silent is asked through another gateway.
     pub relay: bool,
 }
 
 impl Default for PolicySettings {
     fn default() -> Self {
-        Self { shared_places: true, relay: true }
+        Self {
+            home: true,
+            shared_places: true,
+            known_parts: true,
+            shared_loads: true,
+            learned_prices: true,
+            relay: true,
+        }
     }
 }
--- a/crates/gateway/tests/edge_tests.rs
+++ b/crates/gateway/tests/edge_tests.rs
@@ -5,6 +5,7 @@
 use foxnotch_gateway::edge::routes::{RouteTable, ServiceShares};
 use foxnotch_gateway::edge::turn_cache::TurnCache;
 use foxnotch_gateway::engines::engine::Engine;
+use foxnotch_gateway::engines::learned_costs::ServicePrices;
 use foxnotch_gateway::engines::load_board::{engine_number, LoadBoard, LoadEstimate};
 use foxnotch_gateway::engines::part_cache::PartCache;
 use foxnotch_gateway::engines::selector::{choose, Placement};
@@ -151,7 +152,16 @@
 const GONE: u32 = 1;
 
 fn placement<'a>(prompt: &'a [PromptPart], loads: &'a LoadEstimate, program: &'a str) -> Placement<'a> {
-    Placement { prompt, is_model: true, zone: "a", loads, program, predecessor: Some(GONE) }
+    Placement {
+        prompt,
+        is_model: true,
+        zone: "a",
+        loads,
+        program,
+        predecessor: Some(GONE),
+        kilobytes: 0.0,
+        prices: ServicePrices::default(),
+    }
 }
 
 /// The turn before may have entered anywhere: its record names the engine that ran it.
@@ -163,7 +173,7 @@
     for before in &engines {
         let placement = Placement { predecessor: Some(before.number), ..placement(&prompt, &loads, "p1") };
         let chosen = choose(&engines, &placement, &[]).expect("an engine is there");
-        assert_eq!(chosen.entry.id, before.entry.id);
+        assert_eq!(chosen.engine.entry.id, before.entry.id);
     }
 }
 
@@ -174,10 +184,10 @@
     let prompt = [part(1, 2000)];
     let placement = Placement { predecessor: None, ..placement(&prompt, &loads, "p1") };
     for _ in 0..20 {
-        assert_eq!(choose(&engines, &placement, &[]).expect("an engine is there").entry.id, "e1");
+        assert_eq!(choose(&engines, &placement, &[]).expect("an engine is there").engine.entry.id, "e1");
     }
     let _leases: Vec<_> = (0..6).map(|_| engines[1].begin()).collect();
-    assert_ne!(choose(&engines, &placement, &[]).expect("an engine is there").entry.id, "e1");
+    assert_ne!(choose(&engines, &placement, &[]).expect("an engine is there").engine.entry.id, "e1");
 }
 
 #[test]
@@ -189,7 +199,7 @@
     for program in ["p1", "p2", "p3", "p4"] {
         let here = choose(&engines, &placement(&prompt, &loads, program), &[]).expect("an engine is there");
         let there = choose(&reversed, &placement(&prompt, &loads, program), &[]).expect("an engine is there");
-        assert_eq!(here.entry.id, there.entry.id);
+        assert_eq!(here.engine.entry.id, there.engine.entry.id);
     }
 }
 
@@ -200,16 +210,16 @@
     let prompt = [part(1, 2000)];
     let placement = placement(&prompt, &loads, "p1");
     let home = choose(&engines, &placement, &[]).expect("an engine is there");
-    let leases: Vec<_> = (0..3).map(|_| home.begin()).collect();
+    let leases: Vec<_> = (0..1).map(|_| home.engine.begin()).collect();
     let still = choose(&engines, &placement, &[]).expect("an engine is there");
-    assert_eq!(still.entry.id, home.entry.id, "a little load costs less than 2,000 tokens");
-    let more: Vec<_> = (0..15).map(|_| home.begin()).collect();
+    assert_eq!(still.engine.entry.id, home.engine.entry.id, "a little load costs less than 2,000 tokens");
+    let more: Vec<_> = (0..15).map(|_| home.engine.begin()).collect();
     let other = choose(&engines, &placement, &[]).expect("an engine is there");
-    assert_ne!(other.entry.id, home.entry.id);
+    assert_ne!(other.engine.entry.id, home.engine.entry.id);
     drop((leases, more));
-    home.note_failure();
+    home.engine.note_failure();
     let other = choose(&engines, &placement, &[]).expect("an engine is there");
-    assert_ne!(other.entry.id, home.entry.id);
+    assert_ne!(other.engine.entry.id, home.engine.entry.id);
 }
 
 #[test]
@@ -222,7 +232,7 @@
     assert!((loads.under_way(engine_number("e0")) - 15.0).abs() < 0.01, "one of three was heard");
     let plain = Placement { is_model: false, ..placement(&[], &loads, "") };
     for _ in 0..20 {
-        assert_eq!(choose(&engines, &plain, &[]).expect("an engine is there").entry.id, "e1");
+        assert_eq!(choose(&engines, &plain, &[]).expect("an engine is there").engine.entry.id, "e1");
     }
     board.take(NodeId(7), &[]);
     assert!(board.estimate(3).under_way(engine_number("e0")) < 0.01);
@@ -234,7 +244,7 @@
     let loads = LoadEstimate::default();
     let placement = placement(&[], &loads, "p");
     let tried = ["e0".to_owned(), "e1".to_owned()];
-    assert_eq!(choose(&engines, &placement, &tried[..1]).expect("one is left").entry.id, "e1");
+    assert_eq!(choose(&engines, &placement, &tried[..1]).expect("one is left").engine.entry.id, "e1");
     assert!(choose(&engines, &placement, &tried).is_none());
 }
 
@@ -253,3 +263,33 @@
     let now = begun_at + Duration::from_secs_f64(after_s);
     assert_eq!(stop.takes(now, now + Duration::from_secs_f64(may_take_s)), taken);
 }
+
+#[test]
+fn a_program_leaves_its_home_for_a_shorter_wait_alone() {
+    let engines: Vec<Arc<Engine>> = (0..4).map(|index| engine(&format!("e{index}"), "a", 2)).collect();
+    let loads = LoadEstimate::default();
+    let prompt = [part(1, 2000)];
+    let prices = ServicePrices { token_ms: 0.01, request_ms: 1.0, turn_ms: 100.0, answer_ms: 10.0 };
+    let placement = Placement { prices, ..placement(&prompt, &loads, "p1") };
+    let home = choose(&engines, &placement, &[]).expect("an engine is there").engine;
+    // Reading 2,000 tokens elsewhere takes 20 ms; a wait for one slot of two 50 ms.
+    let _full: Vec<_> = (0..2).map(|_| home.begin()).collect();
+    let chosen = choose(&engines, &placement, &[]).expect("an engine is there");
+    assert_ne!(chosen.engine.entry.id, home.entry.id);
+    let slow_reading = ServicePrices { token_ms: 0.1, ..prices };
+    let placement = Placement { prices: slow_reading, ..placement };
+    let chosen = choose(&engines, &placement, &[]).expect("an engine is there");
+    assert_eq!(chosen.engine.entry.id, home.entry.id, "reading takes 200 ms here");
+}
+
+#[test]
+fn a_large_request_stays_in_its_zone_sooner_than_a_small_one() {
+    let engines = vec![engine("e0", "a", 6), engine("e1", "b", 6)];
+    let _load: Vec<_> = (0..4).map(|_| engines[0].begin()).collect();
+    let loads = LoadEstimate::default();
+    let prices = ServicePrices { request_ms: 5.0, ..ServicePrices::default() };
+    let small = Placement { predecessor: None, prices, ..placement(&[], &loads, "p1") };
+    assert_eq!(choose(&engines, &small, &[]).expect("an engine is there").engine.entry.id, "e1");
+    let large = Placement { kilobytes: 30.0, ..small };
+    assert_eq!(choose(&engines, &large, &[]).expect("an engine is there").engine.entry.id, "e0");
+}
--- /dev/null
+++ b/crates/gateway/tests/learned_costs_tests.rs
@@ -0,0 +1,77 @@
+//! Prices at engines, learned from turns: near the truth after some hundred of them, bounded whatever comes.
+
+use foxnotch_gateway::engines::learned_costs::{LearnedCosts, ServiceCosts, ServicePrices, TurnSample};
+use proptest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+
+const SAMPLES: usize = 400;
+const SEED: u64 = 11;
+
+/// An engine whose turns take what these prices say, give or take a fifth.
+fn turns_of(token_ms: f64, pace_ms: f64, slower_ms: f64) -> ServiceCosts {
+    let mut random = StdRng::seed_from_u64(SEED);
+    let mut costs = ServiceCosts::default();
+    for _ in 0..SAMPLES {
+        let missing_tokens = random.random_range(0.0..14_000.0);
+        let under_way = random.random_range(0.0..20.0);
+        let events = f64::from(random.random_range(2..30));
+        let noise = random.random_range(0.8..1.2);
+        let first_event_ms = (5.0 + token_ms * missing_tokens) * noise;
+        let total_ms = first_event_ms + (events - 1.0) * (pace_ms + slower_ms * under_way) * noise;
+        costs.add_turn(&TurnSample { missing_tokens, under_way, events, first_event_ms, total_ms });
+    }
+    costs
+}
+
+#[rstest]
+#[case::fast_engine(0.006, 23.0, 0.7)]
+#[case::slow_engine(0.05, 40.0, 3.0)]
+fn prices_come_near_what_engines_take(#[case] token_ms: f64, #[case] pace_ms: f64, #[case] slower_ms: f64) {
+    let prices = turns_of(token_ms, pace_ms, slower_ms).prices();
+    let events = 15.5;
+    assert!((prices.token_ms / token_ms - 1.0).abs() < 0.15, "{prices:?}");
+    assert!((prices.request_ms / (slower_ms * events) - 1.0).abs() < 0.35, "{prices:?}");
+    let turn_ms = 5.0 + token_ms * 7000.0 + (events - 1.0) * (pace_ms + slower_ms * 10.0);
+    assert!((prices.turn_ms / turn_ms - 1.0).abs() < 0.2, "{prices:?} {turn_ms}");
+}
+
+#[test]
+fn before_anything_is_seen_the_prior_holds_and_services_are_apart() {
+    let learned = LearnedCosts::default();
+    for _ in 0..SAMPLES {
+        learned.learn("plain", |costs| costs.add_answer(80.0));
+    }
+    assert!((learned.prices("plain").answer_ms - 80.0).abs() < 5.0);
+    assert_eq!(learned.prices("other"), ServicePrices::default());
+}
+
+#[test]
+fn an_engine_that_changes_is_learned_anew() {
+    let mut costs = turns_of(0.05, 40.0, 3.0);
+    for index in 0..2000 {
+        let missing_tokens = f64::from(index % 14) * 1000.0;
+        let first_event_ms = 5.0 + 0.006 * missing_tokens;
+        let sample =
+            TurnSample { missing_tokens, under_way: 3.0, events: 1.0, first_event_ms, total_ms: first_event_ms };
+        costs.add_turn(&sample);
+    }
+    assert!((costs.prices().token_ms / 0.006 - 1.0).abs() < 0.1, "{:?}", costs.prices());
+}
+
+proptest! {
+    #[test]
+    fn prices_stay_finite_and_positive_whatever_comes(
+        samples in proptest::collection::vec((0.0..1e6f64, 0.0..1e4f64, 0.0..1e3f64, 0.0..1e7f64, 0.0..1e7f64), 0..60),
+    ) {
+        let mut costs = ServiceCosts::default();
+        for (missing_tokens, under_way, events, first_event_ms, total_ms) in samples {
+            costs.add_turn(&TurnSample { missing_tokens, under_way, events, first_event_ms, total_ms });
+        }
+        let ServicePrices { token_ms, request_ms, turn_ms, answer_ms } = costs.prices();
+        for price in [token_ms, request_ms, turn_ms, answer_ms] {
+            prop_assert!(price.is_finite() && price > 0.0);
+        }
+    }
+}
