--- a/crates/core/src/node/status.rs
+++ b/crates/core/src/node/status.rs
@@ -2,7 +2,7 @@
 
 use super::Node;
 use crate::request::{RefusalKind, Reply};
-use foxnotch_wire::{MemberAddress, MemberState, NodeId, Outcome};
+use foxnotch_wire::{MemberAddress, NodeId, Outcome};
 use serde::Serialize;
 use std::collections::BTreeMap;
 
@@ -117,7 +117,7 @@
             .map(|update| MemberStatus {
                 node: update.node.0,
                 zone: update.zone,
-                state: state_name(update.state),
+                state: update.state.name(),
                 config_revision: update.config_revision,
             })
             .collect();
@@ -174,12 +174,3 @@
         !self.draining && votes && self.configuration.revision() > 0
     }
 }
-
-fn state_name(state: MemberState) -> &'static str {
-    match state {
-        MemberState::Alive => "alive",
-        MemberState::Leaving => "leaving",
-        MemberState::Suspect => "suspect",
-        MemberState::Dead => "dead",
-    }
-}
--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -38,11 +38,13 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify, Semaphore};
 
 /// The part of the memory that cached turns may take.
 const CACHE_SHARE: u64 = 10;
+/// Connections of those who ask for readiness, at one time.
+const MAXIMUM_QUESTIONERS: usize = 512;
 /// Descriptors kept for engines, nodes and files.
 const RESERVED_DESCRIPTORS: u64 = 1000;
 /// Time between two looks for the replica set while it is wanted.
@@ -243,29 +245,23 @@
 }
 
 async fn serve_readiness(listener: TcpListener, gateway: Arc<Gateway>) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(DRAIN_PERIOD).await;
-            continue;
+    let places = Arc::new(Semaphore::new(MAXIMUM_QUESTIONERS));
+    let serve = |stream, _| answer_questioner(stream, gateway.clone());
+    network::accept(listener, places, part::PROCESS, serve).await;
+}
+
+async fn answer_questioner(stream: TcpStream, gateway: Arc<Gateway>) {
+    let service = service_fn(move |request: Request<Incoming>| {
+        let status = match (request.uri().path() == gateway.dialect.readiness_path(), gateway.is_ready()) {
+            (false, _) => StatusCode::NOT_FOUND,
+            (true, true) => StatusCode::OK,
+            (true, false) => StatusCode::SERVICE_UNAVAILABLE,
         };
-        network::prepare_stream(&stream);
-        let gateway = gateway.clone();
-        let service = service_fn(move |request: Request<Incoming>| {
-            let ready = gateway.is_ready();
-            let known = request.uri().path() == gateway.dialect.readiness_path();
-            async move {
-                let mut response = Response::new(AnswerBody::whole(if ready { "ready\n" } else { "not ready\n" }));
-                *response.status_mut() = match (known, ready) {
-                    (false, _) => StatusCode::NOT_FOUND,
-                    (true, true) => StatusCode::OK,
-                    (true, false) => StatusCode::SERVICE_UNAVAILABLE,
-                };
-                Ok::<_, Infallible>(response)
-            }
-        });
-        // A questioner that leaves needs no answer.
-        tokio::spawn(async move {
-            drop(hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service).await);
-        });
-    }
+        let text = if status == StatusCode::OK { "ready\n" } else { "not ready\n" };
+        let mut response = Response::new(AnswerBody::whole(text));
+        *response.status_mut() = status;
+        async move { Ok::<_, Infallible>(response) }
+    });
+    // A questioner that leaves needs no answer.
+    drop(hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service).await);
 }
--- a/crates/gateway/src/inspect.rs
+++ b/crates/gateway/src/inspect.rs
@@ -1,12 +1,13 @@
 //! What an operator asks a running gateway or replica. Nothing is changed by it.
 
+use crate::peers::members::socket_of;
 use crate::peers::rpc_client::{RpcClient, RpcError};
 use crate::replica::sync::address_of;
 use foxnotch_turns::replica_set;
-use foxnotch_wire::{MemberState, MemberUpdate, NodeId, ReplicaMember, RpcBody, SetNews};
+use foxnotch_wire::{NodeId, ReplicaMember, RpcBody, SetNews};
 use futures_util::future::join_all;
 use std::fmt::Write;
-use std::net::{Ipv6Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Time for one answer.
@@ -41,15 +42,13 @@
     let mut text = String::from("node        role     zone  state    revision  address\n");
     for member in &members {
         let role = if member.address.caller_port == 0 { "replica" } else { "gateway" };
-        let state = state_name(member.state);
+        let state = member.state.name();
+        let address = socket_of(&member.address).map_or_else(|| "no IPv4".to_owned(), |address| address.to_string());
         // Writing into a text does not fail.
         let _ = writeln!(
             text,
-            "{:<11} {role:<8} {:<5} {state:<8} {:<9} {}",
-            member.node.0,
-            member.zone,
-            member.config_revision,
-            peer_address(member)
+            "{:<11} {role:<8} {:<5} {state:<8} {:<9} {address}",
+            member.node.0, member.zone, member.config_revision,
         );
     }
     Ok(text)
@@ -101,17 +100,3 @@
         Err(error) => error.to_string(),
     }
 }
-
-fn peer_address(member: &MemberUpdate) -> String {
-    let ip = Ipv6Addr::from(member.address.ip).to_canonical();
-    SocketAddr::new(ip, member.address.peer_port).to_string()
-}
-
-fn state_name(state: MemberState) -> &'static str {
-    match state {
-        MemberState::Alive => "alive",
-        MemberState::Suspect => "suspect",
-        MemberState::Leaving => "leaving",
-        MemberState::Dead => "dead",
-    }
-}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,6 +20,8 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
 
 /// The lowest bound of a histogram, in seconds.
 const FIRST_BUCKET: f64 = 0.0005;
@@ -27,8 +29,8 @@
 const BUCKET_FACTOR: f64 = 1.5;
 /// Bounds of a histogram: up to some 11 s.
 const BUCKETS: u16 = 26;
-/// Pause after a failed accept.
-const PAUSE_AFTER_ERROR: Duration = Duration::from_millis(100);
+/// Connections of readers at one time.
+const MAXIMUM_READERS: usize = 16;
 
 /// What something ended with.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -135,19 +137,16 @@
             return;
         }
     };
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(PAUSE_AFTER_ERROR).await;
-            continue;
-        };
-        let metrics = metrics.clone();
-        let service = service_fn(move |_: Request<Incoming>| {
-            let response = Response::new(AnswerBody::whole(metrics.to_text()));
-            async move { Ok::<_, Infallible>(response) }
-        });
-        // A reader that leaves needs no answer.
-        tokio::spawn(async move {
-            drop(hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service).await);
-        });
-    }
+    let places = Arc::new(Semaphore::new(MAXIMUM_READERS));
+    let serve = |stream, _| serve_reader(stream, metrics.clone());
+    network::accept(listener, places, part::PROCESS, serve).await;
+}
+
+async fn serve_reader(stream: TcpStream, metrics: Arc<Metrics>) {
+    let service = service_fn(move |_: Request<Incoming>| {
+        let response = Response::new(AnswerBody::whole(metrics.to_text()));
+        async move { Ok::<_, Infallible>(response) }
+    });
+    // A reader that leaves needs no answer.
+    drop(hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service).await);
 }
--- a/crates/gateway/src/peers/members.rs
+++ b/crates/gateway/src/peers/members.rs
@@ -57,7 +57,7 @@
 }
 
 /// Where a member listens for nodes.
-pub(super) fn socket_of(address: &MemberAddress) -> Option<SocketAddr> {
+pub(crate) fn socket_of(address: &MemberAddress) -> Option<SocketAddr> {
     let ip = Ipv6Addr::from(address.ip).to_ipv4_mapped()?;
     Some(SocketAddr::from((ip, address.peer_port)))
 }
@@ -118,10 +118,7 @@
 
     /// Whether a node is known and answers no probes.
     pub fn is_dead(&self, node: NodeId) -> bool {
-        self.with(|membership| {
-            let member = membership.members().find(|member| member.update.node == node);
-            member.is_some_and(|member| member.update.state == MemberState::Dead)
-        })
+        self.known(node).is_some_and(|update| update.state == MemberState::Dead)
     }
 
     /// Answers a node that asks for all members.
--- a/crates/gateway/src/replica/core.rs
+++ b/crates/gateway/src/replica/core.rs
@@ -92,11 +92,6 @@
         lock(&self.state).set.clone()
     }
 
-    /// Whether the replica is a member of its set.
-    pub fn is_member(&self) -> bool {
-        replica_set::contains(&lock(&self.state).set, self.own)
-    }
-
     /// Changes the state and writes it. The change holds in memory even when the disk is full.
     pub async fn change_state(&self, change: impl FnOnce(&mut ReplicaState)) -> Result<(), DiskError> {
         let _order = self.state_order.lock().await;
--- a/crates/wire/src/membership.rs
+++ b/crates/wire/src/membership.rs
@@ -38,6 +38,18 @@
     Dead,
 }
 
+impl MemberState {
+    /// A short name, for operators.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Alive => "alive",
+            Self::Leaving => "leaving",
+            Self::Suspect => "suspect",
+            Self::Dead => "dead",
+        }
+    }
+}
+
 /// News of one member.
 #[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq, Eq)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
