--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -108,7 +108,8 @@
 
     /// Whether the gateway takes connections.
     pub fn is_ready(&self) -> bool {
-        self.stop.get().is_none() && self.routes().is_some()
+        let isolated = self.policy.leave_isolated && self.members.is_isolated();
+        self.stop.get().is_none() && self.routes().is_some() && !isolated
     }
 
     /// Serves one request.
