--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -108,8 +108,7 @@
 
     /// Whether the gateway takes connections.
     pub fn is_ready(&self) -> bool {
-        let isolated = self.policy.leave_isolated && self.members.is_isolated();
-        self.stop.get().is_none() && self.routes().is_some() && !isolated
+        self.stop.get().is_none() && self.routes().is_some()
     }
 
     /// Serves one request.
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -33,8 +33,6 @@
 const QUEUE_PIECES: usize = 16;
 /// The longest time for a reservation or a chain.
 const PREPARE_TIME: Duration = Duration::from_millis(900);
-/// The same at a gateway that is cut off: the caller's next try reaches another.
-const ISOLATED_PREPARE_TIME: Duration = Duration::from_millis(60);
 /// The least time to keep a turn that has ended.
 const KEEP_TIME: Duration = Duration::from_millis(1500);
 /// Time to settle a turn in the background.
@@ -79,7 +77,7 @@
 /// # Errors
 /// The refusal that the caller gets.
 pub async fn serve(gateway: Arc<Gateway>, mut call: Call) -> Result<Response<AnswerBody>, Refusal> {
-    let prepare_until = (call.arrived_at + prepare_time(&gateway)).min(call.expires_at);
+    let prepare_until = (call.arrived_at + PREPARE_TIME).min(call.expires_at);
     let mut account = open_account(&gateway, &call);
     let previous = call.metadata.previous.as_deref().filter(|_| call.route.retain).map(turn_id);
     let (chain, reserved) = tokio::join!(
@@ -99,15 +97,6 @@
     Ok(begin_stream(gateway, call, account, answer, previous.unwrap_or(NO_TURN), pace))
 }
 
-/// How long a quorum of replicas is waited for.
-fn prepare_time(gateway: &Gateway) -> Duration {
-    if gateway.policy.refuse_isolated && gateway.members.is_isolated() {
-        ISOLATED_PREPARE_TIME
-    } else {
-        PREPARE_TIME
-    }
-}
-
 fn open_account(gateway: &Arc<Gateway>, call: &Call) -> TurnAccount {
     let metadata = &call.metadata;
     let program = metadata.program.as_deref().unwrap_or(&metadata.attempt);
--- a/crates/gateway/src/peers/members.rs
+++ b/crates/gateway/src/peers/members.rs
@@ -12,12 +12,12 @@
 use crate::peers::view_exchange;
 use crate::peers::watch_duty::{DutyTimes, WatchDuty};
 use crate::settings::ProcessSettings;
-use foxnotch_core::membership::{Datagram, Membership, PROBE_PERIOD};
+use foxnotch_core::membership::{Datagram, Membership};
 use foxnotch_turns::identity::node_id;
 use foxnotch_wire::{decode, encode, MemberAddress, MemberState, MemberUpdate, Message, NodeId, RpcBody};
 use std::net::{Ipv6Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::UdpSocket;
 use tokio::sync::Semaphore;
 
@@ -35,8 +35,6 @@
 const PULL_DELAY: Duration = Duration::from_millis(150);
 /// Pulls of a view at one time: some may go to members that have just gone.
 const MAXIMUM_PULLS: usize = 4;
-/// Time without any datagram after which a node takes itself for cut off: two of its own probes and of those of others.
-const ISOLATED_AFTER: Duration = Duration::from_millis(2 * PROBE_PERIOD);
 /// The longest datagram, in bytes.
 const MAXIMUM_DATAGRAM: usize = 2048;
 /// Pause after a failed receive.
@@ -56,8 +54,6 @@
     pub(super) duty: Arc<WatchDuty>,
     /// Places for pulls of a view.
     pulls: Arc<Semaphore>,
-    /// When a datagram of another node came last.
-    heard_at: Mutex<Instant>,
 }
 
 /// Where a member listens for nodes.
@@ -98,21 +94,7 @@
         let loads = LoadBoard::default();
         let duty = Arc::new(WatchDuty::new(DutyTimes::within(settings.change_bound())));
         let pulls = Arc::new(Semaphore::new(MAXIMUM_PULLS));
-        let heard_at = Mutex::new(Instant::now());
-        Ok(Arc::new(Self {
-            own,
-            clock,
-            membership,
-            socket,
-            client,
-            view,
-            seeds,
-            peer_port,
-            loads,
-            duty,
-            pulls,
-            heard_at,
-        }))
+        Ok(Arc::new(Self { own, clock, membership, socket, client, view, seeds, peer_port, loads, duty, pulls }))
     }
 
     pub(super) fn with<T>(&self, act: impl FnOnce(&mut Membership) -> T) -> T {
@@ -139,12 +121,6 @@
         self.known(node).is_some_and(|update| update.state == MemberState::Dead)
     }
 
-    /// Whether this node knows others and none of them has been heard for a while: it is probably cut off from all.
-    pub fn is_isolated(&self) -> bool {
-        let silent = lock(&self.heard_at).elapsed() > ISOLATED_AFTER;
-        silent && self.with(|membership| membership.members().next().is_some())
-    }
-
     /// Answers a node that asks for all members.
     pub fn answer_pull(&self, asker: MemberUpdate) -> RpcBody {
         let now = self.clock.now();
@@ -261,7 +237,6 @@
     }
 
     fn on_message(self: &Arc<Self>, from: NodeId, message: Message) {
-        *lock(&self.heard_at) = Instant::now();
         if let Message::LoadNews(news) = &message {
             self.loads.take(from, &news.loads);
             return;
--- a/crates/gateway/src/policy.rs
+++ b/crates/gateway/src/policy.rs
@@ -18,10 +18,6 @@
     pub learned_prices: bool,
     /// A replica whose direct path is silent is asked through another gateway.
     pub relay: bool,
-    /// A gateway that hears no other node refuses turns soon, since the caller's next try reaches another.
-    pub refuse_isolated: bool,
-    /// A gateway that hears no other node is not ready.
-    pub leave_isolated: bool,
 }
 
 impl Default for PolicySettings {
@@ -33,8 +29,6 @@
             shared_loads: true,
             learned_prices: true,
             relay: true,
-            refuse_isolated: true,
-            leave_isolated: true,
         }
     }
 }
