Test: an operator's list of members is asked for once gossip has told all of them

A replica set is synced by requests to the addresses that the set names; a member of it can still be unknown to membership, which gossip brings. Change: the test waits, bounded, until the list names three replicas; what it asserts of it is as it was.

--- a/crates/gateway/tests/replica_tests.rs
+++ b/crates/gateway/tests/replica_tests.rs
@@ -32,6 +32,20 @@
     }
 }
 
+/// What the first replica tells an operator once it knows so many replicas: a set may be synced before gossip has told all
+/// of its members.
+async fn members_once_known(cluster: &Cluster, replicas: usize) -> String {
+    let until = Instant::now() + Duration::from_secs(20);
+    loop {
+        let shown = inspect::members(cluster.peer_address(1)).await.expect("the replica answers");
+        if shown.matches(" replica ").count() >= replicas {
+            return shown;
+        }
+        assert!(Instant::now() < until, "it never knows {replicas} replicas: {shown}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_operator_sees_how_each_replica_stands_and_changes_nothing() {
     let mut cluster = Cluster::start(34, 3).await;
@@ -39,7 +53,7 @@
     let shown = inspect::replicas(cluster.peer_address(1)).await.expect("the replica answers");
     assert_eq!(shown.matches(" synced\n").count(), 3, "{shown}");
     assert!(shown.contains("synced: 3 of 3; the set may change"), "{shown}");
-    let before = inspect::members(cluster.peer_address(1)).await.expect("the replica answers");
+    let before = members_once_known(&cluster, 3).await;
     assert_eq!(before.matches(" replica ").count(), 3, "{before}");
     assert_eq!(inspect::members(cluster.peer_address(1)).await.expect("it answers").lines().count(), 4);
     cluster.kill(2);
