--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -133,6 +133,11 @@
         self.members.values()
     }
 
+    /// Another member, if it is known.
+    pub fn member(&self, node: NodeId) -> Option<&Member> {
+        self.members.get(&node)
+    }
+
     /// Where `node` listens.
     pub fn address(&self, node: NodeId) -> Option<MemberAddress> {
         self.members.get(&node).map(|member| member.update.address)
--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -135,6 +135,10 @@
 
     /// The routes in force; a gateway that has just started waits a little for them.
     async fn wait_for_routes(&self) -> Result<Arc<RouteTable>, Refusal> {
+        if let Some(routes) = self.routes() {
+            return Ok(routes);
+        }
+        self.members.duty().demand();
         let until = Instant::now() + CONFIGURATION_WAIT;
         loop {
             if let Some(routes) = self.routes() {
--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -21,10 +21,10 @@
 use crate::peers::view_exchange;
 use crate::policy::PolicySettings;
 use crate::ports::dialect::Dialect;
-use crate::ports::store::{Kind, MetadataStore, ObjectBody};
+use crate::ports::store::{Freshness, Kind, MetadataStore, ObjectBody};
 use crate::settings::{ProcessSettings, SettingsError};
 use crate::signals::wait_for_stop;
-use crate::store_watch::{follow, probe, ConfigurationFollower, EngineFollower};
+use crate::store_watch::{follow, probe, ConfigurationFollower, EngineFollower, FirstList, RetirementFollower};
 use anyhow::Context;
 use foxnotch_turns::identity::{node_id, zone_hash};
 use foxnotch_wire::{NodeId, RpcBody, SetNews};
@@ -110,10 +110,13 @@
     tokio::spawn(members.clone().run());
     tokio::spawn(follow_view(gateway.clone()));
     tokio::spawn(load_exchange::run(gateway.clone(), members.clone()));
-    let configurations = ConfigurationFollower { view: view.clone() };
     let duty = members.duty();
-    tokio::spawn(follow(platform.store.clone(), Kind::Configuration, duty.clone(), configurations));
-    tokio::spawn(follow(platform.store.clone(), Kind::Engines, duty.clone(), EngineFollower::new(view.clone())));
+    let configurations = ConfigurationFollower { view: view.clone() };
+    tokio::spawn(follow(platform.store.clone(), Kind::Configuration, FirstList::AtStart, duty.clone(), configurations));
+    let engines = EngineFollower { view: view.clone() };
+    tokio::spawn(follow(platform.store.clone(), Kind::Engines, FirstList::AtStart, duty.clone(), engines));
+    let retirements = RetirementFollower { view: view.clone() };
+    tokio::spawn(follow(platform.store.clone(), Kind::Retirements, FirstList::OnDuty, duty.clone(), retirements));
     tokio::spawn(probe(platform.store.clone(), duty));
     tokio::spawn(members.clone().share_store_news());
     tokio::spawn(find_set(platform.store, view, turns.set_wanted()));
@@ -201,10 +204,12 @@
     }
 }
 
-/// Reads the replica set from the store whenever it is wanted.
+/// Reads the replica set from the store whenever it is wanted. Other nodes tell it too, and replicas those who go by an
+/// older one, so it may be old here.
 async fn find_set(store: Arc<dyn MetadataStore>, view: Arc<ViewHolder>, wanted: Arc<Notify>) {
     loop {
-        match store.list(Kind::ReplicaSet).await {
+        wanted.notified().await;
+        match store.list(Kind::ReplicaSet, Freshness::MayBeOld).await {
             Ok(listing) => {
                 for object in listing.objects {
                     if let ObjectBody::ReplicaSet(set) = object.body {
@@ -215,9 +220,6 @@
             Err(error) => log::debug!(target: part::STORE, "The replica set could not be read: {error}."),
         }
         tokio::time::sleep(SET_PERIOD).await;
-        if view.set().version > 0 {
-            wanted.notified().await;
-        }
     }
 }
 
@@ -237,7 +239,7 @@
             RpcBody::PullMembers(asker) => self.members.answer_pull(asker),
             RpcBody::ShowMembers => self.members.list(),
             RpcBody::ShowSet => RpcBody::SetKnown(SetNews { set: (*self.view.set()).clone(), synced: 0 }),
-            RpcBody::PullView(known) => RpcBody::View(view_exchange::newer_than(&self.view.get(), &known)),
+            RpcBody::PullView(known) => RpcBody::View(view_exchange::newer_than(&self.view, &known)),
             _ => RpcBody::NotServed,
         };
         Box::pin(std::future::ready(answer))
--- a/crates/gateway/src/peers/members.rs
+++ b/crates/gateway/src/peers/members.rs
@@ -17,22 +17,23 @@
 use foxnotch_wire::{decode, encode, MemberAddress, MemberState, MemberUpdate, Message, NodeId, RpcBody};
 use std::net::{Ipv6Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::UdpSocket;
-use tokio::sync::Semaphore;
+use tokio::sync::{Notify, Semaphore};
 
 /// Time between two steps of the state machine.
 const TICK: Duration = Duration::from_millis(150);
 /// Time between two tries to find the first member.
 const SEED_PERIOD: Duration = Duration::from_millis(500);
-/// Time between two pulls of all members.
+/// Pauses after the first pulls of all members: nodes that start together know few of the others at first.
+const FIRST_LIST_PAUSES: [Duration; 3] =
+    [Duration::from_millis(500), Duration::from_millis(1500), Duration::from_secs(6)];
+/// Time between two later pulls of all members.
 const LIST_PERIOD: Duration = Duration::from_secs(20);
 /// Time for one exchange with a seed.
 const SEED_TIMEOUT: Duration = Duration::from_millis(800);
 /// Members told at once of something new.
 const FANOUT: usize = 3;
-/// Time left to the store's own watch before another node is asked for what is new.
-const PULL_DELAY: Duration = Duration::from_millis(150);
 /// Pulls of a view at one time: some may go to members that have just gone.
 const MAXIMUM_PULLS: usize = 4;
 /// The longest datagram, in bytes.
@@ -44,6 +45,7 @@
 pub struct Members {
     pub(super) own: NodeId,
     clock: SteadyClock,
+    started_at: Instant,
     membership: Mutex<Membership>,
     socket: UdpSocket,
     client: Arc<RpcClient>,
@@ -54,6 +56,8 @@
     pub(super) duty: Arc<WatchDuty>,
     /// Places for pulls of a view.
     pulls: Arc<Semaphore>,
+    /// Told when fresh news of the platform's store were taken from another node.
+    pub(super) news_taken: Notify,
 }
 
 /// Where a member listens for nodes.
@@ -94,7 +98,22 @@
         let loads = LoadBoard::default();
         let duty = Arc::new(WatchDuty::new(DutyTimes::within(settings.change_bound())));
         let pulls = Arc::new(Semaphore::new(MAXIMUM_PULLS));
-        Ok(Arc::new(Self { own, clock, membership, socket, client, view, seeds, peer_port, loads, duty, pulls }))
+        let news_taken = Notify::new();
+        Ok(Arc::new(Self {
+            own,
+            clock,
+            started_at: Instant::now(),
+            membership,
+            socket,
+            client,
+            view,
+            seeds,
+            peer_port,
+            loads,
+            duty,
+            pulls,
+            news_taken,
+        }))
     }
 
     pub(super) fn with<T>(&self, act: impl FnOnce(&mut Membership) -> T) -> T {
@@ -146,10 +165,7 @@
     }
 
     pub(super) fn known(&self, node: NodeId) -> Option<MemberUpdate> {
-        self.with(|membership| {
-            let member = membership.members().find(|member| member.update.node == node);
-            member.map(|member| member.update)
-        })
+        self.with(|membership| membership.member(node).map(|member| member.update))
     }
 
     /// Other gateways that are not dead: members that callers reach.
@@ -159,6 +175,15 @@
         alive
     }
 
+    /// This node and the other replicas that are alive: members that callers do not reach.
+    pub fn standing_replicas(&self) -> Vec<MemberUpdate> {
+        let own = self.with(|membership| *membership.own());
+        let mut replicas = self.alive();
+        replicas.push(own);
+        replicas.retain(|update| update.address.caller_port == 0 && update.state != MemberState::Leaving);
+        replicas
+    }
+
     /// How many other gateways there are.
     pub fn gateway_count(&self) -> usize {
         self.with(|membership| {
@@ -256,19 +281,22 @@
         self.pull_if_behind(from);
     }
 
-    /// Pulls the view of a member that has a newer one, unless the store's watch brings it first.
+    /// Pulls the view of a member that has a newer one, unless the store or the nodes that tell this one bring it first.
     fn pull_if_behind(self: &Arc<Self>, from: NodeId) {
         let Some(update) = self.known(from) else { return };
-        let delay = if self.duty.must_watch() { PULL_DELAY } else { Duration::ZERO };
-        self.pull_view(update, delay, move |view| update.config_revision > view.revision());
+        let knows_nothing = self.view.get().revision() == 0;
+        let delay = if knows_nothing { Duration::ZERO } else { self.duty.times().period };
+        self.pull_view(update, delay, move |view| update.config_revision > view.revision(), || {});
     }
 
-    /// Pulls the view of a member after `delay`, while this node's own is behind; a few pulls at a time.
+    /// Pulls the view of a member after `delay`, while this node's own is behind; a few pulls at a time. Then, unless it
+    /// is still behind, does what `caught_up` says.
     pub(super) fn pull_view(
         self: &Arc<Self>,
         from: MemberUpdate,
         delay: Duration,
         behind: impl Fn(&View) -> bool + Send + 'static,
+        caught_up: impl FnOnce() + Send + 'static,
     ) {
         let Some(address) = socket_of(&from.address) else { return };
         if !behind(&self.view.get()) {
@@ -281,26 +309,44 @@
             if behind(&members.view.get()) {
                 view_exchange::pull(&members.client, &members.view, address).await;
             }
+            if !behind(&members.view.get()) {
+                caught_up();
+            }
             drop(place);
         });
     }
 
     /// Asks seeds, and now and then a member, for all members and for their view.
     async fn find_members(self: Arc<Self>) {
+        let mut pauses = FIRST_LIST_PAUSES.into_iter();
         loop {
             let alive = self.alive();
-            let addresses = if alive.is_empty() {
-                self.seed_addresses()
-            } else {
-                let index = self.with(|membership| membership.random_below(alive.len()));
-                alive.get(index).and_then(|member| socket_of(&member.address)).into_iter().collect()
-            };
-            for address in addresses {
+            if alive.is_empty() {
+                for address in self.seed_addresses() {
+                    self.pull_members(address).await;
+                }
+            } else if let Some(address) = self.pick_informant(&alive) {
                 self.pull_members(address).await;
             }
             let lonely = self.alive().is_empty();
-            tokio::time::sleep(if lonely { SEED_PERIOD } else { LIST_PERIOD }).await;
+            let pause = if lonely { SEED_PERIOD } else { pauses.next().unwrap_or(LIST_PERIOD) };
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    /// Whom to ask for all members: a seed that is alive while this node is new, since all that start ask those; a member
+    /// drawn by lot later.
+    fn pick_informant(&self, alive: &[MemberUpdate]) -> Option<SocketAddr> {
+        let is_new = self.started_at.elapsed() < FIRST_LIST_PAUSES.iter().sum();
+        let seeds = self.seed_addresses();
+        let addresses: Vec<SocketAddr> = alive.iter().filter_map(|member| socket_of(&member.address)).collect();
+        let mut informants: Vec<SocketAddr> =
+            addresses.iter().filter(|address| seeds.contains(address)).copied().collect();
+        if !is_new || informants.is_empty() {
+            informants = addresses;
         }
+        let index = self.with(|membership| membership.random_below(informants.len()));
+        informants.get(index).copied()
     }
 
     /// The seeds' addresses for nodes: all machines use the same port.
@@ -323,13 +369,13 @@
         log::debug!(target: part::PEER, "Members pulled from {address}: {} known.", list.members.len());
     }
 
-    /// Tells some members at once when the view has changed.
+    /// Tells some members at once when this node has news of the store that it watches; other ways are slower.
     async fn follow_view(self: Arc<Self>) {
         let mut changed = self.view.subscribe();
         let mut told = 0;
         while changed.changed().await.is_ok() {
             let revision = self.view.get().revision();
-            if revision <= told {
+            if revision <= told || !self.duty.must_watch() {
                 continue;
             }
             told = revision;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -1,6 +1,7 @@
 //! Other nodes: requests and answers by stream, membership by datagram, and the view of the platform they share.
 
 pub mod direct_paths;
+pub mod engine_list;
 pub mod frame;
 pub mod members;
 pub mod replica_client;
--- a/crates/gateway/src/peers/store_news.rs
+++ b/crates/gateway/src/peers/store_news.rs
@@ -1,76 +1,112 @@
-//! What a gateway that watches the platform's store tells the others of its group, and what those do with it.
+//! What nodes tell each other of the platform's store, so that few have to watch it.
 
 use crate::logging::part;
 use crate::peers::members::Members;
-use crate::peers::watch_duty::group_of;
+use crate::peers::view::View;
+use crate::peers::watch_duty::{assignment_of, Assignment, Place, Rank};
 use foxnotch_core::membership::Datagram;
 use foxnotch_wire::{MemberState, MemberUpdate, Message, NodeId, StoreNews};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::MissedTickBehavior;
+use tokio::time::{Instant, MissedTickBehavior};
+
+/// Share of the period between two messages within which a head does not pass on news again: it hears two watchers.
+const QUIET_SHARE: f64 = 0.5;
+
+/// Whether a node with this view lacks something that the news tell of.
+fn lacks(view: &View, news: &StoreNews) -> bool {
+    news.configuration_revision > view.configuration.revision
+        || news.engines_revision > view.engines.revision
+        || news.retirements_revision > view.retirements.revision
+}
 
 impl Members {
-    /// Decides for ever whether this gateway watches the platform's store, and tells its group what the store tells.
+    /// Decides for ever whether this node watches the platform's store, and tells others what it knows of it.
     pub async fn share_store_news(self: Arc<Self>) {
         let mut changed = self.view.subscribe();
-        let mut ticks = tokio::time::interval(self.duty.times().period);
+        let period = self.duty.times().period;
+        let mut ticks = tokio::time::interval(period);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut known = Assignment::default();
+        let mut told_at: Option<Instant> = None;
         loop {
-            tokio::select! {
-                _ = ticks.tick() => {}
-                _ = changed.changed() => {}
-            }
-            let others = self.group();
-            let is_first = others.iter().all(|other| self.own < other.node);
-            self.duty.set_first(is_first);
-            let watched = self.duty.must_watch();
-            if self.duty.review() != watched {
-                log::info!(target: part::STORE, "The store is {} this gateway: first={is_first} group={}.", if watched { "left to another than" } else { "watched by" }, others.len() + 1);
-            }
-            if is_first {
-                self.tell_store_news(&others);
+            let (is_due, is_change) = tokio::select! {
+                _ = ticks.tick() => (self.duty.must_watch(), false),
+                () = self.news_taken.notified() => (true, false),
+                _ = changed.changed() => (true, true),
+            };
+            let assignment = self.assignment();
+            self.review_duty(&assignment, &known);
+            let is_quiet = told_at.is_some_and(|at| at.elapsed() < period.mul_f64(QUIET_SHARE));
+            if is_change || (is_due && !is_quiet) {
+                self.tell_store_news(&assignment.tells);
+                told_at = Some(Instant::now());
             }
+            known = assignment;
+        }
+    }
+
+    fn review_duty(&self, assignment: &Assignment, known: &Assignment) {
+        self.duty.set_rank(assignment.rank);
+        let watched = self.duty.must_watch();
+        if self.duty.review() != watched || assignment.rank != known.rank {
+            log::info!(target: part::STORE, "The store is {} this node: rank={:?} tells={} age={:?}.", if self.duty.must_watch() { "watched by" } else { "left to others than" }, assignment.rank, assignment.tells.len(), self.duty.told_age());
         }
     }
 
-    /// The other gateways of this one's group.
-    fn group(&self) -> Vec<MemberUpdate> {
-        let (own, zone) = self.with(|membership| {
-            let own = *membership.own();
+    /// What this node has to do, by the members that it knows.
+    fn assignment(&self) -> Assignment {
+        let (own, members) = self.with(|membership| {
             let members = membership.members().map(|member| member.update);
-            let zone: Vec<MemberUpdate> = members
-                .filter(|update| update.state != MemberState::Dead && update.state != MemberState::Leaving)
-                .filter(|update| update.zone == own.zone && update.address.caller_port != 0)
-                .collect();
-            (own.node, zone)
+            let present = members.filter(|update| !matches!(update.state, MemberState::Dead | MemberState::Leaving));
+            (*membership.own(), present.collect::<Vec<MemberUpdate>>())
         });
-        let nodes: Vec<NodeId> = zone.iter().map(|update| update.node).collect();
-        let group = group_of(own, &nodes);
-        zone.into_iter().filter(|update| group.contains(&update.node)).collect()
+        let is_gateway = |update: &&MemberUpdate| update.address.caller_port != 0;
+        let place = |update: &MemberUpdate| Place { node: update.node, zone: update.zone };
+        let all = || members.iter().chain([&own]);
+        let gateways: Vec<Place> = all().filter(is_gateway).map(place).collect();
+        let replicas: Vec<Place> = all().filter(|update| !is_gateway(update)).map(place).collect();
+        if own.state == MemberState::Leaving {
+            // Another takes over what this node did for others.
+            return Assignment { rank: Rank::Listener, tells: Vec::new() };
+        }
+        assignment_of(place(&own), &gateways, &replicas)
     }
 
-    fn tell_store_news(&self, others: &[MemberUpdate]) {
-        let Some(age) = self.duty.contact_age() else { return };
+    fn tell_store_news(&self, nodes: &[NodeId]) {
+        let Some(age) = self.duty.told_age() else { return };
         let view = self.view.get();
         let news = StoreNews {
             configuration_revision: view.configuration.revision,
             engines_revision: view.engines.revision,
-            contact_age_ms: age.as_millis() as u32,
+            retirements_revision: view.retirements.revision,
+            contact_age_ms: u16::try_from(age.as_millis()).unwrap_or(u16::MAX),
         };
-        let datagrams = others.iter().map(|other| Datagram {
-            to: other.node,
-            address: other.address,
-            message: Message::StoreNews(news),
-        });
-        self.send(datagrams.collect());
+        let datagram = |node: &NodeId| {
+            let address = self.with(|membership| membership.address(*node))?;
+            Some(Datagram { to: *node, address, message: Message::StoreNews(news) })
+        };
+        self.send(nodes.iter().filter_map(datagram).collect());
     }
 
-    /// Takes what a watching gateway tells, and pulls from it what is new.
+    /// Takes what another node tells, once this one has pulled what it lacks.
     pub(super) fn on_store_news(self: &Arc<Self>, from: NodeId, news: StoreNews) {
-        self.duty.take_news(Duration::from_millis(u64::from(news.contact_age_ms)));
+        let contact_age = Duration::from_millis(u64::from(news.contact_age_ms));
+        if !lacks(&self.view.get(), &news) {
+            self.take_store_news(contact_age);
+            return;
+        }
         let Some(update) = self.known(from) else { return };
-        self.pull_view(update, Duration::ZERO, move |view| {
-            news.configuration_revision > view.configuration.revision || news.engines_revision > view.engines.revision
+        let heard_at = Instant::now();
+        let members = self.clone();
+        let behind = move |view: &View| lacks(view, &news);
+        self.pull_view(update, Duration::ZERO, behind, move || {
+            members.take_store_news(contact_age + heard_at.elapsed());
         });
     }
+
+    fn take_store_news(&self, contact_age: Duration) {
+        self.duty.take_news(contact_age);
+        self.news_taken.notify_one();
+    }
 }
--- a/crates/gateway/src/peers/view.rs
+++ b/crates/gateway/src/peers/view.rs
@@ -5,7 +5,8 @@
 
 use crate::locks::lock;
 use crate::logging::part;
-use crate::ports::configuration::{Configuration, EngineEntry};
+use crate::peers::engine_list::{Applied, EngineChanges, EngineList};
+use crate::ports::configuration::{Configuration, EngineEntry, RetirementRequest};
 use foxnotch_wire::ReplicaSet;
 use std::sync::{Arc, Mutex};
 use tokio::sync::watch;
@@ -32,6 +33,8 @@
     pub configuration: Versioned<Configuration>,
     /// The engines, ordered by identifier.
     pub engines: Versioned<Vec<EngineEntry>>,
+    /// Replicas that are to leave.
+    pub retirements: Versioned<Vec<RetirementRequest>>,
     /// The replica set.
     pub set: Arc<ReplicaSet>,
 }
@@ -54,27 +57,40 @@
     Disk,
 }
 
+/// The view with what it takes to tell others of its changes alone.
+#[derive(Debug, Default)]
+struct Held {
+    view: View,
+    engines: EngineList,
+}
+
+impl Held {
+    fn show_engines(&mut self) {
+        self.view.engines = Versioned { revision: self.engines.revision(), value: self.engines.engines().clone() };
+    }
+}
+
 /// The view, shared by all parts of the process.
 pub struct ViewHolder {
-    view: Mutex<View>,
+    held: Mutex<Held>,
     changed: watch::Sender<u64>,
 }
 
 impl Default for ViewHolder {
     fn default() -> Self {
-        Self { view: Mutex::default(), changed: watch::Sender::new(0) }
+        Self { held: Mutex::default(), changed: watch::Sender::new(0) }
     }
 }
 
 impl ViewHolder {
     /// The view as it is.
     pub fn get(&self) -> View {
-        lock(&self.view).clone()
+        lock(&self.held).view.clone()
     }
 
     /// The replica set as it is.
     pub fn set(&self) -> Arc<ReplicaSet> {
-        lock(&self.view).set.clone()
+        lock(&self.held).view.set.clone()
     }
 
     /// Told of each change.
@@ -83,7 +99,7 @@
     }
 
     fn change(&self, apply: impl FnOnce(&mut View) -> bool) -> bool {
-        let changed = apply(&mut lock(&self.view));
+        let changed = apply(&mut lock(&self.held).view);
         if changed {
             self.changed.send_modify(|count| *count += 1);
         }
@@ -108,20 +124,59 @@
     }
 
     /// Takes a list of engines if it is newer.
-    pub fn adopt_engines(&self, revision: u64, mut engines: Vec<EngineEntry>, origin: Origin) -> bool {
-        engines.sort_by(|left, right| left.id.cmp(&right.id));
-        let draining = engines.iter().filter(|engine| engine.draining).count();
-        let count = engines.len();
+    pub fn adopt_engines(&self, revision: u64, engines: Vec<EngineEntry>, origin: Origin) -> bool {
+        let adopted = {
+            let mut held = lock(&self.held);
+            let before = held.engines.engines().clone();
+            let newer = held.engines.replace(revision, engines);
+            held.show_engines();
+            newer && before != *held.engines.engines()
+        };
+        if adopted {
+            self.note_engines(origin);
+        }
+        adopted
+    }
+
+    /// Takes all changes of engines between two revisions. Tells whether a whole list is needed instead.
+    pub fn adopt_engine_changes(&self, since: u64, revision: u64, changes: EngineChanges, origin: Origin) -> Applied {
+        let applied = {
+            let mut held = lock(&self.held);
+            let applied = held.engines.apply(since, revision, changes);
+            held.show_engines();
+            applied
+        };
+        if applied == Applied::Done {
+            self.note_engines(origin);
+        }
+        applied
+    }
+
+    /// What has changed of the engines since a revision, when less than the whole list tells it.
+    pub fn engine_changes_since(&self, known: u64) -> Option<EngineChanges> {
+        lock(&self.held).engines.changes_since(known)
+    }
+
+    fn note_engines(&self, origin: Origin) {
+        self.changed.send_modify(|count| *count += 1);
+        let engines = self.get().engines;
+        let draining = engines.value.iter().filter(|engine| engine.draining).count();
+        log::info!(target: part::VIEW, "Engines known: count={} draining={draining} revision={} origin={origin:?}.", engines.value.len(), engines.revision);
+    }
+
+    /// Takes the list of replicas that are to leave if it is newer.
+    pub fn adopt_retirements(&self, revision: u64, requests: Vec<RetirementRequest>, origin: Origin) -> bool {
+        let names: Vec<String> = requests.iter().map(|request| request.name.clone()).collect();
         let adopted = self.change(|view| {
-            let newer = revision > view.engines.revision;
-            let differs = *view.engines.value != engines;
+            let newer = revision > view.retirements.revision;
+            let differs = *view.retirements.value != requests;
             if newer {
-                view.engines = Versioned { revision, value: Arc::new(engines) };
+                view.retirements = Versioned { revision, value: Arc::new(requests) };
             }
             newer && differs
         });
         if adopted {
-            log::info!(target: part::VIEW, "Engines known: count={count} draining={draining} revision={revision} origin={origin:?}.");
+            log::info!(target: part::VIEW, "Retirements known: names={names:?} revision={revision} origin={origin:?}.");
         }
         adopted
     }
--- a/crates/gateway/src/peers/view_exchange.rs
+++ b/crates/gateway/src/peers/view_exchange.rs
@@ -17,23 +17,41 @@
     ViewNews {
         configuration_revision: view.configuration.revision,
         engines_revision: view.engines.revision,
+        retirements_revision: view.retirements.revision,
         set: (*view.set).clone(),
         ..ViewNews::default()
     }
 }
 
 fn to_content<T: serde::Serialize>(value: &T) -> Content {
-    Content::from(serde_json::to_vec(value).unwrap_or_default())
+    match serde_json::to_vec(value) {
+        Ok(bytes) => Content::from(bytes),
+        Err(error) => {
+            // An empty content tells the asker nothing; it asks again.
+            log::error!(target: part::VIEW, "A part of the view cannot be coded for another node: {error}.");
+            Content::default()
+        }
+    }
 }
 
-/// What `view` has that an asker with `known` lacks.
-pub fn newer_than(view: &View, known: &ViewNews) -> ViewNews {
-    let mut news = revisions_of(view);
+/// What `holder` has that an asker with `known` lacks.
+pub fn newer_than(holder: &ViewHolder, known: &ViewNews) -> ViewNews {
+    let view = holder.get();
+    let mut news = revisions_of(&view);
     if view.configuration.revision > known.configuration_revision {
         news.configuration = to_content(&*view.configuration.value);
     }
     if view.engines.revision > known.engines_revision {
-        news.engines = to_content(&*view.engines.value);
+        match holder.engine_changes_since(known.engines_revision) {
+            Some(changes) => {
+                news.engines_since = known.engines_revision;
+                news.engines = to_content(&changes);
+            }
+            None => news.engines = to_content(&*view.engines.value),
+        }
+    }
+    if view.retirements.revision > known.retirements_revision {
+        news.retirements = to_content(&*view.retirements.value);
     }
     news
 }
@@ -56,9 +74,16 @@
     if let Some(configuration) = from_content(&news.configuration) {
         holder.adopt_configuration(news.configuration_revision, configuration, Origin::Peer);
     }
-    if let Some(engines) = from_content(&news.engines) {
+    if news.engines_since > 0 {
+        if let Some(changes) = from_content(&news.engines) {
+            holder.adopt_engine_changes(news.engines_since, news.engines_revision, changes, Origin::Peer);
+        }
+    } else if let Some(engines) = from_content(&news.engines) {
         holder.adopt_engines(news.engines_revision, engines, Origin::Peer);
     }
+    if let Some(retirements) = from_content(&news.retirements) {
+        holder.adopt_retirements(news.retirements_revision, retirements, Origin::Peer);
+    }
     holder.adopt_set(&news.set, Origin::Peer);
 }
 
--- a/crates/gateway/src/peers/watch_duty.rs
+++ b/crates/gateway/src/peers/watch_duty.rs
@@ -1,24 +1,30 @@
-//! Which gateways watch the platform's store.
+//! Which nodes watch the platform's store.
 //!
-//! Each call to the store is dear and its rate is shared by all machines, so one gateway of each group watches and the
-//! others of the group, all in its zone, take its news. A gateway that hears no fresh news watches by itself until
-//! it hears some again; so no gateway depends on another for longer than [`DutyTimes::contact_limit`].
+//! Each call to the store is dear and its rate is shared by all machines, so two gateways of the whole fleet watch it. They
+//! tell the heads of all groups, two gateways of each sixteen of a zone, and those tell their groups. A node that
+//! hears no fresh news watches by itself until it hears some again; so no node depends on another for longer than
+//! [`DutyTimes::contact_limit`]. No I/O.
 
 use crate::locks::lock;
 use crate::ports::store::Kind;
 use foxnotch_wire::NodeId;
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-/// Gateways of one zone that share a watching one: bounds what that one sends.
+/// Gateways that watch the store for the whole fleet: one may be lost, or be turned away, and nobody else calls.
+const WATCHERS: usize = 2;
+/// Gateways of one zone that share their heads: bounds what a head sends.
 const GROUP_SIZE: usize = 16;
-/// Share of the time for a change after which news from another gateway are too old.
+/// Gateways of a group that hear the watchers and tell the rest.
+const HEADS: usize = 2;
+/// Share of the time for a change after which the store's last answer is too old to go by.
 const CONTACT_SHARE: f64 = 0.6;
-/// Share of that time after which a gateway that heard nothing watches by itself.
-const SILENCE_SHARE: f64 = 0.4;
+/// Shares of that time after which a node that heard nothing watches by itself: the first head of a group, the second, and
+/// all others, so that those for whom others depend on it call first.
+const SILENCE_SHARES: [f64; 3] = [0.35, 0.43, 0.5];
 /// Share of that time between two messages of a watching gateway.
 const PERIOD_SHARE: f64 = 0.12;
 /// Share of that time between two questions whether the store still answers.
@@ -27,10 +33,10 @@
 /// The times that a deployment's bound for changes leaves.
 #[derive(Clone, Copy, Debug)]
 pub struct DutyTimes {
+    /// The time within which a change has to be in force everywhere.
+    pub bound: Duration,
     /// Age of the last answer of the store at which news that rest on it do not count any more.
     pub contact_limit: Duration,
-    /// Time without news after which a gateway watches by itself.
-    pub silence_limit: Duration,
     /// Time between two messages of a watching gateway.
     pub period: Duration,
     /// Time between two questions whether the store still answers.
@@ -41,41 +47,134 @@
     /// The times when a change has to be in force everywhere within `bound`.
     pub fn within(bound: Duration) -> Self {
         Self {
+            bound,
             contact_limit: bound.mul_f64(CONTACT_SHARE),
-            silence_limit: bound.mul_f64(SILENCE_SHARE),
             period: bound.mul_f64(PERIOD_SHARE),
             probe_period: bound.mul_f64(PROBE_SHARE),
         }
     }
+
+    /// Time without news after which a node of this rank watches by itself.
+    pub fn silence_limit(&self, rank: Rank) -> Duration {
+        let share = match rank {
+            Rank::Watcher | Rank::FirstHead => SILENCE_SHARES[0],
+            Rank::OtherHead => SILENCE_SHARES[1],
+            Rank::Listener => SILENCE_SHARES[2],
+        };
+        self.bound.mul_f64(share)
+    }
+}
+
+/// What a node does for others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Rank {
+    /// Watches the store and tells the heads.
+    Watcher,
+    /// Hears the watchers and tells its group.
+    FirstHead,
+    /// The same, and watches by itself a little later.
+    OtherHead,
+    /// Hears the heads of its group.
+    #[default]
+    Listener,
+}
+
+/// A node and the number of its zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// The node.
+    pub node: NodeId,
+    /// Its zone.
+    pub zone: u8,
+}
+
+/// What one node has to do, by what it knows of the fleet.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Assignment {
+    /// Its rank.
+    pub rank: Rank,
+    /// Whom it tells.
+    pub tells: Vec<NodeId>,
 }
 
-/// The group of `own` among the gateways of its zone: the first of it watches, the rest take its news.
-///
-/// Nodes are numbered by hashes, so the order has nothing to do with machines.
-pub fn group_of(own: NodeId, zone: &[NodeId]) -> Vec<NodeId> {
-    let mut ordered: Vec<NodeId> = zone.iter().copied().filter(|node| *node != own).collect();
-    ordered.push(own);
+/// The gateways of one zone in their order. Nodes are numbered by hashes, so it has nothing to do with machines.
+type Zones = BTreeMap<u8, Vec<NodeId>>;
+
+fn zones_of(gateways: &[Place]) -> Zones {
+    let mut zones = Zones::new();
+    for gateway in gateways {
+        zones.entry(gateway.zone).or_default().push(gateway.node);
+    }
+    for nodes in zones.values_mut() {
+        nodes.sort_unstable();
+        nodes.dedup();
+    }
+    zones
+}
+
+/// The gateways that watch: the first of some zones, or more of one zone where there are too few.
+fn watchers_of(zones: &Zones) -> Vec<NodeId> {
+    let mut ordered: Vec<(usize, NodeId)> = Vec::new();
+    for nodes in zones.values() {
+        ordered.extend(nodes.iter().take(WATCHERS).enumerate().map(|(position, node)| (position, *node)));
+    }
     ordered.sort_unstable();
-    let rank = ordered.iter().position(|node| *node == own).unwrap_or(0);
-    let first = rank - rank % GROUP_SIZE;
-    ordered.into_iter().skip(first).take(GROUP_SIZE).collect()
+    ordered.into_iter().take(WATCHERS).map(|(_, node)| node).collect()
+}
+
+fn heads_of(zones: &Zones) -> impl Iterator<Item = NodeId> + '_ {
+    zones.values().flat_map(|nodes| nodes.chunks(GROUP_SIZE)).flat_map(|group| group.iter().take(HEADS).copied())
+}
+
+/// What `own` has to do among these gateways and replicas; `own` may be either. All that know the same nodes agree.
+pub fn assignment_of(own: Place, gateways: &[Place], replicas: &[Place]) -> Assignment {
+    let zones = zones_of(gateways);
+    let watchers = watchers_of(&zones);
+    let mut tells = Vec::new();
+    let mut rank = Rank::Listener;
+    let zone = zones.get(&own.zone).map_or(&[][..], Vec::as_slice);
+    if let Some(position) = zone.iter().position(|node| *node == own.node) {
+        let in_group = position % GROUP_SIZE;
+        if in_group < HEADS {
+            rank = if in_group == 0 { Rank::FirstHead } else { Rank::OtherHead };
+            let group = zone.iter().skip(position - in_group).take(GROUP_SIZE);
+            tells.extend(group.skip(HEADS).copied());
+        }
+        if position < HEADS {
+            // Replicas are few: the first group of their zone tells them.
+            tells.extend(replicas.iter().filter(|replica| replica.zone == own.zone).map(|replica| replica.node));
+        }
+    }
+    if watchers.contains(&own.node) {
+        rank = Rank::Watcher;
+        tells.extend(heads_of(&zones).filter(|head| !watchers.contains(head)));
+        let alone = replicas.iter().filter(|replica| !zones.contains_key(&replica.zone));
+        tells.extend(alone.map(|replica| replica.node));
+    }
+    tells.retain(|node| *node != own.node);
+    tells.sort_unstable();
+    tells.dedup();
+    Assignment { rank, tells }
 }
 
 /// News as they were heard.
 #[derive(Clone, Copy, Debug)]
 struct HeardNews {
     at: Instant,
-    /// When the store had last answered the teller.
+    /// When the store had last answered the watching gateway.
     contact_at: Instant,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
-    is_first: bool,
+    rank: Rank,
+    started_at: Instant,
     news: Option<HeardNews>,
     contact_at: Option<Instant>,
     /// Kinds of which the last call failed.
     failing: HashSet<Kind>,
+    /// Until when this node watches whatever it hears.
+    demanded_until: Option<Instant>,
 }
 
 /// Whether this node has to watch the store, and how fresh its own contact with it is.
@@ -85,12 +184,27 @@
     state: Mutex<State>,
     must_watch: watch::Sender<bool>,
     silences: watch::Sender<u64>,
+    answers: watch::Sender<u64>,
 }
 
 impl WatchDuty {
-    /// A node that watches until it has heard news.
+    /// A node that has just started: it waits for news as long as one that hears none.
     pub fn new(times: DutyTimes) -> Self {
-        Self { times, state: Mutex::default(), must_watch: watch::Sender::new(true), silences: watch::Sender::new(0) }
+        let state = State {
+            rank: Rank::Listener,
+            started_at: Instant::now(),
+            news: None,
+            contact_at: None,
+            failing: HashSet::new(),
+            demanded_until: None,
+        };
+        Self {
+            times,
+            state: Mutex::new(state),
+            must_watch: watch::Sender::new(false),
+            silences: watch::Sender::new(0),
+            answers: watch::Sender::new(0),
+        }
     }
 
     /// The times that it goes by.
@@ -102,10 +216,17 @@
         lock(&self.state)
     }
 
-    /// The store has answered.
+    /// The store has answered, or an answer of it that shows nothing newer is still awaited.
     pub fn note_contact(&self) {
-        let mut state = self.state();
-        state.contact_at = Some(Instant::now());
+        self.state().contact_at = Some(Instant::now());
+        self.answers.send_modify(|count| *count += 1);
+    }
+
+    /// Waits until the store answers again, at most for `limit`.
+    pub async fn until_answered(&self, limit: Duration) {
+        let mut answers = self.answers.subscribe();
+        // Either an answer came or the limit has passed; both end the wait.
+        let _ = tokio::time::timeout(limit, answers.changed()).await;
     }
 
     /// The store serves calls of this kind, or does not.
@@ -128,34 +249,53 @@
         self.silences.subscribe()
     }
 
-    /// News from another gateway, to which the store last answered `contact_age` ago.
+    /// News that this node has caught up with, from a gateway that goes by an answer of the store `contact_age` ago.
     pub fn take_news(&self, contact_age: Duration) {
         let now = Instant::now();
-        let contact_at = now.checked_sub(contact_age).unwrap_or(now);
-        self.state().news = Some(HeardNews { at: now, contact_at });
+        let told_at = now.checked_sub(contact_age).unwrap_or(now);
+        let mut state = self.state();
+        let contact_at = state.news.map_or(told_at, |known| known.contact_at.max(told_at));
+        state.news = Some(HeardNews { at: now, contact_at });
     }
 
-    /// Whether this node is the first of its group.
-    pub fn set_first(&self, is_first: bool) {
-        self.state().is_first = is_first;
+    /// What this node has to do for others.
+    pub fn set_rank(&self, rank: Rank) {
+        self.state().rank = rank;
+    }
+
+    /// A caller waits for what the store holds and no other node has told: this node watches at once, for a while.
+    pub fn demand(&self) {
+        self.state().demanded_until = Some(Instant::now() + self.times.contact_limit);
+        self.review();
     }
 
     /// How long ago the store last answered this node; none when it does not serve its watches.
     pub fn contact_age(&self) -> Option<Duration> {
         let state = self.state();
-        let contact_at = state.contact_at.filter(|_| state.failing.is_empty())?;
+        let contact_at = state.contact_at.filter(|_| state.failing.is_empty() && *self.must_watch.borrow())?;
         let age = contact_at.elapsed();
         (age < self.times.contact_limit).then_some(age)
     }
 
+    /// How long ago the store last answered this node or the one that its news come from: what it may tell others.
+    pub fn told_age(&self) -> Option<Duration> {
+        let own = self.contact_age();
+        let state = self.state();
+        let told = state.news.map(|news| news.contact_at.elapsed()).filter(|age| *age < self.times.contact_limit);
+        own.into_iter().chain(told).min()
+    }
+
     /// Decides anew whether this node has to watch. Returns it.
     pub fn review(&self) -> bool {
         let must_watch = {
             let state = self.state();
-            let fresh = |news: &HeardNews| {
-                news.at.elapsed() < self.times.silence_limit && news.contact_at.elapsed() < self.times.contact_limit
+            let silence_limit = self.times.silence_limit(state.rank);
+            let has_settled = state.started_at.elapsed() >= silence_limit;
+            let is_fresh = |news: &HeardNews| {
+                news.at.elapsed() < silence_limit && news.contact_at.elapsed() < self.times.contact_limit
             };
-            state.is_first || !state.news.as_ref().is_some_and(fresh)
+            let is_demanded = state.demanded_until.is_some_and(|until| until > Instant::now());
+            is_demanded || has_settled && (state.rank == Rank::Watcher || !state.news.as_ref().is_some_and(is_fresh))
         };
         self.must_watch.send_if_modified(|known| std::mem::replace(known, must_watch) != must_watch);
         must_watch
--- a/crates/gateway/src/ports/configuration.rs
+++ b/crates/gateway/src/ports/configuration.rs
@@ -135,3 +135,14 @@
     /// Whether it is about to leave: it gets no new work.
     pub draining: bool,
 }
+
+/// The operator's request to take a replica out of service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RetirementRequest {
+    /// The node's name.
+    pub name: String,
+    /// The time allowed, in milliseconds.
+    pub within_ms: u64,
+    /// Whether it is reported as done.
+    pub done: bool,
+}
--- a/crates/gateway/src/ports/store.rs
+++ b/crates/gateway/src/ports/store.rs
@@ -49,6 +49,15 @@
     pub body: ObjectBody,
 }
 
+/// How new a listing has to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// All that was written before the call.
+    Newest,
+    /// It may be seconds old. Such calls are cheap; a watch from the listing's revision brings what it lacks.
+    MayBeOld,
+}
+
 /// All objects of a kind.
 #[derive(Clone, Debug)]
 pub struct Listing {
@@ -99,7 +108,7 @@
 /// The store. No call is repeated by itself.
 pub trait MetadataStore: Send + Sync + 'static {
     /// Lists all objects of a kind.
-    fn list(&self, kind: Kind) -> BoxFuture<'_, Result<Listing, StoreError>>;
+    fn list(&self, kind: Kind, freshness: Freshness) -> BoxFuture<'_, Result<Listing, StoreError>>;
     /// Waits until something of a kind has changed since a revision, or until the wait is over.
     fn watch(&self, kind: Kind, revision: u64, wait: Duration) -> BoxFuture<'_, Result<Changes, StoreError>>;
     /// Asks for something small that may be old: tells only whether the store answers this machine at all.
--- a/crates/gateway/src/replica/core.rs
+++ b/crates/gateway/src/replica/core.rs
@@ -186,7 +186,10 @@
         let counts = state.complete == 1 && replica_set::contains(&state.set, self.own);
         let standing = if counts { ReplicaStanding::Counts } else { ReplicaStanding::Refilling };
         let own = DiskIdentity { node: self.own, disk: state.disk };
-        Witness { own, standing, others: state.peers.clone() }
+        // Answers are counted from members alone, so what is known of other disks decides nothing.
+        let is_member = |peer: &&DiskIdentity| replica_set::contains(&state.set, peer.node);
+        let others = state.peers.iter().filter(is_member).copied().collect();
+        Witness { own, standing, others }
     }
 
     fn set_news(&self) -> SetNews {
@@ -282,7 +285,7 @@
             RpcBody::PullMembers(asker) => self.members.answer_pull(asker),
             RpcBody::ShowMembers => self.members.list(),
             RpcBody::ShowSet => RpcBody::SetKnown(self.set_news()),
-            RpcBody::PullView(known) => RpcBody::View(view_exchange::newer_than(&self.view.get(), &known)),
+            RpcBody::PullView(known) => RpcBody::View(view_exchange::newer_than(&self.view, &known)),
             _ => RpcBody::NotServed,
         }
     }
--- a/crates/gateway/src/replica/process.rs
+++ b/crates/gateway/src/replica/process.rs
@@ -7,14 +7,14 @@
 use crate::peers::members::Members;
 use crate::peers::rpc_client::RpcClient;
 use crate::peers::rpc_server;
-use crate::peers::view::{Origin, ViewHolder};
-use crate::ports::store::{Change, Kind, MetadataStore, ObjectBody};
+use crate::peers::view::ViewHolder;
+use crate::ports::store::{Kind, MetadataStore};
 use crate::replica::core::ReplicaCore;
 use crate::replica::disk::Disk;
 use crate::replica::steward::{Steward, StewardParts};
 use crate::settings::{ProcessSettings, SettingsError};
 use crate::signals::wait_for_stop;
-use crate::store_watch::{follow, Follower};
+use crate::store_watch::{follow, probe, FirstList, RetirementFollower, SetFollower};
 use anyhow::Context;
 use foxnotch_turns::identity::{node_id, zone_hash};
 use foxnotch_wire::ReplicaMember;
@@ -59,16 +59,20 @@
         store: store.clone(),
         own: member,
         name: settings.node.clone(),
-        tolerance: settings.tolerance(),
+        target: settings.set_target(),
     };
     let steward = Arc::new(Steward::new(parts));
     tokio::spawn(rpc_server::serve(listener, own, core.clone()));
     tokio::spawn(watch_pauses());
     tokio::spawn(members.clone().run());
-    tokio::spawn(steward.clone().run());
+    tokio::spawn(steward.run());
     let duty = members.duty();
-    tokio::spawn(follow(store.clone(), Kind::ReplicaSet, duty.clone(), SetFollower { view }));
-    tokio::spawn(follow(store, Kind::Retirements, duty, RetirementFollower { name: settings.node.clone(), steward }));
+    let sets = SetFollower { view: view.clone() };
+    tokio::spawn(follow(store.clone(), Kind::ReplicaSet, FirstList::OnDuty, duty.clone(), sets));
+    let retirements = RetirementFollower { view };
+    tokio::spawn(follow(store.clone(), Kind::Retirements, FirstList::OnDuty, duty.clone(), retirements));
+    tokio::spawn(probe(store, duty));
+    tokio::spawn(members.clone().share_store_news());
     tokio::spawn(expire(core.clone()));
     tokio::spawn(metrics::serve(settings.metrics_address(), replica_metrics(&core)));
     log::info!(target: part::PROCESS, "Replica started: node={} id={own} zone={} first_start={}.", settings.node, settings.zone, settings.first_start);
@@ -113,33 +117,3 @@
         core.expire();
     }
 }
-
-/// Brings the replica set into the view.
-struct SetFollower {
-    view: Arc<ViewHolder>,
-}
-
-impl Follower for SetFollower {
-    fn take(&mut self, change: Change) {
-        if let ObjectBody::ReplicaSet(set) = change.object.body {
-            self.view.adopt_set(&set, Origin::Store);
-        }
-    }
-}
-
-/// Tells the steward when this machine is to be retired.
-struct RetirementFollower {
-    name: String,
-    steward: Arc<Steward>,
-}
-
-impl Follower for RetirementFollower {
-    fn take(&mut self, change: Change) {
-        if change.gone || change.object.name != self.name {
-            return;
-        }
-        if let ObjectBody::Retirement { within, done } = change.object.body {
-            self.steward.retire(within, done);
-        }
-    }
-}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,7 +1,7 @@
 //! The settings of a gateway or a replica, read from a TOML file and checked whole before anything is bound.
 
 use crate::policy::PolicySettings;
-use foxnotch_turns::replica_set::Tolerance;
+use foxnotch_turns::replica_set::{least_set_size, SetTarget, Tolerance};
 use serde::Deserialize;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -29,6 +29,16 @@
         /// What is allowed.
         allowed: &'static str,
     },
+    /// The replica set would not serve after the losses that it has to bear.
+    #[error("the setting replicas.set_size is {size}: with tolerance.machines = {machines} it has to be {least} or more; raise it or leave it out")]
+    SetTooSmall {
+        /// The size that is set.
+        size: usize,
+        /// Machines that may be lost at once.
+        machines: usize,
+        /// The least size.
+        least: usize,
+    },
     /// A field that this role needs is missing.
     #[error("the setting {0} is missing; a {1} needs it")]
     Missing(&'static str, &'static str),
@@ -71,6 +81,14 @@
     pub zones: usize,
 }
 
+/// The replica set.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ReplicaSettings {
+    /// Replicas that hold turns, the others stand by; without it as few as the tolerance allows.
+    pub set_size: Option<usize>,
+}
+
 /// Everything that can be set.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -111,6 +129,9 @@
     pub log_level: String,
     /// What may be lost.
     pub tolerance: ToleranceSettings,
+    /// The replica set.
+    #[serde(default)]
+    pub replicas: ReplicaSettings,
     /// Times.
     pub times: TimeSettings,
     /// Resources.
@@ -183,6 +204,10 @@
         check(grace.is_finite() && grace >= 1.0, "times.grace_s", grace, "1 or more")?;
         check(self.resources.memory_mb >= 16, "resources.memory_mb", self.resources.memory_mb, "16 or more")?;
         check(self.resources.descriptors >= 256, "resources.descriptors", self.resources.descriptors, "256 or more")?;
+        let least = least_set_size(self.tolerance.machines);
+        if let Some(size) = self.replicas.set_size.filter(|size| *size < least) {
+            return Err(SettingsError::SetTooSmall { size, machines: self.tolerance.machines, least });
+        }
         check(
             self.log_level.parse::<log::LevelFilter>().is_ok(),
             "log_level",
@@ -211,6 +236,12 @@
         Tolerance { machines: self.tolerance.machines, zones: self.tolerance.zones }
     }
 
+    /// How large the replica set is to be.
+    pub fn set_target(&self) -> SetTarget {
+        let target = SetTarget::of(self.tolerance());
+        SetTarget { size: self.replicas.set_size.unwrap_or(target.size), ..target }
+    }
+
     /// The time within which a change of the platform has to be in force on this node.
     pub fn change_bound(&self) -> Duration {
         Duration::from_secs_f64(self.times.drain_ms.min(self.times.apply_ms) / 1000.0)
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -1,14 +1,16 @@
 //! Follows objects of the platform's store: lists them once, then watches, and lists again when history is gone.
 
 use crate::logging::part;
+use crate::peers::engine_list::{Applied, EngineChanges};
 use crate::peers::view::{Origin, ViewHolder};
 use crate::peers::watch_duty::WatchDuty;
-use crate::ports::configuration::EngineEntry;
-use crate::ports::store::{Change, Kind, MetadataStore, ObjectBody, StoreError};
+use crate::ports::configuration::{EngineEntry, RetirementRequest};
+use crate::ports::store::{Change, Freshness, Kind, MetadataStore, ObjectBody, StoreError, StoredObject};
 use rand::Rng;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::sync::watch;
 
 /// The longest wait of one watch. A store that falls silent swallows the watches that wait, and says nothing of it when
 /// it is back; so this bounds the time for which nothing is heard.
@@ -30,60 +32,204 @@
 
 /// Takes what is listed and what changes.
 pub trait Follower: Send + 'static {
-    /// All objects follow; what was known before may be gone.
-    fn restart(&mut self) {}
-    /// Takes an object, or the news that it is gone.
-    fn take(&mut self, change: Change);
-    /// Everything up to a revision was taken.
-    fn publish(&mut self, _revision: u64) {}
+    /// Takes all objects of the kind, as they were at a revision.
+    fn take_list(&mut self, objects: Vec<StoredObject>, revision: u64);
+    /// Takes all changes between two revisions. Returns whether they fit what is known; otherwise all is listed anew.
+    fn take_changes(&mut self, changes: Vec<Change>, since: u64, revision: u64) -> bool;
+    /// The revision up to which everything is known, from whatever node; 0 when that cannot be told.
+    fn known_revision(&self) -> u64 {
+        0
+    }
+}
+
+/// Whether a kind is listed as soon as the process starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FirstList {
+    /// Yes: without it the process serves nobody.
+    AtStart,
+    /// Only once this node has to watch the store.
+    OnDuty,
 }
 
 /// Follows a kind for ever, while this node has to.
-pub async fn follow(store: Arc<dyn MetadataStore>, kind: Kind, duty: Arc<WatchDuty>, mut follower: impl Follower) {
-    let mut revision = None;
-    let mut failures = 0;
-    let mut lost_at: Option<Instant> = None;
-    let mut silences = duty.silences();
-    let mut changes = ChangeRate::default();
+pub async fn follow(
+    store: Arc<dyn MetadataStore>,
+    kind: Kind,
+    first: FirstList,
+    duty: Arc<WatchDuty>,
+    follower: impl Follower,
+) {
+    let mut following = Following::new(store, kind, duty, follower);
+    if first == FirstList::AtStart {
+        following.list_at_start().await;
+    }
     loop {
-        duty.until(true).await;
-        silences.mark_unchanged();
+        if !following.duty.must_watch() {
+            following.duty.until(true).await;
+            following.resume();
+        }
+        following.advance().await;
+    }
+}
+
+/// What an answer of the store told.
+#[derive(Clone, Copy, Debug)]
+struct Answer {
+    /// Whether anything had changed.
+    changed: bool,
+    /// Whether it shows all that was written before.
+    is_newest: bool,
+}
+
+/// How far a kind was followed.
+struct Following<F> {
+    store: Arc<dyn MetadataStore>,
+    kind: Kind,
+    duty: Arc<WatchDuty>,
+    follower: F,
+    /// Nothing that the follower lacks has changed up to here; none when all has to be listed.
+    revision: Option<u64>,
+    /// The revision of what was handed to the follower last, or of what it knew already.
+    handed_on: u64,
+    /// How new the next listing has to be.
+    freshness: Freshness,
+    /// Failures in a row.
+    failures: u32,
+    lost_at: Option<Instant>,
+    /// Whether an answer has come since this node had to watch.
+    is_in_contact: bool,
+    silences: watch::Receiver<u64>,
+    changes: ChangeRate,
+}
+
+impl<F: Follower> Following<F> {
+    fn new(store: Arc<dyn MetadataStore>, kind: Kind, duty: Arc<WatchDuty>, follower: F) -> Self {
+        let silences = duty.silences();
+        Self {
+            store,
+            kind,
+            duty,
+            follower,
+            revision: None,
+            handed_on: 0,
+            freshness: Freshness::MayBeOld,
+            failures: 0,
+            lost_at: None,
+            is_in_contact: false,
+            silences,
+            changes: ChangeRate::default(),
+        }
+    }
+
+    /// Lists once, cheaply. What that lacks is brought by other nodes, or by this one's watch.
+    async fn list_at_start(&mut self) {
+        while self.revision.is_none() && !self.duty.must_watch() {
+            match self.list().await {
+                Ok(_) => self.failures = 0,
+                Err(error) => self.note_failure(&error).await,
+            }
+        }
+    }
+
+    /// Goes on from what other nodes have told meanwhile.
+    fn resume(&mut self) {
+        let known = self.follower.known_revision();
+        if known > self.revision.unwrap_or(0) {
+            self.revision = Some(known);
+            self.handed_on = known;
+        }
+    }
+
+    /// Makes one call and takes its answer.
+    async fn advance(&mut self) {
+        self.silences.mark_unchanged();
+        let duty = self.duty.clone();
+        let mut silences = self.silences.clone();
         let outcome = tokio::select! {
-            outcome = step(&*store, kind, revision, wait_of(kind, failures), &mut follower) => outcome,
+            outcome = self.step() => outcome,
             () = duty.until(false) => {
-                // What others tell meanwhile is not in the follower: it lists when it goes on.
-                revision = None;
-                continue;
+                self.is_in_contact = false;
+                return;
             }
             _ = silences.changed() => Err(StoreError::Unanswered("another question was not answered".to_owned())),
         };
-        duty.note_watches(kind, outcome.is_err());
+        self.duty.note_watches(self.kind, outcome.is_err());
         match outcome {
-            Ok(stepped) => {
-                duty.note_contact();
-                if let Some(since) = lost_at.take() {
-                    log::info!(target: part::STORE, "The store is back: kind={kind:?} after={:?}.", since.elapsed());
-                }
-                revision = Some(stepped.revision);
-                failures = 0;
-                if stepped.changed && changes.is_over_at(Instant::now()) {
-                    tokio::time::sleep(SETTLE_PAUSE).await;
-                }
-            }
+            Ok(answer) => self.note_answer(answer).await,
             Err(StoreError::HistoryGone) => {
-                log::info!(target: part::STORE, "History of {kind:?} is gone; it is listed anew.");
-                revision = None;
+                log::info!(target: part::STORE, "History of {:?} is gone; it is listed anew.", self.kind);
+                self.revision = None;
+                self.freshness = Freshness::Newest;
             }
-            Err(error) => {
-                if lost_at.is_none() {
-                    log::warn!(target: part::STORE, "The store is lost: kind={kind:?} revision={revision:?}: {error}.");
-                    lost_at = Some(Instant::now());
-                }
-                tokio::time::sleep(pause(failures)).await;
-                failures += 1;
+            Err(error) => self.note_failure(&error).await,
+        }
+    }
+
+    async fn step(&mut self) -> Result<Answer, StoreError> {
+        let Some(since) = self.revision else { return self.list().await };
+        let changes = self.store.watch(self.kind, since, self.wait()).await?;
+        let newest = changes.revision.max(since);
+        let changed = !changes.changes.is_empty();
+        if changed {
+            // Between what was handed on and `since` nothing of this kind has changed.
+            let fits = self.follower.take_changes(changes.changes, self.handed_on, newest);
+            if !fits {
+                log::error!(target: part::STORE, "Changes of {:?} from {} to {newest} do not fit what is known; it is listed anew.", self.kind, self.handed_on);
+                return Err(StoreError::HistoryGone);
             }
+            self.handed_on = newest;
+        }
+        self.revision = Some(newest);
+        Ok(Answer { changed, is_newest: true })
+    }
+
+    async fn list(&mut self) -> Result<Answer, StoreError> {
+        let listing = self.store.list(self.kind, self.freshness).await?;
+        self.follower.take_list(listing.objects, listing.revision);
+        self.revision = Some(listing.revision);
+        self.handed_on = listing.revision;
+        let is_newest = self.freshness == Freshness::Newest;
+        self.freshness = Freshness::MayBeOld;
+        Ok(Answer { changed: true, is_newest })
+    }
+
+    /// The wait of the next watch: short after a failure or a pause, to know soon whether the store serves this node.
+    fn wait(&self) -> Duration {
+        match self.kind {
+            _ if !self.is_in_contact => RECOVERY_WAIT,
+            Kind::Configuration | Kind::Engines => WATCH_WAIT,
+            Kind::ReplicaSet | Kind::Retirements => LONG_WATCH_WAIT,
         }
     }
+
+    async fn note_answer(&mut self, answer: Answer) {
+        if answer.is_newest {
+            self.duty.note_contact();
+            self.is_in_contact = true;
+        }
+        if let Some(since) = self.lost_at.take() {
+            log::info!(target: part::STORE, "The store is back: kind={:?} after={:?}.", self.kind, since.elapsed());
+        }
+        self.failures = 0;
+        if answer.changed && self.changes.is_over_at(Instant::now()) {
+            tokio::time::sleep(SETTLE_PAUSE).await;
+        }
+    }
+
+    /// Waits before the next call: until the store is known to answer this node again, but not for ever, since it may
+    /// refuse cheap questions alone.
+    async fn note_failure(&mut self, error: &StoreError) {
+        if self.lost_at.is_none() {
+            log::warn!(target: part::STORE, "The store is lost: kind={:?} revision={:?}: {error}.", self.kind, self.revision);
+            self.lost_at = Some(Instant::now());
+        }
+        self.is_in_contact = false;
+        tokio::time::sleep(pause(self.failures)).await;
+        if self.failures > 0 {
+            self.duty.until_answered(self.duty.times().bound).await;
+        }
+        self.failures += 1;
+    }
 }
 
 /// Asks for ever whether the store still answers, while this node has to watch it: a store that has fallen silent says
@@ -131,51 +277,6 @@
     }
 }
 
-/// How far a step has come.
-struct Stepped {
-    /// Everything up to this revision was taken.
-    revision: u64,
-    /// Whether anything had changed.
-    changed: bool,
-}
-
-async fn step(
-    store: &dyn MetadataStore,
-    kind: Kind,
-    revision: Option<u64>,
-    wait: Duration,
-    follower: &mut impl Follower,
-) -> Result<Stepped, StoreError> {
-    let Some(since) = revision else {
-        let listing = store.list(kind).await?;
-        follower.restart();
-        for object in listing.objects {
-            follower.take(Change { object, gone: false });
-        }
-        follower.publish(listing.revision);
-        return Ok(Stepped { revision: listing.revision, changed: false });
-    };
-    let changes = store.watch(kind, since, wait).await?;
-    let newest = changes.revision.max(since);
-    let changed = !changes.changes.is_empty();
-    if changed {
-        for change in changes.changes {
-            follower.take(change);
-        }
-        follower.publish(newest);
-    }
-    Ok(Stepped { revision: newest, changed })
-}
-
-/// The wait of the next watch: short after a failure, to see soon whether the store serves this node again.
-fn wait_of(kind: Kind, failures: u32) -> Duration {
-    match kind {
-        _ if failures > 0 => RECOVERY_WAIT,
-        Kind::Configuration | Kind::Engines => WATCH_WAIT,
-        Kind::ReplicaSet | Kind::Retirements => LONG_WATCH_WAIT,
-    }
-}
-
 fn pause(failures: u32) -> Duration {
     let longest = FIRST_PAUSE_MS.saturating_mul(1 << failures.min(8)).min(LONGEST_PAUSE_MS);
     Duration::from_millis(rand::rng().random_range(longest / 2..=longest))
@@ -187,11 +288,10 @@
     pub view: Arc<ViewHolder>,
 }
 
-impl Follower for ConfigurationFollower {
-    fn take(&mut self, change: Change) {
-        let object = change.object;
+impl ConfigurationFollower {
+    fn take(&self, object: StoredObject) {
         match object.body {
-            ObjectBody::Configuration(configuration) if !change.gone => {
+            ObjectBody::Configuration(configuration) => {
                 self.view.adopt_configuration(object.revision, configuration, Origin::Store);
             }
             ObjectBody::Unreadable(problem) => {
@@ -202,42 +302,139 @@
     }
 }
 
+impl Follower for ConfigurationFollower {
+    fn take_list(&mut self, objects: Vec<StoredObject>, _revision: u64) {
+        objects.into_iter().for_each(|object| self.take(object));
+    }
+
+    fn take_changes(&mut self, changes: Vec<Change>, _since: u64, _revision: u64) -> bool {
+        changes.into_iter().filter(|change| !change.gone).for_each(|change| self.take(change.object));
+        true
+    }
+}
+
 /// Brings the list of engines into the view.
 pub struct EngineFollower {
-    view: Arc<ViewHolder>,
-    engines: BTreeMap<String, EngineEntry>,
+    /// The view.
+    pub view: Arc<ViewHolder>,
+}
+
+/// The engine of an object, if it can be used.
+fn engine_of(object: StoredObject) -> Option<EngineEntry> {
+    match object.body {
+        ObjectBody::Engine(engine) => Some(engine),
+        ObjectBody::Unreadable(problem) => {
+            log::error!(target: part::STORE, "Engine {} is not used: {problem}.", object.name);
+            None
+        }
+        _ => None,
+    }
 }
 
-impl EngineFollower {
-    /// A follower that knows no engine.
-    pub fn new(view: Arc<ViewHolder>) -> Self {
-        Self { view, engines: BTreeMap::new() }
+/// Changes of engines, the last of each: one that is gone or cannot be read is not used any more.
+fn engine_changes(changes: Vec<Change>) -> EngineChanges {
+    let mut last: BTreeMap<String, Option<EngineEntry>> = BTreeMap::new();
+    for change in changes {
+        let name = change.object.name.clone();
+        let engine = if change.gone { None } else { engine_of(change.object) };
+        last.insert(name, engine);
+    }
+    let mut changes = EngineChanges::default();
+    for (name, engine) in last {
+        match engine {
+            Some(engine) => changes.changed.push(engine),
+            None => changes.gone.push(name),
+        }
     }
+    changes
 }
 
 impl Follower for EngineFollower {
-    fn restart(&mut self) {
-        self.engines.clear();
+    fn take_list(&mut self, objects: Vec<StoredObject>, revision: u64) {
+        let engines = objects.into_iter().filter_map(engine_of).collect();
+        self.view.adopt_engines(revision, engines, Origin::Store);
     }
 
-    fn take(&mut self, change: Change) {
-        if change.gone {
-            self.engines.remove(&change.object.name);
-            return;
-        }
-        match change.object.body {
-            ObjectBody::Engine(engine) => {
-                self.engines.insert(change.object.name, engine);
+    fn take_changes(&mut self, changes: Vec<Change>, since: u64, revision: u64) -> bool {
+        let applied = self.view.adopt_engine_changes(since, revision, engine_changes(changes), Origin::Store);
+        applied != Applied::Gap
+    }
+
+    fn known_revision(&self) -> u64 {
+        self.view.get().engines.revision
+    }
+}
+
+/// Brings the replica set into the view.
+pub struct SetFollower {
+    /// The view.
+    pub view: Arc<ViewHolder>,
+}
+
+impl SetFollower {
+    fn take(&self, object: StoredObject) {
+        match object.body {
+            ObjectBody::ReplicaSet(set) => {
+                self.view.adopt_set(&set, Origin::Store);
             }
             ObjectBody::Unreadable(problem) => {
-                log::error!(target: part::STORE, "Engine {} is not used: {problem}.", change.object.name);
-                self.engines.remove(&change.object.name);
+                log::error!(target: part::STORE, "The stored replica set is not taken, the known one stays: {problem}.");
             }
             _ => {}
         }
     }
+}
+
+impl Follower for SetFollower {
+    fn take_list(&mut self, objects: Vec<StoredObject>, _revision: u64) {
+        objects.into_iter().for_each(|object| self.take(object));
+    }
+
+    fn take_changes(&mut self, changes: Vec<Change>, _since: u64, _revision: u64) -> bool {
+        changes.into_iter().filter(|change| !change.gone).for_each(|change| self.take(change.object));
+        true
+    }
+}
+
+/// Brings the replicas that are to leave into the view.
+pub struct RetirementFollower {
+    /// The view.
+    pub view: Arc<ViewHolder>,
+}
+
+fn retirement_of(object: StoredObject) -> Option<RetirementRequest> {
+    match object.body {
+        ObjectBody::Retirement { within, done } => {
+            let within_ms = u64::try_from(within.as_millis()).unwrap_or(u64::MAX);
+            Some(RetirementRequest { name: object.name, within_ms, done })
+        }
+        ObjectBody::Unreadable(problem) => {
+            log::error!(target: part::STORE, "Retirement of {} is not followed: {problem}.", object.name);
+            None
+        }
+        _ => None,
+    }
+}
+
+impl Follower for RetirementFollower {
+    fn take_list(&mut self, objects: Vec<StoredObject>, revision: u64) {
+        let requests = objects.into_iter().filter_map(retirement_of).collect();
+        self.view.adopt_retirements(revision, requests, Origin::Store);
+    }
+
+    fn take_changes(&mut self, changes: Vec<Change>, _since: u64, revision: u64) -> bool {
+        let mut requests = (*self.view.get().retirements.value).clone();
+        for change in changes {
+            requests.retain(|request| request.name != change.object.name);
+            if !change.gone {
+                requests.extend(retirement_of(change.object));
+            }
+        }
+        self.view.adopt_retirements(revision, requests, Origin::Store);
+        true
+    }
 
-    fn publish(&mut self, revision: u64) {
-        self.view.adopt_engines(revision, self.engines.values().cloned().collect(), Origin::Store);
+    fn known_revision(&self) -> u64 {
+        self.view.get().retirements.revision
     }
 }
--- /dev/null
+++ b/crates/gateway/tests/engine_list_tests.rs
@@ -0,0 +1,158 @@
+//! Lists of engines that are brought up to date by what has changed alone, whatever ways the changes took.
+
+use foxnotch_gateway::peers::engine_list::{Applied, EngineChanges, EngineList};
+use foxnotch_gateway::peers::view::{Origin, ViewHolder};
+use foxnotch_gateway::peers::view_exchange;
+use foxnotch_gateway::ports::configuration::EngineEntry;
+use foxnotch_wire::ViewNews;
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+fn engine(id: usize, slots: u32) -> EngineEntry {
+    EngineEntry {
+        id: format!("e{id}"),
+        service: "s".to_owned(),
+        address: format!("127.0.0.1:{}", 1000 + id),
+        zone: "z".to_owned(),
+        slots,
+        draining: false,
+    }
+}
+
+fn engines(count: usize) -> Vec<EngineEntry> {
+    (0..count).map(|id| engine(id, 1)).collect()
+}
+
+fn changed(entry: EngineEntry) -> EngineChanges {
+    EngineChanges { changed: vec![entry], gone: Vec::new() }
+}
+
+#[test]
+fn changes_that_build_on_a_newer_list_are_not_applied() {
+    let mut list = EngineList::default();
+    assert_eq!(list.apply(5, 6, changed(engine(1, 1))), Applied::Gap);
+    assert!(list.replace(3, engines(2)));
+    assert_eq!(list.apply(5, 6, changed(engine(1, 2))), Applied::Gap);
+    assert_eq!(list.apply(2, 6, changed(engine(1, 2))), Applied::Done);
+    assert_eq!(list.apply(2, 6, changed(engine(1, 3))), Applied::Known);
+    assert_eq!((list.revision(), list.engines()[1].slots), (6, 2));
+}
+
+#[test]
+fn a_node_that_lags_too_far_or_by_too_much_gets_the_whole_list() {
+    let mut list = EngineList::default();
+    list.replace(10, engines(3));
+    assert_eq!(list.changes_since(9), None);
+    for revision in 11..400 {
+        list.apply(revision - 1, revision, changed(engine(0, revision as u32)));
+    }
+    assert_eq!(list.changes_since(11), None);
+    assert_eq!(list.changes_since(398).map(|changes| changes.changed.len()), Some(1));
+    let all = EngineChanges { changed: engines(3), gone: Vec::new() };
+    list.apply(399, 400, all);
+    assert_eq!(list.changes_since(399), None);
+}
+
+/// Found by reckoning for 295 machines: each change of one of 153 engines brought some 30 KB to each of them.
+#[test]
+fn a_change_of_one_engine_is_told_in_a_few_hundred_bytes() {
+    let (teller, asker) = (ViewHolder::default(), ViewHolder::default());
+    for view in [&teller, &asker] {
+        view.adopt_engines(10, engines(153), Origin::Store);
+    }
+    teller.adopt_engine_changes(10, 11, changed(engine(7, 9)), Origin::Store);
+    let known = ViewNews { engines_revision: 10, ..ViewNews::default() };
+    let news = view_exchange::newer_than(&teller, &known);
+    assert!(news.engines.bytes.len() < 400, "{} bytes", news.engines.bytes.len());
+    view_exchange::adopt(&asker, &news);
+    assert_eq!(asker.get().engines.value, teller.get().engines.value);
+    assert_eq!(asker.get().engines.revision, 11);
+}
+
+/// The store's own history: what each revision made of which engine.
+fn state_at(history: &[(usize, Option<u32>)], revision: u64) -> BTreeMap<usize, u32> {
+    let mut state: BTreeMap<usize, u32> = (0..6).map(|id| (id, 1)).collect();
+    for (id, slots) in &history[..revision as usize - 1] {
+        match slots {
+            Some(slots) => state.insert(*id, *slots),
+            None => state.remove(id),
+        };
+    }
+    state
+}
+
+fn list_at(history: &[(usize, Option<u32>)], revision: u64) -> Vec<EngineEntry> {
+    state_at(history, revision).into_iter().map(|(id, slots)| engine(id, slots)).collect()
+}
+
+/// What a watch tells between two revisions.
+fn watched(history: &[(usize, Option<u32>)], since: u64, revision: u64) -> EngineChanges {
+    let touched: Vec<usize> = history[since as usize - 1..revision as usize - 1].iter().map(|(id, _)| *id).collect();
+    let state = state_at(history, revision);
+    let mut changes = EngineChanges::default();
+    for id in touched {
+        match state.get(&id) {
+            Some(slots) => changes.changed.push(engine(id, *slots)),
+            None => changes.gone.push(format!("e{id}")),
+        }
+    }
+    changes
+}
+
+/// One step of one of three nodes.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// The node lists the store as it is at a share of its history.
+    List(usize, f64),
+    /// The node hears from its watch, from its own revision on.
+    Watch(usize, f64),
+    /// The first node pulls from the second.
+    Pull(usize, usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (0..3_usize, 0.0..1.0).prop_map(|(node, share)| Step::List(node, share)),
+        (0..3_usize, 0.0..1.0).prop_map(|(node, share)| Step::Watch(node, share)),
+        (0..3_usize, 0..3_usize).prop_map(|(asker, teller)| Step::Pull(asker, teller)),
+    ]
+}
+
+proptest! {
+    /// Whatever way it took, a list at a revision is what the store held then.
+    #[test]
+    fn a_list_is_what_the_store_held_at_its_revision(
+        history in proptest::collection::vec((0..6_usize, proptest::option::of(1..9_u32)), 20..60),
+        steps in proptest::collection::vec(step(), 1..60),
+    ) {
+        let newest = history.len() as u64 + 1;
+        let revision_at = |share: f64| 1 + (share * newest as f64) as u64;
+        let nodes = [ViewHolder::default(), ViewHolder::default(), ViewHolder::default()];
+        for step in steps {
+            match step {
+                Step::List(node, share) => {
+                    let revision = revision_at(share).min(newest);
+                    nodes[node].adopt_engines(revision, list_at(&history, revision), Origin::Store);
+                }
+                Step::Watch(node, share) => {
+                    let since = nodes[node].get().engines.revision;
+                    let revision = revision_at(share).min(newest);
+                    if since > 0 && revision > since {
+                        let changes = watched(&history, since, revision);
+                        nodes[node].adopt_engine_changes(since, revision, changes, Origin::Store);
+                    }
+                }
+                Step::Pull(asker, teller) => {
+                    let known = ViewNews { engines_revision: nodes[asker].get().engines.revision, ..ViewNews::default() };
+                    view_exchange::adopt(&nodes[asker], &view_exchange::newer_than(&nodes[teller], &known));
+                }
+            }
+            for node in &nodes {
+                let engines = node.get().engines;
+                if engines.revision > 0 {
+                    prop_assert_eq!(&*engines.value, &list_at(&history, engines.revision));
+                }
+            }
+        }
+    }
+}
--- a/crates/gateway/tests/gateway_tests.rs
+++ b/crates/gateway/tests/gateway_tests.rs
@@ -330,45 +330,40 @@
     panic!("the change never reached the gateway that the store does not serve");
 }
 
-/// Decision 0008: the second of two gateways calls the store only once it hears nothing of the first.
+/// Decision 0009: the third of three gateways calls the store only once it hears nothing of the two that watch.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn when_the_watching_gateway_goes_another_watches() {
+async fn when_the_watching_gateways_go_another_watches() {
     let cluster = Cluster::start(65, 3).await;
     cluster.store.put(Kind::Configuration, "main", configuration(1));
-    // Each has a store of its own, so that its calls can be told apart; what is written is written to both.
-    let stores = [StubStore::default(), StubStore::default()];
+    // Each has a store of its own, so that its calls can be told apart; what is written is written to all.
+    let stores: Vec<StubStore> = (0..3).map(|_| StubStore::default()).collect();
     let write = |version| {
         for store in &stores {
             store.put(Kind::Configuration, "main", configuration(version));
         }
     };
     write(2);
-    let mut gateways = [None, None];
-    for (index, number) in [51, 52].into_iter().enumerate() {
-        let gateway = RunningGateway::start_with(&cluster, number, stores[index].clone()).await;
+    let mut gateways = Vec::new();
+    for (number, store) in (51..).zip(&stores) {
+        let gateway = RunningGateway::start_with(&cluster, number, store.clone()).await;
         gateway.wait_ready().await;
-        gateways[index] = Some(gateway);
+        gateways.push(Some(gateway));
     }
     // One of them comes to rest; which one, their numbers decide.
-    let idle = |index: usize| {
-        let before = stores[index].calls();
-        let store = &stores[index];
-        async move {
-            tokio::time::sleep(Duration::from_millis(2500)).await;
-            store.calls() == before
-        }
-    };
-    let mut resting = None;
+    let mut resting = Vec::new();
     for _ in 0..10 {
-        let (first, second) = tokio::join!(idle(0), idle(1));
-        assert!(!(first && second), "nobody watches");
-        resting = if first { Some(0) } else { second.then_some(1) };
-        if resting.is_some() {
+        let before: Vec<usize> = stores.iter().map(StubStore::calls).collect();
+        tokio::time::sleep(Duration::from_millis(2500)).await;
+        resting = (0..3).filter(|index| stores[*index].calls() == before[*index]).collect();
+        assert!(resting.len() < 2, "fewer than two watch");
+        if resting.len() == 1 {
             break;
         }
     }
-    let resting = resting.expect("one of the two leaves the store to the other");
-    gateways[1 - resting] = None;
+    let resting = *resting.first().expect("one of the three leaves the store to the others");
+    for (index, gateway) in gateways.iter_mut().enumerate().filter(|(index, _)| *index != resting) {
+        assert!(gateway.take().is_some(), "gateway {index} ran");
+    }
     let before = stores[resting].calls();
     let begun_at = std::time::Instant::now();
     write(3);
--- a/crates/gateway/tests/replica_tests.rs
+++ b/crates/gateway/tests/replica_tests.rs
@@ -229,7 +229,8 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_change_of_the_set_whose_answer_was_lost_is_found_again() {
-    let mut cluster = Cluster::start(28, 3).await;
+    let mut cluster = Cluster::begin(28, 3, Some(4));
+    cluster.wait_for_members(&[1, 2, 3]).await;
     cluster.store.lose_answers(true);
     cluster.start_replica(4, false);
     cluster.wait_for_members(&[1, 2, 3, 4]).await;
@@ -267,3 +268,59 @@
     cluster.keep(&turn(2, 1, "second")).await;
     assert_eq!(cluster.inputs(2).await, vec!["first", "second"]);
 }
+
+/// With 36 disks each turn was written 36 times, and the set changed 36 times before it stood.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn replicas_beyond_what_the_tolerance_needs_stand_by() {
+    let cluster = Cluster::begin(36, 6, None);
+    let members = cluster.wait_for_size(3, &[]).await;
+    cluster.wait_until_synced(&members).await;
+    cluster.keep(&turn(1, 0, "first")).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert_eq!(cluster.store.replica_set_sizes(), vec![1, 2, 3]);
+    for number in (1..=6).filter(|number| !members.contains(number)) {
+        assert!(!cluster.holds(number, 1).await, "replica {number} stands by and holds a turn");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_standby_takes_the_place_of_each_member_that_is_lost() {
+    let mut cluster = Cluster::begin(37, 6, None);
+    let mut members = cluster.wait_for_size(3, &[]).await;
+    cluster.keep(&turn(1, 0, "first")).await;
+    let mut lost = Vec::new();
+    for _ in 0..3 {
+        lost.push(members[0]);
+        cluster.wipe(members[0]);
+        members = cluster.wait_for_size(3, &lost).await;
+        cluster.wait_until_synced(&members).await;
+    }
+    assert_eq!(cluster.inputs(1).await, vec!["first"]);
+    cluster.keep(&turn(2, 1, "second")).await;
+    assert_eq!(cluster.inputs(2).await, vec!["first", "second"]);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_standby_joins_before_a_retired_member_leaves() {
+    let cluster = Cluster::begin(38, 4, None);
+    let members = cluster.wait_for_size(3, &[]).await;
+    cluster.keep(&turn(1, 0, "first")).await;
+    let body = ObjectBody::Retirement { within: Duration::from_secs(20), done: false };
+    cluster.store.put(Kind::Retirements, &name(members[0]), body);
+    cluster.wait_for_size(3, &members[..1]).await;
+    eventually("the retirement is reported", || cluster.store.retired().contains(&name(members[0]))).await;
+    assert_eq!(cluster.store.replica_set_sizes(), vec![1, 2, 3, 4, 3]);
+    assert_eq!(cluster.inputs(1).await, vec!["first"]);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_standby_that_is_retired_leaves_at_once_and_does_not_join() {
+    let mut cluster = Cluster::begin(39, 5, None);
+    let members = cluster.wait_for_size(3, &[]).await;
+    let standby = (1..=5).find(|number| !members.contains(number)).expect("two stand by");
+    retire(&cluster, standby);
+    eventually("the retirement is reported", || cluster.store.retired().contains(&name(standby))).await;
+    cluster.wipe(members[0]);
+    let members = cluster.wait_for_size(3, &members[..1]).await;
+    assert!(!members.contains(&standby));
+}
--- a/crates/gateway/tests/settings_tests.rs
+++ b/crates/gateway/tests/settings_tests.rs
@@ -57,6 +57,11 @@
 #[case::small_memory("memory_mb = 220", "memory_mb = 2", "16 or more")]
 #[case::no_time_for_changes("apply_ms = 2000", "apply_ms = 0", "100 or more")]
 #[case::endless("drain_ms = 2000", "drain_ms = inf", "100 or more")]
+#[case::small_set(
+    "[resources]",
+    "[replicas]\nset_size = 2\n\n[resources]",
+    "it has to be 3 or more; raise it or leave it out"
+)]
 #[case::negative("descriptors = 4100", "descriptors = -1", "0 or more")]
 #[case::same_port("metrics_port = 7381", "metrics_port = 7380", "another port")]
 #[case::unknown_policy("descriptors = 4100", "descriptors = 4100\n[policy]\nshared_place = false", "shared_place")]
--- a/crates/gateway/tests/store_watch_tests.rs
+++ b/crates/gateway/tests/store_watch_tests.rs
@@ -2,11 +2,11 @@
 
 mod support;
 
-use foxnotch_gateway::peers::view::ViewHolder;
+use foxnotch_gateway::peers::view::{Origin, ViewHolder};
 use foxnotch_gateway::peers::watch_duty::{DutyTimes, WatchDuty};
 use foxnotch_gateway::ports::configuration::{Configuration, EngineEntry};
 use foxnotch_gateway::ports::store::{Kind, MetadataStore, ObjectBody};
-use foxnotch_gateway::store_watch::{follow, ConfigurationFollower, EngineFollower};
+use foxnotch_gateway::store_watch::{follow, ConfigurationFollower, EngineFollower, FirstList};
 use foxnotch_wire::ReplicaSet;
 use futures_util::FutureExt;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -32,21 +32,32 @@
     })
 }
 
-fn follow_both(store: &StubStore) -> Arc<ViewHolder> {
+/// Follows both kinds once the node has to watch: without news of another it does so soon after its start.
+async fn follow_both(store: &StubStore) -> Arc<ViewHolder> {
     let view = Arc::new(ViewHolder::default());
     let shared = Arc::new(store.clone());
-    // Without news of another node, this one has to watch.
     let duty = Arc::new(WatchDuty::new(times()));
     tokio::spawn(follow(
         shared.clone(),
         Kind::Configuration,
+        FirstList::AtStart,
         duty.clone(),
         ConfigurationFollower { view: view.clone() },
     ));
-    tokio::spawn(follow(shared, Kind::Engines, duty, EngineFollower::new(view.clone())));
+    let engines = EngineFollower { view: view.clone() };
+    tokio::spawn(follow(shared, Kind::Engines, FirstList::AtStart, duty.clone(), engines));
+    tokio::spawn(review(duty.clone()));
+    duty.until(true).await;
     view
 }
 
+async fn review(duty: Arc<WatchDuty>) {
+    loop {
+        duty.review();
+        tokio::time::sleep(duty.times().period).await;
+    }
+}
+
 fn times() -> DutyTimes {
     DutyTimes::within(Duration::from_secs(2))
 }
@@ -63,7 +74,7 @@
 async fn changes_are_followed() {
     let store = StubStore::default();
     store.put(Kind::Configuration, "main", configuration(1));
-    let view = follow_both(&store);
+    let view = follow_both(&store).await;
     wait(20).await;
     assert_eq!(version(&view), 1);
     store.put(Kind::Configuration, "main", configuration(4));
@@ -78,13 +89,50 @@
     assert!(view.get().engines.value.is_empty());
 }
 
+/// Found by `scale-1` of the large dairy's small twin: a watch that ended without a change moved on past revisions of other
+/// kinds, and the next change of an engine seemed to build on a newer list than the one that was known.
+#[tokio::test(start_paused = true)]
+async fn a_change_of_an_engine_is_taken_after_changes_of_other_kinds() {
+    let store = StubStore::default();
+    store.put(Kind::Engines, "a", engine("a", false));
+    let view = follow_both(&store).await;
+    store.put(Kind::Configuration, "main", configuration(1));
+    store.put(Kind::Configuration, "main", configuration(2));
+    wait(6000).await;
+    store.put(Kind::Engines, "a", engine("a", true));
+    wait(100).await;
+    assert!(view.get().engines.value[0].draining);
+}
+
+/// A node that had left the store to others, and was told by them, goes on from what it was told: it lists nothing anew.
+#[tokio::test(start_paused = true)]
+async fn a_node_that_watches_again_goes_on_from_what_others_told() {
+    let store = StubStore::default();
+    for id in ["a", "b", "c"] {
+        store.put(Kind::Engines, id, engine(id, false));
+    }
+    let view = follow_both(&store).await;
+    let (told, lists) = (view.get().engines, store.lists());
+    let revision = store.put(Kind::Engines, "a", engine("a", true));
+    let other = Arc::new(ViewHolder::default());
+    other.adopt_engines(told.revision, told.value.to_vec(), Origin::Peer);
+    let duty = Arc::new(WatchDuty::new(times()));
+    let engines = EngineFollower { view: other.clone() };
+    tokio::spawn(follow(Arc::new(store.clone()), Kind::Engines, FirstList::OnDuty, duty.clone(), engines));
+    tokio::spawn(review(duty));
+    wait(2000).await;
+    assert!(other.get().engines.value[0].draining);
+    assert_eq!(other.get().engines.revision, revision);
+    assert_eq!(store.lists(), lists);
+}
+
 /// Found by `trouble-1` of the dairy: the store fell silent, swallowed the watches, and a configuration that was written
 /// afterwards was not seen for ten seconds.
 #[tokio::test(start_paused = true)]
 async fn watches_that_a_silent_store_swallowed_are_made_anew_soon() {
     let store = StubStore::default();
     store.put(Kind::Configuration, "main", configuration(1));
-    let view = follow_both(&store);
+    let view = follow_both(&store).await;
     wait(500).await;
     store.fall_silent();
     wait(100).await;
@@ -98,7 +146,7 @@
 async fn forgotten_history_is_made_up_for_by_a_list() {
     let store = StubStore::default();
     store.put(Kind::Configuration, "main", configuration(1));
-    let view = follow_both(&store);
+    let view = follow_both(&store).await;
     wait(100).await;
     store.fall_silent();
     wait(100).await;
@@ -115,7 +163,7 @@
 async fn a_configuration_that_cannot_be_read_leaves_the_one_in_force() {
     let store = StubStore::default();
     store.put(Kind::Configuration, "main", configuration(3));
-    let view = follow_both(&store);
+    let view = follow_both(&store).await;
     wait(100).await;
     store.put(Kind::Configuration, "main", ObjectBody::Unreadable("no routes".to_owned()));
     wait(100).await;
--- a/crates/gateway/tests/support/cluster.rs
+++ b/crates/gateway/tests/support/cluster.rs
@@ -7,7 +7,7 @@
 use foxnotch_gateway::peers::rpc_client::RpcClient;
 use foxnotch_gateway::peers::view::{Origin, ViewHolder};
 use foxnotch_gateway::replica::process;
-use foxnotch_gateway::settings::{ProcessSettings, ResourceSettings, TimeSettings, ToleranceSettings};
+use foxnotch_gateway::settings::{ProcessSettings, ReplicaSettings, ResourceSettings, TimeSettings, ToleranceSettings};
 use foxnotch_turns::identity::{node_id, zone_hash};
 use foxnotch_turns::replica_set::Tolerance;
 use foxnotch_wire::{
@@ -43,6 +43,7 @@
     client: Arc<RpcClient>,
     net: u8,
     folder: TempDir,
+    set_size: Option<usize>,
     running: BTreeMap<u8, RunningReplica>,
 }
 
@@ -85,8 +86,15 @@
 }
 
 impl Cluster {
-    /// A deployment with `replicas` replicas that starts for the first time. `net` keeps tests apart.
+    /// A deployment with `replicas` replicas, all in the set, that starts for the first time. `net` keeps tests apart.
     pub async fn start(net: u8, replicas: u8) -> Self {
+        let cluster = Self::begin(net, replicas, Some(usize::from(replicas)));
+        cluster.wait_for_members(&(1..=replicas).collect::<Vec<_>>()).await;
+        cluster
+    }
+
+    /// A deployment whose set is to have `set_size` members, or as few as the tolerance allows. Nothing is waited for.
+    pub fn begin(net: u8, replicas: u8, set_size: Option<usize>) -> Self {
         if std::env::var_os("SHOW_LOGS").is_some() {
             // Only the first cluster of a process starts the logs.
             let _ = foxnotch_gateway::logging::start("info");
@@ -103,14 +111,26 @@
             Tolerance { machines: 1, zones: 0 },
         ));
         let folder = TempDir::new().expect("a folder can be made");
-        let mut cluster = Self { store, keeper, view, client, net, folder, running: BTreeMap::new() };
+        let mut cluster = Self { store, keeper, view, client, net, folder, set_size, running: BTreeMap::new() };
         for number in 1..=replicas {
             cluster.start_replica(number, true);
         }
-        cluster.wait_for_members(&(1..=replicas).collect::<Vec<_>>()).await;
         cluster
     }
 
+    /// Waits until the set in the store has so many members, none of them in `without`, and tells the gateway. Returns
+    /// their numbers.
+    pub async fn wait_for_size(&self, size: usize, without: &[u8]) -> Vec<u8> {
+        let barred: Vec<NodeId> = without.iter().map(|number| node_id(&name(*number))).collect();
+        let holds = |members: &[NodeId]| members.len() == size && !members.iter().any(|node| barred.contains(node));
+        eventually(&format!("{size} members without {without:?}"), || holds(&self.members())).await;
+        if let Some(set) = self.store.replica_set() {
+            self.view.adopt_set(&set, Origin::Store);
+        }
+        let members = self.members();
+        (1..=20).filter(|number| members.contains(&node_id(&name(*number)))).collect()
+    }
+
     /// The address of a node.
     pub fn ip(&self, number: u8) -> Ipv4Addr {
         Ipv4Addr::new(127, 77, self.net, number)
@@ -141,6 +161,7 @@
             tolerance: ToleranceSettings { machines: 1, zones: 0 },
             times: TimeSettings { drain_ms: 2000.0, apply_ms: 2000.0, grace_s: 8.0 },
             resources: ResourceSettings { memory_mb: 200, descriptors: 4000 },
+            replicas: ReplicaSettings { set_size: self.set_size },
         }
     }
 
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -1,7 +1,7 @@
 //! The platform's metadata store as a stand-in: objects with revisions, watches, and the faults that it may have.
 
 use foxnotch_gateway::ports::store::{
-    Change, Changes, Kind, Listing, MetadataStore, ObjectBody, StoreError, StoredObject,
+    Change, Changes, Freshness, Kind, Listing, MetadataStore, ObjectBody, StoreError, StoredObject,
 };
 use foxnotch_wire::ReplicaSet;
 use futures_util::future::BoxFuture;
@@ -28,9 +28,12 @@
     /// Changes before this revision are forgotten.
     forgotten: u64,
     silent: bool,
+    refuses: bool,
     lose_answers: bool,
     waits: Vec<Duration>,
     calls: usize,
+    lists: usize,
+    old_lists: usize,
     retired: HashSet<String>,
 }
 
@@ -103,6 +106,19 @@
         self.with(|state| state.silent = false);
     }
 
+    /// Calls are refused at once.
+    pub fn refuse(&self, refuses: bool) {
+        self.with(|state| state.refuses = refuses);
+        self.changed.notify_waiters();
+    }
+
+    fn check_served(&self) -> Result<(), StoreError> {
+        if self.with(|state| state.refuses) {
+            return Err(StoreError::Unavailable("refused".to_owned()));
+        }
+        Ok(())
+    }
+
     /// Writes are done and not answered.
     pub fn lose_answers(&self, lose: bool) {
         self.with(|state| state.lose_answers = lose);
@@ -123,6 +139,16 @@
         self.with(|state| state.calls)
     }
 
+    /// Listings so far.
+    pub fn lists(&self) -> usize {
+        self.with(|state| state.lists)
+    }
+
+    /// Listings that were allowed to be old so far.
+    pub fn old_lists(&self) -> usize {
+        self.with(|state| state.old_lists)
+    }
+
     /// Retirements reported as done.
     pub fn retired(&self) -> HashSet<String> {
         self.with(|state| state.retired.clone())
@@ -136,6 +162,15 @@
         })
     }
 
+    /// The size of each replica set that was ever stored, oldest first.
+    pub fn replica_set_sizes(&self) -> Vec<usize> {
+        let size = |entry: &Entry| match &entry.object.body {
+            ObjectBody::ReplicaSet(set) => Some(set.members.len()),
+            _ => None,
+        };
+        self.with(|state| state.history.iter().filter_map(size).collect())
+    }
+
     async fn swallow<T>(&self) -> Result<T, StoreError> {
         tokio::time::sleep(SILENCE).await;
         Err(StoreError::Unanswered("silent".to_owned()))
@@ -161,6 +196,7 @@
         let until = tokio::time::Instant::now() + wait;
         loop {
             let notified = self.changed.notified();
+            self.check_served()?;
             if self.with(|state| state.silent) {
                 tokio::time::sleep_until(until).await;
                 return self.swallow().await;
@@ -176,8 +212,13 @@
 }
 
 impl MetadataStore for StubStore {
-    fn list(&self, kind: Kind) -> BoxFuture<'_, Result<Listing, StoreError>> {
+    fn list(&self, kind: Kind, freshness: Freshness) -> BoxFuture<'_, Result<Listing, StoreError>> {
         Box::pin(async move {
+            self.with(|state| state.lists += 1);
+            if freshness == Freshness::MayBeOld {
+                self.with(|state| state.old_lists += 1);
+            }
+            self.check_served()?;
             self.with(|state| state.calls += 1);
             if self.with(|state| state.silent) {
                 return self.swallow().await;
@@ -192,7 +233,7 @@
 
     fn probe(&self, within: Duration) -> BoxFuture<'_, Result<(), StoreError>> {
         Box::pin(async move {
-            self.with(|state| state.calls += 1);
+            self.check_served()?;
             if self.with(|state| state.silent) {
                 tokio::time::sleep(within).await;
                 return Err(StoreError::Unanswered("silent".to_owned()));
--- a/crates/gateway/tests/watch_duty_tests.rs
+++ b/crates/gateway/tests/watch_duty_tests.rs
@@ -1,14 +1,16 @@
-//! Which gateways watch the platform's store, and how soon the others do when they hear nothing fresh. Virtual time.
+//! Which nodes watch the platform's store, and how soon the others do when they hear nothing fresh. Virtual time.
 
 mod support;
 
 use foxnotch_gateway::peers::view::ViewHolder;
-use foxnotch_gateway::peers::watch_duty::{group_of, DutyTimes, WatchDuty};
+use foxnotch_gateway::peers::watch_duty::{assignment_of, DutyTimes, Place, Rank, WatchDuty};
 use foxnotch_gateway::ports::configuration::Configuration;
 use foxnotch_gateway::ports::store::{Kind, ObjectBody};
-use foxnotch_gateway::store_watch::{follow, probe, ConfigurationFollower};
+use foxnotch_gateway::store_watch::{follow, probe, ConfigurationFollower, FirstList};
 use foxnotch_wire::NodeId;
+use proptest::prelude::*;
 use rstest::rstest;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 use support::store::StubStore;
@@ -20,6 +22,11 @@
     Arc::new(WatchDuty::new(DutyTimes::within(BOUND)))
 }
 
+/// The longest time for which a node that has started, or heard the last news, does not call the store.
+fn longest_silence() -> Duration {
+    DutyTimes::within(BOUND).silence_limit(Rank::Listener)
+}
+
 fn configuration(version: u64) -> ObjectBody {
     ObjectBody::Configuration(Configuration { version, ..Configuration::default() })
 }
@@ -29,7 +36,7 @@
     let (duty, view) = (duty(), Arc::new(ViewHolder::default()));
     let shared = Arc::new(store.clone());
     let follower = ConfigurationFollower { view: view.clone() };
-    tokio::spawn(follow(shared.clone(), Kind::Configuration, duty.clone(), follower));
+    tokio::spawn(follow(shared.clone(), Kind::Configuration, FirstList::AtStart, duty.clone(), follower));
     tokio::spawn(probe(shared, duty.clone()));
     (duty, view)
 }
@@ -38,7 +45,7 @@
     tokio::time::sleep(Duration::from_millis(milliseconds)).await;
 }
 
-/// Reviews the duty as a gateway does, and takes news of `age` each time while `told` says so.
+/// Reviews the duty as a node does, and takes news of `age` each time while `told` says so.
 async fn review_for(duty: &WatchDuty, time: Duration, age: Option<Duration>) {
     let until = tokio::time::Instant::now() + time;
     while tokio::time::Instant::now() < until {
@@ -51,36 +58,69 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn a_gateway_watches_until_it_hears_news_and_again_when_they_cease() {
+async fn a_node_watches_when_it_has_heard_no_news_since_its_start_and_again_when_they_cease() {
     let duty = duty();
+    assert!(!duty.review());
+    tokio::time::sleep(longest_silence()).await;
     assert!(duty.review());
     duty.take_news(Duration::ZERO);
     assert!(!duty.review());
-    tokio::time::sleep(duty.times().silence_limit).await;
+    tokio::time::sleep(longest_silence()).await;
     assert!(duty.review());
 }
 
+/// Those for whom others depend on them call the store first: when the news cease, few do.
+#[rstest]
+#[case::first_head(Rank::FirstHead)]
+#[case::other_head(Rank::OtherHead)]
+#[tokio::test(start_paused = true)]
+async fn heads_watch_sooner_than_those_that_they_tell(#[case] rank: Rank) {
+    let (head, listener) = (duty(), duty());
+    head.set_rank(rank);
+    for duty in [&head, &listener] {
+        duty.take_news(Duration::ZERO);
+    }
+    tokio::time::sleep(head.times().silence_limit(rank)).await;
+    assert!(head.review());
+    assert!(!listener.review());
+}
+
 #[rstest]
 #[case::fresh(0, false)]
 #[case::old(1300, true)]
 #[tokio::test(start_paused = true)]
 async fn news_that_rest_on_an_old_answer_of_the_store_do_not_count(#[case] age_ms: u64, #[case] watches: bool) {
+    tokio::time::sleep(Duration::from_secs(10)).await;
     let duty = duty();
+    tokio::time::sleep(longest_silence()).await;
     duty.take_news(Duration::from_millis(age_ms));
     assert_eq!(duty.review(), watches);
 }
 
+/// Two watchers tell a head; what the one with the older answer says does not make the other's news older.
+#[tokio::test(start_paused = true)]
+async fn of_the_news_of_two_watchers_the_fresher_counts() {
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    let duty = duty();
+    duty.take_news(Duration::from_millis(100));
+    duty.take_news(Duration::from_millis(900));
+    assert_eq!(duty.told_age(), Some(Duration::from_millis(100)));
+}
+
 #[tokio::test(start_paused = true)]
-async fn the_first_of_a_group_watches_whatever_it_hears() {
+async fn a_watcher_watches_whatever_it_hears() {
     let duty = duty();
-    duty.set_first(true);
+    duty.set_rank(Rank::Watcher);
+    tokio::time::sleep(longest_silence()).await;
     duty.take_news(Duration::ZERO);
     assert!(duty.review());
 }
 
 #[tokio::test(start_paused = true)]
-async fn a_gateway_that_the_store_does_not_serve_has_no_news() {
+async fn a_node_that_the_store_does_not_serve_has_no_news() {
     let duty = duty();
+    tokio::time::sleep(longest_silence()).await;
+    duty.review();
     assert_eq!(duty.contact_age(), None);
     duty.note_contact();
     assert!(duty.contact_age().is_some());
@@ -91,38 +131,125 @@
     assert_eq!(duty.contact_age(), None);
 }
 
+/// A head tells what it heard with the age that it has by now, and nothing once that is too old.
+#[tokio::test(start_paused = true)]
+async fn news_grow_older_while_they_are_passed_on() {
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    let duty = duty();
+    duty.take_news(Duration::from_millis(300));
+    wait(200).await;
+    assert_eq!(duty.told_age(), Some(Duration::from_millis(500)));
+    tokio::time::sleep(duty.times().contact_limit).await;
+    assert_eq!(duty.told_age(), None);
+}
+
+/// A fleet: gateways and replicas in these numbers in each zone.
+fn fleet(zones: &[(usize, usize)]) -> (Vec<Place>, Vec<Place>) {
+    let mut number = 0_u32;
+    let mut place = |zone: usize| {
+        number += 1;
+        Place { node: NodeId(number.wrapping_mul(2_654_435_761)), zone: zone as u8 }
+    };
+    let mut gateways = Vec::new();
+    let mut replicas = Vec::new();
+    for (zone, (gateway_count, replica_count)) in zones.iter().enumerate() {
+        gateways.extend((0..*gateway_count).map(|_| place(zone)));
+        replicas.extend((0..*replica_count).map(|_| place(zone)));
+    }
+    (gateways, replicas)
+}
+
+/// The nodes that hear what the watchers know, without those that are lost.
+fn hearers(gateways: &[Place], replicas: &[Place], lost: &HashSet<NodeId>) -> HashSet<NodeId> {
+    let places: HashMap<NodeId, Place> = gateways.iter().chain(replicas).map(|place| (place.node, *place)).collect();
+    let assignment = |node: &NodeId| assignment_of(places[node], gateways, replicas);
+    let watchers = gateways.iter().map(|place| place.node).filter(|node| assignment(node).rank == Rank::Watcher);
+    let mut heard: HashSet<NodeId> = watchers.filter(|node| !lost.contains(node)).collect();
+    let mut telling: Vec<NodeId> = heard.iter().copied().collect();
+    while let Some(node) = telling.pop() {
+        for told in assignment(&node).tells {
+            if !lost.contains(&told) && heard.insert(told) {
+                telling.push(told);
+            }
+        }
+    }
+    heard
+}
+
 #[rstest]
-#[case(1)]
-#[case(9)]
-#[case(70)]
-fn each_gateway_is_in_one_group_that_all_of_it_agree_on(#[case] count: u32) {
-    let nodes: Vec<NodeId> = (0..count).map(|number| NodeId(number.wrapping_mul(2_654_435_761))).collect();
-    let mut firsts = 0;
-    for node in &nodes {
-        let group = group_of(*node, &nodes);
-        assert!(group.contains(node) && group.len() <= 16);
-        assert!(group.iter().all(|other| group_of(*other, &nodes) == group));
-        firsts += usize::from(group.first() == Some(node));
+#[case::one_gateway(&[(1, 1)], 1)]
+#[case::one_zone(&[(5, 3)], 2)]
+#[case::small(&[(2, 1), (2, 1), (2, 1), (2, 1)], 2)]
+#[case::large(&[(43, 6), (43, 6), (43, 6), (43, 6), (43, 6), (44, 6)], 2)]
+#[case::a_zone_without_gateways(&[(20, 1), (0, 3)], 2)]
+fn two_gateways_watch_for_all_nodes(#[case] zones: &[(usize, usize)], #[case] watchers: usize) {
+    let (gateways, replicas) = fleet(zones);
+    let ranks = gateways.iter().map(|place| assignment_of(*place, &gateways, &replicas).rank);
+    assert_eq!(ranks.filter(|rank| *rank == Rank::Watcher).count(), watchers);
+    assert_eq!(hearers(&gateways, &replicas, &HashSet::new()).len(), gateways.len() + replicas.len());
+    for place in gateways.iter().chain(&replicas) {
+        let tells = assignment_of(*place, &gateways, &replicas).tells.len();
+        assert!(tells <= 64, "a node sends to {tells} others");
+    }
+}
+
+proptest! {
+    /// Whichever node is lost, all others hear the news still: its loss makes nobody call the store.
+    #[test]
+    fn the_loss_of_any_one_node_cuts_nobody_off(
+        zones in proptest::collection::vec((2_usize..50, 0_usize..5), 1..7),
+        lost in any::<proptest::sample::Index>(),
+    ) {
+        let (gateways, replicas) = fleet(&zones);
+        let lost = gateways[lost.index(gateways.len())].node;
+        let heard = hearers(&gateways, &replicas, &HashSet::from([lost]));
+        prop_assert_eq!(heard.len(), gateways.len() + replicas.len() - 1);
     }
-    assert_eq!(firsts, count.div_ceil(16) as usize);
 }
 
 #[tokio::test(start_paused = true)]
-async fn a_gateway_that_hears_fresh_news_does_not_call_the_store() {
+async fn a_gateway_that_hears_fresh_news_lists_once_cheaply_and_calls_no_more() {
     let store = StubStore::default();
     store.put(Kind::Configuration, "main", configuration(1));
     let (duty, view) = start_node(&store);
-    review_for(&duty, Duration::from_secs(1), None).await;
-    let before = store.calls();
-    assert!(before > 0);
     review_for(&duty, Duration::from_secs(20), Some(Duration::ZERO)).await;
-    assert_eq!(store.calls(), before);
+    assert_eq!((store.calls(), store.old_lists()), (1, 1));
+    assert_eq!(view.get().configuration.value.version, 1);
     // The news cease: a change is seen within the time that it has.
     store.put(Kind::Configuration, "main", configuration(2));
     review_for(&duty, BOUND.mul_f64(0.6), None).await;
     assert_eq!(view.get().configuration.value.version, 2);
 }
 
+/// A list that may be old is no contact with the store: nothing fresh may be told by it.
+#[tokio::test(start_paused = true)]
+async fn a_list_that_may_be_old_is_no_news() {
+    let store = StubStore::default();
+    store.put(Kind::Configuration, "main", configuration(1));
+    let (duty, view) = start_node(&store);
+    wait(50).await;
+    assert_eq!(view.get().configuration.value.version, 1);
+    assert_eq!(duty.told_age(), None);
+}
+
+/// When all machines lose the store none of them may flood it: what is refused is priced too.
+#[tokio::test(start_paused = true)]
+async fn a_store_that_answers_nothing_is_asked_rarely() {
+    let store = StubStore::default();
+    store.put(Kind::Configuration, "main", configuration(1));
+    let (duty, view) = start_node(&store);
+    review_for(&duty, Duration::from_secs(5), None).await;
+    store.refuse(true);
+    let before = store.calls();
+    review_for(&duty, Duration::from_secs(20), None).await;
+    let calls = store.calls() - before;
+    assert!(calls <= 20, "{calls} calls, beside the probes, in 20 s");
+    store.refuse(false);
+    store.put(Kind::Configuration, "main", configuration(2));
+    review_for(&duty, BOUND, None).await;
+    assert_eq!(view.get().configuration.value.version, 2);
+}
+
 /// A teller that the store swallowed goes on telling, with an age that grows: whoever goes by it watches in time.
 #[tokio::test(start_paused = true)]
 async fn a_teller_that_the_store_has_fallen_silent_to_is_not_believed_for_long() {
@@ -130,8 +257,9 @@
     store.put(Kind::Configuration, "main", configuration(1));
     let (teller, _) = start_node(&swallowed);
     let (listener, view) = start_node(&store);
-    teller.set_first(true);
-    wait(3000).await;
+    teller.set_rank(Rank::Watcher);
+    review_for(&teller, Duration::from_secs(3), None).await;
+    assert!(teller.contact_age().is_some());
     swallowed.fall_silent();
     store.put(Kind::Configuration, "main", configuration(2));
     let begun_at = tokio::time::Instant::now();
@@ -150,8 +278,8 @@
 async fn a_probe_finds_a_silent_store_before_the_watch_does() {
     let store = StubStore::default();
     store.put(Kind::Configuration, "main", configuration(1));
-    let (_, view) = start_node(&store);
-    wait(700).await;
+    let (duty, view) = start_node(&store);
+    review_for(&duty, Duration::from_millis(1700), None).await;
     store.fall_silent();
     wait(1100).await;
     store.speak_again();
--- a/crates/turns/src/replica_set.rs
+++ b/crates/turns/src/replica_set.rs
@@ -28,6 +28,54 @@
     }
 }
 
+/// The fewest replicas of a set, whatever is to be borne: one may be replaced while a majority serves.
+const LEAST_SET_SIZE: usize = 3;
+
+/// The fewest replicas of which a majority is left after so many losses.
+pub fn least_set_size(losses: usize) -> usize {
+    (2 * losses + 1).max(LEAST_SET_SIZE)
+}
+
+/// How large a set is to be. Replicas beyond that stand by: they hold nothing and join when a member is lost or leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SetTarget {
+    /// What may be lost at the same moment.
+    pub tolerance: Tolerance,
+    /// The members that a set has at least.
+    pub size: usize,
+}
+
+impl SetTarget {
+    /// The smallest set that bears the losses of `tolerance`.
+    pub fn of(tolerance: Tolerance) -> Self {
+        Self { tolerance, size: least_set_size(tolerance.machines) }
+    }
+
+    /// Whether these members are enough: a majority of them is left after every loss that has to be borne.
+    pub fn is_reached_by(&self, members: &[ReplicaMember]) -> bool {
+        members.len() >= self.size.max(least_set_size(self.tolerance.losses(members)))
+    }
+}
+
+/// A replica that stands by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Standby {
+    /// The node.
+    pub node: NodeId,
+    /// The number of its zone.
+    pub zone: u8,
+}
+
+/// The order in which standbys join a set whose members are in these zones: first where the set has fewest members, so that
+/// copies are spread over zones, then by number. All nodes that know the same members derive the same order.
+pub fn join_order(member_zones: &[u8], standbys: &[Standby]) -> Vec<NodeId> {
+    let members_in = |zone: u8| member_zones.iter().filter(|known| **known == zone).count();
+    let mut ordered: Vec<(usize, NodeId)> =
+        standbys.iter().map(|standby| (members_in(standby.zone), standby.node)).collect();
+    ordered.sort_unstable();
+    ordered.into_iter().map(|(_, node)| node).collect()
+}
+
 /// How many replicas have to hold a write: a majority, and one more than may be lost at once.
 pub fn write_quorum(members: usize, losses: usize) -> usize {
     (members / 2 + 1).max(losses + 1)
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,8 +10,10 @@
 mod identifiers;
 mod length;
 mod membership;
+mod rpc;
 mod text;
 mod turns;
+mod view;
 
 pub use codec::{decode, encode, Envelope, Message, WireError, MAXIMUM_MESSAGE_BYTES, PROTOCOL_VERSION};
 pub use configuration::{ConfigDelta, ConfigObject, ConfigPull, ObjectKind};
@@ -24,10 +26,11 @@
     Ack, EngineLoad, LoadNews, MemberAddress, MemberList, MemberPull, MemberState, MemberUpdate, Ping, PingRequest,
     StoreNews, MAXIMUM_LOADS, MAXIMUM_UPDATES,
 };
+pub use rpc::{decode_rpc, encode_rpc, RelayRequest, RpcBody, RpcMessage};
 pub use text::Text;
-pub use turns::ProgramKey;
 pub use turns::{
-    decode_rpc, encode_rpc, Chain, ChainLink, Content, DiskIdentity, Entries, FetchEntries, ListMarks, Marks,
-    ReadChain, ReadProgram, RelayRequest, ReplicaMember, ReplicaSet, ReplicaStanding, RpcBody, RpcMessage, RunPlace,
-    SetNews, StoreEntry, Stored, TurnCharge, TurnEntry, TurnId, TurnMark, TurnRecord, ViewNews, Witness, NOT_SETTLED,
+    Chain, ChainLink, Content, DiskIdentity, Entries, FetchEntries, ListMarks, Marks, ProgramKey, ReadChain,
+    ReadProgram, ReplicaMember, ReplicaSet, ReplicaStanding, RunPlace, SetNews, StoreEntry, Stored, TurnCharge,
+    TurnEntry, TurnId, TurnMark, TurnRecord, Witness, NOT_SETTLED,
 };
+pub use view::ViewNews;
--- a/crates/wire/src/membership.rs
+++ b/crates/wire/src/membership.rs
@@ -145,7 +145,7 @@
     pub under_way: u16,
 }
 
-/// What a gateway that watches the platform's store tells those of its group. Travels by datagram, often.
+/// What a gateway knows of the platform's store, told to others so that they need not watch it. Travels by datagram, often.
 #[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq, Eq)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
 pub struct StoreNews {
@@ -153,8 +153,10 @@
     pub configuration_revision: u64,
     /// The revision of the teller's list of engines.
     pub engines_revision: u64,
-    /// Milliseconds since the store last answered the teller.
-    pub contact_age_ms: u32,
+    /// The revision of the teller's list of replicas that are to leave.
+    pub retirements_revision: u64,
+    /// Milliseconds since the store last answered the gateway that the news come from.
+    pub contact_age_ms: u16,
 }
 
 /// What one gateway has under way. Travels by datagram; each replaces the one before.
--- /dev/null
+++ b/crates/wire/src/rpc.rs
@@ -0,0 +1,139 @@
+//! Requests among gateways and replicas, and their answers.
+//!
+//! They travel by stream, each request with a number that its answer repeats.
+
+use crate::{
+    Chain, Content, Entries, FetchEntries, ListMarks, Marks, MemberList, MemberUpdate, NodeId, ReadChain, ReadProgram,
+    SetNews, StoreEntry, Stored, ViewNews, WireError, MAXIMUM_MESSAGE_BYTES, PROTOCOL_VERSION,
+};
+use deku::prelude::*;
+
+/// Asks a node to pass a request on to a replica that the asker cannot reach itself. Answered by [`RpcBody::Relayed`] or
+/// [`RpcBody::Unreached`].
+#[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct RelayRequest {
+    /// The replica.
+    pub replica: NodeId,
+    /// Milliseconds for which the asker waits.
+    pub within_ms: u32,
+    /// The request, coded by [`encode_rpc`].
+    pub request: Content,
+}
+
+/// What an exchange is about.
+#[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+#[deku(id_type = "u8")]
+pub enum RpcBody {
+    /// Request.
+    #[deku(id = "0")]
+    StoreEntry(StoreEntry),
+    /// Request.
+    #[deku(id = "1")]
+    ReadProgram(ReadProgram),
+    /// Request.
+    #[deku(id = "2")]
+    ReadChain(ReadChain),
+    /// Request.
+    #[deku(id = "3")]
+    ListMarks(ListMarks),
+    /// Request.
+    #[deku(id = "4")]
+    FetchEntries(FetchEntries),
+    /// Request: the receiver is to take a newer set.
+    #[deku(id = "5")]
+    AdoptSet(SetNews),
+    /// Request: the receiver's member entry is added; answered by [`RpcBody::Members`].
+    #[deku(id = "6")]
+    PullMembers(MemberUpdate),
+    /// Request: what the sender has; answered by [`RpcBody::View`] with what is newer.
+    #[deku(id = "7")]
+    PullView(ViewNews),
+    /// Request of an operator, who becomes no member; answered by [`RpcBody::Members`].
+    #[deku(id = "8")]
+    ShowMembers,
+    /// Request of an operator; answered by [`RpcBody::SetKnown`].
+    #[deku(id = "9")]
+    ShowSet,
+    /// Request: the receiver is to ask a replica for the sender.
+    #[deku(id = "10")]
+    Relay(RelayRequest),
+    /// Answer.
+    #[deku(id = "64")]
+    Stored(Stored),
+    /// Answer.
+    #[deku(id = "65")]
+    Chain(Chain),
+    /// Answer.
+    #[deku(id = "66")]
+    Marks(Marks),
+    /// Answer.
+    #[deku(id = "67")]
+    Entries(Entries),
+    /// Answer to [`RpcBody::AdoptSet`] and [`RpcBody::ShowSet`].
+    #[deku(id = "68")]
+    SetKnown(SetNews),
+    /// Answer to a request that goes by another set: the replica's set, which may be the older one.
+    #[deku(id = "69")]
+    OtherSet(SetNews),
+    /// Answer.
+    #[deku(id = "70")]
+    Members(MemberList),
+    /// Answer.
+    #[deku(id = "71")]
+    View(ViewNews),
+    /// Answer: the receiver does not serve this.
+    #[deku(id = "72")]
+    NotServed,
+    /// Answer to [`RpcBody::Relay`]: the replica's answer, coded by [`encode_rpc`].
+    #[deku(id = "73")]
+    Relayed(Content),
+    /// Answer to [`RpcBody::Relay`]: the receiver does not reach the replica either, or knows no such replica.
+    #[deku(id = "74")]
+    Unreached,
+}
+
+/// A request or its answer.
+#[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "little")]
+pub struct RpcMessage {
+    /// [`PROTOCOL_VERSION`] of the sender.
+    #[deku(assert_eq = "PROTOCOL_VERSION")]
+    pub version: u8,
+    /// The sender.
+    pub from: NodeId,
+    /// Chosen by the asker, repeated in the answer.
+    pub exchange: u64,
+    /// What it is about.
+    pub body: RpcBody,
+}
+
+/// Codes a request or an answer.
+///
+/// # Errors
+/// [`WireError::TooLong`] when the receiver would refuse the result.
+pub fn encode_rpc(from: NodeId, exchange: u64, body: RpcBody) -> Result<Vec<u8>, WireError> {
+    let message = RpcMessage { version: PROTOCOL_VERSION, from, exchange, body };
+    let bytes = message.to_bytes().map_err(|error| WireError::Malformed(error.to_string()))?;
+    if bytes.len() > MAXIMUM_MESSAGE_BYTES {
+        return Err(WireError::TooLong(bytes.len()));
+    }
+    Ok(bytes)
+}
+
+/// Reads a request or an answer that fills `bytes`.
+///
+/// # Errors
+/// Any [`WireError`].
+pub fn decode_rpc(bytes: &[u8]) -> Result<RpcMessage, WireError> {
+    if bytes.len() > MAXIMUM_MESSAGE_BYTES {
+        return Err(WireError::TooLong(bytes.len()));
+    }
+    let ((rest, _), message) =
+        RpcMessage::from_bytes((bytes, 0)).map_err(|error| WireError::Malformed(error.to_string()))?;
+    if !rest.is_empty() {
+        return Err(WireError::TrailingBytes(rest.len()));
+    }
+    Ok(message)
+}
--- a/crates/wire/src/turns.rs
+++ b/crates/wire/src/turns.rs
@@ -1,9 +1,7 @@
-//! Messages about turns: records, token reservations, the replica set, and the newest view of the platform.
-//!
-//! They travel by stream between gateways and replicas, each request with a number that its answer repeats.
+//! What replicas keep and tell of turns: records, token reservations, and the replica set.
 
 use crate::length::Length;
-use crate::{MemberList, MemberUpdate, NodeId, WireError, MAXIMUM_MESSAGE_BYTES, PROTOCOL_VERSION};
+use crate::NodeId;
 use deku::prelude::*;
 
 /// The most turns of one program or one page.
@@ -195,7 +193,7 @@
     pub record: TurnRecord,
 }
 
-/// Stores an entry. Answered by [`RpcBody::Stored`] once it is on disk.
+/// Stores an entry. Answered by [`crate::RpcBody::Stored`] once it is on disk.
 #[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
 pub struct StoreEntry {
@@ -205,7 +203,7 @@
     pub entry: TurnEntry,
 }
 
-/// Asks for the charges of a program. Answered by [`RpcBody::Stored`].
+/// Asks for the charges of a program. Answered by [`crate::RpcBody::Stored`].
 #[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq, Eq)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
 pub struct ReadProgram {
@@ -215,7 +213,7 @@
     pub program: ProgramKey,
 }
 
-/// Asks for a turn and the turns that it continues. Answered by [`RpcBody::Chain`].
+/// Asks for a turn and the turns that it continues. Answered by [`crate::RpcBody::Chain`].
 #[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq, Eq)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
 pub struct ReadChain {
@@ -290,7 +288,7 @@
     pub links: Vec<ChainLink>,
 }
 
-/// Tells a replica of a set and asks what it has that the sender may lack. Answered by [`RpcBody::Marks`].
+/// Tells a replica of a set and asks what it has that the sender may lack. Answered by [`crate::RpcBody::Marks`].
 #[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
 pub struct ListMarks {
@@ -320,7 +318,7 @@
     pub marks: Vec<TurnMark>,
 }
 
-/// Asks for entries. Answered by [`RpcBody::Entries`], with as many as fit.
+/// Asks for entries. Answered by [`crate::RpcBody::Entries`], with as many as fit.
 #[deku_derive(DekuRead, DekuWrite)]
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
@@ -344,7 +342,7 @@
     pub entries: Vec<TurnEntry>,
 }
 
-/// Brings a set; answered by [`RpcBody::SetKnown`].
+/// Brings a set; answered by [`crate::RpcBody::SetKnown`].
 #[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
 pub struct SetNews {
@@ -353,149 +351,3 @@
     /// The version that the sender is synced to; 0 from a gateway.
     pub synced: u64,
 }
-
-/// The sender's view of the platform: each part with the revision that it stands at, coded as JSON.
-#[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq, Default)]
-#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
-pub struct ViewNews {
-    /// The revision of the configuration; 0 when there is none.
-    pub configuration_revision: u64,
-    /// The configuration; empty when the receiver has it.
-    pub configuration: Content,
-    /// The revision of the list of engines.
-    pub engines_revision: u64,
-    /// The list of engines; empty when the receiver has it.
-    pub engines: Content,
-    /// The newest replica set.
-    pub set: ReplicaSet,
-}
-
-/// Asks a node to pass a request on to a replica that the asker cannot reach itself. Answered by [`RpcBody::Relayed`] or
-/// [`RpcBody::Unreached`].
-#[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
-#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
-pub struct RelayRequest {
-    /// The replica.
-    pub replica: NodeId,
-    /// Milliseconds for which the asker waits.
-    pub within_ms: u32,
-    /// The request, coded by [`encode_rpc`].
-    pub request: Content,
-}
-
-/// What an exchange is about.
-#[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
-#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
-#[deku(id_type = "u8")]
-pub enum RpcBody {
-    /// Request.
-    #[deku(id = "0")]
-    StoreEntry(StoreEntry),
-    /// Request.
-    #[deku(id = "1")]
-    ReadProgram(ReadProgram),
-    /// Request.
-    #[deku(id = "2")]
-    ReadChain(ReadChain),
-    /// Request.
-    #[deku(id = "3")]
-    ListMarks(ListMarks),
-    /// Request.
-    #[deku(id = "4")]
-    FetchEntries(FetchEntries),
-    /// Request: the receiver is to take a newer set.
-    #[deku(id = "5")]
-    AdoptSet(SetNews),
-    /// Request: the receiver's member entry is added; answered by [`RpcBody::Members`].
-    #[deku(id = "6")]
-    PullMembers(MemberUpdate),
-    /// Request: what the sender has; answered by [`RpcBody::View`] with what is newer.
-    #[deku(id = "7")]
-    PullView(ViewNews),
-    /// Request of an operator, who becomes no member; answered by [`RpcBody::Members`].
-    #[deku(id = "8")]
-    ShowMembers,
-    /// Request of an operator; answered by [`RpcBody::SetKnown`].
-    #[deku(id = "9")]
-    ShowSet,
-    /// Request: the receiver is to ask a replica for the sender.
-    #[deku(id = "10")]
-    Relay(RelayRequest),
-    /// Answer.
-    #[deku(id = "64")]
-    Stored(Stored),
-    /// Answer.
-    #[deku(id = "65")]
-    Chain(Chain),
-    /// Answer.
-    #[deku(id = "66")]
-    Marks(Marks),
-    /// Answer.
-    #[deku(id = "67")]
-    Entries(Entries),
-    /// Answer to [`RpcBody::AdoptSet`] and [`RpcBody::ShowSet`].
-    #[deku(id = "68")]
-    SetKnown(SetNews),
-    /// Answer to a request that goes by another set: the replica's set, which may be the older one.
-    #[deku(id = "69")]
-    OtherSet(SetNews),
-    /// Answer.
-    #[deku(id = "70")]
-    Members(MemberList),
-    /// Answer.
-    #[deku(id = "71")]
-    View(ViewNews),
-    /// Answer: the receiver does not serve this.
-    #[deku(id = "72")]
-    NotServed,
-    /// Answer to [`RpcBody::Relay`]: the replica's answer, coded by [`encode_rpc`].
-    #[deku(id = "73")]
-    Relayed(Content),
-    /// Answer to [`RpcBody::Relay`]: the receiver does not reach the replica either, or knows no such replica.
-    #[deku(id = "74")]
-    Unreached,
-}
-
-/// A request or its answer.
-#[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
-#[deku(endian = "little")]
-pub struct RpcMessage {
-    /// [`PROTOCOL_VERSION`] of the sender.
-    #[deku(assert_eq = "PROTOCOL_VERSION")]
-    pub version: u8,
-    /// The sender.
-    pub from: NodeId,
-    /// Chosen by the asker, repeated in the answer.
-    pub exchange: u64,
-    /// What it is about.
-    pub body: RpcBody,
-}
-
-/// Codes a request or an answer.
-///
-/// # Errors
-/// [`WireError::TooLong`] when the receiver would refuse the result.
-pub fn encode_rpc(from: NodeId, exchange: u64, body: RpcBody) -> Result<Vec<u8>, WireError> {
-    let message = RpcMessage { version: PROTOCOL_VERSION, from, exchange, body };
-    let bytes = message.to_bytes().map_err(|error| WireError::Malformed(error.to_string()))?;
-    if bytes.len() > MAXIMUM_MESSAGE_BYTES {
-        return Err(WireError::TooLong(bytes.len()));
-    }
-    Ok(bytes)
-}
-
-/// Reads a request or an answer that fills `bytes`.
-///
-/// # Errors
-/// Any [`WireError`].
-pub fn decode_rpc(bytes: &[u8]) -> Result<RpcMessage, WireError> {
-    if bytes.len() > MAXIMUM_MESSAGE_BYTES {
-        return Err(WireError::TooLong(bytes.len()));
-    }
-    let ((rest, _), message) =
-        RpcMessage::from_bytes((bytes, 0)).map_err(|error| WireError::Malformed(error.to_string()))?;
-    if !rest.is_empty() {
-        return Err(WireError::TrailingBytes(rest.len()));
-    }
-    Ok(message)
-}
--- a/crates/wire/tests/rpc_tests.rs
+++ b/crates/wire/tests/rpc_tests.rs
@@ -51,6 +51,7 @@
 #[case::relayed(RpcBody::Relayed(Content::from(b"answer".to_vec())))]
 #[case::unreached(RpcBody::Unreached)]
 #[case::stored(RpcBody::Stored(stored()))]
+#[case::view(RpcBody::View(ViewNews { engines_since: 3, engines: Content::from(b"{}".to_vec()), set: set(), ..ViewNews::default() }))]
 #[case::show_members(RpcBody::ShowMembers)]
 #[case::show_set(RpcBody::ShowSet)]
 #[case::entries(RpcBody::Entries(Entries { entries: vec![entry(), entry()] }))]
@@ -65,7 +66,12 @@
 
 #[test]
 fn news_of_the_store_are_small_and_survive_the_round_trip() {
-    let news = StoreNews { configuration_revision: u64::MAX, engines_revision: 7, contact_age_ms: 480 };
+    let news = StoreNews {
+        configuration_revision: u64::MAX,
+        engines_revision: 7,
+        retirements_revision: 9,
+        contact_age_ms: 480,
+    };
     let bytes = encode(NodeId(2), Message::StoreNews(news)).expect("it can be coded");
     assert!(bytes.len() <= SMALL_MESSAGE, "{} bytes", bytes.len());
     assert_eq!(decode(&bytes).expect("it is whole").message, Message::StoreNews(news));
