Turns avoid engines that failed their program; repeatable requests get another engine's answer

A plain engine's 500 was passed on although the route may be repeated and another engine was free.

Ruled out: ejection by each gateway's own count of failures: at 259 gateways each sees some 1.5 turns a second over 102 engines and never two failures of one engine in time; one failure alone is what one in a hundred turns has on sound engines.

Change: the settlement of a failed turn names the engine (`RunPlace::failed_at`), the answer to the program's next reservation tells it, and that engine is taken only when there is no other. A whole answer with a 5xx on a route that may be repeated is kept while another engine is asked; the caller gets it if none does better. Switches `avoid_failed`, `retry_failures`.

--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -38,6 +38,8 @@
     pub service: String,
     /// The engine that ran the turn which it continues, as far as that is known.
     pub predecessor: Option<u32>,
+    /// Engines that failed turns of the program.
+    pub avoided: Vec<u32>,
     /// When its head had been read.
     pub arrived_at: Instant,
     /// When its time is over.
@@ -60,7 +62,7 @@
     ) -> Self {
         let allowed = metadata.deadline_ms.map_or(route.timeout_ms, |deadline| deadline.min(route.timeout_ms));
         let expires_at = arrived_at + Duration::from_millis(allowed);
-        Self { metadata, route, service, predecessor: None, arrived_at, expires_at, head, input }
+        Self { metadata, route, service, predecessor: None, avoided: Vec::new(), arrived_at, expires_at, head, input }
     }
 
     /// Time that an engine may take from now on; none when it is over.
--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -237,6 +237,7 @@
             loads: &loads,
             program: call.metadata.program.as_deref().unwrap_or_default(),
             predecessor: call.predecessor.filter(|_| self.policy.home),
+            avoided: &call.avoided,
             kilobytes: body.len() as f64 / BYTES_PER_KILOBYTE,
             prices: self.prices(&call.service),
         };
@@ -287,8 +288,8 @@
         let Choice { engine, missing_tokens, under_way, .. } = choice;
         let predecessor = call.predecessor.unwrap_or_default();
         let ServicePrices { token_ms, request_ms, .. } = prices;
-        log::info!(target: part::ENGINE, "Call {} sent: program={} route={} engine={} number={} before={predecessor} of={candidates} own={} all={under_way:.0} missing={missing_tokens:.0}/{} token_ms={token_ms:.4} request_ms={request_ms:.2} left={:?} configuration={} engines={}.",
-            metadata.attempt, metadata.program.as_deref().unwrap_or("-"), call.route.name, engine.entry.id, engine.number, engine.under_way(), metadata.prompt_tokens, call.engine_time().unwrap_or_default(), view.configuration.value.version, view.engines.revision);
+        log::info!(target: part::ENGINE, "Call {} sent: program={} route={} engine={} number={} before={predecessor} avoided={} of={candidates} own={} all={under_way:.0} missing={missing_tokens:.0}/{} token_ms={token_ms:.4} request_ms={request_ms:.2} left={:?} configuration={} engines={}.",
+            metadata.attempt, metadata.program.as_deref().unwrap_or("-"), call.route.name, engine.entry.id, engine.number, call.avoided.len(), engine.under_way(), metadata.prompt_tokens, call.engine_time().unwrap_or_default(), view.configuration.value.version, view.engines.revision);
     }
 }
 
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -21,7 +21,7 @@
 use foxnotch_turns::budget::BudgetView;
 use foxnotch_turns::chain::{compose_body, NO_TURN};
 use foxnotch_turns::identity::{program_key, turn_id};
-use foxnotch_wire::{Content, TurnEntry, TurnId, TurnRecord, NOT_SETTLED};
+use foxnotch_wire::{Content, RunPlace, TurnEntry, TurnId, TurnRecord, NOT_SETTLED};
 use http::{header, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -51,6 +51,11 @@
 }
 
 impl TurnAccount {
+    /// The engine that the turn was sent to last has failed it.
+    fn note_failure(&mut self, tries: &Tries) {
+        self.entry.place = tries.last_choice().map(|choice| RunPlace::failed_at(choice.engine.number));
+    }
+
     fn used(&self) -> u32 {
         self.events.saturating_mul(self.event_tokens).min(self.entry.reserved)
     }
@@ -86,13 +91,24 @@
     );
     let chain = chain?;
     let known = reserved?;
+    if gateway.policy.avoid_failed {
+        call.avoided = known.as_ref().map_or(Vec::new(), BudgetView::failed_engines);
+    }
     call.predecessor = predecessor(&gateway, &call, &chain, known);
     let body = if chain.is_empty() { call.input.clone() } else { Bytes::from(compose_body(&chain, &call.input)) };
     let mut tries = Tries::default();
-    let answer = gateway.offer(&call, &body, call.metadata.last_event.as_deref(), &mut tries).await?;
+    let offered = gateway.offer(&call, &body, call.metadata.last_event.as_deref(), &mut tries).await;
+    if offered.is_err() && tries.may_have_run() {
+        account.note_failure(&tries);
+    }
+    let answer = offered?;
     let pace = TurnPace::begin(&tries);
     if answer.response.status() != StatusCode::OK {
-        return read_whole(&gateway.metrics, &call, answer).await;
+        if answer.response.status().is_server_error() {
+            account.note_failure(&tries);
+        }
+        let answer = read_whole(&call, answer).await?;
+        return Ok(answer.pass_on(&gateway.metrics, &call));
     }
     Ok(begin_stream(gateway, call, account, answer, previous.unwrap_or(NO_TURN), pace))
 }
@@ -196,6 +212,11 @@
 }
 
 impl StreamEnd {
+    /// Whether the engine is to blame.
+    fn is_failure_of_engine(&self) -> bool {
+        matches!(self, Self::EngineBroke(_) | Self::TimedOut)
+    }
+
     /// A short name, for counters.
     fn name(&self) -> &'static str {
         match self {
@@ -239,6 +260,9 @@
                 log::info!(target: part::CALL, "Call {attempt} answered: route={} service={} engine={engine} events={} after={:?}.", self.call.route.name, self.call.service, self.account.events, self.call.arrived_at.elapsed());
             }
             Err(end) => {
+                if end.is_failure_of_engine() {
+                    self.account.entry.place = Some(RunPlace::failed_at(self.lease.engine().number));
+                }
                 log::warn!(target: part::CALL, "Call {attempt} broken off: route={} service={} engine={engine} events={} after={:?}: {end}.", self.call.route.name, self.call.service, self.account.events, self.call.arrived_at.elapsed());
                 // The engine stops when its connection closes; the caller's breaks because no end was sent.
                 self.connection = None;
--- a/crates/gateway/src/edge/whole_call.rs
+++ b/crates/gateway/src/edge/whole_call.rs
@@ -6,33 +6,68 @@
 use crate::edge::refusal::Refusal;
 use crate::edge::tries::Tries;
 use crate::engines::attempt::{finish, EngineAnswer};
+use crate::engines::engine::Engine;
 use crate::logging::part;
 use crate::metrics::Metrics;
 use bytes::Bytes;
 use http::{header, Response, StatusCode};
 use http_body_util::BodyExt;
+use std::sync::Arc;
 
-/// Serves a call on a route of a plain service.
+/// An answer that was read whole.
+pub struct WholeAnswer {
+    /// The engine that gave it.
+    pub engine: Arc<Engine>,
+    /// The answer as the caller gets it.
+    pub response: Response<AnswerBody>,
+}
+
+impl WholeAnswer {
+    /// Whether the engine says that it failed.
+    fn is_failure(&self) -> bool {
+        self.response.status().is_server_error()
+    }
+
+    /// Counts and tells that the call ends with this answer.
+    pub fn pass_on(self, metrics: &Metrics, call: &Call) -> Response<AnswerBody> {
+        metrics.count_call("answered", call.arrived_at.elapsed());
+        log::info!(target: part::CALL, "Call {} answered: route={} service={} engine={} status={} after={:?}.", call.metadata.attempt, call.route.name, call.service, self.engine.entry.id, self.response.status().as_u16(), call.arrived_at.elapsed());
+        self.response
+    }
+}
+
+/// Serves a call on a route of a plain service. One that may be repeated is offered to another engine when one fails it; the
+/// caller gets an engine's failure only when no other engine does better.
 ///
 /// # Errors
 /// The refusal that the caller gets.
 pub async fn serve(gateway: &Gateway, call: &Call) -> Result<Response<AnswerBody>, Refusal> {
     let mut tries = Tries::default();
-    loop {
-        let answer = gateway.offer(call, &call.input, None, &mut tries).await?;
+    let mut failure: Option<WholeAnswer> = None;
+    let refusal = loop {
+        let answer = match gateway.offer(call, &call.input, None, &mut tries).await {
+            Ok(answer) => answer,
+            Err(refusal) => break refusal,
+        };
         let engine = answer.lease.engine().clone();
-        let refusal = match read_whole(&gateway.metrics, call, answer).await {
-            Ok(response) => {
+        let refusal = match read_whole(call, answer).await {
+            Ok(answer) if !answer.is_failure() || !gateway.policy.retry_failures => {
                 note_time(gateway, call, &tries);
-                return Ok(response);
+                return Ok(answer.pass_on(&gateway.metrics, call));
+            }
+            Ok(answer) => {
+                log::info!(target: part::ENGINE, "Call {} failed at an engine: engine={} status={}.", call.metadata.attempt, engine.entry.id, answer.response.status().as_u16());
+                failure = Some(answer);
+                Refusal::MayHaveRun("the engine failed".to_owned())
             }
             Err(refusal) => refusal,
         };
         tries.note_may_have_run(&engine);
         if refusal == Refusal::TimedOut || !call.may_be_repeated(&tries) {
-            return Err(refusal);
+            break refusal;
         }
-    }
+    };
+    failure.map(|answer| answer.pass_on(&gateway.metrics, call)).ok_or(refusal)
 }
 
 /// Learns from the time that a plain service took.
@@ -46,7 +81,7 @@
 ///
 /// # Errors
 /// [`Refusal::MayHaveRun`] when it breaks off, [`Refusal::TimedOut`].
-pub async fn read_whole(metrics: &Metrics, call: &Call, answer: EngineAnswer) -> Result<Response<AnswerBody>, Refusal> {
+pub async fn read_whole(call: &Call, answer: EngineAnswer) -> Result<WholeAnswer, Refusal> {
     let EngineAnswer { response, connection, lease, .. } = answer;
     let (head, body) = response.into_parts();
     let collected = match tokio::time::timeout_at(call.expires_at.into(), body.collect()).await {
@@ -58,14 +93,13 @@
         Err(_) => return Err(Refusal::TimedOut),
     };
     finish(connection, &lease);
-    metrics.count_call("answered", call.arrived_at.elapsed());
-    log::info!(target: part::CALL, "Call {} answered: route={} service={} engine={} status={} after={:?}.", call.metadata.attempt, call.route.name, call.service, lease.engine().entry.id, head.status.as_u16(), call.arrived_at.elapsed());
-    pass_on(head, collected.to_bytes())
+    let response = to_response(head, collected.to_bytes())?;
+    Ok(WholeAnswer { engine: lease.engine().clone(), response })
 }
 
 /// The engine's answer as the caller gets it. A status that promises that nothing has run is not passed on when the
 /// engine did not say so.
-fn pass_on(mut head: http::response::Parts, body: Bytes) -> Result<Response<AnswerBody>, Refusal> {
+fn to_response(mut head: http::response::Parts, body: Bytes) -> Result<Response<AnswerBody>, Refusal> {
     if promises_not_run(head.status) {
         return Err(Refusal::MayHaveRun(format!(
             "the engine answered {} and does not say that it has not run",
--- a/crates/gateway/src/engines/selector.rs
+++ b/crates/gateway/src/engines/selector.rs
@@ -35,6 +35,8 @@
     pub program: &'a str,
     /// The engine that ran the turn which the request continues.
     pub predecessor: Option<u32>,
+    /// Engines that failed turns of the program.
+    pub avoided: &'a [u32],
     /// Kilobytes to be sent.
     pub kilobytes: f64,
     /// What was learned of the service's engines.
@@ -57,9 +59,10 @@
 /// The engine that probably holds what a request continues: the one that ran the turn before, wherever that entered.
 ///
 /// When that one has left, all gateways that know the same engines agree on another for the program, by rendezvous hashing,
-/// so that turns that run side by side meet again. A program's first turn has no home: load and zone decide.
+/// so that turns that run side by side meet again. A program's first turn has no home: load and zone decide; nor has one whose
+/// home failed it.
 fn home_of(candidates: &[Arc<Engine>], placement: &Placement<'_>) -> Option<u32> {
-    let predecessor = placement.predecessor?;
+    let predecessor = placement.predecessor.filter(|engine| !placement.avoided.contains(engine))?;
     if candidates.iter().any(|engine| engine.number == predecessor) {
         return Some(predecessor);
     }
@@ -123,6 +126,9 @@
     if engine.is_ejected() {
         cost += UNINVITING_MS;
     }
+    if placement.avoided.contains(&engine.number) {
+        cost += UNINVITING_MS;
+    }
     cost
 }
 
--- a/crates/gateway/src/policy.rs
+++ b/crates/gateway/src/policy.rs
@@ -10,6 +10,10 @@
     pub home: bool,
     /// Where routes keep no turns, the replicas tell that engine with the budget; without this, the gateway's own sends alone.
     pub shared_places: bool,
+    /// A program's turn avoids engines that failed its turns before, at whatever gateway it enters.
+    pub avoid_failed: bool,
+    /// A request that may be repeated is offered to another engine when one answers with a failure.
+    pub retry_failures: bool,
     /// A gateway notes which parts of prompts it has sent to which engine.
     pub known_parts: bool,
     /// Gateways tell each other what they have under way at the engines.
@@ -25,6 +29,8 @@
         Self {
             home: true,
             shared_places: true,
+            avoid_failed: true,
+            retry_failures: true,
             known_parts: true,
             shared_loads: true,
             learned_prices: true,
--- a/crates/gateway/tests/edge_tests.rs
+++ b/crates/gateway/tests/edge_tests.rs
@@ -153,6 +153,7 @@
 
 fn placement<'a>(prompt: &'a [PromptPart], loads: &'a LoadEstimate, program: &'a str) -> Placement<'a> {
     Placement {
+        avoided: &[],
         prompt,
         is_model: true,
         zone: "a",
@@ -293,3 +294,19 @@
     let large = Placement { kilobytes: 30.0, ..small };
     assert_eq!(choose(&engines, &large, &[]).expect("an engine is there").engine.entry.id, "e0");
 }
+
+/// An engine that failed a turn of the program is taken only when there is no other, also when it ran the turn before.
+#[test]
+fn an_engine_that_failed_the_program_is_avoided() {
+    let loads = LoadEstimate::default();
+    let engines = ["e1", "e2", "e3"].map(|id| engine(id, "a", 8));
+    let prompt = [PromptPart { id: 1, tokens: 4000 }];
+    let failed = [engines[0].number];
+    let placement =
+        Placement { predecessor: Some(engines[0].number), avoided: &failed, ..placement(&prompt, &loads, "p1") };
+    let choice = choose(&engines, &placement, &[]).expect("there are engines");
+    assert_ne!(choice.engine.number, engines[0].number);
+    let tried: Vec<String> = engines[1..].iter().map(|engine| engine.entry.id.clone()).collect();
+    let choice = choose(&engines, &placement, &tried).expect("one is left");
+    assert_eq!(choice.engine.number, engines[0].number);
+}
--- a/crates/gateway/tests/gateway_tests.rs
+++ b/crates/gateway/tests/gateway_tests.rs
@@ -414,3 +414,60 @@
         assert_eq!(deployment.engine_of(&format!("{program}-2")), ran, "program {program} has moved");
     }
 }
+
+/// Found by `scale-2` of the large dairy's small twin: a plain engine's 500 was passed on although another was free.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_may_be_repeated_gets_the_answer_of_another_engine_when_one_fails() {
+    let deployment = Deployment::start(73, "read", vec![Behaviour::Failure, Behaviour::Answer("done")]).await;
+    // Sent at the same time: a single one would keep to the engine to which a connection rests.
+    let sends = (0..24).map(|number| {
+        let gateway = &deployment.gateway;
+        async move { gateway.send("GET /read/", &attempt(&format!("a{number}")), "").await }
+    });
+    for answer in futures_util::future::join_all(sends).await {
+        assert_eq!((answer.status, answer.body.as_str(), answer.is_whole), (200, "done", true));
+    }
+    assert!(!deployment.engines[0].received().is_empty(), "the failing engine was never asked");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn when_all_engines_fail_a_request_the_caller_gets_an_engines_own_failure() {
+    let deployment = Deployment::start(74, "read", vec![Behaviour::Failure, Behaviour::Failure]).await;
+    let answer = deployment.gateway.send("GET /read/", &attempt("a1"), "").await;
+    assert_eq!((answer.status, answer.is_whole), (500, true));
+    assert_eq!(deployment.sends(), 2);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_may_not_be_repeated_is_sent_once_when_its_engine_fails() {
+    let deployment = Deployment::start(75, "write", vec![Behaviour::Failure, Behaviour::Failure]).await;
+    assert_eq!(deployment.gateway.send("POST /write/", &attempt("a1"), "").await.status, 500);
+    assert_eq!(deployment.sends(), 1);
+}
+
+/// Found by `scale-2` of the large dairy's small twin: a turn that an engine had failed was resent through another gateway,
+/// which sent it to the same engine, the program's home, until its tries were used up.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_turn_that_an_engine_failed_goes_to_another_engine_at_any_gateway() {
+    let behaviours = vec![Behaviour::Failure, Behaviour::Stream(vec!["data: x\n\n"]), Behaviour::Failure];
+    let deployment = Deployment::start(76, "draft", behaviours).await;
+    let other = RunningGateway::start_with(&deployment.cluster, 51, deployment.cluster.store.clone()).await;
+    other.wait_ready().await;
+    for program in 0..8 {
+        let mut failures = 0;
+        for resend in 0..3 {
+            let headers = format!(
+                "{}t-program: p{program}\r\nt-budget: 500\r\nt-most: 9\r\nt-parts: {program}a:4000\r\n",
+                attempt(&format!("{program}-{resend}"))
+            );
+            let gateway = if resend % 2 == 0 { &deployment.gateway } else { &other };
+            if gateway.send("POST /draft/", &headers, "x").await.status == 200 {
+                break;
+            }
+            failures += 1;
+            // The failed turn's end is told to the replicas after the caller has it.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        assert!(failures <= 2, "program {program} was sent to an engine that had failed it");
+    }
+}
--- a/crates/turns/src/budget.rs
+++ b/crates/turns/src/budget.rs
@@ -40,11 +40,21 @@
     /// prompt continues.
     pub fn engine_for(&self, parts: &[u64]) -> Option<u32> {
         let place_of_part = |place: &RunPlace| parts.iter().rposition(|part| *part == place.part);
-        let continued = self.places.iter().filter_map(|place| Some((place_of_part(place)?, place)));
+        let held = self.places.iter().filter(|place| !place.is_failure());
+        let continued = held.filter_map(|place| Some((place_of_part(place)?, place)));
         let longest = continued.max_by_key(|(index, place)| (*index, place.prompt_tokens))?;
         Some(longest.1.engine)
     }
 
+    /// The engines that failed a turn of the program.
+    pub fn failed_engines(&self) -> Vec<u32> {
+        let mut engines: Vec<u32> =
+            self.places.iter().filter(|place| place.is_failure()).map(|place| place.engine).collect();
+        engines.sort_unstable();
+        engines.dedup();
+        engines
+    }
+
     /// Tokens of all turns.
     pub fn total(&self) -> u64 {
         self.charges.values().map(|tokens| u64::from(*tokens)).sum()
--- a/crates/turns/src/ledger.rs
+++ b/crates/turns/src/ledger.rs
@@ -87,17 +87,23 @@
         entries.map(|entry| TurnCharge { turn: entry.turn, tokens: entry.charge() }).collect()
     }
 
-    /// Where the prompts of a program were read: for each last part the longest prompt that ended with it.
+    /// Where the prompts of a program were read: for each last part the longest prompt that ended with it; and the engines
+    /// that failed a turn of it.
     pub fn places(&self, program: ProgramKey) -> Vec<RunPlace> {
         let Some(kept) = self.programs.get(&program) else { return Vec::new() };
         let mut longest: HashMap<u64, RunPlace> = HashMap::new();
+        let mut failed: HashSet<u32> = HashSet::new();
         for place in kept.turns.iter().filter_map(|turn| self.entries.get(turn)?.place) {
+            if place.is_failure() {
+                failed.insert(place.engine);
+                continue;
+            }
             let known = longest.entry(place.part).or_insert(place);
             if place.prompt_tokens > known.prompt_tokens {
                 *known = place;
             }
         }
-        longest.into_values().collect()
+        longest.into_values().chain(failed.into_iter().map(RunPlace::failed_at)).collect()
     }
 
     /// The records from `newest` back, up to the first one that is missing.
--- a/crates/turns/tests/ledger_tests.rs
+++ b/crates/turns/tests/ledger_tests.rs
@@ -156,3 +156,20 @@
     told.sort_by_key(|place| place.part);
     assert_eq!(told, vec![places[1].1, places[3].1]);
 }
+
+#[test]
+fn engines_that_failed_a_program_are_told_beside_the_places_that_hold_its_prompts() {
+    let mut ledger = Ledger::default();
+    let places = [
+        RunPlace { engine: 7, part: 2, prompt_tokens: 900 },
+        RunPlace::failed_at(8),
+        RunPlace::failed_at(8),
+        RunPlace::failed_at(9),
+    ];
+    for (turn, place) in (1..).zip(places) {
+        ledger.apply(TurnEntry { place: Some(place), ..reserved(turn, 1, 80) }, START);
+    }
+    let mut told = ledger.places(ProgramKey(1));
+    told.sort_by_key(|place| place.engine);
+    assert_eq!(told, vec![places[0], RunPlace::failed_at(8), RunPlace::failed_at(9)]);
+}
--- a/crates/wire/src/turns.rs
+++ b/crates/wire/src/turns.rs
@@ -65,7 +65,10 @@
     pub output: Content,
 }
 
-/// Where a turn ran, for the turns after it: that engine probably still holds what it has read.
+/// The value of [`RunPlace::prompt_tokens`] when the engine failed the turn: later turns had better avoid it.
+const FAILED_RUN: u32 = u32::MAX;
+
+/// Where a turn ran, for the turns after it: that engine probably still holds what it has read, or has failed the turn.
 #[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq, Eq, Default)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
 pub struct RunPlace {
@@ -73,10 +76,22 @@
     pub engine: u32,
     /// The last part of the turn's prompt.
     pub part: u64,
-    /// Tokens of the turn's whole prompt.
+    /// Tokens of the turn's whole prompt; the greatest value when the engine failed the turn.
     pub prompt_tokens: u32,
 }
 
+impl RunPlace {
+    /// The place of a turn that the engine failed.
+    pub fn failed_at(engine: u32) -> Self {
+        Self { engine, part: 0, prompt_tokens: FAILED_RUN }
+    }
+
+    /// Whether the engine failed the turn.
+    pub fn is_failure(&self) -> bool {
+        self.prompt_tokens == FAILED_RUN
+    }
+}
+
 /// The value of [`TurnEntry::used`] while the turn runs.
 pub const NOT_SETTLED: u32 = u32::MAX;
 
