A replica that is refilled or joins fetches each entry once, from near first; counters of calls to the store

Change: all members are asked what they hold at once, as before; what is missing is then brought by one after the other, those of the own zone first. `entries_handed_out` counts.

--- a/crates/gateway/src/replica/core.rs
+++ b/crates/gateway/src/replica/core.rs
@@ -19,6 +19,7 @@
     ReplicaStanding, RpcBody, SetNews, StoreEntry, Stored, TurnEntry, TurnId, Witness,
 };
 use futures_util::future::BoxFuture;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -39,6 +40,8 @@
     memory_limit: usize,
     view: Arc<ViewHolder>,
     members: Arc<Members>,
+    /// Entries handed to replicas that lacked them, since the start.
+    handed_out: AtomicU64,
 }
 
 impl ReplicaCore {
@@ -65,7 +68,18 @@
         let ledger = Mutex::new(ledger);
         let state = Mutex::new(state);
         let state_order = tokio::sync::Mutex::new(());
-        Self { own, clock, disk, ledger, state, state_order, memory_limit, view, members }
+        Self {
+            own,
+            clock,
+            disk,
+            ledger,
+            state,
+            state_order,
+            memory_limit,
+            view,
+            members,
+            handed_out: AtomicU64::new(0),
+        }
     }
 
     /// This node.
@@ -168,6 +182,11 @@
         (ledger.len(), ledger.bytes())
     }
 
+    /// Entries handed to replicas that lacked them, since the start.
+    pub fn handed_out(&self) -> u64 {
+        self.handed_out.load(Ordering::Relaxed)
+    }
+
     /// Drops what has been kept long enough.
     pub fn expire(&self) {
         let mut ledger = lock(&self.ledger);
@@ -268,6 +287,7 @@
             }
             entries.push(entry.clone());
         }
+        self.handed_out.fetch_add(entries.len() as u64, Ordering::Relaxed);
         RpcBody::Entries(Entries { entries })
     }
 
--- a/crates/gateway/src/replica/process.rs
+++ b/crates/gateway/src/replica/process.rs
@@ -8,6 +8,7 @@
 use crate::peers::rpc_client::RpcClient;
 use crate::peers::rpc_server;
 use crate::peers::view::ViewHolder;
+use crate::ports::counted_store::CountedStore;
 use crate::ports::store::{Kind, MetadataStore};
 use crate::replica::core::ReplicaCore;
 use crate::replica::disk::Disk;
@@ -51,6 +52,8 @@
         ip: settings.ip.octets(),
         port: settings.peer_port,
     };
+    let metrics = replica_metrics(&core);
+    let store: Arc<dyn MetadataStore> = Arc::new(CountedStore::new(store, metrics.clone()));
     let parts = StewardParts {
         core: core.clone(),
         client,
@@ -74,7 +77,7 @@
     tokio::spawn(probe(store, duty));
     tokio::spawn(members.clone().share_store_news());
     tokio::spawn(expire(core.clone()));
-    tokio::spawn(metrics::serve(settings.metrics_address(), replica_metrics(&core)));
+    tokio::spawn(metrics::serve(settings.metrics_address(), metrics));
     log::info!(target: part::PROCESS, "Replica started: node={} id={own} zone={} first_start={}.", settings.node, settings.zone, settings.first_start);
     wait_for_stop(&path, &members).await?;
     log::info!(target: part::PROCESS, "Replica stopped: what was acknowledged is on disk.");
@@ -105,6 +108,9 @@
     let replica = core.clone();
     metrics.read("turn_bytes_held", "Bytes of turns held", move || replica.size().1 as i64);
     let replica = core.clone();
+    metrics
+        .read("entries_handed_out", "Entries handed to replicas that lacked them", move || replica.handed_out() as i64);
+    let replica = core.clone();
     metrics.read("replica_complete", "1 once refilled", move || i64::from(replica.state().complete));
     let replica = core.clone();
     metrics.read("replica_set_version", "The replica set gone by", move || replica.set().version as i64);
--- a/crates/gateway/src/replica/steward.rs
+++ b/crates/gateway/src/replica/steward.rs
@@ -309,7 +309,7 @@
 
     /// Fills an empty replica. Whether or not it is a member, it counts for nothing before.
     async fn refill(&self, set: &ReplicaSet) -> Result<bool, StepError> {
-        let heard = pull_all(&self.core, &self.client, set).await;
+        let heard = pull_all(&self.core, &self.client, set, &self.own).await;
         self.check_current(set)?;
         let counted = complete_members(&heard, &set.members);
         let before = complete_members(&heard, &set.previous);
@@ -336,7 +336,7 @@
 
     /// Pulls what a majority of the version before holds.
     async fn sync(&self, set: &ReplicaSet) -> Result<bool, StepError> {
-        let heard = pull_all(&self.core, &self.client, set).await;
+        let heard = pull_all(&self.core, &self.client, set, &self.own).await;
         self.check_current(set)?;
         let complete: Vec<NodeId> = heard.iter().filter(|heard| heard.complete).map(|heard| heard.node).collect();
         if !is_any_synced(&heard, set) && !replica_set::covers_previous(set, self.own.node, &complete) {
@@ -429,7 +429,7 @@
         if let Some(rest) = self.rest_of_larger(set) {
             return self.change_set(set, rest).await;
         }
-        let heard = pull_all(&self.core, &self.client, set).await;
+        let heard = pull_all(&self.core, &self.client, set, &self.own).await;
         self.check_current(set)?;
         let counted = complete_members(&heard, &set.members);
         let own = usize::from(replica_set::contains(set, self.own.node));
--- a/crates/gateway/src/replica/sync.rs
+++ b/crates/gateway/src/replica/sync.rs
@@ -6,7 +6,7 @@
 use crate::peers::view::Origin;
 use crate::replica::core::ReplicaCore;
 use foxnotch_turns::replica_set;
-use foxnotch_wire::{FetchEntries, ListMarks, NodeId, ReplicaMember, ReplicaSet, RpcBody, TurnId};
+use foxnotch_wire::{FetchEntries, ListMarks, Marks, NodeId, ReplicaMember, ReplicaSet, RpcBody, TurnId};
 use futures_util::future::join_all;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -35,34 +35,59 @@
     SocketAddr::from((member.ip, member.port))
 }
 
+/// Another replica and what it told of itself and of what it holds.
+struct Told {
+    member: ReplicaMember,
+    marks: Marks,
+}
+
 /// Pulls from all other members of the set and of the one before. Returns those of which all was pulled.
-pub async fn pull_all(core: &Arc<ReplicaCore>, client: &Arc<RpcClient>, set: &ReplicaSet) -> Vec<Heard> {
+///
+/// All are asked at the same time what they hold; then one after the other brings what is still missing, those of this
+/// replica's zone first. So each entry is brought once, and mostly from near.
+pub async fn pull_all(
+    core: &Arc<ReplicaCore>,
+    client: &Arc<RpcClient>,
+    set: &ReplicaSet,
+    own: &ReplicaMember,
+) -> Vec<Heard> {
     let mut others: Vec<ReplicaMember> = set.members.clone();
     others.extend(set.previous.iter().filter(|member| !replica_set::contains(set, member.node)));
     others.retain(|member| member.node != core.own());
-    let pulls = others.iter().map(|member| pull_from(core, client, set, member));
-    join_all(pulls).await.into_iter().flatten().collect()
+    others.sort_by_key(|member| member.zone != own.zone);
+    let asks = others.iter().map(|member| list_marks(core, client, set, *member));
+    let mut heard = Vec::new();
+    for told in join_all(asks).await.into_iter().flatten() {
+        heard.extend(pull_missing(core, client, told).await);
+    }
+    heard
 }
 
-async fn pull_from(
+async fn list_marks(
     core: &Arc<ReplicaCore>,
     client: &Arc<RpcClient>,
     set: &ReplicaSet,
-    member: &ReplicaMember,
-) -> Option<Heard> {
-    let address = address_of(member);
+    member: ReplicaMember,
+) -> Option<Told> {
     let request = ListMarks { own: core.identity(), set: set.clone() };
     let patience = core.patience(member.node, LIST_TIMEOUT);
-    let answer = client.call(address, RpcBody::ListMarks(request), patience).await;
+    let answer = client.call(address_of(&member), RpcBody::ListMarks(request), patience).await;
     let Ok(RpcBody::Marks(marks)) = answer else { return None };
     core.note_disk(marks.witness.own).await;
     core.adopt_set(&marks.set, Origin::Peer).await;
+    Some(Told { member, marks })
+}
+
+/// Brings the entries that a replica holds and this one lacks. None when that fails.
+async fn pull_missing(core: &Arc<ReplicaCore>, client: &Arc<RpcClient>, told: Told) -> Option<Heard> {
+    let Told { member, marks } = told;
     let mut wanted = core.missing(&marks);
     let count = wanted.len();
     while !wanted.is_empty() {
         let page: Vec<TurnId> = wanted.iter().take(TURNS_PER_PAGE).copied().collect();
         let request = RpcBody::FetchEntries(FetchEntries { turns: page.clone() });
-        let Ok(RpcBody::Entries(entries)) = client.call(address, request, FETCH_TIMEOUT).await else { return None };
+        let answer = client.call(address_of(&member), request, FETCH_TIMEOUT).await;
+        let Ok(RpcBody::Entries(entries)) = answer else { return None };
         let brought: Vec<TurnId> = entries.entries.iter().map(|entry| entry.turn).collect();
         if !brought.is_empty() && core.store(entries.entries).await.is_err() {
             return None;
--- a/crates/gateway/tests/replica_tests.rs
+++ b/crates/gateway/tests/replica_tests.rs
@@ -324,3 +324,23 @@
     let members = cluster.wait_for_size(3, &members[..1]).await;
     assert!(!members.contains(&standby));
 }
+
+/// Found by reading, with the memory of replicas of the large dairy in mind: whoever was refilled fetched each entry from
+/// every member at the same time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_replica_that_is_refilled_gets_each_entry_once() {
+    let mut cluster = Cluster::start(73, 5).await;
+    cluster.wait_until_synced(&[1, 2, 3, 4, 5]).await;
+    for number in 1..=40_u128 {
+        cluster.write_only_to(&[1, 2, 3, 4, 5], &turn(number, number - 1, "input")).await;
+    }
+    cluster.wipe(5);
+    cluster.start_replica(5, false);
+    cluster.wait_until_complete(5).await;
+    assert!(cluster.holds(5, 40).await);
+    let mut handed_out = 0;
+    for number in 1..=4 {
+        handed_out += cluster.metric(number, "entries_handed_out").await.expect("the metric is served");
+    }
+    assert_eq!(handed_out, 40);
+}
--- a/crates/gateway/tests/support/cluster.rs
+++ b/crates/gateway/tests/support/cluster.rs
@@ -20,6 +20,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::runtime::{Builder, Runtime};
 
 /// The port of all nodes.
@@ -212,6 +214,16 @@
         (self.ip(number), PEER_PORT).into()
     }
 
+    /// What a metric of a replica shows.
+    pub async fn metric(&self, number: u8, name: &str) -> Option<u64> {
+        let mut stream = TcpStream::connect((self.ip(number), PEER_PORT + 1)).await.ok()?;
+        stream.write_all(b"GET / HTTP/1.1\r\nhost: m\r\nconnection: close\r\n\r\n").await.ok()?;
+        let mut text = String::new();
+        stream.read_to_string(&mut text).await.ok()?;
+        let line = text.lines().find(|line| line.starts_with(&format!("foxnotch_{name} ")))?;
+        line.split(' ').nth(1)?.parse().ok()
+    }
+
     /// Whether a replica holds a turn.
     pub async fn holds(&self, number: u8, turn: u128) -> bool {
         let address = self.peer_address(number);
