--- a/crates/gateway/src/edge/chain_reader.rs
+++ b/crates/gateway/src/edge/chain_reader.rs
@@ -12,8 +12,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Time for which the nearest replica alone is asked for a chain.
-const NEAREST_ALONE: Duration = Duration::from_millis(30);
+/// Time for which one replica alone is asked for a chain.
+const FIRST_ALONE: Duration = Duration::from_millis(30);
 
 /// A chain, oldest first.
 pub type ChainRecords = Vec<(TurnId, Arc<TurnRecord>)>;
@@ -84,6 +84,13 @@
     }
 }
 
+/// The replica that is asked first: one of the zone, or where the zone has none one that the turn picks, so that a chain
+/// crosses zones once and all replicas share the reading.
+fn first_to_ask(members: &[ReplicaMember], zone: u32, newest: TurnId) -> Option<usize> {
+    let of_zone = members.iter().position(|member| member.zone == zone);
+    of_zone.or_else(|| (!members.is_empty()).then(|| (newest.0 % members.len() as u128) as usize))
+}
+
 impl TurnKeeper {
     /// The chain that ends with `newest`.
     ///
@@ -137,18 +144,18 @@
         }
     }
 
-    /// Asks the nearest replica of a set alone at first, then all.
+    /// Asks one replica of a set alone at first, then all.
     async fn read_from_set(&self, read: &mut ChainRead, set: &ReplicaSet, deadline: Instant) -> Reading {
         let newest = read.newest;
         let ask = |member, turn| self.ask_for_chain(member, set, turn, deadline);
         let mut others = set.members.clone();
-        let nearest = others.iter().position(|member| member.zone == self.zone).map(|index| others.remove(index));
-        let mut asks: FuturesUnordered<_> = nearest.into_iter().map(|member| ask(member, newest)).collect();
+        let first = first_to_ask(&others, self.zone, newest).map(|index| others.remove(index));
+        let mut asks: FuturesUnordered<_> = first.into_iter().map(|member| ask(member, newest)).collect();
         loop {
             let answer = if others.is_empty() {
                 asks.next().await
             } else {
-                let waited = tokio::time::timeout(NEAREST_ALONE, asks.next()).await;
+                let waited = tokio::time::timeout(FIRST_ALONE, asks.next()).await;
                 asks.extend(others.drain(..).map(|member| ask(member, newest)));
                 let Ok(Some(answer)) = waited else { continue };
                 Some(answer)
--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -20,6 +20,7 @@
 use crate::peers::view::{Origin, ViewHolder};
 use crate::peers::view_exchange;
 use crate::policy::PolicySettings;
+use crate::ports::counted_store::CountedStore;
 use crate::ports::dialect::Dialect;
 use crate::ports::store::{Freshness, Kind, MetadataStore, ObjectBody};
 use crate::settings::{ProcessSettings, SettingsError};
@@ -81,6 +82,7 @@
         .context("the port for datagrams cannot be bound")?;
     let cache = TurnCache::new((settings.resources.memory_mb * 1024 * 1024 / CACHE_SHARE) as usize);
     let metrics = gateway_metrics(&view, &members);
+    let store: Arc<dyn MetadataStore> = Arc::new(CountedStore::new(platform.store, metrics.clone()));
     let replicas = replica_client(client, &members, &metrics, settings.policy);
     let keeper =
         TurnKeeper::new(replicas.clone(), view.clone(), cache, zone_hash(&settings.zone), settings.tolerance());
@@ -112,14 +114,14 @@
     tokio::spawn(load_exchange::run(gateway.clone(), members.clone()));
     let duty = members.duty();
     let configurations = ConfigurationFollower { view: view.clone() };
-    tokio::spawn(follow(platform.store.clone(), Kind::Configuration, FirstList::AtStart, duty.clone(), configurations));
+    tokio::spawn(follow(store.clone(), Kind::Configuration, FirstList::AtStart, duty.clone(), configurations));
     let engines = EngineFollower { view: view.clone() };
-    tokio::spawn(follow(platform.store.clone(), Kind::Engines, FirstList::AtStart, duty.clone(), engines));
+    tokio::spawn(follow(store.clone(), Kind::Engines, FirstList::AtStart, duty.clone(), engines));
     let retirements = RetirementFollower { view: view.clone() };
-    tokio::spawn(follow(platform.store.clone(), Kind::Retirements, FirstList::OnDuty, duty.clone(), retirements));
-    tokio::spawn(probe(platform.store.clone(), duty));
+    tokio::spawn(follow(store.clone(), Kind::Retirements, FirstList::OnDuty, duty.clone(), retirements));
+    tokio::spawn(probe(store.clone(), duty));
     tokio::spawn(members.clone().share_store_news());
-    tokio::spawn(find_set(platform.store, view, turns.set_wanted()));
+    tokio::spawn(find_set(store, view, turns.set_wanted()));
     tokio::spawn(metrics::serve(settings.metrics_address(), metrics));
     tokio::spawn(serve_readiness(readiness, gateway.clone()));
     let count = settings.resources.descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(64) as usize;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -39,6 +39,17 @@
     pub outcome: &'static str,
 }
 
+/// A call to the platform's store.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StoreCall {
+    /// What it was about.
+    pub kind: &'static str,
+    /// What was asked.
+    pub verb: &'static str,
+    /// How it ended.
+    pub outcome: &'static str,
+}
+
 /// A gauge of a value that is read when it is asked for.
 type Reading = Box<dyn Fn() -> i64 + Send + Sync>;
 
@@ -50,6 +61,8 @@
     pub calls: Family<Outcome, Counter>,
     /// Sends to engines by how they ended.
     pub sends: Family<Outcome, Counter>,
+    /// Calls to the platform's store.
+    pub store_calls: Family<StoreCall, Counter>,
     /// Seconds from a call's arrival to the end of its answer.
     pub call_seconds: Histogram,
     /// Seconds from a call's arrival to its first send to an engine: what the gateway adds before.
@@ -71,6 +84,7 @@
             readings: Vec::new(),
             calls: Family::default(),
             sends: Family::default(),
+            store_calls: Family::default(),
             call_seconds: histogram(),
             dispatch_seconds: histogram(),
             quorum_seconds: histogram(),
@@ -79,6 +93,7 @@
         let registry = &mut metrics.registry;
         registry.register("calls", "Calls by how they ended", metrics.calls.clone());
         registry.register("sends", "Sends to engines by how they ended", metrics.sends.clone());
+        registry.register("store_calls", "Calls to the platform's store", metrics.store_calls.clone());
         registry.register(
             "call_seconds",
             "From a call's arrival to the end of its answer",
@@ -116,6 +131,11 @@
         self.sends.get_or_create(&Outcome { outcome }).inc();
     }
 
+    /// Counts a call to the platform's store.
+    pub fn count_store_call(&self, call: StoreCall) {
+        self.store_calls.get_or_create(&call).inc();
+    }
+
     /// The metrics as text.
     pub fn to_text(&self) -> String {
         for (gauge, reading) in &self.readings {
--- a/crates/gateway/src/peers/watch_duty.rs
+++ b/crates/gateway/src/peers/watch_duty.rs
@@ -22,6 +22,8 @@
 const HEADS: usize = 2;
 /// Share of the time for a change after which the store's last answer is too old to go by.
 const CONTACT_SHARE: f64 = 0.6;
+/// Share of that time after which a watcher begins: it has to know the other members before.
+const WATCHER_START_SHARE: f64 = 0.2;
 /// Shares of that time after which a node that heard nothing watches by itself: the first head of a group, the second, and
 /// all others, so that those for whom others depend on it call first.
 const SILENCE_SHARES: [f64; 3] = [0.35, 0.43, 0.5];
@@ -54,10 +56,11 @@
         }
     }
 
-    /// Time without news after which a node of this rank watches by itself.
+    /// Time without news, or since its start, after which a node of this rank watches by itself.
     pub fn silence_limit(&self, rank: Rank) -> Duration {
         let share = match rank {
-            Rank::Watcher | Rank::FirstHead => SILENCE_SHARES[0],
+            Rank::Watcher => WATCHER_START_SHARE,
+            Rank::FirstHead => SILENCE_SHARES[0],
             Rank::OtherHead => SILENCE_SHARES[1],
             Rank::Listener => SILENCE_SHARES[2],
         };
--- a/crates/gateway/src/ports/store.rs
+++ b/crates/gateway/src/ports/store.rs
@@ -18,6 +18,18 @@
     Retirements,
 }
 
+impl Kind {
+    /// A short name, for counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration",
+            Self::Engines => "engines",
+            Self::ReplicaSet => "replica_set",
+            Self::Retirements => "retirements",
+        }
+    }
+}
+
 /// The content of an object.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ObjectBody {
@@ -105,6 +117,19 @@
     Unreadable(String),
 }
 
+impl StoreError {
+    /// A short name, for counters.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Unavailable(_) => "unavailable",
+            Self::Unanswered(_) => "unanswered",
+            Self::HistoryGone => "history_gone",
+            Self::Conflict => "conflict",
+            Self::Unreadable(_) => "unreadable",
+        }
+    }
+}
+
 /// The store. No call is repeated by itself.
 pub trait MetadataStore: Send + Sync + 'static {
     /// Lists all objects of a kind.
