A gateway knows the replica set before its first turn; a settlement's answer carries no books

And: replicas answered each settlement with the program's books, which nobody reads: some 2 of 11 KB that a turn sends between zones.

A settlement is answered by the witness alone.

Tests: a_gateway_knows_the_replica_set_before_its_first_turn (store refuses all), a_programs_books_answer_a_reservation_and_no_settlement.

--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -121,7 +121,7 @@
     tokio::spawn(follow(store.clone(), Kind::Retirements, FirstList::OnDuty, duty.clone(), retirements));
     tokio::spawn(probe(store.clone(), duty));
     tokio::spawn(members.clone().share_store_news());
-    tokio::spawn(find_set(store, view, turns.set_wanted()));
+    tokio::spawn(find_set(store, members.clone(), view, turns.set_wanted()));
     tokio::spawn(metrics::serve(settings.metrics_address(), metrics));
     tokio::spawn(serve_readiness(readiness, gateway.clone()));
     let count = settings.resources.descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(64) as usize;
@@ -206,22 +206,38 @@
     }
 }
 
-/// Reads the replica set from the store whenever it is wanted. Other nodes tell it too, and replicas those who go by an
-/// older one, so it may be old here.
-async fn find_set(store: Arc<dyn MetadataStore>, view: Arc<ViewHolder>, wanted: Arc<Notify>) {
+/// Finds the replica set: asks replicas for it until one has told it, so that it is known before the first turn needs it,
+/// and later reads it from the store whenever it is wanted. Replicas tell those who go by an older one, so it may be old.
+async fn find_set(store: Arc<dyn MetadataStore>, members: Arc<Members>, view: Arc<ViewHolder>, wanted: Arc<Notify>) {
     loop {
-        wanted.notified().await;
-        match store.list(Kind::ReplicaSet, Freshness::MayBeOld).await {
-            Ok(listing) => {
-                for object in listing.objects {
-                    if let ObjectBody::ReplicaSet(set) = object.body {
-                        view.adopt_set(&set, Origin::Store);
-                    }
+        let is_known = view.set().version > 0;
+        let is_wanted = if is_known {
+            wanted.notified().await;
+            true
+        } else {
+            // A turn that waits for the set does not wait for the end of the pause.
+            tokio::time::timeout(SET_PERIOD, wanted.notified()).await.is_ok()
+        };
+        if !is_known && members.pull_from_a_replica().await && view.set().version > 0 {
+            continue;
+        }
+        if is_wanted {
+            read_set(&*store, &view).await;
+            tokio::time::sleep(SET_PERIOD).await;
+        }
+    }
+}
+
+async fn read_set(store: &dyn MetadataStore, view: &ViewHolder) {
+    match store.list(Kind::ReplicaSet, Freshness::MayBeOld).await {
+        Ok(listing) => {
+            for object in listing.objects {
+                if let ObjectBody::ReplicaSet(set) = object.body {
+                    view.adopt_set(&set, Origin::Store);
                 }
             }
-            Err(error) => log::debug!(target: part::STORE, "The replica set could not be read: {error}."),
         }
-        tokio::time::sleep(SET_PERIOD).await;
+        Err(error) => log::debug!(target: part::STORE, "The replica set could not be read: {error}."),
     }
 }
 
--- a/crates/gateway/src/peers/members.rs
+++ b/crates/gateway/src/peers/members.rs
@@ -369,6 +369,18 @@
         log::debug!(target: part::PEER, "Members pulled from {address}: {} known.", list.members.len());
     }
 
+    /// Pulls the view of a replica, one of the own zone if there is any. Returns whether one answered.
+    pub async fn pull_from_a_replica(&self) -> bool {
+        let own_zone = self.with(|membership| membership.own().zone);
+        let mut replicas = self.standing_replicas();
+        if replicas.iter().any(|replica| replica.zone == own_zone) {
+            replicas.retain(|replica| replica.zone == own_zone);
+        }
+        let index = self.with(|membership| membership.random_below(replicas.len()));
+        let Some(address) = replicas.get(index).and_then(|replica| socket_of(&replica.address)) else { return false };
+        view_exchange::pull(&self.client, &self.view, address).await
+    }
+
     /// Tells some members at once when this node has news of the store that it watches; other ways are slower.
     async fn follow_view(self: Arc<Self>) {
         let mut changed = self.view.subscribe();
--- a/crates/gateway/src/replica/core.rs
+++ b/crates/gateway/src/replica/core.rs
@@ -16,7 +16,7 @@
 use foxnotch_turns::segment::{Record, ReplicaState};
 use foxnotch_wire::{
     Chain, DiskIdentity, Entries, ListMarks, Marks, NodeId, ProgramKey, ReadChain, ReadProgram, ReplicaSet,
-    ReplicaStanding, RpcBody, SetNews, StoreEntry, Stored, TurnEntry, TurnId, Witness,
+    ReplicaStanding, RpcBody, SetNews, StoreEntry, Stored, TurnEntry, TurnId, Witness, NOT_SETTLED,
 };
 use futures_util::future::BoxFuture;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -227,6 +227,7 @@
             return other;
         }
         let program = request.entry.program;
+        let is_reservation = request.entry.used == NOT_SETTLED;
         let full = lock(&self.ledger).bytes() > self.memory_limit;
         let stored = if full {
             Err(DiskError::Refused("the memory for turns is full".to_owned()))
@@ -236,7 +237,8 @@
         if let Some(other) = self.other_set(request.set_version) {
             return other;
         }
-        let mut answer = self.books_of(program);
+        // Whoever settles a turn asks for nothing; a program's books are long beside all other answers.
+        let mut answer = if is_reservation { self.books_of(program) } else { self.acknowledgement() };
         if let Err(error) = stored {
             log::warn!(target: part::REPLICA, "An entry was refused: {error}.");
             answer.witness.standing = ReplicaStanding::Full;
@@ -244,6 +246,11 @@
         RpcBody::Stored(answer)
     }
 
+    /// The answer to a write that asks for nothing.
+    fn acknowledgement(&self) -> Stored {
+        Stored { witness: self.witness(), charges: Vec::new(), places: Vec::new() }
+    }
+
     /// What is known of a program's turns.
     fn books_of(&self, program: ProgramKey) -> Stored {
         let witness = self.witness();
--- a/crates/gateway/tests/gateway_tests.rs
+++ b/crates/gateway/tests/gateway_tests.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use foxnotch_gateway::inspect;
 use foxnotch_gateway::ports::store::{Kind, ObjectBody};
 use rstest::rstest;
 use std::time::Duration;
@@ -471,3 +472,22 @@
         assert!(failures <= 2, "program {program} was sent to an engine that had failed it");
     }
 }
+
+/// Found by `scale-2` of the large dairy's small twin, seed 11: a gateway was cut off before its first turn, knew no replica set, and
+/// refused turns that others could have relayed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_gateway_knows_the_replica_set_before_its_first_turn() {
+    let cluster = Cluster::start(78, 3).await;
+    let refusing = StubStore::default();
+    refusing.refuse(true);
+    let _gateway = RunningGateway::start_with(&cluster, 51, refusing).await;
+    let until = std::time::Instant::now() + Duration::from_secs(20);
+    loop {
+        let shown = inspect::replicas(cluster.peer_address(51)).await;
+        if shown.as_ref().is_ok_and(|shown| shown.contains(" of 3; ")) {
+            return;
+        }
+        assert!(std::time::Instant::now() < until, "the set is not known: {shown:?}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
--- a/crates/gateway/tests/replica_tests.rs
+++ b/crates/gateway/tests/replica_tests.rs
@@ -8,7 +8,7 @@
 use foxnotch_gateway::inspect;
 use foxnotch_gateway::ports::store::{Kind, ObjectBody};
 use foxnotch_turns::identity::node_id;
-use foxnotch_wire::TurnId;
+use foxnotch_wire::{RpcBody, TurnId};
 use std::time::{Duration, Instant};
 use support::cluster::{eventually, name, reservation, turn, Cluster};
 
@@ -344,3 +344,17 @@
     }
     assert_eq!(handed_out, 40);
 }
+
+/// Of some 11 KB that a turn sent between zones in the large archive's twin, 2 KB were books that nobody read.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_programs_books_answer_a_reservation_and_no_settlement() {
+    let cluster = Cluster::start(77, 3).await;
+    cluster.wait_until_synced(&[1]).await;
+    let RpcBody::Stored(reserved) = cluster.write_to(1, &reservation(1, 7, 80)).await else { panic!("not stored") };
+    assert_eq!(reserved.charges.len(), 1);
+    let RpcBody::Stored(settled) = cluster.write_to(1, &turn(1, 0, "first")).await else { panic!("not stored") };
+    assert!(settled.charges.is_empty() && settled.places.is_empty());
+    assert_eq!(settled.witness.standing, reserved.witness.standing);
+    let RpcBody::Stored(next) = cluster.write_to(1, &reservation(2, 7, 80)).await else { panic!("not stored") };
+    assert_eq!(next.charges.iter().map(|charge| charge.tokens).sum::<u32>(), 85);
+}
--- a/crates/gateway/tests/support/cluster.rs
+++ b/crates/gateway/tests/support/cluster.rs
@@ -248,14 +248,18 @@
         }
     }
 
+    /// What a replica answers to a write.
+    pub async fn write_to(&self, number: u8, entry: &TurnEntry) -> RpcBody {
+        let request = StoreEntry { set_version: self.view.set().version, entry: entry.clone() };
+        let answer = self.client.call(self.peer_address(number), RpcBody::StoreEntry(request), Duration::from_secs(5));
+        answer.await.expect("the replica answers")
+    }
+
     /// Writes an entry to some replicas alone: the others have missed it.
     pub async fn write_only_to(&self, numbers: &[u8], entry: &TurnEntry) {
-        let set_version = self.view.set().version;
         for number in numbers {
-            let address = self.peer_address(*number);
-            let request = RpcBody::StoreEntry(StoreEntry { set_version, entry: entry.clone() });
-            let answer = self.client.call(address, request, Duration::from_secs(5)).await;
-            assert!(matches!(answer, Ok(RpcBody::Stored(_))), "replica {number} does not take the entry");
+            let answer = self.write_to(*number, entry).await;
+            assert!(matches!(answer, RpcBody::Stored(_)), "replica {number} does not take the entry");
         }
     }
 
--- a/crates/wire/src/turns.rs
+++ b/crates/wire/src/turns.rs
@@ -279,12 +279,12 @@
     pub witness: Witness,
     #[deku(temp, temp_value = "Length::of(&charges)")]
     length: Length<MAXIMUM_TURNS>,
-    /// What the program's turns count for, the entry included.
+    /// What the program's turns count for, the entry included; empty when the entry settles its turn.
     #[deku(count = "length.get()")]
     pub charges: Vec<TurnCharge>,
     #[deku(temp, temp_value = "Length::of(&places)")]
     places_length: Length<MAXIMUM_TURNS>,
-    /// Where the program's prompts were read.
+    /// Where the program's prompts were read; empty when the entry settles its turn.
     #[deku(count = "places_length.get()")]
     pub places: Vec<RunPlace>,
 }
