Loads of gateways that were not heard are drawn towards the mean of all engines

Cause, found by reckoning for 259 gateways: each tells four others each 120 ms and is believed for 1.2 s, so some 40 are heard. What they had at an engine was multiplied by 6.5: one request of one of them counted for more than the engine's slots, and a turn left its home for it (a wait of 40 to 75 ms by the prices against some 20 ms to read its prompt elsewhere).

Change: requests heard of count as they are; for each gateway that was not heard the mean at this engine counts, drawn towards the mean of all engines of the service as though two requests had been heard of at that. Where all were heard nothing is estimated.

--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -229,7 +229,7 @@
     /// The engine that will answer soonest, of those that are not passed over.
     fn choose_engine(&self, call: &Call, body: &Bytes, tries: &Tries) -> Option<Choice> {
         let candidates = self.engines.candidates(&call.service);
-        let loads = self.loads_of_others();
+        let loads = self.loads_of_others(&candidates);
         let placement = Placement {
             prompt: &call.metadata.parts,
             is_model: call.is_model(),
@@ -246,12 +246,13 @@
         Some(choice)
     }
 
-    /// What other gateways have under way.
-    fn loads_of_others(&self) -> LoadEstimate {
+    /// What other gateways have under way at these engines.
+    fn loads_of_others(&self, candidates: &[Arc<Engine>]) -> LoadEstimate {
         if !self.policy.shared_loads {
             return LoadEstimate::default();
         }
-        self.members.loads().estimate(self.members.gateway_count())
+        let engines: Vec<u32> = candidates.iter().map(|engine| engine.number).collect();
+        self.members.loads().estimate(self.members.gateway_count(), &engines)
     }
 
     /// Prices at the engines of a service.
--- a/crates/gateway/src/engines/load_board.rs
+++ b/crates/gateway/src/engines/load_board.rs
@@ -1,7 +1,8 @@
 //! What other gateways have under way at the engines, as far as they tell.
 //!
 //! Each gateway tells a few others at a time, so the cost a node does not grow with their number. From those that were
-//! heard lately the load of all is estimated.
+//! heard lately the load of all is estimated: in a large fleet a few are heard of many, and what one of them happens to have
+//! at one engine must not be taken for what all the others have there.
 
 use crate::locks::lock;
 use foxnotch_wire::{EngineLoad, NodeId};
@@ -13,6 +14,10 @@
 /// Time after which what a gateway told is no longer believed.
 const VALID_FOR: Duration = Duration::from_millis(1200);
 
+/// Requests that the mean of all engines stands for beside those heard of at one: the fewer were heard of, the less one
+/// engine is told from another.
+const PRIOR_REQUESTS: f64 = 2.0;
+
 /// An engine's number in messages about load.
 pub fn engine_number(id: &str) -> u32 {
     xxh3_64(id.as_bytes()) as u32
@@ -38,30 +43,54 @@
         lock(&self.told).insert(from, told);
     }
 
-    /// What `others` gateways have under way, estimated from those that were heard lately.
-    pub fn estimate(&self, others: usize) -> LoadEstimate {
+    /// What `others` gateways have under way at these engines, estimated from those that were heard lately.
+    pub fn estimate(&self, others: usize, engines: &[u32]) -> LoadEstimate {
         let mut told = lock(&self.told);
         told.retain(|_, told| told.at.elapsed() < VALID_FOR);
-        let mut sums: HashMap<u32, u32> = HashMap::new();
+        let mut heard: HashMap<u32, u32> = engines.iter().map(|engine| (*engine, 0)).collect();
         for (engine, count) in told.values().flat_map(|told| &told.loads) {
-            *sums.entry(*engine).or_default() += u32::from(*count);
+            if let Some(sum) = heard.get_mut(engine) {
+                *sum += u32::from(*count);
+            }
         }
-        let scale = others.max(told.len()) as f64 / told.len().max(1) as f64;
-        LoadEstimate { sums, scale }
+        LoadEstimate::new(heard, told.len(), others)
     }
 }
 
 /// What other gateways have under way at one moment, for the choice of an engine.
 #[derive(Clone, Debug, Default)]
 pub struct LoadEstimate {
-    sums: HashMap<u32, u32>,
-    /// What the gateways that were heard stand for.
-    scale: f64,
+    /// Requests that were heard of, by engine.
+    heard: HashMap<u32, u32>,
+    /// Gateways that were heard.
+    heard_gateways: f64,
+    /// Gateways that were not.
+    unheard_gateways: f64,
+    /// Requests that one gateway has under way at one engine, in the mean.
+    mean: f64,
 }
 
 impl LoadEstimate {
-    /// Requests under way at an engine.
+    fn new(heard: HashMap<u32, u32>, heard_gateways: usize, others: usize) -> Self {
+        let total: u32 = heard.values().sum();
+        let places = heard.len() * heard_gateways;
+        Self {
+            mean: f64::from(total) / places.max(1) as f64,
+            heard,
+            heard_gateways: heard_gateways as f64,
+            unheard_gateways: others.saturating_sub(heard_gateways) as f64,
+        }
+    }
+
+    /// Requests under way at an engine: those heard of, and for each gateway that was not heard the mean at this engine, drawn
+    /// towards the mean of all engines as though [`PRIOR_REQUESTS`] had been heard of at that.
     pub fn under_way(&self, engine: u32) -> f64 {
-        f64::from(self.sums.get(&engine).copied().unwrap_or(0)) * self.scale
+        let heard = f64::from(self.heard.get(&engine).copied().unwrap_or(0));
+        if self.mean <= 0.0 {
+            return heard;
+        }
+        let prior_gateways = PRIOR_REQUESTS / self.mean;
+        let mean_here = (PRIOR_REQUESTS + heard) / (prior_gateways + self.heard_gateways);
+        heard + self.unheard_gateways * mean_here
     }
 }
