Pulls that wait for other ways first do not take the places of those that go at once

Cause, found by reading the change: a gossip message with a newer revision waits 0.12 of the bound before it pulls, and held one of four places meanwhile; four such messages kept the news of the store's watchers from being caught up with for that time.

Change: two places of their own for pulls that wait.

--- a/crates/gateway/src/peers/members.rs
+++ b/crates/gateway/src/peers/members.rs
@@ -36,6 +36,8 @@
 const FANOUT: usize = 3;
 /// Pulls of a view at one time: some may go to members that have just gone.
 const MAXIMUM_PULLS: usize = 4;
+/// Pulls that wait at one time whether other ways bring a newer view first. They do not take the places of those that go at once.
+const MAXIMUM_WAITING_PULLS: usize = 2;
 /// The longest datagram, in bytes.
 const MAXIMUM_DATAGRAM: usize = 2048;
 /// Pause after a failed receive.
@@ -54,8 +56,10 @@
     peer_port: u16,
     loads: LoadBoard,
     pub(super) duty: Arc<WatchDuty>,
-    /// Places for pulls of a view.
+    /// Places for pulls of a view that go at once.
     pulls: Arc<Semaphore>,
+    /// Places for pulls of a view that wait first.
+    waiting_pulls: Arc<Semaphore>,
     /// Told when fresh news of the platform's store were taken from another node.
     pub(super) news_taken: Notify,
 }
@@ -98,6 +102,7 @@
         let loads = LoadBoard::default();
         let duty = Arc::new(WatchDuty::new(DutyTimes::within(settings.change_bound())));
         let pulls = Arc::new(Semaphore::new(MAXIMUM_PULLS));
+        let waiting_pulls = Arc::new(Semaphore::new(MAXIMUM_WAITING_PULLS));
         let news_taken = Notify::new();
         Ok(Arc::new(Self {
             own,
@@ -112,6 +117,7 @@
             loads,
             duty,
             pulls,
+            waiting_pulls,
             news_taken,
         }))
     }
@@ -302,7 +308,8 @@
         if !behind(&self.view.get()) {
             return;
         }
-        let Ok(place) = self.pulls.clone().try_acquire_owned() else { return };
+        let places = if delay.is_zero() { &self.pulls } else { &self.waiting_pulls };
+        let Ok(place) = places.clone().try_acquire_owned() else { return };
         let members = self.clone();
         tokio::spawn(async move {
             tokio::time::sleep(delay).await;
