--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -4,6 +4,7 @@
 use crate::engines::connection::opened;
 use crate::logging::{lines_left_out, part};
 use crate::network;
+use crate::peers::view_exchange::pulls;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -107,6 +108,8 @@
         registry.register("quorum_seconds", "A round to a quorum of replicas", metrics.quorum_seconds.clone());
         registry.register("relayed", "Answers of replicas through another gateway", metrics.relayed.clone());
         metrics.read("engine_connections_opened", "Connections opened to engines", || opened() as i64);
+        metrics.read("view_pulls_answered", "Views pulled from other nodes", || pulls().0 as i64);
+        metrics.read("view_pulls_failed", "Pulls of a view that failed", || pulls().1 as i64);
         metrics.read("log_lines_left_out", "Log lines left out", || lines_left_out() as i64);
         metrics
     }
--- a/crates/gateway/src/peers/members.rs
+++ b/crates/gateway/src/peers/members.rs
@@ -314,7 +314,8 @@
         tokio::spawn(async move {
             tokio::time::sleep(delay).await;
             if behind(&members.view.get()) {
-                view_exchange::pull(&members.client, &members.view, address).await;
+                // A pull that fails has been logged; whether this node is still behind decides.
+                let _ = view_exchange::pull(&members.client, &members.view, address).await;
             }
             if !behind(&members.view.get()) {
                 caught_up();
@@ -372,7 +373,8 @@
         };
         let now = self.clock.now();
         self.with(|membership| membership.on_list(&list.members, now));
-        view_exchange::pull(&self.client, &self.view, address).await;
+        // A pull that fails has been logged; news of the store bring what is missing.
+        let _ = view_exchange::pull(&self.client, &self.view, address).await;
         log::debug!(target: part::PEER, "Members pulled from {address}: {} known.", list.members.len());
     }
 
@@ -385,7 +387,7 @@
         }
         let index = self.with(|membership| membership.random_below(replicas.len()));
         let Some(address) = replicas.get(index).and_then(|replica| socket_of(&replica.address)) else { return false };
-        view_exchange::pull(&self.client, &self.view, address).await
+        view_exchange::pull(&self.client, &self.view, address).await.is_ok()
     }
 
     /// Tells some members at once when this node has news of the store that it watches; other ways are slower.
--- a/crates/gateway/src/peers/view_exchange.rs
+++ b/crates/gateway/src/peers/view_exchange.rs
@@ -1,13 +1,14 @@
 //! Brings the view from node to node, besides the store's own watches.
 
 use crate::logging::part;
-use crate::peers::rpc_client::RpcClient;
+use crate::peers::rpc_client::{RpcClient, RpcError};
 use crate::peers::view::{Origin, View, ViewHolder};
 use foxnotch_wire::{Content, RpcBody, ViewNews};
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time for one exchange.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -87,15 +88,51 @@
     holder.adopt_set(&news.set, Origin::Peer);
 }
 
+/// Pulls of a view that were answered since the start.
+static PULLS_ANSWERED: AtomicU64 = AtomicU64::new(0);
+
+/// Pulls of a view that failed since the start.
+static PULLS_FAILED: AtomicU64 = AtomicU64::new(0);
+
+/// Pulls of a view since the start: answered, and failed.
+pub fn pulls() -> (u64, u64) {
+    (PULLS_ANSWERED.load(Ordering::Relaxed), PULLS_FAILED.load(Ordering::Relaxed))
+}
+
+/// Why a view could not be pulled.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum PullError {
+    /// The other node did not answer.
+    #[error(transparent)]
+    Unanswered(#[from] RpcError),
+    /// The other node answered something else.
+    #[error("node at {0} serves no view; check that all nodes run the same version")]
+    NotServed(SocketAddr),
+}
+
 /// Pulls what another node has and this one lacks.
-pub async fn pull(client: &Arc<RpcClient>, holder: &ViewHolder, address: SocketAddr) -> bool {
+///
+/// # Errors
+/// [`PullError`], which has been logged and counted.
+pub async fn pull(client: &Arc<RpcClient>, holder: &ViewHolder, address: SocketAddr) -> Result<(), PullError> {
+    let begun_at = Instant::now();
     let known = revisions_of(&holder.get());
+    let (configuration, engines) = (known.configuration_revision, known.engines_revision);
     let answer = client.call(address, RpcBody::PullView(known), EXCHANGE_TIMEOUT).await;
-    match answer {
+    let outcome = match answer {
         Ok(RpcBody::View(news)) => {
             adopt(holder, &news);
-            true
+            Ok(())
         }
-        Ok(_) | Err(_) => false,
-    }
+        Ok(_) => Err(PullError::NotServed(address)),
+        Err(error) => Err(PullError::Unanswered(error)),
+    };
+    match &outcome {
+        Ok(()) => PULLS_ANSWERED.fetch_add(1, Ordering::Relaxed),
+        Err(error) => {
+            log::info!(target: part::VIEW, "A view was not pulled: configuration={configuration} engines={engines} after={:?}: {error}.", begun_at.elapsed());
+            PULLS_FAILED.fetch_add(1, Ordering::Relaxed)
+        }
+    };
+    outcome
 }
