--- /dev/null
+++ b/crates/gateway/tests/large_configuration_tests.rs
@@ -0,0 +1,163 @@
+//! A configuration that is large for a path or for a node still comes into force.
+//!
+//! Found by incident inc1 (issue 25) and by a day of our own: three times 1400 routes more, then gateways that start again.
+
+mod support;
+
+use foxnotch_gateway::clock::SteadyClock;
+use foxnotch_gateway::peers::members::Members;
+use foxnotch_gateway::peers::rpc_client::RpcClient;
+use foxnotch_gateway::peers::rpc_server::{self, RpcHandler};
+use foxnotch_gateway::peers::view::{Origin, ViewHolder};
+use foxnotch_gateway::peers::view_exchange;
+use foxnotch_gateway::ports::configuration::{Configuration, RouteKind};
+use foxnotch_wire::{encode, MemberAddress, MemberState, MemberUpdate, Message, NodeId, Ping, RpcBody, StoreNews};
+use futures_util::future::BoxFuture;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use support::cluster::{eventually, Cluster};
+use support::gateway::route;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+
+/// The revision that those who hold the configuration tell of.
+const REVISION: u64 = 9;
+/// Routes of the large configuration: with names that do not compress it takes seconds on the slow path.
+const ROUTES: u64 = 4000;
+/// What the slow path carries in one [`SLOW_PERIOD`].
+const SLOW_BYTES: usize = 4096;
+const SLOW_PERIOD: Duration = Duration::from_millis(50);
+
+/// A configuration whose names do not repeat.
+fn large_configuration() -> Configuration {
+    let name = |number: u64| {
+        let first = number.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        format!("{:016x}{:016x}", first ^ (first >> 29), first.wrapping_mul(0xbf58_476d_1ce4_e5b9))
+    };
+    let routes = (0..ROUTES).map(|number| route(&name(number), RouteKind::Idempotent, 2)).collect();
+    Configuration { version: 21, routes, ..Configuration::default() }
+}
+
+fn holder_of_the_large_configuration() -> Arc<ViewHolder> {
+    let holder = Arc::new(ViewHolder::default());
+    holder.adopt_configuration(REVISION, large_configuration(), Origin::Store);
+    holder
+}
+
+/// A node that answers pulls of its view after a pause, and counts them.
+struct Teller {
+    holder: Arc<ViewHolder>,
+    pause: Duration,
+    pulls: Arc<PullCount>,
+}
+
+#[derive(Default)]
+struct PullCount {
+    under_way: AtomicUsize,
+    most_at_once: AtomicUsize,
+}
+
+impl RpcHandler for Teller {
+    fn handle(self: Arc<Self>, _from: NodeId, body: RpcBody) -> BoxFuture<'static, RpcBody> {
+        Box::pin(async move {
+            let RpcBody::PullView(known) = body else { return RpcBody::NotServed };
+            let under_way = self.pulls.under_way.fetch_add(1, Ordering::SeqCst) + 1;
+            self.pulls.most_at_once.fetch_max(under_way, Ordering::SeqCst);
+            tokio::time::sleep(self.pause).await;
+            self.pulls.under_way.fetch_sub(1, Ordering::SeqCst);
+            RpcBody::View(view_exchange::newer_than(&self.holder, &known))
+        })
+    }
+}
+
+/// Carries bytes both ways, those that come back slowly.
+async fn slow_path_to(target: SocketAddr) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    tokio::spawn(async move {
+        while let Ok((near, _)) = listener.accept().await {
+            let far = TcpStream::connect(target).await.expect("the target listens");
+            let (mut near_read, near_write) = near.into_split();
+            let (far_read, mut far_write) = far.into_split();
+            // Either side may end the path.
+            tokio::spawn(async move { drop(tokio::io::copy(&mut near_read, &mut far_write).await) });
+            tokio::spawn(carry_slowly(far_read, near_write));
+        }
+    });
+    address
+}
+
+async fn carry_slowly(mut from: impl AsyncReadExt + Unpin, mut to: impl AsyncWriteExt + Unpin) {
+    let mut bytes = vec![0; SLOW_BYTES];
+    while let Ok(length @ 1..) = from.read(&mut bytes).await {
+        if to.write_all(&bytes[..length]).await.is_err() {
+            return;
+        }
+        tokio::time::sleep(SLOW_PERIOD).await;
+    }
+}
+
+/// A pull had one second, whatever there was to carry; the next one began anew, behind what was still on its way.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_large_configuration_crosses_a_slow_path() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    let teller = Teller { holder: holder_of_the_large_configuration(), pause: Duration::ZERO, pulls: Arc::default() };
+    tokio::spawn(rpc_server::serve(listener, NodeId(1), Arc::new(teller)));
+    let path = slow_path_to(address).await;
+    let client = Arc::new(RpcClient::new(NodeId(2)));
+    let view = ViewHolder::default();
+    for _ in 0..10 {
+        if view_exchange::pull(&client, &view, path).await.is_ok() {
+            break;
+        }
+    }
+    assert_eq!(view.get().configuration.value.version, 21);
+}
+
+/// Another node, as far as the one under test can tell: it is a member, and tells of a newer configuration for ever.
+async fn start_teller(ip: Ipv4Addr, port: u16, node: NodeId, told: SocketAddr, pulls: Arc<PullCount>) {
+    let listener = TcpListener::bind((ip, port)).await.expect("the address is free");
+    let holder = holder_of_the_large_configuration();
+    let teller = Teller { holder, pause: Duration::from_millis(700), pulls };
+    tokio::spawn(rpc_server::serve(listener, node, Arc::new(teller)));
+    let socket = UdpSocket::bind((ip, port)).await.expect("the address is free");
+    let address = MemberAddress { ip: ip.to_ipv6_mapped().octets(), peer_port: port, caller_port: 1 };
+    let own =
+        MemberUpdate { node, state: MemberState::Alive, incarnation: 1, zone: 0, address, config_revision: REVISION };
+    let news =
+        StoreNews { configuration_revision: REVISION, engines_revision: 0, retirements_revision: 0, contact_age_ms: 0 };
+    tokio::spawn(async move {
+        loop {
+            let ping = Message::Ping(Ping { sequence: 0, updates: vec![own] });
+            for message in [ping, Message::StoreNews(news)] {
+                let bytes = encode(node, message).expect("it can be coded");
+                socket.send_to(&bytes, told).await.expect("it can be sent");
+            }
+            tokio::time::sleep(Duration::from_millis(40)).await;
+        }
+    });
+}
+
+/// All that told of a newer view were asked for it at the same time, and again whenever they told it: the same content came
+/// several times over a path that it filled.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_view_is_pulled_from_one_node_at_a_time() {
+    let cluster = Cluster::begin(81, 0, None);
+    let settings = cluster.settings(51, false);
+    let view = Arc::new(ViewHolder::default());
+    // It knows an older view, as a gateway does that has listed what may be old.
+    view.adopt_configuration(1, Configuration { version: 1, ..Configuration::default() }, Origin::Store);
+    let client = Arc::new(RpcClient::new(NodeId(51)));
+    let members = Members::bind(&settings, SteadyClock::start(), client, view.clone()).await;
+    tokio::spawn(members.expect("the address is free").run());
+    let pulls = Arc::new(PullCount::default());
+    for number in 61..65 {
+        let told = SocketAddr::from((settings.ip, settings.peer_port));
+        start_teller(cluster.ip(number), settings.peer_port, NodeId(u32::from(number)), told, pulls.clone()).await;
+    }
+    eventually("the newer configuration is known", || view.get().configuration.value.version == 21).await;
+    assert_eq!(pulls.most_at_once.load(Ordering::SeqCst), 1);
+}
