--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -314,6 +314,11 @@
         changes.into_iter().filter(|change| !change.gone).for_each(|change| self.take(change.object));
         true
     }
+
+    /// There is one configuration, so all is known up to its revision.
+    fn known_revision(&self) -> u64 {
+        self.view.get().configuration.revision
+    }
 }
 
 /// Brings the list of engines into the view.
--- a/crates/gateway/tests/store_watch_tests.rs
+++ b/crates/gateway/tests/store_watch_tests.rs
@@ -126,6 +126,28 @@
     assert_eq!(store.lists(), lists);
 }
 
+/// Found by days of our own for incident inc1 (issue 25): nodes that heard no more news watched from the configuration with which
+/// they had begun, were sent each later one, or found that history gone and listed the newest, though others had told them.
+#[tokio::test(start_paused = true)]
+async fn a_node_that_was_told_of_configurations_asks_the_store_for_none_of_them() {
+    let store = StubStore::default();
+    store.put(Kind::Configuration, "main", configuration(1));
+    let duty = Arc::new(WatchDuty::new(times()));
+    let view = Arc::new(ViewHolder::default());
+    let follower = ConfigurationFollower { view: view.clone() };
+    tokio::spawn(follow(Arc::new(store.clone()), Kind::Configuration, FirstList::AtStart, duty.clone(), follower));
+    wait(100).await;
+    let revision = store.put(Kind::Configuration, "main", configuration(2));
+    store.forget_history();
+    view.adopt_configuration(revision, Configuration { version: 2, ..Configuration::default() }, Origin::Peer);
+    tokio::spawn(review(duty));
+    wait(2000).await;
+    assert_eq!(store.lists(), 1);
+    store.put(Kind::Configuration, "main", configuration(3));
+    wait(100).await;
+    assert_eq!(version(&view), 3);
+}
+
 /// Found by `trouble-1` of the dairy: the store fell silent, swallowed the watches, and a configuration that was written
 /// afterwards was not seen for ten seconds.
 #[tokio::test(start_paused = true)]
