--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -17,15 +17,16 @@
 use crate::peers::replica_client::{Relays, ReplicaClient};
 use crate::peers::rpc_client::RpcClient;
 use crate::peers::rpc_server::{self, RpcHandler};
-use crate::peers::view::{Origin, ViewHolder};
+use crate::peers::view::ViewHolder;
 use crate::peers::view_exchange;
 use crate::policy::PolicySettings;
 use crate::ports::counted_store::CountedStore;
 use crate::ports::dialect::Dialect;
-use crate::ports::store::{Freshness, Kind, MetadataStore, ObjectBody};
+use crate::ports::store::{Freshness, Kind, MetadataStore};
 use crate::settings::{ProcessSettings, SettingsError};
 use crate::signals::wait_for_stop;
-use crate::store_watch::{follow, probe, ConfigurationFollower, EngineFollower, FirstList, RetirementFollower};
+use crate::store_followers::{ConfigurationFollower, EngineFollower, RetirementFollower, SetFollower};
+use crate::store_watch::{follow, probe, FirstList, Follower};
 use anyhow::Context;
 use foxnotch_turns::identity::{node_id, zone_hash};
 use foxnotch_wire::{NodeId, RpcBody, SetNews};
@@ -228,15 +229,9 @@
     }
 }
 
-async fn read_set(store: &dyn MetadataStore, view: &ViewHolder) {
+async fn read_set(store: &dyn MetadataStore, view: &Arc<ViewHolder>) {
     match store.list(Kind::ReplicaSet, Freshness::MayBeOld).await {
-        Ok(listing) => {
-            for object in listing.objects {
-                if let ObjectBody::ReplicaSet(set) = object.body {
-                    view.adopt_set(&set, Origin::Store);
-                }
-            }
-        }
+        Ok(listing) => SetFollower { view: view.clone() }.take_list(listing.objects, listing.revision),
         Err(error) => log::debug!(target: part::STORE, "The replica set could not be read: {error}."),
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod replica;
 pub mod settings;
 pub mod signals;
+pub mod store_followers;
 pub mod store_watch;
--- a/crates/gateway/src/peers/rpc_client.rs
+++ b/crates/gateway/src/peers/rpc_client.rs
@@ -17,6 +17,8 @@
 
 /// Time to make a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// The longest time for an answer that keeps coming: 8 MB, the longest content, at 6 Mbit/s.
+const WHOLE_ANSWER: Duration = Duration::from_secs(10);
 /// Rest after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -37,8 +39,8 @@
 
     /// For answers that may be large. One that keeps coming is not given up: to ask for it again from the start only adds to
     /// what the path has to carry.
-    pub fn while_arriving(silence: Duration, whole: Duration) -> Self {
-        Self { silence, whole }
+    pub fn while_arriving(silence: Duration) -> Self {
+        Self { silence, whole: WHOLE_ANSWER }
     }
 }
 
--- a/crates/gateway/src/peers/view_exchange.rs
+++ b/crates/gateway/src/peers/view_exchange.rs
@@ -12,8 +12,6 @@
 
 /// The longest time in which nothing of an answer arrives: a node that is up begins its answer within some 100 ms.
 const ANSWER_SILENCE: Duration = Duration::from_secs(1);
-/// The longest time for a whole answer: 8 MB, the longest content, at 6 Mbit/s.
-const WHOLE_ANSWER: Duration = Duration::from_secs(10);
 
 /// What the asker has, without contents.
 fn revisions_of(view: &View) -> ViewNews {
@@ -96,7 +94,7 @@
     let begun_at = Instant::now();
     let known = revisions_of(&holder.get());
     let (configuration, engines) = (known.configuration_revision, known.engines_revision);
-    let patience = Patience::while_arriving(ANSWER_SILENCE, WHOLE_ANSWER);
+    let patience = Patience::while_arriving(ANSWER_SILENCE);
     let answer = client.call_with(address, RpcBody::PullView(known), patience).await;
     let outcome = match answer {
         Ok(RpcBody::View(news)) => {
--- a/crates/gateway/src/replica/sync.rs
+++ b/crates/gateway/src/replica/sync.rs
@@ -16,8 +16,6 @@
 const LIST_SILENCE: Duration = Duration::from_millis(1500);
 /// The longest time in which nothing of a page of entries arrives: it is read from the other's disk.
 const PAGE_SILENCE: Duration = Duration::from_secs(2);
-/// The longest time for a whole answer: 8 MB, the longest content, at 6 Mbit/s.
-const WHOLE_ANSWER: Duration = Duration::from_secs(10);
 /// Turns asked for in one page.
 const TURNS_PER_PAGE: usize = 2000;
 
@@ -83,7 +81,7 @@
     member: ReplicaMember,
 ) -> Option<Told> {
     let request = ListMarks { own: core.identity(), set: set.clone() };
-    let patience = Patience::while_arriving(core.patience(member.node, LIST_SILENCE), WHOLE_ANSWER);
+    let patience = Patience::while_arriving(core.patience(member.node, LIST_SILENCE));
     let answer = client.call_with(address_of(&member), RpcBody::ListMarks(request), patience).await;
     let RpcBody::Marks(marks) = answered(answer, member.node, "marks")? else { return None };
     core.note_disk(marks.witness.own).await;
@@ -99,7 +97,7 @@
     while !wanted.is_empty() {
         let page: Vec<TurnId> = wanted.iter().take(TURNS_PER_PAGE).copied().collect();
         let request = RpcBody::FetchEntries(FetchEntries { turns: page.clone() });
-        let patience = Patience::while_arriving(PAGE_SILENCE, WHOLE_ANSWER);
+        let patience = Patience::while_arriving(PAGE_SILENCE);
         let answer = client.call_with(address_of(&member), request, patience).await;
         let RpcBody::Entries(entries) = answered(answer, member.node, "entries")? else { return None };
         let brought: Vec<TurnId> = entries.entries.iter().map(|entry| entry.turn).collect();
--- /dev/null
+++ b/crates/gateway/src/store_followers.rs
@@ -0,0 +1,150 @@
+//! Bring what the platform's store shows into the view, kind by kind.
+
+use crate::logging::part;
+use crate::peers::engine_list::{Applied, EngineChanges};
+use crate::peers::view::{Origin, ViewHolder};
+use crate::ports::configuration::{EngineEntry, RetirementRequest};
+use crate::ports::store::{Change, ObjectBody, StoredObject};
+use crate::store_watch::Follower;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Brings the configuration into the view.
+pub struct ConfigurationFollower {
+    /// The view.
+    pub view: Arc<ViewHolder>,
+}
+
+impl Follower for ConfigurationFollower {
+    fn take(&mut self, object: StoredObject) {
+        match object.body {
+            ObjectBody::Configuration(configuration) => {
+                self.view.adopt_configuration(object.revision, configuration, Origin::Store);
+            }
+            ObjectBody::Unreadable(problem) => {
+                log::error!(target: part::STORE, "Configuration {} is not taken, the one in force stays: {problem}.", object.name);
+            }
+            _ => {}
+        }
+    }
+
+    /// There is one configuration, so all is known up to its revision.
+    fn known_revision(&self) -> u64 {
+        self.view.get().configuration.revision
+    }
+}
+
+/// Brings the list of engines into the view.
+pub struct EngineFollower {
+    /// The view.
+    pub view: Arc<ViewHolder>,
+}
+
+/// The engine of an object, if it can be used.
+fn engine_of(object: StoredObject) -> Option<EngineEntry> {
+    match object.body {
+        ObjectBody::Engine(engine) => Some(engine),
+        ObjectBody::Unreadable(problem) => {
+            log::error!(target: part::STORE, "Engine {} is not used: {problem}.", object.name);
+            None
+        }
+        _ => None,
+    }
+}
+
+/// Changes of engines, the last of each: one that is gone or cannot be read is not used any more.
+fn engine_changes(changes: Vec<Change>) -> EngineChanges {
+    let mut last: BTreeMap<String, Option<EngineEntry>> = BTreeMap::new();
+    for change in changes {
+        let name = change.object.name.clone();
+        let engine = if change.gone { None } else { engine_of(change.object) };
+        last.insert(name, engine);
+    }
+    let mut changes = EngineChanges::default();
+    for (name, engine) in last {
+        match engine {
+            Some(engine) => changes.changed.push(engine),
+            None => changes.gone.push(name),
+        }
+    }
+    changes
+}
+
+impl Follower for EngineFollower {
+    fn take_list(&mut self, objects: Vec<StoredObject>, revision: u64) {
+        let engines = objects.into_iter().filter_map(engine_of).collect();
+        self.view.adopt_engines(revision, engines, Origin::Store);
+    }
+
+    fn take_changes(&mut self, changes: Vec<Change>, since: u64, revision: u64) -> bool {
+        let applied = self.view.adopt_engine_changes(since, revision, engine_changes(changes), Origin::Store);
+        applied != Applied::Gap
+    }
+
+    fn known_revision(&self) -> u64 {
+        self.view.get().engines.revision
+    }
+}
+
+/// Brings the replica set into the view.
+pub struct SetFollower {
+    /// The view.
+    pub view: Arc<ViewHolder>,
+}
+
+impl Follower for SetFollower {
+    fn take(&mut self, object: StoredObject) {
+        match object.body {
+            ObjectBody::ReplicaSet(set) => {
+                self.view.adopt_set(&set, Origin::Store);
+            }
+            ObjectBody::Unreadable(problem) => {
+                log::error!(target: part::STORE, "The stored replica set is not taken, the known one stays: {problem}.");
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Brings the replicas that are to leave into the view.
+pub struct RetirementFollower {
+    /// The view.
+    pub view: Arc<ViewHolder>,
+}
+
+fn retirement_of(object: StoredObject) -> Option<RetirementRequest> {
+    match object.body {
+        ObjectBody::Retirement { within, done } => {
+            let within_ms = u64::try_from(within.as_millis()).unwrap_or(u64::MAX);
+            Some(RetirementRequest { name: object.name, within_ms, done })
+        }
+        ObjectBody::Unreadable(problem) => {
+            log::error!(target: part::STORE, "Retirement of {} is not followed: {problem}.", object.name);
+            None
+        }
+        _ => None,
+    }
+}
+
+impl Follower for RetirementFollower {
+    fn take_list(&mut self, objects: Vec<StoredObject>, revision: u64) {
+        let requests = objects.into_iter().filter_map(retirement_of).collect();
+        self.view.adopt_retirements(revision, requests, Origin::Store);
+    }
+
+    fn take_changes(&mut self, changes: Vec<Change>, _since: u64, revision: u64) -> bool {
+        let mut requests = (*self.view.get().retirements.value).clone();
+        for change in changes {
+            requests.retain(|request| request.name != change.object.name);
+            if !change.gone {
+                requests.extend(retirement_of(change.object));
+            }
+        }
+        self.view.adopt_retirements(revision, requests, Origin::Store);
+        true
+    }
+
+    fn known_revision(&self) -> u64 {
+        self.view.get().retirements.revision
+    }
+}
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -1,13 +1,9 @@
 //! Follows objects of the platform's store: lists them once, then watches, and lists again when history is gone.
 
 use crate::logging::part;
-use crate::peers::engine_list::{Applied, EngineChanges};
-use crate::peers::view::{Origin, ViewHolder};
 use crate::peers::watch_duty::WatchDuty;
-use crate::ports::configuration::{EngineEntry, RetirementRequest};
-use crate::ports::store::{Change, Freshness, Kind, MetadataStore, ObjectBody, StoreError, StoredObject};
+use crate::ports::store::{Change, Freshness, Kind, MetadataStore, StoreError, StoredObject};
 use rand::Rng;
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
@@ -32,10 +28,17 @@
 
 /// Takes what is listed and what changes.
 pub trait Follower: Send + 'static {
+    /// Takes one object as it is now. For kinds whose objects stand alone; the others take lists and changes as a whole.
+    fn take(&mut self, _object: StoredObject) {}
     /// Takes all objects of the kind, as they were at a revision.
-    fn take_list(&mut self, objects: Vec<StoredObject>, revision: u64);
+    fn take_list(&mut self, objects: Vec<StoredObject>, _revision: u64) {
+        objects.into_iter().for_each(|object| self.take(object));
+    }
     /// Takes all changes between two revisions. Returns whether they fit what is known; otherwise all is listed anew.
-    fn take_changes(&mut self, changes: Vec<Change>, since: u64, revision: u64) -> bool;
+    fn take_changes(&mut self, changes: Vec<Change>, _since: u64, _revision: u64) -> bool {
+        changes.into_iter().filter(|change| !change.gone).for_each(|change| self.take(change.object));
+        true
+    }
     /// The revision up to which everything is known, from whatever node; 0 when that cannot be told.
     fn known_revision(&self) -> u64 {
         0
@@ -284,165 +287,3 @@
     let longest = FIRST_PAUSE_MS.saturating_mul(1 << failures.min(8)).min(LONGEST_PAUSE_MS);
     Duration::from_millis(rand::rng().random_range(longest / 2..=longest))
 }
-
-/// Brings the configuration into the view.
-pub struct ConfigurationFollower {
-    /// The view.
-    pub view: Arc<ViewHolder>,
-}
-
-impl ConfigurationFollower {
-    fn take(&self, object: StoredObject) {
-        match object.body {
-            ObjectBody::Configuration(configuration) => {
-                self.view.adopt_configuration(object.revision, configuration, Origin::Store);
-            }
-            ObjectBody::Unreadable(problem) => {
-                log::error!(target: part::STORE, "Configuration {} is not taken, the one in force stays: {problem}.", object.name);
-            }
-            _ => {}
-        }
-    }
-}
-
-impl Follower for ConfigurationFollower {
-    fn take_list(&mut self, objects: Vec<StoredObject>, _revision: u64) {
-        objects.into_iter().for_each(|object| self.take(object));
-    }
-
-    fn take_changes(&mut self, changes: Vec<Change>, _since: u64, _revision: u64) -> bool {
-        changes.into_iter().filter(|change| !change.gone).for_each(|change| self.take(change.object));
-        true
-    }
-
-    /// There is one configuration, so all is known up to its revision.
-    fn known_revision(&self) -> u64 {
-        self.view.get().configuration.revision
-    }
-}
-
-/// Brings the list of engines into the view.
-pub struct EngineFollower {
-    /// The view.
-    pub view: Arc<ViewHolder>,
-}
-
-/// The engine of an object, if it can be used.
-fn engine_of(object: StoredObject) -> Option<EngineEntry> {
-    match object.body {
-        ObjectBody::Engine(engine) => Some(engine),
-        ObjectBody::Unreadable(problem) => {
-            log::error!(target: part::STORE, "Engine {} is not used: {problem}.", object.name);
-            None
-        }
-        _ => None,
-    }
-}
-
-/// Changes of engines, the last of each: one that is gone or cannot be read is not used any more.
-fn engine_changes(changes: Vec<Change>) -> EngineChanges {
-    let mut last: BTreeMap<String, Option<EngineEntry>> = BTreeMap::new();
-    for change in changes {
-        let name = change.object.name.clone();
-        let engine = if change.gone { None } else { engine_of(change.object) };
-        last.insert(name, engine);
-    }
-    let mut changes = EngineChanges::default();
-    for (name, engine) in last {
-        match engine {
-            Some(engine) => changes.changed.push(engine),
-            None => changes.gone.push(name),
-        }
-    }
-    changes
-}
-
-impl Follower for EngineFollower {
-    fn take_list(&mut self, objects: Vec<StoredObject>, revision: u64) {
-        let engines = objects.into_iter().filter_map(engine_of).collect();
-        self.view.adopt_engines(revision, engines, Origin::Store);
-    }
-
-    fn take_changes(&mut self, changes: Vec<Change>, since: u64, revision: u64) -> bool {
-        let applied = self.view.adopt_engine_changes(since, revision, engine_changes(changes), Origin::Store);
-        applied != Applied::Gap
-    }
-
-    fn known_revision(&self) -> u64 {
-        self.view.get().engines.revision
-    }
-}
-
-/// Brings the replica set into the view.
-pub struct SetFollower {
-    /// The view.
-    pub view: Arc<ViewHolder>,
-}
-
-impl SetFollower {
-    fn take(&self, object: StoredObject) {
-        match object.body {
-            ObjectBody::ReplicaSet(set) => {
-                self.view.adopt_set(&set, Origin::Store);
-            }
-            ObjectBody::Unreadable(problem) => {
-                log::error!(target: part::STORE, "The stored replica set is not taken, the known one stays: {problem}.");
-            }
-            _ => {}
-        }
-    }
-}
-
-impl Follower for SetFollower {
-    fn take_list(&mut self, objects: Vec<StoredObject>, _revision: u64) {
-        objects.into_iter().for_each(|object| self.take(object));
-    }
-
-    fn take_changes(&mut self, changes: Vec<Change>, _since: u64, _revision: u64) -> bool {
-        changes.into_iter().filter(|change| !change.gone).for_each(|change| self.take(change.object));
-        true
-    }
-}
-
-/// Brings the replicas that are to leave into the view.
-pub struct RetirementFollower {
-    /// The view.
-    pub view: Arc<ViewHolder>,
-}
-
-fn retirement_of(object: StoredObject) -> Option<RetirementRequest> {
-    match object.body {
-        ObjectBody::Retirement { within, done } => {
-            let within_ms = u64::try_from(within.as_millis()).unwrap_or(u64::MAX);
-            Some(RetirementRequest { name: object.name, within_ms, done })
-        }
-        ObjectBody::Unreadable(problem) => {
-            log::error!(target: part::STORE, "Retirement of {} is not followed: {problem}.", object.name);
-            None
-        }
-        _ => None,
-    }
-}
-
-impl Follower for RetirementFollower {
-    fn take_list(&mut self, objects: Vec<StoredObject>, revision: u64) {
-        let requests = objects.into_iter().filter_map(retirement_of).collect();
-        self.view.adopt_retirements(revision, requests, Origin::Store);
-    }
-
-    fn take_changes(&mut self, changes: Vec<Change>, _since: u64, revision: u64) -> bool {
-        let mut requests = (*self.view.get().retirements.value).clone();
-        for change in changes {
-            requests.retain(|request| request.name != change.object.name);
-            if !change.gone {
-                requests.extend(retirement_of(change.object));
-            }
-        }
-        self.view.adopt_retirements(revision, requests, Origin::Store);
-        true
-    }
-
-    fn known_revision(&self) -> u64 {
-        self.view.get().retirements.revision
-    }
-}
