--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -151,6 +151,15 @@
         }
     }
 
+    /// That there is no route is final for the caller. It is only said by a configuration that is the newest heard of.
+    fn without_route(&self) -> Refusal {
+        if self.view.is_configuration_behind() {
+            Refusal::ConfigurationBehind
+        } else {
+            Refusal::NoRoute
+        }
+    }
+
     async fn answer(
         self: Arc<Self>,
         request: Request<Incoming>,
@@ -160,7 +169,7 @@
         let (head, body) = request.into_parts();
         let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
         let host = host.ok_or(Refusal::Malformed("it names no host"))?;
-        let route = routes.find(host, head.uri.path()).ok_or(Refusal::NoRoute)?.clone();
+        let route = routes.find(host, head.uri.path()).ok_or_else(|| self.without_route())?.clone();
         let metadata = self.dialect.read_call(&head.headers);
         let input = read_body(body, routes.configuration().limits.body_bytes).await?;
         let service = self.shares.next(&route).ok_or(Refusal::NoRoute)?;
--- a/crates/gateway/src/edge/refusal.rs
+++ b/crates/gateway/src/edge/refusal.rs
@@ -10,6 +10,9 @@
     /// Not run: no configuration is known yet.
     #[error("this gateway has no configuration yet; ask again")]
     NoConfiguration,
+    /// Not run: no route for host and path, but another node has a newer configuration, which may hold one.
+    #[error("no route is known here, and a newer configuration is on its way; ask again after the time given")]
+    ConfigurationBehind,
     /// Not run: the gateway is about to stop.
     #[error("this gateway stops before it could answer; ask again after the time given")]
     Stopping,
@@ -57,6 +60,7 @@
             Self::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
             Self::NoConfiguration
+            | Self::ConfigurationBehind
             | Self::Stopping
             | Self::NoRoom
             | Self::NoQuorum(_)
@@ -74,7 +78,7 @@
             Self::Stopping | Self::OutOfTime | Self::NoQuorum(_) | Self::ChainUnknown => {
                 Some(Duration::from_millis(200))
             }
-            Self::NoConfiguration => Some(Duration::from_millis(300)),
+            Self::NoConfiguration | Self::ConfigurationBehind => Some(Duration::from_millis(300)),
             _ => None,
         }
     }
@@ -83,6 +87,7 @@
     pub fn name(&self) -> &'static str {
         match self {
             Self::NoConfiguration => "no_configuration",
+            Self::ConfigurationBehind => "configuration_behind",
             Self::Stopping => "stopping",
             Self::NoRoute => "no_route",
             Self::Malformed(_) => "malformed",
--- a/crates/gateway/src/peers/direct_paths.rs
+++ b/crates/gateway/src/peers/direct_paths.rs
@@ -30,7 +30,7 @@
 pub struct PathPlan {
     /// Whether it is asked directly.
     pub direct: bool,
-    /// After what time it is asked through another node, when no answer has come.
+    /// After what time in which nothing has come it is asked through another node.
     pub relay_after: Duration,
 }
 
--- a/crates/gateway/src/peers/replica_client.rs
+++ b/crates/gateway/src/peers/replica_client.rs
@@ -85,7 +85,8 @@
             self.client.call(address_of(replica), body.clone(), within).await
         };
         let relayed = async {
-            tokio::time::sleep(plan.relay_after).await;
+            // A path that brings something, if only a part of a long answer, is not silent.
+            self.client.until_silent(address_of(replica), plan.relay_after).await;
             self.relay(relays, replica, &body, begun_at + within).await
         };
         tokio::pin!(direct, relayed);
--- a/crates/gateway/src/peers/rpc_client.rs
+++ b/crates/gateway/src/peers/rpc_client.rs
@@ -130,6 +130,24 @@
         }
     }
 
+    /// Waits until nothing has arrived from a node for a time.
+    pub async fn until_silent(&self, address: SocketAddr, silence: Duration) {
+        let mut seen = self.received_from(address);
+        loop {
+            tokio::time::sleep(silence).await;
+            let received = self.received_from(address);
+            if received == seen {
+                return;
+            }
+            seen = received;
+        }
+    }
+
+    /// Bytes that have arrived on the present connection to a node.
+    fn received_from(&self, address: SocketAddr) -> u64 {
+        lock(&self.connections).get(&address).map_or(0, |connection| connection.received.load(Ordering::Relaxed))
+    }
+
     fn connection(&self, address: SocketAddr) -> Connection {
         let mut connections = lock(&self.connections);
         if let Some(known) = connections.get(&address).filter(|known| !known.outgoing.is_closed()) {
--- a/crates/gateway/src/peers/store_news.rs
+++ b/crates/gateway/src/peers/store_news.rs
@@ -91,6 +91,7 @@
 
     /// Takes what another node tells, once this one has pulled what it lacks.
     pub(super) fn on_store_news(self: &Arc<Self>, from: NodeId, news: StoreNews) {
+        self.view.note_configuration_heard(news.configuration_revision);
         let contact_age = Duration::from_millis(u64::from(news.contact_age_ms));
         if !lacks(&self.view.get(), &news) {
             self.take_store_news(contact_age);
--- a/crates/gateway/src/peers/view.rs
+++ b/crates/gateway/src/peers/view.rs
@@ -9,6 +9,7 @@
 use crate::peers::view_codec::to_content;
 use crate::ports::configuration::{Configuration, EngineEntry, RetirementRequest};
 use foxnotch_wire::{Content, ReplicaSet};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use tokio::sync::watch;
 
@@ -75,13 +76,20 @@
 pub struct ViewHolder {
     held: Mutex<Held>,
     changed: watch::Sender<u64>,
+    /// The highest revision of a configuration that another node was heard to have.
+    heard_configuration: AtomicU64,
     /// The configuration that other nodes were last told, coded once for all of them, with its revision.
     coded: Mutex<(u64, Content)>,
 }
 
 impl Default for ViewHolder {
     fn default() -> Self {
-        Self { held: Mutex::default(), changed: watch::Sender::new(0), coded: Mutex::default() }
+        Self {
+            held: Mutex::default(),
+            changed: watch::Sender::new(0),
+            heard_configuration: AtomicU64::new(0),
+            coded: Mutex::default(),
+        }
     }
 }
 
@@ -91,6 +99,16 @@
         lock(&self.held).view.clone()
     }
 
+    /// Another node has a configuration of this revision.
+    pub fn note_configuration_heard(&self, revision: u64) {
+        self.heard_configuration.fetch_max(revision, Ordering::Relaxed);
+    }
+
+    /// Whether another node is known to have a newer configuration.
+    pub fn is_configuration_behind(&self) -> bool {
+        self.heard_configuration.load(Ordering::Relaxed) > lock(&self.held).view.configuration.revision
+    }
+
     /// A configuration that was in force, coded for other nodes.
     pub fn coded_configuration(&self, configuration: &Versioned<Configuration>) -> Content {
         let mut coded = lock(&self.coded);
--- a/crates/gateway/src/peers/view_exchange.rs
+++ b/crates/gateway/src/peers/view_exchange.rs
@@ -26,6 +26,7 @@
 
 /// What `holder` has that an asker with `known` lacks.
 pub fn newer_than(holder: &ViewHolder, known: &ViewNews) -> ViewNews {
+    holder.note_configuration_heard(known.configuration_revision);
     let view = holder.get();
     let mut news = revisions_of(&view);
     if view.configuration.revision > known.configuration_revision {
--- a/crates/gateway/tests/large_configuration_tests.rs
+++ b/crates/gateway/tests/large_configuration_tests.rs
@@ -11,6 +11,7 @@
 use foxnotch_gateway::peers::view::{Origin, ViewHolder};
 use foxnotch_gateway::peers::view_exchange;
 use foxnotch_gateway::ports::configuration::{Configuration, RouteKind};
+use foxnotch_gateway::ports::store::Kind;
 use foxnotch_wire::{encode, MemberAddress, MemberState, MemberUpdate, Message, NodeId, Ping, RpcBody, StoreNews};
 use futures_util::future::BoxFuture;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -18,17 +19,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 use support::cluster::{eventually, Cluster};
-use support::gateway::route;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use support::gateway::{configuration, route, RunningGateway};
+use support::slow_path::slow_path_to;
+use tokio::net::{TcpListener, UdpSocket};
 
 /// The revision that those who hold the configuration tell of.
 const REVISION: u64 = 9;
 /// Routes of the large configuration: with names that do not compress it takes seconds on the slow path.
 const ROUTES: u64 = 4000;
-/// What the slow path carries in one [`SLOW_PERIOD`].
-const SLOW_BYTES: usize = 4096;
-const SLOW_PERIOD: Duration = Duration::from_millis(50);
 
 /// A configuration whose names do not repeat.
 fn large_configuration() -> Configuration {
@@ -72,33 +70,6 @@
     }
 }
 
-/// Carries bytes both ways, those that come back slowly.
-async fn slow_path_to(target: SocketAddr) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
-    let address = listener.local_addr().expect("it is bound");
-    tokio::spawn(async move {
-        while let Ok((near, _)) = listener.accept().await {
-            let far = TcpStream::connect(target).await.expect("the target listens");
-            let (mut near_read, near_write) = near.into_split();
-            let (far_read, mut far_write) = far.into_split();
-            // Either side may end the path.
-            tokio::spawn(async move { drop(tokio::io::copy(&mut near_read, &mut far_write).await) });
-            tokio::spawn(carry_slowly(far_read, near_write));
-        }
-    });
-    address
-}
-
-async fn carry_slowly(mut from: impl AsyncReadExt + Unpin, mut to: impl AsyncWriteExt + Unpin) {
-    let mut bytes = vec![0; SLOW_BYTES];
-    while let Ok(length @ 1..) = from.read(&mut bytes).await {
-        if to.write_all(&bytes[..length]).await.is_err() {
-            return;
-        }
-        tokio::time::sleep(SLOW_PERIOD).await;
-    }
-}
-
 /// A pull had one second, whatever there was to carry; the next one began anew, behind what was still on its way.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_large_configuration_crosses_a_slow_path() {
@@ -118,10 +89,12 @@
 }
 
 /// Another node, as far as the one under test can tell: it is a member, and tells of a newer configuration for ever.
-async fn start_teller(ip: Ipv4Addr, port: u16, node: NodeId, told: SocketAddr, pulls: Arc<PullCount>) {
+async fn start_teller(ip: Ipv4Addr, told: SocketAddr, pause: Duration, pulls: Arc<PullCount>) {
+    let node = NodeId(u32::from(ip));
+    let port = told.port();
     let listener = TcpListener::bind((ip, port)).await.expect("the address is free");
     let holder = holder_of_the_large_configuration();
-    let teller = Teller { holder, pause: Duration::from_millis(700), pulls };
+    let teller = Teller { holder, pause, pulls };
     tokio::spawn(rpc_server::serve(listener, node, Arc::new(teller)));
     let socket = UdpSocket::bind((ip, port)).await.expect("the address is free");
     let address = MemberAddress { ip: ip.to_ipv6_mapped().octets(), peer_port: port, caller_port: 1 };
@@ -145,7 +118,7 @@
 /// several times over a path that it filled.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_view_is_pulled_from_one_node_at_a_time() {
-    let cluster = Cluster::begin(81, 0, None);
+    let cluster = Cluster::begin(84, 0, None);
     let settings = cluster.settings(51, false);
     let view = Arc::new(ViewHolder::default());
     // It knows an older view, as a gateway does that has listed what may be old.
@@ -154,10 +127,32 @@
     let members = Members::bind(&settings, SteadyClock::start(), client, view.clone()).await;
     tokio::spawn(members.expect("the address is free").run());
     let pulls = Arc::new(PullCount::default());
+    let told = SocketAddr::from((settings.ip, settings.peer_port));
     for number in 61..65 {
-        let told = SocketAddr::from((settings.ip, settings.peer_port));
-        start_teller(cluster.ip(number), settings.peer_port, NodeId(u32::from(number)), told, pulls.clone()).await;
+        start_teller(cluster.ip(number), told, Duration::from_millis(700), pulls.clone()).await;
     }
     eventually("the newer configuration is known", || view.get().configuration.value.version == 21).await;
     assert_eq!(pulls.most_at_once.load(Ordering::SeqCst), 1);
 }
+
+/// That a path has no route is final: callers give up. A gateway that was told of a newer configuration than it has cannot know.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_gateway_that_knows_that_it_is_behind_denies_no_route() {
+    let cluster = Cluster::begin(85, 0, None);
+    cluster.store.put(Kind::Configuration, "main", configuration(1));
+    let gateway = RunningGateway::start(&cluster).await;
+    gateway.wait_ready().await;
+    let refusal = gateway.send("GET /none/", "t-attempt: a1\r\n", "").await;
+    assert_eq!(refusal.status, 404);
+    let told = cluster.peer_address(50);
+    start_teller(cluster.ip(61), told, Duration::from_secs(60), Arc::default()).await;
+    for number in 0..200 {
+        let refusal = gateway.send("GET /none/", &format!("t-attempt: b{number}\r\n"), "").await;
+        if refusal.status == 503 {
+            assert!(refusal.head.to_ascii_lowercase().contains("retry-after:"), "{}", refusal.head);
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("what a newer configuration may serve is denied");
+}
--- a/crates/gateway/tests/relay_tests.rs
+++ b/crates/gateway/tests/relay_tests.rs
@@ -13,12 +13,13 @@
 use foxnotch_gateway::peers::view::{Origin, ViewHolder};
 use foxnotch_turns::identity::zone_hash;
 use foxnotch_turns::replica_set::Tolerance;
-use foxnotch_wire::{NodeId, ReplicaSet};
+use foxnotch_wire::{NodeId, ReplicaMember, ReplicaSet, TurnId};
 use rstest::rstest;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use support::cluster::{eventually, reservation, Cluster};
+use support::cluster::{eventually, reservation, turn, Cluster};
 use support::gateway::RunningGateway;
+use support::slow_path::slow_path_to;
 use tokio::net::TcpListener;
 
 const REPLICA: NodeId = NodeId(7);
@@ -39,31 +40,37 @@
     async fn start(cluster: &Cluster, relays: bool) -> Self {
         let silent = TcpListener::bind((cluster.ip(60), 0)).await.expect("an address can be had");
         let port = silent.local_addr().expect("it is bound").port();
-        let reached = cluster.view.set();
-        let mut members = reached.members.clone();
+        let mut members = cluster.view.set().members.clone();
         for member in &mut members {
             member.ip = cluster.ip(60).octets();
             member.port = port;
         }
-        let view = Arc::new(ViewHolder::default());
-        view.adopt_set(&ReplicaSet { version: reached.version, members, previous: Vec::new() }, Origin::Store);
-        let metrics = Arc::new(Metrics::default());
-        let client = Arc::new(RpcClient::new(NodeId(61)));
-        let mut replicas = ReplicaClient::direct(client.clone()).with_metrics(metrics.clone());
-        if relays {
-            let settings = cluster.settings(61, false);
-            let members = Members::bind(&settings, SteadyClock::start(), client, Arc::default()).await;
-            let members = members.expect("an address can be had");
-            tokio::spawn(members.clone().run());
-            eventually("another gateway is known", || members.gateway_count() > 0).await;
-            replicas = replicas.with_relays(Relays::new(members));
-        }
-        let tolerance = Tolerance { machines: 1, zones: 0 };
-        let keeper = TurnKeeper::new(Arc::new(replicas), view, TurnCache::new(0), zone_hash("a"), tolerance);
+        let (keeper, metrics) = keeper_with(cluster, members, relays).await;
         Self { keeper, metrics, _silent: silent }
     }
 }
 
+/// A keeper that takes the replicas to be at these addresses, and its metrics.
+async fn keeper_with(cluster: &Cluster, members: Vec<ReplicaMember>, relays: bool) -> (TurnKeeper, Arc<Metrics>) {
+    let version = cluster.view.set().version;
+    let view = Arc::new(ViewHolder::default());
+    view.adopt_set(&ReplicaSet { version, members, previous: Vec::new() }, Origin::Store);
+    let metrics = Arc::new(Metrics::default());
+    let client = Arc::new(RpcClient::new(NodeId(61)));
+    let mut replicas = ReplicaClient::direct(client.clone()).with_metrics(metrics.clone());
+    if relays {
+        let settings = cluster.settings(61, false);
+        let members = Members::bind(&settings, SteadyClock::start(), client, Arc::default()).await;
+        let members = members.expect("an address can be had");
+        tokio::spawn(members.clone().run());
+        eventually("another gateway is known", || members.gateway_count() > 0).await;
+        replicas = replicas.with_relays(Relays::new(members));
+    }
+    let tolerance = Tolerance { machines: 1, zones: 0 };
+    let keeper = TurnKeeper::new(Arc::new(replicas), view, TurnCache::new(0), zone_hash("a"), tolerance);
+    (keeper, metrics)
+}
+
 /// Found by scale-2 of the further customer: three gateways of a zone's four cut off from the replicas for 12 s, all their
 /// turns refused after 0.9 s each.
 #[rstest]
@@ -89,6 +96,25 @@
     }
 }
 
+/// The same cause as incident inc1 (issue 25), found by looking for it elsewhere: a long history takes longer than a path is given, and was
+/// asked for through other gateways too while it was on its way.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_path_that_brings_a_long_history_is_not_silent() {
+    const LONG_INPUT_BYTES: usize = 100_000;
+    let cluster = Cluster::start(82, 3).await;
+    let _gateway = RunningGateway::start(&cluster).await;
+    cluster.keep(&turn(1, 0, &"x".repeat(LONG_INPUT_BYTES))).await;
+    let mut members = cluster.view.set().members.clone();
+    for member in &mut members {
+        let path = slow_path_to((member.ip, member.port).into()).await;
+        (member.ip, member.port) = ([127, 0, 0, 1], path.port());
+    }
+    let (keeper, metrics) = keeper_with(&cluster, members, true).await;
+    let chain = keeper.chain(TurnId(1), Instant::now() + milliseconds(20_000)).await.expect("it can be read");
+    assert_eq!(chain[0].1.input.bytes.len(), LONG_INPUT_BYTES);
+    assert_eq!(metrics.relayed.get(), 0);
+}
+
 #[test]
 fn a_path_that_answers_is_asked_directly_and_given_a_few_of_its_round_trips() {
     let now = Instant::now();
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -5,4 +5,5 @@
 pub mod cluster;
 pub mod engine;
 pub mod gateway;
+pub mod slow_path;
 pub mod store;
