--- a/crates/gateway/src/peers/view_exchange.rs
+++ b/crates/gateway/src/peers/view_exchange.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// The longest time in which nothing of an answer arrives: a node that is up begins its answer within some 100 ms.
+/// The longest time in which nothing of an answer arrives: a third to a fourth of the bounds for changes that deployments state.
 const ANSWER_SILENCE: Duration = Duration::from_secs(1);
 
 /// What the asker has, without contents.
--- a/crates/gateway/src/peers/view_pulls.rs
+++ b/crates/gateway/src/peers/view_pulls.rs
@@ -87,9 +87,13 @@
         let Ok(place) = places.clone().try_acquire_owned() else { return };
         let members = self.clone();
         tokio::spawn(async move {
-            tokio::time::sleep(delay).await;
             let pulls = &members.view_pulls;
-            let place = if delay.is_zero() { Ok(place) } else { pulls.going.clone().acquire_owned().await };
+            let mut place_after_waiting = None;
+            if !delay.is_zero() {
+                tokio::time::sleep(delay).await;
+                // The semaphore lives as long as `pulls` and is never closed.
+                place_after_waiting = pulls.going.acquire().await.ok();
+            }
             if behind(&members.view.get()) && view_exchange::pull(&pulls.client, &members.view, address).await.is_err()
             {
                 pulls.note_failure(from.node);
@@ -97,6 +101,7 @@
             if !behind(&members.view.get()) {
                 caught_up();
             }
+            drop(place_after_waiting);
             drop(place);
         });
     }
--- a/crates/node/src/explain.rs
+++ b/crates/node/src/explain.rs
@@ -35,11 +35,15 @@
 }
 
 /// What ends a call, as it stands in a line, and the cause that it shows.
-const CAUSES: [(&str, &str); 21] = [
+const CAUSES: [(&str, &str); 22] = [
     (
         "cause=no_configuration",
         "refused, not run: the gateway had no configuration yet (see its 'view:' and 'store:' lines)",
     ),
+    (
+        "cause=configuration_behind",
+        "refused, not run: no route was known, and the gateway had not got a newer configuration yet (see its 'view:' lines)",
+    ),
     ("cause=stopping", "refused, not run: the gateway had been told to stop and could not have ended it in time"),
     ("cause=no_route", "refused, not run: no route of the configuration in force serves its host and path"),
     ("cause=malformed", "refused, not run: the request could not be read"),
