--- /dev/null
+++ b/crates/lab/src/soak/disk_watch.rs
@@ -0,0 +1,67 @@
+//! Watches how long this machine's own disk holds up a sync: all replicas share it, so what it does to all of them at once is
+//! no fault of the plan.
+
+use super::lock;
+use anyhow::Context;
+use std::fs::File;
+use std::io::Write;
+use std::path::Path;
+use std::sync::{Arc, Mutex, Weak};
+use std::time::{Duration, Instant};
+
+/// Time between two syncs.
+const PERIOD: Duration = Duration::from_millis(100);
+/// A sync that takes longer counts as a stall; one of a quiet disk takes some milliseconds.
+const LEAST_STALL: Duration = Duration::from_millis(300);
+
+#[derive(Debug, Default)]
+struct State {
+    /// Stalls that are over.
+    stalled: Duration,
+    /// When the present sync was begun.
+    begun_at: Option<Instant>,
+}
+
+/// A thread that writes and syncs a small file for as long as this lives.
+#[derive(Debug)]
+pub struct DiskWatch {
+    state: Arc<Mutex<State>>,
+}
+
+impl DiskWatch {
+    /// Watches the disk of a folder.
+    ///
+    /// # Errors
+    /// When no file can be made there.
+    pub fn start(folder: &Path) -> anyhow::Result<Self> {
+        let file = File::create(folder.join("disk-watch")).context("no file can be made in the soak's folder")?;
+        let state = Arc::new(Mutex::new(State::default()));
+        let watched = Arc::downgrade(&state);
+        std::thread::Builder::new().name("disk-watch".to_owned()).spawn(move || watch(file, &watched))?;
+        Ok(Self { state })
+    }
+
+    /// For how long the disk has stalled so far, the present stall included.
+    pub fn stalled(&self) -> Duration {
+        let state = lock(&self.state);
+        let present = state.begun_at.map_or(Duration::ZERO, |begun_at| begun_at.elapsed());
+        state.stalled + if present > LEAST_STALL { present } else { Duration::ZERO }
+    }
+}
+
+fn watch(mut file: File, state: &Weak<Mutex<State>>) {
+    while let Some(state) = state.upgrade() {
+        lock(&state).begun_at = Some(Instant::now());
+        if let Err(error) = file.write_all(b"x").and_then(|()| file.sync_data()) {
+            eprintln!("soak: the disk is not watched any more: {error}");
+            return;
+        }
+        let mut known = lock(&state);
+        let took = known.begun_at.take().map_or(Duration::ZERO, |begun_at| begun_at.elapsed());
+        if took > LEAST_STALL {
+            known.stalled += took;
+        }
+        drop(known);
+        std::thread::sleep(PERIOD);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/soak/engines.rs
@@ -0,0 +1,153 @@
+//! Engines as stand-ins in the soak's own process: they speak the platform's protocol and note all that they begin.
+
+use super::ledger::Ledger;
+use super::plan::ENGINES;
+use crate::stand_in::{serve, status};
+use bytes::Bytes;
+use futures_util::stream::unfold;
+use http_body::Frame;
+use http_body_util::BodyExt;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use volo_http::body::Body;
+use volo_http::http::{HeaderMap, HeaderValue, StatusCode};
+use volo_http::request::Request;
+use volo_http::response::Response;
+use volo_http::server::route::{any, Router};
+use volo_http::utils::Extension;
+
+/// Events of a turn.
+pub const EVENTS: usize = 4;
+/// Time of a plain answer.
+const WORK_TIME: Duration = Duration::from_millis(25);
+/// Time between two events.
+const EVENT_PERIOD: Duration = Duration::from_millis(20);
+/// The name of the service that answers plain requests.
+pub const PLAIN_SERVICE: &str = "lookup";
+/// The name of the service that runs turns.
+pub const MODEL_SERVICE: &str = "model";
+
+/// One engine.
+#[derive(Clone)]
+pub struct SoakEngine {
+    ledger: Arc<Ledger>,
+    id: Arc<Mutex<String>>,
+    is_full: Arc<AtomicBool>,
+    streams: bool,
+}
+
+/// The service of an engine: the first [`ENGINES`] run turns.
+pub fn service_of(engine: usize) -> &'static str {
+    if engine < ENGINES {
+        MODEL_SERVICE
+    } else {
+        PLAIN_SERVICE
+    }
+}
+
+/// The data of an event of a turn.
+pub fn event_data(attempt: &str, number: usize) -> String {
+    format!("{attempt}-{number}")
+}
+
+/// What a later turn's engine gets for the events of a whole turn.
+pub fn output_of(attempt: &str) -> String {
+    (0..EVENTS).map(|number| event_data(attempt, number) + "\n").collect()
+}
+
+/// The whole answer to a plain request.
+pub fn plain_answer(attempt: &str) -> String {
+    format!("answer to {attempt}\n")
+}
+
+/// The whole answer to a turn.
+pub fn turn_answer(attempt: &str) -> String {
+    (0..EVENTS).map(|number| event_text(attempt, number)).collect()
+}
+
+fn event_text(attempt: &str, number: usize) -> String {
+    format!("id: {number}\ndata: {}\n\n", event_data(attempt, number))
+}
+
+impl SoakEngine {
+    /// Serves at `address` for ever.
+    pub fn start(address: SocketAddr, number: usize, id: String, ledger: Arc<Ledger>) -> Self {
+        let streams = service_of(number) == MODEL_SERVICE;
+        let engine = Self { ledger, id: Arc::new(Mutex::new(id)), is_full: Arc::default(), streams };
+        let router = Router::new().route("/{*path}", any(answer)).layer(Extension(engine.clone()));
+        tokio::spawn(async move {
+            if let Err(error) = serve(router, address).await {
+                eprintln!("soak: an engine has ended: {error:#}");
+            }
+        });
+        engine
+    }
+
+    /// Refuses all requests from now on, or no more.
+    pub fn set_full(&self, is_full: bool) {
+        self.is_full.store(is_full, Ordering::SeqCst);
+    }
+
+    /// Is another incarnation from now on.
+    pub fn set_id(&self, id: String) {
+        *super::lock(&self.id) = id;
+    }
+}
+
+fn text(headers: &HeaderMap, name: &str) -> String {
+    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned()
+}
+
+fn not_executed(code: StatusCode, attempt: &str) -> Response {
+    let mut response = status(code);
+    response.headers_mut().insert("x-not-executed", HeaderValue::from_static("1"));
+    set(&mut response, "x-attempt-id", attempt);
+    response
+}
+
+fn set(response: &mut Response, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        response.headers_mut().insert(name, value);
+    }
+}
+
+async fn answer(Extension(engine): Extension<SoakEngine>, request: Request) -> Response {
+    let (head, body) = request.into_parts();
+    let attempt = text(&head.headers, "x-attempt-id");
+    if text(&head.headers, "x-expect-instance") != *super::lock(&engine.id) {
+        return not_executed(StatusCode::MISDIRECTED_REQUEST, &attempt);
+    }
+    if engine.is_full.load(Ordering::SeqCst) {
+        return not_executed(StatusCode::SERVICE_UNAVAILABLE, &attempt);
+    }
+    // A request that does not arrive whole is not begun.
+    let Ok(collected) = body.collect().await else { return status(StatusCode::BAD_REQUEST) };
+    engine.ledger.begin(&attempt, &collected.to_bytes());
+    let mut response = if engine.streams {
+        Response::new(Body::from_stream(events(attempt.clone())))
+    } else {
+        tokio::time::sleep(WORK_TIME).await;
+        Response::new(Body::from(plain_answer(&attempt)))
+    };
+    set(&mut response, "x-attempt-id", &attempt);
+    set(&mut response, "x-server-seal", &format!("seal.{attempt}"));
+    if engine.streams {
+        set(&mut response, "content-type", "text/event-stream");
+    }
+    response
+}
+
+fn events(
+    attempt: String,
+) -> impl futures_util::Stream<Item = Result<Frame<Bytes>, volo_http::error::BoxError>> + Send + Sync + 'static {
+    unfold((attempt, 0), |(attempt, number)| async move {
+        if number == EVENTS {
+            return None;
+        }
+        tokio::time::sleep(EVENT_PERIOD).await;
+        let frame = Frame::data(Bytes::from(event_text(&attempt, number)));
+        Some((Ok(frame), (attempt, number + 1)))
+    })
+}
--- /dev/null
+++ b/crates/lab/src/soak/mod.rs
@@ -0,0 +1,22 @@
+//! A randomized fault soak: real gateways and replicas as processes on loopback, faults from outside them, and an oracle that
+//! judges by what callers and engines see.
+//!
+//! The plan is drawn from a seed and can be repeated from a file; times on a real machine cannot, so a run is repeated in
+//! what is done, not in what happens.
+
+pub mod callers;
+pub mod disk_watch;
+pub mod engines;
+pub mod ledger;
+pub mod plan;
+pub mod processes;
+pub mod proxy;
+pub mod run;
+pub mod store;
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Locks, also after a panic of another holder: the soak's data are plain counts and lists.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
