The soak stands among the tests, which may name what is the platform's

The soak's stand-ins of store, engines and callers speak the platform's protocol and stood in crates/lab/src. The check is right and stays as it is: the soak moves to crates/lab/tests/soak and is run by hand by scripts/soak.

--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -7,9 +7,6 @@
 use crate::ports::free_ports;
 use crate::scale;
 use crate::sim::runner::{self, SimSettings, Trace};
-use crate::soak;
-use crate::soak::plan::Plan;
-use crate::soak::run::SoakSettings;
 use crate::stand_in::{engine, machine_list, object_api, plain, tool, weight_store};
 use anyhow::Context;
 use clap::{Args, Parser, Subcommand};
@@ -108,10 +105,6 @@
         #[arg(long)]
         plots: Option<PathBuf>,
     },
-    /// Run real gateways and replicas on loopback under faults drawn from a seed, and judge what callers and engines see
-    ///
-    /// Example: foxnotch-lab soak --seed 7 --seconds 300
-    Soak(SoakArguments),
     /// Put a workload on nodes and report
     Load(LoadArguments),
     /// Wait until every address answers a path with success
@@ -177,22 +170,6 @@
     without: Option<String>,
 }
 
-#[derive(Args, Debug)]
-struct SoakArguments {
-    /// The seed; also the loopback network, so that soaks of different seeds can run beside each other
-    #[arg(long, default_value_t = 1)]
-    seed: u64,
-    /// Seconds with faults; up to 40 more follow, for the recovery
-    #[arg(long, default_value_t = 60)]
-    seconds: u64,
-    /// Repeat the plan in this file, as a run has left it in its folder
-    #[arg(long)]
-    replay: Option<PathBuf>,
-    /// Where plan, settings, logs and data go [default: target/soak/SEED]
-    #[arg(long)]
-    folder: Option<PathBuf>,
-}
-
 #[derive(Args, Debug)]
 struct LoadArguments {
     /// dairy or archive
@@ -262,7 +239,6 @@
         Command::Experiment { file, threads, json, plots } => {
             run_experiment(&file, threads, json.as_deref(), plots.as_deref())?;
         }
-        Command::Soak(arguments) => return runtime.block_on(run_soak(arguments)),
         Command::Load(arguments) => return runtime.block_on(run_load(arguments)),
         Command::WaitReady { path, seconds, addresses } => {
             runtime.block_on(wait_ready(&path, Duration::from_secs(seconds), &addresses))?;
@@ -344,30 +320,6 @@
     engine::run(arguments.address, parameters, arguments.weight_store).await
 }
 
-async fn run_soak(arguments: SoakArguments) -> anyhow::Result<bool> {
-    let plan = match &arguments.replay {
-        Some(file) => read_plan(file)?,
-        None => Plan::draw(arguments.seed, arguments.seconds),
-    };
-    let folder = arguments.folder.unwrap_or_else(|| PathBuf::from(format!("target/soak/{}", plan.seed)));
-    if folder.exists() {
-        let is_of_a_soak = folder.join("plan.json").exists();
-        anyhow::ensure!(is_of_a_soak, "{} holds no earlier soak; give an empty or a new folder", folder.display());
-        std::fs::remove_dir_all(&folder).with_context(|| format!("{} cannot be emptied", folder.display()))?;
-    }
-    let own = std::env::current_exe().context("this program does not know where it lies")?;
-    let settings = SoakSettings { plan, program: own.with_file_name("foxnotch"), folder: folder.clone() };
-    let report = soak::run::run(settings).await?;
-    print!("{report}");
-    println!("plan and logs: {}", folder.display());
-    Ok(report.violations.is_empty())
-}
-
-fn read_plan(file: &Path) -> anyhow::Result<Plan> {
-    let text = std::fs::read(file).with_context(|| format!("{} cannot be read", file.display()))?;
-    serde_json::from_slice(&text).context("the file holds no plan; take plan.json of a soak's folder")
-}
-
 async fn run_load(arguments: LoadArguments) -> anyhow::Result<bool> {
     let workload = workload::by_name(&arguments.workload)
         .with_context(|| format!("there is no workload '{}'; use dairy or archive", arguments.workload))?;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,5 +7,4 @@
 pub mod ports;
 pub mod scale;
 pub mod sim;
-pub mod soak;
 pub mod stand_in;
--- a/crates/lab/src/stand_in/mod.rs
+++ b/crates/lab/src/stand_in/mod.rs
@@ -36,7 +36,7 @@
 }
 
 /// A JSON answer.
-pub(crate) fn json<T: Serialize>(status: StatusCode, body: &T) -> Response {
+pub fn json<T: Serialize>(status: StatusCode, body: &T) -> Response {
     let mut response = Response::new(Body::from(serde_json::to_vec(body).unwrap_or_default()));
     *response.status_mut() = status;
     response.headers_mut().insert("content-type", HeaderValue::from_static("application/json"));
@@ -44,14 +44,17 @@
 }
 
 /// An answer without a body.
-pub(crate) fn status(status: StatusCode) -> Response {
+pub fn status(status: StatusCode) -> Response {
     let mut response = Response::new(Body::empty());
     *response.status_mut() = status;
     response
 }
 
 /// Reads a JSON body.
-pub(crate) async fn read_json<T: DeserializeOwned>(body: Body) -> Result<T, Box<Response>> {
+///
+/// # Errors
+/// The answer that says what is wrong with it.
+pub async fn read_json<T: DeserializeOwned>(body: Body) -> Result<T, Box<Response>> {
     let refused = |text: String| Box::new(json(StatusCode::BAD_REQUEST, &text));
     let collected = Limited::new(body, MAXIMUM_BODY_BYTES).collect().await;
     let bytes = collected.map_err(|error| refused(error.to_string()))?.to_bytes();
@@ -59,7 +62,7 @@
 }
 
 /// A number from the query of a path; 0 when it is absent.
-pub(crate) fn query_number(uri: &volo_http::http::Uri, name: &str) -> u64 {
+pub fn query_number(uri: &volo_http::http::Uri, name: &str) -> u64 {
     let pairs = uri.query().unwrap_or_default().split('&').filter_map(|pair| pair.split_once('='));
     let found = pairs.into_iter().find(|(key, _)| *key == name);
     found.and_then(|(_, value)| value.parse().ok()).unwrap_or(0)
--- a/crates/lab/src/soak/engines.rs
+++ b/crates/lab/tests/soak/engines.rs
@@ -2,8 +2,8 @@
 
 use super::ledger::Ledger;
 use super::plan::ENGINES;
-use crate::stand_in::{serve, status};
 use bytes::Bytes;
+use foxnotch_lab::stand_in::{serve, status};
 use futures_util::stream::unfold;
 use http_body::Frame;
 use http_body_util::BodyExt;
--- a/crates/lab/src/soak/store.rs
+++ b/crates/lab/tests/soak/store.rs
@@ -2,7 +2,7 @@
 //! under a condition.
 
 use super::lock;
-use crate::stand_in::{json, query_number, read_json, serve, status};
+use foxnotch_lab::stand_in::{json, query_number, read_json, serve, status};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::BTreeMap;
--- a/crates/lab/tests/soak_tests.rs
+++ b/crates/lab/tests/soak_tests.rs
@@ -1,12 +1,33 @@
 //! The fault soak: its plans, and a short run of a fixed seed with the real programs.
+//!
+//! `scripts/soak` runs it by hand, with other seeds, longer, or by the plan of an earlier run.
 
-use foxnotch_lab::soak::plan::{Fault, Node, Plan};
-use foxnotch_lab::soak::run::{run, SoakSettings};
-use std::path::Path;
+mod soak;
 
-/// Seconds of faults in CI; long runs are started by hand.
+use soak::plan::{Fault, Node, Plan};
+use soak::run::{run, SoakSettings};
+use std::path::{Path, PathBuf};
+use std::str::FromStr;
+
+/// The seed in CI.
+const SEED: u64 = 5;
+/// Seconds of faults in CI.
 const SECONDS: u64 = 15;
 
+/// A number that `scripts/soak` gives, or the one for CI.
+fn given<T: FromStr>(name: &str, otherwise: T) -> T {
+    match std::env::var(name) {
+        Ok(text) => text.parse().unwrap_or_else(|_| panic!("{name} is {text:?}; give a whole number")),
+        Err(_) => otherwise,
+    }
+}
+
+fn plan_of(file: &str) -> Plan {
+    let text = std::fs::read(file).unwrap_or_else(|error| panic!("{file} cannot be read ({error})"));
+    serde_json::from_slice(&text)
+        .unwrap_or_else(|error| panic!("{file} holds no plan ({error}); take plan.json of a soak's folder"))
+}
+
 #[test]
 fn a_plan_is_the_same_for_the_same_seed_and_survives_its_file() {
     let plan = Plan::draw(7, 60);
@@ -35,11 +56,14 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn promises_hold_through_a_short_soak_of_a_fixed_seed() {
-    let folder = tempfile::tempdir().expect("a folder can be made");
+async fn promises_hold_through_a_soak() {
+    let temporary = tempfile::tempdir().expect("a folder can be made");
+    let folder = std::env::var("SOAK_FOLDER").map_or_else(|_| temporary.path().join("soak"), PathBuf::from);
     let program = Path::new(env!("CARGO_BIN_EXE_foxnotch-lab")).with_file_name("foxnotch");
-    let settings = SoakSettings { plan: Plan::draw(5, SECONDS), program, folder: folder.path().join("soak") };
-    let report = run(settings).await.expect("everything can be started");
+    let plan = std::env::var("SOAK_REPLAY")
+        .map_or_else(|_| Plan::draw(given("SOAK_SEED", SEED), given("SOAK_SECONDS", SECONDS)), |file| plan_of(&file));
+    let report = run(SoakSettings { plan, program, folder }).await.expect("everything can be started");
+    println!("{report}");
     assert!(report.violations.is_empty(), "{report}");
 }
 
