--- a/crates/gateway/src/ports/dialect.rs
+++ b/crates/gateway/src/ports/dialect.rs
@@ -66,7 +66,7 @@
 pub trait Dialect: Send + Sync + 'static {
     /// Reads a request's headers.
     fn read_call(&self, headers: &HeaderMap) -> CallMetadata;
-    /// Sets the headers that an engine gets besides the caller's.
+    /// Sets the headers that an engine gets besides the caller's, and removes those that callers must not set.
     fn write_call(&self, headers: &mut HeaderMap, call: &ForwardedCall<'_>);
     /// Reads an answer's headers.
     fn read_answer(&self, headers: &HeaderMap) -> AnswerMetadata;
