Tenants: keys tell whose a request is, engines are told the tenant, a turn belongs to it

Cause: nobody looked at keys. Change: crates/scheduler, decisions without I/O, begins with whose a request is. An unknown key is 401 by the newest configuration heard of, else 503; a missing one too, unless the route is open. A turn's and a program's names have their tenant as a part, so another tenant's turn does not exist. The tenant's rank goes before the route's. Configurations with a nameless tenant or a rate that is no number are refused whole, by name; a key that two list is the first one's. explain finds a turn by the tenant that its call's lines name.

--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -6,9 +6,11 @@
 use crate::ports::configuration::{Route, RouteKind};
 use crate::ports::dialect::{CallMetadata, Dialect, ForwardedCall};
 use bytes::Bytes;
+use foxnotch_scheduler::tenants::Tenant;
 use foxnotch_wire::RunPlace;
 use http::{header, HeaderMap, Request};
 use http_body_util::Full;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Headers that concern one connection only.
@@ -32,6 +34,8 @@
 pub struct Call {
     /// What it says of itself.
     pub metadata: CallMetadata,
+    /// The tenant that it belongs to.
+    pub tenant: Option<Arc<Tenant>>,
     /// Its route.
     pub route: Route,
     /// The service that it goes to.
@@ -62,7 +66,33 @@
     ) -> Self {
         let allowed = metadata.deadline_ms.map_or(route.timeout_ms, |deadline| deadline.min(route.timeout_ms));
         let expires_at = arrived_at + Duration::from_millis(allowed);
-        Self { metadata, route, service, predecessor: None, avoided: Vec::new(), arrived_at, expires_at, head, input }
+        Self {
+            metadata,
+            tenant: None,
+            route,
+            service,
+            predecessor: None,
+            avoided: Vec::new(),
+            arrived_at,
+            expires_at,
+            head,
+            input,
+        }
+    }
+
+    /// The same call as a tenant's.
+    pub fn of_tenant(self, tenant: Option<Arc<Tenant>>) -> Self {
+        Self { tenant, ..self }
+    }
+
+    /// The name of its tenant; empty when it is nobody's.
+    pub fn tenant_name(&self) -> &str {
+        self.tenant.as_ref().map_or("", |tenant| &tenant.name)
+    }
+
+    /// Its rank: its tenant's, or else its route's.
+    fn priority(&self) -> u8 {
+        self.tenant.as_ref().and_then(|tenant| tenant.priority).unwrap_or(self.route.priority)
     }
 
     /// Time that an engine may take from now on; none when it is over.
@@ -116,9 +146,14 @@
         let mut headers = self.head.headers.clone();
         remove_connection_headers(&mut headers);
         headers.remove(header::CONTENT_LENGTH);
-        let priority =
-            (!self.metadata.parts.is_empty() || self.metadata.most_tokens > 0).then_some(self.route.priority);
-        let call = ForwardedCall { deadline_ms: time.as_millis() as u64, engine, priority, last_event };
+        let runs_model = !self.metadata.parts.is_empty() || self.metadata.most_tokens > 0;
+        let call = ForwardedCall {
+            deadline_ms: time.as_millis() as u64,
+            engine,
+            tenant: self.tenant.as_ref().map(|tenant| tenant.name.as_str()),
+            priority: runs_model.then(|| self.priority()),
+            last_event,
+        };
         dialect.write_call(&mut headers, &call);
         let mut request = Request::new(Full::new(body));
         *request.method_mut() = self.head.method.clone();
--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -21,9 +21,10 @@
 use crate::peers::members::Members;
 use crate::peers::view::ViewHolder;
 use crate::policy::PolicySettings;
-use crate::ports::configuration::RouteKind;
-use crate::ports::dialect::Dialect;
+use crate::ports::configuration::{Route, RouteKind};
+use crate::ports::dialect::{CallMetadata, Dialect};
 use bytes::Bytes;
+use foxnotch_scheduler::tenants::Tenant;
 use http::{header, Request, Response};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -115,9 +116,10 @@
     pub async fn serve(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
         let arrived_at = Instant::now();
         let _work = WorkGuard::new(&self.under_way);
-        let attempt = self.dialect.read_call(request.headers()).attempt;
+        let metadata = self.dialect.read_call(request.headers());
+        let attempt = metadata.attempt.clone();
         let watched = AbandonedCall::watch(&attempt, arrived_at, &self.metrics);
-        let outcome = self.clone().answer(request, arrived_at).await;
+        let outcome = self.clone().answer(request, metadata, arrived_at).await;
         watched.note_outcome();
         let mut response = match outcome {
             Ok(response) => response,
@@ -151,29 +153,49 @@
         }
     }
 
-    /// That there is no route is final for the caller. It is only said by a configuration that is the newest heard of.
-    fn without_route(&self) -> Refusal {
+    /// That there is no route, or no tenant with a key, is final for the caller. It is only said by a configuration that is the
+    /// newest heard of.
+    fn by_newest_configuration(&self, denial: Refusal) -> Refusal {
         if self.view.is_configuration_behind() {
             Refusal::ConfigurationBehind
         } else {
-            Refusal::NoRoute
+            denial
+        }
+    }
+
+    /// Whose a request is.
+    fn identify(
+        &self,
+        routes: &RouteTable,
+        route: &Route,
+        metadata: &CallMetadata,
+    ) -> Result<Option<Arc<Tenant>>, Refusal> {
+        match routes.identify(metadata.key, route) {
+            Ok(tenant) => Ok(tenant),
+            Err(denial) => {
+                let version = routes.configuration().version;
+                log::info!(target: part::CALL, "Call {} is nobody's: route={} key={} configuration={version}.", metadata.attempt, route.name, denial.name());
+                Err(self.by_newest_configuration(Refusal::KeyDenied(denial)))
+            }
         }
     }
 
     async fn answer(
         self: Arc<Self>,
         request: Request<Incoming>,
+        metadata: CallMetadata,
         arrived_at: Instant,
     ) -> Result<Response<AnswerBody>, Refusal> {
         let routes = self.wait_for_routes().await?;
         let (head, body) = request.into_parts();
         let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
         let host = host.ok_or(Refusal::Malformed("it names no host"))?;
-        let route = routes.find(host, head.uri.path()).ok_or_else(|| self.without_route())?.clone();
-        let metadata = self.dialect.read_call(&head.headers);
+        let found = routes.find(host, head.uri.path());
+        let route = found.ok_or_else(|| self.by_newest_configuration(Refusal::NoRoute))?.clone();
+        let tenant = self.identify(&routes, &route, &metadata)?;
         let input = read_body(body, routes.configuration().limits.body_bytes).await?;
         let service = self.shares.next(&route).ok_or(Refusal::NoRoute)?;
-        let call = Call::new(metadata, route, service, arrived_at, head, input);
+        let call = Call::new(metadata, route, service, arrived_at, head, input).of_tenant(tenant);
         if self.stop.get().is_some_and(|stop| !stop.takes(Instant::now(), call.expires_at)) {
             return Err(Refusal::Stopping);
         }
@@ -298,8 +320,8 @@
         let Choice { engine, missing_tokens, under_way, .. } = choice;
         let predecessor = call.predecessor.unwrap_or_default();
         let ServicePrices { token_ms, request_ms, .. } = prices;
-        log::info!(target: part::ENGINE, "Call {} sent: program={} route={} engine={} number={} before={predecessor} avoided={} of={candidates} own={} all={under_way:.0} missing={missing_tokens:.0}/{} token_ms={token_ms:.4} request_ms={request_ms:.2} left={:?} configuration={} engines={}.",
-            metadata.attempt, metadata.program.as_deref().unwrap_or("-"), call.route.name, engine.entry.id, engine.number, call.avoided.len(), engine.under_way(), metadata.prompt_tokens, call.engine_time().unwrap_or_default(), view.configuration.value.version, view.engines.revision);
+        log::info!(target: part::ENGINE, "Call {} sent: program={} tenant={} route={} engine={} number={} before={predecessor} avoided={} of={candidates} own={} all={under_way:.0} missing={missing_tokens:.0}/{} token_ms={token_ms:.4} request_ms={request_ms:.2} left={:?} configuration={} engines={}.",
+            metadata.attempt, metadata.program.as_deref().unwrap_or("-"), call.tenant_name(), call.route.name, engine.entry.id, engine.number, call.avoided.len(), engine.under_way(), metadata.prompt_tokens, call.engine_time().unwrap_or_default(), view.configuration.value.version, view.engines.revision);
     }
 }
 
--- a/crates/gateway/src/edge/refusal.rs
+++ b/crates/gateway/src/edge/refusal.rs
@@ -1,6 +1,7 @@
 //! Answers that the gateway gives by itself.
 
 use crate::edge::body::AnswerBody;
+use foxnotch_scheduler::tenants::KeyDenial;
 use http::{header, HeaderValue, Response, StatusCode};
 use std::time::Duration;
 
@@ -10,8 +11,8 @@
     /// Not run: no configuration is known yet.
     #[error("this gateway has no configuration yet; ask again")]
     NoConfiguration,
-    /// Not run: no route for host and path, but another node has a newer configuration, which may hold one.
-    #[error("no route is known here, and a newer configuration is on its way; ask again after the time given")]
+    /// Not run: its route or its key is not known, but another node has a newer configuration, which may hold them.
+    #[error("the route or the key is not known here, and a newer configuration is on its way; ask again after the time given")]
     ConfigurationBehind,
     /// Not run: the gateway is about to stop.
     #[error("this gateway stops before it could answer; ask again after the time given")]
@@ -19,6 +20,9 @@
     /// Not run: no route for host and path.
     #[error("no route serves this host and path; check both")]
     NoRoute,
+    /// Not run: no tenant holds its key.
+    #[error("this needs the key of a tenant, and the one given is {}; send a key that is in force", .0.name())]
+    KeyDenied(KeyDenial),
     /// Not run: the request is malformed.
     #[error("the request cannot be read ({0}); correct it")]
     Malformed(&'static str),
@@ -56,6 +60,7 @@
     pub fn status(&self) -> StatusCode {
         match self {
             Self::NoRoute | Self::NoSuchTurn => StatusCode::NOT_FOUND,
+            Self::KeyDenied(_) => StatusCode::UNAUTHORIZED,
             Self::Malformed(_) => StatusCode::BAD_REQUEST,
             Self::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
@@ -90,6 +95,7 @@
             Self::ConfigurationBehind => "configuration_behind",
             Self::Stopping => "stopping",
             Self::NoRoute => "no_route",
+            Self::KeyDenied(_) => "key_denied",
             Self::Malformed(_) => "malformed",
             Self::TooLarge(_) => "too_large",
             Self::NoRoom => "no_room",
--- a/crates/gateway/src/edge/routes.rs
+++ b/crates/gateway/src/edge/routes.rs
@@ -1,15 +1,18 @@
 //! Which route serves a request, and which of its services gets the next one.
 
 use crate::locks::lock;
+use crate::logging::part;
 use crate::ports::configuration::{Backend, Configuration, Route};
+use foxnotch_scheduler::tenants::{KeyDenial, PresentedKey, Tenant, TenantDirectory};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 
-/// The routes of one configuration by host.
+/// The routes of one configuration by host, and its tenants by key.
 #[derive(Debug, Default)]
 pub struct RouteTable {
     configuration: Arc<Configuration>,
     hosts: HashMap<String, Vec<usize>>,
+    tenants: Option<TenantDirectory>,
 }
 
 impl RouteTable {
@@ -22,7 +25,21 @@
         for indexes in hosts.values_mut() {
             indexes.sort_by_key(|index| std::cmp::Reverse(configuration.routes[*index].path_prefix.len()));
         }
-        Self { configuration, hosts }
+        let tenants = configuration.tenants.as_deref().map(TenantDirectory::new);
+        let shared_keys = tenants.as_ref().map_or(0, TenantDirectory::shared_keys);
+        if shared_keys > 0 {
+            log::warn!(target: part::VIEW, "Configuration {} lists {shared_keys} keys for several tenants: each is taken for the first one's.", configuration.version);
+        }
+        Self { configuration, hosts, tenants }
+    }
+
+    /// Whose a request on a route is: nobody's where there are no tenants, and on open routes for callers without a key.
+    ///
+    /// # Errors
+    /// [`KeyDenial`].
+    pub fn identify(&self, key: PresentedKey, route: &Route) -> Result<Option<Arc<Tenant>>, KeyDenial> {
+        let Some(tenants) = &self.tenants else { return Ok(None) };
+        tenants.identify(key, route.is_open).map(|tenant| tenant.cloned())
     }
 
     /// The configuration.
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -84,7 +84,8 @@
 pub async fn serve(gateway: Arc<Gateway>, mut call: Call) -> Result<Response<AnswerBody>, Refusal> {
     let prepare_until = (call.arrived_at + PREPARE_TIME).min(call.expires_at);
     let mut account = open_account(&gateway, &call);
-    let previous = call.metadata.previous.as_deref().filter(|_| call.route.retain).map(turn_id);
+    let previous = call.metadata.previous.as_deref().filter(|_| call.route.retain);
+    let previous = previous.map(|previous| turn_id(call.tenant_name(), previous));
     let (chain, reserved) = tokio::join!(
         read_chain(&gateway, previous, prepare_until),
         reserve(&gateway, &call, &mut account, prepare_until)
@@ -119,8 +120,8 @@
     let configuration = gateway.view.get().configuration.value;
     let model = configuration.service(&call.service).and_then(|service| service.model.as_ref());
     let entry = TurnEntry {
-        turn: turn_id(&metadata.attempt),
-        program: program_key(program),
+        turn: turn_id(call.tenant_name(), &metadata.attempt),
+        program: program_key(call.tenant_name(), program),
         retention_ms: u32::try_from(call.route.retention_ms).unwrap_or(u32::MAX),
         reserved: if metadata.token_budget.is_some() { metadata.most_tokens } else { 0 },
         used: NOT_SETTLED,
--- a/crates/gateway/src/ports/configuration.rs
+++ b/crates/gateway/src/ports/configuration.rs
@@ -1,5 +1,6 @@
 //! The configuration in force: routes, services and limits, and the engines that serve them.
 
+use foxnotch_scheduler::tenants::Tenant;
 use serde::{Deserialize, Serialize};
 
 /// What may be done with a request more than once.
@@ -49,6 +50,9 @@
     pub retention_ms: u64,
     /// Whether a stream may be continued at another engine.
     pub resumable: bool,
+    /// Whether callers without a key are served.
+    #[serde(default)]
+    pub is_open: bool,
 }
 
 impl Route {
@@ -110,6 +114,9 @@
     pub services: Vec<Service>,
     /// Bounds on requests.
     pub limits: RequestLimits,
+    /// All tenants; none where requests are nobody's and carry no keys.
+    #[serde(default)]
+    pub tenants: Option<Vec<Tenant>>,
 }
 
 impl Configuration {
--- a/crates/gateway/src/ports/dialect.rs
+++ b/crates/gateway/src/ports/dialect.rs
@@ -1,5 +1,6 @@
 //! How requests and answers carry what the product has to know, as headers.
 
+use foxnotch_scheduler::tenants::PresentedKey;
 use http::HeaderMap;
 
 /// A part of a prompt.
@@ -36,6 +37,8 @@
     pub previous: Option<String>,
     /// The last event that the caller has of an earlier try.
     pub last_event: Option<String>,
+    /// The key by which the caller proves its tenant.
+    pub key: PresentedKey,
 }
 
 /// What an engine is told with a request.
@@ -45,6 +48,8 @@
     pub deadline_ms: u64,
     /// The engine that alone may run it.
     pub engine: &'a str,
+    /// The tenant that it belongs to.
+    pub tenant: Option<&'a str>,
     /// Urgency: 0 goes first; left out for plain services.
     pub priority: Option<u8>,
     /// The last event that the caller has, when a stream is continued.
--- a/crates/gateway/tests/edge_tests.rs
+++ b/crates/gateway/tests/edge_tests.rs
@@ -31,6 +31,7 @@
         retain: false,
         retention_ms: 0,
         resumable: false,
+        is_open: false,
     }
 }
 
--- a/crates/gateway/tests/support/gateway.rs
+++ b/crates/gateway/tests/support/gateway.rs
@@ -9,6 +9,7 @@
 use foxnotch_gateway::ports::dialect::{AnswerMetadata, CallMetadata, Dialect, ForwardedCall, PromptPart};
 use foxnotch_gateway::ports::store::{Kind, ObjectBody};
 use foxnotch_gateway::settings::ProcessSettings;
+use foxnotch_scheduler::tenants::{KeyDigest, PresentedKey, Tenant};
 use http::{HeaderMap, HeaderName, HeaderValue};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -45,6 +46,9 @@
             program: text(headers, "t-program"),
             token_budget: number(headers, "t-budget"),
             previous: text(headers, "t-previous"),
+            key: headers
+                .get("t-key")
+                .map_or(PresentedKey::Absent, |key| PresentedKey::One(KeyDigest::of(key.as_bytes()))),
             ..CallMetadata::default()
         }
     }
@@ -55,6 +59,12 @@
         };
         set("t-left", &call.deadline_ms.to_string());
         set("t-engine", call.engine);
+        if let Some(tenant) = call.tenant {
+            set("t-tenant", tenant);
+        }
+        if let Some(priority) = call.priority {
+            set("t-priority", &priority.to_string());
+        }
     }
 
     fn read_answer(&self, headers: &HeaderMap) -> AnswerMetadata {
@@ -102,6 +112,7 @@
         retain: kind == RouteKind::Streaming,
         retention_ms: 60_000,
         resumable: false,
+        is_open: false,
     }
 }
 
@@ -124,9 +135,24 @@
             service("draft", Some(model)),
         ],
         limits: RequestLimits { header_bytes: 16_384, body_bytes: 2000, idle_ms: 10_000 },
+        tenants: None,
     })
 }
 
+/// A tenant with these keys and no limit.
+pub fn tenant(name: &str, keys: &[&str]) -> Tenant {
+    let keys = keys.iter().map(|key| KeyDigest::of(key.as_bytes())).collect();
+    Tenant { name: name.to_owned(), keys, priority: None, limit: None }
+}
+
+/// The usual configuration with tenants; the route of plain reads is open.
+pub fn configuration_of(version: u64, tenants: Vec<Tenant>) -> ObjectBody {
+    let ObjectBody::Configuration(mut configuration) = configuration(version) else { unreachable!("it is one") };
+    configuration.routes[0].is_open = true;
+    configuration.tenants = Some(tenants);
+    ObjectBody::Configuration(configuration)
+}
+
 /// Lists an engine.
 pub fn list_engine(cluster: &Cluster, id: &str, service: &str, address: SocketAddr) {
     let entry = EngineEntry {
--- /dev/null
+++ b/crates/gateway/tests/tenant_tests.rs
@@ -0,0 +1,147 @@
+//! Keys and tenants between a caller and engines.
+
+mod support;
+
+use foxnotch_gateway::ports::store::{Kind, ObjectBody};
+use foxnotch_scheduler::tenants::Tenant;
+use rstest::rstest;
+use std::net::SocketAddr;
+use std::time::Duration;
+use support::cluster::Cluster;
+use support::engine::{Behaviour, EngineStandIn};
+use support::gateway::{configuration_of, list_engine, tenant, RunningGateway};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// A deployment with one engine that serves all services, and with two tenants.
+struct Deployment {
+    cluster: Cluster,
+    gateway: RunningGateway,
+    engine: EngineStandIn,
+}
+
+fn two_tenants() -> Vec<Tenant> {
+    vec![tenant("ana", &["key-a", "key-a2"]), Tenant { priority: Some(7), ..tenant("ben", &["key-b"]) }]
+}
+
+impl Deployment {
+    async fn start(net: u8, behaviour: Behaviour) -> Self {
+        let cluster = Cluster::start(net, 3).await;
+        cluster.store.put(Kind::Configuration, "main", configuration_of(1, two_tenants()));
+        let engine = EngineStandIn::start(behaviour).await;
+        for service in ["read", "write", "turn", "draft"] {
+            list_engine(&cluster, &format!("e-{service}"), service, engine.address);
+        }
+        let gateway = RunningGateway::start(&cluster).await;
+        gateway.wait_ready().await;
+        Self { cluster, gateway, engine }
+    }
+
+    fn configure(&self, configuration: ObjectBody) {
+        self.cluster.store.put(Kind::Configuration, "main", configuration);
+    }
+
+    /// Sends until the answer has this status.
+    async fn until_status(&self, line: &str, headers: &str, status: u16) {
+        for _ in 0..200 {
+            if self.gateway.send(line, headers, "").await.status == status {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(25)).await;
+        }
+        panic!("{line} never gets {status}");
+    }
+}
+
+fn attempt(id: &str, key: &str) -> String {
+    let key = if key.is_empty() { String::new() } else { format!("t-key: {key}\r\n") };
+    format!("t-attempt: {id}\r\nt-deadline: 2000\r\n{key}")
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_engine_is_told_the_tenant_of_the_key_whatever_the_caller_says() {
+    let deployment = Deployment::start(150, Behaviour::Answer("done")).await;
+    let headers = format!("{}t-tenant: ben\r\n", attempt("a1", "key-a2"));
+    assert_eq!(deployment.gateway.send("POST /write/", &headers, "x").await.status, 200);
+    assert_eq!(deployment.engine.received()[0].header("t-tenant"), Some("ana"));
+}
+
+#[rstest]
+#[case::no_key(151, "POST /write/", "", 401)]
+#[case::an_unknown_key(152, "POST /write/", "key-c", 401)]
+#[case::no_key_on_an_open_route(153, "GET /read/", "", 200)]
+#[case::an_unknown_key_on_an_open_route(154, "GET /read/", "key-c", 401)]
+#[case::no_route(155, "GET /none/", "key-c", 404)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_is_nobodys_is_not_run(#[case] net: u8, #[case] line: &str, #[case] key: &str, #[case] status: u16) {
+    let deployment = Deployment::start(net, Behaviour::Answer("done")).await;
+    let answer = deployment.gateway.send(line, &attempt("a1", key), "").await;
+    assert_eq!(answer.status, status);
+    assert_eq!(deployment.engine.received().len(), usize::from(status == 200));
+}
+
+/// A connection on which the key was good before gains nothing.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_key_that_is_taken_away_does_not_work_on_an_open_connection() {
+    let deployment = Deployment::start(156, Behaviour::Answer("done")).await;
+    let mut caller = OpenConnection::to(deployment.gateway.callers).await;
+    assert_eq!(caller.send("POST /write/", &attempt("a1", "key-a")).await, 200);
+    deployment.configure(configuration_of(2, vec![tenant("ana", &["key-a2"])]));
+    deployment.until_status("POST /write/", &attempt("a2", "key-a"), 401).await;
+    assert_eq!(caller.send("POST /write/", &attempt("a3", "key-a")).await, 401);
+    assert_eq!(caller.send("POST /write/", &attempt("a4", "key-a2")).await, 200);
+    let ran = deployment.engine.received();
+    assert!(ran.iter().all(|request| request.header("t-attempt") != Some("a3")));
+}
+
+/// A turn is its tenant's: for another one it does not exist.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_turn_of_another_tenant_does_not_exist() {
+    let deployment = Deployment::start(157, Behaviour::Stream(vec!["data: one\n\n", "data: two\n\n"])).await;
+    let first = deployment.gateway.send("POST /turn/", &attempt("first", "key-a"), "in").await;
+    assert!(first.status == 200 && first.is_whole);
+    let stolen = format!("{}t-previous: first\r\n", attempt("a2", "key-b"));
+    assert_eq!(deployment.gateway.send("POST /turn/", &stolen, "in").await.status, 404);
+    let own = format!("{}t-previous: first\r\n", attempt("a3", "key-a2"));
+    assert_eq!(deployment.gateway.send("POST /turn/", &own, "in").await.status, 200);
+    assert_eq!(deployment.engine.received().len(), 2);
+}
+
+#[rstest]
+#[case::its_tenants(158, "key-b", "7")]
+#[case::its_routes_where_the_tenant_has_none(159, "key-a", "0")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_turn_has_the_rank_of_its_tenant(#[case] net: u8, #[case] key: &str, #[case] rank: &str) {
+    let deployment = Deployment::start(net, Behaviour::Stream(vec!["data: one\n\n"])).await;
+    let headers = format!("{}t-most: 9\r\n", attempt("a1", key));
+    assert_eq!(deployment.gateway.send("POST /turn/", &headers, "in").await.status, 200);
+    assert_eq!(deployment.engine.received()[0].header("t-priority"), Some(rank));
+}
+
+/// A connection that stays open between requests.
+struct OpenConnection(TcpStream);
+
+impl OpenConnection {
+    async fn to(address: SocketAddr) -> Self {
+        Self(TcpStream::connect(address).await.expect("the gateway listens"))
+    }
+
+    /// Sends a request without a body and reads the answer, whose length is told. Returns its status.
+    async fn send(&mut self, line: &str, headers: &str) -> u16 {
+        let request = format!("{line} HTTP/1.1\r\nhost: h.example\r\n{headers}content-length: 0\r\n\r\n");
+        self.0.write_all(request.as_bytes()).await.expect("the connection is open");
+        let mut bytes = Vec::new();
+        let mut piece = [0; 4096];
+        loop {
+            let length = self.0.read(&mut piece).await.expect("the connection is open");
+            assert!(length > 0, "the gateway closed the connection");
+            bytes.extend_from_slice(&piece[..length]);
+            let text = String::from_utf8_lossy(&bytes).to_ascii_lowercase();
+            let Some((head, body)) = text.split_once("\r\n\r\n") else { continue };
+            let length = head.lines().find_map(|line| line.strip_prefix("content-length: ")?.parse::<usize>().ok());
+            if body.len() >= length.unwrap_or(0) {
+                return head.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
+            }
+        }
+    }
+}
--- a/crates/node/src/explain.rs
+++ b/crates/node/src/explain.rs
@@ -4,6 +4,7 @@
 //! are merged by time. The last line states the cause.
 
 use foxnotch_turns::identity::turn_id;
+use foxnotch_wire::TurnId;
 use std::collections::BTreeSet;
 use std::fs;
 use std::io;
@@ -35,17 +36,21 @@
 }
 
 /// What ends a call, as it stands in a line, and the cause that it shows.
-const CAUSES: [(&str, &str); 22] = [
+const CAUSES: [(&str, &str); 23] = [
     (
         "cause=no_configuration",
         "refused, not run: the gateway had no configuration yet (see its 'view:' and 'store:' lines)",
     ),
     (
         "cause=configuration_behind",
-        "refused, not run: no route was known, and the gateway had not got a newer configuration yet (see its 'view:' lines)",
+        "refused, not run: its route or its key was not known, and the gateway had not got a newer configuration yet (see its 'view:' lines)",
     ),
     ("cause=stopping", "refused, not run: the gateway had been told to stop and could not have ended it in time"),
     ("cause=no_route", "refused, not run: no route of the configuration in force serves its host and path"),
+    (
+        "cause=key_denied",
+        "refused, not run: no tenant of the configuration in force holds its key (see the line that tells key and version)",
+    ),
     ("cause=malformed", "refused, not run: the request could not be read"),
     ("cause=too_large", "refused, not run: its body is over the limit"),
     ("cause=no_room", "refused, not run: no engine had room, or none could be reached"),
@@ -76,7 +81,7 @@
         lines.extend(read_log(file)?);
     }
     let calls = calls_of(identifier, &lines);
-    let names: Vec<String> = calls.iter().flat_map(|call| [call.clone(), turn_id(call).to_string()]).collect();
+    let names: Vec<String> = calls.iter().flat_map(|call| [call.clone(), turn_of(call, &lines).to_string()]).collect();
     let mut life: Vec<&LogLine> =
         lines.iter().filter(|line| names.iter().any(|name| line.text.contains(name.as_str()))).collect();
     if life.is_empty() {
@@ -113,6 +118,15 @@
     }
 }
 
+/// The turn by which replicas know a call: its tenant, which its lines tell, is part of that.
+fn turn_of(call: &str, lines: &[LogLine]) -> TurnId {
+    let mark = format!("Call {call} ");
+    let of_call = lines.iter().filter(|line| line.text.contains(&mark));
+    let tenant =
+        of_call.filter_map(|line| line.text.split_once(" tenant=")).find_map(|(_, rest)| rest.split(' ').next());
+    turn_id(tenant.unwrap_or_default(), call)
+}
+
 /// The call that a line is about.
 fn call_in(text: &str) -> Option<String> {
     let (_, rest) = text.split_once("Call ")?;
--- a/crates/node/tests/explain_tests.rs
+++ b/crates/node/tests/explain_tests.rs
@@ -50,7 +50,7 @@
 #[test]
 fn a_program_is_followed_through_all_gateways_and_replicas() {
     let mut logs = Logs::new();
-    let turn = turn_id("c1");
+    let turn = turn_id("", "c1");
     logs.add("gateway-1.log", &[sent("10:00:01.000", "c1", "p1"), sent("10:00:01.200", "c77", "p2")]);
     logs.add("gateway-2.log", &[sent("10:00:03.000", "c2", "p1")]);
     logs.add("replica-1.log", &[format!("10:00:02.000 WARN turn: Turn {turn} is not settled.")]);
--- /dev/null
+++ b/crates/scheduler/tests/tenant_tests.rs
@@ -0,0 +1,85 @@
+//! Whose a request is.
+
+use foxnotch_scheduler::tenants::{
+    KeyDenial, KeyDigest, PresentedKey, RateLimit, Tenant, TenantDirectory, TenantProblem,
+};
+use rstest::rstest;
+
+fn tenant(name: &str, keys: &[&str]) -> Tenant {
+    let keys = keys.iter().map(|key| KeyDigest::of(key.as_bytes())).collect();
+    Tenant { name: name.to_owned(), keys, priority: None, limit: None }
+}
+
+fn one(key: &str) -> PresentedKey {
+    PresentedKey::One(KeyDigest::of(key.as_bytes()))
+}
+
+#[rstest]
+#[case::first_key(one("a1"), false, Ok(Some("a")))]
+#[case::second_key(one("a2"), false, Ok(Some("a")))]
+#[case::of_another_tenant(one("b1"), false, Ok(Some("b")))]
+#[case::known_on_an_open_route(one("b1"), true, Ok(Some("b")))]
+#[case::none_on_an_open_route(PresentedKey::Absent, true, Ok(None))]
+#[case::none(PresentedKey::Absent, false, Err(KeyDenial::Missing))]
+#[case::unknown(one("c1"), false, Err(KeyDenial::Unknown))]
+#[case::unknown_on_an_open_route(one("c1"), true, Err(KeyDenial::Unknown))]
+#[case::in_another_case(one("A1"), false, Err(KeyDenial::Unknown))]
+#[case::with_more_behind(one("a11"), false, Err(KeyDenial::Unknown))]
+#[case::empty(one(""), false, Err(KeyDenial::Unknown))]
+#[case::several(PresentedKey::Unclear, true, Err(KeyDenial::Unknown))]
+fn a_key_tells_whose_a_request_is(
+    #[case] key: PresentedKey,
+    #[case] is_open_route: bool,
+    #[case] expected: Result<Option<&str>, KeyDenial>,
+) {
+    let directory = TenantDirectory::new(&[tenant("a", &["a1", "a2"]), tenant("b", &["b1"])]);
+    let found = directory.identify(key, is_open_route).map(|found| found.map(|tenant| tenant.name.as_str()));
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn a_key_of_several_tenants_is_the_first_ones_and_is_counted() {
+    let directory = TenantDirectory::new(&[tenant("a", &["k", "a1"]), tenant("b", &["k"]), tenant("c", &["c1"])]);
+    assert_eq!(directory.shared_keys(), 1);
+    let holder = directory.identify(one("k"), false).expect("it is somebody's");
+    assert_eq!(holder.map(|tenant| tenant.name.as_str()), Some("a"));
+}
+
+/// What a process prints, and what nodes tell each other, holds no key.
+#[test]
+fn a_key_is_shown_nowhere() {
+    let tenant = tenant("a", &["very-secret"]);
+    assert!(!format!("{tenant:?}").contains("very-secret"));
+    assert!(format!("{tenant:?}").contains("KeyDigest(..)"));
+    assert_eq!(String::from(tenant.keys[0]).len(), 32);
+    assert!(!String::from(tenant.keys[0]).contains("very-secret"));
+}
+
+#[rstest]
+#[case::too_short("0f")]
+#[case::not_hexadecimal("zz000000000000000000000000000000")]
+fn a_text_that_is_no_digest_is_refused(#[case] text: &str) {
+    assert!(KeyDigest::try_from(text.to_owned()).is_err());
+}
+
+#[test]
+fn a_digest_survives_its_text() {
+    let digest = KeyDigest::of(b"k");
+    assert_eq!(KeyDigest::try_from(String::from(digest)), Ok(digest));
+}
+
+#[rstest]
+#[case::no_limit(None, Ok(()))]
+#[case::a_limit(Some((5.0, 0.0)), Ok(()))]
+#[case::a_negative_rate(Some((-1.0, 0.0)), Err(TenantProblem::BadRate("t".to_owned())))]
+#[case::a_negative_burst(Some((1.0, -1.0)), Err(TenantProblem::BadRate("t".to_owned())))]
+#[case::no_number(Some((f64::NAN, 0.0)), Err(TenantProblem::BadRate("t".to_owned())))]
+fn a_tenants_limit_is_checked(#[case] limit: Option<(f64, f64)>, #[case] expected: Result<(), TenantProblem>) {
+    let limit = limit.map(|(per_second, burst)| RateLimit { per_second, burst });
+    assert_eq!(Tenant { limit, ..tenant("t", &[]) }.check(1), expected);
+}
+
+#[test]
+fn a_tenant_without_a_name_is_refused_by_its_number() {
+    assert_eq!(tenant("", &["k"]).check(3), Err(TenantProblem::NoName(3)));
+}
