--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -4,6 +4,7 @@
 use crate::edge::body::AnswerBody;
 use crate::edge::call::Call;
 use crate::edge::planned_stop::PlannedStop;
+use crate::edge::quotas::QuotaKeeper;
 use crate::edge::refusal::Refusal;
 use crate::edge::routes::{RouteTable, ServiceShares};
 use crate::edge::tries::Tries;
@@ -24,6 +25,7 @@
 use crate::ports::configuration::{Route, RouteKind};
 use crate::ports::dialect::{CallMetadata, Dialect};
 use bytes::Bytes;
+use foxnotch_scheduler::quota::Standing;
 use foxnotch_scheduler::tenants::Tenant;
 use http::{header, Request, Response};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -57,6 +59,8 @@
     pub metrics: Arc<Metrics>,
     /// Turns and budgets.
     pub turns: Arc<TurnKeeper>,
+    /// Leave for requests of tenants that have a limit.
+    pub quotas: QuotaKeeper,
     /// Shares of services.
     pub shares: ServiceShares,
     /// Mechanisms that are on.
@@ -201,7 +205,11 @@
         }
         match call.route.kind {
             RouteKind::Streaming => stream_call::serve(self, call).await,
-            RouteKind::Idempotent | RouteKind::NonIdempotent => whole_call::serve(&self, &call).await,
+            RouteKind::Idempotent | RouteKind::NonIdempotent => {
+                // Plain calls are made by programs under way.
+                self.quotas.take(&call, Standing::UnderWay, call.place_deadline()).await?;
+                whole_call::serve(&self, &call).await
+            }
         }
     }
 
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -9,6 +9,7 @@
 pub mod handler;
 pub mod planned_stop;
 pub mod process;
+pub mod quotas;
 pub mod refusal;
 pub mod routes;
 pub mod stream_call;
--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -5,6 +5,7 @@
 use crate::edge::body::AnswerBody;
 use crate::edge::handler::Gateway;
 use crate::edge::planned_stop::PlannedStop;
+use crate::edge::quotas::QuotaKeeper;
 use crate::edge::turn_cache::TurnCache;
 use crate::edge::turns::TurnKeeper;
 use crate::engines::learned_costs::LearnedCosts;
@@ -88,6 +89,13 @@
     let keeper =
         TurnKeeper::new(replicas.clone(), view.clone(), cache, zone_hash(&settings.zone), settings.tolerance());
     let turns = Arc::new(keeper.with_metrics(metrics.clone()));
+    let quotas = QuotaKeeper::new(
+        replicas.clone(),
+        turns.clone(),
+        zone_hash(&settings.zone),
+        settings.policy.quota_block,
+        metrics.clone(),
+    );
     let gateway = Arc::new(Gateway {
         zone: settings.zone.clone(),
         view: view.clone(),
@@ -97,6 +105,7 @@
         costs: LearnedCosts::default(),
         metrics: metrics.clone(),
         turns: turns.clone(),
+        quotas,
         shares: Default::default(),
         policy: settings.policy,
         routes: Mutex::default(),
--- /dev/null
+++ b/crates/gateway/src/edge/quotas.rs
@@ -0,0 +1,244 @@
+//! Leave for requests of tenants that have a limit: asked of the replicas, which hold the shares of it.
+
+use crate::edge::call::Call;
+use crate::edge::refusal::Refusal;
+use crate::edge::turns::TurnKeeper;
+use crate::locks::lock;
+use crate::logging::part;
+use crate::metrics::Metrics;
+use crate::peers::replica_client::ReplicaClient;
+use crate::peers::view::Origin;
+use foxnotch_scheduler::quota::{Grant, Standing};
+use foxnotch_scheduler::quota_asks::{AskPlan, ShareAnswers, ShareHolder};
+use foxnotch_scheduler::tenants::RateLimit;
+use foxnotch_turns::identity::program_key;
+use foxnotch_wire::{ProgramKey, ProgramStanding, ReplicaMember, ReplicaSet, RpcBody, SetNews, TakeQuota};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Time that one replica is given to answer: a reachable one takes a few milliseconds, also through another gateway.
+const ANSWER_TIME: Duration = Duration::from_millis(150);
+/// Pause before replicas of which none answered are asked again.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// Time for which leave that was given ahead may be used: it is a small part of the window in which limits are counted.
+const SPARE_TIME: Duration = Duration::from_millis(250);
+
+/// Leave that was given ahead.
+#[derive(Clone, Copy, Debug)]
+struct SpareLeave {
+    requests: u32,
+    until: Duration,
+}
+
+/// What replicas have told and given.
+#[derive(Debug, Default)]
+struct Told {
+    answers: ShareAnswers,
+    spare: HashMap<u64, SpareLeave>,
+}
+
+/// Asks replicas for leave.
+pub struct QuotaKeeper {
+    client: Arc<ReplicaClient>,
+    turns: Arc<TurnKeeper>,
+    zone: u32,
+    /// Requests for which leave is asked at a time.
+    block: u32,
+    started_at: Instant,
+    told: Mutex<Told>,
+    metrics: Arc<Metrics>,
+}
+
+/// A request that needs leave.
+struct Applicant<'a> {
+    attempt: &'a str,
+    number: u64,
+    limit: RateLimit,
+    /// The revision of the configuration that tells the limit.
+    revision: u64,
+    program: ProgramKey,
+    standing: Standing,
+}
+
+/// What became of asking one replica.
+enum Asked {
+    Given(Grant),
+    NewerSet(ReplicaSet),
+    Unanswered,
+}
+
+fn to_wire(standing: Standing) -> ProgramStanding {
+    match standing {
+        Standing::New => ProgramStanding::New,
+        Standing::UnderWay => ProgramStanding::UnderWay,
+    }
+}
+
+impl QuotaKeeper {
+    /// A keeper of a gateway in `zone`.
+    pub fn new(
+        client: Arc<ReplicaClient>,
+        turns: Arc<TurnKeeper>,
+        zone: u32,
+        block: u32,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        let started_at = Instant::now();
+        Self { client, turns, zone, block: block.max(1), started_at, told: Mutex::default(), metrics }
+    }
+
+    /// Gets leave to send a call, if its tenant has a limit.
+    ///
+    /// # Errors
+    /// [`Refusal::OverLimit`]; [`Refusal::LimitUnknown`] when no replica answers until `deadline`.
+    pub async fn take(&self, call: &Call, standing: Standing, deadline: Instant) -> Result<(), Refusal> {
+        let Some(tenant) = &call.tenant else { return Ok(()) };
+        let Some(limit) = tenant.limit else { return Ok(()) };
+        let program = call.metadata.program.as_deref().unwrap_or(&call.metadata.attempt);
+        let applicant = Applicant {
+            attempt: &call.metadata.attempt,
+            number: xxh3_64(tenant.name.as_bytes()),
+            limit,
+            revision: self.turns.view.get().configuration.revision,
+            program: program_key(&tenant.name, program),
+            standing,
+        };
+        let begun_at = Instant::now();
+        let outcome = self.take_for(&applicant, deadline).await;
+        self.metrics.quota_seconds.observe(begun_at.elapsed().as_secs_f64());
+        self.metrics.count_tenant(&tenant.name, outcome.as_ref().err().map_or("let_in", Refusal::name));
+        if let Err(refusal) = &outcome {
+            let RateLimit { per_second, burst } = limit;
+            log::info!(target: part::CALL, "Call {} is not let in: tenant={} per_second={per_second} burst={burst} standing={standing:?} configuration={} come_back={:?} after={:?}: {}.", applicant.attempt, tenant.name, applicant.revision, refusal.retry_after(), begun_at.elapsed(), refusal.name());
+        }
+        outcome
+    }
+
+    async fn take_for(&self, applicant: &Applicant<'_>, deadline: Instant) -> Result<(), Refusal> {
+        if self.take_spare(applicant.number) {
+            return Ok(());
+        }
+        loop {
+            let set = self.turns.wait_for_set(deadline).await.map_err(|_| Refusal::LimitUnknown)?;
+            match self.ask_set(applicant, &set, deadline).await {
+                SetAnswer::Given => return Ok(()),
+                SetAnswer::Spent(come_back) => return Err(Refusal::OverLimit(come_back)),
+                SetAnswer::NewerSet(newer) => {
+                    self.turns.view.adopt_set(&newer, Origin::Peer);
+                }
+                SetAnswer::Unanswered if Instant::now() + RETRY_PAUSE < deadline => {
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+                SetAnswer::Unanswered => return Err(Refusal::LimitUnknown),
+            }
+        }
+    }
+
+    /// Asks the replicas of one set, one after the other, until one gives.
+    async fn ask_set(&self, applicant: &Applicant<'_>, set: &ReplicaSet, deadline: Instant) -> SetAnswer {
+        let order = match self.plan(applicant, set) {
+            AskPlan::Ask(order) => order,
+            AskPlan::Refuse(come_back) => return SetAnswer::Spent(come_back),
+        };
+        let mut soonest: Option<Duration> = None;
+        for index in order {
+            let member = &set.members[index];
+            match self.ask(applicant, set, member, deadline).await {
+                Asked::Given(grant) if grant.granted > 0 => {
+                    self.keep_spare(applicant.number, grant.granted - 1);
+                    return SetAnswer::Given;
+                }
+                Asked::Given(grant) => {
+                    soonest = Some(soonest.map_or(grant.come_back, |known| known.min(grant.come_back)));
+                }
+                Asked::NewerSet(newer) => return SetAnswer::NewerSet(newer),
+                Asked::Unanswered => {}
+            }
+        }
+        soonest.map_or(SetAnswer::Unanswered, SetAnswer::Spent)
+    }
+
+    fn plan(&self, applicant: &Applicant<'_>, set: &ReplicaSet) -> AskPlan {
+        let holder = |member: &ReplicaMember| ShareHolder { node: member.node.0, is_near: member.zone == self.zone };
+        let holders: Vec<ShareHolder> = set.members.iter().map(holder).collect();
+        let now = self.started_at.elapsed();
+        lock(&self.told).answers.plan(applicant.number, &holders, applicant.standing, now)
+    }
+
+    async fn ask(
+        &self,
+        applicant: &Applicant<'_>,
+        set: &ReplicaSet,
+        member: &ReplicaMember,
+        deadline: Instant,
+    ) -> Asked {
+        let request = TakeQuota {
+            set_version: set.version,
+            tenant: applicant.number,
+            revision: applicant.revision,
+            per_second: applicant.limit.per_second,
+            burst: applicant.limit.burst,
+            program: applicant.program,
+            standing: to_wire(applicant.standing),
+            wanted: self.block,
+        };
+        let within = deadline.saturating_duration_since(Instant::now()).min(ANSWER_TIME);
+        let answer = self.client.call(member, RpcBody::TakeQuota(request), within).await;
+        let now = self.started_at.elapsed();
+        match answer {
+            Ok(RpcBody::QuotaGiven(given)) => {
+                let come_back = Duration::from_millis(given.come_back_ms.into());
+                let grant = Grant { granted: given.granted, left: given.left, come_back };
+                let (tenant, standing) = (applicant.number, applicant.standing);
+                lock(&self.told).answers.note(tenant, member.node.0, standing, &grant, now);
+                Asked::Given(grant)
+            }
+            Ok(RpcBody::OtherSet(news)) if news.set.version > set.version => Asked::NewerSet(news.set),
+            Ok(RpcBody::OtherSet(_)) => {
+                self.teach(member, set, within).await;
+                Asked::Unanswered
+            }
+            Ok(_) | Err(_) => {
+                lock(&self.told).answers.note_silence(applicant.number, member.node.0, now);
+                Asked::Unanswered
+            }
+        }
+    }
+
+    /// Tells a replica of a newer set than the one that it goes by.
+    async fn teach(&self, member: &ReplicaMember, set: &ReplicaSet, within: Duration) {
+        let news = SetNews { set: set.clone(), synced: 0 };
+        if let Err(error) = self.client.call(member, RpcBody::AdoptSet(news), within).await {
+            log::debug!(target: part::TURN, "Replica {} was not told of set {}: {error}.", member.node, set.version);
+        }
+    }
+
+    fn take_spare(&self, tenant: u64) -> bool {
+        let now = self.started_at.elapsed();
+        let mut told = lock(&self.told);
+        let Some(spare) = told.spare.get_mut(&tenant) else { return false };
+        if spare.requests == 0 || spare.until < now {
+            told.spare.remove(&tenant);
+            return false;
+        }
+        spare.requests -= 1;
+        true
+    }
+
+    fn keep_spare(&self, tenant: u64, requests: u32) {
+        if requests > 0 {
+            let until = self.started_at.elapsed() + SPARE_TIME;
+            lock(&self.told).spare.insert(tenant, SpareLeave { requests, until });
+        }
+    }
+}
+
+/// What became of asking the replicas of one set.
+enum SetAnswer {
+    Given,
+    Spent(Duration),
+    NewerSet(ReplicaSet),
+    Unanswered,
+}
--- a/crates/gateway/src/edge/refusal.rs
+++ b/crates/gateway/src/edge/refusal.rs
@@ -5,6 +5,9 @@
 use http::{header, HeaderValue, Response, StatusCode};
 use std::time::Duration;
 
+/// The least time to come back that is told: an answer takes as long.
+const LEAST_WAIT: Duration = Duration::from_millis(20);
+
 /// Why the gateway answers by itself. Messages name the remedy.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Refusal {
@@ -23,6 +26,12 @@
     /// Not run: no tenant holds its key.
     #[error("this needs the key of a tenant, and the one given is {}; send a key that is in force", .0.name())]
     KeyDenied(KeyDenial),
+    /// Not run: its tenant is over its limit.
+    #[error("the tenant is over its limit; ask again after the time given, or have the limit raised")]
+    OverLimit(Duration),
+    /// Not run: nobody can tell whether its tenant is over its limit.
+    #[error("whether the tenant is over its limit cannot be told now; ask again after the time given")]
+    LimitUnknown,
     /// Not run: the request is malformed.
     #[error("the request cannot be read ({0}); correct it")]
     Malformed(&'static str),
@@ -61,6 +70,7 @@
         match self {
             Self::NoRoute | Self::NoSuchTurn => StatusCode::NOT_FOUND,
             Self::KeyDenied(_) => StatusCode::UNAUTHORIZED,
+            Self::OverLimit(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::Malformed(_) => StatusCode::BAD_REQUEST,
             Self::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
@@ -70,6 +80,7 @@
             | Self::NoRoom
             | Self::NoQuorum(_)
             | Self::ChainUnknown
+            | Self::LimitUnknown
             | Self::OutOfTime => StatusCode::SERVICE_UNAVAILABLE,
             Self::MayHaveRun(_) => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -80,7 +91,8 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::NoRoom => Some(Duration::from_millis(100)),
-            Self::Stopping | Self::OutOfTime | Self::NoQuorum(_) | Self::ChainUnknown => {
+            Self::OverLimit(come_back) => Some((*come_back).max(LEAST_WAIT)),
+            Self::Stopping | Self::OutOfTime | Self::NoQuorum(_) | Self::ChainUnknown | Self::LimitUnknown => {
                 Some(Duration::from_millis(200))
             }
             Self::NoConfiguration | Self::ConfigurationBehind => Some(Duration::from_millis(300)),
@@ -96,6 +108,8 @@
             Self::Stopping => "stopping",
             Self::NoRoute => "no_route",
             Self::KeyDenied(_) => "key_denied",
+            Self::OverLimit(_) => "over_limit",
+            Self::LimitUnknown => "limit_unknown",
             Self::Malformed(_) => "malformed",
             Self::TooLarge(_) => "too_large",
             Self::NoRoom => "no_room",
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -18,6 +18,7 @@
 use crate::engines::engine::EngineLease;
 use crate::logging::part;
 use bytes::Bytes;
+use foxnotch_scheduler::quota::Standing;
 use foxnotch_turns::budget::BudgetView;
 use foxnotch_turns::chain::{compose_body, NO_TURN};
 use foxnotch_turns::identity::{program_key, turn_id};
@@ -92,6 +93,9 @@
     );
     let chain = chain?;
     let known = reserved?;
+    // Only now: turns of programs that loop are refused by their budget, and must not use up their tenant's limit. Where both
+    // were asked for at once, a tenant with a limit of 96 requests in 5 s was refused after 31.
+    gateway.quotas.take(&call, standing_of(&call, known.as_ref()), prepare_until).await?;
     if gateway.policy.avoid_failed {
         call.avoided = known.as_ref().map_or(Vec::new(), BudgetView::failed_engines);
     }
@@ -157,6 +161,16 @@
     }
 }
 
+/// Whether a turn's program has begun: it continues a turn, or the program's books hold another one.
+fn standing_of(call: &Call, known: Option<&BudgetView>) -> Standing {
+    let has_begun = call.metadata.previous.is_some() || known.is_some_and(|program| program.turns() > 1);
+    if has_begun {
+        Standing::UnderWay
+    } else {
+        Standing::New
+    }
+}
+
 /// The engine that ran the turn which this one continues: as its record tells, or else the program's books.
 fn predecessor(gateway: &Gateway, call: &Call, chain: &ChainRecords, program: Option<BudgetView>) -> Option<u32> {
     if let Some((_, record)) = chain.last() {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use crate::edge::body::AnswerBody;
 use crate::engines::connection::opened;
+use crate::locks::lock;
 use crate::logging::{lines_left_out, part};
 use crate::network;
 use crate::peers::view_exchange::pulls;
@@ -16,10 +17,11 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
 use prometheus_client::registry::Registry;
+use std::collections::HashSet;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
@@ -33,6 +35,11 @@
 /// Connections of readers at one time.
 const MAXIMUM_READERS: usize = 16;
 
+/// Tenants that are counted by name: bounds what the metrics hold.
+const MAXIMUM_TENANTS: usize = 200;
+/// The name under which all others are counted.
+const OTHER_TENANTS: &str = "others";
+
 /// What something ended with.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct Outcome {
@@ -51,6 +58,15 @@
     pub outcome: &'static str,
 }
 
+/// What became of requests of one tenant.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TenantOutcome {
+    /// The tenant; [`OTHER_TENANTS`] beyond the first [`MAXIMUM_TENANTS`].
+    pub tenant: String,
+    /// A short name.
+    pub outcome: &'static str,
+}
+
 /// A gauge of a value that is read when it is asked for.
 type Reading = Box<dyn Fn() -> i64 + Send + Sync>;
 
@@ -72,6 +88,12 @@
     pub quorum_seconds: Histogram,
     /// Answers of replicas that came through another gateway.
     pub relayed: Counter,
+    /// Seconds until a request of a tenant with a limit was let in or refused.
+    pub quota_seconds: Histogram,
+    /// Requests of tenants with a limit, by what became of them.
+    pub tenants: Family<TenantOutcome, Counter>,
+    /// Tenants that are counted by name.
+    named_tenants: Mutex<HashSet<String>>,
 }
 
 fn histogram() -> Histogram {
@@ -90,6 +112,9 @@
             dispatch_seconds: histogram(),
             quorum_seconds: histogram(),
             relayed: Counter::default(),
+            quota_seconds: histogram(),
+            tenants: Family::default(),
+            named_tenants: Mutex::default(),
         };
         let registry = &mut metrics.registry;
         registry.register("calls", "Calls by how they ended", metrics.calls.clone());
@@ -107,6 +132,9 @@
         );
         registry.register("quorum_seconds", "A round to a quorum of replicas", metrics.quorum_seconds.clone());
         registry.register("relayed", "Answers of replicas through another gateway", metrics.relayed.clone());
+        let registry = &mut metrics.registry;
+        registry.register("quota_seconds", "Until a limit let a request in or not", metrics.quota_seconds.clone());
+        registry.register("tenant_requests", "Requests of tenants with a limit", metrics.tenants.clone());
         metrics.read("engine_connections_opened", "Connections opened to engines", || opened() as i64);
         metrics.read("view_pulls_answered", "Views pulled from other nodes", || pulls().0 as i64);
         metrics.read("view_pulls_failed", "Pulls of a view that failed", || pulls().1 as i64);
@@ -134,6 +162,15 @@
         self.sends.get_or_create(&Outcome { outcome }).inc();
     }
 
+    /// Counts a request of a tenant that has a limit.
+    pub fn count_tenant(&self, tenant: &str, outcome: &'static str) {
+        let mut named = lock(&self.named_tenants);
+        let is_named = named.contains(tenant) || named.len() < MAXIMUM_TENANTS && named.insert(tenant.to_owned());
+        drop(named);
+        let tenant = if is_named { tenant } else { OTHER_TENANTS };
+        self.tenants.get_or_create(&TenantOutcome { tenant: tenant.to_owned(), outcome }).inc();
+    }
+
     /// Counts a call to the platform's store.
     pub fn count_store_call(&self, call: StoreCall) {
         self.store_calls.get_or_create(&call).inc();
--- a/crates/gateway/src/peers/replica_client.rs
+++ b/crates/gateway/src/peers/replica_client.rs
@@ -175,5 +175,12 @@
 
 /// Whether a request is one of those that gateways send to replicas.
 fn may_be_relayed(body: &RpcBody) -> bool {
-    matches!(body, RpcBody::StoreEntry(_) | RpcBody::ReadProgram(_) | RpcBody::ReadChain(_) | RpcBody::AdoptSet(_))
+    matches!(
+        body,
+        RpcBody::StoreEntry(_)
+            | RpcBody::ReadProgram(_)
+            | RpcBody::ReadChain(_)
+            | RpcBody::AdoptSet(_)
+            | RpcBody::TakeQuota(_)
+    )
 }
--- a/crates/gateway/src/policy.rs
+++ b/crates/gateway/src/policy.rs
@@ -1,5 +1,6 @@
 //! Switches of the mechanisms by which a gateway decides: each can be taken out to see what it is worth.
 
+use foxnotch_scheduler::quota::Admission;
 use serde::Deserialize;
 
 /// Which mechanisms are on. All are, unless a setting says otherwise.
@@ -22,6 +23,22 @@
     pub learned_prices: bool,
     /// A replica whose direct path is silent is asked through another gateway.
     pub relay: bool,
+    /// While little of a tenant's limit is left, new programs begin only if all that they will ask for fits; without this
+    /// each request is let in or refused by itself.
+    pub whole_programs: bool,
+    /// Requests for which a gateway asks leave at a time, where a tenant has a limit.
+    pub quota_block: u32,
+}
+
+impl PolicySettings {
+    /// What is admitted when little of a limit is left.
+    pub fn admission(&self) -> Admission {
+        if self.whole_programs {
+            Admission::WholePrograms
+        } else {
+            Admission::EachRequest
+        }
+    }
 }
 
 impl Default for PolicySettings {
@@ -35,6 +52,8 @@
             shared_loads: true,
             learned_prices: true,
             relay: true,
+            whole_programs: true,
+            quota_block: 1,
         }
     }
 }
--- a/crates/gateway/src/replica/core.rs
+++ b/crates/gateway/src/replica/core.rs
@@ -11,12 +11,13 @@
 use crate::peers::view::{Origin, ViewHolder};
 use crate::peers::view_exchange;
 use crate::replica::disk::{Disk, DiskError};
+use crate::replica::quotas::ReplicaQuotas;
 use foxnotch_turns::ledger::Ledger;
 use foxnotch_turns::replica_set;
 use foxnotch_turns::segment::{Record, ReplicaState};
 use foxnotch_wire::{
     Chain, DiskIdentity, Entries, ListMarks, Marks, NodeId, ProgramKey, ReadChain, ReadProgram, ReplicaSet,
-    ReplicaStanding, RpcBody, SetNews, StoreEntry, Stored, TurnEntry, TurnId, Witness, NOT_SETTLED,
+    ReplicaStanding, RpcBody, SetNews, StoreEntry, Stored, TakeQuota, TurnEntry, TurnId, Witness, NOT_SETTLED,
 };
 use futures_util::future::BoxFuture;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -40,21 +41,33 @@
     memory_limit: usize,
     view: Arc<ViewHolder>,
     members: Arc<Members>,
+    quotas: ReplicaQuotas,
     /// Entries handed to replicas that lacked them, since the start.
     handed_out: AtomicU64,
 }
 
+/// What a replica is made of.
+pub struct ReplicaParts {
+    /// This node.
+    pub own: NodeId,
+    /// The steady clock.
+    pub clock: SteadyClock,
+    /// The disk.
+    pub disk: Disk,
+    /// Bytes of memory that turns may take.
+    pub memory_limit: usize,
+    /// What is known of the platform.
+    pub view: Arc<ViewHolder>,
+    /// The other nodes.
+    pub members: Arc<Members>,
+    /// Shares of tenants' limits.
+    pub quotas: ReplicaQuotas,
+}
+
 impl ReplicaCore {
     /// A replica that starts from what its disk holds.
-    pub fn new(
-        own: NodeId,
-        clock: SteadyClock,
-        disk: Disk,
-        records: Vec<Record>,
-        memory_limit: usize,
-        view: Arc<ViewHolder>,
-        members: Arc<Members>,
-    ) -> Self {
+    pub fn new(parts: ReplicaParts, records: Vec<Record>) -> Self {
+        let ReplicaParts { own, clock, disk, memory_limit, view, members, quotas } = parts;
         let mut ledger = Ledger::default();
         let mut state = ReplicaState::default();
         for record in records {
@@ -78,6 +91,7 @@
             memory_limit,
             view,
             members,
+            quotas,
             handed_out: AtomicU64::new(0),
         }
     }
@@ -124,6 +138,7 @@
         if set.version <= lock(&self.state).set.version {
             return;
         }
+        let was_member = replica_set::contains(&lock(&self.state).set, self.own);
         let newer = set.clone();
         let written = self
             .change_state(move |state| {
@@ -135,9 +150,17 @@
         if let Err(error) = written {
             log::warn!(target: part::REPLICA, "Replica set {} is known but not on disk: {error}.", set.version);
         }
+        if !was_member && replica_set::contains(set, self.own) {
+            self.quotas.begin_again();
+        }
         self.view.adopt_set(set, origin);
     }
 
+    /// Tenants of whose limits it holds a share.
+    pub fn limited_tenants(&self) -> usize {
+        self.quotas.tenants()
+    }
+
     /// Notes another replica's disk before anything is told to it.
     pub async fn note_disk(&self, identity: DiskIdentity) {
         if identity.node == self.own {
@@ -273,6 +296,13 @@
         RpcBody::Chain(Chain { witness: self.witness(), links })
     }
 
+    fn on_take_quota(&self, request: &TakeQuota) -> RpcBody {
+        match self.other_set(request.set_version) {
+            Some(other) => other,
+            None => self.quotas.answer(request, lock(&self.state).set.members.len()),
+        }
+    }
+
     async fn on_list(&self, request: ListMarks) -> RpcBody {
         self.note_disk(request.own).await;
         self.adopt_set(&request.set, Origin::Peer).await;
@@ -303,6 +333,7 @@
             RpcBody::StoreEntry(request) => self.on_store(request).await,
             RpcBody::ReadProgram(request) => self.on_read_program(request),
             RpcBody::ReadChain(request) => self.on_read_chain(request),
+            RpcBody::TakeQuota(request) => self.on_take_quota(&request),
             RpcBody::ListMarks(request) => self.on_list(request).await,
             RpcBody::FetchEntries(request) => self.on_fetch(&request.turns),
             RpcBody::AdoptSet(news) => {
--- a/crates/gateway/src/replica/mod.rs
+++ b/crates/gateway/src/replica/mod.rs
@@ -3,5 +3,6 @@
 pub mod core;
 pub mod disk;
 pub mod process;
+pub mod quotas;
 pub mod steward;
 pub mod sync;
--- a/crates/gateway/src/replica/process.rs
+++ b/crates/gateway/src/replica/process.rs
@@ -10,8 +10,9 @@
 use crate::peers::view::ViewHolder;
 use crate::ports::counted_store::CountedStore;
 use crate::ports::store::{Kind, MetadataStore};
-use crate::replica::core::ReplicaCore;
+use crate::replica::core::{ReplicaCore, ReplicaParts};
 use crate::replica::disk::Disk;
+use crate::replica::quotas::ReplicaQuotas;
 use crate::replica::steward::{Steward, StewardParts};
 use crate::settings::{ProcessSettings, SettingsError};
 use crate::signals::wait_for_stop;
@@ -45,7 +46,9 @@
         .context("the port for datagrams cannot be bound")?;
     let (disk, records) = Disk::open(&folder).context("the data folder cannot be used; check the disk")?;
     let memory_limit = (settings.resources.memory_mb * 1024 * 1024 / MEMORY_SHARE) as usize;
-    let core = Arc::new(ReplicaCore::new(own, clock, disk, records, memory_limit, view.clone(), members.clone()));
+    let quotas = ReplicaQuotas::new(settings.quota.rules(), settings.policy.admission());
+    let parts = ReplicaParts { own, clock, disk, memory_limit, view: view.clone(), members: members.clone(), quotas };
+    let core = Arc::new(ReplicaCore::new(parts, records));
     identify(&core, settings.first_start).await?;
     let member = ReplicaMember {
         node: own,
@@ -112,6 +115,9 @@
     metrics
         .read("entries_handed_out", "Entries handed to replicas that lacked them", move || replica.handed_out() as i64);
     let replica = core.clone();
+    metrics
+        .read("limited_tenants", "Tenants of whose limits a share is held", move || replica.limited_tenants() as i64);
+    let replica = core.clone();
     metrics.read("replica_complete", "1 once refilled", move || i64::from(replica.state().complete));
     let replica = core.clone();
     metrics.read("replica_set_version", "The replica set gone by", move || replica.set().version as i64);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,12 +1,17 @@
 //! The settings of a gateway or a replica, read from a TOML file and checked whole before anything is bound.
 
 use crate::policy::PolicySettings;
+use foxnotch_scheduler::quota::QuotaRules;
 use foxnotch_turns::replica_set::{least_set_size, SetTarget, Tolerance};
 use serde::Deserialize;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+/// The window of tenants' limits where the deployment states none, in seconds.
+const DEFAULT_QUOTA_WINDOW_S: f64 = 5.0;
+/// The least such window, in seconds.
+const LEAST_QUOTA_WINDOW_S: f64 = 0.1;
 /// The least time for a change to be in force everywhere, in milliseconds.
 const LEAST_CHANGE_MS: f64 = 100.0;
 
@@ -89,6 +94,31 @@
     pub set_size: Option<usize>,
 }
 
+/// The window in which tenants' limits hold, and how far the deployment lets them be passed.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct QuotaSettings {
+    /// Seconds of the window.
+    pub window_s: f64,
+    /// Relative to the limit: 0.1 stands for a tenth.
+    pub overage: f64,
+    /// Requests besides.
+    pub slack: f64,
+}
+
+impl Default for QuotaSettings {
+    fn default() -> Self {
+        Self { window_s: DEFAULT_QUOTA_WINDOW_S, overage: 0.0, slack: 0.0 }
+    }
+}
+
+impl QuotaSettings {
+    /// The same, for decisions.
+    pub fn rules(&self) -> QuotaRules {
+        QuotaRules { window_s: self.window_s, overage: self.overage, slack: self.slack }
+    }
+}
+
 /// Everything that can be set.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -132,6 +162,9 @@
     /// The replica set.
     #[serde(default)]
     pub replicas: ReplicaSettings,
+    /// How far limits may be passed.
+    #[serde(default)]
+    pub quota: QuotaSettings,
     /// Times.
     pub times: TimeSettings,
     /// Resources.
@@ -202,6 +235,13 @@
         check(change(self.times.apply_ms), "times.apply_ms", self.times.apply_ms, "100 or more")?;
         let grace = self.times.grace_s;
         check(grace.is_finite() && grace >= 1.0, "times.grace_s", grace, "1 or more")?;
+        let window_s = self.quota.window_s;
+        let is_window = window_s.is_finite() && window_s >= LEAST_QUOTA_WINDOW_S;
+        check(is_window, "quota.window_s", window_s, "0.1 or more")?;
+        let is_tolerance = |value: f64| value.is_finite() && value >= 0.0;
+        check(is_tolerance(self.quota.overage), "quota.overage", self.quota.overage, "0 or more")?;
+        check(is_tolerance(self.quota.slack), "quota.slack", self.quota.slack, "0 or more")?;
+        check(self.policy.quota_block >= 1, "policy.quota_block", self.policy.quota_block, "1 or more")?;
         check(self.resources.memory_mb >= 16, "resources.memory_mb", self.resources.memory_mb, "16 or more")?;
         check(self.resources.descriptors >= 256, "resources.descriptors", self.resources.descriptors, "256 or more")?;
         let least = least_set_size(self.tolerance.machines);
--- a/crates/gateway/tests/support/cluster.rs
+++ b/crates/gateway/tests/support/cluster.rs
@@ -160,6 +160,7 @@
             first_start,
             data_folder: Some(self.data_folder(number)),
             log_level: "info".to_owned(),
+            quota: Default::default(),
             tolerance: ToleranceSettings { machines: 1, zones: 0 },
             times: TimeSettings { drain_ms: 2000.0, apply_ms: 2000.0, grace_s: 8.0 },
             resources: ResourceSettings { memory_mb: 200, descriptors: 4000 },
--- a/crates/gateway/tests/support/gateway.rs
+++ b/crates/gateway/tests/support/gateway.rs
@@ -9,7 +9,7 @@
 use foxnotch_gateway::ports::dialect::{AnswerMetadata, CallMetadata, Dialect, ForwardedCall, PromptPart};
 use foxnotch_gateway::ports::store::{Kind, ObjectBody};
 use foxnotch_gateway::settings::ProcessSettings;
-use foxnotch_scheduler::tenants::{KeyDigest, PresentedKey, Tenant};
+use foxnotch_scheduler::tenants::{KeyDigest, PresentedKey, RateLimit, Tenant};
 use http::{HeaderMap, HeaderName, HeaderValue};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -145,6 +145,11 @@
     Tenant { name: name.to_owned(), keys, priority: None, limit: None }
 }
 
+/// The same tenant with a limit.
+pub fn limited(tenant: Tenant, per_second: f64, burst: f64) -> Tenant {
+    Tenant { limit: Some(RateLimit { per_second, burst }), ..tenant }
+}
+
 /// The usual configuration with tenants; the route of plain reads is open.
 pub fn configuration_of(version: u64, tenants: Vec<Tenant>) -> ObjectBody {
     let ObjectBody::Configuration(mut configuration) = configuration(version) else { unreachable!("it is one") };
--- a/crates/gateway/tests/tenant_tests.rs
+++ b/crates/gateway/tests/tenant_tests.rs
@@ -6,10 +6,10 @@
 use foxnotch_scheduler::tenants::Tenant;
 use rstest::rstest;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use support::cluster::Cluster;
 use support::engine::{Behaviour, EngineStandIn};
-use support::gateway::{configuration_of, list_engine, tenant, RunningGateway};
+use support::gateway::{configuration_of, limited, list_engine, tenant, Answer, RunningGateway};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -145,3 +145,87 @@
         }
     }
 }
+
+/// The answers to many requests of one tenant, sent one after the other.
+struct Burst {
+    answers: Vec<Answer>,
+    took: Duration,
+}
+
+async fn burst(gateways: &[&RunningGateway], count: usize, name: &str) -> Burst {
+    let begun_at = Instant::now();
+    let mut answers = Vec::new();
+    for number in 0..count {
+        let gateway = gateways[number % gateways.len()];
+        answers.push(gateway.send("POST /write/", &attempt(&format!("{name}{number}"), "key-l"), "").await);
+    }
+    Burst { answers, took: begun_at.elapsed() }
+}
+
+impl Burst {
+    fn count(&self, status: u16) -> usize {
+        self.answers.iter().filter(|answer| answer.status == status).count()
+    }
+}
+
+/// Requests a second of the limited tenant: its shares are full soon after the start.
+const PER_SECOND: f64 = 20.0;
+/// Seconds of the window in which the limit holds.
+const WINDOW_SECONDS: f64 = 5.0;
+/// Requests on top.
+const EXTRA: f64 = 9.0;
+
+/// Time in which the shares of replicas that have just started refill.
+const REFILL_TIME: Duration = Duration::from_secs(3);
+
+fn limited_tenant() -> Vec<Tenant> {
+    vec![limited(tenant("lim", &["key-l"]), PER_SECOND, EXTRA), tenant("ana", &["key-a"])]
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_limit_holds_over_all_gateways_together_and_refusals_say_when() {
+    let deployment = Deployment::start(162, Behaviour::Answer("done")).await;
+    deployment.configure(configuration_of(2, limited_tenant()));
+    deployment.until_status("POST /write/", &attempt("first", "key-l"), 200).await;
+    tokio::time::sleep(REFILL_TIME).await;
+    let second = RunningGateway::start_with(&deployment.cluster, 51, deployment.cluster.store.clone()).await;
+    second.wait_ready().await;
+    let before = deployment.engine.received().len();
+    let burst = burst(&[&deployment.gateway, &second], 200, "b").await;
+    let served = burst.count(200);
+    // Shares refill a window's limit within that window.
+    let most = EXTRA + PER_SECOND * burst.took.as_secs_f64().max(WINDOW_SECONDS) + 1.0;
+    assert!(served as f64 <= most, "{served} served in {:?}", burst.took);
+    assert!(served > 0);
+    assert_eq!(served + burst.count(429), 200);
+    assert_eq!(deployment.engine.received().len() - before, served);
+    assert!(burst.answers.iter().filter(|answer| answer.status == 429).all(Answer::says_when));
+    // Nobody else pays for it.
+    assert_eq!(deployment.gateway.send("POST /write/", &attempt("o", "key-a"), "").await.status, 200);
+}
+
+/// A share is lost with its replica; the others go on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_tenant_with_a_limit_is_served_when_a_replica_is_lost() {
+    let mut deployment = Deployment::start(163, Behaviour::Answer("done")).await;
+    deployment.configure(configuration_of(2, limited_tenant()));
+    deployment.until_status("POST /write/", &attempt("first", "key-l"), 200).await;
+    tokio::time::sleep(REFILL_TIME).await;
+    deployment.cluster.kill(1);
+    let burst = burst(&[&deployment.gateway], 4, "k").await;
+    assert_eq!(burst.count(200), 4);
+}
+
+/// Without any replica nobody can tell whether the tenant is over its limit; one without a limit needs none.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn when_no_replica_answers_a_limited_tenant_is_told_to_come_back() {
+    let mut deployment = Deployment::start(164, Behaviour::Answer("done")).await;
+    deployment.configure(configuration_of(2, limited_tenant()));
+    deployment.until_status("POST /write/", &attempt("first", "key-l"), 200).await;
+    for replica in 1..=3 {
+        deployment.cluster.kill(replica);
+    }
+    let answer = deployment.gateway.send("POST /write/", &attempt("b", "key-l"), "").await;
+    assert_eq!((answer.status, answer.says_when()), (503, true));
+    assert_eq!(deployment.gateway.send("POST /write/", &attempt("c", "key-a"), "").await.status, 200);
+}
--- a/crates/node/src/explain.rs
+++ b/crates/node/src/explain.rs
@@ -36,7 +36,7 @@
 }
 
 /// What ends a call, as it stands in a line, and the cause that it shows.
-const CAUSES: [(&str, &str); 23] = [
+const CAUSES: [(&str, &str); 25] = [
     (
         "cause=no_configuration",
         "refused, not run: the gateway had no configuration yet (see its 'view:' and 'store:' lines)",
@@ -51,6 +51,8 @@
         "cause=key_denied",
         "refused, not run: no tenant of the configuration in force holds its key (see the line that tells key and version)",
     ),
+    ("cause=over_limit", "refused, not run: its tenant was over its limit (see the line that tells tenant, limit and version)"),
+    ("cause=limit_unknown", "refused, not run: no replica answered to tell whether its tenant was over its limit"),
     ("cause=malformed", "refused, not run: the request could not be read"),
     ("cause=too_large", "refused, not run: its body is over the limit"),
     ("cause=no_room", "refused, not run: no engine had room, or none could be reached"),
--- /dev/null
+++ b/crates/scheduler/src/quota_asks.rs
@@ -0,0 +1,129 @@
+//! Which share of a tenant's limit a gateway asks first, and when it need not ask at all.
+//!
+//! A gateway remembers what each share told it. It asks the share of its own zone while that is thought to hold something, else
+//! the one that holds most; when none is thought to hold anything it refuses at once, so that a tenant far beyond its limit
+//! costs the replicas no message a request.
+
+use crate::quota::{Grant, Standing};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Time for which a share that did not answer is asked last.
+const SILENCE_MEMORY: Duration = Duration::from_secs(1);
+/// Answers remembered at which those of long ago are dropped.
+const ANSWERS_BEFORE_SWEEP: usize = 4096;
+/// Time after which an answer says nothing any more.
+const ANSWER_MEMORY: Duration = Duration::from_secs(10);
+
+/// A share that may be asked: its replica, and whether that is in the gateway's zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ShareHolder {
+    /// The replica.
+    pub node: u32,
+    /// Whether it is near.
+    pub is_near: bool,
+}
+
+/// What one share told last.
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    at: Duration,
+    left: f64,
+    /// Until when it gives nothing at all.
+    empty_until: Duration,
+    /// Until when it takes no new programs.
+    closed_until: Duration,
+    /// Until when it is thought not to answer.
+    silent_until: Duration,
+}
+
+/// What a gateway does with a request of a tenant that has a limit.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AskPlan {
+    /// Ask these shares, by their place in the list, one after the other until one gives.
+    Ask(Vec<usize>),
+    /// All shares are thought to give nothing before this time has passed.
+    Refuse(Duration),
+}
+
+/// What all shares told this gateway. Times are since the start of the process.
+#[derive(Debug, Default)]
+pub struct ShareAnswers {
+    told: HashMap<(u64, u32), Told>,
+}
+
+impl ShareAnswers {
+    /// How to get leave for a request.
+    pub fn plan(&self, tenant: u64, holders: &[ShareHolder], standing: Standing, now: Duration) -> AskPlan {
+        let mut ranked: Vec<(usize, Rank)> = Vec::with_capacity(holders.len());
+        let mut soonest = Duration::MAX;
+        for (index, holder) in holders.iter().enumerate() {
+            let told = self.told.get(&(tenant, holder.node));
+            let wait = told.map_or(Duration::ZERO, |told| told.wait(standing, now));
+            soonest = soonest.min(wait);
+            if wait.is_zero() {
+                ranked.push((index, Rank::of(told, holder, now)));
+            }
+        }
+        if ranked.is_empty() && !holders.is_empty() {
+            return AskPlan::Refuse(soonest);
+        }
+        ranked.sort_by(|left, right| left.1.compare(&right.1));
+        AskPlan::Ask(ranked.into_iter().map(|(index, _)| index).collect())
+    }
+
+    /// Notes what a share answered to a request of this standing.
+    pub fn note(&mut self, tenant: u64, node: u32, standing: Standing, grant: &Grant, now: Duration) {
+        if self.told.len() >= ANSWERS_BEFORE_SWEEP {
+            self.told.retain(|_, told| now.saturating_sub(told.at) < ANSWER_MEMORY);
+        }
+        let is_closed = grant.granted == 0 && standing == Standing::New;
+        let closed_until = if is_closed { now + grant.come_back } else { Duration::ZERO };
+        // What a share tells of itself when it refuses a new program says nothing about programs under way.
+        let empty_until = if is_closed && grant.left >= 1.0 { Duration::ZERO } else { now + grant.come_back };
+        let told = Told { at: now, left: grant.left, empty_until, closed_until, silent_until: Duration::ZERO };
+        self.told.insert((tenant, node), told);
+    }
+
+    /// Notes that a share did not answer.
+    pub fn note_silence(&mut self, tenant: u64, node: u32, now: Duration) {
+        let zero = Duration::ZERO;
+        let unknown = Told { at: now, left: 0.0, empty_until: zero, closed_until: zero, silent_until: zero };
+        self.told.entry((tenant, node)).or_insert(unknown).silent_until = now + SILENCE_MEMORY;
+    }
+}
+
+impl Told {
+    /// Time until it may give.
+    fn wait(&self, standing: Standing, now: Duration) -> Duration {
+        let until_filled = self.empty_until.saturating_sub(now);
+        match standing {
+            Standing::UnderWay => until_filled,
+            Standing::New => until_filled.max(self.closed_until.saturating_sub(now)),
+        }
+    }
+}
+
+/// The order in which shares are asked, best first.
+#[derive(Clone, Copy, Debug)]
+struct Rank {
+    is_silent: bool,
+    is_near: bool,
+    left: f64,
+}
+
+impl Rank {
+    fn of(told: Option<&Told>, holder: &ShareHolder, now: Duration) -> Self {
+        Self {
+            is_silent: told.is_some_and(|told| told.silent_until > now),
+            is_near: holder.is_near,
+            left: told.map_or(f64::MAX, |told| told.left),
+        }
+    }
+
+    fn compare(&self, other: &Self) -> std::cmp::Ordering {
+        let by_silence = self.is_silent.cmp(&other.is_silent);
+        let by_zone = other.is_near.cmp(&self.is_near);
+        by_silence.then(by_zone).then(other.left.total_cmp(&self.left))
+    }
+}
--- /dev/null
+++ b/crates/scheduler/tests/quota_tests.rs
@@ -0,0 +1,292 @@
+//! Shares of tenants' limits, in virtual time.
+
+use foxnotch_scheduler::quota::{Admission, Demand, Grant, QuotaBook, QuotaRules, Standing};
+use foxnotch_scheduler::quota_asks::{AskPlan, ShareAnswers, ShareHolder};
+use foxnotch_scheduler::tenants::RateLimit;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::SeedableRng;
+use rstest::rstest;
+use std::time::Duration;
+
+const LIMIT: RateLimit = RateLimit { per_second: 10.0, burst: 20.0 };
+/// Limits hold to the letter.
+const STRICT: QuotaRules = QuotaRules { window_s: 5.0, overage: 0.0, slack: 0.0 };
+
+fn at(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+fn demand(standing: Standing, program: u64) -> Demand {
+    Demand { tenant: 1, limit: LIMIT, revision: 1, shares: 1, program, standing, wanted: 1 }
+}
+
+/// Takes until nothing is given; returns how many were.
+fn drain(book: &mut QuotaBook, demand: &Demand, now: Duration) -> u32 {
+    (0..10_000).map(|_| book.take(demand, now).granted).take_while(|granted| *granted > 0).sum()
+}
+
+/// A tenth over the limit is tolerated, and 20 requests.
+const TOLERANT: QuotaRules = QuotaRules { window_s: 5.0, overage: 0.1, slack: 20.0 };
+
+/// The limit is 70 requests in a window.
+#[test]
+fn a_full_share_gives_a_part_of_its_window_at_once_and_then_what_refills() {
+    let mut book = QuotaBook::new(STRICT, Admission::EachRequest, Duration::ZERO);
+    let demand = demand(Standing::UnderWay, 1);
+    assert_eq!(drain(&mut book, &demand, at(10.0)), 21);
+    let refilled = drain(&mut book, &demand, at(11.0));
+    assert!((12..=13).contains(&refilled), "70 requests refill in 5.4 s, not {refilled} in 1 s");
+}
+
+/// What has been used up is told with the time at which there is more.
+#[test]
+fn whoever_comes_back_at_the_time_told_is_served() {
+    let mut book = QuotaBook::new(STRICT, Admission::EachRequest, Duration::ZERO);
+    let demand = demand(Standing::UnderWay, 1);
+    let mut now = at(10.0);
+    for _ in 0..200 {
+        let grant = book.take(&demand, now);
+        now += grant.come_back;
+        assert!(grant.granted == 1 || book.take(&demand, now).granted == 1);
+    }
+}
+
+/// Others may have given all of the limit just before a replica started.
+#[rstest]
+#[case::started(false)]
+#[case::became_a_member(true)]
+fn a_share_begins_empty_and_with_a_pause(#[case] became_a_member: bool) {
+    let mut book = QuotaBook::new(STRICT, Admission::EachRequest, Duration::ZERO);
+    let demand = demand(Standing::UnderWay, 1);
+    let mut begun = Duration::ZERO;
+    if became_a_member {
+        assert_eq!(drain(&mut book, &demand, at(50.0)), 21);
+        begun = at(60.0);
+        book.begin_again(begun);
+    }
+    assert_eq!(drain(&mut book, &demand, begun + at(1.2)), 0);
+    assert_eq!(drain(&mut book, &demand, begun + at(1.72)), 6);
+}
+
+/// What is tolerated over the limit is for restarts: callers are served at once again.
+#[test]
+fn a_share_begins_with_what_is_tolerated() {
+    let mut book = QuotaBook::new(TOLERANT, Admission::EachRequest, Duration::ZERO);
+    assert_eq!(drain(&mut book, &demand(Standing::UnderWay, 1), at(0.1)), 7);
+}
+
+#[test]
+fn a_lower_limit_holds_at_once_and_an_older_one_changes_nothing() {
+    let mut book = QuotaBook::new(STRICT, Admission::EachRequest, Duration::ZERO);
+    let old = demand(Standing::UnderWay, 1);
+    let newer = Demand { limit: RateLimit { per_second: 1.0, burst: 2.0 }, revision: 2, ..old };
+    assert_eq!(drain(&mut book, &newer, at(10.0)), 2);
+    assert_eq!(drain(&mut book, &old, at(10.5)), 0);
+}
+
+#[test]
+fn a_limit_too_small_to_be_divided_gives_one_request_a_window() {
+    let mut book = QuotaBook::new(STRICT, Admission::EachRequest, Duration::ZERO);
+    let small = Demand { limit: RateLimit { per_second: 0.01, burst: 0.0 }, ..demand(Standing::UnderWay, 1) };
+    assert_eq!(drain(&mut book, &small, at(100.0)), 1);
+    assert_eq!(drain(&mut book, &small, at(105.0)), 0);
+    assert_eq!(drain(&mut book, &small, at(106.0)), 1);
+}
+
+#[test]
+fn what_is_given_ahead_is_no_more_than_is_there() {
+    let mut book = QuotaBook::new(STRICT, Admission::EachRequest, Duration::ZERO);
+    let many = Demand { wanted: 50, ..demand(Standing::UnderWay, 1) };
+    let grant = book.take(&many, at(10.0));
+    assert_eq!(grant.granted, 21);
+    assert!(grant.left < 0.01);
+}
+
+/// What refills goes to programs under way: a new one waits until what it will ask for fits.
+#[test]
+fn programs_under_way_go_before_new_ones() {
+    let mut book = QuotaBook::new(STRICT, Admission::WholePrograms, Duration::ZERO);
+    let now = at(100.0);
+    for program in 0..12 {
+        book.take(&demand(Standing::New, program), now);
+    }
+    let late = book.take(&demand(Standing::New, 99), now);
+    assert_eq!(late.granted, 0);
+    assert!(late.come_back > Duration::ZERO);
+    assert_eq!(book.take(&demand(Standing::UnderWay, 98), now).granted, 1);
+    // A program that has begun is known, whatever the gateway believes.
+    assert_eq!(book.take(&demand(Standing::New, 0), now).granted, 1);
+}
+
+/// With a demand of three times the limit, whole programs end where requests let in one by one leave most of them broken.
+#[test]
+fn more_programs_end_when_they_are_admitted_as_a_whole() {
+    let whole = programs_that_end(Admission::WholePrograms);
+    let each = programs_that_end(Admission::EachRequest);
+    assert!(whole >= 20, "{whole} of the 31 that fit");
+    assert!(whole >= 2 * each, "{whole} against {each}");
+}
+
+/// Programs of 20 requests, one each 0.1 s, begin three times as fast as the limit allows; one that is refused three times in a
+/// row is over. Returns how many end within a minute.
+fn programs_that_end(admission: Admission) -> u32 {
+    struct Program {
+        next_at: f64,
+        made: u32,
+        refused: u32,
+    }
+    let mut book = QuotaBook::new(STRICT, admission, Duration::ZERO);
+    let mut programs: Vec<Program> = Vec::new();
+    let mut ended = 0;
+    let mut random = StdRng::seed_from_u64(7);
+    for step in 0..600 {
+        let now = 100.0 + f64::from(step) * 0.1;
+        if step % 7 == 0 {
+            programs.push(Program { next_at: now, made: 0, refused: 0 });
+        }
+        // Whose request comes first in a step is nobody's merit.
+        let mut order: Vec<usize> = (0..programs.len()).collect();
+        order.shuffle(&mut random);
+        for number in order {
+            let program = &mut programs[number];
+            if program.next_at > now || program.made == 20 || program.refused == 3 {
+                continue;
+            }
+            let standing = if program.made == 0 { Standing::New } else { Standing::UnderWay };
+            let granted = book.take(&demand(standing, number as u64), at(now)).granted == 1;
+            program.next_at = now + if granted { 0.1 } else { 0.3 };
+            program.made += u32::from(granted);
+            program.refused = if granted { 0 } else { program.refused + 1 };
+            ended += u32::from(program.made == 20);
+        }
+    }
+    ended
+}
+
+fn holders(near: usize) -> Vec<ShareHolder> {
+    (0..3).map(|node| ShareHolder { node, is_near: node as usize == near }).collect()
+}
+
+fn told(left: f64, come_back: f64) -> Grant {
+    Grant { granted: u32::from(left >= 1.0), left, come_back: at(come_back) }
+}
+
+#[test]
+fn the_near_share_is_asked_first_and_an_empty_one_not_at_all() {
+    let mut answers = ShareAnswers::default();
+    let plan = |answers: &ShareAnswers, now| answers.plan(1, &holders(1), Standing::UnderWay, now);
+    let AskPlan::Ask(first) = plan(&answers, at(0.0)) else { panic!("nothing is known to be empty") };
+    assert_eq!(first[0], 1);
+    answers.note(1, 1, Standing::UnderWay, &told(0.0, 1.0), at(0.0));
+    answers.note(1, 2, Standing::UnderWay, &told(4.0, 0.0), at(0.0));
+    answers.note(1, 0, Standing::UnderWay, &told(2.0, 0.0), at(0.0));
+    assert_eq!(plan(&answers, at(0.5)), AskPlan::Ask(vec![2, 0]));
+    assert_eq!(plan(&answers, at(1.0)), AskPlan::Ask(vec![1, 2, 0]));
+}
+
+#[test]
+fn when_all_shares_are_empty_a_request_is_refused_without_asking() {
+    let mut answers = ShareAnswers::default();
+    for node in 0..3 {
+        answers.note(1, node, Standing::UnderWay, &told(0.0, 0.5), at(7.0));
+    }
+    assert_eq!(answers.plan(1, &holders(0), Standing::UnderWay, at(7.25)), AskPlan::Refuse(at(0.25)));
+    // Another tenant's limit is its own.
+    assert!(matches!(answers.plan(2, &holders(0), Standing::UnderWay, at(7.25)), AskPlan::Ask(_)));
+}
+
+#[test]
+fn a_share_that_takes_no_new_programs_still_serves_those_under_way() {
+    let mut answers = ShareAnswers::default();
+    let closed = Grant { granted: 0, left: 2.0, come_back: at(1.0) };
+    for node in 0..3 {
+        answers.note(1, node, Standing::New, &closed, at(0.0));
+    }
+    assert_eq!(answers.plan(1, &holders(0), Standing::New, at(0.4)), AskPlan::Refuse(at(0.6)));
+    assert!(matches!(answers.plan(1, &holders(0), Standing::UnderWay, at(0.4)), AskPlan::Ask(_)));
+}
+
+#[test]
+fn a_silent_share_is_asked_last_for_a_while() {
+    let mut answers = ShareAnswers::default();
+    answers.note_silence(1, 0, at(0.0));
+    let order = |now| match answers.plan(1, &holders(0), Standing::UnderWay, now) {
+        AskPlan::Ask(order) => order,
+        AskPlan::Refuse(_) => panic!("a silent share may hold something"),
+    };
+    assert_eq!(order(at(0.5)).last(), Some(&0));
+    assert_eq!(order(at(1.5)).first(), Some(&0));
+}
+
+/// What happens to a share, in an interleaving of the property below.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// Requests are asked for, with the limit that the gateway knows.
+    Ask { count: u32, wanted: u32, is_new: bool },
+    /// The replica starts anew: what it held is lost.
+    Restart,
+    /// Nothing happens for a while: a pause, a cut, calm.
+    Wait,
+}
+
+fn events() -> impl Strategy<Value = Vec<(u64, usize, Event)>> {
+    let event = prop_oneof![
+        6 => (1u32..60, 1u32..8, any::<bool>()).prop_map(|(count, wanted, is_new)| Event::Ask { count, wanted, is_new }),
+        1 => Just(Event::Restart),
+        2 => Just(Event::Wait),
+    ];
+    prop::collection::vec((0u64..700, 0usize..5, event), 1..200)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 150, failure_persistence: None, rng_seed: RngSeed::Fixed(31), ..ProptestConfig::default()
+    })]
+
+    /// Whatever is asked where, and whichever replicas start anew, no window of 5 s holds more than the limit with its
+    /// tolerance.
+    #[test]
+    fn all_shares_together_never_pass_the_limit(
+        events in events(),
+        per_second in 0.5f64..60.0,
+        burst in 0.0f64..60.0,
+        shares in 1usize..6,
+    ) {
+        const WINDOW_MS: u64 = 5000;
+        let limit = RateLimit { per_second, burst };
+        let new_book = |now| QuotaBook::new(TOLERANT, Admission::WholePrograms, now);
+        let mut books: Vec<QuotaBook> = (0..shares).map(|_| new_book(Duration::ZERO)).collect();
+        let mut given: Vec<(u64, u32)> = Vec::new();
+        let mut started_at = vec![0; shares];
+        let mut now = 20_000;
+        for (pause, index, event) in events {
+            now += pause;
+            let time = Duration::from_millis(now);
+            let book = &mut books[index % shares];
+            match event {
+                Event::Ask { count, wanted, is_new } => for program in 0..count {
+                    let standing = if is_new { Standing::New } else { Standing::UnderWay };
+                    let demand =
+                        Demand { tenant: 1, limit, revision: 1, shares, program: program.into(), standing, wanted };
+                    given.push((now, book.take(&demand, time).granted));
+                },
+                // A start takes a second.
+                Event::Restart if now - started_at[index % shares] >= 1000 => {
+                    *book = new_book(time);
+                    started_at[index % shares] = now;
+                }
+                Event::Restart => {}
+                Event::Wait => {}
+            }
+        }
+        let most = (per_second * 5.0 + burst) * 1.1 + 20.0;
+        for (index, (begun, _)) in given.iter().enumerate() {
+            let in_window = given[index..].iter().take_while(|(at, _)| at - begun <= WINDOW_MS);
+            let sum: u32 = in_window.map(|(_, count)| count).sum();
+            prop_assert!(f64::from(sum) <= most, "{sum} within 5 s, {most} allowed");
+        }
+    }
+}
--- a/crates/turns/src/budget.rs
+++ b/crates/turns/src/budget.rs
@@ -55,6 +55,11 @@
         engines
     }
 
+    /// How many turns are known, running ones included.
+    pub fn turns(&self) -> usize {
+        self.charges.len()
+    }
+
     /// Tokens of all turns.
     pub fn total(&self) -> u64 {
         self.charges.values().map(|tokens| u64::from(*tokens)).sum()
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,7 @@
 mod identifiers;
 mod length;
 mod membership;
+mod quota;
 mod rpc;
 mod text;
 mod turns;
@@ -26,6 +27,7 @@
     Ack, EngineLoad, LoadNews, MemberAddress, MemberList, MemberPull, MemberState, MemberUpdate, Ping, PingRequest,
     StoreNews, MAXIMUM_LOADS, MAXIMUM_UPDATES,
 };
+pub use quota::{ProgramStanding, QuotaGiven, TakeQuota};
 pub use rpc::{decode_rpc, encode_rpc, RelayRequest, RpcBody, RpcMessage};
 pub use text::Text;
 pub use turns::{
--- /dev/null
+++ b/crates/wire/src/quota.rs
@@ -0,0 +1,52 @@
+//! Leave for requests of tenants that have a limit, which gateways ask of replicas.
+
+use crate::ProgramKey;
+use deku::prelude::*;
+
+/// Whether a program has begun.
+#[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+#[deku(id_type = "u8")]
+pub enum ProgramStanding {
+    /// The request would be its first, as far as the asker knows.
+    #[deku(id = "0")]
+    New,
+    /// It has, or the request belongs to no program.
+    #[deku(id = "1")]
+    UnderWay,
+}
+
+/// Asks a replica for leave to send requests of a tenant. Answered by [`crate::RpcBody::QuotaGiven`]. What arrives twice is
+/// given twice, which the tenant's limit bears and only the tenant loses by.
+#[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct TakeQuota {
+    /// The version of the replica set that the sender goes by: each member holds an equal share of the limit.
+    pub set_version: u64,
+    /// The tenant, as a hash of its name.
+    pub tenant: u64,
+    /// The revision of the configuration that tells the limit.
+    pub revision: u64,
+    /// The limit, in requests a second.
+    pub per_second: f64,
+    /// Requests on top of it, at once.
+    pub burst: f64,
+    /// The program.
+    pub program: ProgramKey,
+    /// Whether the program has begun.
+    pub standing: ProgramStanding,
+    /// Requests wanted.
+    pub wanted: u32,
+}
+
+/// Answers [`TakeQuota`].
+#[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct QuotaGiven {
+    /// Requests that may be sent.
+    pub granted: u32,
+    /// Requests that the replica's share still holds.
+    pub left: f64,
+    /// Milliseconds after which it may give more, when it gave none.
+    pub come_back_ms: u32,
+}
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -3,8 +3,8 @@
 //! They travel by stream, each request with a number that its answer repeats.
 
 use crate::{
-    Chain, Content, Entries, FetchEntries, ListMarks, Marks, MemberList, MemberUpdate, NodeId, ReadChain, ReadProgram,
-    SetNews, StoreEntry, Stored, ViewNews, WireError, MAXIMUM_MESSAGE_BYTES, PROTOCOL_VERSION,
+    Chain, Content, Entries, FetchEntries, ListMarks, Marks, MemberList, MemberUpdate, NodeId, QuotaGiven, ReadChain,
+    ReadProgram, SetNews, StoreEntry, Stored, TakeQuota, ViewNews, WireError, MAXIMUM_MESSAGE_BYTES, PROTOCOL_VERSION,
 };
 use deku::prelude::*;
 
@@ -22,7 +22,7 @@
 }
 
 /// What an exchange is about.
-#[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
+#[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
 #[deku(id_type = "u8")]
 pub enum RpcBody {
@@ -59,6 +59,9 @@
     /// Request: the receiver is to ask a replica for the sender.
     #[deku(id = "10")]
     Relay(RelayRequest),
+    /// Request.
+    #[deku(id = "11")]
+    TakeQuota(TakeQuota),
     /// Answer.
     #[deku(id = "64")]
     Stored(Stored),
@@ -92,10 +95,13 @@
     /// Answer to [`RpcBody::Relay`]: the receiver does not reach the replica either, or knows no such replica.
     #[deku(id = "74")]
     Unreached,
+    /// Answer.
+    #[deku(id = "75")]
+    QuotaGiven(QuotaGiven),
 }
 
 /// A request or its answer.
-#[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
+#[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq)]
 #[deku(endian = "little")]
 pub struct RpcMessage {
     /// [`PROTOCOL_VERSION`] of the sender.
