Engines that fail more than the others cost more, by the outcomes of all gateways together

Cause: an engine that resets requests before it runs them looks idle, so it is chosen again; the route allows one engine a try, and a program ends with its third failure. One of 73 gateways sees too few of an engine's failures, and one success clears them. Change: gateways tell each other, with their loads, how the requests of the last 2 s ended at each engine; a request that has waited 1 s for the head of an answer counts as failed, a 500 too. An engine costs its probability of failing, against the mean of its service, times what a failed try costs. Nothing is ejected by it, and evidence ages, so that an engine is tried again. Switch: policy.outliers.

--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -279,6 +279,7 @@
             avoided: &call.avoided,
             kilobytes: body.len() as f64 / BYTES_PER_KILOBYTE,
             prices: self.prices(&call.service),
+            outliers: self.policy.outliers,
         };
         let choice = choose(&candidates, &placement, tries.passed_over())?;
         self.log_send(call, &choice, candidates.len(), &placement.prices);
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -309,7 +309,7 @@
             return Err(StreamEnd::EngineBroke("its last event is not whole".to_owned()));
         }
         if let Some(connection) = self.connection.take() {
-            finish(connection, &self.lease);
+            finish(connection, &self.lease, false);
         }
         if let Some(sample) = self.pace.as_ref().and_then(TurnPace::sample) {
             self.gateway.costs.learn(&self.call.service, |costs| costs.add_turn(&sample));
--- a/crates/gateway/src/edge/whole_call.rs
+++ b/crates/gateway/src/edge/whole_call.rs
@@ -92,7 +92,9 @@
         }
         Err(_) => return Err(Refusal::TimedOut),
     };
-    finish(connection, &lease);
+    // Its 504 tells that the caller's time was over.
+    let is_failure = head.status.is_server_error() && head.status != StatusCode::GATEWAY_TIMEOUT;
+    finish(connection, &lease, is_failure);
     let response = to_response(head, collected.to_bytes())?;
     Ok(WholeAnswer { engine: lease.engine().clone(), response })
 }
--- a/crates/gateway/src/engines/attempt.rs
+++ b/crates/gateway/src/engines/attempt.rs
@@ -60,8 +60,12 @@
 }
 
 /// Lets a connection rest after the whole answer was read.
-pub fn finish(connection: EngineConnection, lease: &EngineLease) {
-    lease.engine().note_success();
+pub fn finish(connection: EngineConnection, lease: &EngineLease, is_failure: bool) {
+    if is_failure {
+        lease.engine().note_failed_answer();
+    } else {
+        lease.engine().note_success();
+    }
     lease.engine().keep_connection(connection);
 }
 
@@ -77,8 +81,10 @@
     give_up_at: Instant,
 ) -> Result<EngineAnswer, AttemptError> {
     let lease = engine.begin();
+    let waiting = engine.begin_waiting();
     let exchange = exchange(engine, request);
     let outcome = tokio::time::timeout_at(give_up_at.into(), exchange).await;
+    drop(waiting);
     let (response, mut connection) = match outcome {
         Ok(Ok(answered)) => answered,
         Ok(Err(error)) => {
--- a/crates/gateway/src/engines/engine.rs
+++ b/crates/gateway/src/engines/engine.rs
@@ -5,6 +5,7 @@
 use crate::engines::part_cache::PartCache;
 use crate::locks::lock;
 use crate::ports::configuration::EngineEntry;
+use foxnotch_scheduler::outliers::{OutcomeWindow, Outcomes};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -17,6 +18,9 @@
 const FIRST_EJECTION: Duration = Duration::from_millis(400);
 /// The longest such time.
 const LONGEST_EJECTION: Duration = Duration::from_secs(4);
+/// Time without the head of an answer after which a request counts as failed, for as long as it waits: engines that say nothing
+/// look idle. Loaded ones take a few hundred milliseconds.
+const OVERDUE: Duration = Duration::from_secs(1);
 /// Connections that rest at one engine.
 const MAXIMUM_RESTING: usize = 64;
 
@@ -26,6 +30,9 @@
     failures: u32,
     ejected_until: Option<Instant>,
     full_until: Option<Instant>,
+    outcomes: OutcomeWindow,
+    /// When the requests were sent that wait for the head of an answer.
+    waiting: Vec<Instant>,
 }
 
 /// An engine.
@@ -42,6 +49,8 @@
     replaced: AtomicBool,
     health: Mutex<Health>,
     resting: Mutex<VecDeque<EngineConnection>>,
+    /// The moment from which outcomes are timed.
+    listed_at: Instant,
     parts: Mutex<PartCache>,
 }
 
@@ -60,6 +69,7 @@
             replaced: AtomicBool::new(false),
             health: Mutex::default(),
             resting: Mutex::default(),
+            listed_at: Instant::now(),
             parts: Mutex::new(PartCache::new(memory_tokens)),
         })
     }
@@ -110,16 +120,48 @@
         lock(&self.health).full_until = Some(Instant::now() + FULL_PAUSE);
     }
 
-    /// It answered.
+    /// It answered well.
     pub fn note_success(&self) {
         let mut health = lock(&self.health);
+        health.outcomes.note(false, self.listed_at.elapsed());
         health.failures = 0;
         health.ejected_until = None;
     }
 
+    /// It answered with a failure of its own.
+    pub fn note_failed_answer(&self) {
+        lock(&self.health).outcomes.note(true, self.listed_at.elapsed());
+    }
+
+    /// How requests of the last moments ended here; those that have waited too long for an answer count as failed.
+    pub fn outcomes(&self) -> Outcomes {
+        let mut health = lock(&self.health);
+        let overdue = health.waiting.iter().filter(|sent_at| sent_at.elapsed() >= OVERDUE).count();
+        let ended = health.outcomes.outcomes(self.listed_at.elapsed());
+        ended.plus(Outcomes { answered: 0, failed: u32::try_from(overdue).unwrap_or(u32::MAX) })
+    }
+
+    /// Counts a request as waiting for the head of its answer until the returned value is dropped.
+    pub fn begin_waiting(self: &Arc<Self>) -> WaitingRequest {
+        let sent_at = Instant::now();
+        lock(&self.health).waiting.push(sent_at);
+        WaitingRequest { engine: self.clone(), sent_at }
+    }
+
+    fn end_waiting(&self, sent_at: Instant) {
+        let mut health = lock(&self.health);
+        if let Some(index) = health.waiting.iter().position(|known| *known == sent_at) {
+            health.waiting.swap_remove(index);
+        }
+        if sent_at.elapsed() >= OVERDUE {
+            health.outcomes.note(true, self.listed_at.elapsed());
+        }
+    }
+
     /// It could not be reached, or broke off.
     pub fn note_failure(&self) {
         let mut health = lock(&self.health);
+        health.outcomes.note(true, self.listed_at.elapsed());
         let ejection = FIRST_EJECTION.saturating_mul(1 << health.failures.min(8)).min(LONGEST_EJECTION);
         health.failures += 1;
         health.ejected_until = Some(Instant::now() + ejection);
@@ -161,6 +203,19 @@
     }
 }
 
+/// A request that waits for the head of its answer. One that ends after too long a wait, whoever gave it up, has failed.
+#[derive(Debug)]
+pub struct WaitingRequest {
+    engine: Arc<Engine>,
+    sent_at: Instant,
+}
+
+impl Drop for WaitingRequest {
+    fn drop(&mut self) {
+        self.engine.end_waiting(self.sent_at);
+    }
+}
+
 /// A request under way at an engine.
 #[derive(Debug)]
 pub struct EngineLease {
--- a/crates/gateway/src/engines/load_board.rs
+++ b/crates/gateway/src/engines/load_board.rs
@@ -5,6 +5,7 @@
 //! at one engine must not be taken for what all the others have there.
 
 use crate::locks::lock;
+use foxnotch_scheduler::outliers::Outcomes;
 use foxnotch_wire::{EngineLoad, NodeId};
 use std::collections::HashMap;
 use std::sync::Mutex;
@@ -26,7 +27,7 @@
 #[derive(Clone, Debug)]
 struct Told {
     at: Instant,
-    loads: HashMap<u32, u16>,
+    loads: Vec<EngineLoad>,
 }
 
 /// What was told.
@@ -38,8 +39,7 @@
 impl LoadBoard {
     /// Takes what a gateway tells; it replaces what it told before.
     pub fn take(&self, from: NodeId, loads: &[EngineLoad]) {
-        let loads = loads.iter().map(|load| (load.engine, load.under_way)).collect();
-        let told = Told { at: Instant::now(), loads };
+        let told = Told { at: Instant::now(), loads: loads.to_vec() };
         lock(&self.told).insert(from, told);
     }
 
@@ -47,21 +47,36 @@
     pub fn estimate(&self, others: usize, engines: &[u32]) -> LoadEstimate {
         let mut told = lock(&self.told);
         told.retain(|_, told| told.at.elapsed() < VALID_FOR);
-        let mut heard: HashMap<u32, u32> = engines.iter().map(|engine| (*engine, 0)).collect();
-        for (engine, count) in told.values().flat_map(|told| &told.loads) {
-            if let Some(sum) = heard.get_mut(engine) {
-                *sum += u32::from(*count);
+        let mut heard: HashMap<u32, Heard> = engines.iter().map(|engine| (*engine, Heard::default())).collect();
+        for load in told.values().flat_map(|told| &told.loads) {
+            if let Some(sum) = heard.get_mut(&load.engine) {
+                sum.add(load);
             }
         }
         LoadEstimate::new(heard, told.len(), others)
     }
 }
 
+/// What was heard of one engine.
+#[derive(Clone, Copy, Debug, Default)]
+struct Heard {
+    under_way: u32,
+    outcomes: Outcomes,
+}
+
+impl Heard {
+    fn add(&mut self, load: &EngineLoad) {
+        self.under_way += u32::from(load.under_way);
+        let outcomes = Outcomes { answered: load.answered.into(), failed: load.failed.into() };
+        self.outcomes = self.outcomes.plus(outcomes);
+    }
+}
+
 /// What other gateways have under way at one moment, for the choice of an engine.
 #[derive(Clone, Debug, Default)]
 pub struct LoadEstimate {
-    /// Requests that were heard of, by engine.
-    heard: HashMap<u32, u32>,
+    /// What was heard, by engine.
+    heard: HashMap<u32, Heard>,
     /// Gateways that were heard.
     heard_gateways: f64,
     /// Gateways that were not.
@@ -71,8 +86,8 @@
 }
 
 impl LoadEstimate {
-    fn new(heard: HashMap<u32, u32>, heard_gateways: usize, others: usize) -> Self {
-        let total: u32 = heard.values().sum();
+    fn new(heard: HashMap<u32, Heard>, heard_gateways: usize, others: usize) -> Self {
+        let total: u32 = heard.values().map(|heard| heard.under_way).sum();
         let places = heard.len() * heard_gateways;
         Self {
             mean: f64::from(total) / places.max(1) as f64,
@@ -82,10 +97,15 @@
         }
     }
 
+    /// How requests of those gateways ended at an engine.
+    pub fn outcomes(&self, engine: u32) -> Outcomes {
+        self.heard.get(&engine).map_or(Outcomes::default(), |heard| heard.outcomes)
+    }
+
     /// Requests under way at an engine: those heard of, and for each gateway that was not heard the mean at this engine, drawn
     /// towards the mean of all engines as though [`PRIOR_REQUESTS`] had been heard of at that.
     pub fn under_way(&self, engine: u32) -> f64 {
-        let heard = f64::from(self.heard.get(&engine).copied().unwrap_or(0));
+        let heard = f64::from(self.heard.get(&engine).map_or(0, |heard| heard.under_way));
         if self.mean <= 0.0 {
             return heard;
         }
--- a/crates/gateway/src/engines/load_exchange.rs
+++ b/crates/gateway/src/engines/load_exchange.rs
@@ -1,6 +1,7 @@
-//! Tells other gateways what this one has under way.
+//! Tells other gateways what this one has under way, and how its requests ended.
 
 use crate::edge::handler::Gateway;
+use crate::engines::engine::Engine;
 use crate::engines::load_board::engine_number;
 use crate::peers::members::Members;
 use foxnotch_wire::{EngineLoad, LoadNews, Message, MAXIMUM_LOADS};
@@ -16,12 +17,19 @@
 
 fn loads(gateway: &Gateway) -> Vec<EngineLoad> {
     let engines = gateway.engines.all();
-    let busy = engines.iter().filter(|engine| engine.under_way() > 0);
-    let loads = busy.map(|engine| EngineLoad {
+    let loads = engines.iter().map(|engine| load_of(engine));
+    let news = loads.filter(|load| load.under_way > 0 || load.answered > 0 || load.failed > 0);
+    news.take(MAXIMUM_LOADS as usize).collect()
+}
+
+fn load_of(engine: &Engine) -> EngineLoad {
+    let outcomes = engine.outcomes();
+    EngineLoad {
         engine: engine_number(&engine.entry.id),
         under_way: u16::try_from(engine.under_way()).unwrap_or(u16::MAX),
-    });
-    loads.take(MAXIMUM_LOADS as usize).collect()
+        answered: u8::try_from(outcomes.answered).unwrap_or(u8::MAX),
+        failed: u8::try_from(outcomes.failed).unwrap_or(u8::MAX),
+    }
 }
 
 /// Tells for ever.
--- a/crates/gateway/src/engines/selector.rs
+++ b/crates/gateway/src/engines/selector.rs
@@ -4,6 +4,7 @@
 use crate::engines::learned_costs::ServicePrices;
 use crate::engines::load_board::LoadEstimate;
 use crate::ports::dialect::PromptPart;
+use foxnotch_scheduler::outliers::{FailureOutlook, Outcomes};
 use rand::Rng;
 use std::sync::Arc;
 use std::time::Instant;
@@ -17,6 +18,8 @@
 const CONNECTION_MS: f64 = 8.0;
 /// Milliseconds of chance, so that gateways do not all choose alike.
 const CHANCE_MS: f64 = 1.0;
+/// What a failed try costs, in milliseconds: the caller's pause, another try, and a third of a program that its third ends.
+const FAILURE_MS: f64 = 1_000.0;
 /// The cost of an engine that is full or failed lately: it is taken only when there is no other.
 const UNINVITING_MS: f64 = 1_000.0;
 
@@ -41,6 +44,8 @@
     pub kilobytes: f64,
     /// What was learned of the service's engines.
     pub prices: ServicePrices,
+    /// Whether engines cost more the more they fail.
+    pub outliers: bool,
 }
 
 /// An engine that was chosen, and what was known of it then.
@@ -102,8 +107,13 @@
     reading + prices.request_ms * under_way + waiting
 }
 
+/// How requests of the last moments ended at an engine, as far as this gateway can tell.
+fn outcomes(engine: &Engine, placement: &Placement<'_>) -> Outcomes {
+    engine.outcomes().plus(placement.loads.outcomes(engine.number))
+}
+
 /// The cost of an engine in milliseconds, lower is better.
-fn cost(engine: &Engine, placement: &Placement<'_>, home: Option<u32>) -> f64 {
+fn cost(engine: &Engine, placement: &Placement<'_>, home: Option<u32>, outlook: Option<&FailureOutlook>) -> f64 {
     let under_way = requests_under_way(engine, placement);
     let slots = f64::from(engine.entry.slots.max(1));
     let mut cost = rand::rng().random_range(0.0..CHANCE_MS);
@@ -129,14 +139,19 @@
     if placement.avoided.contains(&engine.number) {
         cost += UNINVITING_MS;
     }
+    if let Some(outlook) = outlook {
+        cost += FAILURE_MS * outlook.probability(outcomes(engine, placement));
+    }
     cost
 }
 
 /// The engine of least cost that was not tried before.
 pub fn choose(candidates: &[Arc<Engine>], placement: &Placement<'_>, tried: &[String]) -> Option<Choice> {
     let home = if placement.is_model { home_of(candidates, placement) } else { None };
+    let all_outcomes = candidates.iter().map(|engine| outcomes(engine, placement));
+    let outlook = placement.outliers.then(|| FailureOutlook::of(all_outcomes));
     let untried = candidates.iter().filter(|engine| !tried.contains(&engine.entry.id));
-    let priced = untried.map(|engine| (cost(engine, placement, home), engine));
+    let priced = untried.map(|engine| (cost(engine, placement, home, outlook.as_ref()), engine));
     let (_, engine) = priced.min_by(|left, right| left.0.total_cmp(&right.0))?;
     Some(Choice {
         engine: engine.clone(),
--- a/crates/gateway/src/policy.rs
+++ b/crates/gateway/src/policy.rs
@@ -23,6 +23,8 @@
     pub learned_prices: bool,
     /// A replica whose direct path is silent is asked through another gateway.
     pub relay: bool,
+    /// An engine costs more the more of its requests fail, at all gateways together.
+    pub outliers: bool,
     /// While little of a tenant's limit is left, new programs begin only if all that they will ask for fits; without this
     /// each request is let in or refused by itself.
     pub whole_programs: bool,
@@ -52,6 +54,7 @@
             shared_loads: true,
             learned_prices: true,
             relay: true,
+            outliers: true,
             whole_programs: true,
             quota_block: 1,
         }
--- a/crates/gateway/tests/edge_tests.rs
+++ b/crates/gateway/tests/edge_tests.rs
@@ -163,6 +163,7 @@
         predecessor: Some(GONE),
         kilobytes: 0.0,
         prices: ServicePrices::default(),
+        outliers: true,
     }
 }
 
@@ -224,11 +225,49 @@
     assert_ne!(other.engine.entry.id, home.engine.entry.id);
 }
 
+/// So many requests under way at an engine, of which none has ended.
+fn load(engine: u32, under_way: u16) -> EngineLoad {
+    EngineLoad { engine, under_way, answered: 0, failed: 0 }
+}
+
+/// An engine that fails at once looks idle. What others saw of it is enough to pass it over, without one failure here.
+#[test]
+fn an_engine_that_fails_others_is_passed_over() {
+    let engines: Vec<Arc<Engine>> = (0..4).map(|index| engine(&format!("e{index}"), "a", 6)).collect();
+    let board = LoadBoard::default();
+    let told = engines.iter().enumerate().map(|(index, engine)| EngineLoad {
+        answered: if index == 0 { 2 } else { 10 },
+        failed: if index == 0 { 2 } else { 0 },
+        ..load(engine.number, if index == 0 { 0 } else { 3 })
+    });
+    board.take(NodeId(7), &told.collect::<Vec<_>>());
+    let numbers: Vec<u32> = engines.iter().map(|engine| engine.number).collect();
+    let loads = board.estimate(1, &numbers);
+    let plain = Placement { is_model: false, ..placement(&[], &loads, "") };
+    for _ in 0..20 {
+        assert_ne!(choose(&engines, &plain, &[]).expect("an engine is there").engine.entry.id, "e0");
+    }
+    let unaware = Placement { outliers: false, ..plain };
+    assert_eq!(choose(&engines, &unaware, &[]).expect("an engine is there").engine.entry.id, "e0");
+}
+
+/// An engine that fails its own gateway's requests, and one that leaves them without an answer.
+#[test]
+fn outcomes_of_ones_own_requests_are_counted() {
+    let engine = engine("e0", "a", 6);
+    engine.note_success();
+    engine.note_failed_answer();
+    engine.note_failure();
+    drop(engine.begin_waiting());
+    let outcomes = engine.outcomes();
+    assert_eq!((outcomes.answered, outcomes.failed), (1, 2));
+}
+
 #[test]
 fn what_others_have_under_way_counts() {
     let engines = vec![engine("e0", "a", 6), engine("e1", "a", 6)];
     let board = LoadBoard::default();
-    let told = EngineLoad { engine: engine_number("e0"), under_way: 5 };
+    let told = load(engine_number("e0"), 5);
     board.take(NodeId(7), &[told]);
     let numbers = [engine_number("e0"), engine_number("e1")];
     let loads = board.estimate(3, &numbers);
@@ -248,7 +287,7 @@
 fn loads_that_all_others_have_told_are_taken_as_they_are() {
     let board = LoadBoard::default();
     for (gateway, under_way) in [(7, 5), (8, 2)] {
-        board.take(NodeId(gateway), &[EngineLoad { engine: 1, under_way }]);
+        board.take(NodeId(gateway), &[load(1, under_way)]);
     }
     let loads = board.estimate(2, &[1, 2]);
     assert!((loads.under_way(1) - 7.0).abs() < 0.01 && loads.under_way(2) < 0.01);
@@ -261,7 +300,7 @@
     let board = LoadBoard::default();
     let numbers: Vec<u32> = (0..102).collect();
     for gateway in 0..40 {
-        board.take(NodeId(gateway + 1), &[EngineLoad { engine: gateway, under_way: 1 }]);
+        board.take(NodeId(gateway + 1), &[load(gateway, 1)]);
     }
     let loads = board.estimate(258, &numbers);
     let (here, elsewhere) = (loads.under_way(0), loads.under_way(90));
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`tenants`] tells whose a request is by the key that it carries; [`quota`] holds tenants to their limits over all
 //! gateways together, [`quota_asks`] tells whom a gateway asks for leave.
 
+pub mod outliers;
 pub mod quota;
 pub mod quota_asks;
 pub mod tenants;
--- /dev/null
+++ b/crates/scheduler/tests/outlier_tests.rs
@@ -0,0 +1,46 @@
+//! Engines that fail more than the others.
+
+use foxnotch_scheduler::outliers::{FailureOutlook, OutcomeWindow, Outcomes};
+use std::time::Duration;
+
+fn at(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+fn outcomes(answered: u32, failed: u32) -> Outcomes {
+    Outcomes { answered, failed }
+}
+
+#[test]
+fn a_few_failures_tell_an_engine_from_the_others() {
+    let others = (0..40).map(|_| outcomes(20, 0));
+    let outlook = FailureOutlook::of(others.chain([outcomes(2, 2)]));
+    assert!(outlook.probability(outcomes(2, 2)) > 0.2);
+    assert!(outlook.probability(outcomes(20, 0)) < 0.01);
+}
+
+/// What happens to all is no engine's fault.
+#[test]
+fn where_all_fail_alike_none_stands_out() {
+    let outlook = FailureOutlook::of((0..10).map(|_| outcomes(10, 10)));
+    let known = outlook.probability(outcomes(10, 10));
+    let unknown = outlook.probability(outcomes(0, 0));
+    assert!((known - unknown).abs() < 0.01, "{known} against {unknown}");
+}
+
+#[test]
+fn without_any_evidence_all_are_alike_and_thought_well() {
+    let outlook = FailureOutlook::of(std::iter::empty());
+    assert!(outlook.probability(Outcomes::default()) < 0.01);
+}
+
+#[test]
+fn evidence_ages_so_that_an_engine_is_tried_again() {
+    let mut window = OutcomeWindow::default();
+    window.note(true, at(100_000));
+    window.note(false, at(100_600));
+    assert_eq!(window.outcomes(at(100_700)), outcomes(1, 1));
+    assert_eq!(window.outcomes(at(102_100)), outcomes(1, 0));
+    assert_eq!(window.outcomes(at(103_000)), outcomes(0, 0));
+    assert_eq!(window.outcomes(at(900_000)), outcomes(0, 0));
+}
--- a/crates/wire/src/membership.rs
+++ b/crates/wire/src/membership.rs
@@ -133,9 +133,9 @@
 }
 
 /// The most engines in one message about load.
-pub const MAXIMUM_LOADS: u32 = 256;
+pub const MAXIMUM_LOADS: u32 = 200;
 
-/// Requests that one gateway has under way at one engine.
+/// Requests that one gateway has under way at one engine, and how those of the last moments ended.
 #[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq, Eq)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
 pub struct EngineLoad {
@@ -143,6 +143,10 @@
     pub engine: u32,
     /// Requests under way.
     pub under_way: u16,
+    /// Requests of the last moments that were answered well; 255 stands for more.
+    pub answered: u8,
+    /// Requests of the last moments that failed; 255 stands for more.
+    pub failed: u8,
 }
 
 /// What a gateway knows of the platform's store, told to others so that they need not watch it. Travels by datagram, often.
@@ -166,7 +170,7 @@
 pub struct LoadNews {
     #[deku(temp, temp_value = "Length::of(&loads)")]
     length: Length<MAXIMUM_LOADS>,
-    /// The engines at which anything is under way.
+    /// The engines at which anything is under way or has just ended.
     #[deku(count = "length.get()")]
     pub loads: Vec<EngineLoad>,
 }
