Shares of limits: what may have been given before a restart is bounded by a cap on the replica's disk

Cause: a new process does not know what its share gave. Tried, two ways: (a) caps on disk alone, the whole window at once: a restart took the cap as given at the last moment and held it for the window of 5.4 s; (b) bucket and caps together: the history taken is what the bucket can have let through, up to the cap, so it ages from the first moment on. A share gives no more in a window than a cap that is on disk, raised before it is needed in steps of a fifth, lowered after 15 s of less. Segments begin with the caps. A disk whose history nobody knows takes all of the window as given. Conclusion: (b) kept.

--- a/crates/gateway/src/replica/core.rs
+++ b/crates/gateway/src/replica/core.rs
@@ -74,6 +74,7 @@
             match record {
                 Record::Entry(entry) => ledger.apply(entry, clock.now()),
                 Record::State(newer) => state = newer,
+                Record::QuotaCaps(_) => {}
             }
         }
         view.adopt_set(&state.set, Origin::Disk);
@@ -296,11 +297,17 @@
         RpcBody::Chain(Chain { witness: self.witness(), links })
     }
 
-    fn on_take_quota(&self, request: &TakeQuota) -> RpcBody {
-        match self.other_set(request.set_version) {
-            Some(other) => other,
-            None => self.quotas.answer(request, lock(&self.state).set.members.len()),
+    async fn on_take_quota(&self, request: &TakeQuota) -> RpcBody {
+        if let Some(other) = self.other_set(request.set_version) {
+            return other;
         }
+        let members = lock(&self.state).set.members.len();
+        self.quotas.answer(request, members, &self.disk).await
+    }
+
+    /// Lowers caps of tenants that need less than before.
+    pub fn lower_caps(&self) {
+        self.quotas.lower_caps(&self.disk);
     }
 
     async fn on_list(&self, request: ListMarks) -> RpcBody {
@@ -333,7 +340,7 @@
             RpcBody::StoreEntry(request) => self.on_store(request).await,
             RpcBody::ReadProgram(request) => self.on_read_program(request),
             RpcBody::ReadChain(request) => self.on_read_chain(request),
-            RpcBody::TakeQuota(request) => self.on_take_quota(&request),
+            RpcBody::TakeQuota(request) => self.on_take_quota(&request).await,
             RpcBody::ListMarks(request) => self.on_list(request).await,
             RpcBody::FetchEntries(request) => self.on_fetch(&request.turns),
             RpcBody::AdoptSet(news) => {
--- a/crates/gateway/src/replica/disk.rs
+++ b/crates/gateway/src/replica/disk.rs
@@ -2,12 +2,12 @@
 //!
 //! Invariant: a write is reported as done only after its bytes, and all bytes before them in the segment, are synced.
 //! Each start and each failure begins a new segment, so nothing is ever written behind a torn frame. A segment goes as
-//! a whole once no program in it is kept any more; each segment begins with the replica's state.
+//! a whole once no program in it is kept any more; each segment begins with the replica's state and caps.
 
 use crate::logging::part;
-use foxnotch_turns::segment::{append_frame, read_segment, Record, ReplicaState};
+use foxnotch_turns::segment::{append_frame, read_segment, QuotaCap, QuotaCaps, Record, ReplicaState};
 use foxnotch_wire::ProgramKey;
-use std::collections::{HashSet, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
@@ -65,7 +65,8 @@
         }
         let next = old.back().map_or(1, |segment| segment.number + 1);
         let state = records.iter().rev().find_map(state_of);
-        let writer = Writer { folder: folder.to_owned(), next, active: None, old, state };
+        let caps = caps_of(&records);
+        let writer = Writer { folder: folder.to_owned(), next, active: None, old, state, caps };
         let (jobs, queue) = channel();
         std::thread::Builder::new().name("disk".to_owned()).spawn(move || writer.run(&queue))?;
         Ok((Self { jobs }, records))
@@ -91,17 +92,26 @@
 fn program_of(record: &Record) -> Option<ProgramKey> {
     match record {
         Record::Entry(entry) => Some(entry.program),
-        Record::State(_) => None,
+        Record::State(_) | Record::QuotaCaps(_) => None,
     }
 }
 
 fn state_of(record: &Record) -> Option<ReplicaState> {
     match record {
-        Record::Entry(_) => None,
+        Record::Entry(_) | Record::QuotaCaps(_) => None,
         Record::State(state) => Some(state.clone()),
     }
 }
 
+/// The newest cap of each tenant, from records in their order.
+pub fn caps_of(records: &[Record]) -> BTreeMap<u64, u32> {
+    let caps = records.iter().filter_map(|record| match record {
+        Record::QuotaCaps(caps) => Some(&caps.caps),
+        Record::Entry(_) | Record::State(_) => None,
+    });
+    caps.flatten().map(|cap| (cap.tenant, cap.requests)).collect()
+}
+
 fn segment_path(folder: &Path, number: u64) -> PathBuf {
     folder.join(format!("{PREFIX}{number:010}"))
 }
@@ -139,6 +149,7 @@
     active: Option<ActiveSegment>,
     old: VecDeque<OldSegment>,
     state: Option<ReplicaState>,
+    caps: BTreeMap<u64, u32>,
 }
 
 impl Writer {
@@ -183,6 +194,7 @@
         if let Some(state) = records.iter().rev().find_map(state_of) {
             self.state = Some(state);
         }
+        self.caps.extend(caps_of(records));
         let mut active = match self.active.take() {
             Some(active) => active,
             None => self.begin_segment()?,
@@ -221,8 +233,8 @@
         let path = segment_path(&self.folder, number);
         let file = OpenOptions::new().create(true).append(true).open(&path)?;
         let mut active = ActiveSegment { number, file, bytes: 0, begun_at: Instant::now(), programs: HashSet::new() };
-        let state = self.state.clone().map(Record::State);
-        if let Err(error) = append(&mut active, state.as_slice()).and_then(|()| sync_folder(&self.folder)) {
+        let first = self.first_records();
+        if let Err(error) = append(&mut active, &first).and_then(|()| sync_folder(&self.folder)) {
             // An empty segment holds nothing that is missed.
             let _ = fs::remove_file(&path);
             return Err(error);
@@ -230,6 +242,14 @@
         Ok(active)
     }
 
+    /// What each segment begins with, since the ones before it may go.
+    fn first_records(&self) -> Vec<Record> {
+        let caps = self.caps.iter().map(|(tenant, requests)| QuotaCap { tenant: *tenant, requests: *requests });
+        let caps = QuotaCaps { caps: caps.collect() };
+        let state = self.state.clone().map(Record::State);
+        state.into_iter().chain((!caps.caps.is_empty()).then_some(Record::QuotaCaps(caps))).collect()
+    }
+
     fn remove_unused(&mut self, kept: &HashSet<ProgramKey>) {
         if self.active.is_none() {
             return;
--- a/crates/gateway/src/replica/process.rs
+++ b/crates/gateway/src/replica/process.rs
@@ -11,7 +11,7 @@
 use crate::ports::counted_store::CountedStore;
 use crate::ports::store::{Kind, MetadataStore};
 use crate::replica::core::{ReplicaCore, ReplicaParts};
-use crate::replica::disk::Disk;
+use crate::replica::disk::{caps_of, Disk};
 use crate::replica::quotas::ReplicaQuotas;
 use crate::replica::steward::{Steward, StewardParts};
 use crate::settings::{ProcessSettings, SettingsError};
@@ -19,7 +19,9 @@
 use crate::store_followers::{RetirementFollower, SetFollower};
 use crate::store_watch::{follow, probe, FirstList};
 use anyhow::Context;
+use foxnotch_scheduler::quota::History;
 use foxnotch_turns::identity::{node_id, zone_hash};
+use foxnotch_turns::segment::Record;
 use foxnotch_wire::ReplicaMember;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -46,7 +48,8 @@
         .context("the port for datagrams cannot be bound")?;
     let (disk, records) = Disk::open(&folder).context("the data folder cannot be used; check the disk")?;
     let memory_limit = (settings.resources.memory_mb * 1024 * 1024 / MEMORY_SHARE) as usize;
-    let quotas = ReplicaQuotas::new(settings.quota.rules(), settings.policy.admission());
+    let history = history_of(&records, settings.first_start);
+    let quotas = ReplicaQuotas::new(settings.quota.rules(), settings.policy.admission(), history);
     let parts = ReplicaParts { own, clock, disk, memory_limit, view: view.clone(), members: members.clone(), quotas };
     let core = Arc::new(ReplicaCore::new(parts, records));
     identify(&core, settings.first_start).await?;
@@ -88,6 +91,19 @@
     Ok(())
 }
 
+/// What the disk tells of what the replica gave of limits before. One that is not refilled yet replaces a lost one.
+fn history_of(records: &[Record], first_start: bool) -> History {
+    let state = records.iter().rev().find_map(|record| match record {
+        Record::State(state) => Some(state),
+        Record::Entry(_) | Record::QuotaCaps(_) => None,
+    });
+    match state {
+        Some(state) if state.complete == 1 => History::Caps(caps_of(records).into_iter().collect()),
+        None if first_start => History::None,
+        Some(_) | None => History::Unknown,
+    }
+}
+
 /// Gives an empty disk its identity.
 async fn identify(core: &Arc<ReplicaCore>, first_start: bool) -> anyhow::Result<()> {
     if core.state().disk != 0 {
@@ -128,5 +144,6 @@
     loop {
         tokio::time::sleep(EXPIRY_PERIOD).await;
         core.expire();
+        core.lower_caps();
     }
 }
--- a/crates/gateway/src/replica/quotas.rs
+++ b/crates/gateway/src/replica/quotas.rs
@@ -1,16 +1,23 @@
-//! A replica's shares of tenants' limits.
+//! A replica's shares of tenants' limits, with their caps on disk.
 
 use crate::locks::lock;
-use foxnotch_scheduler::quota::{Admission, Demand, QuotaBook, QuotaRules, Standing};
+use crate::logging::part;
+use crate::replica::disk::{Disk, DiskError};
+use foxnotch_scheduler::quota::{Admission, Answer, Cap, Demand, Grant, History, QuotaBook, QuotaRules, Standing};
 use foxnotch_scheduler::tenants::RateLimit;
+use foxnotch_turns::segment::{QuotaCap, QuotaCaps, Record};
 use foxnotch_wire::{ProgramStanding, QuotaGiven, RpcBody, TakeQuota};
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+/// When to come back to a replica whose disk takes no cap: it may be full for longer, and other replicas give meanwhile.
+const DISK_WAIT: Duration = Duration::from_millis(500);
+
 /// The shares, with the clock that they go by.
+#[derive(Clone)]
 pub struct ReplicaQuotas {
     started_at: Instant,
-    book: Mutex<QuotaBook>,
+    book: Arc<Mutex<QuotaBook>>,
 }
 
 fn standing_of(standing: ProgramStanding) -> Standing {
@@ -20,11 +27,21 @@
     }
 }
 
+fn to_record(caps: &[Cap]) -> Record {
+    let caps = caps.iter().map(|cap| QuotaCap { tenant: cap.tenant, requests: cap.requests });
+    Record::QuotaCaps(QuotaCaps { caps: caps.collect() })
+}
+
+fn to_answer(grant: &Grant) -> RpcBody {
+    let come_back_ms = u32::try_from(grant.come_back.as_millis()).unwrap_or(u32::MAX);
+    RpcBody::QuotaGiven(QuotaGiven { granted: grant.granted, left: grant.left, come_back_ms })
+}
+
 impl ReplicaQuotas {
     /// The shares of a replica that starts now.
-    pub fn new(rules: QuotaRules, admission: Admission) -> Self {
-        let book = QuotaBook::new(rules, admission, Duration::ZERO);
-        Self { started_at: Instant::now(), book: Mutex::new(book) }
+    pub fn new(rules: QuotaRules, admission: Admission, history: History) -> Self {
+        let book = QuotaBook::new(rules, admission, history, Duration::ZERO);
+        Self { started_at: Instant::now(), book: Arc::new(Mutex::new(book)) }
     }
 
     /// The replica has become a member of the set.
@@ -38,7 +55,7 @@
     }
 
     /// Answers a gateway that goes by the same set, of so many members.
-    pub fn answer(&self, request: &TakeQuota, members: usize) -> RpcBody {
+    pub async fn answer(&self, request: &TakeQuota, members: usize, disk: &Disk) -> RpcBody {
         let limit = RateLimit { per_second: request.per_second, burst: request.burst };
         if !limit.is_sound() {
             return RpcBody::NotServed;
@@ -52,8 +69,54 @@
             standing: standing_of(request.standing),
             wanted: request.wanted,
         };
-        let grant = lock(&self.book).take(&demand, self.started_at.elapsed());
-        let come_back_ms = u32::try_from(grant.come_back.as_millis()).unwrap_or(u32::MAX);
-        RpcBody::QuotaGiven(QuotaGiven { granted: grant.granted, left: grant.left, come_back_ms })
+        loop {
+            let answer = lock(&self.book).take(&demand, self.started_at.elapsed());
+            match answer {
+                Answer::Decided(grant) => {
+                    self.raise_ahead(request.tenant, disk);
+                    return to_answer(&grant);
+                }
+                Answer::NeedsCap(cap) => {
+                    if self.write_cap(cap, disk).await.is_err() {
+                        return to_answer(&Grant { granted: 0, left: 0.0, come_back: DISK_WAIT });
+                    }
+                }
+            }
+        }
+    }
+
+    /// Writes the next cap before it is needed, beside what is served.
+    fn raise_ahead(&self, tenant: u64, disk: &Disk) {
+        let next = lock(&self.book).next_cap(tenant, self.started_at.elapsed());
+        let Some(cap) = next else { return };
+        let (quotas, disk) = (self.clone(), disk.clone());
+        tokio::spawn(async move {
+            // A cap that could not be written is asked for again when it is needed.
+            let _ = quotas.write_cap(cap, &disk).await;
+        });
+    }
+
+    async fn write_cap(&self, cap: Cap, disk: &Disk) -> Result<(), DiskError> {
+        let written = disk.write(vec![to_record(&[cap])]).await;
+        if let Err(error) = &written {
+            log::warn!(target: part::REPLICA, "The cap of tenant {:016x} stays: requests={} wanted: {error}.", cap.tenant, cap.requests);
+        }
+        lock(&self.book).note_cap(cap, written.is_ok());
+        written
+    }
+
+    /// Lowers caps of tenants that need less than before.
+    pub fn lower_caps(&self, disk: &Disk) {
+        let caps = lock(&self.book).lower_caps(self.started_at.elapsed());
+        if caps.is_empty() {
+            return;
+        }
+        let disk = disk.clone();
+        tokio::spawn(async move {
+            // Caps that stay higher on disk only cost a tenant more of its window after a restart.
+            if let Err(error) = disk.write(vec![to_record(&caps)]).await {
+                log::warn!(target: part::REPLICA, "{} caps stay higher on disk: {error}.", caps.len());
+            }
+        });
     }
 }
--- a/crates/scheduler/src/quota.rs
+++ b/crates/scheduler/src/quota.rs
@@ -4,33 +4,43 @@
 //! shares, one for each replica of the set, from which that replica alone gives. So no agreement is needed, and whatever is cut
 //! off or paused, all shares together never give more than the limit. What is lost with a replica is its share alone.
 //!
-//! Programs send in bursts: a share lets a tenant use most of its window at once. It counts what it gave in the window, and
-//! a token bucket besides bounds what may have been given just before a restart, of which a new process knows nothing: it
-//! begins with what the deployment tolerates over the limit, and refills after a pause.
+//! Programs send in bursts: a share counts what it gave in the window, and besides a token bucket lets it give a part of the
+//! window at once. A restart must not make it forget what it gave. So it gives no more in a window than a cap that is on the
+//! replica's disk, and raises the cap there before it gives more. A new process takes as given, as late as the bucket let, all
+//! that the cap allowed. Caps are raised in large steps and lowered when a tenant needs less, so that writes are rare and a part
+//! of the window is left after a restart.
 //!
 //! Programs under way go before new ones: to refuse a late request wastes all that its program has done. A new program begins
-//! only if the requests that it will make, as learned from the tenant's other programs, fit into what refills beside those
-//! of the programs that began lately.
+//! only if the requests that it will make, as learned from the tenant's other programs, fit into the window beside those that
+//! programs under way still have to make.
 
 use crate::tenants::RateLimit;
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-/// Share of the deployment's tolerance that the shares use always. The rest is for restarts of replicas.
-const TOLERANCE_USE: f64 = 0.25;
+/// Share of the deployment's tolerance that the shares use; the rest is for what nobody counts, such as a request that is
+/// sent twice.
+const TOLERANCE_USE: f64 = 0.6;
 /// Time by which a request may reach its engine later than it was let in: windows are counted longer by it.
 const DELAY_SECONDS: f64 = 0.4;
-/// Share of a window that may be given at once.
-const BURST_SHARE: f64 = 0.3;
-/// Share of a window that a replica holds at most when it starts: less than refills in the second that a start takes, so that
-/// starts in a row give no more than none.
-const MOST_RESTART_CREDIT: f64 = 0.1;
-/// Starts that fit into one pause: each takes a second or so. What is tolerated is divided among them.
-const STARTS_IN_A_PAUSE: f64 = 2.0;
-/// The least that a share holds when it is full, in requests: smaller ones would never give.
-const LEAST_CAPACITY: f64 = 1.0;
+/// The least that a share gives in a window, in requests: smaller ones would never give.
+const LEAST_PER_WINDOW: f64 = 1.0;
 /// What was given within so short a time is counted as given at its end.
 const COUNTING_STEP: Duration = Duration::from_millis(50);
+/// Share of a window that may be given at once. The smaller it is, the less can have been given just before a restart.
+const BURST_SHARE: f64 = 0.3;
+/// The same for what is taken as given before a start.
+const HISTORY_STEP: Duration = Duration::from_millis(100);
+/// What a sum of fractions may be off.
+const ROUNDING: f64 = 1e-6;
+/// Steps in which a cap is raised, as a share of the window.
+const CAP_STEP: f64 = 0.2;
+/// The least step, in requests.
+const LEAST_CAP_STEP: f64 = 4.0;
+/// Time in which a tenant has to need less before its cap is lowered.
+const CAP_PERIOD: Duration = Duration::from_secs(15);
+/// Time ahead for which a new program is weighed: what was given before that ends to count makes room for it.
+const LOOKAHEAD: Duration = Duration::from_millis(1500);
 /// Requests that a program is thought to make before any was seen.
 const PRIOR_REQUESTS: f64 = 10.0;
 /// Programs that this guess counts for.
@@ -43,10 +53,6 @@
 const PROGRAM_IDLE: Duration = Duration::from_secs(2);
 /// Time between two looks for programs that have ended.
 const SWEEP_PERIOD: Duration = Duration::from_millis(500);
-/// What a sum of fractions may be off.
-const ROUNDING: f64 = 1e-6;
-/// The longest time to come back that is told.
-const LONGEST_WAIT: Duration = Duration::from_secs(10);
 
 /// The window in which limits hold, and how far the deployment lets them be passed.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -59,47 +65,18 @@
     pub slack: f64,
 }
 
-/// How large one share is.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ShareSize {
-    /// Requests that it gives in a window.
-    pub per_window: f64,
-    /// Seconds of the window, delays included.
-    pub window_s: f64,
-    /// Requests that it refills in a second.
-    pub per_second: f64,
-    /// Requests that it gives at once when it is full.
-    pub capacity: f64,
-    /// Requests that it holds when its replica starts: what the deployment tolerates over the limit.
-    pub restart_credit: f64,
-    /// Seconds after which it then begins to refill. A replica that is about to end gives at most its whole window in the
-    /// time that is left of it; nothing of that refills again before.
-    pub restart_pause_s: f64,
-}
-
-impl ShareSize {
-    /// One of `shares` equal shares of a limit.
-    pub fn of(limit: RateLimit, rules: QuotaRules, shares: usize) -> Self {
-        let shares = shares.max(1) as f64;
-        let stated = limit.per_second * rules.window_s + limit.burst;
-        let tolerated = stated * rules.overage + rules.slack;
-        let per_window = ((stated + tolerated * TOLERANCE_USE) / shares).max(LEAST_CAPACITY);
-        let window_s = rules.window_s + DELAY_SECONDS;
-        let restart_credit = tolerated * (1.0 - TOLERANCE_USE) / STARTS_IN_A_PAUSE / shares;
-        Self {
-            per_window,
-            window_s,
-            per_second: per_window / window_s,
-            capacity: (per_window * BURST_SHARE).max(LEAST_CAPACITY),
-            restart_credit: restart_credit.min(per_window * MOST_RESTART_CREDIT),
-            restart_pause_s: (rules.window_s - (1.0 - BURST_SHARE) * window_s).max(0.0),
-        }
+impl QuotaRules {
+    /// The window that shares count in, delays included.
+    fn window(&self) -> Duration {
+        Duration::from_secs_f64(self.window_s + DELAY_SECONDS)
     }
 
-    /// Time in which it refills so many requests.
-    fn time_for(&self, requests: f64) -> Duration {
-        let seconds = requests.max(0.0) / self.per_second;
-        Duration::try_from_secs_f64(seconds).map_or(LONGEST_WAIT, |time| time.min(LONGEST_WAIT))
+    /// Requests that one of `shares` equal shares of a limit gives in a window.
+    fn share_of(&self, limit: RateLimit, shares: usize) -> f64 {
+        let stated = limit.per_second * self.window_s + limit.burst;
+        let tolerated = stated * self.overage + self.slack;
+        let in_window = stated + tolerated * TOLERANCE_USE;
+        (in_window / shares.max(1) as f64).max(LEAST_PER_WINDOW).floor()
     }
 }
 
@@ -151,6 +128,54 @@
     pub come_back: Duration,
 }
 
+/// The most that a share gives in a window, as it stands on the replica's disk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cap {
+    /// The tenant, by number.
+    pub tenant: u64,
+    /// Requests in a window.
+    pub requests: u32,
+}
+
+/// What a share answers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Answer {
+    /// This is given or not.
+    Decided(Grant),
+    /// The cap has to be on disk first; then it is asked again.
+    NeedsCap(Cap),
+}
+
+/// What is known of the time before a process started.
+#[derive(Clone, Debug, PartialEq)]
+pub enum History {
+    /// The deployment starts for the first time: nothing was given.
+    None,
+    /// The disk is new, or another replica held the share: everything may have been given.
+    Unknown,
+    /// The disk tells the most that was given in a window, by tenant; nothing to others.
+    Caps(HashMap<u64, u32>),
+}
+
+impl History {
+    /// The most that a share of `per_window` requests may have given in the last window.
+    fn most_given(&self, tenant: u64, per_window: u32) -> u32 {
+        match self {
+            Self::None => 0,
+            Self::Unknown => per_window,
+            Self::Caps(caps) => caps.get(&tenant).copied().unwrap_or(0),
+        }
+    }
+
+    /// The cap on disk.
+    fn cap(&self, tenant: u64) -> u32 {
+        match self {
+            Self::None | Self::Unknown => 0,
+            Self::Caps(caps) => caps.get(&tenant).copied().unwrap_or(0),
+        }
+    }
+}
+
 /// What a tenant's programs make, as seen so far.
 #[derive(Clone, Copy, Debug, Default)]
 struct ProgramSizes {
@@ -194,92 +219,135 @@
 /// One replica's share of one tenant's limit.
 #[derive(Clone, Debug)]
 struct Share {
-    size: ShareSize,
+    per_window: u32,
+    window: Duration,
     revision: u64,
-    /// Requests given within the window, oldest first, by the time up to which they count as given.
-    given: VecDeque<(Duration, f64)>,
+    /// Requests given within the window, oldest first, by the time up to which they count.
+    given: VecDeque<(Duration, u32)>,
     /// Their sum.
-    given_in_window: f64,
+    given_in_window: u32,
     /// What the bucket holds.
     level: f64,
-    /// Requests that new programs may still take ahead.
-    work: f64,
     refilled_at: Duration,
+    /// The most that it gives in a window, as it stands on disk.
+    cap: u32,
+    /// A cap that is being written.
+    cap_under_way: Option<u32>,
+    /// The most that was given in a window since `peak_since`.
+    peak: u32,
+    peak_since: Duration,
     sizes: ProgramSizes,
     programs: HashMap<u64, KnownProgram>,
     swept_at: Duration,
 }
 
 impl Share {
-    /// A share that has been refilling since a time.
-    fn since(begun_at: Duration, size: ShareSize, revision: u64) -> Self {
-        let sizes = ProgramSizes::default();
+    fn new(per_window: u32, window: Duration, begun_at: Duration, most_given: u32, cap: u32) -> Self {
         let mut share = Self {
-            size,
-            revision,
+            per_window,
+            window,
+            revision: 0,
             given: VecDeque::new(),
-            given_in_window: 0.0,
-            level: size.restart_credit,
-            work: 0.0,
-            refilled_at: begun_at + Duration::from_secs_f64(size.restart_pause_s),
-            sizes,
+            given_in_window: 0,
+            level: 0.0,
+            refilled_at: begun_at,
+            cap,
+            cap_under_way: None,
+            peak: most_given,
+            peak_since: begun_at,
+            sizes: ProgramSizes::default(),
             programs: HashMap::new(),
             swept_at: begun_at,
         };
-        // Which programs begin is no matter of the limit: it holds for each of their requests.
-        share.work = share.most_work();
+        share.take_as_given(most_given, begun_at);
         share
     }
 
-    fn window(&self) -> Duration {
-        Duration::from_secs_f64(self.size.window_s)
+    /// Takes so many requests as given before a start, as late as the bucket let: what it holds when it is full at the
+    /// last moment, and before that what it refills.
+    fn take_as_given(&mut self, most_given: u32, begun_at: Duration) {
+        let mut untold = most_given;
+        let mut at_once = self.capacity();
+        let mut expires_at = begun_at + self.window;
+        while untold > 0 {
+            let count = (at_once.floor() as u32).clamp(1, untold);
+            self.given.push_front((expires_at, count));
+            untold -= count;
+            at_once = (at_once - f64::from(count)).max(0.0) + self.per_second() * HISTORY_STEP.as_secs_f64();
+            if at_once < 1.0 {
+                let step = Duration::from_secs_f64((1.0 - at_once) / self.per_second());
+                expires_at = expires_at.saturating_sub(step);
+                at_once = 1.0;
+            }
+            expires_at = expires_at.saturating_sub(HISTORY_STEP);
+        }
+        self.given_in_window = most_given;
+    }
+
+    /// Requests that it gives at once when the bucket is full.
+    fn capacity(&self) -> f64 {
+        (f64::from(self.per_window) * BURST_SHARE).max(1.0)
+    }
+
+    /// Requests by which the bucket refills in a second.
+    fn per_second(&self) -> f64 {
+        f64::from(self.per_window) / self.window.as_secs_f64()
+    }
+
+    /// Drops what was given before the window, and refills the bucket.
+    fn advance(&mut self, now: Duration) {
+        while let Some((_, count)) = self.given.pop_front_if(|(expires_at, _)| *expires_at <= now) {
+            self.given_in_window -= count;
+        }
+        let refilled = self.per_second() * now.saturating_sub(self.refilled_at).as_secs_f64();
+        self.level = (self.level + refilled).min(self.capacity());
+        self.refilled_at = self.refilled_at.max(now);
     }
 
     /// Requests that it may give now.
-    fn left(&self) -> f64 {
-        self.level.min(self.size.per_window - self.given_in_window) + ROUNDING
+    fn left(&self) -> u32 {
+        let in_bucket = (self.level + ROUNDING).floor() as u32;
+        self.per_window.saturating_sub(self.given_in_window).min(in_bucket)
     }
 
-    /// Time until it may give one.
+    /// Time until it may give one more.
     fn wait(&self, now: Duration) -> Duration {
-        let pause = self.refilled_at.saturating_sub(now);
-        let lacking = 1.0 - self.level;
-        let until_refilled = if lacking > ROUNDING { pause + self.size.time_for(lacking) } else { Duration::ZERO };
-        let mut over = self.given_in_window + 1.0 - self.size.per_window - ROUNDING;
-        let mut until_counted_less = Duration::ZERO;
-        for (given_at, count) in &self.given {
-            if over <= 0.0 {
-                break;
-            }
-            over -= count;
-            until_counted_less = (*given_at + self.window()).saturating_sub(now);
-        }
-        until_refilled.max(until_counted_less).min(LONGEST_WAIT)
+        let lacking = (1.0 - self.level) / self.per_second();
+        let until_refilled = Duration::try_from_secs_f64(lacking).unwrap_or(Duration::ZERO);
+        let over = f64::from(self.given_in_window + 1) - f64::from(self.per_window);
+        until_refilled.max(self.wait_for(over, now))
     }
 
-    fn give(&mut self, count: f64, now: Duration) {
-        self.level -= count;
-        self.given_in_window += count;
-        match self.given.back_mut() {
-            Some((given_at, sum)) if now <= *given_at => *sum += count,
-            _ => self.given.push_back((now + COUNTING_STEP, count)),
+    /// Time until so many requests less count.
+    fn wait_for(&self, requests: f64, now: Duration) -> Duration {
+        if requests <= 0.0 {
+            return Duration::ZERO;
         }
+        let mut lacking = requests;
+        for (expires_at, count) in &self.given {
+            lacking -= f64::from(*count);
+            if lacking <= 0.0 {
+                return expires_at.saturating_sub(now);
+            }
+        }
+        self.window
     }
 
-    /// Requests that new programs may take ahead at most: one program always can.
-    fn most_work(&self) -> f64 {
-        self.size.per_window.max(self.sizes.mean())
+    /// Requests that programs under way still have to make.
+    fn committed(&self, now: Duration) -> f64 {
+        let mean = self.sizes.mean();
+        let active = self.programs.values().filter(|program| now.saturating_sub(program.asked_at) < PROGRAM_IDLE);
+        active.map(|program| (mean - f64::from(program.requests)).max(0.0)).sum()
     }
 
-    fn refill(&mut self, now: Duration) {
-        let refilled = self.size.per_second * now.saturating_sub(self.refilled_at).as_secs_f64();
-        self.refilled_at = self.refilled_at.max(now);
-        self.level = (self.level + refilled).min(self.size.capacity);
-        self.work = (self.work + refilled).min(self.most_work());
-        let window = self.window();
-        while let Some((_, count)) = self.given.pop_front_if(|(given_at, _)| *given_at + window <= now) {
-            self.given_in_window -= count;
-        }
+    /// Requests by which the window is too small for one more program.
+    fn lacking_for_new(&self, now: Duration) -> f64 {
+        let soon = now + LOOKAHEAD;
+        let counting = self.given.iter().filter(|(expires_at, _)| *expires_at > soon);
+        let still_given: u32 = counting.map(|(_, count)| count).sum();
+        let needed = f64::from(still_given) + self.committed(now) + self.sizes.mean();
+        // One program always fits into an empty window.
+        needed - f64::from(self.per_window).max(self.sizes.mean())
     }
 
     /// Notes what a program was given; nothing when it was refused.
@@ -308,29 +376,87 @@
         });
     }
 
-    fn take(&mut self, demand: &Demand, admission: Admission, now: Duration) -> Grant {
-        self.refill(now);
+    fn cap_step(&self) -> u32 {
+        (f64::from(self.per_window) * CAP_STEP).max(LEAST_CAP_STEP) as u32
+    }
+
+    /// The cap with which so many requests may be given in a window.
+    fn cap_for(&self, requests: u32) -> u32 {
+        requests.saturating_add(self.cap_step()).min(self.per_window.max(requests))
+    }
+
+    /// The next cap, when what is given comes near the one on disk.
+    fn next_cap(&self) -> Option<u32> {
+        let is_near = self.given_in_window + self.cap_step() / 2 > self.cap;
+        if !is_near || self.cap >= self.per_window || self.cap_under_way.is_some() {
+            return None;
+        }
+        Some(self.cap_for(self.given_in_window + 1)).filter(|next| *next > self.cap)
+    }
+
+    /// A higher cap is being written. It is not lowered soon after, so that no write overtakes the other.
+    fn note_raise(&mut self, requests: u32, now: Duration) {
+        self.cap_under_way = Some(self.cap_under_way.map_or(requests, |known| known.max(requests)));
+        self.peak_since = now;
+    }
+
+    fn take(&mut self, demand: &Demand, admission: Admission, now: Duration) -> Answer {
+        self.advance(now);
         self.sweep(now);
         let is_new = demand.standing == Standing::New && !self.programs.contains_key(&demand.program);
-        let lacking_work = self.sizes.mean() - self.work;
-        let may_begin = !is_new || lacking_work <= 0.0 || admission == Admission::EachRequest;
         let left = self.left();
-        if left < 1.0 || !may_begin {
-            if !is_new {
-                self.note_request(demand.program, 0, now);
-            }
-            let wait = self.wait(now);
-            let come_back = if may_begin { wait } else { wait.max(self.size.time_for(lacking_work)) };
-            return Grant { granted: 0, left, come_back };
+        let lacking = if is_new && admission == Admission::WholePrograms { self.lacking_for_new(now) } else { 0.0 };
+        if left == 0 || lacking > 0.0 {
+            return Answer::Decided(self.refuse(demand, is_new, lacking, now));
+        }
+        let below_cap = self.cap.saturating_sub(self.given_in_window);
+        if below_cap == 0 {
+            let requests = self.cap_for(self.given_in_window + 1);
+            self.note_raise(requests, now);
+            return Answer::NeedsCap(Cap { tenant: demand.tenant, requests });
         }
-        let granted = left.floor().min(f64::from(demand.wanted.max(1)));
+        let granted = demand.wanted.max(1).min(left).min(below_cap);
         self.give(granted, now);
-        if is_new {
-            self.work -= self.sizes.mean();
+        self.note_request(demand.program, granted, now);
+        let left = self.left();
+        let come_back = if left > 0 { Duration::ZERO } else { self.wait(now) };
+        Answer::Decided(Grant { granted, left: f64::from(left), come_back })
+    }
+
+    fn refuse(&mut self, demand: &Demand, is_new: bool, lacking: f64, now: Duration) -> Grant {
+        if !is_new {
+            self.note_request(demand.program, 0, now);
+        }
+        let left = self.left();
+        let until_left = if left > 0 { Duration::ZERO } else { self.wait(now) };
+        Grant { granted: 0, left: f64::from(left), come_back: until_left.max(self.wait_for(lacking, now)) }
+    }
+
+    fn give(&mut self, count: u32, now: Duration) {
+        self.level -= f64::from(count);
+        self.given_in_window += count;
+        self.peak = self.peak.max(self.given_in_window);
+        match self.given.back_mut() {
+            Some((expires_at, sum)) if now + self.window <= *expires_at => *sum += count,
+            _ => self.given.push_back((now + COUNTING_STEP + self.window, count)),
+        }
+    }
+
+    /// A lower cap, when the tenant has needed less for a while.
+    fn lower_cap(&mut self, now: Duration) -> Option<u32> {
+        if now.saturating_sub(self.peak_since) < CAP_PERIOD {
+            return None;
         }
-        let granted_count = granted as u32;
-        self.note_request(demand.program, granted_count, now);
-        Grant { granted: granted_count, left: left - granted, come_back: self.wait(now) }
+        self.advance(now);
+        let needed = self.cap_for(self.peak.max(self.given_in_window));
+        self.peak = self.given_in_window;
+        self.peak_since = now;
+        let is_lower = needed + self.cap_step() <= self.cap && self.cap_under_way.is_none();
+        is_lower.then(|| {
+            // At once, so that nothing is given above it while it is being written.
+            self.cap = needed;
+            needed
+        })
     }
 }
 
@@ -339,20 +465,23 @@
 pub struct QuotaBook {
     rules: QuotaRules,
     admission: Admission,
-    /// When the replica begins to give.
+    /// When the replica began to hold its shares.
     held_since: Duration,
+    /// What is known of the time before.
+    history: History,
     shares: HashMap<u64, Share>,
 }
 
 impl QuotaBook {
     /// The book of a replica that holds shares from `now` on.
-    pub fn new(rules: QuotaRules, admission: Admission, now: Duration) -> Self {
-        Self { rules, admission, held_since: now, shares: HashMap::new() }
+    pub fn new(rules: QuotaRules, admission: Admission, history: History, now: Duration) -> Self {
+        Self { rules, admission, held_since: now, history, shares: HashMap::new() }
     }
 
-    /// The replica has become a member of the set: its shares begin empty, since those of others have given until now.
+    /// The replica has become a member of the set: others may have given from its shares until now.
     pub fn begin_again(&mut self, now: Duration) {
         self.held_since = now;
+        self.history = History::Unknown;
         self.shares.clear();
     }
 
@@ -362,16 +491,43 @@
     }
 
     /// Gives what a share holds. A limit of an older configuration than that of the last question is passed over.
-    pub fn take(&mut self, demand: &Demand, now: Duration) -> Grant {
-        let size = ShareSize::of(demand.limit, self.rules, demand.shares);
-        let held_since = self.held_since;
-        let new_share = || Share::since(held_since, size, demand.revision);
+    pub fn take(&mut self, demand: &Demand, now: Duration) -> Answer {
+        let per_window = self.rules.share_of(demand.limit, demand.shares) as u32;
+        let (window, held_since) = (self.rules.window(), self.held_since);
+        let history = &self.history;
+        let new_share = || {
+            let most_given = history.most_given(demand.tenant, per_window);
+            Share::new(per_window, window, held_since, most_given, history.cap(demand.tenant))
+        };
         let share = self.shares.entry(demand.tenant).or_insert_with(new_share);
-        share.refill(now);
         if demand.revision >= share.revision {
-            share.size = size;
+            share.per_window = per_window;
             share.revision = demand.revision;
         }
         share.take(demand, self.admission, now)
     }
+
+    /// The cap that had better be written before it is needed.
+    pub fn next_cap(&mut self, tenant: u64, now: Duration) -> Option<Cap> {
+        let share = self.shares.get_mut(&tenant)?;
+        let requests = share.next_cap()?;
+        share.note_raise(requests, now);
+        Some(Cap { tenant, requests })
+    }
+
+    /// A cap is on disk, or could not be written.
+    pub fn note_cap(&mut self, cap: Cap, is_written: bool) {
+        let Some(share) = self.shares.get_mut(&cap.tenant) else { return };
+        share.cap_under_way.take_if(|requests| *requests <= cap.requests);
+        if is_written {
+            share.cap = share.cap.max(cap.requests);
+        }
+    }
+
+    /// Lower caps of tenants that need less than before; they hold at once and are to be written.
+    pub fn lower_caps(&mut self, now: Duration) -> Vec<Cap> {
+        let lowered =
+            |(tenant, share): (&u64, &mut Share)| Some(Cap { tenant: *tenant, requests: share.lower_cap(now)? });
+        self.shares.iter_mut().filter_map(lowered).collect()
+    }
 }
--- a/crates/turns/src/segment.rs
+++ b/crates/turns/src/segment.rs
@@ -44,6 +44,28 @@
     pub peers: Vec<DiskIdentity>,
 }
 
+/// The most that a replica gives of one tenant's limit in a window.
+#[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct QuotaCap {
+    /// The tenant, as a hash of its name.
+    pub tenant: u64,
+    /// Requests in a window.
+    pub requests: u32,
+}
+
+/// Caps of some tenants.
+#[deku_derive(DekuRead, DekuWrite)]
+#[derive(Clone, Debug, PartialEq, Eq, Default)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct QuotaCaps {
+    #[deku(temp, temp_value = "caps.len() as u32")]
+    length: u32,
+    /// The caps.
+    #[deku(count = "length")]
+    pub caps: Vec<QuotaCap>,
+}
+
 /// One record.
 #[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
 #[deku(endian = "little", id_type = "u8")]
@@ -54,6 +76,9 @@
     /// The replica's state; replaces earlier ones.
     #[deku(id = "1")]
     State(ReplicaState),
+    /// Caps of tenants; each replaces an earlier one of the same tenant.
+    #[deku(id = "2")]
+    QuotaCaps(QuotaCaps),
 }
 
 /// Appends a frame to `buffer`.
