No room: few sends a round, refused programs are new when they come back, new ones wait while engines are full

Programs under way ask three at a time, with pauses that grow, for up to half of their time. A program has begun when one of its turns runs or has handed something out.

--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -6,6 +6,7 @@
 use crate::ports::configuration::{Route, RouteKind};
 use crate::ports::dialect::{CallMetadata, Dialect, ForwardedCall};
 use bytes::Bytes;
+use foxnotch_scheduler::quota::Standing;
 use foxnotch_scheduler::tenants::Tenant;
 use foxnotch_wire::RunPlace;
 use http::{header, HeaderMap, Request};
@@ -27,6 +28,8 @@
 ];
 /// What is left of the caller's time for the way back.
 const RETURN_TIME: Duration = Duration::from_millis(5);
+/// Share of its time for which a place is sought for a request of a program under way: the rest is enough for a turn.
+const PLACE_SHARE: f64 = 0.5;
 /// The least time that an engine is given.
 const LEAST_ENGINE_TIME: Duration = Duration::from_millis(5);
 
@@ -36,6 +39,8 @@
     pub metadata: CallMetadata,
     /// The tenant that it belongs to.
     pub tenant: Option<Arc<Tenant>>,
+    /// Whether its program has begun, as far as is known.
+    pub standing: Standing,
     /// Its route.
     pub route: Route,
     /// The service that it goes to.
@@ -69,6 +74,7 @@
         Self {
             metadata,
             tenant: None,
+            standing: Standing::UnderWay,
             route,
             service,
             predecessor: None,
@@ -125,10 +131,16 @@
         Some(RunPlace { engine: engine.number, part: last.id, prompt_tokens: self.metadata.prompt_tokens })
     }
 
-    /// The moment up to which a place at an engine is sought.
+    /// The moment up to which a place at an engine is sought: for a program under way as long as the time that is left bears,
+    /// since all that it has done is lost with it.
     pub fn place_deadline(&self) -> Instant {
         let objective = Duration::from_millis(self.route.objective_ms.max(1));
-        (self.arrived_at + objective).min(self.expires_at)
+        let allowed = self.expires_at.saturating_duration_since(self.arrived_at);
+        let sought = match self.standing {
+            Standing::New => objective,
+            Standing::UnderWay => objective.max(allowed.mul_f64(PLACE_SHARE)),
+        };
+        (self.arrived_at + sought).min(self.expires_at)
     }
 
     /// The request as the engine `engine` gets it.
--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -25,6 +25,7 @@
 use crate::ports::configuration::{Route, RouteKind};
 use crate::ports::dialect::{CallMetadata, Dialect};
 use bytes::Bytes;
+use foxnotch_scheduler::admission::{self, ServiceLoad};
 use foxnotch_scheduler::quota::Standing;
 use foxnotch_scheduler::tenants::Tenant;
 use http::{header, Request, Response};
@@ -36,8 +37,13 @@
 
 /// The longest wait for a first configuration.
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(150);
-/// Pause before engines that all refused are tried again.
+/// Pause before other engines are tried when some have refused.
 const ROOM_PAUSE: Duration = Duration::from_millis(15);
+/// Engines that may refuse a request for lack of room one after the other. When the ones thought emptiest are full, or give a
+/// request back for a reason of their own, asking all others only adds to their work: a calm day had 44 sends a round.
+const REFUSALS_BEFORE_PAUSE: u32 = 3;
+/// The same for the first request of a program.
+const REFUSALS_OF_NEW: u32 = 2;
 /// Bytes of a kilobyte.
 const BYTES_PER_KILOBYTE: f64 = 1000.0;
 
@@ -206,8 +212,7 @@
         match call.route.kind {
             RouteKind::Streaming => stream_call::serve(self, call).await,
             RouteKind::Idempotent | RouteKind::NonIdempotent => {
-                // Plain calls are made by programs under way.
-                self.quotas.take(&call, Standing::UnderWay, call.place_deadline()).await?;
+                self.quotas.take(&call, call.place_deadline()).await?;
                 whole_call::serve(&self, &call).await
             }
         }
@@ -228,11 +233,7 @@
     ) -> Result<EngineAnswer, Refusal> {
         loop {
             let Some(choice) = self.choose_engine(call, body, tries) else {
-                if Instant::now() + ROOM_PAUSE > call.place_deadline() {
-                    return Err(if tries.may_have_run() { lost("no other engine has room") } else { Refusal::NoRoom });
-                }
-                tries.begin_again();
-                tokio::time::sleep(ROOM_PAUSE).await;
+                self.wait_for_room(call, tries).await?;
                 continue;
             };
             let engine = choice.engine.clone();
@@ -253,6 +254,9 @@
             };
             if error.is_not_run() {
                 tries.note_not_run(&engine);
+                if error == AttemptError::Full && tries.note_full() >= refusals_before_pause(call) {
+                    self.wait_for_room(call, tries).await?;
+                }
                 continue;
             }
             tries.note_may_have_run(&engine);
@@ -265,6 +269,44 @@
         }
     }
 
+    /// Waits before engines are tried again that had no room.
+    ///
+    /// # Errors
+    /// The refusal, when no more time is left for that, or engines have refused the first request of a program.
+    async fn wait_for_room(&self, call: &Call, tries: &mut Tries) -> Result<(), Refusal> {
+        let is_refused_as_new = call.standing == Standing::New && tries.is_refused();
+        let pause = tries.pause_after_refusals(ROOM_PAUSE);
+        if is_refused_as_new || Instant::now() + pause > call.place_deadline() {
+            let no_room = Refusal::NoRoom(admission::come_back(rand::random()));
+            return Err(if tries.may_have_run() { lost("no other engine has room") } else { no_room });
+        }
+        tokio::time::sleep(pause).await;
+        Ok(())
+    }
+
+    /// Refuses the first turn of a program while the engines are full.
+    ///
+    /// # Errors
+    /// [`Refusal::NoRoom`].
+    pub fn check_room(&self, call: &Call) -> Result<(), Refusal> {
+        if call.standing == Standing::UnderWay || !self.policy.admission_by_load {
+            return Ok(());
+        }
+        let candidates = self.engines.candidates(&call.service);
+        let loads = self.loads_of_others(&candidates);
+        let mut load = ServiceLoad::default();
+        for engine in &candidates {
+            load.under_way += f64::from(engine.under_way()) + loads.under_way(engine.number);
+            load.slots += f64::from(engine.entry.slots);
+        }
+        if admission::may_begin(call.standing, load, rand::random()) {
+            return Ok(());
+        }
+        let come_back = admission::come_back(rand::random());
+        log::info!(target: part::CALL, "Call {} may not begin: program={} service={} under_way={:.0} slots={:.0} come_back={come_back:?}.", call.metadata.attempt, call.metadata.program.as_deref().unwrap_or("-"), call.service, load.under_way, load.slots);
+        Err(Refusal::NoRoom(come_back))
+    }
+
     /// The engine that will answer soonest, of those that are not passed over.
     fn choose_engine(&self, call: &Call, body: &Bytes, tries: &Tries) -> Option<Choice> {
         let candidates = self.engines.candidates(&call.service);
@@ -334,6 +376,13 @@
     }
 }
 
+fn refusals_before_pause(call: &Call) -> u32 {
+    match call.standing {
+        Standing::New => REFUSALS_OF_NEW,
+        Standing::UnderWay => REFUSALS_BEFORE_PAUSE,
+    }
+}
+
 fn lost(problem: &str) -> Refusal {
     Refusal::MayHaveRun(problem.to_owned())
 }
--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -89,13 +89,7 @@
     let keeper =
         TurnKeeper::new(replicas.clone(), view.clone(), cache, zone_hash(&settings.zone), settings.tolerance());
     let turns = Arc::new(keeper.with_metrics(metrics.clone()));
-    let quotas = QuotaKeeper::new(
-        replicas.clone(),
-        turns.clone(),
-        zone_hash(&settings.zone),
-        settings.policy.quota_block,
-        metrics.clone(),
-    );
+    let quotas = QuotaKeeper::new(replicas.clone(), turns.clone(), zone_hash(&settings.zone), metrics.clone());
     let gateway = Arc::new(Gateway {
         zone: settings.zone.clone(),
         view: view.clone(),
--- a/crates/gateway/src/edge/quotas.rs
+++ b/crates/gateway/src/edge/quotas.rs
@@ -8,12 +8,11 @@
 use crate::metrics::Metrics;
 use crate::peers::replica_client::ReplicaClient;
 use crate::peers::view::Origin;
+use foxnotch_scheduler::quota::asks::{AskPlan, ShareAnswers, ShareHolder};
 use foxnotch_scheduler::quota::{Grant, Standing};
-use foxnotch_scheduler::quota_asks::{AskPlan, ShareAnswers, ShareHolder};
 use foxnotch_scheduler::tenants::RateLimit;
 use foxnotch_turns::identity::program_key;
 use foxnotch_wire::{ProgramKey, ProgramStanding, ReplicaMember, ReplicaSet, RpcBody, SetNews, TakeQuota};
-use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64;
@@ -22,32 +21,14 @@
 const ANSWER_TIME: Duration = Duration::from_millis(150);
 /// Pause before replicas of which none answered are asked again.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
-/// Time for which leave that was given ahead may be used: it is a small part of the window in which limits are counted.
-const SPARE_TIME: Duration = Duration::from_millis(250);
-
-/// Leave that was given ahead.
-#[derive(Clone, Copy, Debug)]
-struct SpareLeave {
-    requests: u32,
-    until: Duration,
-}
-
-/// What replicas have told and given.
-#[derive(Debug, Default)]
-struct Told {
-    answers: ShareAnswers,
-    spare: HashMap<u64, SpareLeave>,
-}
-
 /// Asks replicas for leave.
 pub struct QuotaKeeper {
     client: Arc<ReplicaClient>,
     turns: Arc<TurnKeeper>,
     zone: u32,
-    /// Requests for which leave is asked at a time.
-    block: u32,
     started_at: Instant,
-    told: Mutex<Told>,
+    /// What each share told last.
+    answers: Mutex<ShareAnswers>,
     metrics: Arc<Metrics>,
 }
 
@@ -78,22 +59,15 @@
 
 impl QuotaKeeper {
     /// A keeper of a gateway in `zone`.
-    pub fn new(
-        client: Arc<ReplicaClient>,
-        turns: Arc<TurnKeeper>,
-        zone: u32,
-        block: u32,
-        metrics: Arc<Metrics>,
-    ) -> Self {
-        let started_at = Instant::now();
-        Self { client, turns, zone, block: block.max(1), started_at, told: Mutex::default(), metrics }
+    pub fn new(client: Arc<ReplicaClient>, turns: Arc<TurnKeeper>, zone: u32, metrics: Arc<Metrics>) -> Self {
+        Self { client, turns, zone, started_at: Instant::now(), answers: Mutex::default(), metrics }
     }
 
     /// Gets leave to send a call, if its tenant has a limit.
     ///
     /// # Errors
     /// [`Refusal::OverLimit`]; [`Refusal::LimitUnknown`] when no replica answers until `deadline`.
-    pub async fn take(&self, call: &Call, standing: Standing, deadline: Instant) -> Result<(), Refusal> {
+    pub async fn take(&self, call: &Call, deadline: Instant) -> Result<(), Refusal> {
         let Some(tenant) = &call.tenant else { return Ok(()) };
         let Some(limit) = tenant.limit else { return Ok(()) };
         let program = call.metadata.program.as_deref().unwrap_or(&call.metadata.attempt);
@@ -103,7 +77,7 @@
             limit,
             revision: self.turns.view.get().configuration.revision,
             program: program_key(&tenant.name, program),
-            standing,
+            standing: call.standing,
         };
         let begun_at = Instant::now();
         let outcome = self.take_for(&applicant, deadline).await;
@@ -111,15 +85,12 @@
         self.metrics.count_tenant(&tenant.name, outcome.as_ref().err().map_or("let_in", Refusal::name));
         if let Err(refusal) = &outcome {
             let RateLimit { per_second, burst } = limit;
-            log::info!(target: part::CALL, "Call {} is not let in: tenant={} per_second={per_second} burst={burst} standing={standing:?} configuration={} come_back={:?} after={:?}: {}.", applicant.attempt, tenant.name, applicant.revision, refusal.retry_after(), begun_at.elapsed(), refusal.name());
+            log::info!(target: part::CALL, "Call {} is not let in: tenant={} per_second={per_second} burst={burst} standing={:?} configuration={} come_back={:?} after={:?}: {}.", applicant.attempt, tenant.name, call.standing, applicant.revision, refusal.retry_after(), begun_at.elapsed(), refusal.name());
         }
         outcome
     }
 
     async fn take_for(&self, applicant: &Applicant<'_>, deadline: Instant) -> Result<(), Refusal> {
-        if self.take_spare(applicant.number) {
-            return Ok(());
-        }
         loop {
             let set = self.turns.wait_for_set(deadline).await.map_err(|_| Refusal::LimitUnknown)?;
             match self.ask_set(applicant, &set, deadline).await {
@@ -146,10 +117,7 @@
         for index in order {
             let member = &set.members[index];
             match self.ask(applicant, set, member, deadline).await {
-                Asked::Given(grant) if grant.granted > 0 => {
-                    self.keep_spare(applicant.number, grant.granted - 1);
-                    return SetAnswer::Given;
-                }
+                Asked::Given(grant) if grant.granted => return SetAnswer::Given,
                 Asked::Given(grant) => {
                     soonest = Some(soonest.map_or(grant.come_back, |known| known.min(grant.come_back)));
                 }
@@ -164,7 +132,7 @@
         let holder = |member: &ReplicaMember| ShareHolder { node: member.node.0, is_near: member.zone == self.zone };
         let holders: Vec<ShareHolder> = set.members.iter().map(holder).collect();
         let now = self.started_at.elapsed();
-        lock(&self.told).answers.plan(applicant.number, &holders, applicant.standing, now)
+        lock(&self.answers).plan(applicant.number, &holders, applicant.standing, now)
     }
 
     async fn ask(
@@ -182,7 +150,6 @@
             burst: applicant.limit.burst,
             program: applicant.program,
             standing: to_wire(applicant.standing),
-            wanted: self.block,
         };
         let within = deadline.saturating_duration_since(Instant::now()).min(ANSWER_TIME);
         let answer = self.client.call(member, RpcBody::TakeQuota(request), within).await;
@@ -190,9 +157,9 @@
         match answer {
             Ok(RpcBody::QuotaGiven(given)) => {
                 let come_back = Duration::from_millis(given.come_back_ms.into());
-                let grant = Grant { granted: given.granted, left: given.left, come_back };
+                let grant = Grant { granted: given.granted == 1, left: given.left, come_back };
                 let (tenant, standing) = (applicant.number, applicant.standing);
-                lock(&self.told).answers.note(tenant, member.node.0, standing, &grant, now);
+                lock(&self.answers).note(tenant, member.node.0, standing, &grant, now);
                 Asked::Given(grant)
             }
             Ok(RpcBody::OtherSet(news)) if news.set.version > set.version => Asked::NewerSet(news.set),
@@ -201,7 +168,7 @@
                 Asked::Unanswered
             }
             Ok(_) | Err(_) => {
-                lock(&self.told).answers.note_silence(applicant.number, member.node.0, now);
+                lock(&self.answers).note_silence(applicant.number, member.node.0, now);
                 Asked::Unanswered
             }
         }
@@ -214,25 +181,6 @@
             log::debug!(target: part::TURN, "Replica {} was not told of set {}: {error}.", member.node, set.version);
         }
     }
-
-    fn take_spare(&self, tenant: u64) -> bool {
-        let now = self.started_at.elapsed();
-        let mut told = lock(&self.told);
-        let Some(spare) = told.spare.get_mut(&tenant) else { return false };
-        if spare.requests == 0 || spare.until < now {
-            told.spare.remove(&tenant);
-            return false;
-        }
-        spare.requests -= 1;
-        true
-    }
-
-    fn keep_spare(&self, tenant: u64, requests: u32) {
-        if requests > 0 {
-            let until = self.started_at.elapsed() + SPARE_TIME;
-            lock(&self.told).spare.insert(tenant, SpareLeave { requests, until });
-        }
-    }
 }
 
 /// What became of asking the replicas of one set.
--- a/crates/gateway/src/edge/refusal.rs
+++ b/crates/gateway/src/edge/refusal.rs
@@ -40,7 +40,7 @@
     TooLarge(usize),
     /// Not run: no engine has room.
     #[error("no engine has room; ask again after the time given")]
-    NoRoom,
+    NoRoom(Duration),
     /// Not run: the replicas cannot be asked.
     #[error("turns cannot be kept now ({0}); ask again after the time given")]
     NoQuorum(String),
@@ -77,7 +77,7 @@
             Self::NoConfiguration
             | Self::ConfigurationBehind
             | Self::Stopping
-            | Self::NoRoom
+            | Self::NoRoom(_)
             | Self::NoQuorum(_)
             | Self::ChainUnknown
             | Self::LimitUnknown
@@ -90,7 +90,7 @@
     /// When the caller may come back, for what has not run.
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
-            Self::NoRoom => Some(Duration::from_millis(100)),
+            Self::NoRoom(come_back) => Some(*come_back),
             Self::OverLimit(come_back) => Some((*come_back).max(LEAST_WAIT)),
             Self::Stopping | Self::OutOfTime | Self::NoQuorum(_) | Self::ChainUnknown | Self::LimitUnknown => {
                 Some(Duration::from_millis(200))
@@ -112,7 +112,7 @@
             Self::LimitUnknown => "limit_unknown",
             Self::Malformed(_) => "malformed",
             Self::TooLarge(_) => "too_large",
-            Self::NoRoom => "no_room",
+            Self::NoRoom(_) => "no_room",
             Self::NoQuorum(_) => "no_quorum",
             Self::ChainUnknown => "chain_unknown",
             Self::NoSuchTurn => "no_such_turn",
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -93,9 +93,11 @@
     );
     let chain = chain?;
     let known = reserved?;
-    // Only now: turns of programs that loop are refused by their budget, and must not use up their tenant's limit. Where both
+    // Leave is asked for only now: turns of programs that loop are refused by their budget, and must not use up their tenant's limit. Where both
     // were asked for at once, a tenant with a limit of 96 requests in 5 s was refused after 31.
-    gateway.quotas.take(&call, standing_of(&call, known.as_ref()), prepare_until).await?;
+    call.standing = standing_of(&call, known.as_ref());
+    gateway.check_room(&call)?;
+    gateway.quotas.take(&call, prepare_until).await?;
     if gateway.policy.avoid_failed {
         call.avoided = known.as_ref().map_or(Vec::new(), BudgetView::failed_engines);
     }
@@ -161,9 +163,10 @@
     }
 }
 
-/// Whether a turn's program has begun: it continues a turn, or the program's books hold another one.
+/// Whether a turn's program has begun: it continues a turn, or the program's books hold another one. A program that was
+/// refused and comes back has not: counted as begun, all that were refused were let in half a second later.
 fn standing_of(call: &Call, known: Option<&BudgetView>) -> Standing {
-    let has_begun = call.metadata.previous.is_some() || known.is_some_and(|program| program.turns() > 1);
+    let has_begun = call.metadata.previous.is_some() || known.is_some_and(|program| program.begun_turns() > 1);
     if has_begun {
         Standing::UnderWay
     } else {
--- a/crates/gateway/src/edge/tries.rs
+++ b/crates/gateway/src/edge/tries.rs
@@ -2,6 +2,10 @@
 
 use crate::engines::engine::Engine;
 use crate::engines::selector::Choice;
+use std::time::Duration;
+
+/// How often the pause between rounds is doubled.
+const MOST_DOUBLINGS: u32 = 3;
 
 /// The record of one request's sends.
 ///
@@ -15,6 +19,10 @@
     may_have_run: Vec<String>,
     /// The engine that it was sent to last, and what was known of it then.
     last_choice: Option<Choice>,
+    /// Engines that refused it for lack of room since the last pause.
+    full: u32,
+    /// Pauses that were made.
+    pauses: u32,
 }
 
 impl Tries {
@@ -59,8 +67,24 @@
         self.may_have_run.push(engine.entry.id.clone());
     }
 
-    /// Lets engines that have certainly not run the request be tried again.
-    pub fn begin_again(&mut self) {
+    /// Notes that an engine refused it for lack of room. Returns how many did since the last pause.
+    pub fn note_full(&mut self) -> u32 {
+        self.full += 1;
+        self.full
+    }
+
+    /// Whether an engine refused it for lack of room since the last pause.
+    pub fn is_refused(&self) -> bool {
+        self.full > 0
+    }
+
+    /// The pause before engines are tried again, twice as long each time; those that have certainly not run the request may be
+    /// tried again after it.
+    pub fn pause_after_refusals(&mut self, first: Duration) -> Duration {
         self.passed_over.clone_from(&self.may_have_run);
+        self.full = 0;
+        let pause = first.saturating_mul(1 << self.pauses.min(MOST_DOUBLINGS));
+        self.pauses += 1;
+        pause
     }
 }
--- a/crates/gateway/src/policy.rs
+++ b/crates/gateway/src/policy.rs
@@ -25,11 +25,11 @@
     pub relay: bool,
     /// An engine costs more the more of its requests fail, at all gateways together.
     pub outliers: bool,
+    /// New programs are refused while the engines are full.
+    pub admission_by_load: bool,
     /// While little of a tenant's limit is left, new programs begin only if all that they will ask for fits; without this
     /// each request is let in or refused by itself.
     pub whole_programs: bool,
-    /// Requests for which a gateway asks leave at a time, where a tenant has a limit.
-    pub quota_block: u32,
 }
 
 impl PolicySettings {
@@ -55,8 +55,8 @@
             learned_prices: true,
             relay: true,
             outliers: true,
+            admission_by_load: true,
             whole_programs: true,
-            quota_block: 1,
         }
     }
 }
--- a/crates/gateway/src/replica/quotas.rs
+++ b/crates/gateway/src/replica/quotas.rs
@@ -34,7 +34,7 @@
 
 fn to_answer(grant: &Grant) -> RpcBody {
     let come_back_ms = u32::try_from(grant.come_back.as_millis()).unwrap_or(u32::MAX);
-    RpcBody::QuotaGiven(QuotaGiven { granted: grant.granted, left: grant.left, come_back_ms })
+    RpcBody::QuotaGiven(QuotaGiven { granted: u8::from(grant.granted), left: grant.left, come_back_ms })
 }
 
 impl ReplicaQuotas {
@@ -67,7 +67,6 @@
             shares: members,
             program: request.program.0,
             standing: standing_of(request.standing),
-            wanted: request.wanted,
         };
         loop {
             let answer = lock(&self.book).take(&demand, self.started_at.elapsed());
@@ -78,7 +77,7 @@
                 }
                 Answer::NeedsCap(cap) => {
                     if self.write_cap(cap, disk).await.is_err() {
-                        return to_answer(&Grant { granted: 0, left: 0.0, come_back: DISK_WAIT });
+                        return to_answer(&Grant { granted: false, left: 0.0, come_back: DISK_WAIT });
                     }
                 }
             }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -241,7 +241,6 @@
         let is_tolerance = |value: f64| value.is_finite() && value >= 0.0;
         check(is_tolerance(self.quota.overage), "quota.overage", self.quota.overage, "0 or more")?;
         check(is_tolerance(self.quota.slack), "quota.slack", self.quota.slack, "0 or more")?;
-        check(self.policy.quota_block >= 1, "policy.quota_block", self.policy.quota_block, "1 or more")?;
         check(self.resources.memory_mb >= 16, "resources.memory_mb", self.resources.memory_mb, "16 or more")?;
         check(self.resources.descriptors >= 256, "resources.descriptors", self.resources.descriptors, "256 or more")?;
         let least = least_set_size(self.tolerance.machines);
--- a/crates/scheduler/src/quota_asks.rs
+++ b/crates/scheduler/src/quota/asks.rs
@@ -4,7 +4,7 @@
 //! the one that holds most; when none is thought to hold anything it refuses at once, so that a tenant far beyond its limit
 //! costs the replicas no message a request.
 
-use crate::quota::{Grant, Standing};
+use super::{Grant, Standing};
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -77,7 +77,7 @@
         if self.told.len() >= ANSWERS_BEFORE_SWEEP {
             self.told.retain(|_, told| now.saturating_sub(told.at) < ANSWER_MEMORY);
         }
-        let is_closed = grant.granted == 0 && standing == Standing::New;
+        let is_closed = !grant.granted && standing == Standing::New;
         let closed_until = if is_closed { now + grant.come_back } else { Duration::ZERO };
         // What a share tells of itself when it refuses a new program says nothing about programs under way.
         let empty_until = if is_closed && grant.left >= 1.0 { Duration::ZERO } else { now + grant.come_back };
--- a/crates/turns/src/budget.rs
+++ b/crates/turns/src/budget.rs
@@ -55,9 +55,9 @@
         engines
     }
 
-    /// How many turns are known, running ones included.
-    pub fn turns(&self) -> usize {
-        self.charges.len()
+    /// How many turns run or have handed something out. One that was refused after its reservation does not count.
+    pub fn begun_turns(&self) -> usize {
+        self.charges.values().filter(|tokens| **tokens > 0).count()
     }
 
     /// Tokens of all turns.
--- a/crates/turns/tests/budget_tests.rs
+++ b/crates/turns/tests/budget_tests.rs
@@ -144,3 +144,14 @@
     assert_eq!(view.engine_for(&[0, 3]), Some(7));
     assert_eq!(view.engine_for(&[0]), None);
 }
+
+/// A program whose first turn was refused has not begun when it comes back.
+#[test]
+fn turns_that_were_refused_have_not_begun() {
+    let mut view = BudgetView::default();
+    let charge = |turn, tokens| TurnCharge { turn: TurnId(turn), tokens };
+    view.merge(&[charge(1, 0), charge(2, 80)]);
+    assert_eq!(view.begun_turns(), 1);
+    view.merge(&[charge(3, 9)]);
+    assert_eq!(view.begun_turns(), 2);
+}
--- a/crates/wire/src/quota.rs
+++ b/crates/wire/src/quota.rs
@@ -16,7 +16,7 @@
     UnderWay,
 }
 
-/// Asks a replica for leave to send requests of a tenant. Answered by [`crate::RpcBody::QuotaGiven`]. What arrives twice is
+/// Asks a replica for leave to send one request of a tenant. Answered by [`crate::RpcBody::QuotaGiven`]. What arrives twice is
 /// given twice, which the tenant's limit bears and only the tenant loses by.
 #[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
@@ -35,16 +35,14 @@
     pub program: ProgramKey,
     /// Whether the program has begun.
     pub standing: ProgramStanding,
-    /// Requests wanted.
-    pub wanted: u32,
 }
 
 /// Answers [`TakeQuota`].
 #[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
 pub struct QuotaGiven {
-    /// Requests that may be sent.
-    pub granted: u32,
+    /// 1 when the request may be sent.
+    pub granted: u8,
     /// Requests that the replica's share still holds.
     pub left: f64,
     /// Milliseconds after which it may give more, when it gave none.
