--- /dev/null
+++ b/crates/gateway/src/replica/steward/filling.rs
@@ -0,0 +1,69 @@
+//! Fills a replica whose disk was empty, and brings a member up to a new version of the set.
+
+use super::{StepError, Steward};
+use crate::logging::part;
+use crate::replica::sync::{pull_all, Heard};
+use foxnotch_turns::replica_set;
+use foxnotch_wire::{NodeId, ReplicaMember, ReplicaSet};
+
+impl Steward {
+    /// Fills an empty replica. Whether or not it is a member, it counts for nothing before.
+    pub(super) async fn refill(&self, set: &ReplicaSet) -> Result<bool, StepError> {
+        let heard = pull_all(&self.core, &self.client, set, &self.own).await;
+        self.check_current(set)?;
+        let counted = complete_members(&heard, &set.members);
+        let before = complete_members(&heard, &set.previous);
+        let earlier = set.previous.is_empty()
+            || is_any_synced(&heard, set)
+            || before >= replica_set::refill_quorum(set.previous.len());
+        if counted < replica_set::refill_quorum(set.members.len()) || !earlier {
+            return Err(StepError::TooFewHeard(counted));
+        }
+        let version = set.version;
+        let is_member = replica_set::contains(set, self.own.node);
+        let written = self
+            .core
+            .change_state(move |state| {
+                if state.set.version == version {
+                    state.complete = 1;
+                    state.synced = if is_member { version } else { 0 };
+                }
+            })
+            .await;
+        log::info!(target: part::REPLICA, "Refilled: heard={counted} set={version} written={}.", written.is_ok());
+        Ok(true)
+    }
+
+    /// Pulls what a majority of the version before holds.
+    pub(super) async fn sync(&self, set: &ReplicaSet) -> Result<bool, StepError> {
+        let heard = pull_all(&self.core, &self.client, set, &self.own).await;
+        self.check_current(set)?;
+        let complete: Vec<NodeId> = heard.iter().filter(|heard| heard.complete).map(|heard| heard.node).collect();
+        if !is_any_synced(&heard, set) && !replica_set::covers_previous(set, self.own.node, &complete) {
+            return Err(StepError::TooFewHeard(complete.len()));
+        }
+        let version = set.version;
+        let written = self
+            .core
+            .change_state(move |state| {
+                if state.set.version == version {
+                    state.synced = version;
+                }
+            })
+            .await;
+        log::info!(target: part::REPLICA, "Synced to replica set {version}: heard={} written={}.", complete.len(), written.is_ok());
+        Ok(true)
+    }
+}
+
+/// Whether one of those heard is synced to the set: it holds all that was acknowledged under earlier versions, so the
+/// members of those need not be heard any more; some may be gone for good.
+fn is_any_synced(heard: &[Heard], set: &ReplicaSet) -> bool {
+    heard.iter().any(|heard| heard.complete && heard.synced == set.version)
+}
+
+/// How many of these members are complete and were heard.
+pub(super) fn complete_members(heard: &[Heard], members: &[ReplicaMember]) -> usize {
+    let is_complete = |member: &&ReplicaMember| heard.iter().any(|heard| heard.complete && heard.node == member.node);
+    members.iter().filter(is_complete).count()
+}
--- /dev/null
+++ b/crates/gateway/src/replica/steward/set_changes.rs
@@ -0,0 +1,92 @@
+//! Changes of the replica set: one member at a time, by compare-and-swap on the platform's store, and told to all replicas.
+
+use super::{StepError, Steward};
+use crate::logging::part;
+use crate::peers::members::socket_of;
+use crate::peers::view::Origin;
+use crate::ports::store::{Freshness, Kind, ObjectBody, StoreError};
+use crate::replica::sync::address_of;
+use foxnotch_turns::replica_set;
+use foxnotch_wire::{NodeId, ReplicaSet, RpcBody, SetNews};
+use futures_util::future::join_all;
+use std::time::Duration;
+
+/// Time for one exchange about the set.
+const SET_TIMEOUT: Duration = Duration::from_millis(800);
+
+impl Steward {
+    pub(super) async fn read_set(&self) -> Result<Option<(ReplicaSet, u64)>, StoreError> {
+        let listing = self.store.list(Kind::ReplicaSet, Freshness::Newest).await?;
+        let found = listing.objects.into_iter().find_map(|object| match object.body {
+            ObjectBody::ReplicaSet(set) => Some((set, object.revision)),
+            _ => None,
+        });
+        Ok(found)
+    }
+
+    /// Tells all members the set and asks which are synced to it.
+    pub(super) async fn synced_members(&self, set: &ReplicaSet) -> Vec<NodeId> {
+        let own = self.core.state();
+        let news = SetNews { set: set.clone(), synced: own.synced };
+        let asks = set.members.iter().filter(|member| member.node != self.own.node).map(|member| {
+            let body = RpcBody::AdoptSet(news.clone());
+            let patience = self.core.patience(member.node, SET_TIMEOUT);
+            async move { (member.node, self.client.call(address_of(member), body, patience).await) }
+        });
+        let mut synced = Vec::new();
+        for (node, answer) in join_all(asks).await {
+            let Ok(RpcBody::SetKnown(news)) = answer else { continue };
+            self.core.adopt_set(&news.set, Origin::Peer).await;
+            if news.synced == set.version {
+                synced.push(node);
+            }
+        }
+        if replica_set::contains(set, self.own.node) && own.synced == set.version {
+            synced.push(self.own.node);
+        }
+        synced
+    }
+
+    /// Writes the next version if the present one allows it, and tells all members.
+    pub(super) async fn change_set(&self, set: &ReplicaSet, next: ReplicaSet) -> Result<bool, StepError> {
+        let synced = self.synced_members(set).await;
+        self.check_current(set)?;
+        if !replica_set::may_follow(set, &synced) {
+            return Err(StepError::NotSynced(set.version));
+        }
+        self.write_set(set, next, &synced).await
+    }
+
+    /// Writes the next version by compare-and-swap, and tells all members.
+    pub(super) async fn write_set(
+        &self,
+        set: &ReplicaSet,
+        next: ReplicaSet,
+        synced: &[NodeId],
+    ) -> Result<bool, StepError> {
+        let Some((stored, revision)) = self.read_set().await? else { return Err(StepError::Overtaken) };
+        if stored.version != set.version {
+            self.core.adopt_set(&stored, Origin::Store).await;
+            return Err(StepError::Overtaken);
+        }
+        self.store.write_replica_set(next.clone(), Some(revision)).await?;
+        log::info!(target: part::REPLICA, "Replica set changed: version={} members={:?} synced={synced:?}.", next.version, next.members.iter().map(|member| member.node.0).collect::<Vec<_>>());
+        self.core.adopt_set(&next, Origin::Store).await;
+        tokio::join!(self.synced_members(&next), self.tell_standbys(&next));
+        Ok(true)
+    }
+
+    /// Tells the replicas that stand by of the set. One that does not hear it learns it from the platform's store.
+    pub(super) async fn tell_standbys(&self, set: &ReplicaSet) {
+        let news = SetNews { set: set.clone(), synced: self.core.state().synced };
+        let replicas = self.members.standing_replicas().into_iter();
+        let others = replicas.filter(|update| update.node != self.own.node && !replica_set::contains(set, update.node));
+        let tells = others.filter_map(|update| {
+            let address = socket_of(&update.address)?;
+            Some(self.client.call(address, RpcBody::AdoptSet(news.clone()), SET_TIMEOUT))
+        });
+        let told = join_all(tells).await;
+        let heard = told.iter().filter(|answer| answer.is_ok()).count();
+        log::debug!(target: part::REPLICA, "Standbys told of replica set {}: heard={heard} of={}.", set.version, told.len());
+    }
+}
