Soak: all processes are killed while the store answers nobody, and have to serve before it is back

Judged as the other soak: at most once, own answers, kept turns, configuration never older, and well at every gateway before the store is back.

--- a/crates/lab/tests/soak/mod.rs
+++ b/crates/lab/tests/soak/mod.rs
@@ -5,6 +5,7 @@
 //! what is done, not in what happens.
 
 pub mod callers;
+pub mod cold_starts;
 pub mod disk_watch;
 pub mod engines;
 pub mod ledger;
--- a/crates/lab/tests/soak/run.rs
+++ b/crates/lab/tests/soak/run.rs
@@ -86,7 +86,8 @@
 
 /// What a machine is in.
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Condition {
+pub(super) enum Condition {
+    /// Up.
     Running,
     /// Down, to be started at this time.
     Down(Instant),
@@ -98,34 +99,34 @@
 
 /// A time, and for how long the disk had stalled by then.
 #[derive(Clone, Copy, Debug, PartialEq)]
-struct Told {
+pub(super) struct Told {
     at: Instant,
     stalled: Duration,
 }
 
 impl Told {
-    fn now(disk: &DiskWatch) -> Self {
+    pub(super) fn now(disk: &DiskWatch) -> Self {
         Self { at: Instant::now(), stalled: disk.stalled() }
     }
 
     /// Time since, without the stalls of the disk.
-    fn elapsed(self, disk: &DiskWatch) -> Duration {
+    pub(super) fn elapsed(self, disk: &DiskWatch) -> Duration {
         self.at.elapsed().saturating_sub(disk.stalled().saturating_sub(self.stalled))
     }
 }
 
-struct Soak {
-    disk: DiskWatch,
-    settings: SoakSettings,
+pub(super) struct Soak {
+    pub(super) disk: DiskWatch,
+    pub(super) settings: SoakSettings,
     addresses: Addresses,
-    ledger: Arc<Ledger>,
-    callers: Arc<Callers>,
+    pub(super) ledger: Arc<Ledger>,
+    pub(super) callers: Arc<Callers>,
     store: SoakStore,
     engines: Vec<SoakEngine>,
     engine_ids: Vec<String>,
     engine_paths: Vec<Proxy>,
     store_paths: BTreeMap<Node, Proxy>,
-    machines: BTreeMap<Node, (Machine, Condition)>,
+    pub(super) machines: BTreeMap<Node, (Machine, Condition)>,
     /// When paths and engines are well again.
     endings: Vec<(Instant, Fault)>,
     /// Routes beside those that are asked for, by the version that brought them.
@@ -138,6 +139,14 @@
 /// # Errors
 /// When something cannot be started. Nothing is left running.
 pub async fn run(settings: SoakSettings) -> anyhow::Result<SoakReport> {
+    run_with(settings, async |soak| soak.play().await).await
+}
+
+/// Starts everything, lets callers call while `play` does what it does, and judges.
+///
+/// # Errors
+/// When something cannot be started. Nothing is left running.
+pub(super) async fn run_with(settings: SoakSettings, play: impl AsyncFnOnce(&mut Soak)) -> anyhow::Result<SoakReport> {
     std::fs::create_dir_all(&settings.folder)
         .with_context(|| format!("{} cannot be made", settings.folder.display()))?;
     let plan_file = settings.folder.join("plan.json");
@@ -151,7 +160,7 @@
             tokio::spawn(async move { callers.call_on(client).await })
         })
         .collect();
-    soak.play().await;
+    play(&mut soak).await;
     soak.end_faults();
     soak.wait_until_well("after the faults").await;
     soak.callers.stop.store(true, Ordering::SeqCst);
@@ -228,7 +237,7 @@
     }
 
     /// Writes the next version of the configuration: all routes so far, one of its own, and `more` beside it.
-    fn configure(&mut self, more: usize) {
+    pub(super) fn configure(&mut self, more: usize) {
         let version = self.callers.newest_version.load(Ordering::SeqCst) + 1;
         if more > 0 {
             self.extra_routes.insert(version, more);
@@ -318,14 +327,14 @@
     }
 
     /// Does something to a machine that nothing else is done to.
-    fn disturb(&mut self, node: Node, act: impl FnOnce(&mut Machine) -> Condition) {
+    pub(super) fn disturb(&mut self, node: Node, act: impl FnOnce(&mut Machine) -> Condition) {
         match self.machines.get_mut(&node) {
             Some((machine, condition)) if *condition == Condition::Running => *condition = act(machine),
             _ => self.skipped += 1,
         }
     }
 
-    fn set_path(&self, fault: &Fault, begins: bool) {
+    pub(super) fn set_path(&self, fault: &Fault, begins: bool) {
         let how = |how: PathFault| begins.then_some(how);
         match fault {
             Fault::StorePath { node, how: fault } => {
@@ -341,7 +350,7 @@
     }
 
     /// Ends what is over, and starts again what is down.
-    fn look(&mut self) {
+    pub(super) fn look(&mut self) {
         let now = Instant::now();
         let longest_stop = Duration::from_secs(GRACE_S) + GRACE_MARGIN;
         let (over, lasting): (Vec<_>, Vec<_>) = self.endings.drain(..).partition(|(at, _)| *at <= now);
@@ -406,7 +415,7 @@
     }
 
     /// Waits until every gateway is ready and serves all kinds of requests by the newest configuration.
-    async fn wait_until_well(&mut self, when: &str) {
+    pub(super) async fn wait_until_well(&mut self, when: &str) {
         let Ok(client) = HttpClient::new() else { return };
         let begun = Told::now(&self.disk);
         for gateway in 0..GATEWAYS {
--- a/crates/lab/tests/soak_tests.rs
+++ b/crates/lab/tests/soak_tests.rs
@@ -4,6 +4,7 @@
 
 mod soak;
 
+use soak::cold_starts::{draw_cold_starts, plan_of as plan_of_cold_starts, run_cold_starts};
 use soak::plan::{Fault, Node, Plan};
 use soak::run::{run, SoakSettings};
 use std::path::{Path, PathBuf};
@@ -13,6 +14,10 @@
 const SEED: u64 = 5;
 /// Seconds of faults in CI.
 const SECONDS: u64 = 15;
+/// The seed of the cold starts in CI; its two rounds lose a disk and bring 1400 routes.
+const COLD_SEED: u64 = 7;
+/// Cold starts in CI.
+const COLD_STARTS: usize = 2;
 
 /// A number that `scripts/soak` gives, or the one for CI.
 fn given<T: FromStr>(name: &str, otherwise: T) -> T {
@@ -67,6 +72,27 @@
     assert!(report.violations.is_empty(), "{report}");
 }
 
+#[test]
+fn the_cold_starts_of_ci_lose_a_disk_and_bring_many_routes() {
+    let starts = draw_cold_starts(COLD_SEED, COLD_STARTS);
+    assert!(starts.iter().any(|start| start.wiped.is_some()), "{starts:?}");
+    assert!(starts.iter().any(|start| start.more_routes > 0), "{starts:?}");
+}
+
+/// All processes are killed while the store answers nobody, and have to serve before it is back.
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_when_all_start_again_without_the_store() {
+    let temporary = tempfile::tempdir().expect("a folder can be made");
+    let folder = std::env::var("SOAK_FOLDER").map_or_else(|_| temporary.path().join("soak"), PathBuf::from);
+    let program = Path::new(env!("CARGO_BIN_EXE_foxnotch-lab")).with_file_name("foxnotch");
+    let plan = plan_of_cold_starts(given("SOAK_SEED", COLD_SEED));
+    let settings = SoakSettings { plan, program, folder };
+    let report = run_cold_starts(settings, given("SOAK_COLD_STARTS", COLD_STARTS)).await;
+    let report = report.expect("everything can be started");
+    println!("{report}");
+    assert!(report.violations.is_empty(), "{report}");
+}
+
 #[tokio::test]
 async fn a_program_that_is_not_there_is_named() {
     let folder = tempfile::tempdir().expect("a folder can be made");
