A replica whose kept files were refused proves nothing until it has what the fleet goes by; parts are named

Cause (by reading): an older copy that a sync brought ended the doubt about files that had to be refused. Now only what came into force does. A version that could not be coded is not written over one that can be read. Tests: a_disk_whose_files_are_refused_proves_nothing.

--- a/crates/gateway/src/replica/kept_view.rs
+++ b/crates/gateway/src/replica/kept_view.rs
@@ -21,6 +21,7 @@
 use futures_util::future::join_all;
 use std::io;
 use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -40,20 +41,30 @@
 /// More than any revision: an asker that wants no contents.
 const NO_CONTENTS: u64 = u64::MAX;
 
-/// Both parts as they are on disk.
+/// Something of each part.
 #[derive(Clone, Debug, Default)]
-struct Parts {
-    configuration: KeptPart,
-    engines: KeptPart,
+struct PerPart<T> {
+    configuration: T,
+    engines: T,
+}
+
+impl<T> PerPart<T> {
+    fn of(&mut self, kind: PartKind) -> &mut T {
+        match kind {
+            PartKind::Configuration => &mut self.configuration,
+            PartKind::Engines => &mut self.engines,
+        }
+    }
 }
 
 /// What a replica keeps.
 pub struct KeptView {
     /// The files; the lock is held while one is written.
-    files: Mutex<(KeptFiles, KeptFiles)>,
-    parts: Mutex<Parts>,
-    /// Whether a file had to be refused and nothing has been written since.
-    is_lost: Mutex<bool>,
+    files: Mutex<PerPart<KeptFiles>>,
+    /// What they hold.
+    parts: Mutex<PerPart<KeptPart>>,
+    /// Whether the configuration's files had to be refused, and none that the fleet went by since has been written.
+    is_lost: AtomicBool,
 }
 
 /// A part with the content that an asker lacks.
@@ -69,9 +80,9 @@
         let (engine_files, engines) = KeptFiles::open(folder, node, PartKind::Engines);
         log::info!(target: part::REPLICA, "Kept of the platform: configuration_revision={} engines_revision={} is_lost={}.", configuration.part.revision, engines.part.revision, configuration.is_lost);
         Self {
-            files: Mutex::new((configuration_files, engine_files)),
-            parts: Mutex::new(Parts { configuration: configuration.part, engines: engines.part }),
-            is_lost: Mutex::new(configuration.is_lost),
+            files: Mutex::new(PerPart { configuration: configuration_files, engines: engine_files }),
+            parts: Mutex::new(PerPart { configuration: configuration.part, engines: engines.part }),
+            is_lost: AtomicBool::new(configuration.is_lost),
         }
     }
 
@@ -87,7 +98,7 @@
         KeptViewHeld {
             witness,
             set_version,
-            is_whole: u8::from(!*lock(&self.is_lost)),
+            is_whole: u8::from(!self.is_lost.load(Ordering::Relaxed)),
             configuration: above(&parts.configuration, request.configuration_above),
             engines: above(&parts.engines, request.engines_above),
         }
@@ -96,26 +107,22 @@
     /// Writes a part if it is newer. Returns once it is on disk.
     fn write(&self, kind: PartKind, newer: KeptPart) -> io::Result<()> {
         let mut files = lock(&self.files);
-        let known = match kind {
-            PartKind::Configuration => self.revisions().0,
-            PartKind::Engines => self.revisions().1,
-        };
-        if newer.revision <= known {
+        if newer.revision <= lock(&self.parts).of(kind).revision {
             return Ok(());
         }
-        match kind {
-            PartKind::Configuration => {
-                files.0.write(&newer)?;
-                lock(&self.parts).configuration = newer;
-                *lock(&self.is_lost) = false;
-            }
-            PartKind::Engines => {
-                files.1.write(&newer)?;
-                lock(&self.parts).engines = newer;
-            }
+        if newer.content.bytes.is_empty() {
+            // It would hide the version before it, which can be read.
+            return Err(io::Error::new(io::ErrorKind::InvalidData, "it could not be coded"));
         }
+        files.of(kind).write(&newer)?;
+        *lock(&self.parts).of(kind) = newer;
         Ok(())
     }
+
+    /// What the fleet goes by is on this disk: nothing newer was lost with files that had to be refused.
+    fn note_whole(&self) {
+        self.is_lost.store(false, Ordering::Relaxed);
+    }
 }
 
 /// Writes a part on a thread that may wait for the disk.
@@ -183,6 +190,7 @@
         let (configuration_revision, engines_revision) = self.kept.revisions();
         if view.configuration.revision > configuration_revision {
             write(&self.kept, PartKind::Configuration, configuration_of(&self.view, &view)).await?;
+            self.kept.note_whole();
         }
         if view.engines.revision <= engines_revision {
             return Ok(true);
--- a/crates/gateway/tests/cold_start_tests.rs
+++ b/crates/gateway/tests/cold_start_tests.rs
@@ -77,7 +77,9 @@
     /// Kills all processes while the store is silent and starts those replicas and the gateway again.
     async fn restart_without_the_store(&mut self, numbers: &[u8]) {
         self.cluster.store.fall_silent();
-        self.gateway = None;
+        if let Some(gateway) = self.gateway.take() {
+            gateway.kill();
+        }
         for number in 1..=REPLICAS {
             self.cluster.kill(number);
         }
@@ -157,6 +159,28 @@
     assert!(deployment.engine.received().is_empty());
 }
 
+/// Replica 1 kept the newest configuration, and its files cannot be read any more; replica 3 holds an older one. Nobody
+/// can tell what the newest is.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_disk_whose_files_are_refused_proves_nothing() {
+    let mut deployment = Deployment::start(196, configuration_of(1, ana(&["key-a"]))).await;
+    deployment.configure(configuration_of(2, ana(&["key-a"])), &[1, 2, 3]).await;
+    deployment.cluster.kill(3);
+    deployment.configure(configuration_of(3, ana(&["key-b"])), &[1, 2]).await;
+    deployment.cluster.kill(1);
+    for slot in 0..2 {
+        let path = deployment.cluster.data_folder(1).join(format!("view-configuration-{slot}"));
+        std::fs::write(path, b"something else").expect("it can be written");
+    }
+    deployment.restart_without_the_store(&[1, 3]).await;
+    for number in 0..40 {
+        let answer = deployment.send("POST /write/", &attempt(&format!("a{number}"), "key-a")).await;
+        assert_eq!(answer.status, 503);
+        tokio::time::sleep(PAUSE).await;
+    }
+    assert!(deployment.engine.received().is_empty());
+}
+
 /// Whoever has not heard the store since the start cannot know that a route or a key does not exist.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn what_was_kept_denies_nothing_until_the_store_answers() {
--- a/crates/gateway/tests/support/cluster.rs
+++ b/crates/gateway/tests/support/cluster.rs
@@ -138,7 +138,8 @@
         Ipv4Addr::new(127, 77, self.net, number)
     }
 
-    fn data_folder(&self, number: u8) -> PathBuf {
+    /// The folder of a replica.
+    pub fn data_folder(&self, number: u8) -> PathBuf {
         self.folder.path().join(name(number))
     }
 
--- a/crates/gateway/tests/support/gateway.rs
+++ b/crates/gateway/tests/support/gateway.rs
@@ -172,6 +172,13 @@
 }
 
 impl RunningGateway {
+    /// Kills the gateway and waits until nothing of it listens: another may be started at its address then.
+    pub fn kill(mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            tokio::task::block_in_place(|| runtime.shutdown_timeout(Duration::from_secs(5)));
+        }
+    }
+
     /// Starts a gateway at an address of the cluster's net.
     pub async fn start(cluster: &Cluster) -> Self {
         Self::start_with(cluster, 50, cluster.store.clone()).await
