--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -5,7 +5,6 @@
 use crate::load::{plot, run, workload};
 use crate::model::engine::EngineParameters;
 use crate::ports::free_ports;
-use crate::scale;
 use crate::sim::runner::{self, SimSettings, Trace};
 use crate::stand_in::{engine, machine_list, object_api, plain, tool, weight_store};
 use anyhow::Context;
@@ -85,12 +84,6 @@
     },
     /// Run simulated worlds under faults and judge them by the oracle
     Sim(SimArguments),
-    /// Measure what control costs a node, with hollow nodes in virtual time
-    Scale {
-        /// Nodes; may be repeated
-        #[arg(long, default_values_t = [50, 100, 200, 400])]
-        nodes: Vec<u32>,
-    },
     /// Compare routing policies in virtual time, as a file says
     Experiment {
         /// The experiment, TOML
@@ -229,13 +222,6 @@
         }
         Command::Tool { address } => runtime.block_on(tool::run(address))?,
         Command::Sim(arguments) => return run_sim(arguments),
-        Command::Scale { nodes } => {
-            println!("a node");
-            print!("{}", scale::measure_memory());
-            for nodes in nodes {
-                print!("{}", scale::measure(nodes));
-            }
-        }
         Command::Experiment { file, threads, json, plots } => {
             run_experiment(&file, threads, json.as_deref(), plots.as_deref())?;
         }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,5 @@
 pub mod load;
 pub mod model;
 pub mod ports;
-pub mod scale;
 pub mod sim;
 pub mod stand_in;
