--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -42,7 +42,8 @@
     }
 }
 
-/// Milliseconds of the time of day, to be shown to people; 0 before 1970.
+/// Milliseconds of the time of day, to be shown to people and to number the starts of a node. Never 0, which stands for none: a clock that was never set may
+/// show a time before 1970.
 pub fn time_of_day_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |age| age.as_millis() as u64)
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |age| (age.as_millis() as u64).max(1))
 }
--- a/crates/gateway/src/peers/members.rs
+++ b/crates/gateway/src/peers/members.rs
@@ -3,7 +3,7 @@
 //! Probes carry the revision of the sender's view. A node that sees a higher one pulls the view; one that has just
 //! learned something from the store tells three members at once.
 
-use crate::clock::SteadyClock;
+use crate::clock::{time_of_day_ms, SteadyClock};
 use crate::engines::load_board::LoadBoard;
 use crate::locks::lock;
 use crate::logging::part;
@@ -17,7 +17,7 @@
 use foxnotch_wire::{decode, encode, MemberAddress, MemberState, MemberUpdate, Message, NodeId, RpcBody};
 use std::net::{Ipv6Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
@@ -76,11 +76,10 @@
     ) -> std::io::Result<Arc<Self>> {
         let socket = UdpSocket::bind(settings.peer_address()).await?;
         let own = node_id(&settings.node);
-        let started = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |age| age.as_millis() as u64);
         let update = MemberUpdate {
             node: own,
             state: MemberState::Alive,
-            incarnation: started,
+            incarnation: time_of_day_ms(),
             zone: settings.zone_number(&settings.zone),
             address: MemberAddress {
                 ip: settings.ip.to_ipv6_mapped().octets(),
--- a/crates/gateway/src/replica/kept_view.rs
+++ b/crates/gateway/src/replica/kept_view.rs
@@ -15,7 +15,7 @@
 use crate::replica::core::ReplicaCore;
 use crate::replica::kept_files::KeptFiles;
 use crate::replica::sync::address_of;
-use foxnotch_turns::kept_view::{decide, PartKind, Source, Verdict};
+use foxnotch_turns::kept_view::{decide, PartKind, Verdict};
 use foxnotch_turns::replica_set::Tolerance;
 use foxnotch_wire::{Content, KeptPart, KeptViewHeld, NodeId, ReadKeptView, ReplicaMember, RpcBody, Witness};
 use futures_util::future::join_all;
@@ -209,7 +209,8 @@
     let (configuration_above, engines_above) = core.kept().revisions();
     let request = ReadKeptView { set: core.set(), configuration_above, engines_above };
     let patience = Patience::while_arriving(core.patience(member.node, CONTENT_SILENCE));
-    let held = held_by(client.call_with(address_of(member), RpcBody::ReadKeptView(request), patience).await, member)?;
+    let answer = client.call_with(address_of(member), RpcBody::ReadKeptView(request), patience).await;
+    let held = kept_view_in(answer, member)?;
     for (kind, part) in [(PartKind::Configuration, held.configuration), (PartKind::Engines, held.engines)] {
         let is_newer = !part.content.bytes.is_empty();
         if is_newer && write(core.kept(), kind, part).await.is_err() {
@@ -220,7 +221,7 @@
 }
 
 /// The answer of another replica. None when there is none, which is logged.
-fn held_by(answer: Result<RpcBody, RpcError>, member: &ReplicaMember) -> Option<KeptViewHeld> {
+fn kept_view_in(answer: Result<RpcBody, RpcError>, member: &ReplicaMember) -> Option<KeptViewHeld> {
     match answer {
         Ok(RpcBody::KeptViewHeld(held)) => Some(held),
         Ok(_) => {
@@ -234,6 +235,19 @@
     }
 }
 
+/// Why what was kept is not gone by yet.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+enum RecoveryError {
+    #[error("{counted} of the {needed} answers that are needed have come; check that the other replicas run")]
+    TooFewAnswers { counted: usize, needed: usize },
+    #[error("no replica keeps a configuration; check the platform's store")]
+    NothingKept,
+    #[error("node {0}, which keeps the newest configuration, does not answer; check that it runs")]
+    Unanswered(NodeId),
+    #[error("the configuration that node {0} keeps cannot be read; check that all nodes run the same version")]
+    Unreadable(NodeId),
+}
+
 /// Finds what the fleet went by before it started, unless the store is heard of first.
 pub struct Recovery {
     /// This replica.
@@ -250,27 +264,25 @@
     /// Tries until a configuration is known, from whatever source.
     pub async fn run(self) {
         tokio::time::sleep(STORE_PATIENCE).await;
-        let mut told = String::new();
+        let mut told = None;
         while self.view.get().configuration.revision == 0 {
-            let problem = self.attempt().await;
-            if let Some(problem) = problem.filter(|problem| *problem != told) {
+            let problem = self.attempt().await.err();
+            if let Some(problem) = problem.filter(|problem| told.as_ref() != Some(problem)) {
                 log::info!(target: part::REPLICA, "What was kept of the platform is not gone by: {problem}.");
-                told = problem;
+                told = Some(problem);
             }
             tokio::time::sleep(RECOVERY_PERIOD).await;
         }
     }
 
-    /// Asks all members. Returns what stands in the way, if anything does.
-    async fn attempt(&self) -> Option<String> {
+    /// Asks all members, and takes over the newest copies if that may be done.
+    async fn attempt(&self) -> Result<(), RecoveryError> {
         let set = self.core.set();
         let answers = self.ask_all().await;
         match decide(&set, self.tolerance, &answers) {
-            Verdict::TooFew { counted, needed } => {
-                Some(format!("{counted} of the {needed} answers that are needed; check that the other replicas run"))
-            }
-            Verdict::NothingKept => Some("no replica keeps a configuration; check the platform's store".to_owned()),
-            Verdict::Newest { configuration, engines } => self.adopt(configuration, engines).await,
+            Verdict::TooFew { counted, needed } => Err(RecoveryError::TooFewAnswers { counted, needed }),
+            Verdict::NothingKept => Err(RecoveryError::NothingKept),
+            Verdict::Newest { configuration, engines } => self.adopt(configuration.node, engines.node).await,
         }
     }
 
@@ -282,30 +294,25 @@
         let asks = others.map(|member| {
             let patience = Patience::whole(self.core.patience(member.node, ANSWER_TIME));
             let body = RpcBody::ReadKeptView(request.clone());
-            async move { held_by(self.client.call_with(address_of(member), body, patience).await, member) }
+            async move { kept_view_in(self.client.call_with(address_of(member), body, patience).await, member) }
         });
         let mut answers: Vec<KeptViewHeld> = join_all(asks).await.into_iter().flatten().collect();
         answers.push(self.core.kept_view(&request));
         answers
     }
 
-    /// Takes the newest parts over. Returns what stands in the way, if anything does.
-    async fn adopt(&self, configuration: Source, engines: Source) -> Option<String> {
-        let Some(held) = self.held_by(configuration.node).await else {
-            return Some(format!("node {}, which keeps the newest configuration, does not answer", configuration.node));
-        };
-        let engines = match engines.node {
-            node if node == configuration.node => Some(held.engines),
-            node => self.held_by(node).await.map(|held| held.engines),
-        };
-        let Some(content) = from_content(&held.configuration.content) else {
-            let node = configuration.node;
-            return Some(format!(
-                "the configuration of node {node} cannot be read; check that all run the same version"
-            ));
+    /// Takes over the configuration that one replica keeps and the engines that one does.
+    async fn adopt(&self, configuration_of: NodeId, engines_of: NodeId) -> Result<(), RecoveryError> {
+        let held = self.held_by(configuration_of).await.ok_or(RecoveryError::Unanswered(configuration_of))?;
+        let engines = if engines_of == configuration_of {
+            Some(held.engines)
+        } else {
+            self.held_by(engines_of).await.map(|held| held.engines)
         };
+        let configuration =
+            from_content(&held.configuration.content).ok_or(RecoveryError::Unreadable(configuration_of))?;
         let kept = Kept { at_ms: held.configuration.kept_at_ms };
-        self.view.adopt_kept_configuration(held.configuration.revision, content, kept, Origin::KeptByReplicas);
+        self.view.adopt_kept_configuration(held.configuration.revision, configuration, kept, Origin::KeptByReplicas);
         let engines = engines.and_then(|part| Some((part.revision, from_content(&part.content)?)));
         match engines {
             Some((revision, list)) => drop(self.view.adopt_engines(revision, list, Origin::KeptByReplicas)),
@@ -313,7 +320,7 @@
                 log::warn!(target: part::REPLICA, "No list of engines was kept that can be read: requests wait for the store.")
             }
         }
-        None
+        Ok(())
     }
 
     /// What a replica keeps, with contents; not read again from this one's disk.
@@ -325,6 +332,6 @@
         let member = request.set.members.iter().find(|member| member.node == node).copied()?;
         let patience = Patience::while_arriving(CONTENT_SILENCE);
         let body = RpcBody::ReadKeptView(request);
-        held_by(self.client.call_with(address_of(&member), body, patience).await, &member)
+        kept_view_in(self.client.call_with(address_of(&member), body, patience).await, &member)
     }
 }
