--- a/crates/gateway/tests/edge_tests.rs
+++ b/crates/gateway/tests/edge_tests.rs
@@ -319,7 +319,7 @@
     assert!(choose(&engines, &placement, &tried).is_none());
 }
 
-/// Found by a hunt of the archive (hunt-643a-47): a request that came 7.6 s after the signal to stop, while most other
+/// A request that came 7.6 s after the signal to stop, while most other
 /// gateways were gone, was taken and cut off when the process ended 10 ms later.
 #[rstest]
 #[case::soon_after_the_signal(1.0, 4.0, true)]
--- a/crates/gateway/tests/large_configuration_tests.rs
+++ b/crates/gateway/tests/large_configuration_tests.rs
@@ -1,6 +1,6 @@
 //! A configuration that is large for a path or for a node still comes into force.
 //!
-//! Found by incident inc1 (issue 25) and by a day of our own: three times 1400 routes more, then gateways that start again.
+//! What brought it up: three times 1400 routes more, then gateways that start again and are behind for up to 18 s.
 
 mod support;
 
--- a/crates/gateway/tests/relay_tests.rs
+++ b/crates/gateway/tests/relay_tests.rs
@@ -96,7 +96,7 @@
     }
 }
 
-/// The same cause as incident inc1 (issue 25), found by looking for it elsewhere: a long history takes longer than a path is given, and was
+/// A long history takes longer than a path is given, and was
 /// asked for through other gateways too while it was on its way.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_path_that_brings_a_long_history_is_not_silent() {
--- a/crates/gateway/tests/replica_tests.rs
+++ b/crates/gateway/tests/replica_tests.rs
@@ -64,7 +64,7 @@
     assert!(nobody.to_string().contains("check whether it runs"), "{nobody}");
 }
 
-/// Found by a trial that wrote to quorums alone (commit 5190d36): each replica lacks another turn of the chain, and none
+/// Where turns are written to quorums alone, each replica lacks another turn of the chain, and none
 /// can tell of what stands before the one that it lacks.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_chain_is_put_together_from_replicas_that_have_missed_different_turns() {
--- a/crates/gateway/tests/store_watch_tests.rs
+++ b/crates/gateway/tests/store_watch_tests.rs
@@ -127,7 +127,7 @@
     assert_eq!(store.lists(), lists);
 }
 
-/// Found by days of our own for incident inc1 (issue 25): nodes that heard no more news watched from the configuration with which
+/// Nodes that heard no more news watched from the configuration with which
 /// they had begun, were sent each later one, or found that history gone and listed the newest, though others had told them.
 #[tokio::test(start_paused = true)]
 async fn a_node_that_was_told_of_configurations_asks_the_store_for_none_of_them() {
--- a/crates/gateway/tests/watch_duty_tests.rs
+++ b/crates/gateway/tests/watch_duty_tests.rs
@@ -289,7 +289,7 @@
     assert_eq!(view.get().configuration.value.version, 2);
 }
 
-/// Found by incident inc1 (issue 25): a large answer fills the link of a small machine, a question beside it stays without an
+/// A large answer fills the link of a small machine, a question beside it stays without an
 /// answer for a while, and the large one was asked for again from the start.
 #[tokio::test(start_paused = true)]
 async fn a_store_whose_large_answer_is_on_its_way_is_not_silent() {
--- a/crates/node/src/explain.rs
+++ b/crates/node/src/explain.rs
@@ -18,7 +18,7 @@
 /// A line of a log.
 #[derive(Clone, Debug, PartialEq)]
 struct LogLine {
-    /// Seconds; of the day, or of a play of the bench.
+    /// Seconds: of the day, or from the start of a simulated one.
     seconds: f64,
     process: String,
     text: String,
@@ -155,7 +155,7 @@
     Ok(String::from_utf8_lossy(&bytes).lines().filter_map(|line| parse_line(line, &process)).collect())
 }
 
-/// Reads `12:03:04.005 INFO call: …`, also behind the bench's `SECONDS PROCESS`.
+/// Reads `12:03:04.005 INFO call: …`, also behind `SECONDS PROCESS`, as logs of many processes are merged.
 fn parse_line(line: &str, process: &str) -> Option<LogLine> {
     let line = line.trim_start();
     let (first, rest) = line.split_once(' ')?;
