Interfaces of the parts for places and regions: drained zones, residency, slow start, regions, as facts alone

Cause: the platform tells of drained zones, of regions that bind routes and tenants, of cold engines and of starts under the same identifier; nothing in the product held these facts. Change: ports, view, news of the store, kept view and settings carry them; Gateway::candidates is the one place that tells which engines a call may go to. News keep their 32 bytes: two revisions travel by their low half.

--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -7,6 +7,7 @@
 use crate::ports::dialect::{CallMetadata, Dialect, ForwardedCall};
 use bytes::Bytes;
 use foxnotch_scheduler::quota::Standing;
+use foxnotch_scheduler::residency::Residency;
 use foxnotch_scheduler::tenants::Tenant;
 use foxnotch_wire::RunPlace;
 use http::{header, HeaderMap, Request};
@@ -45,6 +46,8 @@
     pub standing: Standing,
     /// Its route.
     pub route: Route,
+    /// Where it may be served and its content kept: its route's regions and its tenant's.
+    pub residency: Residency,
     /// The service that it goes to.
     pub service: String,
     /// The engine that ran the turn which it continues, as far as that is known.
@@ -78,6 +81,7 @@
             tenant: None,
             configuration_version: 0,
             standing: Standing::UnderWay,
+            residency: route.residency.clone(),
             route,
             service,
             predecessor: None,
@@ -91,7 +95,11 @@
 
     /// The same call as a tenant's, by a version of the configuration.
     pub fn of_tenant(self, tenant: Option<Arc<Tenant>>, configuration_version: u64) -> Self {
-        Self { tenant, configuration_version, ..self }
+        let residency = match &tenant {
+            Some(tenant) => self.route.residency.and(&tenant.residency),
+            None => self.residency,
+        };
+        Self { tenant, configuration_version, residency, ..self }
     }
 
     /// The name of its tenant; empty when it is nobody's.
--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -26,6 +26,7 @@
 use crate::ports::dialect::{CallMetadata, Dialect};
 use bytes::Bytes;
 use foxnotch_scheduler::admission::{self, ServiceLoad};
+use foxnotch_scheduler::places::Places;
 use foxnotch_scheduler::quota::Standing;
 use foxnotch_scheduler::tenants::Tenant;
 use http::{header, Request, Response};
@@ -51,6 +52,8 @@
 pub struct Gateway {
     /// The zone of this gateway.
     pub zone: String,
+    /// Zones and their regions.
+    pub places: Places,
     /// What is known of the platform.
     pub view: Arc<ViewHolder>,
     /// Reads and writes headers.
@@ -307,7 +310,7 @@
         if call.standing == Standing::UnderWay || !self.policy.admission_by_load {
             return Ok(());
         }
-        let candidates = self.engines.candidates(&call.service);
+        let candidates = self.candidates(call);
         let loads = self.loads_of_others(&candidates);
         let mut load = ServiceLoad::default();
         for engine in &candidates {
@@ -322,9 +325,19 @@
         Err(Refusal::NoRoom(come_back))
     }
 
+    /// The engines that a call may go to.
+    fn candidates(&self, call: &Call) -> Vec<Arc<Engine>> {
+        let drains = self.view.get().zone_drains.value;
+        let mut candidates = self.engines.candidates(&call.service);
+        candidates.retain(|engine| {
+            !drains.is_drained(&engine.entry.zone) && call.residency.allows_zone(&self.places, &engine.entry.zone)
+        });
+        candidates
+    }
+
     /// The engine that will answer soonest, of those that are not passed over.
     fn choose_engine(&self, call: &Call, body: &Bytes, tries: &Tries) -> Option<Choice> {
-        let candidates = self.engines.candidates(&call.service);
+        let candidates = self.candidates(call);
         let loads = self.loads_of_others(&candidates);
         let placement = Placement {
             prompt: &call.metadata.parts,
--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -26,7 +26,9 @@
 use crate::ports::store::{Freshness, Kind, MetadataStore};
 use crate::settings::{ProcessSettings, SettingsError};
 use crate::signals::wait_for_stop;
-use crate::store_followers::{ConfigurationFollower, EngineFollower, RetirementFollower, SetFollower};
+use crate::store_followers::{
+    ConfigurationFollower, EngineFollower, RetirementFollower, SetFollower, ZoneDrainFollower,
+};
 use crate::store_watch::{follow, probe, FirstList, Follower};
 use anyhow::Context;
 use foxnotch_turns::identity::{node_id, zone_hash};
@@ -92,6 +94,7 @@
     let quotas = QuotaKeeper::new(replicas.clone(), turns.clone(), zone_hash(&settings.zone), metrics.clone());
     let gateway = Arc::new(Gateway {
         zone: settings.zone.clone(),
+        places: settings.places(),
         view: view.clone(),
         dialect: platform.dialect,
         members: members.clone(),
@@ -123,6 +126,10 @@
     tokio::spawn(follow(store.clone(), Kind::Engines, FirstList::AtStart, duty.clone(), engines));
     let retirements = RetirementFollower { view: view.clone() };
     tokio::spawn(follow(store.clone(), Kind::Retirements, FirstList::OnDuty, duty.clone(), retirements));
+    if settings.times.zone_drain_ms.is_some() {
+        let drains = ZoneDrainFollower { view: view.clone() };
+        tokio::spawn(follow(store.clone(), Kind::ZoneDrains, FirstList::AtStart, duty.clone(), drains));
+    }
     tokio::spawn(probe(store.clone(), duty));
     tokio::spawn(members.clone().share_store_news());
     tokio::spawn(find_view(store, members.clone(), view, turns.set_wanted()));
--- a/crates/gateway/src/peers/store_news.rs
+++ b/crates/gateway/src/peers/store_news.rs
@@ -5,7 +5,7 @@
 use crate::peers::view::View;
 use crate::peers::watch_duty::{assignment_of, Assignment, Place, Rank};
 use foxnotch_core::membership::Datagram;
-use foxnotch_wire::{MemberState, MemberUpdate, Message, NodeId, StoreNews};
+use foxnotch_wire::{MemberState, MemberUpdate, Message, NodeId, ShortRevision, StoreNews};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, MissedTickBehavior};
@@ -17,7 +17,8 @@
 fn lacks(view: &View, news: &StoreNews) -> bool {
     news.configuration_revision > view.configuration.revision
         || news.engines_revision > view.engines.revision
-        || news.retirements_revision > view.retirements.revision
+        || news.retirements_revision.is_after(view.retirements.revision)
+        || news.zone_drains_revision.is_after(view.zone_drains.revision)
 }
 
 impl Members {
@@ -83,7 +84,8 @@
         let news = StoreNews {
             configuration_revision: view.configuration.revision,
             engines_revision: view.engines.revision,
-            retirements_revision: view.retirements.revision,
+            retirements_revision: ShortRevision::of(view.retirements.revision),
+            zone_drains_revision: ShortRevision::of(view.zone_drains.revision),
             contact_age_ms: u16::try_from(age.as_millis()).unwrap_or(u16::MAX),
         };
         let datagram = |node: &NodeId| {
--- a/crates/gateway/src/peers/view.rs
+++ b/crates/gateway/src/peers/view.rs
@@ -12,6 +12,7 @@
 use crate::peers::engine_list::{Applied, EngineChanges, EngineList};
 use crate::peers::view_codec::to_content;
 use crate::ports::configuration::{Configuration, EngineEntry, RetirementRequest};
+use foxnotch_scheduler::zone_drain::ZoneDrains;
 use foxnotch_wire::{Content, ReplicaSet};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -59,6 +60,8 @@
     pub engines: Versioned<Vec<EngineEntry>>,
     /// Replicas that are to leave.
     pub retirements: Versioned<Vec<RetirementRequest>>,
+    /// Zones whose engines get no new work.
+    pub zone_drains: Versioned<ZoneDrains>,
     /// The replica set.
     pub set: Arc<ReplicaSet>,
 }
@@ -274,6 +277,23 @@
         adopted
     }
 
+    /// Takes the list of zones that are drained if it is newer.
+    pub fn adopt_zone_drains(&self, revision: u64, drains: ZoneDrains, origin: Origin) -> bool {
+        let zones: Vec<String> = drains.zones().map(str::to_owned).collect();
+        let adopted = self.change(|view| {
+            let newer = revision > view.zone_drains.revision;
+            let differs = *view.zone_drains.value != drains;
+            if newer {
+                view.zone_drains = Versioned { revision, value: Arc::new(drains) };
+            }
+            newer && differs
+        });
+        if adopted {
+            log::info!(target: part::VIEW, "Drained zones known: zones={zones:?} revision={revision} origin={origin:?}.");
+        }
+        adopted
+    }
+
     /// Takes a replica set if it is newer.
     pub fn adopt_set(&self, set: &ReplicaSet, origin: Origin) -> bool {
         let adopted = self.change(|view| {
--- a/crates/gateway/src/peers/view_exchange.rs
+++ b/crates/gateway/src/peers/view_exchange.rs
@@ -21,6 +21,7 @@
         configuration_kept_at_ms: view.kept.map_or(0, |kept| kept.at_ms),
         engines_revision: view.engines.revision,
         retirements_revision: view.retirements.revision,
+        zone_drains_revision: view.zone_drains.revision,
         set: (*view.set).clone(),
         ..ViewNews::default()
     }
@@ -46,6 +47,9 @@
     if view.retirements.revision > known.retirements_revision {
         news.retirements = to_content(&*view.retirements.value);
     }
+    if view.zone_drains.revision > known.zone_drains_revision {
+        news.zone_drains = to_content(&*view.zone_drains.value);
+    }
     news
 }
 
@@ -68,6 +72,9 @@
     if let Some(retirements) = from_content(&news.retirements) {
         holder.adopt_retirements(news.retirements_revision, retirements, Origin::Peer);
     }
+    if let Some(drains) = from_content(&news.zone_drains) {
+        holder.adopt_zone_drains(news.zone_drains_revision, drains, Origin::Peer);
+    }
     holder.adopt_set(&news.set, Origin::Peer);
 }
 
--- a/crates/gateway/src/ports/configuration.rs
+++ b/crates/gateway/src/ports/configuration.rs
@@ -1,5 +1,7 @@
 //! The configuration in force: routes, services and limits, and the engines that serve them.
 
+use foxnotch_scheduler::residency::Residency;
+use foxnotch_scheduler::slow_start::SlowStart;
 use foxnotch_scheduler::tenants::Tenant;
 use serde::{Deserialize, Serialize};
 
@@ -53,6 +55,9 @@
     /// Whether callers without a key are served.
     #[serde(default)]
     pub is_open: bool,
+    /// Where its requests may be served and their content kept.
+    #[serde(default)]
+    pub residency: Residency,
 }
 
 impl Route {
@@ -84,6 +89,9 @@
     pub maximum_connections: u32,
     /// Given when its engines run a model.
     pub model: Option<ModelService>,
+    /// Given when its engines bear little for a while after a start.
+    #[serde(default)]
+    pub slow_start: Option<SlowStart>,
 }
 
 /// Bounds on what callers may send.
@@ -129,7 +137,7 @@
 /// An engine as it lists itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineEntry {
-    /// Its identifier: another one after each start.
+    /// Its identifier. An engine may start again under the one that it had.
     pub id: String,
     /// The service that it belongs to.
     pub service: String,
@@ -141,6 +149,13 @@
     pub slots: u32,
     /// Whether it is about to leave: it gets no new work.
     pub draining: bool,
+    /// When it started, in milliseconds of the time of day; none when it does not tell. Another value under the same identifier
+    /// is another start: it holds nothing of before.
+    #[serde(default)]
+    pub started_at_ms: Option<u64>,
+    /// Milliseconds for which it was to stay cold when it wrote this.
+    #[serde(default)]
+    pub cold_left_ms: u64,
 }
 
 /// The operator's request to take a replica out of service.
--- a/crates/gateway/src/ports/store.rs
+++ b/crates/gateway/src/ports/store.rs
@@ -16,6 +16,8 @@
     ReplicaSet,
     /// Requests to take a replica out of service.
     Retirements,
+    /// Requests to send no new work to the engines of a zone.
+    ZoneDrains,
 }
 
 impl Kind {
@@ -26,6 +28,7 @@
             Self::Engines => "engines",
             Self::ReplicaSet => "replica_set",
             Self::Retirements => "retirements",
+            Self::ZoneDrains => "zone_drains",
         }
     }
 }
@@ -46,6 +49,8 @@
         /// Whether it is reported as done.
         done: bool,
     },
+    /// Of [`Kind::ZoneDrains`]: the object's name is the zone.
+    ZoneDrain,
     /// An object that cannot be read, with the reason.
     Unreadable(String),
 }
--- a/crates/gateway/src/replica/kept_view.rs
+++ b/crates/gateway/src/replica/kept_view.rs
@@ -43,9 +43,13 @@
 
 /// Something of each part.
 #[derive(Clone, Debug, Default)]
-struct PerPart<T> {
-    configuration: T,
-    engines: T,
+pub struct PerPart<T> {
+    /// Of the configuration.
+    pub configuration: T,
+    /// Of the engines.
+    pub engines: T,
+    /// Of the drained zones.
+    pub zone_drains: T,
 }
 
 impl<T> PerPart<T> {
@@ -53,6 +57,7 @@
         match kind {
             PartKind::Configuration => &mut self.configuration,
             PartKind::Engines => &mut self.engines,
+            PartKind::ZoneDrains => &mut self.zone_drains,
         }
     }
 }
@@ -78,18 +83,31 @@
     pub fn open(folder: &Path, node: NodeId) -> Self {
         let (configuration_files, configuration) = KeptFiles::open(folder, node, PartKind::Configuration);
         let (engine_files, engines) = KeptFiles::open(folder, node, PartKind::Engines);
-        log::info!(target: part::REPLICA, "Kept of the platform: configuration_revision={} engines_revision={} is_lost={}.", configuration.part.revision, engines.part.revision, configuration.is_lost);
+        let (drain_files, zone_drains) = KeptFiles::open(folder, node, PartKind::ZoneDrains);
+        log::info!(target: part::REPLICA, "Kept of the platform: configuration_revision={} engines_revision={} zone_drains_revision={} is_lost={}.", configuration.part.revision, engines.part.revision, zone_drains.part.revision, configuration.is_lost);
         Self {
-            files: Mutex::new(PerPart { configuration: configuration_files, engines: engine_files }),
-            parts: Mutex::new(PerPart { configuration: configuration.part, engines: engines.part }),
+            files: Mutex::new(PerPart {
+                configuration: configuration_files,
+                engines: engine_files,
+                zone_drains: drain_files,
+            }),
+            parts: Mutex::new(PerPart {
+                configuration: configuration.part,
+                engines: engines.part,
+                zone_drains: zone_drains.part,
+            }),
             is_lost: AtomicBool::new(configuration.is_lost),
         }
     }
 
-    /// The revisions of the configuration and of the engines.
-    pub fn revisions(&self) -> (u64, u64) {
+    /// The revision of each part.
+    pub fn revisions(&self) -> PerPart<u64> {
         let parts = lock(&self.parts);
-        (parts.configuration.revision, parts.engines.revision)
+        PerPart {
+            configuration: parts.configuration.revision,
+            engines: parts.engines.revision,
+            zone_drains: parts.zone_drains.revision,
+        }
     }
 
     /// What an asker is told.
@@ -101,6 +119,7 @@
             is_whole: u8::from(!self.is_lost.load(Ordering::Relaxed)),
             configuration: above(&parts.configuration, request.configuration_above),
             engines: above(&parts.engines, request.engines_above),
+            zone_drains: above(&parts.zone_drains, request.zone_drains_above),
         }
     }
 
@@ -156,6 +175,12 @@
     KeptPart { revision: view.engines.revision, kept_at_ms: time_of_day_ms(), content }
 }
 
+/// The drained zones of a view, to be kept.
+fn zone_drains_of(view: &View) -> KeptPart {
+    let content = to_content(&*view.zone_drains.value);
+    KeptPart { revision: view.zone_drains.revision, kept_at_ms: time_of_day_ms(), content }
+}
+
 /// Keeps what comes into force.
 pub struct Keeper {
     kept: Arc<KeptView>,
@@ -187,12 +212,15 @@
     /// Writes what is newer than what is kept. Returns whether all of it was written.
     async fn keep_newer(&mut self) -> io::Result<bool> {
         let view = self.view.get();
-        let (configuration_revision, engines_revision) = self.kept.revisions();
-        if view.configuration.revision > configuration_revision {
+        let kept = self.kept.revisions();
+        if view.configuration.revision > kept.configuration {
             write(&self.kept, PartKind::Configuration, configuration_of(&self.view, &view)).await?;
             self.kept.note_whole();
         }
-        if view.engines.revision <= engines_revision {
+        if view.zone_drains.revision > kept.zone_drains {
+            write(&self.kept, PartKind::ZoneDrains, zone_drains_of(&view)).await?;
+        }
+        if view.engines.revision <= kept.engines {
             return Ok(true);
         }
         if self.engines_written_at.is_some_and(|at| at.elapsed() < ENGINES_PERIOD) {
@@ -206,12 +234,22 @@
 
 /// Takes over what another replica keeps and this one lacks. None when that fails, which is logged.
 pub async fn pull(core: &Arc<ReplicaCore>, client: &Arc<RpcClient>, member: &ReplicaMember) -> Option<()> {
-    let (configuration_above, engines_above) = core.kept().revisions();
-    let request = ReadKeptView { set: core.set(), configuration_above, engines_above };
+    let known = core.kept().revisions();
+    let request = ReadKeptView {
+        set: core.set(),
+        configuration_above: known.configuration,
+        engines_above: known.engines,
+        zone_drains_above: known.zone_drains,
+    };
     let patience = Patience::while_arriving(core.patience(member.node, CONTENT_SILENCE));
     let answer = client.call_with(address_of(member), RpcBody::ReadKeptView(request), patience).await;
     let held = kept_view_in(answer, member)?;
-    for (kind, part) in [(PartKind::Configuration, held.configuration), (PartKind::Engines, held.engines)] {
+    let parts = [
+        (PartKind::Configuration, held.configuration),
+        (PartKind::Engines, held.engines),
+        (PartKind::ZoneDrains, held.zone_drains),
+    ];
+    for (kind, part) in parts {
         let is_newer = !part.content.bytes.is_empty();
         if is_newer && write(core.kept(), kind, part).await.is_err() {
             return None;
@@ -282,14 +320,21 @@
         match decide(&set, self.tolerance, &answers) {
             Verdict::TooFew { counted, needed } => Err(RecoveryError::TooFewAnswers { counted, needed }),
             Verdict::NothingKept => Err(RecoveryError::NothingKept),
-            Verdict::Newest { configuration, engines } => self.adopt(configuration.node, engines.node).await,
+            Verdict::Newest { configuration, engines, zone_drains } => {
+                self.adopt(configuration.node, engines.node, zone_drains.node).await
+            }
         }
     }
 
     /// What each member keeps, without contents. This replica is one of them, or counts for nothing.
     async fn ask_all(&self) -> Vec<KeptViewHeld> {
         let set = self.core.set();
-        let request = ReadKeptView { set: set.clone(), configuration_above: NO_CONTENTS, engines_above: NO_CONTENTS };
+        let request = ReadKeptView {
+            set: set.clone(),
+            configuration_above: NO_CONTENTS,
+            engines_above: NO_CONTENTS,
+            zone_drains_above: NO_CONTENTS,
+        };
         let others = set.members.iter().filter(|member| member.node != self.core.own());
         let asks = others.map(|member| {
             let patience = Patience::whole(self.core.patience(member.node, ANSWER_TIME));
@@ -301,16 +346,31 @@
         answers
     }
 
-    /// Takes over the configuration that one replica keeps and the engines that one does.
-    async fn adopt(&self, configuration_of: NodeId, engines_of: NodeId) -> Result<(), RecoveryError> {
+    /// Takes over the configuration, the engines and the drained zones from the replicas that keep the newest of each.
+    async fn adopt(
+        &self,
+        configuration_of: NodeId,
+        engines_of: NodeId,
+        zone_drains_of: NodeId,
+    ) -> Result<(), RecoveryError> {
         let held = self.held_by(configuration_of).await.ok_or(RecoveryError::Unanswered(configuration_of))?;
+        let configuration =
+            from_content(&held.configuration.content).ok_or(RecoveryError::Unreadable(configuration_of))?;
+        // Before the engines: nothing is sent to a zone that was being drained.
+        let zone_drains = if zone_drains_of == configuration_of {
+            held.zone_drains.clone()
+        } else {
+            self.held_by(zone_drains_of).await.ok_or(RecoveryError::Unanswered(zone_drains_of))?.zone_drains
+        };
+        if zone_drains.revision > 0 {
+            let drains = from_content(&zone_drains.content).ok_or(RecoveryError::Unreadable(zone_drains_of))?;
+            self.view.adopt_zone_drains(zone_drains.revision, drains, Origin::KeptByReplicas);
+        }
         let engines = if engines_of == configuration_of {
             Some(held.engines)
         } else {
             self.held_by(engines_of).await.map(|held| held.engines)
         };
-        let configuration =
-            from_content(&held.configuration.content).ok_or(RecoveryError::Unreadable(configuration_of))?;
         let kept = Kept { at_ms: held.configuration.kept_at_ms };
         self.view.adopt_kept_configuration(held.configuration.revision, configuration, kept, Origin::KeptByReplicas);
         let engines = engines.and_then(|part| Some((part.revision, from_content(&part.content)?)));
--- a/crates/gateway/src/replica/process.rs
+++ b/crates/gateway/src/replica/process.rs
@@ -143,11 +143,12 @@
     metrics.read_kept_configuration(view);
     let replica = core.clone();
     metrics.read("kept_configuration_revision", "The configuration on this disk", move || {
-        replica.kept().revisions().0 as i64
+        replica.kept().revisions().configuration as i64
     });
     let replica = core.clone();
-    metrics
-        .read("kept_engines_revision", "The list of engines on this disk", move || replica.kept().revisions().1 as i64);
+    metrics.read("kept_engines_revision", "The list of engines on this disk", move || {
+        replica.kept().revisions().engines as i64
+    });
     let replica = core.clone();
     metrics.read("turns_held", "Turns held", move || replica.size().0 as i64);
     let replica = core.clone();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,9 +1,12 @@
 //! The settings of a gateway or a replica, read from a TOML file and checked whole before anything is bound.
 
 use crate::policy::PolicySettings;
+use foxnotch_scheduler::places::Places;
 use foxnotch_scheduler::quota::QuotaRules;
+use foxnotch_scheduler::slow_start::SlowStartTolerance;
 use foxnotch_turns::replica_set::{least_set_size, SetTarget, Tolerance};
 use serde::Deserialize;
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -61,6 +64,9 @@
     pub apply_ms: f64,
     /// Seconds from SIGTERM to SIGKILL.
     pub grace_s: f64,
+    /// Milliseconds within which the engines of a zone that is drained get no new work; without it zones are not drained here.
+    #[serde(default)]
+    pub zone_drain_ms: Option<f64>,
 }
 
 /// Bounds on what the process uses.
@@ -119,6 +125,29 @@
     }
 }
 
+/// How far a cold engine's rate may be passed in any second, over all gateways together.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct SlowStartSettings {
+    /// The most in a second relative to the rate: 1.5 stands for half as much again.
+    pub factor: f64,
+    /// Requests besides.
+    pub slack: f64,
+}
+
+impl Default for SlowStartSettings {
+    fn default() -> Self {
+        Self { factor: 1.0, slack: 0.0 }
+    }
+}
+
+impl SlowStartSettings {
+    /// The same, for decisions.
+    pub fn tolerance(&self) -> SlowStartTolerance {
+        SlowStartTolerance { factor: self.factor, slack: self.slack }
+    }
+}
+
 /// Everything that can be set.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -129,6 +158,9 @@
     pub zone: String,
     /// All zones of the deployment.
     pub zones: Vec<String>,
+    /// The region of each zone; without it all zones are of one region.
+    #[serde(default)]
+    pub regions: BTreeMap<String, String>,
     /// The address of this machine.
     pub ip: Ipv4Addr,
     /// The port for other nodes, UDP and TCP; the same on all machines.
@@ -165,6 +197,9 @@
     /// How far limits may be passed.
     #[serde(default)]
     pub quota: QuotaSettings,
+    /// Cold engines.
+    #[serde(default)]
+    pub slow_start: SlowStartSettings,
     /// Times.
     pub times: TimeSettings,
     /// Resources.
@@ -241,6 +276,20 @@
         let is_tolerance = |value: f64| value.is_finite() && value >= 0.0;
         check(is_tolerance(self.quota.overage), "quota.overage", self.quota.overage, "0 or more")?;
         check(is_tolerance(self.quota.slack), "quota.slack", self.quota.slack, "0 or more")?;
+        if let Some(zone_drain_ms) = self.times.zone_drain_ms {
+            check(change(zone_drain_ms), "times.zone_drain_ms", zone_drain_ms, "100 or more")?;
+        }
+        let factor = self.slow_start.factor;
+        check(factor.is_finite() && factor >= 1.0, "slow_start.factor", factor, "1 or more")?;
+        check(is_tolerance(self.slow_start.slack), "slow_start.slack", self.slow_start.slack, "0 or more")?;
+        if let Some(zone) = self.zones.iter().find(|zone| !self.regions.is_empty() && !self.regions.contains_key(*zone))
+        {
+            return Err(SettingsError::OutOfRange {
+                field: "regions",
+                value: format!("without {zone}"),
+                allowed: "a region for each zone, or left out",
+            });
+        }
         check(self.resources.memory_mb >= 16, "resources.memory_mb", self.resources.memory_mb, "16 or more")?;
         check(self.resources.descriptors >= 256, "resources.descriptors", self.resources.descriptors, "256 or more")?;
         let least = least_set_size(self.tolerance.machines);
@@ -281,9 +330,15 @@
         SetTarget { size: self.replicas.set_size.unwrap_or(target.size), ..target }
     }
 
+    /// Zones and their regions.
+    pub fn places(&self) -> Places {
+        Places::new(self.regions.clone())
+    }
+
     /// The time within which a change of the platform has to be in force on this node.
     pub fn change_bound(&self) -> Duration {
-        Duration::from_secs_f64(self.times.drain_ms.min(self.times.apply_ms) / 1000.0)
+        let zone_drain_ms = self.times.zone_drain_ms.unwrap_or(f64::INFINITY);
+        Duration::from_secs_f64(self.times.drain_ms.min(self.times.apply_ms).min(zone_drain_ms) / 1000.0)
     }
 
     /// The number of a zone, the same on all nodes.
--- a/crates/gateway/src/store_followers.rs
+++ b/crates/gateway/src/store_followers.rs
@@ -6,6 +6,7 @@
 use crate::ports::configuration::{EngineEntry, RetirementRequest};
 use crate::ports::store::{Change, ObjectBody, StoredObject};
 use crate::store_watch::Follower;
+use foxnotch_scheduler::zone_drain::ZoneDrains;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -152,3 +153,34 @@
         self.view.get().retirements.revision
     }
 }
+
+/// Brings the zones that are drained into the view.
+pub struct ZoneDrainFollower {
+    /// The view.
+    pub view: Arc<ViewHolder>,
+}
+
+impl Follower for ZoneDrainFollower {
+    fn take_list(&mut self, objects: Vec<StoredObject>, revision: u64) {
+        // What a drain says besides its zone does not matter: one that cannot be read drains its zone as well.
+        let drains = ZoneDrains::of(objects.into_iter().map(|object| object.name));
+        self.view.adopt_zone_drains(revision, drains, Origin::Store);
+    }
+
+    fn take_changes(&mut self, changes: Vec<Change>, _since: u64, revision: u64) -> bool {
+        let mut drains = (*self.view.get().zone_drains.value).clone();
+        for change in changes {
+            if change.gone {
+                drains.remove(&change.object.name);
+            } else {
+                drains.insert(change.object.name);
+            }
+        }
+        self.view.adopt_zone_drains(revision, drains, Origin::Store);
+        true
+    }
+
+    fn known_revision(&self) -> u64 {
+        self.view.get().zone_drains.revision
+    }
+}
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -207,7 +207,7 @@
         match self.kind {
             _ if !self.is_in_contact => RECOVERY_WAIT,
             Kind::Configuration | Kind::Engines => WATCH_WAIT,
-            Kind::ReplicaSet | Kind::Retirements => LONG_WATCH_WAIT,
+            Kind::ReplicaSet | Kind::Retirements | Kind::ZoneDrains => LONG_WATCH_WAIT,
         }
     }
 
--- a/crates/gateway/tests/edge_tests.rs
+++ b/crates/gateway/tests/edge_tests.rs
@@ -11,6 +11,7 @@
 use foxnotch_gateway::engines::selector::{choose, Placement};
 use foxnotch_gateway::ports::configuration::{Backend, Configuration, EngineEntry, Route, RouteKind};
 use foxnotch_gateway::ports::dialect::PromptPart;
+use foxnotch_scheduler::residency::Residency;
 use foxnotch_wire::{Content, EngineLoad, NodeId, TurnId, TurnRecord};
 use rstest::rstest;
 use std::collections::HashMap;
@@ -32,6 +33,7 @@
         retention_ms: 0,
         resumable: false,
         is_open: false,
+        residency: Residency::default(),
     }
 }
 
@@ -145,6 +147,8 @@
         zone: zone.to_owned(),
         slots,
         draining: false,
+        started_at_ms: None,
+        cold_left_ms: 0,
     };
     Arc::new(Engine::new(entry, 100_000).expect("the address is one"))
 }
--- a/crates/gateway/tests/engine_list_tests.rs
+++ b/crates/gateway/tests/engine_list_tests.rs
@@ -16,6 +16,8 @@
         zone: "z".to_owned(),
         slots,
         draining: false,
+        started_at_ms: None,
+        cold_left_ms: 0,
     }
 }
 
--- a/crates/gateway/tests/large_configuration_tests.rs
+++ b/crates/gateway/tests/large_configuration_tests.rs
@@ -12,7 +12,9 @@
 use foxnotch_gateway::peers::view_exchange;
 use foxnotch_gateway::ports::configuration::{Configuration, RouteKind};
 use foxnotch_gateway::ports::store::Kind;
-use foxnotch_wire::{encode, MemberAddress, MemberState, MemberUpdate, Message, NodeId, Ping, RpcBody, StoreNews};
+use foxnotch_wire::{
+    encode, MemberAddress, MemberState, MemberUpdate, Message, NodeId, Ping, RpcBody, ShortRevision, StoreNews,
+};
 use futures_util::future::BoxFuture;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -100,8 +102,13 @@
     let address = MemberAddress { ip: ip.to_ipv6_mapped().octets(), peer_port: port, caller_port: 1 };
     let own =
         MemberUpdate { node, state: MemberState::Alive, incarnation: 1, zone: 0, address, config_revision: REVISION };
-    let news =
-        StoreNews { configuration_revision: REVISION, engines_revision: 0, retirements_revision: 0, contact_age_ms: 0 };
+    let news = StoreNews {
+        configuration_revision: REVISION,
+        engines_revision: 0,
+        retirements_revision: ShortRevision::of(0),
+        zone_drains_revision: ShortRevision::of(0),
+        contact_age_ms: 0,
+    };
     tokio::spawn(async move {
         loop {
             let ping = Message::Ping(Ping { sequence: 0, updates: vec![own] });
--- a/crates/gateway/tests/store_watch_tests.rs
+++ b/crates/gateway/tests/store_watch_tests.rs
@@ -30,6 +30,8 @@
         zone: "z".to_owned(),
         slots: 1,
         draining,
+        started_at_ms: None,
+        cold_left_ms: 0,
     })
 }
 
--- a/crates/gateway/tests/support/gateway.rs
+++ b/crates/gateway/tests/support/gateway.rs
@@ -9,6 +9,7 @@
 use foxnotch_gateway::ports::dialect::{AnswerMetadata, CallMetadata, Dialect, ForwardedCall, PromptPart};
 use foxnotch_gateway::ports::store::{Kind, ObjectBody};
 use foxnotch_gateway::settings::ProcessSettings;
+use foxnotch_scheduler::residency::Residency;
 use foxnotch_scheduler::tenants::{KeyDigest, PresentedKey, RateLimit, Tenant};
 use http::{HeaderMap, HeaderName, HeaderValue};
 use std::net::SocketAddr;
@@ -113,12 +114,14 @@
         retention_ms: 60_000,
         resumable: false,
         is_open: false,
+        residency: Residency::default(),
     }
 }
 
 /// A configuration with a repeatable and a not repeatable route, one for turns that are kept and one for streams that are not.
 pub fn configuration(version: u64) -> ObjectBody {
-    let service = |name: &str, model| Service { name: name.to_owned(), maximum_connections: 100, model };
+    let service =
+        |name: &str, model| Service { name: name.to_owned(), maximum_connections: 100, model, slow_start: None };
     let model = ModelService { memory_tokens: 100_000, event_tokens: 9 };
     ObjectBody::Configuration(Configuration {
         version,
@@ -142,7 +145,7 @@
 /// A tenant with these keys and no limit.
 pub fn tenant(name: &str, keys: &[&str]) -> Tenant {
     let keys = keys.iter().map(|key| KeyDigest::of(key.as_bytes())).collect();
-    Tenant { name: name.to_owned(), keys, priority: None, limit: None }
+    Tenant { name: name.to_owned(), keys, priority: None, limit: None, residency: Residency::default() }
 }
 
 /// The same tenant with a limit.
@@ -167,6 +170,8 @@
         zone: "a".to_owned(),
         slots: 4,
         draining: false,
+        started_at_ms: None,
+        cold_left_ms: 0,
     };
     cluster.store.put(Kind::Engines, id, ObjectBody::Engine(entry));
 }
--- a/crates/scheduler/benches/decisions.rs
+++ b/crates/scheduler/benches/decisions.rs
@@ -6,6 +6,7 @@
 use criterion::{criterion_group, criterion_main, Criterion};
 use foxnotch_scheduler::outliers::{FailureOutlook, Outcomes};
 use foxnotch_scheduler::quota::{Admission, Answer, Demand, History, QuotaBook, QuotaRules, Standing};
+use foxnotch_scheduler::residency::Residency;
 use foxnotch_scheduler::tenants::{KeyDigest, PresentedKey, RateLimit, Tenant, TenantDirectory};
 use std::hint::black_box;
 use std::time::Duration;
@@ -43,6 +44,7 @@
         keys: vec![KeyDigest::of(&number.to_le_bytes())],
         priority: None,
         limit: None,
+        residency: Residency::default(),
     };
     let tenants: Vec<Tenant> = (0..TENANTS).map(tenant).collect();
     let directory = TenantDirectory::new(&tenants);
--- /dev/null
+++ b/crates/scheduler/src/slow_start.rs
@@ -0,0 +1,30 @@
+//! Engines that have just started are slow, and fail when they get as many requests as others: all gateways together keep
+//! them to a rate until they are warm.
+
+use serde::{Deserialize, Serialize};
+
+/// What a cold engine of a service bears.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SlowStart {
+    /// Milliseconds for which an engine is cold after a start.
+    pub duration_ms: u64,
+    /// Requests a second that a cold engine bears, from all gateways together; above 0.
+    pub per_second: f64,
+}
+
+impl SlowStart {
+    /// The terms of a service; none when its engines need no slow start.
+    pub fn new(duration_ms: u64, per_second: f64) -> Option<Self> {
+        let is_sound = per_second.is_finite() && per_second > 0.0;
+        is_sound.then_some(Self { duration_ms, per_second })
+    }
+}
+
+/// How far the deployment lets a cold engine's rate be passed in any second.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SlowStartTolerance {
+    /// The most in a second relative to the rate: 1.5 stands for half as much again.
+    pub factor: f64,
+    /// Requests besides.
+    pub slack: f64,
+}
--- a/crates/scheduler/src/tenants.rs
+++ b/crates/scheduler/src/tenants.rs
@@ -3,6 +3,7 @@
 //! Keys are kept and compared by digest alone: neither a process's memory, nor what nodes tell each other, nor a log holds a
 //! key, and how long a look-up takes tells nothing about one.
 
+use crate::residency::Residency;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::collections::HashMap;
@@ -83,6 +84,9 @@
     pub priority: Option<u8>,
     /// How much it may send; none when there is no limit.
     pub limit: Option<RateLimit>,
+    /// Where its requests may be served and their content kept.
+    #[serde(default)]
+    pub residency: Residency,
 }
 
 /// Why a tenant is not taken.
--- a/crates/scheduler/tests/tenant_tests.rs
+++ b/crates/scheduler/tests/tenant_tests.rs
@@ -1,5 +1,6 @@
 //! Whose a request is.
 
+use foxnotch_scheduler::residency::Residency;
 use foxnotch_scheduler::tenants::{
     KeyDenial, KeyDigest, PresentedKey, RateLimit, Tenant, TenantDirectory, TenantProblem,
 };
@@ -7,7 +8,7 @@
 
 fn tenant(name: &str, keys: &[&str]) -> Tenant {
     let keys = keys.iter().map(|key| KeyDigest::of(key.as_bytes())).collect();
-    Tenant { name: name.to_owned(), keys, priority: None, limit: None }
+    Tenant { name: name.to_owned(), keys, priority: None, limit: None, residency: Residency::default() }
 }
 
 fn one(key: &str) -> PresentedKey {
--- a/crates/turns/src/kept_view.rs
+++ b/crates/turns/src/kept_view.rs
@@ -26,6 +26,9 @@
     /// The engines.
     #[deku(id = "2")]
     Engines,
+    /// The zones that are drained.
+    #[deku(id = "3")]
+    ZoneDrains,
 }
 
 impl PartKind {
@@ -34,6 +37,7 @@
         match self {
             Self::Configuration => "configuration",
             Self::Engines => "engines",
+            Self::ZoneDrains => "zone-drains",
         }
     }
 }
@@ -124,6 +128,8 @@
         configuration: Source,
         /// Of the engines.
         engines: Source,
+        /// Of the zones that are drained.
+        zone_drains: Source,
     },
 }
 
@@ -151,9 +157,13 @@
     if set.version == 0 || counted < needed {
         return Verdict::TooFew { counted, needed };
     }
-    let sources = newest(answers, |answer| &answer.configuration).zip(newest(answers, |answer| &answer.engines));
-    match sources {
-        Some((configuration, engines)) if configuration.revision > 0 => Verdict::Newest { configuration, engines },
+    let configuration = newest(answers, |answer| &answer.configuration).filter(|source| source.revision > 0);
+    let engines = newest(answers, |answer| &answer.engines);
+    let zone_drains = newest(answers, |answer| &answer.zone_drains);
+    match (configuration, engines, zone_drains) {
+        (Some(configuration), Some(engines), Some(zone_drains)) => {
+            Verdict::Newest { configuration, engines, zone_drains }
+        }
         _ => Verdict::NothingKept,
     }
 }
--- a/crates/turns/tests/kept_view_tests.rs
+++ b/crates/turns/tests/kept_view_tests.rs
@@ -22,6 +22,7 @@
 #[rstest]
 #[case(PartKind::Configuration)]
 #[case(PartKind::Engines)]
+#[case(PartKind::ZoneDrains)]
 fn a_file_is_read_as_it_was_written(#[case] kind: PartKind) {
     let bytes = encode_file(OWN, kind, &part(81)).expect("it can be coded");
     assert_eq!(decode_file(OWN, kind, &bytes), Ok(part(81)));
@@ -62,6 +63,7 @@
         is_whole: 1,
         configuration: part(revision),
         engines: part(revision * 10),
+        zone_drains: part(revision * 100),
     }
 }
 
@@ -73,9 +75,13 @@
 fn the_newest_of_each_part_is_taken_from_whoever_has_it() {
     let mut newest_engines = held(3, 5);
     newest_engines.engines.revision = 77;
-    let verdict = decide(&set_of(3), tolerating(1), &[held(1, 6), newest_engines]);
+    let mut newest_drains = held(2, 5);
+    newest_drains.zone_drains.revision = 999;
+    let verdict = decide(&set_of(3), tolerating(1), &[held(1, 6), newest_drains, newest_engines]);
     let configuration = Source { node: NodeId(1), revision: 6 };
-    assert_eq!(verdict, Verdict::Newest { configuration, engines: Source { node: NodeId(3), revision: 77 } });
+    let engines = Source { node: NodeId(3), revision: 77 };
+    let zone_drains = Source { node: NodeId(2), revision: 999 };
+    assert_eq!(verdict, Verdict::Newest { configuration, engines, zone_drains });
 }
 
 #[test]
--- a/crates/wire/src/membership.rs
+++ b/crates/wire/src/membership.rs
@@ -149,6 +149,25 @@
     pub failed: u8,
 }
 
+/// The low half of a revision: enough to tell which of two revisions is the newer one while they are less than two thousand
+/// million changes apart, in half the bytes of a datagram that is sent several times a second.
+#[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct ShortRevision(u32);
+
+impl ShortRevision {
+    /// The low half of `revision`.
+    pub fn of(revision: u64) -> Self {
+        Self(revision as u32)
+    }
+
+    /// Whether this is a newer revision than `known`.
+    pub fn is_after(self, known: u64) -> bool {
+        let ahead = self.0.wrapping_sub(known as u32);
+        (1..=u32::MAX / 2).contains(&ahead)
+    }
+}
+
 /// What a gateway knows of the platform's store, told to others so that they need not watch it. Travels by datagram, often.
 #[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq, Eq)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
@@ -158,7 +177,9 @@
     /// The revision of the teller's list of engines.
     pub engines_revision: u64,
     /// The revision of the teller's list of replicas that are to leave.
-    pub retirements_revision: u64,
+    pub retirements_revision: ShortRevision,
+    /// The revision of the teller's list of zones that are drained.
+    pub zone_drains_revision: ShortRevision,
     /// Milliseconds since the store last answered the gateway that the news come from.
     pub contact_age_ms: u16,
 }
--- a/crates/wire/src/view.rs
+++ b/crates/wire/src/view.rs
@@ -26,6 +26,10 @@
     pub retirements_revision: u64,
     /// The replicas that are to leave; empty when the receiver has them.
     pub retirements: Content,
+    /// The revision of the list of zones that are drained.
+    pub zone_drains_revision: u64,
+    /// The zones that are drained; empty when the receiver has them.
+    pub zone_drains: Content,
     /// The newest replica set.
     pub set: ReplicaSet,
 }
@@ -52,6 +56,8 @@
     pub configuration_above: u64,
     /// The engines' content is wanted if their revision is higher.
     pub engines_above: u64,
+    /// The drained zones' content is wanted if their revision is higher.
+    pub zone_drains_above: u64,
 }
 
 /// What a replica keeps of the platform.
@@ -68,4 +74,6 @@
     pub configuration: KeptPart,
     /// The engines.
     pub engines: KeptPart,
+    /// The zones that are drained.
+    pub zone_drains: KeptPart,
 }
--- a/crates/wire/tests/rpc_tests.rs
+++ b/crates/wire/tests/rpc_tests.rs
@@ -52,13 +52,14 @@
 #[case::unreached(RpcBody::Unreached)]
 #[case::stored(RpcBody::Stored(stored()))]
 #[case::view(RpcBody::View(ViewNews { engines_since: 3, engines: Content::from(b"{}".to_vec()), set: set(), ..ViewNews::default() }))]
-#[case::read_kept(RpcBody::ReadKeptView(ReadKeptView { set: set(), configuration_above: 4, engines_above: u64::MAX }))]
+#[case::read_kept(RpcBody::ReadKeptView(ReadKeptView { set: set(), configuration_above: 4, engines_above: u64::MAX, zone_drains_above: 7 }))]
 #[case::kept(RpcBody::KeptViewHeld(KeptViewHeld {
     witness: stored().witness,
     set_version: 9,
     is_whole: 1,
     configuration: KeptPart { revision: 81, kept_at_ms: 7, content: Content::from(b"{}".to_vec()) },
     engines: KeptPart::default(),
+    zone_drains: KeptPart { revision: 82, kept_at_ms: 8, content: Content::from(b"[]".to_vec()) },
 }))]
 #[case::show_view(RpcBody::ShowView)]
 #[case::show_members(RpcBody::ShowMembers)]
@@ -78,7 +79,8 @@
     let news = StoreNews {
         configuration_revision: u64::MAX,
         engines_revision: 7,
-        retirements_revision: 9,
+        retirements_revision: ShortRevision::of(9),
+        zone_drains_revision: ShortRevision::of(u64::MAX),
         contact_age_ms: 480,
     };
     let bytes = encode(NodeId(2), Message::StoreNews(news)).expect("it can be coded");
@@ -89,6 +91,17 @@
     }
 }
 
+#[rstest]
+#[case::newer(12, 11, true)]
+#[case::the_same(11, 11, false)]
+#[case::older(10, 11, false)]
+#[case::newer_past_the_low_half(0x1_0000_0002, 0xffff_fffe, true)]
+#[case::older_past_the_low_half(0xffff_fffe, 0x1_0000_0002, false)]
+#[case::nothing_known_yet(7, 0, true)]
+fn the_low_half_of_a_revision_tells_newer_from_older(#[case] told: u64, #[case] known: u64, #[case] newer: bool) {
+    assert_eq!(ShortRevision::of(told).is_after(known), newer);
+}
+
 #[test]
 fn another_version_of_the_protocol_is_refused() {
     let mut bytes = encode_rpc(NodeId(2), 11, RpcBody::ShowSet).expect("it can be coded");
