Drain of a zone: programs leave one after the other, what cannot be served is refused at once, nobody serves before the drains are known

Cause: with the drains in the view a zone got nothing new, but all programs that had their prompt there would have left it in one instant; a service with all zones drained waited for room to its end; a gateway that started could serve before it had listed the drains; and a gateway that the store turned away heard of a drain after 6.0 s only (bound 2 s), because the revision that gateways tell each other counted configuration and engines alone (test a_gateway_that_the_store_turns_away_learns_from_a_peer).

Change: scheduler::zone_drain::DrainMoves tells until when a program may go on at the engine that holds its prompt: spread over half of what the oldest news that count leave of the bound, larger prompts later. Only where this node went by a recent answer of the store when it learned of the drain; otherwise everything leaves at once. Refusal zones_drained; metrics zones_drained, zone_drain_moves, kept_zone_drains_revision; status shows the zones. The watch of drains waits 2.5 s as the others with a bound of seconds do: an answer that is lost is missed for as long.

Ruled out: a second check after the connection to an engine is open. Opening ends after 0.5 s, which the margin covers.

--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -9,6 +9,7 @@
 use crate::edge::routes::{RouteTable, ServiceShares};
 use crate::edge::tries::Tries;
 use crate::edge::turns::TurnKeeper;
+use crate::edge::zone_moves::ZoneDrainRules;
 use crate::edge::{stream_call, whole_call};
 use crate::engines::attempt::{self, AttemptError, EngineAnswer};
 use crate::engines::engine::Engine;
@@ -70,6 +71,8 @@
     pub turns: Arc<TurnKeeper>,
     /// Leave for requests of tenants that have a limit.
     pub quotas: QuotaKeeper,
+    /// How it goes by drains of zones.
+    pub zone_drains: ZoneDrainRules,
     /// Shares of services.
     pub shares: ServiceShares,
     /// Mechanisms that are on.
@@ -104,10 +107,14 @@
     pub fn update(&self) {
         let view = self.view.get();
         self.engines.update(&view);
+        self.tell_unknown_zones(&view);
         if view.configuration.revision == 0 {
             return;
         }
         let mut routes = lock(&self.routes);
+        if routes.is_none() && !self.knows_zone_drains(&view) {
+            return;
+        }
         let current =
             routes.as_ref().is_some_and(|table| Arc::ptr_eq(table.configuration(), &view.configuration.value));
         if !current {
@@ -251,6 +258,9 @@
     ) -> Result<EngineAnswer, Refusal> {
         loop {
             let Some(choice) = self.choose_engine(call, body, tries) else {
+                if let Err(refusal) = self.check_zones(call, &self.candidates(call)) {
+                    return Err(if tries.may_have_run() { lost(&refusal.to_string()) } else { refusal });
+                }
                 self.wait_for_room(call, tries).await?;
                 continue;
             };
@@ -305,12 +315,13 @@
     /// Refuses the first turn of a program while the engines are full.
     ///
     /// # Errors
-    /// [`Refusal::NoRoom`].
+    /// [`Refusal::NoRoom`], [`Refusal::ZonesDrained`].
     pub fn check_room(&self, call: &Call) -> Result<(), Refusal> {
         if call.standing == Standing::UnderWay || !self.policy.admission_by_load {
             return Ok(());
         }
         let candidates = self.candidates(call);
+        self.check_zones(call, &candidates)?;
         let loads = self.loads_of_others(&candidates);
         let mut load = ServiceLoad::default();
         for engine in &candidates {
@@ -327,11 +338,10 @@
 
     /// The engines that a call may go to.
     fn candidates(&self, call: &Call) -> Vec<Arc<Engine>> {
-        let drains = self.view.get().zone_drains.value;
+        let drains = self.drains_for(call);
         let mut candidates = self.engines.candidates(&call.service);
-        candidates.retain(|engine| {
-            !drains.is_drained(&engine.entry.zone) && call.residency.allows_zone(&self.places, &engine.entry.zone)
-        });
+        candidates
+            .retain(|engine| drains.allow(engine) && call.residency.allows_zone(&self.places, &engine.entry.zone));
         candidates
     }
 
@@ -353,6 +363,7 @@
         };
         let choice = choose(&candidates, &placement, tries.passed_over())?;
         self.log_send(call, &choice, candidates.len(), &placement.prices);
+        self.note_zone_move(call, &choice);
         Some(choice)
     }
 
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -18,3 +18,4 @@
 pub mod turn_pace;
 pub mod turns;
 pub mod whole_call;
+pub mod zone_moves;
--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -8,6 +8,7 @@
 use crate::edge::quotas::QuotaKeeper;
 use crate::edge::turn_cache::TurnCache;
 use crate::edge::turns::TurnKeeper;
+use crate::edge::zone_moves::ZoneDrainRules;
 use crate::engines::learned_costs::LearnedCosts;
 use crate::engines::load_exchange;
 use crate::engines::table::EngineTable;
@@ -84,6 +85,7 @@
     let members = Members::bind(&settings, clock, client.clone(), view.clone())
         .await
         .context("the port for datagrams cannot be bound")?;
+    view.go_by(members.duty());
     let cache = TurnCache::new((settings.resources.memory_mb * 1024 * 1024 / CACHE_SHARE) as usize);
     let metrics = gateway_metrics(&view, &members);
     let store: Arc<dyn MetadataStore> = Arc::new(CountedStore::new(platform.store, metrics.clone()));
@@ -103,6 +105,7 @@
         metrics: metrics.clone(),
         turns: turns.clone(),
         quotas,
+        zone_drains: ZoneDrainRules::new(settings.times.zone_drain(), members.duty().times()),
         shares: Default::default(),
         policy: settings.policy,
         routes: Mutex::default(),
@@ -126,7 +129,7 @@
     tokio::spawn(follow(store.clone(), Kind::Engines, FirstList::AtStart, duty.clone(), engines));
     let retirements = RetirementFollower { view: view.clone() };
     tokio::spawn(follow(store.clone(), Kind::Retirements, FirstList::OnDuty, duty.clone(), retirements));
-    if settings.times.zone_drain_ms.is_some() {
+    if gateway.zone_drains.is_on() {
         let drains = ZoneDrainFollower { view: view.clone() };
         tokio::spawn(follow(store.clone(), Kind::ZoneDrains, FirstList::AtStart, duty.clone(), drains));
     }
@@ -197,6 +200,10 @@
     let known = view.clone();
     metrics.read("engines_known", "Engines listed", move || known.get().engines.value.len() as i64);
     let known = view.clone();
+    metrics.read("zones_drained", "Zones whose engines get no new work", move || {
+        known.get().zone_drains.value.zones().count() as i64
+    });
+    let known = view.clone();
     metrics.read("replica_set_version", "The replica set known", move || known.set().version as i64);
     let duty = members.duty();
     metrics.read_kept_configuration(view);
@@ -264,7 +271,7 @@
             RpcBody::ShowMembers => self.members.list(),
             RpcBody::ShowSet => RpcBody::SetKnown(SetNews { set: (*self.view.set()).clone(), synced: 0 }),
             RpcBody::PullView(known) => RpcBody::View(view_exchange::newer_than(&self.view, &known)),
-            RpcBody::ShowView => RpcBody::View(view_exchange::revisions_of(&self.view.get())),
+            RpcBody::ShowView => RpcBody::View(view_exchange::shown(&self.view.get())),
             _ => RpcBody::NotServed,
         };
         Box::pin(std::future::ready(answer))
--- a/crates/gateway/src/edge/refusal.rs
+++ b/crates/gateway/src/edge/refusal.rs
@@ -15,6 +15,9 @@
 /// When the platform's store may answer again: it may be away for long, and the answer stays the same until then.
 const COME_BACK_CONFIRMED: Duration = Duration::from_secs(1);
 
+/// When zones may be taken back that an operator drains: maintenance takes longer than that, and nobody is told of its end.
+const COME_BACK_DRAINED: Duration = Duration::from_secs(1);
+
 /// Why the gateway answers by itself. Messages name the remedy.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Refusal {
@@ -51,6 +54,9 @@
     /// Not run: no engine has room.
     #[error("no engine has room; ask again after the time given")]
     NoRoom(Duration),
+    /// Not run: all zones with an engine for it are drained.
+    #[error("every engine that may serve this is in a zone that is drained; have a zone taken back, or ask again after the time given")]
+    ZonesDrained,
     /// Not run: the replicas cannot be asked.
     #[error("turns cannot be kept now ({0}); ask again after the time given")]
     NoQuorum(String),
@@ -89,6 +95,7 @@
             | Self::ConfigurationUnconfirmed
             | Self::Stopping
             | Self::NoRoom(_)
+            | Self::ZonesDrained
             | Self::NoQuorum(_)
             | Self::ChainUnknown
             | Self::LimitUnknown
@@ -108,6 +115,7 @@
             }
             Self::NoConfiguration | Self::ConfigurationBehind => Some(COME_BACK_CONFIGURED),
             Self::ConfigurationUnconfirmed => Some(COME_BACK_CONFIRMED),
+            Self::ZonesDrained => Some(COME_BACK_DRAINED),
             _ => None,
         }
     }
@@ -126,6 +134,7 @@
             Self::Malformed(_) => "malformed",
             Self::TooLarge(_) => "too_large",
             Self::NoRoom(_) => "no_room",
+            Self::ZonesDrained => "zones_drained",
             Self::NoQuorum(_) => "no_quorum",
             Self::ChainUnknown => "chain_unknown",
             Self::NoSuchTurn => "no_such_turn",
--- a/crates/gateway/src/inspect.rs
+++ b/crates/gateway/src/inspect.rs
@@ -3,7 +3,9 @@
 use crate::peers::members::socket_of;
 use crate::peers::rpc_client::{RpcClient, RpcError};
 use crate::peers::view::Kept;
+use crate::peers::view_codec::from_content;
 use crate::replica::sync::address_of;
+use foxnotch_scheduler::zone_drain::ZoneDrains;
 use foxnotch_turns::replica_set;
 use foxnotch_wire::{NodeId, ReplicaMember, RpcBody, SetNews};
 use futures_util::future::join_all;
@@ -76,9 +78,17 @@
         }
     };
     let (version, revision) = (news.configuration_version, news.configuration_revision);
+    let drains: ZoneDrains = from_content(&news.zone_drains).unwrap_or_default();
+    let zones: Vec<&str> = drains.zones().collect();
+    let drained = match (news.zone_drains_revision, zones.is_empty()) {
+        (0, _) => "not known".to_owned(),
+        (_, true) => "none".to_owned(),
+        (_, false) => zones.join(", "),
+    };
     Ok(format!(
-        "configuration: version={version} revision={revision}: {standing}\nengines: revision={}\nreplica set: version={} members={}\n",
+        "configuration: version={version} revision={revision}: {standing}\nengines: revision={}\ndrained zones: revision={}: {drained}\nreplica set: version={} members={}\n",
         news.engines_revision,
+        news.zone_drains_revision,
         news.set.version,
         news.set.members.len(),
     ))
--- a/crates/gateway/src/peers/view.rs
+++ b/crates/gateway/src/peers/view.rs
@@ -11,12 +11,13 @@
 use crate::logging::part;
 use crate::peers::engine_list::{Applied, EngineChanges, EngineList};
 use crate::peers::view_codec::to_content;
+use crate::peers::watch_duty::WatchDuty;
 use crate::ports::configuration::{Configuration, EngineEntry, RetirementRequest};
-use foxnotch_scheduler::zone_drain::ZoneDrains;
+use foxnotch_scheduler::zone_drain::{DrainMoves, ZoneDrains};
 use foxnotch_wire::{Content, ReplicaSet};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
 /// A part of the view with its revision.
@@ -62,6 +63,8 @@
     pub retirements: Versioned<Vec<RetirementRequest>>,
     /// Zones whose engines get no new work.
     pub zone_drains: Versioned<ZoneDrains>,
+    /// When this node learned of each.
+    pub drain_moves: Arc<DrainMoves>,
     /// The replica set.
     pub set: Arc<ReplicaSet>,
 }
@@ -69,7 +72,7 @@
 impl View {
     /// The newest revision of any part that the platform counts.
     pub fn revision(&self) -> u64 {
-        self.configuration.revision.max(self.engines.revision)
+        self.configuration.revision.max(self.engines.revision).max(self.zone_drains.revision)
     }
 }
 
@@ -107,6 +110,8 @@
     heard_configuration: AtomicU64,
     /// The configuration that other nodes were last told, coded once for all of them, with its revision.
     coded: Mutex<(u64, Content)>,
+    /// Tells how fresh this node's knowledge of the store is; unset where nobody asks.
+    duty: OnceLock<Arc<WatchDuty>>,
 }
 
 impl Default for ViewHolder {
@@ -116,6 +121,7 @@
             changed: watch::Sender::new(0),
             heard_configuration: AtomicU64::new(0),
             coded: Mutex::default(),
+            duty: OnceLock::new(),
         }
     }
 }
@@ -126,6 +132,12 @@
         lock(&self.held).view.clone()
     }
 
+    /// From now on `duty` tells how fresh this node's knowledge of the store is.
+    pub fn go_by(&self, duty: Arc<WatchDuty>) {
+        // A process has one duty.
+        let _ = self.duty.set(duty);
+    }
+
     /// Another node has a configuration of this revision.
     pub fn note_configuration_heard(&self, revision: u64) {
         self.heard_configuration.fetch_max(revision, Ordering::Relaxed);
@@ -280,16 +292,22 @@
     /// Takes the list of zones that are drained if it is newer.
     pub fn adopt_zone_drains(&self, revision: u64, drains: ZoneDrains, origin: Origin) -> bool {
         let zones: Vec<String> = drains.zones().map(str::to_owned).collect();
+        // The age of what was known until now: news that bring a drain count as fresh only once it is taken.
+        let known_age = self.duty.get().and_then(|duty| duty.told_age());
         let adopted = self.change(|view| {
-            let newer = revision > view.zone_drains.revision;
-            let differs = *view.zone_drains.value != drains;
+            let known_before = view.zone_drains.revision;
+            let newer = revision > known_before;
+            // That nothing is drained is news for a node that did not know.
+            let differs = known_before == 0 || *view.zone_drains.value != drains;
             if newer {
+                let is_prompt = known_before > 0 && known_age.is_some();
+                Arc::make_mut(&mut view.drain_moves).follow(&drains, Instant::now(), is_prompt);
                 view.zone_drains = Versioned { revision, value: Arc::new(drains) };
             }
             newer && differs
         });
         if adopted {
-            log::info!(target: part::VIEW, "Drained zones known: zones={zones:?} revision={revision} origin={origin:?}.");
+            log::info!(target: part::VIEW, "Drained zones known: zones={zones:?} revision={revision} origin={origin:?} knowledge_age={known_age:?}.");
         }
         adopted
     }
--- a/crates/gateway/src/peers/view_exchange.rs
+++ b/crates/gateway/src/peers/view_exchange.rs
@@ -27,6 +27,11 @@
     }
 }
 
+/// What an operator is shown: the revisions, and the zones that are drained.
+pub fn shown(view: &View) -> ViewNews {
+    ViewNews { zone_drains: to_content(&*view.zone_drains.value), ..revisions_of(view) }
+}
+
 /// What `holder` has that an asker with `known` lacks.
 pub fn newer_than(holder: &ViewHolder, known: &ViewNews) -> ViewNews {
     holder.note_configuration_heard(known.configuration_revision);
--- a/crates/gateway/src/replica/core.rs
+++ b/crates/gateway/src/replica/core.rs
@@ -373,7 +373,7 @@
             RpcBody::ShowMembers => self.members.list(),
             RpcBody::ShowSet => RpcBody::SetKnown(self.set_news()),
             RpcBody::PullView(known) => RpcBody::View(view_exchange::newer_than(&self.view, &known)),
-            RpcBody::ShowView => RpcBody::View(view_exchange::revisions_of(&self.view.get())),
+            RpcBody::ShowView => RpcBody::View(view_exchange::shown(&self.view.get())),
             RpcBody::ReadKeptView(request) => self.on_read_kept(request).await,
             _ => RpcBody::NotServed,
         }
--- a/crates/gateway/src/replica/process.rs
+++ b/crates/gateway/src/replica/process.rs
@@ -150,6 +150,10 @@
         replica.kept().revisions().engines as i64
     });
     let replica = core.clone();
+    metrics.read("kept_zone_drains_revision", "The drained zones on this disk", move || {
+        replica.kept().revisions().zone_drains as i64
+    });
+    let replica = core.clone();
     metrics.read("turns_held", "Turns held", move || replica.size().0 as i64);
     let replica = core.clone();
     metrics.read("turn_bytes_held", "Bytes of turns held", move || replica.size().1 as i64);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -69,6 +69,13 @@
     pub zone_drain_ms: Option<f64>,
 }
 
+impl TimeSettings {
+    /// The time within which a drain of a zone has to be in force; none where zones are not drained.
+    pub fn zone_drain(&self) -> Option<Duration> {
+        self.zone_drain_ms.map(|milliseconds| Duration::from_secs_f64(milliseconds / 1000.0))
+    }
+}
+
 /// Bounds on what the process uses.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/gateway/src/store_followers.rs
+++ b/crates/gateway/src/store_followers.rs
@@ -180,6 +180,14 @@
         true
     }
 
+    /// A node that knew of no revision knows now that nothing is drained; later ones tell nothing that others lack.
+    fn confirm(&mut self, revision: u64) {
+        let known = self.view.get().zone_drains;
+        if known.revision == 0 {
+            self.view.adopt_zone_drains(revision, (*known.value).clone(), Origin::Store);
+        }
+    }
+
     fn known_revision(&self) -> u64 {
         self.view.get().zone_drains.revision
     }
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -206,8 +206,8 @@
     fn wait(&self) -> Duration {
         match self.kind {
             _ if !self.is_in_contact => RECOVERY_WAIT,
-            Kind::Configuration | Kind::Engines => WATCH_WAIT,
-            Kind::ReplicaSet | Kind::Retirements | Kind::ZoneDrains => LONG_WATCH_WAIT,
+            Kind::Configuration | Kind::Engines | Kind::ZoneDrains => WATCH_WAIT,
+            Kind::ReplicaSet | Kind::Retirements => LONG_WATCH_WAIT,
         }
     }
 
--- a/crates/gateway/tests/support/gateway.rs
+++ b/crates/gateway/tests/support/gateway.rs
@@ -191,7 +191,11 @@
 
     /// Starts a gateway that is given a store of its own.
     pub async fn start_with(cluster: &Cluster, number: u8, store: StubStore) -> Self {
-        let mut settings: ProcessSettings = cluster.settings(number, false);
+        Self::start_by(cluster.settings(number, false), store).await
+    }
+
+    /// Starts a gateway by settings of its own.
+    pub async fn start_by(mut settings: ProcessSettings, store: StubStore) -> Self {
         let callers = SocketAddr::from((settings.ip, 7400));
         let readiness = SocketAddr::from((settings.ip, 7401));
         settings.caller_address = Some(callers);
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -6,6 +6,7 @@
 use foxnotch_wire::ReplicaSet;
 use futures_util::future::BoxFuture;
 use std::collections::HashSet;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -29,6 +30,8 @@
     forgotten: u64,
     silent: bool,
     refuses: bool,
+    /// Listings of this kind are refused.
+    refused_list: Option<Kind>,
     lose_answers: bool,
     waits: Vec<Duration>,
     received: u64,
@@ -73,6 +76,8 @@
 pub struct StubStore {
     state: Arc<Mutex<State>>,
     changed: Arc<Notify>,
+    /// Whether callers of this clone, and of those that share the flag, are turned away.
+    turned_away: Arc<AtomicBool>,
 }
 
 impl StubStore {
@@ -80,6 +85,17 @@
         act(&mut self.state.lock().expect("no test panics while it holds the store"))
     }
 
+    /// The same store as one node sees it: it may be turned away alone.
+    pub fn view_of_one_node(&self) -> Self {
+        Self { turned_away: Arc::default(), ..self.clone() }
+    }
+
+    /// Calls through this view are refused at once.
+    pub fn turn_away(&self, turned_away: bool) {
+        self.turned_away.store(turned_away, Ordering::SeqCst);
+        self.changed.notify_waiters();
+    }
+
     /// Writes an object.
     pub fn put(&self, kind: Kind, name: &str, body: ObjectBody) -> u64 {
         self.record(kind, name, body, false)
@@ -118,8 +134,13 @@
         self.changed.notify_waiters();
     }
 
+    /// Listings of this kind are refused at once.
+    pub fn refuse_list(&self, kind: Option<Kind>) {
+        self.with(|state| state.refused_list = kind);
+    }
+
     fn check_served(&self) -> Result<(), StoreError> {
-        if self.with(|state| state.refuses) {
+        if self.with(|state| state.refuses) || self.turned_away.load(Ordering::SeqCst) {
             return Err(StoreError::Unavailable("refused".to_owned()));
         }
         Ok(())
@@ -229,6 +250,9 @@
                 self.with(|state| state.old_lists += 1);
             }
             self.check_served()?;
+            if self.with(|state| state.refused_list == Some(kind)) {
+                return Err(StoreError::Unavailable("refused".to_owned()));
+            }
             self.with(|state| state.calls += 1);
             if self.with(|state| state.silent) {
                 return self.swallow().await;
--- a/crates/node/src/explain.rs
+++ b/crates/node/src/explain.rs
@@ -36,7 +36,7 @@
 }
 
 /// What ends a call, as it stands in a line, and the cause that it shows.
-const CAUSES: [(&str, &str); 26] = [
+const CAUSES: [(&str, &str); 27] = [
     (
         "cause=no_configuration",
         "refused, not run: the gateway had no configuration yet (see its 'view:' and 'store:' lines)",
@@ -60,6 +60,7 @@
     ("cause=malformed", "refused, not run: the request could not be read"),
     ("cause=too_large", "refused, not run: its body is over the limit"),
     ("cause=no_room", "refused, not run: no engine had room, or none could be reached"),
+    ("cause=zones_drained", "refused, not run: an operator drains every zone that has an engine for it (see the line that names the zones)"),
     ("cause=no_quorum", "refused, not run: too few replicas answered in time to reserve its tokens"),
     ("cause=chain_unknown", "refused, not run: too few replicas answered to read the turn that it continues"),
     ("cause=no_such_turn", "refused, not run: the turn that it continues does not exist"),
