Cold engines: leave for each send, given by the replicas' shares; beliefs of warmth with their causes

Cause: a cold engine got as much work as others. Change: gateways take an engine for cold by its entry, after another start under the same identifier, after a refused connection, and after its zone's drain was taken back; each send to a cold engine needs leave from a replica's share of its rate in a window that is longer than a second by the time a send may take. Ruled out: a fixed part of the rate for a few gateways chosen by hashing, which needs agreed members.

--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -7,10 +7,11 @@
 use crate::edge::quotas::QuotaKeeper;
 use crate::edge::refusal::Refusal;
 use crate::edge::routes::{RouteTable, ServiceShares};
+use crate::edge::slow_start::ColdLeaveKeeper;
 use crate::edge::tries::Tries;
 use crate::edge::turns::TurnKeeper;
 use crate::edge::{stream_call, whole_call};
-use crate::engines::attempt::{self, AttemptError, EngineAnswer};
+use crate::engines::attempt::{self, AttemptError, EngineAnswer, SendLimits};
 use crate::engines::engine::Engine;
 use crate::engines::learned_costs::{LearnedCosts, ServicePrices};
 use crate::engines::load_board::LoadEstimate;
@@ -70,6 +71,8 @@
     pub turns: Arc<TurnKeeper>,
     /// Leave for requests of tenants that have a limit.
     pub quotas: QuotaKeeper,
+    /// Leave for sends to cold engines.
+    pub cold_leaves: ColdLeaveKeeper,
     /// Shares of services.
     pub shares: ServiceShares,
     /// Mechanisms that are on.
@@ -255,6 +258,13 @@
                 continue;
             };
             let engine = choice.engine.clone();
+            let Ok(leave_by) = self.take_cold_leave(call, &engine).await else {
+                if tries.note_full() >= refusals_before_pause(call) {
+                    self.wait_for_room(call, tries).await?;
+                }
+                continue;
+            };
+            self.log_send(call, &choice);
             tries.note_choice(choice);
             let request = match call.to_engine(&*self.dialect, &engine.entry.id, body.clone(), last_event) {
                 Ok(request) => request,
@@ -266,7 +276,7 @@
             if call.is_model() && self.policy.known_parts {
                 engine.parts().insert(&call.metadata.parts, call.metadata.most_tokens);
             }
-            let error = match self.send_once(call, &engine, request).await {
+            let error = match self.send_once(call, &engine, request, leave_by).await {
                 Ok(answer) => return Ok(answer),
                 Err(error) => error,
             };
@@ -351,9 +361,10 @@
             prices: self.prices(&call.service),
             outliers: self.policy.outliers,
         };
-        let choice = choose(&candidates, &placement, tries.passed_over())?;
-        self.log_send(call, &choice, candidates.len(), &placement.prices);
-        Some(choice)
+        let mut passed_over = tries.passed_over().to_vec();
+        let without_leave = candidates.iter().filter(|engine| self.cold_leaves.is_paused(engine));
+        passed_over.extend(without_leave.map(|engine| engine.entry.id.clone()));
+        choose(&candidates, &placement, &passed_over)
     }
 
     /// What other gateways have under way at these engines.
@@ -380,9 +391,11 @@
         call: &Call,
         engine: &Arc<Engine>,
         request: Request<Full<Bytes>>,
+        leave_by: Option<Instant>,
     ) -> Result<EngineAnswer, AttemptError> {
         let attempt = &call.metadata.attempt;
-        let outcome = attempt::send(engine, request, attempt, &*self.dialect, call.expires_at).await;
+        let limits = SendLimits { leave_by, give_up_at: call.expires_at };
+        let outcome = attempt::send(engine, request, attempt, &*self.dialect, limits).await;
         self.metrics.count_send(outcome.as_ref().err().map_or("answered", AttemptError::name));
         if let Err(error) = &outcome {
             log::info!(target: part::ENGINE, "Call {attempt} not answered: engine={} service={} not_run={}: {error}.", engine.entry.id, call.service, error.is_not_run());
@@ -393,12 +406,13 @@
 
 impl Gateway {
     /// Logs what decided for an engine: loads, what it holds, and how old the knowledge of engines is.
-    fn log_send(&self, call: &Call, choice: &Choice, candidates: usize, prices: &ServicePrices) {
+    fn log_send(&self, call: &Call, choice: &Choice) {
         let metadata = &call.metadata;
         let view = self.view.get();
         let Choice { engine, missing_tokens, under_way, .. } = choice;
         let predecessor = call.predecessor.unwrap_or_default();
-        let ServicePrices { token_ms, request_ms, .. } = prices;
+        let ServicePrices { token_ms, request_ms, .. } = self.prices(&call.service);
+        let candidates = self.candidates(call).len();
         log::info!(target: part::ENGINE, "Call {} sent: program={} tenant={} route={} engine={} number={} before={predecessor} avoided={} of={candidates} own={} all={under_way:.0} missing={missing_tokens:.0}/{} token_ms={token_ms:.4} request_ms={request_ms:.2} left={:?} configuration={} engines={}.",
             metadata.attempt, metadata.program.as_deref().unwrap_or("-"), call.tenant_name(), call.route.name, engine.entry.id, engine.number, call.avoided.len(), engine.under_way(), metadata.prompt_tokens, call.engine_time().unwrap_or_default(), view.configuration.value.version, view.engines.revision);
     }
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -12,6 +12,7 @@
 pub mod quotas;
 pub mod refusal;
 pub mod routes;
+pub mod slow_start;
 pub mod stream_call;
 pub mod tries;
 pub mod turn_cache;
--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -6,6 +6,7 @@
 use crate::edge::handler::Gateway;
 use crate::edge::planned_stop::PlannedStop;
 use crate::edge::quotas::QuotaKeeper;
+use crate::edge::slow_start::ColdLeaveKeeper;
 use crate::edge::turn_cache::TurnCache;
 use crate::edge::turns::TurnKeeper;
 use crate::engines::learned_costs::LearnedCosts;
@@ -92,6 +93,8 @@
         TurnKeeper::new(replicas.clone(), view.clone(), cache, zone_hash(&settings.zone), settings.tolerance());
     let turns = Arc::new(keeper.with_metrics(metrics.clone()));
     let quotas = QuotaKeeper::new(replicas.clone(), turns.clone(), zone_hash(&settings.zone), metrics.clone());
+    let zone = zone_hash(&settings.zone);
+    let cold_leaves = ColdLeaveKeeper::new(replicas.clone(), turns.clone(), zone, metrics.clone());
     let gateway = Arc::new(Gateway {
         zone: settings.zone.clone(),
         places: settings.places(),
@@ -103,6 +106,7 @@
         metrics: metrics.clone(),
         turns: turns.clone(),
         quotas,
+        cold_leaves,
         shares: Default::default(),
         policy: settings.policy,
         routes: Mutex::default(),
--- /dev/null
+++ b/crates/gateway/src/edge/slow_start.rs
@@ -0,0 +1,184 @@
+//! Leave for sends to cold engines: asked of the replicas, which hold the shares of what a cold engine bears.
+
+use crate::edge::call::Call;
+use crate::edge::handler::Gateway;
+use crate::edge::turns::TurnKeeper;
+use crate::engines::engine::Engine;
+use crate::locks::lock;
+use crate::logging::part;
+use crate::metrics::Metrics;
+use crate::peers::replica_client::ReplicaClient;
+use crate::peers::view::Origin;
+use foxnotch_scheduler::quota::asks::{AskPlan, ShareAnswers, ShareHolder};
+use foxnotch_scheduler::quota::{Grant, Standing};
+use foxnotch_scheduler::slow_start::leave::USE_WITHIN;
+use foxnotch_wire::{ReplicaMember, ReplicaSet, RpcBody, SetNews, TakeColdLeave};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Time that one replica is given to answer: leave that comes later could hardly be used.
+const ANSWER_TIME: Duration = Duration::from_millis(60);
+/// Time for which an engine is passed over when no replica answered.
+const SILENCE_PAUSE: Duration = Duration::from_millis(30);
+/// The least time for which an engine is passed over that there was no leave for: a round trip.
+const LEAST_PAUSE: Duration = Duration::from_millis(5);
+/// Engines passed over at which those of long ago are dropped.
+const PAUSES_BEFORE_SWEEP: usize = 1024;
+
+/// Asks replicas for leave.
+pub struct ColdLeaveKeeper {
+    client: Arc<ReplicaClient>,
+    turns: Arc<TurnKeeper>,
+    zone: u32,
+    started_at: Instant,
+    /// What each share told last, by engine.
+    answers: Mutex<ShareAnswers>,
+    /// Until when there is no leave, by engine number.
+    paused: Mutex<HashMap<u32, Instant>>,
+    metrics: Arc<Metrics>,
+}
+
+/// There is no leave for a send to a cold engine.
+pub struct NoLeave;
+
+/// What became of asking.
+enum Asked {
+    Given,
+    Spent(Duration),
+    Unanswered,
+}
+
+impl Asked {
+    /// A short name, for logs and counters.
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Given => "given",
+            Self::Spent(_) => "refused",
+            Self::Unanswered => "unanswered",
+        }
+    }
+}
+
+impl ColdLeaveKeeper {
+    /// A keeper of a gateway in `zone`.
+    pub fn new(client: Arc<ReplicaClient>, turns: Arc<TurnKeeper>, zone: u32, metrics: Arc<Metrics>) -> Self {
+        let (answers, paused) = (Mutex::default(), Mutex::default());
+        Self { client, turns, zone, started_at: Instant::now(), answers, paused, metrics }
+    }
+
+    /// Whether there was no leave for an engine a moment ago, while it is taken for cold.
+    pub fn is_paused(&self, engine: &Engine) -> bool {
+        let is_paused = lock(&self.paused).get(&engine.number).is_some_and(|until| *until > Instant::now());
+        is_paused && engine.warmth.cold_rate().is_some()
+    }
+
+    /// Gets leave for one send to an engine that bears `per_second` while it is cold. Returns the moment up to which the send
+    /// has to leave; none without leave, and the engine is passed over for a while then.
+    pub async fn take(&self, attempt: &str, engine: &Engine, per_second: f64) -> Option<Instant> {
+        let asked_at = Instant::now();
+        let send_by = asked_at + USE_WITHIN;
+        let asked = self.ask_set(&engine.entry.id, per_second, send_by).await;
+        let is_late = Instant::now() >= send_by;
+        let outcome = if is_late { "late" } else { asked.name() };
+        self.metrics.count_cold_leave(outcome);
+        log::info!(target: part::ENGINE, "Leave for a cold engine {outcome}: call={attempt} engine={} per_second={per_second} after={:?}.", engine.entry.id, asked_at.elapsed());
+        let pause = match asked {
+            Asked::Given if !is_late => return Some(send_by),
+            Asked::Given => LEAST_PAUSE,
+            Asked::Spent(come_back) => come_back.max(LEAST_PAUSE),
+            Asked::Unanswered => SILENCE_PAUSE,
+        };
+        self.pause(engine.number, pause);
+        None
+    }
+
+    fn pause(&self, engine: u32, pause: Duration) {
+        let now = Instant::now();
+        let mut paused = lock(&self.paused);
+        if paused.len() >= PAUSES_BEFORE_SWEEP {
+            paused.retain(|_, until| *until > now);
+        }
+        paused.insert(engine, now + pause);
+    }
+
+    /// Asks the replicas of the set, one after the other, until one gives.
+    async fn ask_set(&self, engine: &str, per_second: f64, deadline: Instant) -> Asked {
+        let Ok(set) = self.turns.wait_for_set(deadline).await else { return Asked::Unanswered };
+        let number = xxh3_64(engine.as_bytes());
+        let order = match self.plan(number, &set) {
+            AskPlan::Ask(order) => order,
+            AskPlan::Refuse(come_back) => return Asked::Spent(come_back),
+        };
+        let request = TakeColdLeave { set_version: set.version, engine: number, per_second };
+        let mut soonest: Option<Duration> = None;
+        for index in order {
+            match self.ask(request, &set, &set.members[index], deadline).await {
+                Asked::Given => return Asked::Given,
+                Asked::Spent(come_back) => soonest = Some(soonest.map_or(come_back, |known| known.min(come_back))),
+                Asked::Unanswered => {}
+            }
+        }
+        soonest.map_or(Asked::Unanswered, Asked::Spent)
+    }
+
+    fn plan(&self, engine: u64, set: &ReplicaSet) -> AskPlan {
+        let holder = |member: &ReplicaMember| ShareHolder { node: member.node.0, is_near: member.zone == self.zone };
+        let holders: Vec<ShareHolder> = set.members.iter().map(holder).collect();
+        lock(&self.answers).plan(engine, &holders, Standing::UnderWay, self.started_at.elapsed())
+    }
+
+    async fn ask(&self, request: TakeColdLeave, set: &ReplicaSet, member: &ReplicaMember, deadline: Instant) -> Asked {
+        let within = deadline.saturating_duration_since(Instant::now()).min(ANSWER_TIME);
+        if within.is_zero() {
+            return Asked::Unanswered;
+        }
+        let answer = self.client.call(member, RpcBody::TakeColdLeave(request), within).await;
+        let now = self.started_at.elapsed();
+        match answer {
+            Ok(RpcBody::ColdLeave(leave)) => {
+                let come_back = Duration::from_millis(leave.come_back_ms.into());
+                let grant = Grant { granted: leave.granted == 1, left: leave.left.into(), come_back };
+                lock(&self.answers).note(request.engine, member.node.0, Standing::UnderWay, &grant, now);
+                if grant.granted {
+                    Asked::Given
+                } else {
+                    Asked::Spent(come_back)
+                }
+            }
+            Ok(RpcBody::OtherSet(news)) if news.set.version > set.version => {
+                self.turns.view.adopt_set(&news.set, Origin::Peer);
+                Asked::Unanswered
+            }
+            Ok(RpcBody::OtherSet(_)) => {
+                self.teach(member, set, within).await;
+                Asked::Unanswered
+            }
+            Ok(_) | Err(_) => {
+                lock(&self.answers).note_silence(request.engine, member.node.0, now);
+                Asked::Unanswered
+            }
+        }
+    }
+
+    /// Tells a replica of a newer set than the one that it goes by.
+    async fn teach(&self, member: &ReplicaMember, set: &ReplicaSet, within: Duration) {
+        let news = SetNews { set: set.clone(), synced: 0 };
+        if let Err(error) = self.client.call(member, RpcBody::AdoptSet(news), within).await {
+            log::debug!(target: part::TURN, "Replica {} was not told of set {}: {error}.", member.node, set.version);
+        }
+    }
+}
+
+impl Gateway {
+    /// Gets leave for a send, if the engine is taken for cold: the moment up to which it has to be sent.
+    pub(super) async fn take_cold_leave(&self, call: &Call, engine: &Engine) -> Result<Option<Instant>, NoLeave> {
+        let Some(per_second) = engine.warmth.cold_rate() else { return Ok(None) };
+        let leave = self.cold_leaves.take(&call.metadata.attempt, engine, per_second).await;
+        if leave.is_some() {
+            self.metrics.cold_sends.inc();
+        }
+        leave.map(Some).ok_or(NoLeave)
+    }
+}
--- a/crates/gateway/src/engines/attempt.rs
+++ b/crates/gateway/src/engines/attempt.rs
@@ -18,6 +18,9 @@
     /// It has not run: another engine has the address.
     #[error("another engine has the address")]
     Replaced,
+    /// It has not run: the leave to send it lapsed before there was a connection.
+    #[error("the leave to send to a cold engine lapsed before there was a connection")]
+    LeaveLapsed,
     /// It has not run: no connection could be made.
     #[error("the engine cannot be reached ({0})")]
     Unreachable(String),
@@ -35,6 +38,7 @@
         match self {
             Self::Full => "full",
             Self::Replaced => "replaced",
+            Self::LeaveLapsed => "leave_lapsed",
             Self::Unreachable(_) => "unreachable",
             Self::AnswerLost(_) => "answer_lost",
             Self::TimedOut => "timed_out",
@@ -43,7 +47,7 @@
 
     /// Whether the request has certainly not run.
     pub fn is_not_run(&self) -> bool {
-        matches!(self, Self::Full | Self::Replaced | Self::Unreachable(_))
+        matches!(self, Self::Full | Self::Replaced | Self::LeaveLapsed | Self::Unreachable(_))
     }
 }
 
@@ -69,7 +73,16 @@
     lease.engine().keep_connection(connection);
 }
 
-/// Sends a request to an engine and waits for the head of its answer until `give_up_at`.
+/// How long a send may take.
+#[derive(Clone, Copy, Debug)]
+pub struct SendLimits {
+    /// The moment up to which it has to leave; none when it may leave at any time.
+    pub leave_by: Option<Instant>,
+    /// The moment up to which the head of the answer is waited for.
+    pub give_up_at: Instant,
+}
+
+/// Sends a request to an engine and waits for the head of its answer.
 ///
 /// # Errors
 /// [`AttemptError`].
@@ -78,17 +91,21 @@
     request: http::Request<Full<Bytes>>,
     attempt: &str,
     dialect: &dyn Dialect,
-    give_up_at: Instant,
+    limits: SendLimits,
 ) -> Result<EngineAnswer, AttemptError> {
     let lease = engine.begin();
     let waiting = engine.begin_waiting();
-    let exchange = exchange(engine, request);
-    let outcome = tokio::time::timeout_at(give_up_at.into(), exchange).await;
+    let exchange = exchange(engine, request, limits.leave_by);
+    let outcome = tokio::time::timeout_at(limits.give_up_at.into(), exchange).await;
     drop(waiting);
     let (response, mut connection) = match outcome {
         Ok(Ok(answered)) => answered,
+        Ok(Err(AttemptError::LeaveLapsed)) => return Err(AttemptError::LeaveLapsed),
         Ok(Err(error)) => {
             engine.note_failure();
+            if matches!(error, AttemptError::Unreachable(_)) {
+                engine.note_unreachable();
+            }
             return Err(error);
         }
         Err(_) => return Err(AttemptError::TimedOut),
@@ -111,6 +128,7 @@
 async fn exchange(
     engine: &Arc<Engine>,
     mut request: http::Request<Full<Bytes>>,
+    leave_by: Option<Instant>,
 ) -> Result<(http::Response<Incoming>, EngineConnection), AttemptError> {
     while let Some(mut connection) = engine.take_connection() {
         match connection.send(request).await {
@@ -121,6 +139,10 @@
     }
     let opened = EngineConnection::open(engine.address).await;
     let mut connection = opened.map_err(|error| AttemptError::Unreachable(error.to_string()))?;
+    if leave_by.is_some_and(|leave_by| Instant::now() >= leave_by) {
+        engine.keep_connection(connection);
+        return Err(AttemptError::LeaveLapsed);
+    }
     match connection.send(request).await {
         Ok(response) => Ok((response, connection)),
         Err(SendError::NotSent(_)) => Err(AttemptError::Unreachable("the connection closed".to_owned())),
--- a/crates/gateway/src/engines/engine.rs
+++ b/crates/gateway/src/engines/engine.rs
@@ -3,9 +3,11 @@
 use crate::engines::connection::EngineConnection;
 use crate::engines::load_board::engine_number;
 use crate::engines::part_cache::PartCache;
+use crate::engines::warmth::EngineWarmth;
 use crate::locks::lock;
 use crate::ports::configuration::EngineEntry;
 use foxnotch_scheduler::outliers::{OutcomeWindow, Outcomes};
+use foxnotch_scheduler::slow_start::warmth::ColdCause;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -44,6 +46,8 @@
     pub address: SocketAddr,
     /// Its number in messages about load.
     pub number: u32,
+    /// Whether it is taken for cold.
+    pub warmth: EngineWarmth,
     under_way: AtomicU32,
     draining: AtomicBool,
     replaced: AtomicBool,
@@ -64,6 +68,7 @@
             entry,
             address,
             number,
+            warmth: EngineWarmth::new(),
             under_way: AtomicU32::new(0),
             draining,
             replaced: AtomicBool::new(false),
@@ -74,6 +79,12 @@
         })
     }
 
+    /// Whether an entry is of the same start of the same engine.
+    pub fn is_start_of(&self, entry: &EngineEntry) -> bool {
+        let (own, other) = (&self.entry, entry);
+        own.id == other.id && own.address == other.address && own.started_at_ms == other.started_at_ms
+    }
+
     /// Requests of this gateway under way.
     pub fn under_way(&self) -> u32 {
         self.under_way.load(Ordering::Relaxed)
@@ -167,6 +178,11 @@
         health.ejected_until = Some(Instant::now() + ejection);
     }
 
+    /// Nobody listens at its address. When somebody answers there again, it has probably started anew.
+    pub fn note_unreachable(&self) {
+        self.warmth.suspect(&self.entry.id, ColdCause::Unreachable);
+    }
+
     /// A resting connection: the one that has rested longest, so that all stay in use.
     pub fn take_connection(&self) -> Option<EngineConnection> {
         let mut resting = lock(&self.resting);
--- a/crates/gateway/src/engines/load_exchange.rs
+++ b/crates/gateway/src/engines/load_exchange.rs
@@ -38,6 +38,7 @@
     let mut told_at = Instant::now();
     loop {
         tokio::time::sleep(PERIOD).await;
+        gateway.metrics.engines_cold.set(gateway.engines.cold() as i64);
         let now = loads(&gateway);
         let repeat = !now.is_empty() && told_at.elapsed() >= REPEAT;
         if now == last && !repeat {
--- a/crates/gateway/src/engines/mod.rs
+++ b/crates/gateway/src/engines/mod.rs
@@ -9,3 +9,4 @@
 pub mod part_cache;
 pub mod selector;
 pub mod table;
+pub mod warmth;
--- a/crates/gateway/src/engines/selector.rs
+++ b/crates/gateway/src/engines/selector.rs
@@ -23,6 +23,9 @@
 /// The cost of an engine that is full or failed lately: it is taken only when there is no other.
 const UNINVITING_MS: f64 = 1_000.0;
 
+/// Milliseconds that a cold engine costs: a leave has to be asked for, and it works slowly. Less than an engine that is full.
+const COLD_MS: f64 = 150.0;
+
 /// What is to be placed.
 #[derive(Clone, Copy)]
 pub struct Placement<'a> {
@@ -79,7 +82,8 @@
 /// Prompt tokens that the engine probably holds.
 fn held_tokens(engine: &Engine, placement: &Placement<'_>, home: Option<u32>) -> f64 {
     let known = f64::from(engine.parts().held_tokens(placement.prompt));
-    if home != Some(engine.number) {
+    // One that has just started holds nothing of the time before.
+    if home != Some(engine.number) || engine.warmth.cold_rate().is_some() {
         return known;
     }
     let prompt: u32 = placement.prompt.iter().map(|part| part.tokens).sum();
@@ -130,6 +134,9 @@
     if !engine.has_connection() {
         cost += CONNECTION_MS;
     }
+    if engine.warmth.cold_rate().is_some() {
+        cost += COLD_MS;
+    }
     if !engine.is_inviting() {
         cost += UNINVITING_MS;
     }
--- a/crates/gateway/src/engines/table.rs
+++ b/crates/gateway/src/engines/table.rs
@@ -4,6 +4,8 @@
 use crate::locks::lock;
 use crate::logging::part;
 use crate::peers::view::View;
+use foxnotch_scheduler::slow_start::warmth::ColdCause;
+use foxnotch_scheduler::zone_drain::ZoneDrains;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 
@@ -11,6 +13,8 @@
 #[derive(Default)]
 pub struct EngineTable {
     services: Mutex<HashMap<String, Vec<Arc<Engine>>>>,
+    /// The zones that were drained when the view was taken over last.
+    drains: Mutex<Arc<ZoneDrains>>,
 }
 
 impl EngineTable {
@@ -27,17 +31,34 @@
         services.values().flatten().cloned().collect()
     }
 
+    /// Engines that are taken for cold.
+    pub fn cold(&self) -> usize {
+        let services = lock(&self.services);
+        services.values().flatten().filter(|engine| engine.warmth.cold_rate().is_some()).count()
+    }
+
+    /// Zones whose drain was taken back since the view was taken over last.
+    fn drains_ended(&self, view: &View) -> Vec<String> {
+        let mut drains = lock(&self.drains);
+        let before = std::mem::replace(&mut *drains, view.zone_drains.value.clone());
+        before.zones().filter(|zone| !drains.is_drained(zone)).map(str::to_owned).collect()
+    }
+
     /// Takes over a view. Engines that stay keep their connections and what is known of them.
     pub fn update(&self, view: &View) {
+        let drains_ended = self.drains_ended(view);
         let mut services = lock(&self.services);
         let mut known: HashMap<String, Arc<Engine>> =
             services.drain().flat_map(|(_, engines)| engines).map(|engine| (engine.entry.id.clone(), engine)).collect();
         for entry in view.engines.value.iter() {
-            let kept = known.remove(&entry.id).filter(|engine| engine.entry.address == entry.address);
+            let before = known.remove(&entry.id);
+            let is_restart = before.as_ref().is_some_and(|engine| !engine.is_start_of(entry));
+            let kept = before.filter(|engine| engine.is_start_of(entry));
+            let service = view.configuration.value.service(&entry.service);
             let engine = match kept {
                 Some(engine) => engine,
                 None => {
-                    let model = view.configuration.value.service(&entry.service).and_then(|s| s.model.as_ref());
+                    let model = service.and_then(|service| service.model.as_ref());
                     let memory_tokens = model.map_or(0, |model| model.memory_tokens);
                     let Some(engine) = Engine::new(entry.clone(), memory_tokens) else {
                         log::warn!(target: part::ENGINE, "Engine {} is not used: its address {} is no IP:port.", entry.id, entry.address);
@@ -47,6 +68,13 @@
                 }
             };
             engine.set_draining(entry.draining);
+            engine.warmth.note_entry(&entry.id, entry.cold_left_ms, service.and_then(|service| service.slow_start));
+            if is_restart {
+                engine.warmth.suspect(&entry.id, ColdCause::Restart);
+            }
+            if drains_ended.contains(&entry.zone) {
+                engine.warmth.suspect(&entry.id, ColdCause::DrainEnded);
+            }
             if entry.draining {
                 engine.close_connections();
             }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -93,6 +93,12 @@
     pub quota_seconds: Histogram,
     /// Requests of tenants with a limit, by what became of them.
     pub tenants: Family<TenantOutcome, Counter>,
+    /// Questions for leave to send to cold engines, by how they ended.
+    pub cold_leaves: Family<Outcome, Counter>,
+    /// Sends to cold engines.
+    pub cold_sends: Counter,
+    /// Engines taken for cold.
+    pub engines_cold: Gauge,
     /// Tenants that are counted by name.
     named_tenants: Mutex<HashSet<String>>,
 }
@@ -115,6 +121,9 @@
             relayed: Counter::default(),
             quota_seconds: histogram(),
             tenants: Family::default(),
+            cold_leaves: Family::default(),
+            cold_sends: Counter::default(),
+            engines_cold: Gauge::default(),
             named_tenants: Mutex::default(),
         };
         let registry = &mut metrics.registry;
@@ -136,6 +145,10 @@
         let registry = &mut metrics.registry;
         registry.register("quota_seconds", "Until a limit let a request in or not", metrics.quota_seconds.clone());
         registry.register("tenant_requests", "Requests of tenants with a limit", metrics.tenants.clone());
+        let registry = &mut metrics.registry;
+        registry.register("cold_leaves", "Questions for leave to send to cold engines", metrics.cold_leaves.clone());
+        registry.register("cold_sends", "Sends to engines taken for cold", metrics.cold_sends.clone());
+        registry.register("engines_cold", "Engines taken for cold", metrics.engines_cold.clone());
         metrics.read("engine_connections_opened", "Connections opened to engines", || opened() as i64);
         metrics.read("view_pulls_answered", "Views pulled from other nodes", || pulls().0 as i64);
         metrics.read("view_pulls_failed", "Pulls of a view that failed", || pulls().1 as i64);
@@ -177,6 +190,11 @@
         self.sends.get_or_create(&Outcome { outcome }).inc();
     }
 
+    /// Counts a question for leave to send to a cold engine.
+    pub fn count_cold_leave(&self, outcome: &'static str) {
+        self.cold_leaves.get_or_create(&Outcome { outcome }).inc();
+    }
+
     /// Counts a request of a tenant that has a limit.
     pub fn count_tenant(&self, tenant: &str, outcome: &'static str) {
         let mut named = lock(&self.named_tenants);
--- a/crates/gateway/src/peers/replica_client.rs
+++ b/crates/gateway/src/peers/replica_client.rs
@@ -182,5 +182,6 @@
             | RpcBody::ReadChain(_)
             | RpcBody::AdoptSet(_)
             | RpcBody::TakeQuota(_)
+            | RpcBody::TakeColdLeave(_)
     )
 }
--- a/crates/gateway/src/replica/core.rs
+++ b/crates/gateway/src/replica/core.rs
@@ -10,6 +10,7 @@
 use crate::peers::rpc_server::RpcHandler;
 use crate::peers::view::{Origin, ViewHolder};
 use crate::peers::view_exchange;
+use crate::replica::cold_leave::ColdLeaves;
 use crate::replica::disk::{Disk, DiskError};
 use crate::replica::kept_view::KeptView;
 use crate::replica::quotas::ReplicaQuotas;
@@ -18,8 +19,8 @@
 use foxnotch_turns::segment::{Record, ReplicaState};
 use foxnotch_wire::{
     Chain, DiskIdentity, Entries, KeptViewHeld, ListMarks, Marks, NodeId, ProgramKey, ReadChain, ReadKeptView,
-    ReadProgram, ReplicaSet, ReplicaStanding, RpcBody, SetNews, StoreEntry, Stored, TakeQuota, TurnEntry, TurnId,
-    Witness, NOT_SETTLED,
+    ReadProgram, ReplicaSet, ReplicaStanding, RpcBody, SetNews, StoreEntry, Stored, TakeColdLeave, TakeQuota,
+    TurnEntry, TurnId, Witness, NOT_SETTLED,
 };
 use futures_util::future::BoxFuture;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -44,6 +45,7 @@
     view: Arc<ViewHolder>,
     members: Arc<Members>,
     quotas: ReplicaQuotas,
+    cold_leaves: ColdLeaves,
     kept: Arc<KeptView>,
     /// Entries handed to replicas that lacked them, since the start.
     handed_out: AtomicU64,
@@ -65,6 +67,8 @@
     pub members: Arc<Members>,
     /// Shares of tenants' limits.
     pub quotas: ReplicaQuotas,
+    /// Shares of what cold engines bear.
+    pub cold_leaves: ColdLeaves,
     /// What is kept of the platform.
     pub kept: Arc<KeptView>,
 }
@@ -72,7 +76,7 @@
 impl ReplicaCore {
     /// A replica that starts from what its disk holds.
     pub fn new(parts: ReplicaParts, records: Vec<Record>) -> Self {
-        let ReplicaParts { own, clock, disk, memory_limit, view, members, quotas, kept } = parts;
+        let ReplicaParts { own, clock, disk, memory_limit, view, members, quotas, cold_leaves, kept } = parts;
         let mut ledger = Ledger::default();
         let mut state = ReplicaState::default();
         for record in records {
@@ -98,6 +102,7 @@
             view,
             members,
             quotas,
+            cold_leaves,
             kept,
             handed_out: AtomicU64::new(0),
         }
@@ -149,6 +154,7 @@
         if !was_member && replica_set::contains(set, self.own) {
             // Before gateways that go by this set are answered: others may have given from its shares until now.
             self.quotas.begin_again();
+            self.cold_leaves.begin_again();
         }
         let newer = set.clone();
         let written = self
@@ -312,6 +318,22 @@
         self.quotas.answer(request, members, &self.disk).await
     }
 
+    fn on_take_cold_leave(&self, request: &TakeColdLeave) -> RpcBody {
+        if let Some(other) = self.other_set(request.set_version) {
+            return other;
+        }
+        let set = self.set();
+        match set.members.iter().position(|member| member.node == self.own) {
+            Some(share) => self.cold_leaves.answer(request, set.members.len(), share),
+            None => RpcBody::NotServed,
+        }
+    }
+
+    /// Cold engines that leave was given for lately.
+    pub fn cold_engines(&self) -> usize {
+        self.cold_leaves.engines()
+    }
+
     /// Lowers caps of tenants that need less than before.
     pub fn lower_caps(&self) {
         self.quotas.lower_caps(&self.disk);
@@ -363,6 +385,7 @@
             RpcBody::ReadProgram(request) => self.on_read_program(request),
             RpcBody::ReadChain(request) => self.on_read_chain(request),
             RpcBody::TakeQuota(request) => self.on_take_quota(&request).await,
+            RpcBody::TakeColdLeave(request) => self.on_take_cold_leave(&request),
             RpcBody::ListMarks(request) => self.on_list(request).await,
             RpcBody::FetchEntries(request) => self.on_fetch(&request.turns),
             RpcBody::AdoptSet(news) => {
--- a/crates/gateway/src/replica/mod.rs
+++ b/crates/gateway/src/replica/mod.rs
@@ -1,6 +1,7 @@
 //! The replica: keeps turns, reservations and what the fleet goes by on disk, is refilled when its disk is lost, and changes
 //! the replica set.
 
+pub mod cold_leave;
 pub mod core;
 pub mod disk;
 pub mod kept_files;
--- a/crates/gateway/src/replica/process.rs
+++ b/crates/gateway/src/replica/process.rs
@@ -10,6 +10,7 @@
 use crate::peers::view::ViewHolder;
 use crate::ports::counted_store::CountedStore;
 use crate::ports::store::{Kind, MetadataStore};
+use crate::replica::cold_leave::ColdLeaves;
 use crate::replica::core::{ReplicaCore, ReplicaParts};
 use crate::replica::disk::{caps_of, Disk};
 use crate::replica::kept_view::{Keeper, KeptView, Recovery};
@@ -50,6 +51,7 @@
     let (disk, records) = Disk::open(&folder).context("the data folder cannot be used; check the disk")?;
     let memory_limit = (settings.resources.memory_mb * 1024 * 1024 / MEMORY_SHARE) as usize;
     let history = history_of(&records, settings.first_start);
+    let cold_leaves = ColdLeaves::new(settings.slow_start.tolerance(), history == History::None);
     let quotas = ReplicaQuotas::new(settings.quota.rules(), settings.policy.admission(), history);
     let kept = Arc::new(KeptView::open(&folder, own));
     let parts = ReplicaParts {
@@ -60,6 +62,7 @@
         view: view.clone(),
         members: members.clone(),
         quotas,
+        cold_leaves,
         kept: kept.clone(),
     };
     let core = Arc::new(ReplicaCore::new(parts, records));
@@ -160,6 +163,10 @@
     metrics
         .read("limited_tenants", "Tenants of whose limits a share is held", move || replica.limited_tenants() as i64);
     let replica = core.clone();
+    metrics.read("cold_engines_served", "Cold engines that leave was given for lately", move || {
+        replica.cold_engines() as i64
+    });
+    let replica = core.clone();
     metrics.read("replica_complete", "1 once refilled", move || i64::from(replica.state().complete));
     let replica = core.clone();
     metrics.read("replica_set_version", "The replica set gone by", move || replica.set().version as i64);
--- /dev/null
+++ b/crates/gateway/tests/slow_start_tests.rs
@@ -0,0 +1,184 @@
+//! Cold engines among gateways and replicas: they get no more than they bear, whoever sends.
+
+mod support;
+
+use foxnotch_gateway::ports::configuration::EngineEntry;
+use foxnotch_gateway::ports::store::{Kind, ObjectBody};
+use foxnotch_scheduler::slow_start::SlowStart;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use support::cluster::Cluster;
+use support::engine::{Behaviour, EngineStandIn};
+use support::gateway::{configuration, exchange, Answer, RunningGateway};
+use tokio::net::TcpListener;
+
+/// Requests that a cold engine bears in a second; the tests' deployment tolerates no more.
+const RATE: usize = 10;
+/// Milliseconds for which an engine is cold after a start: longer than any burst of the tests.
+const COLD_MS: u64 = 6000;
+/// Time for which callers send in a burst.
+const BURST: Duration = Duration::from_millis(2600);
+
+/// A deployment whose plain reads are served by engines with a slow start.
+async fn cluster_with_slow_start(net: u8) -> Cluster {
+    let cluster = Cluster::start(net, 3).await;
+    let ObjectBody::Configuration(mut configuration) = configuration(1) else { unreachable!("it is one") };
+    configuration.services[0].slow_start = SlowStart::new(COLD_MS, RATE as f64);
+    cluster.store.put(Kind::Configuration, "main", ObjectBody::Configuration(configuration));
+    cluster
+}
+
+fn entry(id: &str, address: SocketAddr) -> EngineEntry {
+    EngineEntry {
+        id: id.to_owned(),
+        service: "read".to_owned(),
+        address: address.to_string(),
+        zone: "a".to_owned(),
+        slots: 4,
+        draining: false,
+        started_at_ms: None,
+        cold_left_ms: 0,
+    }
+}
+
+fn list(cluster: &Cluster, entry: EngineEntry) {
+    cluster.store.put(Kind::Engines, &entry.id.clone(), ObjectBody::Engine(entry));
+}
+
+async fn started_gateway(cluster: &Cluster, number: u8) -> RunningGateway {
+    let gateway = RunningGateway::start_with(cluster, number, cluster.store.clone()).await;
+    gateway.wait_ready().await;
+    gateway
+}
+
+async fn send(gateway: SocketAddr, attempt: String) -> (Answer, Duration) {
+    let request = format!("GET /read/ HTTP/1.1\r\nhost: h.example\r\nconnection: close\r\nt-attempt: {attempt}\r\nt-deadline: 800\r\ncontent-length: 0\r\n\r\n");
+    let sent_at = Instant::now();
+    let answer = exchange(gateway, request.as_bytes()).await;
+    (answer, sent_at.elapsed())
+}
+
+/// Sends far more than a cold engine bears, to all gateways alike.
+async fn burst(gateways: &[&RunningGateway]) -> Vec<(Answer, Duration)> {
+    let until = Instant::now() + BURST;
+    let mut sends = Vec::new();
+    while Instant::now() < until {
+        for gateway in gateways {
+            sends.push(tokio::spawn(send(gateway.callers, format!("b{}", sends.len()))));
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let mut answers = Vec::new();
+    for send in sends {
+        answers.push(send.await.expect("a send does not panic"));
+    }
+    answers
+}
+
+/// The most requests that arrived within a second.
+fn most_in_a_second(engine: &EngineStandIn) -> usize {
+    let mut arrivals: Vec<Instant> = engine.received().iter().map(|received| received.at).collect();
+    arrivals.sort();
+    let within = |first: &Instant| {
+        arrivals.iter().filter(|at| *at >= first && at.duration_since(*first) < Duration::from_secs(1)).count()
+    };
+    arrivals.iter().map(within).max().unwrap_or(0)
+}
+
+fn assert_rate_is_kept_and_used(engine: &EngineStandIn) {
+    let most = most_in_a_second(engine);
+    assert!(most <= RATE, "{most} requests in a second");
+    // Eight of ten are given in each window, which is longer than a second by the time that a send may take.
+    assert!(engine.received().len() >= 16, "{} requests in all", engine.received().len());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cold_engine_gets_no_more_than_it_bears_and_the_rest_is_refused_in_time() {
+    let cluster = cluster_with_slow_start(210).await;
+    let engine = EngineStandIn::start(Behaviour::Answer("done")).await;
+    list(&cluster, EngineEntry { cold_left_ms: COLD_MS, ..entry("e1", engine.address) });
+    let first = started_gateway(&cluster, 50).await;
+    let second = started_gateway(&cluster, 51).await;
+    let answers = burst(&[&first, &second]).await;
+    assert_rate_is_kept_and_used(&engine);
+    for (answer, after) in &answers {
+        assert!(answer.status == 200 || answer.status == 503 && answer.says_when(), "{}", answer.head);
+        assert!(*after < Duration::from_millis(1500), "{} after {after:?}", answer.status);
+    }
+    let served = answers.iter().filter(|(answer, _)| answer.status == 200).count();
+    assert_eq!(served, engine.received().len());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_gateway_that_reaches_no_replica_sends_to_warm_engines_alone() {
+    let mut cluster = cluster_with_slow_start(211).await;
+    let cold = EngineStandIn::start(Behaviour::Answer("cold")).await;
+    let warm = EngineStandIn::start(Behaviour::Answer("warm")).await;
+    list(&cluster, EngineEntry { cold_left_ms: COLD_MS, ..entry("e1", cold.address) });
+    list(&cluster, entry("e2", warm.address));
+    let gateway = started_gateway(&cluster, 50).await;
+    for number in 1..=3 {
+        cluster.kill(number);
+    }
+    for number in 0..20 {
+        let (answer, _) = send(gateway.callers, format!("a{number}")).await;
+        assert_eq!((answer.status, answer.body.as_str()), (200, "warm"));
+    }
+    warm.set(Behaviour::Full);
+    let (answer, _) = send(gateway.callers, "last".to_owned()).await;
+    assert_eq!(answer.status, 503);
+    assert!(cold.received().is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_engine_that_starts_again_under_its_identifier_is_cold_whatever_its_entry_says() {
+    let cluster = cluster_with_slow_start(212).await;
+    let engine = EngineStandIn::start(Behaviour::Answer("done")).await;
+    list(&cluster, EngineEntry { started_at_ms: Some(1000), ..entry("e1", engine.address) });
+    let gateway = started_gateway(&cluster, 50).await;
+    assert_eq!(send(gateway.callers, "a".to_owned()).await.0.status, 200);
+    let connections = engine.connections();
+    list(&cluster, EngineEntry { started_at_ms: Some(2000), ..entry("e1", engine.address) });
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    burst(&[&gateway]).await;
+    assert_rate_is_kept_and_used(&engine);
+    assert!(engine.connections() > connections, "a connection of the time before was used");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_engine_that_could_not_be_reached_is_cold_when_it_answers_again() {
+    let cluster = cluster_with_slow_start(213).await;
+    // A port on which nobody listens once this is dropped.
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("a bound socket has an address");
+    drop(listener);
+    list(&cluster, entry("e1", address));
+    let gateway = started_gateway(&cluster, 50).await;
+    assert_eq!(send(gateway.callers, "a".to_owned()).await.0.status, 503);
+    let engine = EngineStandIn::start_at(address, Behaviour::Answer("done")).await;
+    burst(&[&gateway]).await;
+    assert_rate_is_kept_and_used(&engine);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn engines_of_a_zone_whose_drain_is_taken_back_are_cold() {
+    let cluster = cluster_with_slow_start(214).await;
+    let engine = EngineStandIn::start(Behaviour::Answer("done")).await;
+    list(&cluster, entry("e1", engine.address));
+    cluster.store.put(Kind::ZoneDrains, "a", ObjectBody::ZoneDrain);
+    let gateway = started_gateway(&cluster, 50).await;
+    let mut status = 200;
+    for number in 0..100 {
+        status = send(gateway.callers, format!("a{number}")).await.0.status;
+        if status == 503 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(status, 503, "the drain is not known");
+    let before = engine.received().len();
+    cluster.store.remove(Kind::ZoneDrains, "a", ObjectBody::ZoneDrain);
+    burst(&[&gateway]).await;
+    assert!(most_in_a_second(&engine) <= RATE + before);
+    assert!(engine.received().len() >= before + 16);
+}
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
@@ -16,6 +16,8 @@
     pub head: String,
     /// The body.
     pub body: Vec<u8>,
+    /// When it had been read.
+    pub at: Instant,
 }
 
 impl Received {
@@ -79,7 +81,12 @@
 impl EngineStandIn {
     /// Starts an engine on a port of its own.
     pub async fn start(behaviour: Behaviour) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), behaviour).await
+    }
+
+    /// Starts an engine at an address.
+    pub async fn start_at(address: SocketAddr, behaviour: Behaviour) -> Self {
+        let listener = TcpListener::bind(address).await.expect("the address is free");
         let address = listener.local_addr().expect("a bound socket has an address");
         let received = Arc::new(Mutex::new(Vec::new()));
         let behaviour = Arc::new(Mutex::new(behaviour));
@@ -143,13 +150,14 @@
         }
     };
     let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
-    let mut request = Received { head, body: bytes[end..].to_vec() };
+    let mut request = Received { head, body: bytes[end..].to_vec(), at: Instant::now() };
     let length: usize = request.header("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
     while request.body.len() < length {
         if stream.read_buf(&mut request.body).await.ok()? == 0 {
             return None;
         }
     }
+    request.at = Instant::now();
     Some(request)
 }
 
--- /dev/null
+++ b/crates/scheduler/src/slow_start/warmth.rs
@@ -0,0 +1,88 @@
+//! What a gateway believes of an engine's warmth, and why.
+//!
+//! Nothing tells a gateway the moment at which an engine turns cold, so it errs towards cold: what an entry tells counts from when
+//! it was learned, and an engine that may have started anew is taken for cold as long as its service's engines are after a start.
+
+use std::time::Duration;
+
+/// The longest that one entry may have an engine taken for cold: an entry without sense must not do so for good.
+const LONGEST_TOLD: Duration = Duration::from_secs(60);
+
+/// Why an engine is believed cold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ColdCause {
+    /// Its entry says so.
+    Entry,
+    /// Its entry tells of another start under the same identifier.
+    Restart,
+    /// It could not be reached: it may have started anew when it answers again.
+    Unreachable,
+    /// The drain of its zone was taken back.
+    DrainEnded,
+}
+
+impl ColdCause {
+    /// A short name, for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Entry => "entry",
+            Self::Restart => "restart",
+            Self::Unreachable => "unreachable",
+            Self::DrainEnded => "drain_ended",
+        }
+    }
+}
+
+/// A change of the belief, for logs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WarmthChange {
+    /// It is taken for cold for so long from now on.
+    Cold(ColdCause, Duration),
+    /// Its entry says that it is warm; it had been told cold this long ago.
+    Warm(Duration),
+}
+
+/// The belief. Times are on any clock that only goes forward.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Warmth {
+    /// What its entry told last.
+    told_ms: u64,
+    /// When that was learned.
+    told_at: Duration,
+    /// Until when its entry has it cold.
+    told_until: Duration,
+    /// Until when it is taken for cold without being told.
+    suspected_until: Duration,
+}
+
+impl Warmth {
+    /// Whether the engine is taken for cold.
+    pub fn is_cold(&self, now: Duration) -> bool {
+        now < self.told_until.max(self.suspected_until)
+    }
+
+    /// Takes what its entry tells. The same value again is the same entry, which has grown old meanwhile.
+    pub fn note_entry(&mut self, cold_left_ms: u64, now: Duration) -> Option<WarmthChange> {
+        if cold_left_ms == self.told_ms {
+            return None;
+        }
+        let age = now.saturating_sub(self.told_at);
+        self.told_ms = cold_left_ms;
+        self.told_at = now;
+        let was_cold = self.is_cold(now);
+        let left = Duration::from_millis(cold_left_ms).min(LONGEST_TOLD);
+        self.told_until = now + left;
+        match (was_cold, self.is_cold(now)) {
+            (false, true) => Some(WarmthChange::Cold(ColdCause::Entry, left)),
+            (true, false) => Some(WarmthChange::Warm(age)),
+            _ => None,
+        }
+    }
+
+    /// Takes it for cold for as long as engines of its service are after a start.
+    pub fn suspect(&mut self, cause: ColdCause, duration: Duration, now: Duration) -> Option<WarmthChange> {
+        let was_cold = self.is_cold(now);
+        self.suspected_until = self.suspected_until.max(now + duration);
+        (!was_cold).then_some(WarmthChange::Cold(cause, duration))
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,6 +12,7 @@
 mod membership;
 mod quota;
 mod rpc;
+mod slow_start;
 mod text;
 mod turns;
 mod view;
@@ -29,6 +30,7 @@
 };
 pub use quota::{ProgramStanding, QuotaGiven, TakeQuota};
 pub use rpc::{decode_rpc, encode_rpc, RelayRequest, RpcBody, RpcMessage};
+pub use slow_start::{ColdLeave, TakeColdLeave};
 pub use text::Text;
 pub use turns::{
     Chain, ChainLink, Content, DiskIdentity, Entries, FetchEntries, ListMarks, Marks, ProgramKey, ReadChain,
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -3,9 +3,9 @@
 //! They travel by stream, each request with a number that its answer repeats.
 
 use crate::{
-    Chain, Content, Entries, FetchEntries, KeptViewHeld, ListMarks, Marks, MemberList, MemberUpdate, NodeId,
-    QuotaGiven, ReadChain, ReadKeptView, ReadProgram, SetNews, StoreEntry, Stored, TakeQuota, ViewNews, WireError,
-    MAXIMUM_MESSAGE_BYTES, PROTOCOL_VERSION,
+    Chain, ColdLeave, Content, Entries, FetchEntries, KeptViewHeld, ListMarks, Marks, MemberList, MemberUpdate, NodeId,
+    QuotaGiven, ReadChain, ReadKeptView, ReadProgram, SetNews, StoreEntry, Stored, TakeColdLeave, TakeQuota, ViewNews,
+    WireError, MAXIMUM_MESSAGE_BYTES, PROTOCOL_VERSION,
 };
 use deku::prelude::*;
 
@@ -69,6 +69,9 @@
     /// Request of an operator; answered by [`RpcBody::View`] without contents.
     #[deku(id = "13")]
     ShowView,
+    /// Request.
+    #[deku(id = "14")]
+    TakeColdLeave(TakeColdLeave),
     /// Answer.
     #[deku(id = "64")]
     Stored(Stored),
@@ -108,6 +111,9 @@
     /// Answer.
     #[deku(id = "76")]
     KeptViewHeld(KeptViewHeld),
+    /// Answer.
+    #[deku(id = "77")]
+    ColdLeave(ColdLeave),
 }
 
 /// A request or its answer.
--- /dev/null
+++ b/crates/wire/src/slow_start.rs
@@ -0,0 +1,28 @@
+//! Leave for sends to cold engines, which gateways ask of replicas.
+
+use deku::prelude::*;
+
+/// Asks a replica for leave to send one request to a cold engine. Answered by [`crate::RpcBody::ColdLeave`]. What arrives twice
+/// is given twice, which only leaves a part of the engine's rate unused.
+#[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct TakeColdLeave {
+    /// The version of the replica set that the sender goes by: each member holds a share of the rate.
+    pub set_version: u64,
+    /// The engine, as a hash of its identifier.
+    pub engine: u64,
+    /// Requests a second that it bears while cold.
+    pub per_second: f64,
+}
+
+/// Answers [`TakeColdLeave`].
+#[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct ColdLeave {
+    /// 1 when the request may be sent.
+    pub granted: u8,
+    /// Sends for which the replica's share still has leave.
+    pub left: u32,
+    /// Milliseconds after which it may give more, when it gave none or its last.
+    pub come_back_ms: u32,
+}
--- a/crates/wire/tests/rpc_tests.rs
+++ b/crates/wire/tests/rpc_tests.rs
@@ -47,6 +47,8 @@
 #[case::store(RpcBody::StoreEntry(StoreEntry { set_version: 9, entry: entry() }))]
 #[case::chain(RpcBody::ReadChain(ReadChain { set_version: 9, turn: TurnId(5) }))]
 #[case::set(RpcBody::AdoptSet(SetNews { set: set(), synced: 8 }))]
+#[case::take_cold_leave(RpcBody::TakeColdLeave(TakeColdLeave { set_version: 9, engine: 77, per_second: 23.0 }))]
+#[case::cold_leave(RpcBody::ColdLeave(ColdLeave { granted: 1, left: 3, come_back_ms: 40 }))]
 #[case::relay(RpcBody::Relay(RelayRequest { replica: NodeId(3), within_ms: 40, request: Content::from(b"request".to_vec()) }))]
 #[case::relayed(RpcBody::Relayed(Content::from(b"answer".to_vec())))]
 #[case::unreached(RpcBody::Unreached)]
