--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -6,6 +6,7 @@
 use crate::edge::handler::Gateway;
 use crate::edge::planned_stop::PlannedStop;
 use crate::edge::quotas::QuotaKeeper;
+use crate::edge::slow_start::ColdLeaveKeeper;
 use crate::edge::turn_cache::TurnCache;
 use crate::edge::turns::TurnKeeper;
 use crate::edge::zone_moves::ZoneDrainRules;
@@ -94,6 +95,8 @@
         TurnKeeper::new(replicas.clone(), view.clone(), cache, zone_hash(&settings.zone), settings.tolerance());
     let turns = Arc::new(keeper.with_metrics(metrics.clone()));
     let quotas = QuotaKeeper::new(replicas.clone(), turns.clone(), zone_hash(&settings.zone), metrics.clone());
+    let zone = zone_hash(&settings.zone);
+    let cold_leaves = ColdLeaveKeeper::new(replicas.clone(), turns.clone(), zone, metrics.clone());
     let gateway = Arc::new(Gateway {
         zone: settings.zone.clone(),
         places: settings.places(),
@@ -106,6 +109,7 @@
         turns: turns.clone(),
         quotas,
         zone_drains: ZoneDrainRules::new(settings.times.zone_drain(), members.duty().times()),
+        cold_leaves,
         shares: Default::default(),
         policy: settings.policy,
         routes: Mutex::default(),
