--- a/crates/gateway/src/edge/chain_reader.rs
+++ b/crates/gateway/src/edge/chain_reader.rs
@@ -103,7 +103,7 @@
         }
         let chain = self.read_chain(newest, assembly, deadline).await?;
         for (turn, record) in &chain {
-            self.cache.insert(*turn, record.clone());
+            self.cache_record(*turn, record.clone());
         }
         Ok(chain)
     }
--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -227,6 +227,7 @@
         if self.stop.get().is_some_and(|stop| !stop.takes(Instant::now(), call.expires_at)) {
             return Err(Refusal::Stopping);
         }
+        self.check_residency(&call)?;
         match call.route.kind {
             RouteKind::Streaming => stream_call::serve(self, call).await,
             RouteKind::Idempotent | RouteKind::NonIdempotent => {
@@ -326,7 +327,7 @@
     }
 
     /// The engines that a call may go to.
-    fn candidates(&self, call: &Call) -> Vec<Arc<Engine>> {
+    pub(super) fn candidates(&self, call: &Call) -> Vec<Arc<Engine>> {
         let drains = self.view.get().zone_drains.value;
         let mut candidates = self.engines.candidates(&call.service);
         candidates.retain(|engine| {
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -11,6 +11,7 @@
 pub mod process;
 pub mod quotas;
 pub mod refusal;
+pub mod residency;
 pub mod routes;
 pub mod stream_call;
 pub mod tries;
--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -87,10 +87,11 @@
     let cache = TurnCache::new((settings.resources.memory_mb * 1024 * 1024 / CACHE_SHARE) as usize);
     let metrics = gateway_metrics(&view, &members);
     let store: Arc<dyn MetadataStore> = Arc::new(CountedStore::new(platform.store, metrics.clone()));
-    let replicas = replica_client(client, &members, &metrics, settings.policy);
+    let relays = Relays::new(members.clone()).with_regions(zone_hash(&settings.zone), settings.zone_regions());
+    let replicas = replica_client(client, relays, &metrics, settings.policy);
     let keeper =
         TurnKeeper::new(replicas.clone(), view.clone(), cache, zone_hash(&settings.zone), settings.tolerance());
-    let turns = Arc::new(keeper.with_metrics(metrics.clone()));
+    let turns = Arc::new(keeper.with_metrics(metrics.clone()).with_regions(settings.zone_regions()));
     let quotas = QuotaKeeper::new(replicas.clone(), turns.clone(), zone_hash(&settings.zone), metrics.clone());
     let gateway = Arc::new(Gateway {
         zone: settings.zone.clone(),
@@ -176,13 +177,13 @@
 /// Asks replicas, through other gateways too where the policy says so.
 fn replica_client(
     client: Arc<RpcClient>,
-    members: &Arc<Members>,
+    relays: Relays,
     metrics: &Arc<Metrics>,
     policy: PolicySettings,
 ) -> Arc<ReplicaClient> {
     let mut replicas = ReplicaClient::direct(client).with_metrics(metrics.clone());
     if policy.relay {
-        replicas = replicas.with_relays(Relays::new(members.clone()));
+        replicas = replicas.with_relays(relays);
     }
     Arc::new(replicas)
 }
--- a/crates/gateway/src/edge/refusal.rs
+++ b/crates/gateway/src/edge/refusal.rs
@@ -1,6 +1,7 @@
 //! Answers that the gateway gives by itself.
 
 use crate::edge::body::AnswerBody;
+use foxnotch_scheduler::residency::ResidencyDenial;
 use foxnotch_scheduler::tenants::KeyDenial;
 use http::{header, HeaderValue, Response, StatusCode};
 use std::time::Duration;
@@ -15,6 +16,9 @@
 /// When the platform's store may answer again: it may be away for long, and the answer stays the same until then.
 const COME_BACK_CONFIRMED: Duration = Duration::from_secs(1);
 
+/// When a configuration may allow what the present one cannot: an operator has to change it first.
+const COME_BACK_ALLOWED: Duration = Duration::from_secs(30);
+
 /// Why the gateway answers by itself. Messages name the remedy.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Refusal {
@@ -51,6 +55,15 @@
     /// Not run: no engine has room.
     #[error("no engine has room; ask again after the time given")]
     NoRoom(Duration),
+    /// Not run: no engine may serve it where it is bound to.
+    #[error("this is bound to regions in which it cannot be served: {0}")]
+    OutsideRegions(ResidencyDenial),
+    /// Not run: no replica may keep its text.
+    #[error("turns of this route cannot be kept inside its regions: no replica is there; add a machine with a disk there, or widen the regions")]
+    NotKeptInRegions,
+    /// Not run: the turns that it continues are bound to regions that it may not be served in.
+    #[error("the turns that this one continues are bound to regions that its route and tenant do not allow any more; start anew, or allow them again")]
+    ChainOutsideRegions,
     /// Not run: the replicas cannot be asked.
     #[error("turns cannot be kept now ({0}); ask again after the time given")]
     NoQuorum(String),
@@ -92,6 +105,9 @@
             | Self::NoQuorum(_)
             | Self::ChainUnknown
             | Self::LimitUnknown
+            | Self::OutsideRegions(_)
+            | Self::NotKeptInRegions
+            | Self::ChainOutsideRegions
             | Self::OutOfTime => StatusCode::SERVICE_UNAVAILABLE,
             Self::MayHaveRun(_) => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -107,7 +123,10 @@
                 Some(COME_BACK_ELSEWHERE)
             }
             Self::NoConfiguration | Self::ConfigurationBehind => Some(COME_BACK_CONFIGURED),
-            Self::ConfigurationUnconfirmed => Some(COME_BACK_CONFIRMED),
+            Self::ConfigurationUnconfirmed | Self::OutsideRegions(ResidencyDenial::NoneInService) => {
+                Some(COME_BACK_CONFIRMED)
+            }
+            Self::OutsideRegions(_) | Self::NotKeptInRegions | Self::ChainOutsideRegions => Some(COME_BACK_ALLOWED),
             _ => None,
         }
     }
@@ -126,6 +145,9 @@
             Self::Malformed(_) => "malformed",
             Self::TooLarge(_) => "too_large",
             Self::NoRoom(_) => "no_room",
+            Self::OutsideRegions(denial) => denial.name(),
+            Self::NotKeptInRegions => "not_kept_in_regions",
+            Self::ChainOutsideRegions => "chain_outside_regions",
             Self::NoQuorum(_) => "no_quorum",
             Self::ChainUnknown => "chain_unknown",
             Self::NoSuchTurn => "no_such_turn",
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -84,6 +84,7 @@
 /// The refusal that the caller gets.
 pub async fn serve(gateway: Arc<Gateway>, mut call: Call) -> Result<Response<AnswerBody>, Refusal> {
     let prepare_until = (call.arrived_at + PREPARE_TIME).min(call.expires_at);
+    gateway.check_replicas(&call)?;
     let mut account = open_account(&gateway, &call);
     let previous = call.metadata.previous.as_deref().filter(|_| call.route.retain);
     let previous = previous.map(|previous| turn_id(call.tenant_name(), previous));
@@ -93,6 +94,7 @@
     );
     let chain = chain?;
     let known = reserved?;
+    gateway.narrow_to_chain(&mut call, &chain)?;
     // Leave is asked for only now: turns of programs that loop are refused by their budget, and must not use up their tenant's
     // limit. Where both were asked for at once, a tenant with a limit of 96 requests in 5 s was refused after 31.
     call.standing = standing_of(&call, known.as_ref());
@@ -132,6 +134,7 @@
         reserved: if metadata.token_budget.is_some() { metadata.most_tokens } else { 0 },
         used: NOT_SETTLED,
         place: None,
+        elsewhere: None,
         record: Vec::new(),
     };
     let event_tokens = model.map_or(1, |model| model.event_tokens.max(1));
@@ -159,7 +162,7 @@
     match gateway.turns.chain(previous, deadline).await {
         Ok(chain) => Ok(chain),
         Err(ChainError::NoSuchTurn) => Err(Refusal::NoSuchTurn),
-        Err(ChainError::Unknown(TurnError::NoSet | TurnError::NoQuorum { .. })) => Err(Refusal::ChainUnknown),
+        Err(ChainError::Unknown(_)) => Err(Refusal::ChainUnknown),
     }
 }
 
@@ -349,6 +352,7 @@
         entry.record = vec![TurnRecord {
             previous: self.previous,
             engine: self.lease.engine().number,
+            regions: self.gateway.regions_of(&self.call),
             input: Content::from(self.call.input.to_vec()),
             output: Content::from(std::mem::take(&mut self.output)),
         }];
--- a/crates/gateway/src/edge/turns.rs
+++ b/crates/gateway/src/edge/turns.rs
@@ -7,10 +7,12 @@
 use crate::peers::view::{Origin, ViewHolder};
 use foxnotch_turns::budget::{BudgetVerdict, BudgetView};
 use foxnotch_turns::quorum::Tally;
-use foxnotch_turns::replica_set::{self, Tolerance};
+use foxnotch_turns::record_quorum::RecordQuorum;
+use foxnotch_turns::replica_set::Tolerance;
+use foxnotch_turns::zone_regions::ZoneRegions;
 use foxnotch_wire::{
-    ProgramKey, ReadProgram, ReplicaMember, ReplicaSet, ReplicaStanding, RpcBody, SetNews, StoreEntry, Stored,
-    TurnEntry, NOT_SETTLED,
+    ProgramKey, ReadProgram, RegionId, ReplicaMember, ReplicaSet, ReplicaStanding, RpcBody, SetNews, StoreEntry,
+    Stored, TurnEntry, NOT_SETTLED,
 };
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use std::sync::Arc;
@@ -36,6 +38,9 @@
     /// No replica set is known.
     #[error("no replica set is known")]
     NoSet,
+    /// The set has no member where the text may be kept.
+    #[error("no replica is in a region that the turn is bound to; add a machine with a disk there")]
+    NoReplicaInRegions,
 }
 
 /// What a replica answered to one request.
@@ -60,7 +65,8 @@
     pub(super) cache: TurnCache,
     pub(super) zone: u32,
     pub(super) tolerance: Tolerance,
-    metrics: Arc<Metrics>,
+    pub(super) regions: ZoneRegions,
+    pub(super) metrics: Arc<Metrics>,
     /// Told when the replica set seems out of date.
     pub(super) set_wanted: Arc<Notify>,
 }
@@ -75,7 +81,22 @@
         tolerance: Tolerance,
     ) -> Self {
         let metrics = Arc::default();
-        Self { client, view, cache, zone, tolerance, metrics, set_wanted: Arc::default() }
+        Self {
+            client,
+            view,
+            cache,
+            zone,
+            tolerance,
+            regions: ZoneRegions::default(),
+            metrics,
+            set_wanted: Arc::default(),
+        }
+    }
+
+    /// Goes by these regions.
+    pub fn with_regions(mut self, regions: ZoneRegions) -> Self {
+        self.regions = regions;
+        self
     }
 
     /// Counts rounds in these metrics.
@@ -89,10 +110,6 @@
         self.set_wanted.clone()
     }
 
-    fn needed(&self, set: &ReplicaSet) -> usize {
-        replica_set::write_quorum(set.members.len(), self.tolerance.losses(&set.members))
-    }
-
     /// Waits for a replica set.
     pub(super) async fn wait_for_set(&self, deadline: Instant) -> Result<Arc<ReplicaSet>, TurnError> {
         loop {
@@ -141,18 +158,24 @@
         }
     }
 
-    /// Makes one round over all replicas: returns the merged answers once a quorum of them counts.
-    async fn round(&self, deadline: Instant, request: impl Fn(u64) -> RpcBody) -> Result<BudgetView, TurnError> {
+    /// Makes one round over all replicas: returns the merged answers once a quorum of them counts, for text that is bound to
+    /// `regions` with enough of the members there.
+    async fn round(
+        &self,
+        deadline: Instant,
+        regions: &[RegionId],
+        request: impl Fn(&ReplicaMember, u64) -> RpcBody,
+    ) -> Result<BudgetView, TurnError> {
         let begun_at = Instant::now();
         loop {
             let set = self.wait_for_set(deadline).await?;
-            let needed = self.needed(&set);
-            let body = request(set.version);
+            let quorum = RecordQuorum::of(&set, self.tolerance, &self.regions, regions);
+            let quorum = quorum.ok_or(TurnError::NoReplicaInRegions)?;
             let mut tally = Tally::default();
             let mut view = BudgetView::default();
             let members = set.members.iter();
             let mut asks: FuturesUnordered<_> =
-                members.map(|member| self.ask_member(*member, &set, body.clone(), deadline)).collect();
+                members.map(|member| self.ask_member(*member, &set, request(member, set.version), deadline)).collect();
             let mut newer = None;
             while let Some(answer) = asks.next().await {
                 match answer {
@@ -167,14 +190,14 @@
                     }
                     Some(MemberAnswer::Body(_)) | None => {}
                 }
-                if tally.count() >= needed {
+                if quorum.is_met_by(&tally) {
                     self.metrics.quorum_seconds.observe(begun_at.elapsed().as_secs_f64());
                     return Ok(view);
                 }
             }
             let Some(newer) = newer else {
                 self.set_wanted.notify_one();
-                return Err(TurnError::NoQuorum { counted: tally.count(), needed });
+                return Err(TurnError::NoQuorum { counted: tally.count(), needed: quorum.acknowledgements });
             };
             self.view.adopt_set(&newer, Origin::Peer);
         }
@@ -203,11 +226,18 @@
     /// # Errors
     /// [`TurnError`].
     pub async fn write(&self, entry: &TurnEntry, deadline: Instant) -> Result<BudgetView, TurnError> {
-        self.round(deadline, |set_version| RpcBody::StoreEntry(StoreEntry { set_version, entry: entry.clone() })).await
+        let without_text = entry.without_text();
+        let regions = entry.regions();
+        let request = |member: &ReplicaMember, set_version| {
+            let may_carry = self.regions.may_hold(member.zone, regions);
+            let entry = if may_carry { entry.clone() } else { without_text.clone() };
+            RpcBody::StoreEntry(StoreEntry { set_version, entry })
+        };
+        self.round(deadline, regions, request).await
     }
 
     async fn read(&self, program: ProgramKey, deadline: Instant) -> Result<BudgetView, TurnError> {
-        self.round(deadline, |set_version| RpcBody::ReadProgram(ReadProgram { set_version, program })).await
+        self.round(deadline, &[], |_, set_version| RpcBody::ReadProgram(ReadProgram { set_version, program })).await
     }
 
     /// Settles a turn without a record.
@@ -226,7 +256,8 @@
     pub async fn keep(&self, entry: &TurnEntry, deadline: Instant) -> Result<(), TurnError> {
         self.write(entry, deadline).await?;
         if let Some(record) = entry.record.first() {
-            self.cache.insert(entry.turn, Arc::new(record.clone()));
+            self.note_copies(entry);
+            self.cache_record(entry.turn, Arc::new(record.clone()));
         }
         Ok(())
     }
--- a/crates/gateway/src/engines/table.rs
+++ b/crates/gateway/src/engines/table.rs
@@ -21,6 +21,11 @@
         engines.filter(|engine| engine.takes_work()).cloned().collect()
     }
 
+    /// All engines of a service, those that get no new work too.
+    pub fn of_service(&self, service: &str) -> Vec<Arc<Engine>> {
+        lock(&self.services).get(service).cloned().unwrap_or_default()
+    }
+
     /// All engines.
     pub fn all(&self) -> Vec<Arc<Engine>> {
         let services = lock(&self.services);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -89,6 +89,8 @@
     pub quorum_seconds: Histogram,
     /// Answers of replicas that came through another gateway.
     pub relayed: Counter,
+    /// Turns bound to regions that were kept on fewer replicas there than every loss to be borne would need.
+    pub weakly_kept: Counter,
     /// Seconds until a request of a tenant with a limit was let in or refused.
     pub quota_seconds: Histogram,
     /// Requests of tenants with a limit, by what became of them.
@@ -113,6 +115,7 @@
             dispatch_seconds: histogram(),
             quorum_seconds: histogram(),
             relayed: Counter::default(),
+            weakly_kept: Counter::default(),
             quota_seconds: histogram(),
             tenants: Family::default(),
             named_tenants: Mutex::default(),
@@ -134,6 +137,11 @@
         registry.register("quorum_seconds", "A round to a quorum of replicas", metrics.quorum_seconds.clone());
         registry.register("relayed", "Answers of replicas through another gateway", metrics.relayed.clone());
         let registry = &mut metrics.registry;
+        registry.register(
+            "weakly_kept",
+            "Turns kept on fewer replicas of their regions than losses need",
+            metrics.weakly_kept.clone(),
+        );
         registry.register("quota_seconds", "Until a limit let a request in or not", metrics.quota_seconds.clone());
         registry.register("tenant_requests", "Requests of tenants with a limit", metrics.tenants.clone());
         metrics.read("engine_connections_opened", "Connections opened to engines", || opened() as i64);
--- a/crates/gateway/src/peers/members.rs
+++ b/crates/gateway/src/peers/members.rs
@@ -188,10 +188,14 @@
         })
     }
 
-    /// A gateway that is not among `passed_over`: `preferred` if it is one, or else one drawn by lot.
-    pub fn pick_gateway(&self, preferred: Option<NodeId>, passed_over: &[NodeId]) -> Option<MemberUpdate> {
+    /// A gateway of those that fit: `preferred` if it is one, or else one drawn by lot.
+    pub fn pick_gateway(
+        &self,
+        preferred: Option<NodeId>,
+        fits: impl Fn(&MemberUpdate) -> bool,
+    ) -> Option<MemberUpdate> {
         let mut gateways = self.gateways();
-        gateways.retain(|gateway| !passed_over.contains(&gateway.node));
+        gateways.retain(fits);
         if let Some(known) = gateways.iter().find(|gateway| Some(gateway.node) == preferred) {
             return Some(*known);
         }
--- a/crates/gateway/src/peers/replica_client.rs
+++ b/crates/gateway/src/peers/replica_client.rs
@@ -10,8 +10,9 @@
 use crate::peers::members::Members;
 use crate::peers::rpc_client::{RpcClient, RpcError};
 use crate::replica::sync::address_of;
+use foxnotch_turns::zone_regions::ZoneRegions;
 use foxnotch_wire::{
-    decode_rpc, encode_rpc, Content, MemberUpdate, NodeId, RelayRequest, ReplicaMember, ReplicaSet, RpcBody,
+    decode_rpc, encode_rpc, Content, MemberUpdate, NodeId, RegionId, RelayRequest, ReplicaMember, ReplicaSet, RpcBody,
 };
 use std::future::pending;
 use std::sync::{Arc, Mutex};
@@ -25,20 +26,56 @@
 /// Gateways that may relay.
 pub struct Relays {
     members: Arc<Members>,
+    /// This gateway's zone, as a hash of the zone's name.
+    zone: u32,
+    regions: ZoneRegions,
     /// The one that relayed last.
     preferred: Mutex<Option<NodeId>>,
 }
 
+/// Which gateways a request and its answer may pass through.
+enum Passage<'a> {
+    /// It carries no text that is bound to regions.
+    Any,
+    /// It carries text that is bound to these regions: a gateway there, or of this gateway's own region.
+    Through(&'a [RegionId]),
+}
+
+/// A read brings text of which it is not known yet to what it is bound: it passes through this gateway's own region alone.
+fn passage_of(body: &RpcBody) -> Passage<'_> {
+    match body {
+        RpcBody::StoreEntry(request) if !request.entry.record.is_empty() && !request.entry.regions().is_empty() => {
+            Passage::Through(request.entry.regions())
+        }
+        RpcBody::ReadChain(_) => Passage::Through(&[]),
+        _ => Passage::Any,
+    }
+}
+
 impl Relays {
     /// Relays among the members.
     pub fn new(members: Arc<Members>) -> Self {
-        Self { members, preferred: Mutex::default() }
+        Self { members, zone: 0, regions: ZoneRegions::default(), preferred: Mutex::default() }
     }
 
-    /// A gateway that was not asked yet: the one that relayed last, or another drawn by lot.
-    fn pick(&self, asked: &[NodeId]) -> Option<MemberUpdate> {
+    /// Goes by these regions, in the zone with this hash.
+    pub fn with_regions(mut self, zone: u32, regions: ZoneRegions) -> Self {
+        self.zone = zone;
+        self.regions = regions;
+        self
+    }
+
+    /// A gateway that was not asked yet and that the request may pass through: the one that relayed last, or another drawn by
+    /// lot.
+    fn pick(&self, asked: &[NodeId], passage: &Passage<'_>) -> Option<MemberUpdate> {
         let preferred = *lock(&self.preferred);
-        self.members.pick_gateway(preferred, asked)
+        self.members.pick_gateway(preferred, |gateway| {
+            let may_pass = match passage {
+                Passage::Any => true,
+                Passage::Through(regions) => self.regions.may_pass(gateway.zone, self.zone, regions),
+            };
+            may_pass && !asked.contains(&gateway.node)
+        })
     }
 }
 
@@ -131,10 +168,11 @@
         deadline: Instant,
     ) -> Option<RpcBody> {
         let request = encode_rpc(self.client.own(), 0, body.clone()).ok()?;
+        let passage = passage_of(body);
         let mut asked = Vec::new();
         while asked.len() < MAXIMUM_RELAYS {
             let left = deadline.saturating_duration_since(Instant::now()).min(RELAY_TIMEOUT);
-            let relay = relays.pick(&asked)?;
+            let relay = relays.pick(&asked, &passage)?;
             asked.push(relay.node);
             let within_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
             let request = RelayRequest { replica: replica.node, within_ms, request: Content::from(request.clone()) };
--- a/crates/gateway/src/replica/core.rs
+++ b/crates/gateway/src/replica/core.rs
@@ -16,10 +16,11 @@
 use foxnotch_turns::ledger::Ledger;
 use foxnotch_turns::replica_set;
 use foxnotch_turns::segment::{Record, ReplicaState};
+use foxnotch_turns::zone_regions::ZoneRegions;
 use foxnotch_wire::{
-    Chain, DiskIdentity, Entries, KeptViewHeld, ListMarks, Marks, NodeId, ProgramKey, ReadChain, ReadKeptView,
-    ReadProgram, ReplicaSet, ReplicaStanding, RpcBody, SetNews, StoreEntry, Stored, TakeQuota, TurnEntry, TurnId,
-    Witness, NOT_SETTLED,
+    Chain, DiskIdentity, Entries, FetchEntries, KeptViewHeld, ListMarks, Marks, NodeId, ProgramKey, ReadChain,
+    ReadKeptView, ReadProgram, ReplicaSet, ReplicaStanding, RpcBody, SetNews, StoreEntry, Stored, TakeQuota, TurnEntry,
+    TurnId, Witness, NOT_SETTLED,
 };
 use futures_util::future::BoxFuture;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -34,6 +35,8 @@
 /// The state of one replica.
 pub struct ReplicaCore {
     own: NodeId,
+    zone: u32,
+    regions: ZoneRegions,
     clock: SteadyClock,
     disk: Disk,
     ledger: Mutex<Ledger>,
@@ -53,6 +56,10 @@
 pub struct ReplicaParts {
     /// This node.
     pub own: NodeId,
+    /// Its zone, as a hash of the zone's name.
+    pub zone: u32,
+    /// The regions of zones.
+    pub regions: ZoneRegions,
     /// The steady clock.
     pub clock: SteadyClock,
     /// The disk.
@@ -72,8 +79,8 @@
 impl ReplicaCore {
     /// A replica that starts from what its disk holds.
     pub fn new(parts: ReplicaParts, records: Vec<Record>) -> Self {
-        let ReplicaParts { own, clock, disk, memory_limit, view, members, quotas, kept } = parts;
-        let mut ledger = Ledger::default();
+        let ReplicaParts { own, zone, regions, clock, disk, memory_limit, view, members, quotas, kept } = parts;
+        let mut ledger = Ledger::in_zone(zone, regions.clone());
         let mut state = ReplicaState::default();
         for record in records {
             match record {
@@ -89,6 +96,8 @@
         let state_order = tokio::sync::Mutex::new(());
         Self {
             own,
+            zone,
+            regions,
             clock,
             disk,
             ledger,
@@ -108,6 +117,30 @@
         self.own
     }
 
+    /// Its zone, as a hash of the zone's name.
+    pub fn zone(&self) -> u32 {
+        self.zone
+    }
+
+    /// Turns of which the text belongs here and is known to be elsewhere alone.
+    pub fn owed_texts(&self) -> usize {
+        lock(&self.ledger).owed()
+    }
+
+    /// Whether any turn is held whose text is bound to regions.
+    pub fn knows_bound_texts(&self) -> bool {
+        lock(&self.ledger).knows_bound()
+    }
+
+    /// The entry as it may be kept here: text that is bound to other regions never reaches the disk.
+    fn as_kept_here(&self, entry: TurnEntry) -> TurnEntry {
+        if entry.record.is_empty() || self.regions.may_hold(self.zone, entry.regions()) {
+            return entry;
+        }
+        log::warn!(target: part::REPLICA, "Text left out: turn={} regions={:?}: it may not be kept here; check that all nodes go by the same regions.", entry.turn, entry.regions());
+        entry.without_text()
+    }
+
     /// How long another replica's answer is waited for: not long when membership holds it for dead, which may be wrong.
     pub fn patience(&self, node: NodeId, longest: Duration) -> Duration {
         if self.members.is_dead(node) {
@@ -192,6 +225,7 @@
     /// # Errors
     /// [`DiskError`]; nothing is merged then.
     pub async fn store(&self, entries: Vec<TurnEntry>) -> Result<(), DiskError> {
+        let entries: Vec<TurnEntry> = entries.into_iter().map(|entry| self.as_kept_here(entry)).collect();
         let records = entries.iter().cloned().map(Record::Entry).collect();
         self.disk.write(records).await?;
         let now = self.clock.now();
@@ -300,8 +334,10 @@
         if let Some(other) = self.other_set(request.set_version) {
             return other;
         }
-        let links = lock(&self.ledger).chain(request.turn);
-        RpcBody::Chain(Chain { witness: self.witness(), links })
+        let witness = self.witness();
+        let ledger = lock(&self.ledger);
+        let elsewhere = u8::from(ledger.is_elsewhere(request.turn));
+        RpcBody::Chain(Chain { witness, links: ledger.chain(request.turn), elsewhere })
     }
 
     async fn on_take_quota(&self, request: &TakeQuota) -> RpcBody {
@@ -341,17 +377,19 @@
         RpcBody::Marks(Marks { witness: self.witness(), set: news.set, synced: news.synced, complete, marks })
     }
 
-    fn on_fetch(&self, turns: &[TurnId]) -> RpcBody {
+    fn on_fetch(&self, request: &FetchEntries) -> RpcBody {
         let ledger = lock(&self.ledger);
         let mut entries = Vec::new();
         let mut bytes = 0;
-        for entry in turns.iter().filter_map(|turn| ledger.entry(*turn)) {
+        for known in request.turns.iter().filter_map(|turn| ledger.entry(*turn)) {
+            let may_carry = self.regions.may_hold(request.zone, known.regions());
+            let entry = if may_carry { known.clone() } else { known.without_text() };
             bytes +=
                 entry.record.iter().map(|record| record.input.bytes.len() + record.output.bytes.len()).sum::<usize>();
             if !entries.is_empty() && bytes > PAGE_BYTES {
                 break;
             }
-            entries.push(entry.clone());
+            entries.push(entry);
         }
         self.handed_out.fetch_add(entries.len() as u64, Ordering::Relaxed);
         RpcBody::Entries(Entries { entries })
@@ -364,7 +402,7 @@
             RpcBody::ReadChain(request) => self.on_read_chain(request),
             RpcBody::TakeQuota(request) => self.on_take_quota(&request).await,
             RpcBody::ListMarks(request) => self.on_list(request).await,
-            RpcBody::FetchEntries(request) => self.on_fetch(&request.turns),
+            RpcBody::FetchEntries(request) => self.on_fetch(&request),
             RpcBody::AdoptSet(news) => {
                 self.adopt_set(&news.set, Origin::Peer).await;
                 RpcBody::SetKnown(self.set_news())
--- a/crates/gateway/src/replica/process.rs
+++ b/crates/gateway/src/replica/process.rs
@@ -54,6 +54,8 @@
     let kept = Arc::new(KeptView::open(&folder, own));
     let parts = ReplicaParts {
         own,
+        zone: zone_hash(&settings.zone),
+        regions: settings.zone_regions(),
         clock,
         disk,
         memory_limit,
@@ -157,6 +159,10 @@
     metrics
         .read("entries_handed_out", "Entries handed to replicas that lacked them", move || replica.handed_out() as i64);
     let replica = core.clone();
+    metrics.read("texts_owed", "Turns of which the text belongs here and is elsewhere alone", move || {
+        replica.owed_texts() as i64
+    });
+    let replica = core.clone();
     metrics
         .read("limited_tenants", "Tenants of whose limits a share is held", move || replica.limited_tenants() as i64);
     let replica = core.clone();
--- a/crates/gateway/src/replica/steward/filling.rs
+++ b/crates/gateway/src/replica/steward/filling.rs
@@ -19,6 +19,7 @@
         if counted < replica_set::refill_quorum(set.members.len()) || !earlier {
             return Err(StepError::TooFewHeard(counted));
         }
+        self.check_texts(set, &heard)?;
         let version = set.version;
         let is_member = replica_set::contains(set, self.own.node);
         let written = self
@@ -42,6 +43,7 @@
         if !is_any_synced(&heard, set) && !replica_set::covers_previous(set, self.own.node, &complete) {
             return Err(StepError::TooFewHeard(complete.len()));
         }
+        self.check_texts(set, &heard)?;
         let version = set.version;
         let written = self
             .core
@@ -56,6 +58,28 @@
     }
 }
 
+impl Steward {
+    /// Text that is bound to regions is on fewer members than a quorum: while any is owed, all members that are not gone have to
+    /// be heard, since any of them may hold it.
+    fn check_texts(&self, set: &ReplicaSet, heard: &[Heard]) -> Result<(), StepError> {
+        let owed = self.core.owed_texts();
+        if owed == 0 {
+            return Ok(());
+        }
+        let gone = self.long_silent(set);
+        let is_missed = |member: &&ReplicaMember| {
+            let node = member.node;
+            node != self.own.node && !gone.contains(&node) && !heard.iter().any(|heard| heard.node == node)
+        };
+        let missed = set.members.iter().filter(is_missed).count();
+        if missed > 0 {
+            return Err(StepError::TextsOwed { owed, missed });
+        }
+        log::warn!(target: part::REPLICA, "Texts are owed and no member that answers holds them: owed={owed} set={} gone={gone:?}; start the replicas of this region that are down.", set.version);
+        Ok(())
+    }
+}
+
 /// Whether one of those heard is synced to the set: it holds all that was acknowledged under earlier versions, so the
 /// members of those need not be heard any more; some may be gone for good.
 fn is_any_synced(heard: &[Heard], set: &ReplicaSet) -> bool {
--- a/crates/gateway/src/replica/steward/mod.rs
+++ b/crates/gateway/src/replica/steward/mod.rs
@@ -61,6 +61,8 @@
     TooFewRemain(usize),
     #[error("{0} members of the set do not answer; they are taken out once they are found dead")]
     Unheard(usize),
+    #[error("{owed} texts that are bound to this region are not here yet and {missed} members do not answer; check that they run")]
+    TextsOwed { owed: usize, missed: usize },
     #[error("too few complete replicas were heard ({0}); check that the other replicas run")]
     TooFewHeard(usize),
 }
--- a/crates/gateway/src/replica/steward/set_changes.rs
+++ b/crates/gateway/src/replica/steward/set_changes.rs
@@ -51,12 +51,20 @@
     pub(super) async fn change_set(&self, set: &ReplicaSet, next: ReplicaSet) -> Result<bool, StepError> {
         let synced = self.synced_members(set).await;
         self.check_current(set)?;
-        if !replica_set::may_follow(set, &synced) {
+        if !replica_set::may_follow(set, &synced) || self.is_text_unspread(set, &synced) {
             return Err(StepError::NotSynced(set.version));
         }
         self.write_set(set, next, &synced).await
     }
 
+    /// Whether members that answer are not synced while text is bound to regions: it is on fewer members than a majority, so
+    /// a majority that is synced does not tell that it is on enough of them.
+    fn is_text_unspread(&self, set: &ReplicaSet, synced: &[NodeId]) -> bool {
+        let answers = |node| node == self.own.node || self.members.is_reachable(node);
+        let is_behind = |node: NodeId| answers(node) && !synced.contains(&node);
+        self.core.knows_bound_texts() && set.members.iter().any(|member| is_behind(member.node))
+    }
+
     /// Writes the next version by compare-and-swap, and tells all members.
     pub(super) async fn write_set(
         &self,
--- a/crates/gateway/src/replica/sync.rs
+++ b/crates/gateway/src/replica/sync.rs
@@ -97,7 +97,7 @@
     let count = wanted.len();
     while !wanted.is_empty() {
         let page: Vec<TurnId> = wanted.iter().take(TURNS_PER_PAGE).copied().collect();
-        let request = RpcBody::FetchEntries(FetchEntries { turns: page.clone() });
+        let request = RpcBody::FetchEntries(FetchEntries { zone: core.zone(), turns: page.clone() });
         let patience = Patience::while_arriving(PAGE_SILENCE);
         let answer = client.call_with(address_of(&member), request, patience).await;
         let RpcBody::Entries(entries) = answered(answer, member.node, "entries")? else { return None };
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,6 +5,7 @@
 use foxnotch_scheduler::quota::QuotaRules;
 use foxnotch_scheduler::slow_start::SlowStartTolerance;
 use foxnotch_turns::replica_set::{least_set_size, SetTarget, Tolerance};
+use foxnotch_turns::zone_regions::ZoneRegions;
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -335,6 +336,11 @@
         Places::new(self.regions.clone())
     }
 
+    /// Zones and their regions, as nodes name them to each other.
+    pub fn zone_regions(&self) -> ZoneRegions {
+        ZoneRegions::new(&self.regions, |zone| self.zone_number(zone))
+    }
+
     /// The time within which a change of the platform has to be in force on this node.
     pub fn change_bound(&self) -> Duration {
         let zone_drain_ms = self.times.zone_drain_ms.unwrap_or(f64::INFINITY);
--- a/crates/gateway/tests/edge_tests.rs
+++ b/crates/gateway/tests/edge_tests.rs
@@ -97,6 +97,7 @@
     Arc::new(TurnRecord {
         previous: TurnId(0),
         engine: 0,
+        regions: Vec::new(),
         input: Content::from(vec![0; length]),
         output: Content::default(),
     })
--- a/crates/gateway/tests/relay_tests.rs
+++ b/crates/gateway/tests/relay_tests.rs
@@ -11,13 +11,13 @@
 use foxnotch_gateway::peers::replica_client::{Relays, ReplicaClient};
 use foxnotch_gateway::peers::rpc_client::RpcClient;
 use foxnotch_gateway::peers::view::{Origin, ViewHolder};
-use foxnotch_turns::identity::zone_hash;
+use foxnotch_turns::identity::{region_id, zone_hash};
 use foxnotch_turns::replica_set::Tolerance;
 use foxnotch_wire::{NodeId, ReplicaMember, ReplicaSet, TurnId};
 use rstest::rstest;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use support::cluster::{eventually, reservation, turn, Cluster};
+use support::cluster::{eventually, reservation, turn, Cluster, Zones};
 use support::gateway::RunningGateway;
 use support::slow_path::slow_path_to;
 use tokio::net::TcpListener;
@@ -58,17 +58,19 @@
     let metrics = Arc::new(Metrics::default());
     let client = Arc::new(RpcClient::new(NodeId(61)));
     let mut replicas = ReplicaClient::direct(client.clone()).with_metrics(metrics.clone());
+    let settings = cluster.settings(61, false);
+    let regions = settings.zone_regions();
+    let zone = zone_hash(&settings.zone);
     if relays {
-        let settings = cluster.settings(61, false);
         let members = Members::bind(&settings, SteadyClock::start(), client, Arc::default()).await;
         let members = members.expect("an address can be had");
         tokio::spawn(members.clone().run());
         eventually("another gateway is known", || members.gateway_count() > 0).await;
-        replicas = replicas.with_relays(Relays::new(members));
+        replicas = replicas.with_relays(Relays::new(members).with_regions(zone, regions.clone()));
     }
     let tolerance = Tolerance { machines: 1, zones: 0 };
-    let keeper = TurnKeeper::new(Arc::new(replicas), view, TurnCache::new(0), zone_hash("a"), tolerance);
-    (keeper, metrics)
+    let keeper = TurnKeeper::new(Arc::new(replicas), view, TurnCache::new(0), zone, tolerance);
+    (keeper.with_regions(regions), metrics)
 }
 
 /// Found by scale-2 of the further customer: three gateways of a zone's four cut off from the replicas for 12 s, all their
@@ -96,6 +98,40 @@
     }
 }
 
+/// The replicas are in `ra`, the gateway that asks in `rb`, the one that could relay in the region of the case.
+#[rstest]
+#[case::in_the_regions_of_the_text(83, 50, true)]
+#[case::in_the_askers_region(84, 51, true)]
+#[case::in_a_third_region(85, 52, false)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn text_that_is_bound_to_regions_passes_through_no_other(
+    #[case] net: u8,
+    #[case] relay: u8,
+    #[case] may_pass: bool,
+) {
+    let zones = Zones {
+        of_node: |number| match number {
+            51 | 61 => "zb",
+            52 => "zc",
+            _ => "za",
+        },
+        regions: &[("za", "ra"), ("zb", "rb"), ("zc", "rc")],
+    };
+    let cluster = Cluster::start_in(net, 3, zones).await;
+    let _gateway = RunningGateway::start_with(&cluster, relay, cluster.store.clone()).await;
+    let cut_off = CutOff::start(&cluster, true).await;
+    let within = || Instant::now() + milliseconds(if may_pass { 5000 } else { 600 });
+    let mut bound = turn(1, 0, "bound");
+    bound.record[0].regions = vec![region_id("ra")];
+    assert_eq!(cut_off.keeper.keep(&bound, within()).await.is_ok(), may_pass);
+    let books = cut_off.keeper.reserve(&reservation(2, 7, 10), 1000, Instant::now() + milliseconds(5000)).await;
+    assert!(books.is_ok_and(|reservation| reservation.granted), "books pass everywhere");
+    cluster.keep(&turn(3, 0, "unbound")).await;
+    let is_own_region = relay == 51;
+    let read = cut_off.keeper.chain(TurnId(3), within()).await;
+    assert_eq!(read.is_ok(), is_own_region, "what is read passes through the asker's region alone");
+}
+
 /// A long history takes longer than a path is given, and was
 /// asked for through other gateways too while it was on its way.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/gateway/tests/support/cluster.rs
+++ b/crates/gateway/tests/support/cluster.rs
@@ -29,6 +29,31 @@
 /// The longest wait for something to come true.
 const PATIENCE: Duration = Duration::from_secs(30);
 
+/// Where the nodes of a cluster stand.
+#[derive(Clone, Copy)]
+pub struct Zones {
+    /// The zone of a node.
+    pub of_node: fn(u8) -> &'static str,
+    /// Each zone and its region.
+    pub regions: &'static [(&'static str, &'static str)],
+}
+
+/// One zone, and no regions.
+const ONE_ZONE: Zones = Zones { of_node: |_| "a", regions: &[] };
+
+impl Zones {
+    fn names(self) -> Vec<String> {
+        if self.regions.is_empty() {
+            return vec!["a".to_owned()];
+        }
+        self.regions.iter().map(|(zone, _)| (*zone).to_owned()).collect()
+    }
+
+    fn regions(self) -> BTreeMap<String, String> {
+        self.regions.iter().map(|(zone, region)| ((*zone).to_owned(), (*region).to_owned())).collect()
+    }
+}
+
 /// A replica that runs.
 struct RunningReplica {
     runtime: Runtime,
@@ -46,6 +71,7 @@
     net: u8,
     folder: TempDir,
     set_size: Option<usize>,
+    zones: Zones,
     running: BTreeMap<u8, RunningReplica>,
 }
 
@@ -68,6 +94,7 @@
     let record = TurnRecord {
         previous: TurnId(previous),
         engine: 7,
+        regions: Vec::new(),
         input: Content::from(input.as_bytes().to_vec()),
         output: Content::from(b"out\n".to_vec()),
     };
@@ -83,6 +110,7 @@
         reserved: tokens,
         used: NOT_SETTLED,
         place: None,
+        elsewhere: None,
         record: Vec::new(),
     }
 }
@@ -95,8 +123,19 @@
         cluster
     }
 
+    /// The same, with the nodes in several zones.
+    pub async fn start_in(net: u8, replicas: u8, zones: Zones) -> Self {
+        let cluster = Self::begin_in(net, replicas, Some(usize::from(replicas)), zones);
+        cluster.wait_for_members(&(1..=replicas).collect::<Vec<_>>()).await;
+        cluster
+    }
+
     /// A deployment whose set is to have `set_size` members, or as few as the tolerance allows. Nothing is waited for.
     pub fn begin(net: u8, replicas: u8, set_size: Option<usize>) -> Self {
+        Self::begin_in(net, replicas, set_size, ONE_ZONE)
+    }
+
+    fn begin_in(net: u8, replicas: u8, set_size: Option<usize>, zones: Zones) -> Self {
         if std::env::var_os("SHOW_LOGS").is_some() {
             // Only the first cluster of a process starts the logs.
             let _ = foxnotch_gateway::logging::start("info");
@@ -113,7 +152,7 @@
             Tolerance { machines: 1, zones: 0 },
         ));
         let folder = TempDir::new().expect("a folder can be made");
-        let mut cluster = Self { store, keeper, view, client, net, folder, set_size, running: BTreeMap::new() };
+        let mut cluster = Self { store, keeper, view, client, net, folder, set_size, zones, running: BTreeMap::new() };
         for number in 1..=replicas {
             cluster.start_replica(number, true);
         }
@@ -148,8 +187,8 @@
         ProcessSettings {
             policy: Default::default(),
             node: name(number),
-            zone: "a".to_owned(),
-            zones: vec!["a".to_owned()],
+            zone: (self.zones.of_node)(number).to_owned(),
+            zones: self.zones.names(),
             ip: self.ip(number),
             peer_port: PEER_PORT,
             metrics_port: PEER_PORT + 1,
@@ -163,7 +202,7 @@
             log_level: "info".to_owned(),
             quota: Default::default(),
             tolerance: ToleranceSettings { machines: 1, zones: 0 },
-            regions: std::collections::BTreeMap::new(),
+            regions: self.zones.regions(),
             slow_start: foxnotch_gateway::settings::SlowStartSettings::default(),
             times: TimeSettings { drain_ms: 2000.0, apply_ms: 2000.0, grace_s: 8.0, zone_drain_ms: Some(2000.0) },
             resources: ResourceSettings { memory_mb: 200, descriptors: 4000 },
@@ -231,7 +270,7 @@
     /// Whether a replica holds a turn.
     pub async fn holds(&self, number: u8, turn: u128) -> bool {
         let address = self.peer_address(number);
-        let request = RpcBody::FetchEntries(FetchEntries { turns: vec![TurnId(turn)] });
+        let request = RpcBody::FetchEntries(FetchEntries { zone: zone_hash("a"), turns: vec![TurnId(turn)] });
         let answer = self.client.call(address, request, Duration::from_secs(5)).await;
         matches!(answer, Ok(RpcBody::Entries(entries)) if !entries.entries.is_empty())
     }
--- a/crates/gateway/tests/support/gateway.rs
+++ b/crates/gateway/tests/support/gateway.rs
@@ -163,13 +163,18 @@
 
 /// Lists an engine.
 pub fn list_engine(cluster: &Cluster, id: &str, service: &str, address: SocketAddr) {
+    list_engine_in(cluster, id, service, address, "a", false);
+}
+
+/// Lists an engine of a zone.
+pub fn list_engine_in(cluster: &Cluster, id: &str, service: &str, address: SocketAddr, zone: &str, draining: bool) {
     let entry = EngineEntry {
         id: id.to_owned(),
         service: service.to_owned(),
         address: address.to_string(),
-        zone: "a".to_owned(),
+        zone: zone.to_owned(),
         slots: 4,
-        draining: false,
+        draining,
         started_at_ms: None,
         cold_left_ms: 0,
     };
--- a/crates/scheduler/src/places.rs
+++ b/crates/scheduler/src/places.rs
@@ -20,6 +20,11 @@
         self.regions.get(zone).map(String::as_str)
     }
 
+    /// The names of the regions; one that has several zones comes several times.
+    pub fn regions(&self) -> impl Iterator<Item = &str> {
+        self.regions.values().map(String::as_str)
+    }
+
     /// Whether two zones are of the same region. A zone that is not named is of the same region as all others.
     pub fn is_same_region(&self, left: &str, right: &str) -> bool {
         match (self.region_of(left), self.region_of(right)) {
--- a/crates/scheduler/src/residency.rs
+++ b/crates/scheduler/src/residency.rs
@@ -4,6 +4,40 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 
+/// Why a request that is bound to regions is not served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ResidencyDenial {
+    /// Route and tenant have no region in common.
+    #[error("its route and its tenant allow no region in common; change the regions of one of them")]
+    NoCommonRegion,
+    /// The service has no engine there.
+    #[error("its service has no engine in them; start one there, or widen the regions")]
+    NoEngine,
+    /// The engines there take no work.
+    #[error("no engine of its service is in service in them now; ask again after the time given")]
+    NoneInService,
+}
+
+impl ResidencyDenial {
+    /// A short name, for logs and counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoCommonRegion => "no_common_region",
+            Self::NoEngine => "no_engine_in_regions",
+            Self::NoneInService => "none_up_in_regions",
+        }
+    }
+}
+
+/// An engine of a service, as far as residency asks for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EnginePlace<'a> {
+    /// Its zone.
+    pub zone: &'a str,
+    /// Whether it takes new work.
+    pub is_in_service: bool,
+}
+
 /// The regions that a route, a tenant or a request is bound to.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -19,6 +53,39 @@
         Self { regions: (!regions.is_empty()).then_some(regions) }
     }
 
+    /// Bound to these regions, and to none at all if there are no names.
+    pub fn only(names: impl IntoIterator<Item = String>) -> Self {
+        Self { regions: Some(names.into_iter().collect()) }
+    }
+
+    /// Whether a request may be served by these engines, all those of its service.
+    ///
+    /// # Errors
+    /// [`ResidencyDenial`]: it is served nowhere.
+    pub fn check<'a>(
+        &self,
+        places: &Places,
+        engines: impl IntoIterator<Item = EnginePlace<'a>>,
+    ) -> Result<(), ResidencyDenial> {
+        let Some(regions) = &self.regions else { return Ok(()) };
+        if regions.is_empty() {
+            return Err(ResidencyDenial::NoCommonRegion);
+        }
+        let mut denial = ResidencyDenial::NoEngine;
+        for engine in engines.into_iter().filter(|engine| self.allows_zone(places, engine.zone)) {
+            if engine.is_in_service {
+                return Ok(());
+            }
+            denial = ResidencyDenial::NoneInService;
+        }
+        Err(denial)
+    }
+
+    /// Whether nothing is allowed at all.
+    pub fn is_nowhere(&self) -> bool {
+        self.regions.as_ref().is_some_and(BTreeSet::is_empty)
+    }
+
     /// Whether anything is bound at all.
     pub fn is_bound(&self) -> bool {
         self.regions.is_some()
--- a/crates/turns/src/chain.rs
+++ b/crates/turns/src/chain.rs
@@ -21,9 +21,11 @@
         self.records.insert(turn, record);
     }
 
-    /// Takes a replica's answer for `newest`. One that lacks the newest turn itself counts as a denial.
+    /// Takes a replica's answer for `newest`. One that lacks the newest turn itself counts as a denial, unless it knows of a
+    /// record that it may not keep.
     pub fn merge(&mut self, newest: TurnId, chain: Chain) {
-        let denied = chain.links.first().is_none_or(|link| link.turn != newest);
+        let is_absent = chain.links.first().is_none_or(|link| link.turn != newest);
+        let denied = is_absent && chain.elsewhere == 0;
         if denied {
             self.denials.add(chain.witness.clone());
         }
--- a/crates/turns/src/identity.rs
+++ b/crates/turns/src/identity.rs
@@ -1,6 +1,6 @@
 //! Identifiers made from names.
 
-use foxnotch_wire::{NodeId, ProgramKey, TurnId};
+use foxnotch_wire::{NodeId, ProgramKey, RegionId, TurnId};
 use xxhash_rust::xxh3::{xxh3_128, xxh3_64};
 
 /// A name within a tenant. A byte that no name of a tenant holds keeps the two apart.
@@ -33,3 +33,8 @@
 pub fn zone_hash(name: &str) -> u32 {
     xxh3_64(name.as_bytes()) as u32
 }
+
+/// The region with this name.
+pub fn region_id(name: &str) -> RegionId {
+    RegionId(xxh3_64(name.as_bytes()) as u32)
+}
--- a/crates/turns/src/ledger.rs
+++ b/crates/turns/src/ledger.rs
@@ -4,8 +4,12 @@
 //! from it, has been touched for its retention.
 
 use crate::chain::NO_TURN;
+use crate::zone_regions::ZoneRegions;
 use foxnotch_core::time::Millis;
-use foxnotch_wire::{ChainLink, ProgramKey, RunPlace, TurnCharge, TurnEntry, TurnId, TurnMark, NOT_SETTLED};
+use foxnotch_wire::{
+    ChainLink, ProgramKey, RunPlace, TurnCharge, TurnEntry, TurnId, TurnMark, NOT_SETTLED, RECORD_ELSEWHERE,
+    RECORD_HERE,
+};
 use std::collections::{HashMap, HashSet};
 
 /// Milliseconds by which a program is kept longer than asked for: the caller counts from a later moment.
@@ -24,18 +28,31 @@
 /// The entries of one replica.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
+    /// The zone of the replica, as a hash of its name.
+    zone: u32,
+    regions: ZoneRegions,
     entries: HashMap<TurnId, TurnEntry>,
     programs: HashMap<ProgramKey, KeptProgram>,
     bytes: usize,
 }
 
 impl Ledger {
+    /// The empty ledger of a replica in a zone: it holds the text of records that may be kept there.
+    pub fn in_zone(zone: u32, regions: ZoneRegions) -> Self {
+        Self { zone, regions, ..Self::default() }
+    }
+
+    /// Whether the text of an entry may be kept here.
+    pub fn may_hold(&self, entry: &TurnEntry) -> bool {
+        self.regions.may_hold(self.zone, entry.regions())
+    }
+
     /// Merges an entry into what is known of its turn.
     pub fn apply(&mut self, entry: TurnEntry, now: Millis) {
         let turn = entry.turn;
         let program = entry.program;
         let retention = u64::from(entry.retention_ms) + RETENTION_MARGIN;
-        let previous = entry.record.first().map(|record| record.previous);
+        let previous = entry.previous();
         self.merge(entry);
         let kept = self.programs.entry(program).or_default();
         kept.turns.insert(turn);
@@ -61,8 +78,12 @@
         if known.record.is_empty() && !entry.record.is_empty() {
             self.bytes -= entry_bytes(known);
             known.record = entry.record;
+            known.elsewhere = None;
             self.bytes += entry_bytes(known);
         }
+        if known.record.is_empty() && known.elsewhere.is_none() {
+            known.elsewhere = entry.elsewhere;
+        }
     }
 
     /// Keeps a program, and those that it continues, for its retention from now on.
@@ -118,12 +139,28 @@
         links
     }
 
+    /// Whether a turn is known to have a record that is not here.
+    pub fn is_elsewhere(&self, turn: TurnId) -> bool {
+        self.entries.get(&turn).is_some_and(|entry| entry.record.is_empty() && entry.elsewhere.is_some())
+    }
+
+    /// Turns of which the text may be kept here and is known to be elsewhere alone.
+    pub fn owed(&self) -> usize {
+        let is_owed = |entry: &&TurnEntry| self.is_elsewhere(entry.turn) && self.may_hold(entry);
+        self.entries.values().filter(is_owed).count()
+    }
+
+    /// Whether any turn is held whose text is bound to regions.
+    pub fn knows_bound(&self) -> bool {
+        self.entries.values().any(|entry| !entry.regions().is_empty())
+    }
+
     /// Everything that is held, in short.
     pub fn marks(&self) -> Vec<TurnMark> {
         let mark = |entry: &TurnEntry| TurnMark {
             turn: entry.turn,
             settled: u8::from(entry.used != NOT_SETTLED),
-            recorded: u8::from(!entry.record.is_empty()),
+            recorded: recorded(entry),
         };
         self.entries.values().map(mark).collect()
     }
@@ -132,13 +169,21 @@
     pub fn missing(&self, marks: &[TurnMark]) -> Vec<TurnId> {
         let lacks = |mark: &&TurnMark| match self.entries.get(&mark.turn) {
             None => true,
-            Some(entry) => {
-                (mark.settled == 1 && entry.used == NOT_SETTLED) || (mark.recorded == 1 && entry.record.is_empty())
-            }
+            Some(entry) => (mark.settled == 1 && entry.used == NOT_SETTLED) || self.lacks_record(entry, mark.recorded),
         };
         marks.iter().filter(lacks).map(|mark| mark.turn).collect()
     }
 
+    /// Whether a replica that knows `recorded` of an entry's record can tell more of it than is known here.
+    fn lacks_record(&self, entry: &TurnEntry, recorded: u8) -> bool {
+        let knows_of_it = !entry.record.is_empty() || entry.elsewhere.is_some();
+        match recorded {
+            RECORD_HERE => entry.record.is_empty() && (!knows_of_it || self.may_hold(entry)),
+            RECORD_ELSEWHERE => !knows_of_it,
+            _ => false,
+        }
+    }
+
     /// The entry of a turn.
     pub fn entry(&self, turn: TurnId) -> Option<&TurnEntry> {
         self.entries.get(&turn)
@@ -180,6 +225,15 @@
     }
 }
 
+/// What is known of an entry's record, as marks tell it.
+fn recorded(entry: &TurnEntry) -> u8 {
+    match (entry.record.is_empty(), &entry.elsewhere) {
+        (false, _) => RECORD_HERE,
+        (true, Some(_)) => RECORD_ELSEWHERE,
+        (true, None) => 0,
+    }
+}
+
 fn entry_bytes(entry: &TurnEntry) -> usize {
     entry.record.iter().map(|record| record.input.bytes.len() + record.output.bytes.len()).sum()
 }
--- a/crates/turns/src/lib.rs
+++ b/crates/turns/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! A gateway writes each turn to all replicas and counts the answers ([`quorum`], [`budget`], [`chain`]). A replica
 //! keeps what it was given ([`ledger`]) and writes it to disk in checked frames ([`segment`]). Who the replicas are
-//! stands in a versioned set ([`replica_set`]).
+//! stands in a versioned set ([`replica_set`]). Text that is bound to regions is kept by the members there alone
+//! ([`zone_regions`], [`record_quorum`]).
 
 pub mod budget;
 pub mod chain;
@@ -10,5 +11,7 @@
 pub mod kept_view;
 pub mod ledger;
 pub mod quorum;
+pub mod record_quorum;
 pub mod replica_set;
 pub mod segment;
+pub mod zone_regions;
--- /dev/null
+++ b/crates/turns/src/record_quorum.rs
@@ -0,0 +1,50 @@
+//! When a turn whose text is bound to regions counts as kept.
+//!
+//! Invariant: whoever counts a turn as kept has its text on enough members of its regions, and the knowledge that it exists on a
+//! quorum of the whole set. So a loss within the tolerance leaves the text, and no denial quorum is left without a member that
+//! knows of the turn.
+
+use crate::quorum::Tally;
+use crate::replica_set::{write_quorum, Tolerance};
+use crate::zone_regions::ZoneRegions;
+use foxnotch_wire::{NodeId, RegionId, ReplicaSet};
+
+/// What a write needs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RecordQuorum {
+    /// Members that have to know of the entry.
+    pub acknowledgements: usize,
+    /// Members that may hold the text.
+    holders: Vec<NodeId>,
+    /// Members that have to hold the text.
+    pub copies: usize,
+    /// Members that would have to hold the text for it to outlast every loss that has to be borne.
+    pub copies_promised: usize,
+}
+
+impl RecordQuorum {
+    /// What a write of text that is bound to `regions` needs; none when no member of the set may hold it.
+    pub fn of(set: &ReplicaSet, tolerance: Tolerance, zones: &ZoneRegions, regions: &[RegionId]) -> Option<Self> {
+        let inside = set.members.iter().filter(|member| zones.may_hold(member.zone, regions));
+        let members: Vec<_> = inside.copied().collect();
+        if members.is_empty() && !regions.is_empty() {
+            return None;
+        }
+        let acknowledgements = write_quorum(set.members.len(), tolerance.losses(&set.members));
+        let copies_promised = tolerance.losses(&members) + 1;
+        let copies = copies_promised.min(members.len());
+        let holders = members.iter().map(|member| member.node).collect();
+        Some(Self { acknowledgements, holders, copies, copies_promised })
+    }
+
+    /// Whether a loss that has to be borne may take all copies of the text.
+    pub fn is_weakened(&self) -> bool {
+        self.copies < self.copies_promised
+    }
+
+    /// Whether these answers are enough.
+    pub fn is_met_by(&self, tally: &Tally) -> bool {
+        let copies = tally.counted().filter(|node| self.holders.contains(node)).count();
+        tally.count() >= self.acknowledgements && copies >= self.copies
+    }
+}
--- a/crates/turns/tests/ledger_tests.rs
+++ b/crates/turns/tests/ledger_tests.rs
@@ -19,6 +19,7 @@
         reserved: tokens,
         used: NOT_SETTLED,
         place: None,
+        elsewhere: None,
         record: Vec::new(),
     }
 }
@@ -27,6 +28,7 @@
     let record = TurnRecord {
         previous: TurnId(previous),
         engine: 0,
+        regions: Vec::new(),
         input: Content::from(input.as_bytes().to_vec()),
         output: Content::from(output.as_bytes().to_vec()),
     };
@@ -66,7 +68,7 @@
     ledger.apply(recorded(1, 7, 0, "a", "b\n"), START);
     ledger.apply(recorded(2, 7, 1, "c", "d\n"), START);
     let mut assembly = ChainAssembly::default();
-    assembly.merge(TurnId(2), Chain { witness: witness(1), links: ledger.chain(TurnId(2)) });
+    assembly.merge(TurnId(2), Chain { witness: witness(1), links: ledger.chain(TurnId(2)), elsewhere: 0 });
     let chain = assembly.resolve(TurnId(2)).expect("the chain is whole");
     assert_eq!(compose_body(&chain, b"e"), b"ab\ncd\ne");
 }
@@ -77,13 +79,14 @@
         Arc::new(TurnRecord {
             previous: TurnId(previous),
             engine: 0,
+            regions: Vec::new(),
             input: Content::default(),
             output: Content::default(),
         })
     };
     let mut assembly = ChainAssembly::default();
     let link = ChainLink { turn: TurnId(2), record: (*record(1)).clone() };
-    assembly.merge(TurnId(2), Chain { witness: witness(1), links: vec![link] });
+    assembly.merge(TurnId(2), Chain { witness: witness(1), links: vec![link], elsewhere: 0 });
     assert_eq!(assembly.resolve(TurnId(2)), Err(TurnId(1)));
     assert_eq!(assembly.denials(), 0);
     assembly.insert(TurnId(1), record(0));
@@ -94,9 +97,9 @@
 #[test]
 fn replicas_without_the_newest_turn_deny_it() {
     let mut assembly = ChainAssembly::default();
-    assembly.merge(TurnId(2), Chain { witness: witness(1), links: Vec::new() });
+    assembly.merge(TurnId(2), Chain { witness: witness(1), links: Vec::new(), elsewhere: 0 });
     let refilling = Witness { standing: ReplicaStanding::Refilling, ..witness(2) };
-    assembly.merge(TurnId(2), Chain { witness: refilling, links: Vec::new() });
+    assembly.merge(TurnId(2), Chain { witness: refilling, links: Vec::new(), elsewhere: 0 });
     assert_eq!(assembly.denials(), 1);
 }
 
--- /dev/null
+++ b/crates/turns/tests/record_quorum_tests.rs
@@ -0,0 +1,275 @@
+//! Text that is bound to regions: it is on no replica outside, it outlasts every loss that has to be borne, and no replica
+//! denies a turn that counted as kept.
+
+use foxnotch_core::time::Millis;
+use foxnotch_turns::chain::ChainAssembly;
+use foxnotch_turns::identity::{region_id, zone_hash};
+use foxnotch_turns::ledger::Ledger;
+use foxnotch_turns::quorum::Tally;
+use foxnotch_turns::record_quorum::RecordQuorum;
+use foxnotch_turns::replica_set::{denial_quorum, refill_quorum, Tolerance};
+use foxnotch_turns::zone_regions::ZoneRegions;
+use foxnotch_wire::{
+    Chain, Content, DiskIdentity, NodeId, ProgramKey, RegionId, ReplicaMember, ReplicaSet, ReplicaStanding, TurnEntry,
+    TurnId, TurnRecord, Witness,
+};
+use proptest::prelude::*;
+use rstest::rstest;
+use std::collections::BTreeMap;
+
+const NOW: Millis = Millis(1000);
+const ZONES: [&str; 3] = ["a", "b", "c"];
+const TURN: TurnId = TurnId(5);
+
+fn regions() -> ZoneRegions {
+    let regions: BTreeMap<String, String> =
+        ZONES.iter().map(|zone| ((*zone).to_owned(), zone.to_uppercase())).collect();
+    ZoneRegions::new(&regions, |zone| ZONES.iter().position(|known| *known == zone).map_or(9, |index| index as u8))
+}
+
+fn set(zones: &[usize]) -> ReplicaSet {
+    let member = |(index, zone): (usize, &usize)| ReplicaMember {
+        node: NodeId(index as u32 + 1),
+        zone: zone_hash(ZONES[*zone]),
+        ip: [127, 0, 0, 1],
+        port: 1,
+    };
+    ReplicaSet { version: 1, members: zones.iter().enumerate().map(member).collect(), previous: Vec::new() }
+}
+
+fn entry(bound: &[RegionId]) -> TurnEntry {
+    let record = TurnRecord {
+        previous: TurnId(0),
+        engine: 1,
+        regions: bound.to_vec(),
+        input: Content::from(b"in".to_vec()),
+        output: Content::from(b"out\n".to_vec()),
+    };
+    TurnEntry {
+        turn: TURN,
+        program: ProgramKey(3),
+        retention_ms: 60_000,
+        reserved: 2,
+        used: 1,
+        place: None,
+        elsewhere: None,
+        record: vec![record],
+    }
+}
+
+fn witness(node: NodeId) -> Witness {
+    let own = DiskIdentity { node, disk: u64::from(node.0) };
+    Witness { own, standing: ReplicaStanding::Counts, others: Vec::new() }
+}
+
+/// A replica: what it holds, whether it runs, and whether it has all that it ever acknowledged.
+struct Replica {
+    member: ReplicaMember,
+    ledger: Ledger,
+    is_up: bool,
+    is_complete: bool,
+}
+
+impl Replica {
+    fn may_hold(&self, bound: &[RegionId]) -> bool {
+        regions().may_hold(self.member.zone, bound)
+    }
+
+    fn holds_text(&self) -> bool {
+        !self.ledger.chain(TURN).is_empty()
+    }
+
+    /// What the replica `other` hands to it: text only where it may be.
+    fn pull(&mut self, marks: &[foxnotch_wire::TurnMark], known: Option<TurnEntry>) {
+        for _ in self.ledger.missing(marks) {
+            let Some(entry) = known.clone() else { continue };
+            let entry = if self.may_hold(entry.regions()) { entry } else { entry.without_text() };
+            self.ledger.apply(entry, NOW);
+        }
+    }
+}
+
+struct Deployment {
+    replicas: Vec<Replica>,
+    losses: usize,
+}
+
+impl Deployment {
+    fn new(set: &ReplicaSet, losses: usize) -> Self {
+        let replica = |member: &ReplicaMember| Replica {
+            member: *member,
+            ledger: Ledger::in_zone(member.zone, regions()),
+            is_up: true,
+            is_complete: true,
+        };
+        Self { replicas: set.members.iter().map(replica).collect(), losses }
+    }
+
+    fn lost(&self) -> usize {
+        self.replicas.iter().filter(|replica| !replica.is_up || !replica.is_complete).count()
+    }
+
+    fn may_lose(&self, index: usize) -> bool {
+        let replica = &self.replicas[index];
+        replica.is_up && replica.is_complete && self.lost() < self.losses
+    }
+
+    fn wipe(&mut self, index: usize) {
+        if self.may_lose(index) {
+            let replica = &mut self.replicas[index];
+            replica.ledger = Ledger::in_zone(replica.member.zone, regions());
+            replica.is_complete = false;
+        }
+    }
+
+    fn stop(&mut self, index: usize) {
+        if self.may_lose(index) {
+            self.replicas[index].is_up = false;
+        }
+    }
+
+    /// Fills an empty replica from some of the others; `missed` says which of them do not answer this time.
+    fn refill(&mut self, index: usize, missed: u8) {
+        if self.replicas[index].is_complete || !self.replicas[index].is_up {
+            return;
+        }
+        let answers = |(number, replica): &(usize, &Replica)| *number != index && replica.is_up;
+        let up: Vec<usize> = self.replicas.iter().enumerate().filter(answers).map(|(number, _)| number).collect();
+        let heard: Vec<usize> = up.iter().copied().filter(|number| missed >> number & 1 == 0).collect();
+        for other in &heard {
+            let (marks, known) = {
+                let ledger = &self.replicas[*other].ledger;
+                (ledger.marks(), ledger.entry(TURN).cloned())
+            };
+            self.replicas[index].pull(&marks, known);
+        }
+        let complete = heard.iter().filter(|number| self.replicas[**number].is_complete).count();
+        let is_owed = self.replicas[index].ledger.owed() > 0;
+        if complete >= refill_quorum(self.replicas.len()) && (!is_owed || heard.len() == up.len()) {
+            self.replicas[index].is_complete = true;
+        }
+    }
+
+    /// What all complete replicas that run tell of the turn.
+    fn read(&self) -> ChainAssembly {
+        let mut assembly = ChainAssembly::default();
+        for replica in self.replicas.iter().filter(|replica| replica.is_up && replica.is_complete) {
+            let elsewhere = u8::from(replica.ledger.is_elsewhere(TURN));
+            let links = replica.ledger.chain(TURN);
+            assembly.merge(TURN, Chain { witness: witness(replica.member.node), links, elsewhere });
+        }
+        assembly
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2000, rng_seed: proptest::test_runner::RngSeed::Fixed(8), ..ProptestConfig::default() })]
+
+    /// Each step is a loss of a disk, a stop, a start or a refill; never more at once than has to be borne.
+    #[test]
+    fn no_losses_within_the_tolerance_lose_a_kept_turn_or_deny_it(
+        zones in prop::collection::vec(0_usize..3, 3..8),
+        bound in prop::sample::subsequence(ZONES.to_vec(), 0..=3),
+        losses in 1_usize..3,
+        order in Just((0..8).collect::<Vec<usize>>()).prop_shuffle(),
+        steps in prop::collection::vec((0_usize..8, 0_u8..4, any::<u8>()), 0..24),
+    ) {
+        let set = set(&zones);
+        let tolerance = Tolerance { machines: losses, zones: 0 };
+        let bound: Vec<RegionId> = bound.iter().map(|zone| region_id(&zone.to_uppercase())).collect();
+        let quorum = RecordQuorum::of(&set, tolerance, &regions(), &bound);
+        let may_hold = |member: &ReplicaMember| regions().may_hold(member.zone, &bound);
+        prop_assert_eq!(quorum.is_none(), !set.members.iter().any(may_hold));
+        let Some(quorum) = quorum else { return Ok(()) };
+        let mut deployment = Deployment::new(&set, losses);
+        let mut tally = Tally::default();
+        let written = entry(&bound);
+        for index in order.into_iter().filter(|index| *index < zones.len()) {
+            if quorum.is_met_by(&tally) {
+                break;
+            }
+            let replica = &mut deployment.replicas[index];
+            let entry = if replica.may_hold(&bound) { written.clone() } else { written.without_text() };
+            replica.ledger.apply(entry, NOW);
+            tally.add(witness(NodeId(index as u32 + 1)));
+        }
+        prop_assert!(quorum.is_met_by(&tally), "it is met once all have answered");
+        for (index, step, missed) in steps {
+            let index = index % zones.len();
+            match step {
+                0 => deployment.wipe(index),
+                1 => deployment.stop(index),
+                2 => deployment.replicas[index].is_up = true,
+                _ => deployment.refill(index, missed),
+            }
+            for replica in &deployment.replicas {
+                prop_assert!(!replica.holds_text() || replica.may_hold(&bound), "text outside its regions");
+            }
+            let read = deployment.read();
+            prop_assert!(read.denials() < denial_quorum(zones.len(), losses), "a kept turn is denied");
+            let is_read = read.resolve(TURN).is_ok();
+            prop_assert!(is_read || quorum.is_weakened(), "the text of a kept turn is lost");
+        }
+    }
+
+    /// Replicas that pull from each other in any order end with the text on all that may hold it, and want nothing more.
+    #[test]
+    fn replicas_that_pull_from_each_other_come_to_rest(
+        zones in prop::collection::vec(0_usize..3, 2..6),
+        first in 0_usize..6,
+        pulls in prop::collection::vec((0_usize..6, 0_usize..6), 0..20),
+    ) {
+        let first = first % zones.len();
+        let bound = [region_id(&ZONES[zones[first]].to_uppercase())];
+        let mut deployment = Deployment::new(&set(&zones), 1);
+        deployment.replicas[first].ledger.apply(entry(&bound), NOW);
+        let all = (0..zones.len()).flat_map(|to| (0..zones.len()).map(move |from| (to, from)));
+        let pulls = pulls.into_iter().map(|(to, from)| (to % zones.len(), from % zones.len()));
+        for (to, from) in pulls.chain(all.clone()).chain(all.clone()) {
+            let (marks, known) = {
+                let ledger = &deployment.replicas[from].ledger;
+                (ledger.marks(), ledger.entry(TURN).cloned())
+            };
+            deployment.replicas[to].pull(&marks, known);
+        }
+        for replica in &deployment.replicas {
+            prop_assert_eq!(replica.holds_text(), replica.may_hold(&bound));
+            prop_assert_eq!(replica.ledger.owed(), 0);
+            for other in &deployment.replicas {
+                prop_assert!(replica.ledger.missing(&other.ledger.marks()).is_empty());
+            }
+        }
+    }
+}
+
+#[rstest]
+#[case::enough_inside(&[0, 0, 1, 1, 2], 1, 2, false)]
+#[case::fewer_inside(&[0, 1, 1, 2, 2], 1, 1, true)]
+#[case::more_inside_than_needed(&[0, 0, 0, 0, 1], 1, 2, false)]
+fn text_is_on_one_replica_more_than_may_be_lost_or_on_all_there_are(
+    #[case] zones: &[usize],
+    #[case] machines: usize,
+    #[case] copies: usize,
+    #[case] is_weakened: bool,
+) {
+    let tolerance = Tolerance { machines, zones: 0 };
+    let quorum = RecordQuorum::of(&set(zones), tolerance, &regions(), &[region_id("A")]).expect("some are inside");
+    assert_eq!((quorum.copies, quorum.is_weakened()), (copies, is_weakened));
+}
+
+/// The asker is in zone `b`; `c` is of neither region.
+#[rstest]
+#[case::its_region(0, true)]
+#[case::the_askers_region(1, true)]
+#[case::another(2, false)]
+#[case::not_named(7, false)]
+fn text_passes_through_its_regions_and_the_askers(#[case] zone: u8, #[case] may_pass: bool) {
+    assert_eq!(regions().may_pass(zone, zone_hash("b"), &[region_id("A")]), may_pass);
+}
+
+#[test]
+fn one_region_holds_nothing_back_from_relays_but_keeps_no_text_that_is_bound_to_another() {
+    let one = ZoneRegions::default();
+    assert!(one.may_pass(3, 9, &[]) && !one.may_pass(3, 9, &[region_id("A")]));
+    assert!(one.may_hold(9, &[]) && !one.may_hold(9, &[region_id("A")]));
+}
--- a/crates/turns/tests/segment_tests.rs
+++ b/crates/turns/tests/segment_tests.rs
@@ -8,6 +8,7 @@
     let content = TurnRecord {
         previous: TurnId(turn - 1),
         engine: 9,
+        regions: Vec::new(),
         input: Content::from(vec![turn as u8; length]),
         output: Content::from(vec![1; length / 2]),
     };
@@ -18,6 +19,7 @@
         reserved: 2,
         used: 1,
         place: Some(RunPlace { engine: 9, part: 8, prompt_tokens: 7 }),
+        elsewhere: None,
         record: vec![content],
     })
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -32,7 +32,7 @@
 pub use text::Text;
 pub use turns::{
     Chain, ChainLink, Content, DiskIdentity, Entries, FetchEntries, ListMarks, Marks, ProgramKey, ReadChain,
-    ReadProgram, ReplicaMember, ReplicaSet, ReplicaStanding, RunPlace, SetNews, StoreEntry, Stored, TurnCharge,
-    TurnEntry, TurnId, TurnMark, TurnRecord, Witness, NOT_SETTLED,
+    ReadProgram, RecordElsewhere, RegionId, ReplicaMember, ReplicaSet, ReplicaStanding, RunPlace, SetNews, StoreEntry,
+    Stored, TurnCharge, TurnEntry, TurnId, TurnMark, TurnRecord, Witness, NOT_SETTLED, RECORD_ELSEWHERE, RECORD_HERE,
 };
 pub use view::{KeptPart, KeptViewHeld, ReadKeptView, ViewNews};
--- a/crates/wire/src/turns.rs
+++ b/crates/wire/src/turns.rs
@@ -8,6 +8,8 @@
 pub const MAXIMUM_TURNS: u32 = 200_000;
 /// The most replicas in a set.
 pub const MAXIMUM_REPLICAS: u32 = 256;
+/// The most regions that one record is bound to.
+const MAXIMUM_REGIONS: u32 = 64;
 /// The longest text of a record, in bytes.
 const MAXIMUM_CONTENT_BYTES: u32 = 8 * 1024 * 1024;
 
@@ -51,20 +53,45 @@
     }
 }
 
+/// A region: the hash of its name.
+#[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct RegionId(pub u32);
+
 /// What a turn that ended whole was given and gave. Written once.
-#[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
+#[deku_derive(DekuRead, DekuWrite)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
 pub struct TurnRecord {
     /// The turn that it continues; 0 at the start of a chain.
     pub previous: TurnId,
     /// The engine that ran it, as a hash of its identifier: it probably still holds what it has read.
     pub engine: u32,
+    #[deku(temp, temp_value = "Length::of(&regions)")]
+    regions_length: Length<MAXIMUM_REGIONS>,
+    /// The regions in which it may be kept, as of the time when it was kept; empty when it is bound to none.
+    #[deku(count = "regions_length.get()")]
+    pub regions: Vec<RegionId>,
     /// The caller's input.
     pub input: Content,
     /// The data of each event followed by a line feed.
     pub output: Content,
 }
 
+/// Tells that a turn has a record, which is kept in its regions alone and not here.
+#[deku_derive(DekuRead, DekuWrite)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct RecordElsewhere {
+    /// The turn that it continues; 0 at the start of a chain.
+    pub previous: TurnId,
+    #[deku(temp, temp_value = "Length::of(&regions)")]
+    regions_length: Length<MAXIMUM_REGIONS>,
+    /// The regions in which it is kept.
+    #[deku(count = "regions_length.get()")]
+    pub regions: Vec<RegionId>,
+}
+
 /// The value of [`RunPlace::prompt_tokens`] when the engine failed the turn: later turns had better avoid it.
 const FAILED_RUN: u32 = u32::MAX;
 
@@ -115,6 +142,11 @@
     /// Where the turn ran, once an engine has begun it and unless its record will tell.
     #[deku(cond = "*has_place == 1")]
     pub place: Option<RunPlace>,
+    #[deku(temp, temp_value = "u8::from(elsewhere.is_some())")]
+    has_elsewhere: u8,
+    /// Where the record is, when the turn has one that may not be kept here.
+    #[deku(cond = "*has_elsewhere == 1")]
+    pub elsewhere: Option<RecordElsewhere>,
     #[deku(temp, temp_value = "Length::of(&record)")]
     records: Length<1>,
     /// The record, once the turn has ended whole: none or one.
@@ -131,6 +163,28 @@
             self.used
         }
     }
+
+    /// The regions that its record is bound to; empty when there is none, or one bound to no region.
+    pub fn regions(&self) -> &[RegionId] {
+        let of_record = self.record.first().map(|record| record.regions.as_slice());
+        let regions = of_record.or(self.elsewhere.as_ref().map(|elsewhere| elsewhere.regions.as_slice()));
+        regions.unwrap_or_default()
+    }
+
+    /// The turn that its record continues, be the record here or elsewhere.
+    pub fn previous(&self) -> Option<TurnId> {
+        let of_record = self.record.first().map(|record| record.previous);
+        of_record.or(self.elsewhere.as_ref().map(|elsewhere| elsewhere.previous))
+    }
+
+    /// The same entry for a replica outside its regions: it tells of the record and does not carry it.
+    pub fn without_text(&self) -> Self {
+        let told = self
+            .record
+            .first()
+            .map(|record| RecordElsewhere { previous: record.previous, regions: record.regions.clone() });
+        Self { elsewhere: told.or_else(|| self.elsewhere.clone()), record: Vec::new(), ..*self }
+    }
 }
 
 /// A replica in a set.
@@ -194,10 +248,15 @@
     pub turn: TurnId,
     /// Whether it is settled.
     pub settled: u8,
-    /// Whether its record is there.
+    /// 1 when its record is there, 2 when the record is known to be elsewhere.
     pub recorded: u8,
 }
 
+/// [`TurnMark::recorded`] of a turn whose record is there.
+pub const RECORD_HERE: u8 = 1;
+/// [`TurnMark::recorded`] of a turn whose record is known to be kept elsewhere.
+pub const RECORD_ELSEWHERE: u8 = 2;
+
 /// A record with its turn.
 #[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
@@ -301,6 +360,8 @@
     /// What is there, newest first, up to the first turn that is missing.
     #[deku(count = "length.get()")]
     pub links: Vec<ChainLink>,
+    /// 1 when the newest turn has a record that may not be kept here: its absence denies nothing.
+    pub elsewhere: u8,
 }
 
 /// Tells a replica of a set and asks what it has that the sender may lack. Answered by [`crate::RpcBody::Marks`].
@@ -338,6 +399,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
 pub struct FetchEntries {
+    /// The asker's zone, as a hash of the zone's name: records bound to other regions come without their text.
+    pub zone: u32,
     #[deku(temp, temp_value = "Length::of(&turns)")]
     length: Length<MAXIMUM_TURNS>,
     /// The turns.
--- a/crates/wire/tests/rpc_tests.rs
+++ b/crates/wire/tests/rpc_tests.rs
@@ -12,6 +12,7 @@
     TurnRecord {
         previous: TurnId(4),
         engine: 77,
+        regions: Vec::new(),
         input: Content::from(b"input".to_vec()),
         output: Content::from(b"output\n".to_vec()),
     }
@@ -25,6 +26,7 @@
         reserved: 80,
         used: NOT_SETTLED,
         place: Some(RunPlace { engine: 9, part: 8, prompt_tokens: 7 }),
+        elsewhere: None,
         record: vec![record()],
     }
 }
