--- a/crates/node/src/explain.rs
+++ b/crates/node/src/explain.rs
@@ -36,7 +36,7 @@
 }
 
 /// What ends a call, as it stands in a line, and the cause that it shows.
-const CAUSES: [(&str, &str); 26] = [
+const CAUSES: [(&str, &str); 31] = [
     (
         "cause=no_configuration",
         "refused, not run: the gateway had no configuration yet (see its 'view:' and 'store:' lines)",
@@ -60,6 +60,20 @@
     ("cause=malformed", "refused, not run: the request could not be read"),
     ("cause=too_large", "refused, not run: its body is over the limit"),
     ("cause=no_room", "refused, not run: no engine had room, or none could be reached"),
+    ("cause=no_common_region", "refused, not run: its route and its tenant allow no region in common"),
+    ("cause=no_engine_in_regions", "refused, not run: its service has no engine in the regions that it is bound to"),
+    (
+        "cause=none_up_in_regions",
+        "refused, not run: no engine of its service was in service in the regions that it is bound to",
+    ),
+    (
+        "cause=not_kept_in_regions",
+        "refused, not run: no replica is in the regions that it is bound to, so its turn could not be kept",
+    ),
+    (
+        "cause=chain_outside_regions",
+        "refused, not run: the turns that it continues are bound to regions that its route and tenant do not allow",
+    ),
     ("cause=no_quorum", "refused, not run: too few replicas answered in time to reserve its tokens"),
     ("cause=chain_unknown", "refused, not run: too few replicas answered to read the turn that it continues"),
     ("cause=no_such_turn", "refused, not run: the turn that it continues does not exist"),
