Replica set: a standby joins for routes whose turns are bound to its region; tests of what is sent and handed on

Cause: a set of the least size, spread over zones, had one member in a region where one machine may be lost. Change: the steward counts a set as too small while it would itself, as a member, let turns bound to its region outlast more of the losses to be borne; nothing changes where no regions are named.

--- a/crates/gateway/src/replica/process.rs
+++ b/crates/gateway/src/replica/process.rs
@@ -85,6 +85,7 @@
         own: member,
         name: settings.node.clone(),
         target: settings.set_target(),
+        regions: settings.zone_regions(),
     };
     let steward = Arc::new(Steward::new(parts));
     tokio::spawn(rpc_server::serve(listener, own, core.clone()));
--- /dev/null
+++ b/crates/gateway/src/replica/steward/bound_routes.rs
@@ -0,0 +1,40 @@
+//! Members for routes whose turns are kept in some regions alone.
+
+use super::Steward;
+use crate::ports::configuration::Configuration;
+use foxnotch_scheduler::residency::Residency;
+use foxnotch_turns::identity::region_id;
+use foxnotch_turns::record_quorum::is_standby_wanted;
+use foxnotch_wire::{RegionId, ReplicaMember};
+use std::collections::BTreeSet;
+
+/// The regions to which turns may be bound: those of each route that keeps turns, alone and with each tenant's.
+pub fn regions_of_kept_turns(configuration: &Configuration) -> BTreeSet<Vec<RegionId>> {
+    let of_tenants: BTreeSet<Vec<&str>> =
+        configuration.tenants.iter().flatten().map(|tenant| tenant.residency.names()).collect();
+    let routes = configuration.routes.iter().filter(|route| route.retain);
+    let of_routes: BTreeSet<Vec<&str>> = routes.map(|route| route.residency.names()).collect();
+    let unbound = [Vec::new()];
+    let pairs = of_routes.iter().flat_map(|route| of_tenants.iter().chain(&unbound).map(move |tenant| (route, tenant)));
+    let common = pairs.map(|(route, tenant)| names_in_regions(route).and(&names_in_regions(tenant)));
+    let common = common.map(|residency| residency.names().into_iter().map(region_id).collect());
+    common.filter(|regions: &Vec<RegionId>| !regions.is_empty()).collect()
+}
+
+fn names_in_regions(names: &[&str]) -> Residency {
+    Residency::in_regions(names.iter().map(|name| (*name).to_owned()))
+}
+
+impl Steward {
+    /// Whether this replica, as a member, would let turns that are bound to its region outlast more losses.
+    pub(super) fn is_wanted_for_bound_routes(&self, staying: &[ReplicaMember]) -> bool {
+        if !self.regions.are_known() || staying.iter().any(|member| member.node == self.own.node) {
+            return false;
+        }
+        let configuration = self.view.get().configuration.value;
+        let tolerance = self.target.tolerance;
+        regions_of_kept_turns(&configuration)
+            .iter()
+            .any(|regions| is_standby_wanted(staying, self.own, tolerance, &self.regions, regions))
+    }
+}
--- a/crates/gateway/src/replica/steward/joining.rs
+++ b/crates/gateway/src/replica/steward/joining.rs
@@ -28,7 +28,8 @@
 
     /// Since when this version of the set has been too small, as this replica sees it.
     pub(super) fn too_small_since(&self, set: &ReplicaSet) -> Option<Instant> {
-        let reached = self.target.is_reached_by(&self.staying(set));
+        let staying = self.staying(set);
+        let reached = self.target.is_reached_by(&staying) && !self.is_wanted_for_bound_routes(&staying);
         let mut too_small = lock(&self.too_small);
         if reached {
             *too_small = None;
--- a/crates/gateway/src/replica/steward/mod.rs
+++ b/crates/gateway/src/replica/steward/mod.rs
@@ -1,12 +1,13 @@
 //! Keeps the replica set whole: founds it, joins it while it is too small, refills, syncs after each change, takes out
 //! members that are gone, and leaves when its machine is retired.
 //!
-//! The set has as many members as the tolerance needs, however many replicas run: each turn is written to all members. The
-//! other replicas stand by, hold nothing, and take the places of members that are lost or leave.
+//! The set has as many members as the tolerance needs, however many replicas run: each turn is written to all members. It has
+//! more where turns are bound to regions and too few of the members are there. The other replicas stand by, hold nothing, and take the places of members that are lost or leave.
 //!
 //! One step at a time; each step may fail and is taken again. Only compare-and-swap on the platform's store changes the
 //! set.
 
+pub mod bound_routes;
 mod filling;
 mod joining;
 mod leaving;
@@ -21,6 +22,7 @@
 use crate::replica::core::ReplicaCore;
 use foxnotch_turns::identity::node_id;
 use foxnotch_turns::replica_set::{self, SetTarget};
+use foxnotch_turns::zone_regions::ZoneRegions;
 use foxnotch_wire::{NodeId, ReplicaMember, ReplicaSet};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
@@ -77,6 +79,7 @@
     own: ReplicaMember,
     name: String,
     target: SetTarget,
+    regions: ZoneRegions,
     retirement: Mutex<Option<Retirement>>,
     silent_since: Mutex<HashMap<NodeId, Instant>>,
     /// Since when this version of the set has been too small.
@@ -109,12 +112,14 @@
     pub name: String,
     /// How large the set is to be.
     pub target: SetTarget,
+    /// The regions of zones.
+    pub regions: ZoneRegions,
 }
 
 impl Steward {
     /// A steward that has not begun.
     pub fn new(parts: StewardParts) -> Self {
-        let StewardParts { core, client, members, view, store, own, name, target } = parts;
+        let StewardParts { core, client, members, view, store, own, name, target, regions } = parts;
         let retirement = Mutex::default();
         let silent_since = Mutex::default();
         Self {
@@ -126,6 +131,7 @@
             own,
             name,
             target,
+            regions,
             retirement,
             silent_since,
             too_small: Mutex::default(),
--- a/crates/gateway/tests/residency_tests.rs
+++ b/crates/gateway/tests/residency_tests.rs
@@ -2,17 +2,29 @@
 
 mod support;
 
+use foxnotch_gateway::edge::turn_cache::TurnCache;
+use foxnotch_gateway::edge::turns::TurnKeeper;
+use foxnotch_gateway::peers::replica_client::ReplicaClient;
+use foxnotch_gateway::peers::rpc_client::RpcClient;
+use foxnotch_gateway::peers::view::{Origin, ViewHolder};
 use foxnotch_gateway::ports::configuration::{Configuration, RouteKind};
 use foxnotch_gateway::ports::store::{Kind, ObjectBody};
+use foxnotch_gateway::replica::steward::bound_routes::regions_of_kept_turns;
 use foxnotch_scheduler::residency::Residency;
 use foxnotch_scheduler::tenants::Tenant;
+use foxnotch_turns::identity::{region_id, zone_hash};
+use foxnotch_turns::replica_set::Tolerance;
+use foxnotch_wire::{NodeId, TurnEntry};
 use rstest::rstest;
+use std::collections::BTreeSet;
 use std::fs;
 use std::path::Path;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
-use support::cluster::{Cluster, Zones};
+use support::cluster::{turn, Cluster, Zones};
 use support::engine::{Behaviour, EngineStandIn};
 use support::gateway::{configuration, list_engine_in, tenant, Answer, RunningGateway};
+use support::tap::Tap;
 
 /// The longest wait for a change to be in force.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -220,7 +232,7 @@
     let first = deployment.send_until_whole(1, "first", None, "secret1.").await;
     deployment.cluster.store.put(Kind::Configuration, "main", bound_configuration(2, &["rb"], None));
     deployment
-        .wait_for_refusal(1, "moved", Some(&first), "bound to regions that its route and tenant do not allow")
+        .wait_for_refusal(2, "moved", Some(&first), "bound to regions that its route and tenant do not allow")
         .await;
     deployment.send_until_whole(2, "new", None, "secret2.").await;
     assert_eq!(deployment.engines_that_saw("secret1."), vec![0]);
@@ -234,3 +246,91 @@
     assert_eq!(deployment.disks_that_hold("secret3."), vec![1, 2]);
     assert_eq!(deployment.disks_that_hold("secret1."), vec![1, 2]);
 }
+
+/// One of three members is in the region of a route that keeps turns, and one machine may be lost: the standby there joins.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_standby_of_the_region_joins_for_a_route_that_keeps_turns_there() {
+    let zones = Zones {
+        of_node: |number| match number {
+            1 | 2 | 50 => "za",
+            3 | 4 => "zb",
+            _ => "zc",
+        },
+        ..THREE_REGIONS
+    };
+    let cluster = Cluster::begin_in(107, 6, None, zones);
+    let first = cluster.wait_for_size(3, &[]).await;
+    let inside = |members: &[u8]| members.iter().filter(|number| **number <= 2).count();
+    assert_eq!(inside(&first), 1, "members are spread over zones");
+    cluster.store.put(Kind::Configuration, "main", bound_configuration(1, &["ra"], None));
+    let gateway = RunningGateway::start(&cluster).await;
+    gateway.wait_ready().await;
+    let members = cluster.wait_for_size(4, &[]).await;
+    assert_eq!(inside(&members), 2);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert_eq!(cluster.members().len(), 4, "no more join than are needed");
+}
+
+#[test]
+fn turns_may_be_bound_by_a_route_alone_and_with_each_tenant() {
+    let tenants =
+        vec![Tenant { residency: bound_to(&["rb", "rc"]), ..tenant("acme", &["key"]) }, tenant("free", &["other"])];
+    let ObjectBody::Configuration(mut bound) = bound_configuration(1, &["ra", "rb"], Some(tenants)) else {
+        unreachable!("it is one")
+    };
+    let regions = |names: &[&str]| names.iter().map(|name| region_id(name)).collect::<Vec<_>>();
+    let expected: BTreeSet<_> = [regions(&["ra", "rb"]), regions(&["rb"])].into();
+    assert_eq!(regions_of_kept_turns(&bound), expected);
+    for route in &mut bound.routes {
+        route.retain = false;
+    }
+    assert!(regions_of_kept_turns(&bound).is_empty(), "what is not kept needs no replica");
+}
+
+/// A turn that is bound to `ra`.
+fn bound_turn(number: u128, input: &str) -> TurnEntry {
+    let mut entry = turn(number, 0, input);
+    entry.record[0].regions = vec![region_id("ra")];
+    entry
+}
+
+/// What goes to each replica when a turn is kept, by the first to the last: text to those of its region alone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn text_is_sent_to_no_replica_outside_its_region() {
+    let cluster = Cluster::start_in(108, 6, THREE_REGIONS).await;
+    let mut set = (*cluster.view.set()).clone();
+    let mut taps = Vec::new();
+    for number in 1..=6 {
+        let tap = Tap::to(cluster.peer_address(number)).await;
+        let member = set.members.iter_mut().find(|member| member.ip == cluster.ip(number).octets());
+        let member = member.expect("all replicas are members");
+        (member.ip, member.port) = ([127, 0, 0, 1], tap.address.port());
+        taps.push(tap);
+    }
+    let view = Arc::new(ViewHolder::default());
+    view.adopt_set(&set, Origin::Store);
+    let settings = cluster.settings(51, false);
+    let client = Arc::new(ReplicaClient::direct(Arc::new(RpcClient::new(NodeId(61)))));
+    let tolerance = Tolerance { machines: 1, zones: 0 };
+    let keeper = TurnKeeper::new(client, view, TurnCache::new(10_000), zone_hash("zb"), tolerance)
+        .with_regions(settings.zone_regions());
+    let deadline = Instant::now() + PATIENCE;
+    keeper.keep(&bound_turn(1, "secret"), deadline).await.expect("it is kept");
+    assert!(taps.iter().all(|tap| tap.len() > 0), "all replicas are told of the turn");
+    let saw: Vec<bool> = taps.iter().map(|tap| tap.saw("secret")).collect();
+    assert_eq!(saw, vec![true, true, false, false, false, false]);
+}
+
+/// Text that is sent outside all the same, by a node with other settings, reaches no disk; and no replica hands text outside.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_replica_neither_keeps_text_of_other_regions_nor_hands_its_own_to_them() {
+    let cluster = Cluster::start_in(109, 6, THREE_REGIONS).await;
+    cluster.write_only_to(&[1, 3], &bound_turn(1, "secret")).await;
+    assert!(holds(&cluster.data_folder(1), b"secret") && !holds(&cluster.data_folder(3), b"secret"));
+    let outside = cluster.fetch(3, "za", 1).await.expect("it knows of the turn");
+    let told = outside.elsewhere.expect("it tells that there is a record");
+    assert_eq!((told.regions, outside.record.len()), (vec![region_id("ra")], 0));
+    let to_inside = cluster.fetch(1, "za", 1).await.expect("it holds the turn");
+    let to_outside = cluster.fetch(1, "zc", 1).await.expect("it holds the turn");
+    assert_eq!((to_inside.record.len(), to_outside.record.len()), (1, 0));
+}
--- a/crates/gateway/tests/support/cluster.rs
+++ b/crates/gateway/tests/support/cluster.rs
@@ -135,7 +135,8 @@
         Self::begin_in(net, replicas, set_size, ONE_ZONE)
     }
 
-    fn begin_in(net: u8, replicas: u8, set_size: Option<usize>, zones: Zones) -> Self {
+    /// The same, with the nodes in several zones.
+    pub fn begin_in(net: u8, replicas: u8, set_size: Option<usize>, zones: Zones) -> Self {
         if std::env::var_os("SHOW_LOGS").is_some() {
             // Only the first cluster of a process starts the logs.
             let _ = foxnotch_gateway::logging::start("info");
@@ -269,10 +270,17 @@
 
     /// Whether a replica holds a turn.
     pub async fn holds(&self, number: u8, turn: u128) -> bool {
+        self.fetch(number, "a", turn).await.is_some()
+    }
+
+    /// What a replica hands to one of a zone that lacks a turn.
+    pub async fn fetch(&self, number: u8, zone: &str, turn: u128) -> Option<TurnEntry> {
         let address = self.peer_address(number);
-        let request = RpcBody::FetchEntries(FetchEntries { zone: zone_hash("a"), turns: vec![TurnId(turn)] });
-        let answer = self.client.call(address, request, Duration::from_secs(5)).await;
-        matches!(answer, Ok(RpcBody::Entries(entries)) if !entries.entries.is_empty())
+        let request = RpcBody::FetchEntries(FetchEntries { zone: zone_hash(zone), turns: vec![TurnId(turn)] });
+        match self.client.call(address, request, Duration::from_secs(5)).await {
+            Ok(RpcBody::Entries(mut entries)) => entries.entries.pop(),
+            _ => None,
+        }
     }
 
     /// Waits until all replicas are synced to the set: none pulls from another after that.
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -7,3 +7,4 @@
 pub mod gateway;
 pub mod slow_path;
 pub mod store;
+pub mod tap;
--- a/crates/turns/src/record_quorum.rs
+++ b/crates/turns/src/record_quorum.rs
@@ -7,7 +7,7 @@
 use crate::quorum::Tally;
 use crate::replica_set::{write_quorum, Tolerance};
 use crate::zone_regions::ZoneRegions;
-use foxnotch_wire::{NodeId, RegionId, ReplicaSet};
+use foxnotch_wire::{NodeId, RegionId, ReplicaMember, ReplicaSet};
 
 /// What a write needs.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -48,3 +48,28 @@
         tally.count() >= self.acknowledgements && copies >= self.copies
     }
 }
+
+/// How many members inside `regions` are missing for text that is bound to them to outlast every loss that has to be borne.
+fn missing_members(
+    members: &[ReplicaMember],
+    tolerance: Tolerance,
+    zones: &ZoneRegions,
+    regions: &[RegionId],
+) -> usize {
+    let inside: Vec<_> = members.iter().filter(|member| zones.may_hold(member.zone, regions)).copied().collect();
+    (tolerance.losses(&inside) + 1).saturating_sub(inside.len())
+}
+
+/// Whether a standby would bring text that is bound to `regions` nearer to outlasting every loss. Where all disks of the regions
+/// may be lost at once, no number of them is enough, and more are not wanted.
+pub fn is_standby_wanted(
+    members: &[ReplicaMember],
+    standby: ReplicaMember,
+    tolerance: Tolerance,
+    zones: &ZoneRegions,
+    regions: &[RegionId],
+) -> bool {
+    let mut joined: Vec<ReplicaMember> = members.to_vec();
+    joined.push(standby);
+    missing_members(&joined, tolerance, zones, regions) < missing_members(members, tolerance, zones, regions)
+}
--- a/crates/turns/src/zone_regions.rs
+++ b/crates/turns/src/zone_regions.rs
@@ -19,6 +19,11 @@
         Self { by_hash, by_number }
     }
 
+    /// Whether the deployment names regions.
+    pub fn are_known(&self) -> bool {
+        !self.by_hash.is_empty()
+    }
+
     /// Whether text that is bound to `regions` may be kept in a zone, given by its hash. Text bound to none may be kept
     /// everywhere; a zone whose region is not known may keep no other.
     pub fn may_hold(&self, zone: u32, regions: &[RegionId]) -> bool {
--- a/crates/turns/tests/record_quorum_tests.rs
+++ b/crates/turns/tests/record_quorum_tests.rs
@@ -6,7 +6,7 @@
 use foxnotch_turns::identity::{region_id, zone_hash};
 use foxnotch_turns::ledger::Ledger;
 use foxnotch_turns::quorum::Tally;
-use foxnotch_turns::record_quorum::RecordQuorum;
+use foxnotch_turns::record_quorum::{is_standby_wanted, RecordQuorum};
 use foxnotch_turns::replica_set::{denial_quorum, refill_quorum, Tolerance};
 use foxnotch_turns::zone_regions::ZoneRegions;
 use foxnotch_wire::{
@@ -273,3 +273,30 @@
     assert!(one.may_pass(3, 9, &[]) && !one.may_pass(3, 9, &[region_id("A")]));
     assert!(one.may_hold(9, &[]) && !one.may_hold(9, &[region_id("A")]));
 }
+
+/// The standby is in zone `a`; of the set `inside` members are there, all in one zone.
+#[rstest]
+#[case::none_there(0, 1, 0, true)]
+#[case::one_too_few(1, 1, 0, true)]
+#[case::enough(2, 1, 0, false)]
+#[case::two_may_be_lost(2, 2, 0, true)]
+#[case::the_zone_may_be_lost_and_none_is_there(0, 1, 1, true)]
+#[case::no_number_outlasts_the_loss_of_the_zone(2, 1, 1, false)]
+fn a_standby_joins_for_text_that_it_makes_safer(
+    #[case] inside: usize,
+    #[case] machines: usize,
+    #[case] lost_zones: usize,
+    #[case] wanted: bool,
+) {
+    let zones: Vec<usize> = vec![0; inside].into_iter().chain([1, 1, 2]).collect();
+    let standby = set(&[0]).members[0];
+    let tolerance = Tolerance { machines, zones: lost_zones };
+    assert_eq!(is_standby_wanted(&set(&zones).members, standby, tolerance, &regions(), &[region_id("A")]), wanted);
+    assert!(!is_standby_wanted(
+        &set(&zones).members,
+        standby,
+        tolerance,
+        &regions(),
+        &[region_id("B"), region_id("C")]
+    ));
+}
