--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -91,6 +91,8 @@
     pub relayed: Counter,
     /// Turns that left their engine because its zone is drained.
     pub zone_moves: Counter,
+    /// Turns bound to regions that were kept on fewer replicas there than every loss to be borne would need.
+    pub weakly_kept: Counter,
     /// Seconds until a request of a tenant with a limit was let in or refused.
     pub quota_seconds: Histogram,
     /// Requests of tenants with a limit, by what became of them.
@@ -122,6 +124,7 @@
             quorum_seconds: histogram(),
             relayed: Counter::default(),
             zone_moves: Counter::default(),
+            weakly_kept: Counter::default(),
             quota_seconds: histogram(),
             tenants: Family::default(),
             cold_leaves: Family::default(),
@@ -147,6 +150,11 @@
         registry.register("relayed", "Answers of replicas through another gateway", metrics.relayed.clone());
         let registry = &mut metrics.registry;
         registry.register("zone_drain_moves", "Turns that left a drained zone", metrics.zone_moves.clone());
+        registry.register(
+            "weakly_kept",
+            "Turns kept on fewer replicas of their regions than losses need",
+            metrics.weakly_kept.clone(),
+        );
         registry.register("quota_seconds", "Until a limit let a request in or not", metrics.quota_seconds.clone());
         registry.register("tenant_requests", "Requests of tenants with a limit", metrics.tenants.clone());
         let registry = &mut metrics.registry;
--- /dev/null
+++ b/crates/gateway/tests/residency_tests.rs
@@ -0,0 +1,388 @@
+//! Routes and tenants that are bound to regions: which engines and which disks see a body, and what is refused.
+
+mod support;
+
+use foxnotch_gateway::edge::chain_reader::ChainError;
+use foxnotch_gateway::edge::turn_cache::TurnCache;
+use foxnotch_gateway::edge::turns::TurnKeeper;
+use foxnotch_gateway::peers::replica_client::ReplicaClient;
+use foxnotch_gateway::peers::rpc_client::RpcClient;
+use foxnotch_gateway::peers::view::{Origin, ViewHolder};
+use foxnotch_gateway::ports::configuration::{Configuration, RouteKind};
+use foxnotch_gateway::ports::store::{Kind, ObjectBody};
+use foxnotch_gateway::replica::steward::bound_routes::regions_of_kept_turns;
+use foxnotch_scheduler::residency::Residency;
+use foxnotch_scheduler::tenants::Tenant;
+use foxnotch_turns::identity::{region_id, zone_hash};
+use foxnotch_turns::replica_set::Tolerance;
+use foxnotch_wire::{NodeId, TurnEntry, TurnId};
+use rstest::rstest;
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use support::cluster::{turn, Cluster, Zones};
+use support::engine::{Behaviour, EngineStandIn};
+use support::gateway::{configuration, list_engine_in, tenant, Answer, RunningGateway};
+use support::tap::Tap;
+
+/// The longest wait for a change to be in force.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Two replicas and a gateway in each of three regions, one of which has a zone each.
+const THREE_REGIONS: Zones = Zones {
+    of_node: |number| match number {
+        1 | 2 | 50 => "za",
+        3 | 4 | 51 => "zb",
+        _ => "zc",
+    },
+    regions: &[("za", "ra"), ("zb", "rb"), ("zc", "rc")],
+};
+
+/// The same with all replicas in the first two regions.
+const NO_REPLICA_IN_THE_THIRD: Zones = Zones {
+    of_node: |number| match number {
+        1 | 2 | 50 => "za",
+        52 => "zc",
+        _ => "zb",
+    },
+    ..THREE_REGIONS
+};
+
+fn bound_to(regions: &[&str]) -> Residency {
+    Residency::in_regions(regions.iter().map(|region| (*region).to_owned()))
+}
+
+/// The usual configuration with the route `turn` bound to regions.
+fn bound_configuration(version: u64, regions: &[&str], tenants: Option<Vec<Tenant>>) -> ObjectBody {
+    let ObjectBody::Configuration(mut configuration) = configuration(version) else { unreachable!("it is one") };
+    for route in configuration.routes.iter_mut().filter(|route| route.kind == RouteKind::Streaming) {
+        route.residency = bound_to(regions);
+    }
+    ObjectBody::Configuration(Configuration { tenants, ..configuration })
+}
+
+/// Gateways and an engine in each of three regions.
+struct Deployment {
+    cluster: Cluster,
+    gateways: Vec<RunningGateway>,
+    engines: Vec<EngineStandIn>,
+}
+
+impl Deployment {
+    async fn start(net: u8, zones: Zones, configuration: ObjectBody) -> Self {
+        let cluster = Cluster::start_in(net, 6, zones).await;
+        cluster.store.put(Kind::Configuration, "main", configuration);
+        let mut engines = Vec::new();
+        for zone in ["za", "zb", "zc"] {
+            let engine = EngineStandIn::start(Behaviour::Stream(vec!["data: said\n\n"])).await;
+            list_engine_in(&cluster, &format!("e-{zone}"), "turn", engine.address, zone, false);
+            engines.push(engine);
+        }
+        let mut gateways = Vec::new();
+        for number in 50..=52 {
+            gateways.push(RunningGateway::start_with(&cluster, number, cluster.store.clone()).await);
+        }
+        for gateway in &gateways {
+            gateway.wait_ready().await;
+        }
+        Self { cluster, gateways, engines }
+    }
+
+    async fn send(&self, gateway: usize, id: &str, previous: Option<&str>, headers: &str, body: &str) -> Answer {
+        let previous = previous.map_or(String::new(), |previous| format!("t-previous: {previous}\r\n"));
+        let headers = format!("t-attempt: {id}\r\nt-deadline: 3000\r\n{previous}{headers}");
+        self.gateways[gateway].send("POST /turn/", &headers, body).await
+    }
+
+    /// Sends a turn under identifiers that begin with `id` until its answer is whole. Returns the last one's.
+    async fn send_until_whole(&self, gateway: usize, id: &str, previous: Option<&str>, body: &str) -> String {
+        let until = Instant::now() + PATIENCE;
+        let mut number = 0;
+        loop {
+            let turn = format!("{id}-{number}");
+            let answer = self.send(gateway, &turn, previous, "", body).await;
+            if answer.status == 200 && answer.is_whole {
+                return turn;
+            }
+            assert!(Instant::now() < until, "{id} is never whole: {} {}", answer.head, answer.body);
+            number += 1;
+        }
+    }
+
+    /// Sends until a refusal with this text comes.
+    async fn wait_for_refusal(&self, gateway: usize, id: &str, previous: Option<&str>, text: &str) -> Answer {
+        let until = Instant::now() + PATIENCE;
+        let mut number = 0;
+        loop {
+            let answer = self.send(gateway, &format!("{id}-{number}"), previous, "", "refused body").await;
+            if answer.status == 503 && answer.body.contains(text) {
+                return answer;
+            }
+            assert!(Instant::now() < until, "no such refusal comes: {} {}", answer.head, answer.body);
+            number += 1;
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    /// The engines that were given a body with this text.
+    fn engines_that_saw(&self, text: &str) -> Vec<usize> {
+        let saw = |engine: &EngineStandIn| {
+            engine.received().iter().any(|request| String::from_utf8_lossy(&request.body).contains(text))
+        };
+        (0..self.engines.len()).filter(|index| saw(&self.engines[*index])).collect()
+    }
+
+    /// The replicas whose files hold this text.
+    fn disks_that_hold(&self, text: &str) -> Vec<u8> {
+        (1..=6).filter(|number| holds(&self.cluster.data_folder(*number), text.as_bytes())).collect()
+    }
+}
+
+/// Whether any file of a folder holds these bytes.
+fn holds(folder: &Path, text: &[u8]) -> bool {
+    let files = fs::read_dir(folder).into_iter().flatten().flatten();
+    files.filter_map(|file| fs::read(file.path()).ok()).any(|bytes| bytes.windows(text.len()).any(|part| part == text))
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_bound_turn_is_served_and_kept_in_its_region_wherever_it_enters() {
+    let deployment = Deployment::start(100, THREE_REGIONS, bound_configuration(1, &["ra"], None)).await;
+    let mut previous: Option<String> = None;
+    for (index, gateway) in [0, 1, 2, 1, 0].into_iter().enumerate() {
+        let id = format!("t{index}");
+        previous =
+            Some(deployment.send_until_whole(gateway, &id, previous.as_deref(), &format!("secret{index}.")).await);
+    }
+    let last = deployment.engines[0].received().pop().expect("it was served");
+    let body = String::from_utf8_lossy(&last.body).into_owned();
+    assert!(body.starts_with("secret0.said\nsecret1.") && body.ends_with("secret4."), "{body}");
+    assert_eq!(deployment.engines_that_saw("secret"), vec![0]);
+    assert_eq!(deployment.disks_that_hold("secret"), vec![1, 2]);
+}
+
+/// While a replica of the region is down, all that there are do not hold the text: the turn is not whole, and goes nowhere else.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn text_leaves_its_region_neither_while_replicas_there_are_down_nor_by_a_refill() {
+    let mut deployment = Deployment::start(101, THREE_REGIONS, bound_configuration(1, &["ra"], None)).await;
+    let first = deployment.send_until_whole(1, "kept", None, "secret1.").await;
+    deployment.cluster.kill(1);
+    deployment.cluster.kill(2);
+    let answer = deployment.send(2, "lost", None, "", "secret2.").await;
+    assert!(!answer.is_whole || answer.status != 200, "{}", answer.head);
+    let unknown = deployment.send(2, "next", Some(&first), "", "secret3.").await;
+    assert_eq!(unknown.status, 503, "a turn that is kept is not denied: {}", unknown.body);
+    deployment.cluster.wipe(3);
+    deployment.cluster.start_replica(3, false);
+    deployment.cluster.start_replica(1, false);
+    deployment.cluster.start_replica(2, false);
+    deployment.cluster.wait_until_complete(3).await;
+    deployment.cluster.wipe(1);
+    deployment.cluster.start_replica(1, false);
+    deployment.cluster.wait_until_complete(1).await;
+    assert_eq!(deployment.disks_that_hold("secret1."), vec![1, 2], "a replica of the region is refilled with its text");
+    deployment.send_until_whole(2, "again", Some(&first), "secret4.").await;
+    assert_eq!(deployment.engines_that_saw("secret"), vec![0]);
+    assert_eq!(deployment.disks_that_hold("secret"), vec![1, 2]);
+}
+
+#[rstest]
+#[case::no_region_in_common(102, &["ra"], &["rb"], "allow no region in common")]
+#[case::no_engine_there(103, &["rx"], &[], "has no engine in them")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_may_be_served_nowhere_is_refused_at_once(
+    #[case] net: u8,
+    #[case] route: &[&str],
+    #[case] of_tenant: &[&str],
+    #[case] reason: &str,
+) {
+    let tenants = vec![Tenant { residency: bound_to(of_tenant), ..tenant("acme", &["key"]) }];
+    let deployment = Deployment::start(net, THREE_REGIONS, bound_configuration(1, route, Some(tenants))).await;
+    let begun_at = Instant::now();
+    let answer = deployment.send(0, "t1", None, "t-key: key\r\n", "secret").await;
+    assert_eq!((answer.status, answer.says_when()), (503, true));
+    assert!(answer.body.contains(reason), "{}", answer.body);
+    assert!(begun_at.elapsed() < Duration::from_secs(1), "it waited for {:?}", begun_at.elapsed());
+    assert!(deployment.engines_that_saw("secret").is_empty() && deployment.disks_that_hold("secret").is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_bound_request_waits_for_no_engine_that_takes_no_work() {
+    let deployment = Deployment::start(104, THREE_REGIONS, bound_configuration(1, &["ra"], None)).await;
+    list_engine_in(&deployment.cluster, "e-za", "turn", deployment.engines[0].address, "za", true);
+    let answer = deployment.wait_for_refusal(0, "t", None, "no engine of its service is in service in them").await;
+    assert!(answer.says_when());
+    assert!(deployment.engines_that_saw("refused body").iter().all(|engine| *engine == 0));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_turn_that_no_replica_may_keep_is_refused_before_it_runs() {
+    let deployment = Deployment::start(105, NO_REPLICA_IN_THE_THIRD, bound_configuration(1, &["rc"], None)).await;
+    let answer = deployment.wait_for_refusal(2, "t", None, "cannot be kept inside its regions").await;
+    assert!(answer.says_when());
+    let draft = deployment.gateways[2].send("POST /draft/", "t-attempt: d1\r\nt-deadline: 2000\r\n", "x").await;
+    assert!(draft.body.contains("has no engine in them"), "what is not kept needs no replica: {}", draft.body);
+    assert!(deployment.disks_that_hold("refused body").is_empty());
+}
+
+/// The regions of a turn are those of the time when it was kept, and bind what continues it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn turns_stay_in_their_regions_when_the_configuration_changes() {
+    let deployment = Deployment::start(106, THREE_REGIONS, bound_configuration(1, &["ra"], None)).await;
+    let first = deployment.send_until_whole(1, "first", None, "secret1.").await;
+    deployment.cluster.store.put(Kind::Configuration, "main", bound_configuration(2, &["rb"], None));
+    deployment
+        .wait_for_refusal(2, "moved", Some(&first), "bound to regions that its route and tenant do not allow")
+        .await;
+    deployment.send_until_whole(2, "new", None, "secret2.").await;
+    assert_eq!(deployment.engines_that_saw("secret1."), vec![0]);
+    assert_eq!(
+        (deployment.engines_that_saw("secret2."), deployment.disks_that_hold("secret2.")),
+        (vec![1], vec![3, 4])
+    );
+    deployment.cluster.store.put(Kind::Configuration, "main", bound_configuration(3, &["ra", "rb"], None));
+    deployment.send_until_whole(1, "widened", Some(&first), "secret3.").await;
+    assert_eq!(deployment.engines_that_saw("secret3."), vec![0], "it stays with the turn that it continues");
+    assert_eq!(deployment.disks_that_hold("secret3."), vec![1, 2]);
+    assert_eq!(deployment.disks_that_hold("secret1."), vec![1, 2]);
+}
+
+/// One of three members is in the region of a route that keeps turns, and one machine may be lost: the standby there joins.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_standby_of_the_region_joins_for_a_route_that_keeps_turns_there() {
+    let zones = Zones {
+        of_node: |number| match number {
+            1 | 2 | 50 => "za",
+            3 | 4 => "zb",
+            _ => "zc",
+        },
+        ..THREE_REGIONS
+    };
+    let cluster = Cluster::begin_in(107, 6, None, zones);
+    let first = cluster.wait_for_size(3, &[]).await;
+    let inside = |members: &[u8]| members.iter().filter(|number| **number <= 2).count();
+    assert_eq!(inside(&first), 1, "members are spread over zones");
+    cluster.store.put(Kind::Configuration, "main", bound_configuration(1, &["ra"], None));
+    let gateway = RunningGateway::start(&cluster).await;
+    gateway.wait_ready().await;
+    let members = cluster.wait_for_size(4, &[]).await;
+    assert_eq!(inside(&members), 2);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert_eq!(cluster.members().len(), 4, "no more join than are needed");
+}
+
+#[test]
+fn turns_may_be_bound_by_a_route_alone_and_with_each_tenant() {
+    let tenants =
+        vec![Tenant { residency: bound_to(&["rb", "rc"]), ..tenant("acme", &["key"]) }, tenant("free", &["other"])];
+    let ObjectBody::Configuration(mut bound) = bound_configuration(1, &["ra", "rb"], Some(tenants)) else {
+        unreachable!("it is one")
+    };
+    let regions = |names: &[&str]| names.iter().map(|name| region_id(name)).collect::<Vec<_>>();
+    let expected: BTreeSet<_> = [regions(&["ra", "rb"]), regions(&["rb"])].into();
+    assert_eq!(regions_of_kept_turns(&bound), expected);
+    for route in &mut bound.routes {
+        route.retain = false;
+    }
+    assert!(regions_of_kept_turns(&bound).is_empty(), "what is not kept needs no replica");
+}
+
+/// A turn that is bound to `ra`.
+fn bound_turn(number: u128, input: &str) -> TurnEntry {
+    let mut entry = turn(number, 0, input);
+    entry.record[0].regions = vec![region_id("ra")];
+    entry
+}
+
+/// A gateway's keeper of turns, with a cache.
+fn keeper_in(zone: &str, cluster: &Cluster, view: Arc<ViewHolder>) -> TurnKeeper {
+    let client = Arc::new(ReplicaClient::direct(Arc::new(RpcClient::new(NodeId(61)))));
+    let tolerance = Tolerance { machines: 1, zones: 0 };
+    let keeper = TurnKeeper::new(client, view, TurnCache::new(10_000), zone_hash(zone), tolerance);
+    keeper.with_regions(cluster.settings(50, false).zone_regions())
+}
+
+/// A gateway outside reads text for a caller of its own and forgets it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn text_is_cached_in_its_region_alone() {
+    let mut cluster = Cluster::start_in(110, 6, THREE_REGIONS).await;
+    let inside = keeper_in("za", &cluster, cluster.view.clone());
+    let outside = keeper_in("zb", &cluster, cluster.view.clone());
+    inside.keep(&bound_turn(1, "secret"), Instant::now() + PATIENCE).await.expect("it is kept");
+    outside.keep(&bound_turn(2, "secret"), Instant::now() + PATIENCE).await.expect("it is kept");
+    assert!(outside.chain(TurnId(1), Instant::now() + PATIENCE).await.is_ok(), "it may be read everywhere");
+    cluster.kill(1);
+    cluster.kill(2);
+    let soon = || Instant::now() + Duration::from_millis(500);
+    assert!(inside.chain(TurnId(1), soon()).await.is_ok());
+    for turn in [1, 2] {
+        let read = outside.chain(TurnId(turn), soon()).await;
+        assert!(matches!(read, Err(ChainError::Unknown(_))), "turn {turn}: {read:?}");
+    }
+}
+
+/// Complete members enough to refill from answer, and none of them holds the text.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_empty_replica_does_not_count_before_it_has_the_text_of_its_region() {
+    let mut cluster = Cluster::start_in(111, 6, THREE_REGIONS).await;
+    let keeper = keeper_in("za", &cluster, cluster.view.clone());
+    keeper.keep(&bound_turn(1, "secret"), Instant::now() + PATIENCE).await.expect("it is kept");
+    cluster.wipe(1);
+    cluster.kill(2);
+    cluster.start_replica(1, false);
+    eventually_owed(&cluster, 1).await;
+    assert_eq!(cluster.metric(1, "replica_complete").await, Some(0));
+    cluster.start_replica(2, false);
+    cluster.wait_until_complete(1).await;
+    assert!(holds(&cluster.data_folder(1), b"secret"));
+}
+
+/// Waits until a replica knows of text that it lacks.
+async fn eventually_owed(cluster: &Cluster, number: u8) {
+    let until = Instant::now() + PATIENCE;
+    while cluster.metric(number, "texts_owed").await != Some(1) {
+        assert!(Instant::now() < until, "replica {number} never knows of the text");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    // A few more of its tries, in less time than it takes to hold the other for gone.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+}
+
+/// What goes to each replica when a turn is kept, by the first to the last: text to those of its region alone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn text_is_sent_to_no_replica_outside_its_region() {
+    let cluster = Cluster::start_in(108, 6, THREE_REGIONS).await;
+    let mut set = (*cluster.view.set()).clone();
+    let mut taps = Vec::new();
+    for number in 1..=6 {
+        let tap = Tap::to(cluster.peer_address(number)).await;
+        let member = set.members.iter_mut().find(|member| member.ip == cluster.ip(number).octets());
+        let member = member.expect("all replicas are members");
+        (member.ip, member.port) = ([127, 0, 0, 1], tap.address.port());
+        taps.push(tap);
+    }
+    let view = Arc::new(ViewHolder::default());
+    view.adopt_set(&set, Origin::Store);
+    let keeper = keeper_in("zb", &cluster, view);
+    let deadline = Instant::now() + PATIENCE;
+    keeper.keep(&bound_turn(1, "secret"), deadline).await.expect("it is kept");
+    assert!(taps.iter().all(|tap| tap.len() > 0), "all replicas are told of the turn");
+    let saw: Vec<bool> = taps.iter().map(|tap| tap.saw("secret")).collect();
+    assert_eq!(saw, vec![true, true, false, false, false, false]);
+}
+
+/// Text that is sent outside all the same, by a node with other settings, reaches no disk; and no replica hands text outside.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_replica_neither_keeps_text_of_other_regions_nor_hands_its_own_to_them() {
+    let cluster = Cluster::start_in(109, 6, THREE_REGIONS).await;
+    cluster.wait_until_synced(&[1, 3]).await;
+    cluster.write_only_to(&[1, 3], &bound_turn(1, "secret")).await;
+    assert!(holds(&cluster.data_folder(1), b"secret") && !holds(&cluster.data_folder(3), b"secret"));
+    let outside = cluster.fetch(3, "za", 1).await.expect("it knows of the turn");
+    let told = outside.elsewhere.expect("it tells that there is a record");
+    assert_eq!((told.regions, outside.record.len()), (vec![region_id("ra")], 0));
+    let to_inside = cluster.fetch(1, "za", 1).await.expect("it holds the turn");
+    let to_outside = cluster.fetch(1, "zc", 1).await.expect("it holds the turn");
+    assert_eq!((to_inside.record.len(), to_outside.record.len()), (1, 0));
+}
