Choice by learned distances and a price of bytes by zone and region

Cause: the selector priced any other zone at 2 ms and 1 ms a kilobyte, so a region 20 ms away was as near as a zone 0.9 ms away.

Ruled out: one price for each pair of zones in the settings (goes stale), round trips of membership probes (they wait for the receiver's loop), the mean of samples (one busy engine makes its zone far), a state for moved programs (the cost of reading the prompt is the hysteresis).

Change: scheduler::distance learns round trips by zone from new connections and from replicas' answers of other regions, with a prior by zone and region; scheduler::cost is the selector's cost as a pure function. The price of bytes is a setting, [distance]. A program whose engine has left gets its new home in the region. Metrics of ways, spills and learned round trips, a log line for each request that leaves its region.

--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -14,6 +14,7 @@
 use crate::engines::engine::Engine;
 use crate::engines::learned_costs::{LearnedCosts, ServicePrices};
 use crate::engines::load_board::LoadEstimate;
+use crate::engines::round_trips::RoundTrips;
 use crate::engines::selector::{choose, Choice, Placement};
 use crate::engines::table::EngineTable;
 use crate::locks::lock;
@@ -64,6 +65,8 @@
     pub engines: EngineTable,
     /// What was learned of model engines.
     pub costs: LearnedCosts,
+    /// How far the zones are.
+    pub round_trips: Arc<RoundTrips>,
     /// Counters and histograms.
     pub metrics: Arc<Metrics>,
     /// Turns and budgets.
@@ -339,10 +342,11 @@
     fn choose_engine(&self, call: &Call, body: &Bytes, tries: &Tries) -> Option<Choice> {
         let candidates = self.candidates(call);
         let loads = self.loads_of_others(&candidates);
+        let ways = self.round_trips.ways(candidates.iter().map(|engine| engine.entry.zone.as_str()));
         let placement = Placement {
             prompt: &call.metadata.parts,
             is_model: call.is_model(),
-            zone: &self.zone,
+            ways: &ways,
             loads: &loads,
             program: call.metadata.program.as_deref().unwrap_or_default(),
             predecessor: call.predecessor.filter(|_| self.policy.home),
@@ -353,6 +357,7 @@
         };
         let choice = choose(&candidates, &placement, tries.passed_over())?;
         self.log_send(call, &choice, candidates.len(), &placement.prices);
+        self.note_way(call, &choice);
         Some(choice)
     }
 
@@ -382,7 +387,10 @@
         request: Request<Full<Bytes>>,
     ) -> Result<EngineAnswer, AttemptError> {
         let attempt = &call.metadata.attempt;
-        let outcome = attempt::send(engine, request, attempt, &*self.dialect, call.expires_at).await;
+        let mut outcome = attempt::send(engine, request, attempt, &*self.dialect, call.expires_at).await;
+        if let Some(time) = outcome.as_mut().ok().and_then(|answer| answer.connection.take_connect_time()) {
+            self.round_trips.take(&engine.entry.zone, time);
+        }
         self.metrics.count_send(outcome.as_ref().err().map_or("answered", AttemptError::name));
         if let Err(error) = &outcome {
             log::info!(target: part::ENGINE, "Call {attempt} not answered: engine={} service={} not_run={}: {error}.", engine.entry.id, call.service, error.is_not_run());
@@ -392,6 +400,16 @@
 }
 
 impl Gateway {
+    /// Counts how far a request goes, and tells why one leaves the region.
+    fn note_way(&self, call: &Call, choice: &Choice) {
+        self.metrics.count_way(choice.way.proximity.name());
+        let Some(near) = choice.cost_nearby else { return };
+        self.metrics.spills.inc();
+        let Choice { engine, cost, way, .. } = choice;
+        log::info!(target: part::ENGINE, "Call {} leaves its region: program={} service={} engine={} zone={} round_trip_ms={:.1} cost_ms={:.0} work_ms={:.0} nearby_cost_ms={:.0} nearby_work_ms={:.0}.",
+            call.metadata.attempt, call.metadata.program.as_deref().unwrap_or("-"), call.service, engine.entry.id, engine.entry.zone, way.round_trip_ms, cost.total_ms(), cost.work_ms, near.total_ms(), near.work_ms);
+    }
+
     /// Logs what decided for an engine: loads, what it holds, and how old the knowledge of engines is.
     fn log_send(&self, call: &Call, choice: &Choice, candidates: usize, prices: &ServicePrices) {
         let metadata = &call.metadata;
--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -10,6 +10,7 @@
 use crate::edge::turns::TurnKeeper;
 use crate::engines::learned_costs::LearnedCosts;
 use crate::engines::load_exchange;
+use crate::engines::round_trips::RoundTrips;
 use crate::engines::table::EngineTable;
 use crate::logging::part;
 use crate::metrics::{self, Metrics};
@@ -85,9 +86,10 @@
         .await
         .context("the port for datagrams cannot be bound")?;
     let cache = TurnCache::new((settings.resources.memory_mb * 1024 * 1024 / CACHE_SHARE) as usize);
-    let metrics = gateway_metrics(&view, &members);
+    let round_trips = RoundTrips::new(settings.places(), &settings.zone, &settings.zones, settings.distance.prices());
+    let metrics = gateway_metrics(&view, &members, &round_trips);
     let store: Arc<dyn MetadataStore> = Arc::new(CountedStore::new(platform.store, metrics.clone()));
-    let replicas = replica_client(client, &members, &metrics, settings.policy);
+    let replicas = replica_client(client, &members, &metrics, &round_trips, settings.policy);
     let keeper =
         TurnKeeper::new(replicas.clone(), view.clone(), cache, zone_hash(&settings.zone), settings.tolerance());
     let turns = Arc::new(keeper.with_metrics(metrics.clone()));
@@ -100,6 +102,7 @@
         members: members.clone(),
         engines: EngineTable::default(),
         costs: LearnedCosts::default(),
+        round_trips,
         metrics: metrics.clone(),
         turns: turns.clone(),
         quotas,
@@ -178,9 +181,11 @@
     client: Arc<RpcClient>,
     members: &Arc<Members>,
     metrics: &Arc<Metrics>,
+    round_trips: &Arc<RoundTrips>,
     policy: PolicySettings,
 ) -> Arc<ReplicaClient> {
-    let mut replicas = ReplicaClient::direct(client).with_metrics(metrics.clone());
+    let replicas = ReplicaClient::direct(client).with_metrics(metrics.clone());
+    let mut replicas = replicas.with_round_trips(round_trips.clone());
     if policy.relay {
         replicas = replicas.with_relays(Relays::new(members.clone()));
     }
@@ -188,8 +193,9 @@
 }
 
 /// The metrics of a gateway, with what it knows.
-fn gateway_metrics(view: &Arc<ViewHolder>, members: &Arc<Members>) -> Arc<Metrics> {
+fn gateway_metrics(view: &Arc<ViewHolder>, members: &Arc<Members>, round_trips: &Arc<RoundTrips>) -> Arc<Metrics> {
     let mut metrics = Metrics::default();
+    round_trips.add_metrics(&mut metrics);
     let known = view.clone();
     metrics.read("configuration_version", "The configuration in force", move || {
         known.get().configuration.value.version as i64
--- a/crates/gateway/src/engines/connection.rs
+++ b/crates/gateway/src/engines/connection.rs
@@ -43,6 +43,8 @@
     task: AbortHandle,
     rested_since: Instant,
     rest_limit: Duration,
+    /// How long it took to be opened, until somebody has taken note of that.
+    connect_time: Option<Duration>,
 }
 
 impl Drop for EngineConnection {
@@ -57,12 +59,14 @@
     /// # Errors
     /// The error of the connection; nothing was sent.
     pub async fn open(address: SocketAddr) -> io::Result<Self> {
+        let begun_at = Instant::now();
         let stream = network::connect(address, CONNECT_TIMEOUT).await?;
+        let connect_time = Some(begun_at.elapsed());
         let (sender, connection) = Builder::new().handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
         OPENED.fetch_add(1, Ordering::Relaxed);
         // The connection's own error reaches whoever waits for an answer.
         let task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
-        Ok(Self { sender, task, rested_since: Instant::now(), rest_limit: DEFAULT_REST })
+        Ok(Self { sender, task, rested_since: Instant::now(), rest_limit: DEFAULT_REST, connect_time })
     }
 
     /// Whether another request may be sent.
@@ -76,6 +80,11 @@
             seconds.map_or(DEFAULT_REST, |seconds| Duration::from_secs(seconds).saturating_sub(REST_MARGIN));
     }
 
+    /// How long the connection took to be opened: a round trip. Told once.
+    pub fn take_connect_time(&mut self) -> Option<Duration> {
+        self.connect_time.take()
+    }
+
     /// Begins a rest.
     pub fn rest(&mut self) {
         self.rested_since = Instant::now();
--- a/crates/gateway/src/engines/learned_costs.rs
+++ b/crates/gateway/src/engines/learned_costs.rs
@@ -3,6 +3,7 @@
 //! No I/O: samples go in, prices in milliseconds come out. Until enough was seen the prices are those of [`PRIOR`].
 
 use crate::locks::lock;
+pub use foxnotch_scheduler::cost::ServicePrices;
 use std::collections::HashMap;
 use std::sync::Mutex;
 
@@ -13,7 +14,7 @@
 /// What is left of the prior for good: it decides where nothing varies.
 const LEAST_PRIOR_WEIGHT: f64 = 1.0;
 /// What is assumed before anything was seen.
-const PRIOR: ServicePrices = ServicePrices { token_ms: 1.0 / 64.0, request_ms: 1.0, turn_ms: 300.0, answer_ms: 30.0 };
+const PRIOR: ServicePrices = ServicePrices::PRIOR;
 /// Events of a turn that are assumed before any was seen.
 const PRIOR_EVENTS: f64 = 10.0;
 /// A learned slope stays within this factor of the prior: no samples make a price vanish or explode.
@@ -38,25 +39,6 @@
     pub total_ms: f64,
 }
 
-/// Prices of a request at the engines of a service.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ServicePrices {
-    /// Milliseconds to read a prompt token that a model engine does not hold.
-    pub token_ms: f64,
-    /// Milliseconds by which each request under way at a model engine slows a turn.
-    pub request_ms: f64,
-    /// Milliseconds of a whole turn.
-    pub turn_ms: f64,
-    /// Milliseconds of a whole answer of a plain service.
-    pub answer_ms: f64,
-}
-
-impl Default for ServicePrices {
-    fn default() -> Self {
-        PRIOR
-    }
-}
-
 /// Samples that the prior still stands for when samples of this weight were seen: it fades as they come.
 fn prior_weight(weight: f64) -> f64 {
     let faded = 1.0 - weight * (1.0 - MEMORY);
--- a/crates/gateway/src/engines/mod.rs
+++ b/crates/gateway/src/engines/mod.rs
@@ -7,5 +7,6 @@
 pub mod load_board;
 pub mod load_exchange;
 pub mod part_cache;
+pub mod round_trips;
 pub mod selector;
 pub mod table;
--- /dev/null
+++ b/crates/gateway/src/engines/round_trips.rs
@@ -0,0 +1,120 @@
+//! Round trips from this gateway to the zones, learned from new connections to engines and from answers of replicas.
+
+use crate::locks::lock;
+use crate::metrics::Metrics;
+use foxnotch_scheduler::distance::{LearnedDistances, Proximity, TrafficPrices};
+use foxnotch_scheduler::places::Places;
+use foxnotch_turns::identity::zone_hash;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// What the way to a zone costs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Way {
+    /// Where the zone is.
+    pub proximity: Proximity,
+    /// Milliseconds there and back.
+    pub round_trip_ms: f64,
+}
+
+/// Ways to all zones at one moment, for the choice of an engine.
+#[derive(Clone, Debug)]
+pub struct Ways {
+    prices: TrafficPrices,
+    ways: HashMap<String, Way>,
+}
+
+impl Ways {
+    /// Ways to these zones.
+    pub fn new(prices: TrafficPrices, ways: HashMap<String, Way>) -> Self {
+        Self { prices, ways }
+    }
+
+    /// The way to a zone; one that nothing is known of is taken to be here.
+    pub fn to(&self, zone: &str) -> Way {
+        self.ways.get(zone).copied().unwrap_or(Way { proximity: Proximity::SameZone, round_trip_ms: 0.0 })
+    }
+
+    /// What so many kilobytes on this way cost, in milliseconds.
+    pub fn traffic_ms(&self, way: Way, kilobytes: f64) -> f64 {
+        self.prices.price_ms(way.proximity, kilobytes)
+    }
+}
+
+/// What this gateway has learned of distances.
+pub struct RoundTrips {
+    started_at: Instant,
+    prices: TrafficPrices,
+    learned: Mutex<LearnedDistances>,
+    /// The deployment's zones by the hash that replicas carry.
+    zones: BTreeMap<u32, String>,
+}
+
+impl RoundTrips {
+    /// Nothing learned yet, seen from `zone`.
+    pub fn new(places: Places, zone: &str, zones: &[String], prices: TrafficPrices) -> Arc<Self> {
+        Arc::new(Self {
+            started_at: Instant::now(),
+            prices,
+            learned: Mutex::new(LearnedDistances::new(places, zone)),
+            zones: zones.iter().map(|zone| (zone_hash(zone), zone.clone())).collect(),
+        })
+    }
+
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Takes the time of a new connection to something in a zone.
+    pub fn take(&self, zone: &str, round_trip: Duration) {
+        lock(&self.learned).take(zone, round_trip.as_secs_f64() * 1000.0, self.now_ms());
+    }
+
+    /// Takes the time of a replica's answer. It holds a write to the disk, which is little beside the way to another region
+    /// alone; nearer zones are learned from connections.
+    pub fn take_answer(&self, zone: u32, round_trip: Duration) {
+        let Some(zone) = self.zones.get(&zone) else { return };
+        let now_ms = self.now_ms();
+        let mut learned = lock(&self.learned);
+        if learned.proximity(zone) == Proximity::OtherRegion {
+            learned.take(zone, round_trip.as_secs_f64() * 1000.0, now_ms);
+        }
+    }
+
+    /// The ways to these zones.
+    pub fn ways<'a>(&self, zones: impl Iterator<Item = &'a str>) -> Ways {
+        let now_ms = self.now_ms();
+        let learned = lock(&self.learned);
+        let mut ways: HashMap<String, Way> = HashMap::new();
+        for zone in zones {
+            if !ways.contains_key(zone) {
+                let proximity = learned.proximity(zone);
+                ways.insert(zone.to_owned(), Way { proximity, round_trip_ms: learned.round_trip_ms(zone, now_ms) });
+            }
+        }
+        Ways::new(self.prices, ways)
+    }
+
+    /// The mean of the learned round trips to zones that are so far away, in microseconds; 0 while nothing was learned.
+    fn mean_microseconds(&self, proximity: Proximity) -> i64 {
+        let now_ms = self.now_ms();
+        let learned = lock(&self.learned);
+        let near = learned.zones(now_ms).filter(|(zone, _)| learned.proximity(zone) == proximity);
+        let times: Vec<f64> = near.map(|(_, round_trip_ms)| round_trip_ms).collect();
+        (times.iter().sum::<f64>() / times.len().max(1) as f64 * 1000.0) as i64
+    }
+
+    /// Adds gauges of what was learned.
+    pub fn add_metrics(self: &Arc<Self>, metrics: &mut Metrics) {
+        let gauges = [
+            ("round_trip_same_zone_microseconds", Proximity::SameZone),
+            ("round_trip_same_region_microseconds", Proximity::SameRegion),
+            ("round_trip_other_region_microseconds", Proximity::OtherRegion),
+        ];
+        for (name, proximity) in gauges {
+            let known = self.clone();
+            metrics.read(name, "Mean round trip that was learned", move || known.mean_microseconds(proximity));
+        }
+    }
+}
--- a/crates/gateway/src/engines/selector.rs
+++ b/crates/gateway/src/engines/selector.rs
@@ -3,26 +3,18 @@
 use crate::engines::engine::Engine;
 use crate::engines::learned_costs::ServicePrices;
 use crate::engines::load_board::LoadEstimate;
+use crate::engines::round_trips::{Way, Ways};
 use crate::ports::dialect::PromptPart;
+use foxnotch_scheduler::cost::{Cost, EngineState, Work};
+use foxnotch_scheduler::distance::Proximity;
 use foxnotch_scheduler::outliers::{FailureOutlook, Outcomes};
 use rand::Rng;
 use std::sync::Arc;
 use std::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Milliseconds that another zone costs.
-const ZONE_MS: f64 = 2.0;
-/// Milliseconds that each kilobyte sent to another zone costs: a price to be avoided.
-const ZONE_MS_PER_KILOBYTE: f64 = 1.0;
-/// Milliseconds that a new connection costs; also a price to be avoided.
-const CONNECTION_MS: f64 = 8.0;
 /// Milliseconds of chance, so that gateways do not all choose alike.
 const CHANCE_MS: f64 = 1.0;
-/// What a failed try costs, in milliseconds: the caller's pause, another try, and a third of a program that its third ends.
-const FAILURE_MS: f64 = 1_000.0;
-/// The cost of an engine that is full or failed lately: it is taken only when there is no other.
-const UNINVITING_MS: f64 = 1_000.0;
-
 /// What is to be placed.
 #[derive(Clone, Copy)]
 pub struct Placement<'a> {
@@ -30,8 +22,8 @@
     pub prompt: &'a [PromptPart],
     /// Whether the service runs a model.
     pub is_model: bool,
-    /// The zone of this gateway.
-    pub zone: &'a str,
+    /// The ways to the engines' zones.
+    pub ways: &'a Ways,
     /// What other gateways have under way.
     pub loads: &'a LoadEstimate,
     /// The program that the request belongs to; empty when there is none.
@@ -59,6 +51,12 @@
     pub under_way: f64,
     /// When it was chosen.
     pub chosen_at: Instant,
+    /// The way to it.
+    pub way: Way,
+    /// What the request costs there.
+    pub cost: Cost,
+    /// The least cost in this gateway's region, when the engine is in another.
+    pub cost_nearby: Option<Cost>,
 }
 
 /// The engine that probably holds what a request continues: the one that ran the turn before, wherever that entered.
@@ -73,7 +71,10 @@
     }
     let program = placement.program.as_bytes();
     let score = |engine: &&Arc<Engine>| xxh3_64_with_seed(program, u64::from(engine.number));
-    candidates.iter().max_by_key(score).map(|engine| engine.number)
+    let is_near = |engine: &&Arc<Engine>| placement.ways.to(&engine.entry.zone).proximity != Proximity::OtherRegion;
+    // A program's turns mostly enter in one region, and the new home has to read all anyway.
+    let near = candidates.iter().filter(is_near).max_by_key(score);
+    near.or_else(|| candidates.iter().max_by_key(score)).map(|engine| engine.number)
 }
 
 /// Prompt tokens that the engine probably holds.
@@ -97,52 +98,61 @@
     f64::from(engine.under_way()) + placement.loads.under_way(engine.number)
 }
 
-/// What a request costs at a model engine, to itself and to those under way there.
-///
-/// While the engine reads a prompt all others at it wait too. A request beyond the slots waits until one is free, and each
-/// turn's time as many get free as there are slots.
-fn model_cost(missing_tokens: f64, under_way: f64, slots: f64, prices: &ServicePrices) -> f64 {
-    let reading = missing_tokens * prices.token_ms * (1.0 + under_way.min(slots));
-    let waiting = (under_way + 1.0 - slots).max(0.0) * prices.turn_ms / slots;
-    reading + prices.request_ms * under_way + waiting
-}
-
 /// How requests of the last moments ended at an engine, as far as this gateway can tell.
 fn outcomes(engine: &Engine, placement: &Placement<'_>) -> Outcomes {
     engine.outcomes().plus(placement.loads.outcomes(engine.number))
 }
 
-/// The cost of an engine in milliseconds, lower is better.
-fn cost(engine: &Engine, placement: &Placement<'_>, home: Option<u32>, outlook: Option<&FailureOutlook>) -> f64 {
-    let under_way = requests_under_way(engine, placement);
-    let slots = f64::from(engine.entry.slots.max(1));
-    let mut cost = rand::rng().random_range(0.0..CHANCE_MS);
-    if placement.is_model {
-        cost += model_cost(missing_tokens(engine, placement, home), under_way, slots, &placement.prices);
-    } else {
-        // Free slots make nobody wait: half full an engine costs a quarter of what it costs full.
-        let filled = under_way / slots;
-        cost += placement.prices.answer_ms * filled * filled;
-    }
-    if engine.entry.zone != placement.zone {
-        cost += ZONE_MS + ZONE_MS_PER_KILOBYTE * placement.kilobytes;
-    }
-    if !engine.has_connection() {
-        cost += CONNECTION_MS;
-    }
-    if !engine.is_inviting() {
-        cost += UNINVITING_MS;
-    }
-    if engine.is_ejected() {
-        cost += UNINVITING_MS;
+/// The engine as the cost function sees it.
+fn state_of(engine: &Engine, placement: &Placement<'_>, way: Way, outlook: Option<&FailureOutlook>) -> EngineState {
+    let deterrents =
+        [!engine.is_inviting(), engine.is_ejected(), placement.avoided.contains(&engine.number)].map(u32::from);
+    EngineState {
+        under_way: requests_under_way(engine, placement),
+        slots: f64::from(engine.entry.slots.max(1)),
+        round_trip_ms: way.round_trip_ms,
+        traffic_ms: placement.ways.traffic_ms(way, placement.kilobytes),
+        is_connected: engine.has_connection(),
+        deterrents: deterrents.iter().sum(),
+        failure_probability: outlook.map_or(0.0, |outlook| outlook.probability(outcomes(engine, placement))),
     }
-    if placement.avoided.contains(&engine.number) {
-        cost += UNINVITING_MS;
+}
+
+/// An engine with what the request costs there.
+struct Offer<'a> {
+    engine: &'a Arc<Engine>,
+    way: Way,
+    cost: Cost,
+    /// The whole cost with some chance, by which it is compared.
+    rank_ms: f64,
+}
+
+impl<'a> Offer<'a> {
+    fn new(
+        engine: &'a Arc<Engine>,
+        placement: &Placement<'_>,
+        home: Option<u32>,
+        outlook: Option<&FailureOutlook>,
+    ) -> Self {
+        let way = placement.ways.to(&engine.entry.zone);
+        let work = if placement.is_model {
+            Work::Turn { missing_tokens: missing_tokens(engine, placement, home) }
+        } else {
+            Work::Answer
+        };
+        let cost = Cost::of(work, &state_of(engine, placement, way, outlook), &placement.prices);
+        let rank_ms = cost.total_ms() + rand::rng().random_range(0.0..CHANCE_MS);
+        Self { engine, way, cost, rank_ms }
     }
-    if let Some(outlook) = outlook {
-        cost += FAILURE_MS * outlook.probability(outcomes(engine, placement));
+}
+
+/// The least cost in this gateway's region when the request goes to another, for the log line that says why.
+fn cost_nearby(offers: &[Offer<'_>], chosen: &Offer<'_>) -> Option<Cost> {
+    if chosen.way.proximity != Proximity::OtherRegion {
+        return None;
     }
-    cost
+    let near = offers.iter().filter(|offer| offer.way.proximity != Proximity::OtherRegion);
+    near.min_by(|left, right| left.rank_ms.total_cmp(&right.rank_ms)).map(|offer| offer.cost)
 }
 
 /// The engine of least cost that was not tried before.
@@ -151,12 +161,15 @@
     let all_outcomes = candidates.iter().map(|engine| outcomes(engine, placement));
     let outlook = placement.outliers.then(|| FailureOutlook::of(all_outcomes));
     let untried = candidates.iter().filter(|engine| !tried.contains(&engine.entry.id));
-    let priced = untried.map(|engine| (cost(engine, placement, home, outlook.as_ref()), engine));
-    let (_, engine) = priced.min_by(|left, right| left.0.total_cmp(&right.0))?;
+    let offers: Vec<Offer<'_>> = untried.map(|engine| Offer::new(engine, placement, home, outlook.as_ref())).collect();
+    let best = offers.iter().min_by(|left, right| left.rank_ms.total_cmp(&right.rank_ms))?;
     Some(Choice {
-        engine: engine.clone(),
-        missing_tokens: missing_tokens(engine, placement, home),
-        under_way: requests_under_way(engine, placement),
+        engine: best.engine.clone(),
+        missing_tokens: missing_tokens(best.engine, placement, home),
+        under_way: requests_under_way(best.engine, placement),
         chosen_at: Instant::now(),
+        way: best.way,
+        cost: best.cost,
+        cost_nearby: cost_nearby(&offers, best),
     })
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -59,6 +59,13 @@
     pub outcome: &'static str,
 }
 
+/// How far away an engine is.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct WayLabel {
+    /// A short name.
+    pub place: &'static str,
+}
+
 /// What became of requests of one tenant.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct TenantOutcome {
@@ -79,6 +86,10 @@
     pub calls: Family<Outcome, Counter>,
     /// Sends to engines by how they ended.
     pub sends: Family<Outcome, Counter>,
+    /// Engines chosen by how far away they are.
+    pub ways: Family<WayLabel, Counter>,
+    /// Requests that went to another region although engines of the own one were to be had.
+    pub spills: Counter,
     /// Calls to the platform's store.
     pub store_calls: Family<StoreCall, Counter>,
     /// Seconds from a call's arrival to the end of its answer.
@@ -108,6 +119,8 @@
             readings: Vec::new(),
             calls: Family::default(),
             sends: Family::default(),
+            ways: Family::default(),
+            spills: Counter::default(),
             store_calls: Family::default(),
             call_seconds: histogram(),
             dispatch_seconds: histogram(),
@@ -120,6 +133,8 @@
         let registry = &mut metrics.registry;
         registry.register("calls", "Calls by how they ended", metrics.calls.clone());
         registry.register("sends", "Sends to engines by how they ended", metrics.sends.clone());
+        registry.register("engine_ways", "Engines chosen by how far away they are", metrics.ways.clone());
+        registry.register("spills", "Requests sent to another region by price", metrics.spills.clone());
         registry.register("store_calls", "Calls to the platform's store", metrics.store_calls.clone());
         registry.register(
             "call_seconds",
@@ -177,6 +192,11 @@
         self.sends.get_or_create(&Outcome { outcome }).inc();
     }
 
+    /// Counts how far away a chosen engine is.
+    pub fn count_way(&self, place: &'static str) {
+        self.ways.get_or_create(&WayLabel { place }).inc();
+    }
+
     /// Counts a request of a tenant that has a limit.
     pub fn count_tenant(&self, tenant: &str, outcome: &'static str) {
         let mut named = lock(&self.named_tenants);
--- a/crates/gateway/src/peers/replica_client.rs
+++ b/crates/gateway/src/peers/replica_client.rs
@@ -3,6 +3,7 @@
 //! A gateway may be cut off from the replicas while others reach them and it reaches those. What it asks is made such
 //! that a replica may get it twice, so a second way costs nothing but a message.
 
+use crate::engines::round_trips::RoundTrips;
 use crate::locks::lock;
 use crate::logging::part;
 use crate::metrics::Metrics;
@@ -48,12 +49,13 @@
     paths: Mutex<DirectPaths>,
     relays: Option<Relays>,
     metrics: Arc<Metrics>,
+    round_trips: Option<Arc<RoundTrips>>,
 }
 
 impl ReplicaClient {
     /// A client that asks directly alone.
     pub fn direct(client: Arc<RpcClient>) -> Self {
-        Self { client, paths: Mutex::default(), relays: None, metrics: Arc::default() }
+        Self { client, paths: Mutex::default(), relays: None, metrics: Arc::default(), round_trips: None }
     }
 
     /// Lets it ask through other gateways too.
@@ -68,6 +70,12 @@
         self
     }
 
+    /// Notes how long direct answers take.
+    pub fn with_round_trips(mut self, round_trips: Arc<RoundTrips>) -> Self {
+        self.round_trips = Some(round_trips);
+        self
+    }
+
     /// Sends a request that may arrive twice and waits for its answer.
     ///
     /// # Errors
@@ -94,7 +102,7 @@
         loop {
             tokio::select! {
                 answer = &mut direct => {
-                    self.note_direct(replica.node, &answer, begun_at);
+                    self.note_direct(replica, &answer, begun_at);
                     return answer;
                 }
                 answer = &mut relayed, if !given_up => match answer {
@@ -109,8 +117,15 @@
         }
     }
 
-    fn note_direct(&self, replica: NodeId, answer: &Result<RpcBody, RpcError>, begun_at: Instant) {
-        if answer.is_ok() && lock(&self.paths).note_answer(replica, begun_at.elapsed()) {
+    fn note_direct(&self, replica: &ReplicaMember, answer: &Result<RpcBody, RpcError>, begun_at: Instant) {
+        if answer.is_err() {
+            return;
+        }
+        if let Some(round_trips) = &self.round_trips {
+            round_trips.take_answer(replica.zone, begun_at.elapsed());
+        }
+        if lock(&self.paths).note_answer(replica.node, begun_at.elapsed()) {
+            let replica = replica.node;
             log::info!(target: part::PEER, "Replica {replica} answers directly again: after={:?}.", begun_at.elapsed());
         }
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,6 +1,7 @@
 //! The settings of a gateway or a replica, read from a TOML file and checked whole before anything is bound.
 
 use crate::policy::PolicySettings;
+use foxnotch_scheduler::distance::TrafficPrices;
 use foxnotch_scheduler::places::Places;
 use foxnotch_scheduler::quota::QuotaRules;
 use foxnotch_scheduler::slow_start::SlowStartTolerance;
@@ -18,6 +19,12 @@
 /// The least time for a change to be in force everywhere, in milliseconds.
 const LEAST_CHANGE_MS: f64 = 100.0;
 
+/// What a kilobyte sent to another zone is worth where the deployment says nothing, in milliseconds: a turn of some kilobytes
+/// leaves its zone for an engine that is less loaded by a request or two.
+const DEFAULT_ZONE_MS_PER_KILOBYTE: f64 = 1.0;
+/// The same to another region: providers charge some two to ten times as much for these bytes.
+const DEFAULT_REGION_MS_PER_KILOBYTE: f64 = 4.0;
+
 /// Why settings are refused.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
@@ -148,6 +155,35 @@
     }
 }
 
+/// What bytes that leave a zone are worth against time.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct DistanceSettings {
+    /// Milliseconds that a kilobyte sent to another zone of the region is worth.
+    pub zone_ms_per_kilobyte: f64,
+    /// Milliseconds that a kilobyte sent to another region is worth.
+    pub region_ms_per_kilobyte: f64,
+}
+
+impl Default for DistanceSettings {
+    fn default() -> Self {
+        Self {
+            zone_ms_per_kilobyte: DEFAULT_ZONE_MS_PER_KILOBYTE,
+            region_ms_per_kilobyte: DEFAULT_REGION_MS_PER_KILOBYTE,
+        }
+    }
+}
+
+impl DistanceSettings {
+    /// The same, for decisions.
+    pub fn prices(&self) -> TrafficPrices {
+        TrafficPrices {
+            zone_ms_per_kilobyte: self.zone_ms_per_kilobyte,
+            region_ms_per_kilobyte: self.region_ms_per_kilobyte,
+        }
+    }
+}
+
 /// Everything that can be set.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -200,6 +236,9 @@
     /// Cold engines.
     #[serde(default)]
     pub slow_start: SlowStartSettings,
+    /// What bytes between zones and regions are worth.
+    #[serde(default)]
+    pub distance: DistanceSettings,
     /// Times.
     pub times: TimeSettings,
     /// Resources.
@@ -282,6 +321,11 @@
         let factor = self.slow_start.factor;
         check(factor.is_finite() && factor >= 1.0, "slow_start.factor", factor, "1 or more")?;
         check(is_tolerance(self.slow_start.slack), "slow_start.slack", self.slow_start.slack, "0 or more")?;
+        let distance = &self.distance;
+        let zone_price = distance.zone_ms_per_kilobyte;
+        check(is_tolerance(zone_price), "distance.zone_ms_per_kilobyte", zone_price, "0 or more")?;
+        let region_price = distance.region_ms_per_kilobyte;
+        check(is_tolerance(region_price), "distance.region_ms_per_kilobyte", region_price, "0 or more")?;
         if let Some(zone) = self.zones.iter().find(|zone| !self.regions.is_empty() && !self.regions.contains_key(*zone))
         {
             return Err(SettingsError::OutOfRange {
--- a/crates/gateway/tests/edge_tests.rs
+++ b/crates/gateway/tests/edge_tests.rs
@@ -8,14 +8,16 @@
 use foxnotch_gateway::engines::learned_costs::ServicePrices;
 use foxnotch_gateway::engines::load_board::{engine_number, LoadBoard, LoadEstimate};
 use foxnotch_gateway::engines::part_cache::PartCache;
+use foxnotch_gateway::engines::round_trips::{Way, Ways};
 use foxnotch_gateway::engines::selector::{choose, Placement};
 use foxnotch_gateway::ports::configuration::{Backend, Configuration, EngineEntry, Route, RouteKind};
 use foxnotch_gateway::ports::dialect::PromptPart;
+use foxnotch_scheduler::distance::{Proximity, TrafficPrices};
 use foxnotch_scheduler::residency::Residency;
 use foxnotch_wire::{Content, EngineLoad, NodeId, TurnId, TurnRecord};
 use rstest::rstest;
 use std::collections::HashMap;
-use std::sync::Arc;
+use std::sync::{Arc, LazyLock};
 use std::time::{Duration, Instant};
 
 fn route(name: &str, host: &str, path_prefix: &str) -> Route {
@@ -156,12 +158,25 @@
 /// The number of an engine that is not listed any more.
 const GONE: u32 = 1;
 
+/// Ways from zone a of region r: b and c are near, x is in another region.
+static WAYS: LazyLock<Ways> = LazyLock::new(|| {
+    let way = |proximity, round_trip_ms| Way { proximity, round_trip_ms };
+    let ways = [
+        ("a", way(Proximity::SameZone, 0.5)),
+        ("b", way(Proximity::SameRegion, 2.5)),
+        ("c", way(Proximity::SameRegion, 2.5)),
+        ("x", way(Proximity::OtherRegion, 40.0)),
+    ];
+    let prices = TrafficPrices { zone_ms_per_kilobyte: 1.0, region_ms_per_kilobyte: 4.0 };
+    Ways::new(prices, ways.into_iter().map(|(zone, way)| (zone.to_owned(), way)).collect())
+});
+
 fn placement<'a>(prompt: &'a [PromptPart], loads: &'a LoadEstimate, program: &'a str) -> Placement<'a> {
     Placement {
         avoided: &[],
         prompt,
         is_model: true,
-        zone: "a",
+        ways: &WAYS,
         loads,
         program,
         predecessor: Some(GONE),
--- a/crates/gateway/tests/support/cluster.rs
+++ b/crates/gateway/tests/support/cluster.rs
@@ -165,6 +165,7 @@
             tolerance: ToleranceSettings { machines: 1, zones: 0 },
             regions: std::collections::BTreeMap::new(),
             slow_start: foxnotch_gateway::settings::SlowStartSettings::default(),
+            distance: foxnotch_gateway::settings::DistanceSettings::default(),
             times: TimeSettings { drain_ms: 2000.0, apply_ms: 2000.0, grace_s: 8.0, zone_drain_ms: Some(2000.0) },
             resources: ResourceSettings { memory_mb: 200, descriptors: 4000 },
             replicas: ReplicaSettings { set_size: self.set_size },
--- /dev/null
+++ b/crates/scheduler/src/cost.rs
@@ -0,0 +1,117 @@
+//! What a request costs at an engine: facts go in, milliseconds come out. The engine of least cost gets the request.
+
+/// The price of a new connection, in milliseconds, besides its round trip: engines bear few and pay for each.
+const CONNECTION_MS: f64 = 8.0;
+/// The price of each reason to pass over an engine, in milliseconds: it is taken only when there is no other.
+const DETERRENT_MS: f64 = 1_000.0;
+/// What a failed try costs, in milliseconds: the caller's pause, another try, and a third of a program that its third ends.
+const FAILURE_MS: f64 = 1_000.0;
+
+/// Prices of a request at the engines of a service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ServicePrices {
+    /// Milliseconds to read a prompt token that a model engine does not hold.
+    pub token_ms: f64,
+    /// Milliseconds by which each request under way at a model engine slows a turn.
+    pub request_ms: f64,
+    /// Milliseconds of a whole turn.
+    pub turn_ms: f64,
+    /// Milliseconds of a whole answer of a plain service.
+    pub answer_ms: f64,
+}
+
+impl ServicePrices {
+    /// What is assumed before anything was seen.
+    pub const PRIOR: Self = Self { token_ms: 1.0 / 64.0, request_ms: 1.0, turn_ms: 300.0, answer_ms: 30.0 };
+}
+
+impl Default for ServicePrices {
+    fn default() -> Self {
+        Self::PRIOR
+    }
+}
+
+/// What an engine has to do for a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Work {
+    /// A turn of a program at a model engine, which has to read so many prompt tokens.
+    Turn {
+        /// The tokens.
+        missing_tokens: f64,
+    },
+    /// An answer of a plain service.
+    Answer,
+}
+
+/// An engine as the chooser sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineState {
+    /// Requests under way there.
+    pub under_way: f64,
+    /// Requests that it works on at a time; 1 or more.
+    pub slots: f64,
+    /// Milliseconds to it and back.
+    pub round_trip_ms: f64,
+    /// What the request's bytes on the way cost, in milliseconds.
+    pub traffic_ms: f64,
+    /// Whether a connection rests.
+    pub is_connected: bool,
+    /// Reasons to pass it over: it is full, it failed lately, it failed this program.
+    pub deterrents: u32,
+    /// How probably the request fails there, 0 to 1.
+    pub failure_probability: f64,
+}
+
+/// The parts of a cost, in milliseconds, for the choice and for its log line.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Cost {
+    /// Reading, waiting and working, for the request and for those under way there.
+    pub work_ms: f64,
+    /// The way of the request and of the first part of the answer, twice with a connection to be made.
+    pub distance_ms: f64,
+    /// The price of the bytes on the way and of a new connection.
+    pub price_ms: f64,
+    /// What may go wrong, and reasons to pass the engine over.
+    pub risk_ms: f64,
+}
+
+impl Cost {
+    /// What a request costs at an engine.
+    pub fn of(work: Work, engine: &EngineState, prices: &ServicePrices) -> Self {
+        let work_ms = match work {
+            Work::Turn { missing_tokens } => turn_ms(missing_tokens, engine, prices),
+            Work::Answer => answer_ms(engine, prices),
+        };
+        let round_trips = if engine.is_connected { 1.0 } else { 2.0 };
+        let connection_ms = if engine.is_connected { 0.0 } else { CONNECTION_MS };
+        Self {
+            work_ms,
+            distance_ms: engine.round_trip_ms * round_trips,
+            price_ms: engine.traffic_ms + connection_ms,
+            risk_ms: FAILURE_MS * engine.failure_probability + DETERRENT_MS * f64::from(engine.deterrents),
+        }
+    }
+
+    /// The whole cost, in milliseconds.
+    pub fn total_ms(&self) -> f64 {
+        self.work_ms + self.distance_ms + self.price_ms + self.risk_ms
+    }
+}
+
+/// What a turn costs at a model engine, to itself and to those under way there.
+///
+/// While the engine reads a prompt all others at it wait too. A request beyond the slots waits until one is free, and each
+/// turn's time as many get free as there are slots.
+fn turn_ms(missing_tokens: f64, engine: &EngineState, prices: &ServicePrices) -> f64 {
+    let EngineState { under_way, slots, .. } = *engine;
+    let reading = missing_tokens * prices.token_ms * (1.0 + under_way.min(slots));
+    let waiting = (under_way + 1.0 - slots).max(0.0) * prices.turn_ms / slots;
+    reading + prices.request_ms * under_way + waiting
+}
+
+/// What an answer of a plain service costs. Free slots make nobody wait: half full an engine costs a quarter of what it costs
+/// full.
+fn answer_ms(engine: &EngineState, prices: &ServicePrices) -> f64 {
+    let filled = engine.under_way / engine.slots;
+    prices.answer_ms * filled * filled
+}
