--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -367,7 +367,7 @@
             return LoadEstimate::default();
         }
         let engines: Vec<u32> = candidates.iter().map(|engine| engine.number).collect();
-        self.members.loads().estimate_by_region(&self.members.gateway_counts(), &engines)
+        self.members.loads().estimate(self.members.gateway_count(), &engines)
     }
 
     /// Prices at the engines of a service.
--- a/crates/gateway/src/engines/load_board.rs
+++ b/crates/gateway/src/engines/load_board.rs
@@ -1,7 +1,5 @@
 //! What other gateways have under way at the engines, as far as they tell.
 //!
-//! Gateways of one region send much alike and those of another send elsewhere, so each region is estimated by itself.
-//!
 //! Each gateway tells a few others at a time, so the cost a node does not grow with their number. From those that were
 //! heard lately the load of all is estimated: in a large fleet a few are heard of many, and what one of them happens to have
 //! at one engine must not be taken for what all the others have there.
@@ -29,7 +27,6 @@
 #[derive(Clone, Debug)]
 struct Told {
     at: Instant,
-    region: usize,
     loads: Vec<EngineLoad>,
 }
 
@@ -40,31 +37,23 @@
 }
 
 impl LoadBoard {
-    /// Takes what a gateway of the only region tells; it replaces what it told before.
+    /// Takes what a gateway tells; it replaces what it told before.
     pub fn take(&self, from: NodeId, loads: &[EngineLoad]) {
-        self.take_of_region(0, from, loads);
-    }
-
-    /// Takes what a gateway of a region tells; it replaces what it told before.
-    pub fn take_of_region(&self, region: usize, from: NodeId, loads: &[EngineLoad]) {
-        let told = Told { at: Instant::now(), region, loads: loads.to_vec() };
+        let told = Told { at: Instant::now(), loads: loads.to_vec() };
         lock(&self.told).insert(from, told);
     }
 
-    /// What `others` gateways of the only region have under way at these engines, estimated from those that were heard lately.
+    /// What `others` gateways have under way at these engines, estimated from those that were heard lately.
     pub fn estimate(&self, others: usize, engines: &[u32]) -> LoadEstimate {
-        self.estimate_by_region(&[others], engines)
-    }
-
-    /// The same for so many other gateways in each region.
-    pub fn estimate_by_region(&self, others: &[usize], engines: &[u32]) -> LoadEstimate {
         let mut told = lock(&self.told);
         told.retain(|_, told| told.at.elapsed() < VALID_FOR);
-        let regions = others.iter().enumerate().map(|(region, others)| {
-            let of_region = told.values().filter(|told| told.region == region);
-            RegionEstimate::new(of_region, *others, engines)
-        });
-        LoadEstimate { regions: regions.collect() }
+        let mut heard: HashMap<u32, Heard> = engines.iter().map(|engine| (*engine, Heard::default())).collect();
+        for load in told.values().flat_map(|told| &told.loads) {
+            if let Some(sum) = heard.get_mut(&load.engine) {
+                sum.add(load);
+            }
+        }
+        LoadEstimate::new(heard, told.len(), others)
     }
 }
 
@@ -83,9 +72,9 @@
     }
 }
 
-/// What the other gateways of one region have under way at one moment.
+/// What other gateways have under way at one moment, for the choice of an engine.
 #[derive(Clone, Debug, Default)]
-struct RegionEstimate {
+pub struct LoadEstimate {
     /// What was heard, by engine.
     heard: HashMap<u32, Heard>,
     /// Gateways that were heard.
@@ -96,18 +85,8 @@
     mean: f64,
 }
 
-impl RegionEstimate {
-    fn new<'a>(told: impl Iterator<Item = &'a Told>, others: usize, engines: &[u32]) -> Self {
-        let mut heard: HashMap<u32, Heard> = engines.iter().map(|engine| (*engine, Heard::default())).collect();
-        let mut heard_gateways = 0;
-        for told in told {
-            heard_gateways += 1;
-            for load in &told.loads {
-                if let Some(sum) = heard.get_mut(&load.engine) {
-                    sum.add(load);
-                }
-            }
-        }
+impl LoadEstimate {
+    fn new(heard: HashMap<u32, Heard>, heard_gateways: usize, others: usize) -> Self {
         let total: u32 = heard.values().map(|heard| heard.under_way).sum();
         let places = heard.len() * heard_gateways;
         Self {
@@ -119,13 +98,13 @@
     }
 
     /// How requests of those gateways ended at an engine.
-    fn outcomes(&self, engine: u32) -> Outcomes {
+    pub fn outcomes(&self, engine: u32) -> Outcomes {
         self.heard.get(&engine).map_or(Outcomes::default(), |heard| heard.outcomes)
     }
 
     /// Requests under way at an engine: those heard of, and for each gateway that was not heard the mean at this engine, drawn
     /// towards the mean of all engines as though [`PRIOR_REQUESTS`] had been heard of at that.
-    fn under_way(&self, engine: u32) -> f64 {
+    pub fn under_way(&self, engine: u32) -> f64 {
         let heard = f64::from(self.heard.get(&engine).map_or(0, |heard| heard.under_way));
         if self.mean <= 0.0 {
             return heard;
@@ -135,22 +114,3 @@
         heard + self.unheard_gateways * mean_here
     }
 }
-
-/// What other gateways have under way at one moment, for the choice of an engine.
-#[derive(Clone, Debug, Default)]
-pub struct LoadEstimate {
-    regions: Vec<RegionEstimate>,
-}
-
-impl LoadEstimate {
-    /// How requests of those gateways ended at an engine.
-    pub fn outcomes(&self, engine: u32) -> Outcomes {
-        let outcomes = self.regions.iter().map(|region| region.outcomes(engine));
-        outcomes.fold(Outcomes::default(), Outcomes::plus)
-    }
-
-    /// Requests under way at an engine.
-    pub fn under_way(&self, engine: u32) -> f64 {
-        self.regions.iter().map(|region| region.under_way(engine)).sum()
-    }
-}
--- a/crates/gateway/src/engines/load_exchange.rs
+++ b/crates/gateway/src/engines/load_exchange.rs
@@ -3,7 +3,7 @@
 use crate::edge::handler::Gateway;
 use crate::engines::engine::Engine;
 use crate::engines::load_board::engine_number;
-use crate::peers::members::{Members, Reach};
+use crate::peers::members::Members;
 use foxnotch_wire::{EngineLoad, LoadNews, Message, MAXIMUM_LOADS};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -12,13 +12,8 @@
 const PERIOD: Duration = Duration::from_millis(120);
 /// Time after which the same is told again: what was told is believed for a while only.
 const REPEAT: Duration = Duration::from_millis(500);
-/// Gateways of the own region told at a time.
+/// Gateways told at a time.
 const FANOUT: usize = 4;
-/// Time between two messages to other regions: requests seldom go there, and a few gateways heard of each region are enough to
-/// tell a full one from an idle one. Shorter than what was told is believed.
-const FAR_PERIOD: Duration = Duration::from_millis(480);
-/// Gateways of other regions told at a time.
-const FAR_FANOUT: usize = 1;
 
 fn loads(gateway: &Gateway) -> Vec<EngineLoad> {
     let engines = gateway.engines.all();
@@ -41,7 +36,6 @@
 pub async fn run(gateway: Arc<Gateway>, members: Arc<Members>) {
     let mut last = Vec::new();
     let mut told_at = Instant::now();
-    let mut far_told_at: Option<Instant> = None;
     loop {
         tokio::time::sleep(PERIOD).await;
         let now = loads(&gateway);
@@ -50,14 +44,7 @@
             continue;
         }
         told_at = Instant::now();
-        let news = Message::LoadNews(LoadNews { loads: now.clone() });
-        let near = members.tell_gateways(Reach::OwnRegion, FANOUT, &news);
-        gateway.metrics.load_news_own_region.inc_by(near as u64);
-        if far_told_at.is_none_or(|at| at.elapsed() >= FAR_PERIOD) {
-            let far = members.tell_gateways(Reach::OtherRegions, FAR_FANOUT, &news);
-            far_told_at = Some(Instant::now());
-            gateway.metrics.load_news_other_regions.inc_by(far as u64);
-        }
+        members.tell_gateways(FANOUT, &Message::LoadNews(LoadNews { loads: now.clone() }));
         last = now;
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -90,10 +90,6 @@
     pub ways: Family<WayLabel, Counter>,
     /// Requests that went to another region although engines of the own one were to be had.
     pub spills: Counter,
-    /// Messages about load to gateways of the own region.
-    pub load_news_own_region: Counter,
-    /// Messages about load to gateways of other regions.
-    pub load_news_other_regions: Counter,
     /// Calls to the platform's store.
     pub store_calls: Family<StoreCall, Counter>,
     /// Seconds from a call's arrival to the end of its answer.
@@ -125,8 +121,6 @@
             sends: Family::default(),
             ways: Family::default(),
             spills: Counter::default(),
-            load_news_own_region: Counter::default(),
-            load_news_other_regions: Counter::default(),
             store_calls: Family::default(),
             call_seconds: histogram(),
             dispatch_seconds: histogram(),
@@ -141,10 +135,6 @@
         registry.register("sends", "Sends to engines by how they ended", metrics.sends.clone());
         registry.register("engine_ways", "Engines chosen by how far away they are", metrics.ways.clone());
         registry.register("spills", "Requests sent to another region by price", metrics.spills.clone());
-        let near = metrics.load_news_own_region.clone();
-        registry.register("load_news_own_region", "Messages about load within the region", near);
-        let far = metrics.load_news_other_regions.clone();
-        registry.register("load_news_other_regions", "Messages about load to other regions", far);
         registry.register("store_calls", "Calls to the platform's store", metrics.store_calls.clone());
         registry.register(
             "call_seconds",
--- a/crates/gateway/src/peers/members.rs
+++ b/crates/gateway/src/peers/members.rs
@@ -7,7 +7,6 @@
 use crate::engines::load_board::LoadBoard;
 use crate::locks::lock;
 use crate::logging::part;
-use crate::peers::regions::MemberRegions;
 use crate::peers::rpc_client::RpcClient;
 use crate::peers::view::ViewHolder;
 use crate::peers::view_pulls::ViewPulls;
@@ -31,8 +30,6 @@
     [Duration::from_millis(500), Duration::from_millis(1500), Duration::from_secs(6)];
 /// Time between two later pulls of all members.
 const LIST_PERIOD: Duration = Duration::from_secs(20);
-/// One later pull in so many may ask another region: lists of both sides of a cut meet again that way too.
-const FAR_INFORMANTS: usize = 4;
 /// Time for one exchange with a seed.
 const SEED_TIMEOUT: Duration = Duration::from_millis(800);
 /// Members told at once of something new.
@@ -54,22 +51,12 @@
     seeds: Mutex<Vec<SocketAddr>>,
     peer_port: u16,
     loads: LoadBoard,
-    pub(super) regions: MemberRegions,
     pub(super) duty: Arc<WatchDuty>,
     pub(super) view_pulls: ViewPulls,
     /// Told when fresh news of the platform's store were taken from another node.
     pub(super) news_taken: Notify,
 }
 
-/// Which gateways are told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reach {
-    /// Those of this node's region.
-    OwnRegion,
-    /// Those of all other regions.
-    OtherRegions,
-}
-
 /// Where a member listens for nodes.
 pub(crate) fn socket_of(address: &MemberAddress) -> Option<SocketAddr> {
     let ip = Ipv6Addr::from(address.ip).to_ipv4_mapped()?;
@@ -119,7 +106,6 @@
             seeds,
             peer_port,
             loads,
-            regions: MemberRegions::of(settings),
             duty,
             view_pulls,
             news_taken,
@@ -202,45 +188,29 @@
         })
     }
 
-    /// How many other gateways there are in each region.
-    pub fn gateway_counts(&self) -> Vec<usize> {
-        let mut counts = vec![0; self.regions.count()];
-        for gateway in self.gateways() {
-            counts[self.regions.region(gateway.zone)] += 1;
-        }
-        counts
-    }
-
-    /// A gateway that is not among `passed_over`: `preferred` if it is one, or else one drawn by lot, first of this region,
-    /// then, since what cuts this node off may cut off its neighbors too, of all.
+    /// A gateway that is not among `passed_over`: `preferred` if it is one, or else one drawn by lot.
     pub fn pick_gateway(&self, preferred: Option<NodeId>, passed_over: &[NodeId]) -> Option<MemberUpdate> {
         let mut gateways = self.gateways();
         gateways.retain(|gateway| !passed_over.contains(&gateway.node));
         if let Some(known) = gateways.iter().find(|gateway| Some(gateway.node) == preferred) {
             return Some(*known);
         }
-        if passed_over.is_empty() {
-            gateways = self.regions.own_first(gateways);
-        }
         let index = self.with(|membership| membership.random_below(gateways.len()));
         gateways.get(index).copied()
     }
 
-    /// Sends a datagram to some other gateways of this region, or of the others, drawn by lot. Returns how many were told.
-    pub fn tell_gateways(&self, reach: Reach, count: usize, message: &Message) -> usize {
+    /// Sends a datagram to some other gateways, drawn by lot.
+    pub fn tell_gateways(&self, count: usize, message: &Message) {
         let mut gateways = self.gateways();
-        gateways.retain(|gateway| self.regions.is_own(gateway.zone) == (reach == Reach::OwnRegion));
-        let told = count.min(gateways.len());
-        for _ in 0..told {
+        for _ in 0..count.min(gateways.len()) {
             let index = self.with(|membership| membership.random_below(gateways.len()));
             let update = gateways.swap_remove(index);
             self.send(vec![Datagram { to: update.node, address: update.address, message: message.clone() }]);
         }
-        told
     }
 
     /// Members known that are not dead, with where they listen.
-    pub(super) fn alive(&self) -> Vec<MemberUpdate> {
+    fn alive(&self) -> Vec<MemberUpdate> {
         self.with(|membership| {
             let members = membership.members().map(|member| member.update);
             members.filter(|update| update.state != MemberState::Dead).collect()
@@ -289,9 +259,7 @@
 
     fn on_message(self: &Arc<Self>, from: NodeId, message: Message) {
         if let Message::LoadNews(news) = &message {
-            if let Some(gateway) = self.known(from) {
-                self.loads.take_of_region(self.regions.region(gateway.zone), from, &news.loads);
-            }
+            self.loads.take(from, &news.loads);
             return;
         }
         if let Message::StoreNews(news) = message {
@@ -328,15 +296,11 @@
     }
 
     /// Whom to ask for all members: a seed that is alive while this node is new, since all that start ask those; a member
-    /// drawn by lot later, of this region but for one time in [`FAR_INFORMANTS`].
+    /// drawn by lot later.
     fn pick_informant(&self, alive: &[MemberUpdate]) -> Option<SocketAddr> {
         let is_new = self.started_at.elapsed() < FIRST_LIST_PAUSES.iter().sum();
         let seeds = self.seed_addresses();
-        let is_far = self.with(|membership| membership.random_below(FAR_INFORMANTS)) == 0;
-        let near: Vec<&MemberUpdate> =
-            alive.iter().filter(|member| is_new || is_far || self.regions.is_own(member.zone)).collect();
-        let asked = if near.is_empty() { alive.iter().collect() } else { near };
-        let addresses: Vec<SocketAddr> = asked.iter().filter_map(|member| socket_of(&member.address)).collect();
+        let addresses: Vec<SocketAddr> = alive.iter().filter_map(|member| socket_of(&member.address)).collect();
         let mut informants: Vec<SocketAddr> =
             addresses.iter().filter(|address| seeds.contains(address)).copied().collect();
         if !is_new || informants.is_empty() {
@@ -367,9 +331,13 @@
         log::debug!(target: part::PEER, "Members pulled from {address}: {} known.", list.members.len());
     }
 
-    /// Pulls the view of a replica, one of the own zone or else region if there is any. Returns whether one answered.
+    /// Pulls the view of a replica, one of the own zone if there is any. Returns whether one answered.
     pub async fn pull_from_a_replica(&self) -> bool {
-        let replicas = self.regions.nearest(self.standing_replicas());
+        let own_zone = self.with(|membership| membership.own().zone);
+        let mut replicas = self.standing_replicas();
+        if replicas.iter().any(|replica| replica.zone == own_zone) {
+            replicas.retain(|replica| replica.zone == own_zone);
+        }
         let index = self.with(|membership| membership.random_below(replicas.len()));
         let Some(address) = replicas.get(index).and_then(|replica| socket_of(&replica.address)) else { return false };
         self.view_pulls.pull(address).await.is_ok()
--- a/crates/gateway/src/peers/regions.rs
+++ b/crates/gateway/src/peers/regions.rs
@@ -28,36 +28,11 @@
         self.regions.get(&zone).copied().unwrap_or(0)
     }
 
-    /// How many regions there are; one where none is named.
-    pub fn count(&self) -> usize {
-        self.regions.values().max().map_or(1, |last| last + 1)
-    }
-
     /// Whether a zone is in this node's region.
     pub fn is_own(&self, zone: u8) -> bool {
         self.region(zone) == self.region(self.own_zone)
     }
 
-    /// The members of this node's region, or all when there is none.
-    pub fn own_first(&self, members: Vec<MemberUpdate>) -> Vec<MemberUpdate> {
-        let (own, others): (Vec<_>, Vec<_>) = members.into_iter().partition(|member| self.is_own(member.zone));
-        if own.is_empty() {
-            others
-        } else {
-            own
-        }
-    }
-
-    /// Whom to pull a view from that `teller` told of: the nearest of `members` that are as far, so that a whole configuration
-    /// seldom comes from another region; the teller itself when it is near, or no nearer one is as far.
-    pub fn view_sources(&self, teller: &MemberUpdate, mut members: Vec<MemberUpdate>) -> Vec<MemberUpdate> {
-        members.retain(|member| self.is_own(member.zone) && member.config_revision >= teller.config_revision);
-        if self.is_own(teller.zone) || members.is_empty() {
-            return vec![*teller];
-        }
-        self.nearest(members)
-    }
-
     /// Those members that are nearest: of the own zone, or else of the own region, or else all.
     pub fn nearest(&self, members: Vec<MemberUpdate>) -> Vec<MemberUpdate> {
         let in_zone = |member: &&MemberUpdate| member.zone == self.own_zone;
--- a/crates/gateway/src/peers/view_pulls.rs
+++ b/crates/gateway/src/peers/view_pulls.rs
@@ -64,22 +64,9 @@
     /// Pulls the view of a member that has a newer one, unless the store or the nodes that tell this one bring it first.
     pub(super) fn pull_if_behind(self: &Arc<Self>, from: NodeId) {
         let Some(update) = self.known(from) else { return };
-        if update.config_revision <= self.view.get().revision() {
-            return;
-        }
         let knows_nothing = self.view.get().revision() == 0;
         let delay = if knows_nothing { Duration::ZERO } else { self.duty.times().period };
-        let source = self.nearest_with_view_of(&update);
-        self.pull_view(source, delay, move |view| update.config_revision > view.revision(), || {});
-    }
-
-    /// A nearer member that has as new a view as `teller`, or that one.
-    fn nearest_with_view_of(&self, teller: &MemberUpdate) -> MemberUpdate {
-        let mut members = self.alive();
-        members.retain(|member| !self.view_pulls.has_just_failed(member.node));
-        let sources = self.regions.view_sources(teller, members);
-        let index = self.with(|membership| membership.random_below(sources.len()));
-        sources.get(index).copied().unwrap_or(*teller)
+        self.pull_view(update, delay, move |view| update.config_revision > view.revision(), || {});
     }
 
     /// Pulls the view of a member after `delay`, while this node's own is behind and no other pull goes on. Then, unless it
