--- a/crates/gateway/src/edge/chain_reader.rs
+++ b/crates/gateway/src/edge/chain_reader.rs
@@ -84,6 +84,13 @@
     }
 }
 
+/// The replica that is asked first: one of the zone, or where the zone has none one that the turn picks, so that a chain
+/// crosses zones once and all replicas share the reading.
+fn first_to_ask(members: &[ReplicaMember], zone: u32, newest: TurnId) -> Option<usize> {
+    let of_zone = members.iter().position(|member| member.zone == zone);
+    of_zone.or_else(|| (!members.is_empty()).then(|| (newest.0 % members.len() as u128) as usize))
+}
+
 impl TurnKeeper {
     /// The chain that ends with `newest`.
     ///
@@ -142,7 +149,7 @@
         let newest = read.newest;
         let ask = |member, turn| self.ask_for_chain(member, set, turn, deadline);
         let mut others = set.members.clone();
-        let first = replica_set::first_reader(&others, &self.near, newest).map(|index| others.remove(index));
+        let first = first_to_ask(&others, self.zone, newest).map(|index| others.remove(index));
         let mut asks: FuturesUnordered<_> = first.into_iter().map(|member| ask(member, newest)).collect();
         loop {
             let answer = if others.is_empty() {
--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -92,7 +92,7 @@
     let replicas = replica_client(client, &members, &metrics, &round_trips, settings.policy);
     let keeper =
         TurnKeeper::new(replicas.clone(), view.clone(), cache, zone_hash(&settings.zone), settings.tolerance());
-    let turns = Arc::new(keeper.with_region(zones_of_region(&settings)).with_metrics(metrics.clone()));
+    let turns = Arc::new(keeper.with_metrics(metrics.clone()));
     let quotas = QuotaKeeper::new(replicas.clone(), turns.clone(), zone_hash(&settings.zone), metrics.clone());
     let gateway = Arc::new(Gateway {
         zone: settings.zone.clone(),
@@ -148,14 +148,6 @@
     Ok(())
 }
 
-/// The hashes of the zones of this gateway's region.
-fn zones_of_region(settings: &ProcessSettings) -> Vec<u32> {
-    let places = settings.places();
-    let zones = settings.zones.iter().filter(|zone| places.is_same_region(zone, &settings.zone));
-    // Where no regions are named all zones are alike, as any replica is.
-    zones.filter(|_| places.has_several_regions()).map(|zone| zone_hash(zone)).collect()
-}
-
 /// Answers what is under way, and what still comes, until nothing does.
 async fn drain(
     settings: &ProcessSettings,
--- a/crates/gateway/src/edge/turns.rs
+++ b/crates/gateway/src/edge/turns.rs
@@ -7,7 +7,7 @@
 use crate::peers::view::{Origin, ViewHolder};
 use foxnotch_turns::budget::{BudgetVerdict, BudgetView};
 use foxnotch_turns::quorum::Tally;
-use foxnotch_turns::replica_set::{self, ReaderPlace, Tolerance};
+use foxnotch_turns::replica_set::{self, Tolerance};
 use foxnotch_wire::{
     ProgramKey, ReadProgram, ReplicaMember, ReplicaSet, ReplicaStanding, RpcBody, SetNews, StoreEntry, Stored,
     TurnEntry, NOT_SETTLED,
@@ -58,8 +58,7 @@
     client: Arc<ReplicaClient>,
     pub(super) view: Arc<ViewHolder>,
     pub(super) cache: TurnCache,
-    /// Where this gateway is.
-    pub(super) near: ReaderPlace,
+    pub(super) zone: u32,
     pub(super) tolerance: Tolerance,
     metrics: Arc<Metrics>,
     /// Told when the replica set seems out of date.
@@ -76,14 +75,7 @@
         tolerance: Tolerance,
     ) -> Self {
         let metrics = Arc::default();
-        let near = ReaderPlace { zone, region_zones: Vec::new() };
-        Self { client, view, cache, near, tolerance, metrics, set_wanted: Arc::default() }
-    }
-
-    /// Reads chains within these zones first, those of the gateway's region.
-    pub fn with_region(mut self, zones: Vec<u32>) -> Self {
-        self.near.region_zones = zones;
-        self
+        Self { client, view, cache, zone, tolerance, metrics, set_wanted: Arc::default() }
     }
 
     /// Counts rounds in these metrics.
--- a/crates/turns/src/replica_set.rs
+++ b/crates/turns/src/replica_set.rs
@@ -3,7 +3,7 @@
 //! Invariant: two versions in a row differ by one member, so a majority of one meets a majority of the other.
 //! Version v + 1 follows only once a majority of v is synced to v; see [`may_follow`].
 
-use foxnotch_wire::{NodeId, ReplicaMember, ReplicaSet, TurnId};
+use foxnotch_wire::{NodeId, ReplicaMember, ReplicaSet};
 use std::collections::HashMap;
 
 /// What may be lost at the same moment with all promises kept: so many machines, or all machines of so many zones.
@@ -76,27 +76,6 @@
     ordered.into_iter().map(|(_, node)| node).collect()
 }
 
-/// Where a reader is, by the hashes of the zones' names.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct ReaderPlace {
-    /// Its zone.
-    pub zone: u32,
-    /// The zones of its region.
-    pub region_zones: Vec<u32>,
-}
-
-/// The replica that is asked first for a chain that ends with `newest`: one of the zone, or else of the region, or else any. Of
-/// several the turn picks one, so that a chain crosses zones once and the replicas share the reading.
-pub fn first_reader(members: &[ReplicaMember], place: &ReaderPlace, newest: TurnId) -> Option<usize> {
-    let having = |holds: &dyn Fn(&ReplicaMember) -> bool| -> Vec<usize> {
-        members.iter().enumerate().filter(|(_, member)| holds(member)).map(|(index, _)| index).collect()
-    };
-    let in_zone = having(&|member| member.zone == place.zone);
-    let in_region = having(&|member| place.region_zones.contains(&member.zone));
-    let nearest = [in_zone, in_region, having(&|_| true)].into_iter().find(|found| !found.is_empty())?;
-    nearest.get((newest.0 % nearest.len() as u128) as usize).copied()
-}
-
 /// How many replicas have to hold a write: a majority, and one more than may be lost at once.
 pub fn write_quorum(members: usize, losses: usize) -> usize {
     (members / 2 + 1).max(losses + 1)
