--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -4,7 +4,6 @@
 pub mod engine_list;
 pub mod frame;
 pub mod members;
-pub mod regions;
 pub mod replica_client;
 pub mod rpc_client;
 pub mod rpc_server;
--- /dev/null
+++ b/crates/gateway/tests/region_tests.rs
@@ -0,0 +1,108 @@
+//! Gateways of two regions: where they send.
+
+mod support;
+
+use foxnotch_gateway::ports::configuration::EngineEntry;
+use foxnotch_gateway::ports::store::{Kind, ObjectBody};
+use foxnotch_gateway::settings::ProcessSettings;
+use std::time::{Duration, Instant};
+use support::cluster::Cluster;
+use support::engine::{Behaviour, EngineStandIn};
+use support::gateway::{configuration, RunningGateway};
+
+/// Zones and their regions; the replicas of the cluster are in zone a.
+const ZONES: [(&str, &str); 3] = [("a", "north"), ("b", "north"), ("c", "south")];
+
+fn set_regions(settings: &mut ProcessSettings, zone: &str) {
+    settings.zone = zone.to_owned();
+    settings.zones = ZONES.iter().map(|(zone, _)| (*zone).to_owned()).collect();
+    settings.regions = ZONES.iter().map(|(zone, region)| ((*zone).to_owned(), (*region).to_owned())).collect();
+}
+
+fn entry(id: &str, zone: &str, engine: &EngineStandIn, draining: bool) -> ObjectBody {
+    ObjectBody::Engine(EngineEntry {
+        id: id.to_owned(),
+        service: "read".to_owned(),
+        address: engine.address.to_string(),
+        zone: zone.to_owned(),
+        slots: 4,
+        draining,
+        started_at_ms: None,
+        cold_left_ms: 0,
+    })
+}
+
+/// A gateway in zone a, an engine in zone b of its region and one in zone c of the other.
+struct TwoRegions {
+    cluster: Cluster,
+    gateway: RunningGateway,
+    near: EngineStandIn,
+    far: EngineStandIn,
+    sent: usize,
+}
+
+impl TwoRegions {
+    async fn start(net: u8) -> Self {
+        let cluster = Cluster::start(net, 3).await;
+        cluster.store.put(Kind::Configuration, "main", configuration(1));
+        let near = EngineStandIn::start(Behaviour::Answer("near")).await;
+        let far = EngineStandIn::start(Behaviour::Answer("far")).await;
+        cluster.store.put(Kind::Engines, "near", entry("near", "b", &near, false));
+        cluster.store.put(Kind::Engines, "far", entry("far", "c", &far, false));
+        let store = cluster.store.clone();
+        let gateway = RunningGateway::start_changed(&cluster, 50, store, |settings| set_regions(settings, "a")).await;
+        gateway.wait_ready().await;
+        Self { cluster, gateway, near, far, sent: 0 }
+    }
+
+    /// Sends a request. Returns the answer's body.
+    async fn send(&mut self) -> String {
+        self.sent += 1;
+        let headers = format!("t-attempt: r{}\r\nt-deadline: 2000\r\n", self.sent);
+        self.gateway.send("GET /read/", &headers, "").await.body
+    }
+
+    /// Sends until a request is answered so.
+    async fn wait_for_answer(&mut self, wanted: &str) {
+        for _ in 0..200 {
+            if self.send().await == wanted {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("no request is ever answered {wanted:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_stay_in_the_region_leave_it_without_engines_and_come_home() {
+    let mut regions = TwoRegions::start(170).await;
+    for _ in 0..20 {
+        assert_eq!(regions.send().await, "near");
+    }
+    assert!(regions.far.received().is_empty());
+    regions.cluster.store.put(Kind::Engines, "near", entry("near", "b", &regions.near, true));
+    regions.wait_for_answer("far").await;
+    regions.cluster.store.put(Kind::Engines, "near", entry("near", "b", &regions.near, false));
+    regions.wait_for_answer("near").await;
+    for _ in 0..10 {
+        assert_eq!(regions.send().await, "near");
+    }
+}
+
+/// The replicas, the store and the other region's engine are out of reach.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_region_that_is_cut_off_serves_its_callers_with_its_own_engines() {
+    let mut regions = TwoRegions::start(171).await;
+    assert_eq!(regions.send().await, "near");
+    regions.far.set(Behaviour::Hang);
+    regions.cluster.store.refuse(true);
+    for number in 1..=3 {
+        tokio::task::block_in_place(|| regions.cluster.kill(number));
+    }
+    let cut_at = Instant::now();
+    while cut_at.elapsed() < Duration::from_secs(3) {
+        assert_eq!(regions.send().await, "near");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
--- a/crates/gateway/tests/settings_tests.rs
+++ b/crates/gateway/tests/settings_tests.rs
@@ -64,6 +64,7 @@
 )]
 #[case::negative("descriptors = 4100", "descriptors = -1", "0 or more")]
 #[case::same_port("metrics_port = 7381", "metrics_port = 7380", "another port")]
+#[case::cheap_bytes("[resources]", "[distance]\nregion_ms_per_kilobyte = -1\n\n[resources]", "0 or more")]
 #[case::unknown_policy("descriptors = 4100", "descriptors = 4100\n[policy]\nshared_place = false", "shared_place")]
 fn a_mistake_is_named(#[case] from: &str, #[case] to: &str, #[case] named: &str) {
     assert!(VALID.contains(from));
@@ -81,6 +82,16 @@
     assert_eq!(settings.resources.memory_mb, 48);
 }
 
+#[test]
+fn bytes_to_another_region_are_dearer_unless_the_deployment_says_otherwise() {
+    let prices = load(VALID).expect("the settings are valid").distance.prices();
+    assert!(prices.region_ms_per_kilobyte > prices.zone_ms_per_kilobyte);
+    let text = format!("{VALID}\n[distance]\nregion_ms_per_kilobyte = 0.5\n");
+    let set = load(&text).expect("the settings are valid").distance.prices();
+    assert!((set.region_ms_per_kilobyte - 0.5).abs() < 1e-9);
+    assert!((set.zone_ms_per_kilobyte - prices.zone_ms_per_kilobyte).abs() < 1e-9);
+}
+
 #[test]
 fn every_mechanism_is_on_until_it_is_switched_off() {
     assert!(load(VALID).expect("the settings are valid").policy.shared_places);
--- a/crates/gateway/tests/support/gateway.rs
+++ b/crates/gateway/tests/support/gateway.rs
@@ -191,12 +191,23 @@
 
     /// Starts a gateway that is given a store of its own.
     pub async fn start_with(cluster: &Cluster, number: u8, store: StubStore) -> Self {
+        Self::start_changed(cluster, number, store, |_| {}).await
+    }
+
+    /// The same with other settings.
+    pub async fn start_changed(
+        cluster: &Cluster,
+        number: u8,
+        store: StubStore,
+        change: impl FnOnce(&mut ProcessSettings),
+    ) -> Self {
         let mut settings: ProcessSettings = cluster.settings(number, false);
         let callers = SocketAddr::from((settings.ip, 7400));
         let readiness = SocketAddr::from((settings.ip, 7401));
         settings.caller_address = Some(callers);
         settings.readiness_address = Some(readiness);
         settings.data_folder = None;
+        change(&mut settings);
         let platform = Platform { store: Arc::new(store), dialect: Arc::new(TestDialect) };
         let runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build().expect("a runtime can be had");
         runtime.spawn(async move {
