--- a/crates/gateway/tests/support/gateway.rs
+++ b/crates/gateway/tests/support/gateway.rs
@@ -199,6 +199,18 @@
         Self::start_by(cluster.settings(number, false), store).await
     }
 
+    /// The same with other settings.
+    pub async fn start_changed(
+        cluster: &Cluster,
+        number: u8,
+        store: StubStore,
+        change: impl FnOnce(&mut ProcessSettings),
+    ) -> Self {
+        let mut settings: ProcessSettings = cluster.settings(number, false);
+        change(&mut settings);
+        Self::start_by(settings, store).await
+    }
+
     /// Starts a gateway by settings of its own.
     pub async fn start_by(mut settings: ProcessSettings, store: StubStore) -> Self {
         let callers = SocketAddr::from((settings.ip, 7400));
