Reservations ahead: a turn with a ticket is sent without a round over the replicas

Cause: each turn of a program with a budget reserved its most on a quorum before it was sent; over three regions that costs the way there and back. Ruled out: a ticket at the gateway itself (turns of a line enter elsewhere), a ticket with several holders (it would need a quorum to be handed out once). Change: the round that settles a turn also reserves for the next one; one replica of the region holds the ticket and hands it out once; a refusal takes tickets back first, and 503 answers what cannot be told. A charge tells whether it is settled.

--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -7,6 +7,7 @@
 use crate::edge::quotas::QuotaKeeper;
 use crate::edge::refusal::Refusal;
 use crate::edge::routes::{RouteTable, ServiceShares};
+use crate::edge::tickets::TicketKeeper;
 use crate::edge::tries::Tries;
 use crate::edge::turns::TurnKeeper;
 use crate::edge::{stream_call, whole_call};
@@ -70,6 +71,8 @@
     pub turns: Arc<TurnKeeper>,
     /// Leave for requests of tenants that have a limit.
     pub quotas: QuotaKeeper,
+    /// Tickets for tokens that are reserved ahead.
+    pub tickets: Arc<TicketKeeper>,
     /// Shares of services.
     pub shares: ServiceShares,
     /// Mechanisms that are on.
--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -6,6 +6,7 @@
 use crate::edge::handler::Gateway;
 use crate::edge::planned_stop::PlannedStop;
 use crate::edge::quotas::QuotaKeeper;
+use crate::edge::tickets::TicketKeeper;
 use crate::edge::turn_cache::TurnCache;
 use crate::edge::turns::TurnKeeper;
 use crate::engines::learned_costs::LearnedCosts;
@@ -87,11 +88,14 @@
     let cache = TurnCache::new((settings.resources.memory_mb * 1024 * 1024 / CACHE_SHARE) as usize);
     let metrics = gateway_metrics(&view, &members);
     let store: Arc<dyn MetadataStore> = Arc::new(CountedStore::new(platform.store, metrics.clone()));
-    let replicas = replica_client(client, &members, &metrics, settings.policy);
+    let replicas = replica_client(client.clone(), &members, &metrics, settings.policy);
     let keeper =
         TurnKeeper::new(replicas.clone(), view.clone(), cache, zone_hash(&settings.zone), settings.tolerance());
     let turns = Arc::new(keeper.with_metrics(metrics.clone()));
     let quotas = QuotaKeeper::new(replicas.clone(), turns.clone(), zone_hash(&settings.zone), metrics.clone());
+    let near_zones = settings.places().has_several_regions().then(|| settings.zones_nearby());
+    let reserves_ahead = settings.policy.reserve_ahead;
+    let tickets = TicketKeeper::new(turns.clone(), client, near_zones, reserves_ahead, metrics.clone());
     let gateway = Arc::new(Gateway {
         zone: settings.zone.clone(),
         places: settings.places(),
@@ -103,6 +107,7 @@
         metrics: metrics.clone(),
         turns: turns.clone(),
         quotas,
+        tickets: Arc::new(tickets),
         shares: Default::default(),
         policy: settings.policy,
         routes: Mutex::default(),
--- a/crates/gateway/src/edge/refusal.rs
+++ b/crates/gateway/src/edge/refusal.rs
@@ -63,6 +63,9 @@
     /// Not run: the budget is spent.
     #[error("the program's budget is spent; raise it or end the program")]
     BudgetSpent,
+    /// Not run: nobody can tell whether the budget is spent.
+    #[error("whether the program's budget is spent cannot be told now; ask again after the time given")]
+    BudgetUnknown,
     /// Not run: the time was over before it could run.
     #[error("the time was over before an engine had room; ask again with more time")]
     OutOfTime,
@@ -92,6 +95,7 @@
             | Self::NoQuorum(_)
             | Self::ChainUnknown
             | Self::LimitUnknown
+            | Self::BudgetUnknown
             | Self::OutOfTime => StatusCode::SERVICE_UNAVAILABLE,
             Self::MayHaveRun(_) => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -103,9 +107,12 @@
         match self {
             Self::NoRoom(come_back) => Some(*come_back),
             Self::OverLimit(come_back) => Some((*come_back).max(LEAST_WAIT)),
-            Self::Stopping | Self::OutOfTime | Self::NoQuorum(_) | Self::ChainUnknown | Self::LimitUnknown => {
-                Some(COME_BACK_ELSEWHERE)
-            }
+            Self::Stopping
+            | Self::OutOfTime
+            | Self::NoQuorum(_)
+            | Self::ChainUnknown
+            | Self::LimitUnknown
+            | Self::BudgetUnknown => Some(COME_BACK_ELSEWHERE),
             Self::NoConfiguration | Self::ConfigurationBehind => Some(COME_BACK_CONFIGURED),
             Self::ConfigurationUnconfirmed => Some(COME_BACK_CONFIRMED),
             _ => None,
@@ -130,6 +137,7 @@
             Self::ChainUnknown => "chain_unknown",
             Self::NoSuchTurn => "no_such_turn",
             Self::BudgetSpent => "budget_spent",
+            Self::BudgetUnknown => "budget_unknown",
             Self::OutOfTime => "out_of_time",
             Self::MayHaveRun(_) => "may_have_run",
             Self::TimedOut => "timed_out",
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -10,6 +10,7 @@
 use crate::edge::handler::{Gateway, WorkGuard};
 use crate::edge::refusal::Refusal;
 use crate::edge::tries::Tries;
+use crate::edge::turn_account::{KnownProgram, TurnAccount};
 use crate::edge::turn_pace::TurnPace;
 use crate::edge::turns::TurnError;
 use crate::edge::whole_call::read_whole;
@@ -21,8 +22,8 @@
 use foxnotch_scheduler::quota::Standing;
 use foxnotch_turns::budget::BudgetView;
 use foxnotch_turns::chain::{compose_body, NO_TURN};
-use foxnotch_turns::identity::{program_key, turn_id};
-use foxnotch_wire::{Content, RunPlace, TurnEntry, TurnId, TurnRecord, NOT_SETTLED};
+use foxnotch_turns::identity::turn_id;
+use foxnotch_wire::{Content, RunPlace, TurnId, TurnRecord};
 use http::{header, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -36,47 +37,6 @@
 const PREPARE_TIME: Duration = Duration::from_millis(900);
 /// The least time to keep a turn that has ended.
 const KEEP_TIME: Duration = Duration::from_millis(1500);
-/// Time to settle a turn in the background.
-const SETTLE_TIME: Duration = Duration::from_secs(4);
-
-/// A turn's place in the books. Dropped, it settles what was handed out.
-struct TurnAccount {
-    gateway: Arc<Gateway>,
-    entry: TurnEntry,
-    /// Whether the entry may be on replicas.
-    is_reserved: bool,
-    /// Tokens in one event.
-    event_tokens: u32,
-    /// Events handed to the caller.
-    events: u32,
-}
-
-impl TurnAccount {
-    /// The engine that the turn was sent to last has failed it.
-    fn note_failure(&mut self, tries: &Tries) {
-        self.entry.place = tries.last_choice().map(|choice| RunPlace::failed_at(choice.engine.number));
-    }
-
-    fn used(&self) -> u32 {
-        self.events.saturating_mul(self.event_tokens).min(self.entry.reserved)
-    }
-}
-
-impl Drop for TurnAccount {
-    fn drop(&mut self) {
-        if !self.is_reserved {
-            return;
-        }
-        let gateway = self.gateway.clone();
-        let entry = self.entry.clone();
-        let used = self.used();
-        let work = WorkGuard::new(&gateway.under_way);
-        tokio::spawn(async move {
-            gateway.turns.settle(entry, used, Instant::now() + SETTLE_TIME).await;
-            drop(work);
-        });
-    }
-}
 
 /// Serves a call on a streaming route.
 ///
@@ -84,18 +44,16 @@
 /// The refusal that the caller gets.
 pub async fn serve(gateway: Arc<Gateway>, mut call: Call) -> Result<Response<AnswerBody>, Refusal> {
     let prepare_until = (call.arrived_at + PREPARE_TIME).min(call.expires_at);
-    let mut account = open_account(&gateway, &call);
+    let mut account = TurnAccount::open(&gateway, &call);
     let previous = call.metadata.previous.as_deref().filter(|_| call.route.retain);
     let previous = previous.map(|previous| turn_id(call.tenant_name(), previous));
-    let (chain, reserved) = tokio::join!(
-        read_chain(&gateway, previous, prepare_until),
-        reserve(&gateway, &call, &mut account, prepare_until)
-    );
+    let (chain, reserved) = tokio::join!(read_chain(&gateway, previous, prepare_until), account.reserve(prepare_until));
     let chain = chain?;
-    let known = reserved?;
+    let program = reserved?;
     // Leave is asked for only now: turns of programs that loop are refused by their budget, and must not use up their tenant's
     // limit. Where both were asked for at once, a tenant with a limit of 96 requests in 5 s was refused after 31.
-    call.standing = standing_of(&call, known.as_ref());
+    call.standing = standing_of(&call, program.as_ref());
+    let known = program.map(|program| program.books);
     gateway.check_room(&call)?;
     gateway.quotas.take(&call, prepare_until).await?;
     if gateway.policy.avoid_failed {
@@ -120,40 +78,6 @@
     Ok(begin_stream(gateway, call, account, answer, previous.unwrap_or(NO_TURN), pace))
 }
 
-fn open_account(gateway: &Arc<Gateway>, call: &Call) -> TurnAccount {
-    let metadata = &call.metadata;
-    let program = metadata.program.as_deref().unwrap_or(&metadata.attempt);
-    let configuration = gateway.view.get().configuration.value;
-    let model = configuration.service(&call.service).and_then(|service| service.model.as_ref());
-    let entry = TurnEntry {
-        turn: turn_id(call.tenant_name(), &metadata.attempt),
-        program: program_key(call.tenant_name(), program),
-        retention_ms: u32::try_from(call.route.retention_ms).unwrap_or(u32::MAX),
-        reserved: if metadata.token_budget.is_some() { metadata.most_tokens } else { 0 },
-        used: NOT_SETTLED,
-        place: None,
-        record: Vec::new(),
-    };
-    let event_tokens = model.map_or(1, |model| model.event_tokens.max(1));
-    TurnAccount { gateway: gateway.clone(), entry, is_reserved: false, event_tokens, events: 0 }
-}
-
-/// Reserves the turn's most, and tells what is known of the program's other turns.
-async fn reserve(
-    gateway: &Gateway,
-    call: &Call,
-    account: &mut TurnAccount,
-    deadline: Instant,
-) -> Result<Option<BudgetView>, Refusal> {
-    let Some(budget) = call.metadata.token_budget else { return Ok(None) };
-    account.is_reserved = true;
-    match gateway.turns.reserve(&account.entry, budget, deadline).await {
-        Ok(reservation) if reservation.granted => Ok(Some(reservation.program)),
-        Ok(_) => Err(Refusal::BudgetSpent),
-        Err(error) => Err(Refusal::NoQuorum(error.to_string())),
-    }
-}
-
 async fn read_chain(gateway: &Gateway, previous: Option<TurnId>, deadline: Instant) -> Result<ChainRecords, Refusal> {
     let Some(previous) = previous else { return Ok(Vec::new()) };
     match gateway.turns.chain(previous, deadline).await {
@@ -165,8 +89,8 @@
 
 /// Whether a turn's program has begun: it continues a turn, or the program's books hold another one. A program that was
 /// refused and comes back has not: counted as begun, all that were refused were let in half a second later.
-fn standing_of(call: &Call, known: Option<&BudgetView>) -> Standing {
-    let has_begun = call.metadata.previous.is_some() || known.is_some_and(|program| program.begun_turns() > 1);
+fn standing_of(call: &Call, program: Option<&KnownProgram>) -> Standing {
+    let has_begun = call.metadata.previous.is_some() || program.is_some_and(|program| program.has_begun);
     if has_begun {
         Standing::UnderWay
     } else {
@@ -273,6 +197,7 @@
         let engine = &self.lease.engine().entry.id;
         match outcome {
             Ok(()) => {
+                self.account.note_whole();
                 // A caller that has left needs no end.
                 let _ = self.pieces.send(Piece::End).await;
                 log::info!(target: part::CALL, "Call {attempt} answered: route={} service={} engine={engine} events={} after={:?}.", self.call.route.name, self.call.service, self.account.events, self.call.arrived_at.elapsed());
@@ -344,17 +269,13 @@
         if !self.call.route.retain {
             return Ok(());
         }
-        let mut entry = self.account.entry.clone();
-        entry.used = self.account.used();
-        entry.record = vec![TurnRecord {
+        let record = TurnRecord {
             previous: self.previous,
             engine: self.lease.engine().number,
             input: Content::from(self.call.input.to_vec()),
             output: Content::from(std::mem::take(&mut self.output)),
-        }];
+        };
         let deadline = self.call.expires_at.max(Instant::now() + KEEP_TIME);
-        self.gateway.turns.keep(&entry, deadline).await.map_err(StreamEnd::NotKept)?;
-        self.account.is_reserved = false;
-        Ok(())
+        self.account.keep(record, deadline).await.map_err(StreamEnd::NotKept)
     }
 }
--- a/crates/gateway/src/edge/turns.rs
+++ b/crates/gateway/src/edge/turns.rs
@@ -9,8 +9,8 @@
 use foxnotch_turns::quorum::Tally;
 use foxnotch_turns::replica_set::{self, Tolerance};
 use foxnotch_wire::{
-    ProgramKey, ReadProgram, ReplicaMember, ReplicaSet, ReplicaStanding, RpcBody, SetNews, StoreEntry, Stored,
-    TurnEntry, NOT_SETTLED,
+    ProgramKey, ReadProgram, ReplicaMember, ReplicaSet, ReplicaStanding, RpcBody, SetNews, StoreEntries, StoreEntry,
+    Stored, TurnEntry, NOT_SETTLED,
 };
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use std::sync::Arc;
@@ -185,17 +185,28 @@
     /// # Errors
     /// [`TurnError`]; the reservation may then be on some replicas and has to be released.
     pub async fn reserve(&self, entry: &TurnEntry, budget: u64, deadline: Instant) -> Result<Reservation, TurnError> {
-        let mut program = self.write(entry, deadline).await?;
+        let written = self.write(entry, deadline).await?;
+        self.decide(entry, written, budget, deadline).await
+    }
+
+    /// Decides on a reservation that is on a quorum, by the answers to its write.
+    ///
+    /// # Errors
+    /// [`TurnError`].
+    pub async fn decide(
+        &self,
+        entry: &TurnEntry,
+        written: BudgetView,
+        budget: u64,
+        deadline: Instant,
+    ) -> Result<Reservation, TurnError> {
+        let mut program = written;
         let mut verdict = program.first_verdict(budget);
         if verdict == BudgetVerdict::ReadAgain {
             program = self.read(entry.program, deadline).await?;
             verdict = program.second_verdict(budget);
         }
-        let granted = verdict == BudgetVerdict::Granted;
-        if !granted {
-            log::info!(target: part::TURN, "Budget spent: turn={} program={:016x} total={} budget={budget}.", entry.turn, entry.program.0, program.total());
-        }
-        Ok(Reservation { granted, program })
+        Ok(Reservation { granted: verdict == BudgetVerdict::Granted, program })
     }
 
     /// Writes an entry to a quorum.
@@ -206,6 +217,18 @@
         self.round(deadline, |set_version| RpcBody::StoreEntry(StoreEntry { set_version, entry: entry.clone() })).await
     }
 
+    /// Writes entries of one program to a quorum.
+    ///
+    /// # Errors
+    /// [`TurnError`].
+    pub async fn write_all(&self, entries: Vec<TurnEntry>, deadline: Instant) -> Result<BudgetView, TurnError> {
+        if let [entry] = entries.as_slice() {
+            return self.write(entry, deadline).await;
+        }
+        let request = |set_version| RpcBody::StoreEntries(StoreEntries { set_version, entries: entries.clone() });
+        self.round(deadline, request).await
+    }
+
     async fn read(&self, program: ProgramKey, deadline: Instant) -> Result<BudgetView, TurnError> {
         self.round(deadline, |set_version| RpcBody::ReadProgram(ReadProgram { set_version, program })).await
     }
@@ -224,10 +247,21 @@
     /// # Errors
     /// [`TurnError`]; the turn may then be kept or not.
     pub async fn keep(&self, entry: &TurnEntry, deadline: Instant) -> Result<(), TurnError> {
-        self.write(entry, deadline).await?;
-        if let Some(record) = entry.record.first() {
-            self.cache.insert(entry.turn, Arc::new(record.clone()));
+        self.keep_with(vec![entry.clone()], deadline).await.map(drop)
+    }
+
+    /// Writes a turn that ended whole, and with it other entries of its program. Returns the program's books if an entry is
+    /// not settled.
+    ///
+    /// # Errors
+    /// [`TurnError`]; the turn may then be kept or not.
+    pub async fn keep_with(&self, entries: Vec<TurnEntry>, deadline: Instant) -> Result<BudgetView, TurnError> {
+        let records = entries.iter().filter_map(|entry| Some((entry.turn, entry.record.first()?.clone())));
+        let records: Vec<_> = records.collect();
+        let program = self.write_all(entries, deadline).await?;
+        for (turn, record) in records {
+            self.cache.insert(turn, Arc::new(record));
         }
-        Ok(())
+        Ok(program)
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -91,6 +91,10 @@
     pub relayed: Counter,
     /// Seconds until a request of a tenant with a limit was let in or refused.
     pub quota_seconds: Histogram,
+    /// Seconds until a turn had a ticket for tokens that are reserved ahead, or none.
+    pub ticket_seconds: Histogram,
+    /// Tickets by what became of them.
+    pub tickets: Family<Outcome, Counter>,
     /// Requests of tenants with a limit, by what became of them.
     pub tenants: Family<TenantOutcome, Counter>,
     /// Tenants that are counted by name.
@@ -114,6 +118,8 @@
             quorum_seconds: histogram(),
             relayed: Counter::default(),
             quota_seconds: histogram(),
+            ticket_seconds: histogram(),
+            tickets: Family::default(),
             tenants: Family::default(),
             named_tenants: Mutex::default(),
         };
@@ -135,6 +141,8 @@
         registry.register("relayed", "Answers of replicas through another gateway", metrics.relayed.clone());
         let registry = &mut metrics.registry;
         registry.register("quota_seconds", "Until a limit let a request in or not", metrics.quota_seconds.clone());
+        registry.register("ticket_seconds", "Until a turn had a ticket or none", metrics.ticket_seconds.clone());
+        registry.register("tickets", "Tickets by what became of them", metrics.tickets.clone());
         registry.register("tenant_requests", "Requests of tenants with a limit", metrics.tenants.clone());
         metrics.read("engine_connections_opened", "Connections opened to engines", || opened() as i64);
         metrics.read("view_pulls_answered", "Views pulled from other nodes", || pulls().0 as i64);
@@ -177,6 +185,11 @@
         self.sends.get_or_create(&Outcome { outcome }).inc();
     }
 
+    /// Counts what became of a ticket.
+    pub fn count_ticket(&self, outcome: &'static str) {
+        self.tickets.get_or_create(&Outcome { outcome }).inc();
+    }
+
     /// Counts a request of a tenant that has a limit.
     pub fn count_tenant(&self, tenant: &str, outcome: &'static str) {
         let mut named = lock(&self.named_tenants);
--- a/crates/gateway/src/peers/replica_client.rs
+++ b/crates/gateway/src/peers/replica_client.rs
@@ -178,6 +178,7 @@
     matches!(
         body,
         RpcBody::StoreEntry(_)
+            | RpcBody::StoreEntries(_)
             | RpcBody::ReadProgram(_)
             | RpcBody::ReadChain(_)
             | RpcBody::AdoptSet(_)
--- a/crates/gateway/src/policy.rs
+++ b/crates/gateway/src/policy.rs
@@ -30,6 +30,9 @@
     /// While little of a tenant's limit is left, new programs begin only if all that they will ask for fits; without this
     /// each request is let in or refused by itself.
     pub whole_programs: bool,
+    /// When a turn of a program with a budget ends, tokens are reserved for the next one, which then waits for no round over
+    /// the replicas.
+    pub reserve_ahead: bool,
 }
 
 impl PolicySettings {
@@ -57,6 +60,7 @@
             outliers: true,
             admission_by_load: true,
             whole_programs: true,
+            reserve_ahead: true,
         }
     }
 }
--- a/crates/gateway/src/replica/core.rs
+++ b/crates/gateway/src/replica/core.rs
@@ -13,13 +13,14 @@
 use crate::replica::disk::{Disk, DiskError};
 use crate::replica::kept_view::KeptView;
 use crate::replica::quotas::ReplicaQuotas;
+use crate::replica::tickets::ReplicaTickets;
 use foxnotch_turns::ledger::Ledger;
 use foxnotch_turns::replica_set;
 use foxnotch_turns::segment::{Record, ReplicaState};
 use foxnotch_wire::{
     Chain, DiskIdentity, Entries, KeptViewHeld, ListMarks, Marks, NodeId, ProgramKey, ReadChain, ReadKeptView,
-    ReadProgram, ReplicaSet, ReplicaStanding, RpcBody, SetNews, StoreEntry, Stored, TakeQuota, TurnEntry, TurnId,
-    Witness, NOT_SETTLED,
+    ReadProgram, ReplicaSet, ReplicaStanding, RpcBody, SetNews, StoreEntries, StoreEntry, Stored, TakeQuota, TurnEntry,
+    TurnId, Witness, NOT_SETTLED,
 };
 use futures_util::future::BoxFuture;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -45,6 +46,7 @@
     members: Arc<Members>,
     quotas: ReplicaQuotas,
     kept: Arc<KeptView>,
+    tickets: ReplicaTickets,
     /// Entries handed to replicas that lacked them, since the start.
     handed_out: AtomicU64,
 }
@@ -99,6 +101,7 @@
             members,
             quotas,
             kept,
+            tickets: ReplicaTickets::default(),
             handed_out: AtomicU64::new(0),
         }
     }
@@ -253,17 +256,17 @@
         (news.set.version != version).then_some(RpcBody::OtherSet(news))
     }
 
-    async fn on_store(&self, request: StoreEntry) -> RpcBody {
+    async fn on_store(&self, request: StoreEntries) -> RpcBody {
         if let Some(other) = self.other_set(request.set_version) {
             return other;
         }
-        let program = request.entry.program;
-        let is_reservation = request.entry.used == NOT_SETTLED;
+        let Some(program) = request.entries.first().map(|entry| entry.program) else { return RpcBody::NotServed };
+        let is_reservation = request.entries.iter().any(|entry| entry.used == NOT_SETTLED);
         let full = lock(&self.ledger).bytes() > self.memory_limit;
         let stored = if full {
             Err(DiskError::Refused("the memory for turns is full".to_owned()))
         } else {
-            self.store(vec![request.entry]).await
+            self.store(request.entries).await
         };
         if let Some(other) = self.other_set(request.set_version) {
             return other;
@@ -317,6 +320,11 @@
         self.quotas.lower_caps(&self.disk);
     }
 
+    /// Tickets held for tokens that are reserved ahead.
+    pub fn tickets_held(&self) -> usize {
+        self.tickets.held()
+    }
+
     /// What is kept of the platform.
     pub fn kept(&self) -> &Arc<KeptView> {
         &self.kept
@@ -359,7 +367,11 @@
 
     async fn answer(&self, body: RpcBody) -> RpcBody {
         match body {
-            RpcBody::StoreEntry(request) => self.on_store(request).await,
+            RpcBody::StoreEntry(StoreEntry { set_version, entry }) => {
+                self.on_store(StoreEntries { set_version, entries: vec![entry] }).await
+            }
+            RpcBody::StoreEntries(request) => self.on_store(request).await,
+            RpcBody::Ticket(request) => self.tickets.answer(request),
             RpcBody::ReadProgram(request) => self.on_read_program(request),
             RpcBody::ReadChain(request) => self.on_read_chain(request),
             RpcBody::TakeQuota(request) => self.on_take_quota(&request).await,
--- a/crates/gateway/src/replica/mod.rs
+++ b/crates/gateway/src/replica/mod.rs
@@ -9,3 +9,4 @@
 pub mod quotas;
 pub mod steward;
 pub mod sync;
+pub mod tickets;
--- a/crates/gateway/src/replica/process.rs
+++ b/crates/gateway/src/replica/process.rs
@@ -160,6 +160,9 @@
     metrics
         .read("limited_tenants", "Tenants of whose limits a share is held", move || replica.limited_tenants() as i64);
     let replica = core.clone();
+    metrics
+        .read("tickets_held", "Tickets held for tokens that are reserved ahead", move || replica.tickets_held() as i64);
+    let replica = core.clone();
     metrics.read("replica_complete", "1 once refilled", move || i64::from(replica.state().complete));
     let replica = core.clone();
     metrics.read("replica_set_version", "The replica set gone by", move || replica.set().version as i64);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -335,6 +335,12 @@
         Places::new(self.regions.clone())
     }
 
+    /// The zones of this node's region.
+    pub fn zones_nearby(&self) -> Vec<String> {
+        let places = self.places();
+        self.zones.iter().filter(|zone| places.is_same_region(zone, &self.zone)).cloned().collect()
+    }
+
     /// The time within which a change of the platform has to be in force on this node.
     pub fn change_bound(&self) -> Duration {
         let zone_drain_ms = self.times.zone_drain_ms.unwrap_or(f64::INFINITY);
--- /dev/null
+++ b/crates/gateway/tests/reserve_ahead_tests.rs
@@ -0,0 +1,216 @@
+//! Tokens reserved ahead, over real replicas and gateways: a turn with a ticket waits for no quorum, and whatever fails, no more
+//! than the budget is spent and none is refused for tokens that nobody uses.
+
+mod support;
+
+use foxnotch_gateway::ports::store::Kind;
+use foxnotch_turns::identity::program_key;
+use foxnotch_wire::{RpcBody, TakeTicket, TicketAnswer, TicketRequest};
+use std::time::{Duration, Instant};
+use support::cluster::Cluster;
+use support::engine::{Behaviour, EngineStandIn};
+use support::gateway::{configuration, list_engine, Answer, RunningGateway};
+
+/// The longest wait for a metric.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Three replicas, an engine and a gateway that reserves ahead.
+struct Deployment {
+    cluster: Cluster,
+    gateway: RunningGateway,
+    engine: EngineStandIn,
+}
+
+/// A gateway that reserves ahead.
+async fn gateway(cluster: &Cluster, number: u8) -> RunningGateway {
+    let gateway = RunningGateway::start_set(cluster, number, cluster.store.clone(), |settings| {
+        settings.policy.reserve_ahead = true;
+    })
+    .await;
+    gateway.wait_ready().await;
+    gateway
+}
+
+impl Deployment {
+    /// `net` keeps tests apart.
+    async fn start(net: u8) -> Self {
+        let cluster = Cluster::start(net, 3).await;
+        cluster.store.put(Kind::Configuration, "main", configuration(1));
+        let engine = EngineStandIn::start(Behaviour::Stream(vec!["data: x\n\n", "data: y\n\n"])).await;
+        for service in ["turn", "draft"] {
+            list_engine(&cluster, &format!("e-{service}"), service, engine.address);
+        }
+        let gateway = gateway(&cluster, 50).await;
+        Self { cluster, gateway, engine }
+    }
+
+    /// A program with one turn behind it, of 18 tokens, and a ticket of 30. Returns the ticket's holder.
+    async fn start_with_ticket(net: u8, budget: u64) -> (Self, u8) {
+        let deployment = Self::start(net).await;
+        // The first round over the replicas may find one that is not complete yet.
+        let answer = turn(&deployment.gateway, "draft", "t1", budget, 30).await;
+        assert_eq!(answer.status, 200, "{}", answer.body);
+        deployment.until_counted("deposited", 1).await;
+        let holder = deployment.holder().await;
+        (deployment, holder)
+    }
+
+    async fn holder(&self) -> u8 {
+        for number in 1..=3 {
+            if self.cluster.metric(number, "tickets_held").await == Some(1) {
+                return number;
+            }
+        }
+        panic!("no replica holds a ticket");
+    }
+
+    async fn counted(&self, outcome: &str) -> u64 {
+        let name = format!("tickets_total{{outcome=\"{outcome}\"}}");
+        self.cluster.metric(50, &name).await.unwrap_or(0)
+    }
+
+    async fn until_counted(&self, outcome: &str, count: u64) {
+        let until = Instant::now() + PATIENCE;
+        while self.counted(outcome).await < count {
+            assert!(Instant::now() < until, "{outcome} never reaches {count}");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    fn runs(&self) -> usize {
+        self.engine.received().len()
+    }
+
+    /// Takes the ticket as a gateway that never gets the answer.
+    async fn take_in_vain(&self, holder: u8, budget: u64) {
+        let request = TakeTicket { program: program_key("", "p"), asker: 99, least: 1, budget };
+        let answer = self.cluster.ask(holder, RpcBody::Ticket(TicketRequest::Take(request))).await;
+        assert!(matches!(answer, RpcBody::TicketAnswer(TicketAnswer::Given(_))), "{answer:?}");
+    }
+}
+
+async fn turn(gateway: &RunningGateway, route: &str, attempt: &str, budget: u64, most: u32) -> Answer {
+    let headers = format!(
+        "t-attempt: {attempt}\r\nt-deadline: 2000\r\nt-program: p\r\nt-budget: {budget}\r\nt-most: {most}\r\nt-parts: a:400\r\n"
+    );
+    gateway.send(&format!("POST /{route}/"), &headers, "in").await
+}
+
+/// Without a ticket this turn is refused: there is no quorum to reserve on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_turn_with_a_ticket_is_sent_without_a_quorum() {
+    let (mut deployment, holder) = Deployment::start_with_ticket(220, 500).await;
+    for number in (1..=3).filter(|number| *number != holder) {
+        deployment.cluster.kill(number);
+    }
+    let answer = turn(&deployment.gateway, "draft", "t2", 500, 30).await;
+    assert_eq!((answer.status, answer.is_whole), (200, true), "{}", answer.body);
+    assert_eq!(deployment.counted("taken").await, 1);
+    assert_eq!(turn(&deployment.gateway, "draft", "t3", 500, 30).await.status, 503);
+    assert_eq!(deployment.runs(), 2);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_kept_turn_with_a_ticket_can_be_continued() {
+    let deployment = Deployment::start(221).await;
+    for number in 1..=4 {
+        let previous = if number == 1 { String::new() } else { format!("t-previous: t{}\r\n", number - 1) };
+        let headers = format!(
+            "t-attempt: t{number}\r\nt-deadline: 2000\r\nt-program: p\r\nt-budget: 500\r\nt-most: 30\r\n{previous}"
+        );
+        let answer = deployment.gateway.send("POST /turn/", &headers, &format!("in{number}")).await;
+        assert_eq!((answer.status, answer.is_whole), (200, true), "turn {number}: {}", answer.body);
+        deployment.until_counted("deposited", number).await;
+    }
+    assert_eq!(deployment.counted("taken").await, 3);
+    let last = deployment.engine.received().pop().expect("the turn ran");
+    let text = String::from_utf8_lossy(&last.body).into_owned();
+    assert_eq!(text.matches("in").count(), 4, "the chain is not whole: {text}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn another_gateway_takes_the_ticket() {
+    let (deployment, _) = Deployment::start_with_ticket(222, 500).await;
+    let other = gateway(&deployment.cluster, 51).await;
+    assert_eq!(turn(&other, "draft", "t2", 500, 30).await.status, 200);
+    let taken = deployment.cluster.metric(51, "tickets_total{outcome=\"taken\"}").await;
+    assert_eq!(taken, Some(1));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn when_the_holder_dies_the_next_turn_makes_the_ordinary_round() {
+    let (mut deployment, holder) = Deployment::start_with_ticket(223, 500).await;
+    deployment.cluster.kill(holder);
+    assert_eq!(turn(&deployment.gateway, "draft", "t2", 500, 30).await.status, 200);
+    assert_eq!(deployment.counted("taken").await, 0);
+}
+
+/// Whether a turn runs under the lost ticket cannot be told: never a 402, and nothing has run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_turn_that_does_not_fit_beside_a_lost_ticket_is_told_to_come_back() {
+    let (mut deployment, holder) = Deployment::start_with_ticket(224, 70).await;
+    deployment.cluster.kill(holder);
+    let answer = turn(&deployment.gateway, "draft", "t2", 70, 30).await;
+    assert_eq!(answer.status, 503, "{}", answer.body);
+    assert!(answer.says_when());
+    assert_eq!(deployment.runs(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn when_the_answer_with_a_ticket_is_lost_its_tokens_are_not_spent_twice() {
+    let (deployment, holder) = Deployment::start_with_ticket(225, 90).await;
+    deployment.take_in_vain(holder, 90).await;
+    // 18 used, 30 in use by whoever took the ticket, 30 of this turn.
+    assert_eq!(turn(&deployment.gateway, "draft", "t2", 90, 30).await.status, 200);
+    // 36 used, 30 in use, and now 30 more do not fit.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(turn(&deployment.gateway, "draft", "t3", 90, 30).await.status, 402);
+    assert_eq!(deployment.runs(), 2);
+}
+
+/// 18 used, 30 reserved ahead, and a turn of 40, for which the ticket is too small, do not fit into 70 together.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_is_reserved_ahead_is_taken_back_before_a_turn_is_refused() {
+    let (deployment, _) = Deployment::start_with_ticket(226, 70).await;
+    let answer = turn(&deployment.gateway, "draft", "t2", 70, 40).await;
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    assert_eq!(deployment.runs(), 2);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_turn_that_is_resent_counts_what_its_first_try_handed_out() {
+    let (deployment, _) = Deployment::start_with_ticket(227, 90).await;
+    deployment.engine.set(Behaviour::BrokenStream(vec!["data: x\n\n"]));
+    let broken = turn(&deployment.gateway, "draft", "t2", 90, 30).await;
+    assert!(!broken.is_whole);
+    assert_eq!(deployment.counted("taken").await, 1);
+    deployment.engine.set(Behaviour::Stream(vec!["data: x\n\n", "data: y\n\n"]));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    // 18, 9 of the broken one, 18 and 18: 63. Another 30 do not fit into 90.
+    for (attempt, status) in [("t2-again", 200), ("t3", 200), ("t4", 402)] {
+        assert_eq!(turn(&deployment.gateway, "draft", attempt, 90, 30).await.status, status, "{attempt}");
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_program_without_end_is_stopped() {
+    let deployment = Deployment::start(228).await;
+    let other = gateway(&deployment.cluster, 51).await;
+    let mut stopped = 0;
+    let mut sends = 0;
+    while stopped < 5 {
+        assert!(sends < 400, "it is not stopped");
+        let entered = if sends % 3 == 0 { &other } else { &deployment.gateway };
+        let answer = turn(entered, "draft", &format!("t{sends}"), 400, 30).await;
+        assert!([200, 402, 503].contains(&answer.status), "{}", answer.body);
+        stopped += usize::from(answer.status == 402);
+        sends += 1;
+        // Turns follow each other sooner than some of them are settled.
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let runs = deployment.runs();
+    // Each hands out 18 tokens.
+    assert!(runs * 18 <= 400, "{runs} turns ran");
+    assert!(runs * 18 > 400 - 4 * 30, "only {runs} turns ran");
+}
--- a/crates/gateway/tests/support/cluster.rs
+++ b/crates/gateway/tests/support/cluster.rs
@@ -259,6 +259,12 @@
         answer.await.expect("the replica answers")
     }
 
+    /// What a replica answers to a request.
+    pub async fn ask(&self, number: u8, body: RpcBody) -> RpcBody {
+        let answer = self.client.call(self.peer_address(number), body, Duration::from_secs(5));
+        answer.await.expect("the replica answers")
+    }
+
     /// Writes an entry to some replicas alone: the others have missed it.
     pub async fn write_only_to(&self, numbers: &[u8], entry: &TurnEntry) {
         for number in numbers {
--- a/crates/gateway/tests/support/gateway.rs
+++ b/crates/gateway/tests/support/gateway.rs
@@ -191,7 +191,18 @@
 
     /// Starts a gateway that is given a store of its own.
     pub async fn start_with(cluster: &Cluster, number: u8, store: StubStore) -> Self {
+        Self::start_set(cluster, number, store, |_| {}).await
+    }
+
+    /// Starts a gateway with other settings than the usual ones.
+    pub async fn start_set(
+        cluster: &Cluster,
+        number: u8,
+        store: StubStore,
+        change: impl FnOnce(&mut ProcessSettings),
+    ) -> Self {
         let mut settings: ProcessSettings = cluster.settings(number, false);
+        change(&mut settings);
         let callers = SocketAddr::from((settings.ip, 7400));
         let readiness = SocketAddr::from((settings.ip, 7401));
         settings.caller_address = Some(callers);
--- a/crates/turns/src/budget.rs
+++ b/crates/turns/src/budget.rs
@@ -1,16 +1,24 @@
 //! Whether a turn fits its program's budget.
 
-use foxnotch_wire::{RunPlace, TurnCharge, TurnId};
+use crate::reserve_ahead::holder_of;
+use foxnotch_wire::{RunPlace, Ticket, TurnCharge, TurnId};
 use std::collections::BTreeMap;
 
 /// What replicas know of a program's turns, merged.
 #[derive(Clone, Debug, Default)]
 pub struct BudgetView {
-    charges: BTreeMap<TurnId, u32>,
+    charges: BTreeMap<TurnId, Charge>,
     /// Where its prompts were read.
     places: Vec<RunPlace>,
 }
 
+/// What one turn counts for.
+#[derive(Clone, Copy, Debug)]
+struct Charge {
+    tokens: u32,
+    is_settled: bool,
+}
+
 /// What follows from a view.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BudgetVerdict {
@@ -26,11 +34,32 @@
     /// Takes one replica's answer. Charges only ever fall, so the lowest known is the newest.
     pub fn merge(&mut self, charges: &[TurnCharge]) {
         for charge in charges {
-            let known = self.charges.entry(charge.turn).or_insert(charge.tokens);
-            *known = (*known).min(charge.tokens);
+            let told = Charge { tokens: charge.tokens, is_settled: charge.settled == 1 };
+            let known = self.charges.entry(charge.turn).or_insert(told);
+            known.tokens = known.tokens.min(told.tokens);
+            known.is_settled |= told.is_settled;
         }
     }
 
+    /// What the maker of a ticket knew: the ticket's own reservation, and where the program's prompts were read.
+    pub fn of_ticket(ticket: &Ticket) -> Self {
+        let own = Charge { tokens: ticket.reserved, is_settled: false };
+        Self { charges: BTreeMap::from([(ticket.entry, own)]), places: ticket.places.clone() }
+    }
+
+    /// Where its prompts were read, and which engines failed turns of it; each as often as it was told.
+    pub fn places(&self) -> &[RunPlace] {
+        &self.places
+    }
+
+    /// Entries that are reserved ahead and not settled, with their tokens.
+    pub fn reserved_ahead(&self) -> Vec<(TurnId, u32)> {
+        let ahead = |(turn, charge): &(&TurnId, &Charge)| {
+            holder_of(**turn).is_some() && !charge.is_settled && charge.tokens > 0
+        };
+        self.charges.iter().filter(ahead).map(|(turn, charge)| (*turn, charge.tokens)).collect()
+    }
+
     /// Takes what one replica knows of where the program's prompts were read.
     pub fn merge_places(&mut self, places: &[RunPlace]) {
         self.places.extend_from_slice(places);
@@ -57,12 +86,12 @@
 
     /// How many turns run or have handed something out. One that was refused after its reservation does not count.
     pub fn begun_turns(&self) -> usize {
-        self.charges.values().filter(|tokens| **tokens > 0).count()
+        self.charges.values().filter(|charge| charge.tokens > 0).count()
     }
 
     /// Tokens of all turns.
     pub fn total(&self) -> u64 {
-        self.charges.values().map(|tokens| u64::from(*tokens)).sum()
+        self.charges.values().map(|charge| u64::from(charge.tokens)).sum()
     }
 
     /// Decides on the first round: the answers to the write of the reservation itself.
--- a/crates/turns/src/ledger.rs
+++ b/crates/turns/src/ledger.rs
@@ -84,7 +84,12 @@
     pub fn charges(&self, program: ProgramKey) -> Vec<TurnCharge> {
         let Some(kept) = self.programs.get(&program) else { return Vec::new() };
         let entries = kept.turns.iter().filter_map(|turn| self.entries.get(turn));
-        entries.map(|entry| TurnCharge { turn: entry.turn, tokens: entry.charge() }).collect()
+        let charge = |entry: &TurnEntry| TurnCharge {
+            turn: entry.turn,
+            tokens: entry.charge(),
+            settled: u8::from(entry.used != NOT_SETTLED),
+        };
+        entries.map(charge).collect()
     }
 
     /// Where the prompts of a program were read: for each last part the longest prompt that ended with it; and the engines
--- a/crates/turns/src/lib.rs
+++ b/crates/turns/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod ledger;
 pub mod quorum;
 pub mod replica_set;
+pub mod reserve_ahead;
 pub mod segment;
--- a/crates/turns/tests/budget_tests.rs
+++ b/crates/turns/tests/budget_tests.rs
@@ -18,7 +18,7 @@
 }
 
 fn charge(turn: u128, tokens: u32) -> TurnCharge {
-    TurnCharge { turn: TurnId(turn), tokens }
+    TurnCharge { turn: TurnId(turn), tokens, settled: 0 }
 }
 
 fn ran(engine: u32, part: u64, prompt_tokens: u32) -> RunPlace {
@@ -149,7 +149,7 @@
 #[test]
 fn turns_that_were_refused_have_not_begun() {
     let mut view = BudgetView::default();
-    let charge = |turn, tokens| TurnCharge { turn: TurnId(turn), tokens };
+    let charge = |turn, tokens| TurnCharge { turn: TurnId(turn), tokens, settled: 0 };
     view.merge(&[charge(1, 0), charge(2, 80)]);
     assert_eq!(view.begun_turns(), 1);
     view.merge(&[charge(3, 9)]);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,6 +13,7 @@
 mod quota;
 mod rpc;
 mod text;
+mod tickets;
 mod turns;
 mod view;
 
@@ -30,6 +31,7 @@
 pub use quota::{ProgramStanding, QuotaGiven, TakeQuota};
 pub use rpc::{decode_rpc, encode_rpc, RelayRequest, RpcBody, RpcMessage};
 pub use text::Text;
+pub use tickets::{ReclaimTickets, ReclaimedTickets, StoreEntries, TakeTicket, Ticket, TicketAnswer, TicketRequest};
 pub use turns::{
     Chain, ChainLink, Content, DiskIdentity, Entries, FetchEntries, ListMarks, Marks, ProgramKey, ReadChain,
     ReadProgram, ReplicaMember, ReplicaSet, ReplicaStanding, RunPlace, SetNews, StoreEntry, Stored, TurnCharge,
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -4,8 +4,8 @@
 
 use crate::{
     Chain, Content, Entries, FetchEntries, KeptViewHeld, ListMarks, Marks, MemberList, MemberUpdate, NodeId,
-    QuotaGiven, ReadChain, ReadKeptView, ReadProgram, SetNews, StoreEntry, Stored, TakeQuota, ViewNews, WireError,
-    MAXIMUM_MESSAGE_BYTES, PROTOCOL_VERSION,
+    QuotaGiven, ReadChain, ReadKeptView, ReadProgram, SetNews, StoreEntries, StoreEntry, Stored, TakeQuota,
+    TicketAnswer, TicketRequest, ViewNews, WireError, MAXIMUM_MESSAGE_BYTES, PROTOCOL_VERSION,
 };
 use deku::prelude::*;
 
@@ -69,6 +69,12 @@
     /// Request of an operator; answered by [`RpcBody::View`] without contents.
     #[deku(id = "13")]
     ShowView,
+    /// Request.
+    #[deku(id = "15")]
+    StoreEntries(StoreEntries),
+    /// Request to a replica that holds tickets.
+    #[deku(id = "16")]
+    Ticket(TicketRequest),
     /// Answer.
     #[deku(id = "64")]
     Stored(Stored),
@@ -108,6 +114,9 @@
     /// Answer.
     #[deku(id = "76")]
     KeptViewHeld(KeptViewHeld),
+    /// Answer to [`RpcBody::Ticket`].
+    #[deku(id = "78")]
+    TicketAnswer(TicketAnswer),
 }
 
 /// A request or its answer.
--- /dev/null
+++ b/crates/wire/src/tickets.rs
@@ -0,0 +1,135 @@
+//! Tokens that are reserved ahead of a program's next turn, and the tickets for them.
+//!
+//! The reservation itself is an entry on a quorum of replicas, as any other. The ticket is the right to run a turn under
+//! it. One replica holds the ticket in memory and hands it out once.
+
+use crate::length::Length;
+use crate::turns::MAXIMUM_TURNS;
+use crate::{ProgramKey, RunPlace, TurnEntry, TurnId};
+use deku::prelude::*;
+
+/// The most entries of one write.
+const MAXIMUM_ENTRIES: u32 = 8;
+
+/// Stores entries of one program. Answered by [`crate::RpcBody::Stored`] once all are on disk.
+#[deku_derive(DekuRead, DekuWrite)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct StoreEntries {
+    /// The version of the replica set that the sender goes by.
+    pub set_version: u64,
+    #[deku(temp, temp_value = "Length::of(&entries)")]
+    length: Length<MAXIMUM_ENTRIES>,
+    /// The entries.
+    #[deku(count = "length.get()")]
+    pub entries: Vec<TurnEntry>,
+}
+
+/// The right to run one turn under a reservation that is on a quorum.
+#[deku_derive(DekuRead, DekuWrite)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct Ticket {
+    /// The reservation's entry.
+    pub entry: TurnId,
+    /// The program.
+    pub program: ProgramKey,
+    /// Tokens reserved.
+    pub reserved: u32,
+    /// The budget that holds them.
+    pub budget: u64,
+    /// Tokens that the program's other turns counted for when the ticket was made.
+    pub others_total: u64,
+    /// Milliseconds for which the program is kept.
+    pub retention_ms: u32,
+    #[deku(temp, temp_value = "Length::of(&places)")]
+    length: Length<MAXIMUM_TURNS>,
+    /// Where the program's prompts were read, as the replicas knew when the ticket was made.
+    #[deku(count = "length.get()")]
+    pub places: Vec<RunPlace>,
+}
+
+/// Asks for a ticket of a program. The same asker is given the same ticket again.
+#[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct TakeTicket {
+    /// The program.
+    pub program: ProgramKey,
+    /// Drawn by lot for each turn.
+    pub asker: u64,
+    /// Tokens that the turn needs.
+    pub least: u32,
+    /// The program's budget as the turn tells it.
+    pub budget: u64,
+}
+
+/// Asks for tickets of these entries, to release what they reserve.
+#[deku_derive(DekuRead, DekuWrite)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct ReclaimTickets {
+    /// The program.
+    pub program: ProgramKey,
+    /// Drawn by lot for each turn.
+    pub asker: u64,
+    #[deku(temp, temp_value = "Length::of(&entries)")]
+    length: Length<MAXIMUM_TURNS>,
+    /// The entries.
+    #[deku(count = "length.get()")]
+    pub entries: Vec<TurnId>,
+}
+
+/// What a holder of tickets is asked. Answered by [`TicketAnswer`].
+#[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+#[deku(id_type = "u8")]
+pub enum TicketRequest {
+    /// Hold a ticket. Sent once and directly: a copy that arrives at a holder which has started again would count twice.
+    #[deku(id = "0")]
+    Deposit(Ticket),
+    /// Hand one out.
+    #[deku(id = "1")]
+    Take(TakeTicket),
+    /// Hand out those of some entries.
+    #[deku(id = "2")]
+    Reclaim(ReclaimTickets),
+}
+
+/// What became of tickets that were to be reclaimed. One that is in neither list is not known.
+#[deku_derive(DekuRead, DekuWrite)]
+#[derive(Clone, Debug, PartialEq, Eq, Default)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct ReclaimedTickets {
+    #[deku(temp, temp_value = "Length::of(&given)")]
+    given_length: Length<MAXIMUM_TURNS>,
+    /// Entries whose tickets the asker now has.
+    #[deku(count = "given_length.get()")]
+    pub given: Vec<TurnId>,
+    #[deku(temp, temp_value = "Length::of(&in_use)")]
+    in_use_length: Length<MAXIMUM_TURNS>,
+    /// Entries whose tickets were handed out to turns.
+    #[deku(count = "in_use_length.get()")]
+    pub in_use: Vec<TurnId>,
+}
+
+/// Answers [`TicketRequest`].
+#[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+#[deku(id_type = "u8")]
+pub enum TicketAnswer {
+    /// The ticket is held.
+    #[deku(id = "0")]
+    Held,
+    /// The ticket is not held: there are too many. It stays with the asker.
+    #[deku(id = "1")]
+    Refused,
+    /// The ticket, which is the asker's now.
+    #[deku(id = "2")]
+    Given(Ticket),
+    /// No ticket that serves.
+    #[deku(id = "3")]
+    NoneHeld,
+    /// What became of those that were to be reclaimed.
+    #[deku(id = "4")]
+    Reclaimed(ReclaimedTickets),
+}
--- a/crates/wire/src/turns.rs
+++ b/crates/wire/src/turns.rs
@@ -184,6 +184,8 @@
     pub turn: TurnId,
     /// Tokens.
     pub tokens: u32,
+    /// 1 once the turn is settled.
+    pub settled: u8,
 }
 
 /// A turn and how much of it is known.
--- a/crates/wire/tests/rpc_tests.rs
+++ b/crates/wire/tests/rpc_tests.rs
@@ -33,7 +33,7 @@
     let own = DiskIdentity { node: NodeId(3), disk: 4 };
     Stored {
         witness: Witness { own, standing: ReplicaStanding::Counts, others: vec![own] },
-        charges: vec![TurnCharge { turn: TurnId(5), tokens: 80 }],
+        charges: vec![TurnCharge { turn: TurnId(5), tokens: 80, settled: 0 }],
         places: vec![RunPlace { engine: 9, part: 8, prompt_tokens: 7 }],
     }
 }
