--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -8,6 +8,7 @@
 use crate::edge::refusal::Refusal;
 use crate::edge::routes::{RouteTable, ServiceShares};
 use crate::edge::slow_start::ColdLeaveKeeper;
+use crate::edge::tickets::TicketKeeper;
 use crate::edge::tries::Tries;
 use crate::edge::turns::TurnKeeper;
 use crate::edge::zone_moves::ZoneDrainRules;
@@ -79,6 +80,8 @@
     pub zone_drains: ZoneDrainRules,
     /// Leave for sends to cold engines.
     pub cold_leaves: ColdLeaveKeeper,
+    /// Tickets for tokens that are reserved ahead.
+    pub tickets: Arc<TicketKeeper>,
     /// Shares of services.
     pub shares: ServiceShares,
     /// Mechanisms that are on.
--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -7,6 +7,7 @@
 use crate::edge::planned_stop::PlannedStop;
 use crate::edge::quotas::QuotaKeeper;
 use crate::edge::slow_start::ColdLeaveKeeper;
+use crate::edge::tickets::TicketKeeper;
 use crate::edge::turn_cache::TurnCache;
 use crate::edge::turns::TurnKeeper;
 use crate::edge::zone_moves::ZoneDrainRules;
@@ -93,13 +94,16 @@
     let metrics = gateway_metrics(&view, &members, &round_trips);
     let store: Arc<dyn MetadataStore> = Arc::new(CountedStore::new(platform.store, metrics.clone()));
     let relays = Relays::new(members.clone()).with_regions(zone_hash(&settings.zone), settings.zone_regions());
-    let replicas = replica_client(client, relays, &metrics, &round_trips, settings.policy);
+    let replicas = replica_client(client.clone(), relays, &metrics, &round_trips, settings.policy);
     let keeper =
         TurnKeeper::new(replicas.clone(), view.clone(), cache, zone_hash(&settings.zone), settings.tolerance());
     let turns = Arc::new(keeper.with_metrics(metrics.clone()).with_regions(settings.zone_regions()));
     let quotas = QuotaKeeper::new(replicas.clone(), turns.clone(), zone_hash(&settings.zone), metrics.clone());
     let zone = zone_hash(&settings.zone);
     let cold_leaves = ColdLeaveKeeper::new(replicas.clone(), turns.clone(), zone, metrics.clone());
+    let near_zones = settings.places().has_several_regions().then(|| settings.zones_nearby());
+    let reserves_ahead = settings.policy.reserve_ahead;
+    let tickets = TicketKeeper::new(turns.clone(), client, near_zones, reserves_ahead, metrics.clone());
     let gateway = Arc::new(Gateway {
         zone: settings.zone.clone(),
         places: settings.places(),
@@ -114,6 +118,7 @@
         quotas,
         zone_drains: ZoneDrainRules::new(settings.times.zone_drain(), members.duty().times()),
         cold_leaves,
+        tickets: Arc::new(tickets),
         shares: Default::default(),
         policy: settings.policy,
         routes: Mutex::default(),
--- a/crates/gateway/src/edge/turns.rs
+++ b/crates/gateway/src/edge/turns.rs
@@ -11,8 +11,8 @@
 use foxnotch_turns::replica_set::Tolerance;
 use foxnotch_turns::zone_regions::ZoneRegions;
 use foxnotch_wire::{
-    ProgramKey, ReadProgram, RegionId, ReplicaMember, ReplicaSet, ReplicaStanding, RpcBody, SetNews, StoreEntry,
-    Stored, TurnEntry, NOT_SETTLED,
+    ProgramKey, ReadProgram, RegionId, ReplicaMember, ReplicaSet, ReplicaStanding, RpcBody, SetNews, StoreEntries,
+    StoreEntry, Stored, TurnEntry, NOT_SETTLED,
 };
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use std::sync::Arc;
@@ -208,17 +208,28 @@
     /// # Errors
     /// [`TurnError`]; the reservation may then be on some replicas and has to be released.
     pub async fn reserve(&self, entry: &TurnEntry, budget: u64, deadline: Instant) -> Result<Reservation, TurnError> {
-        let mut program = self.write(entry, deadline).await?;
+        let written = self.write(entry, deadline).await?;
+        self.decide(entry, written, budget, deadline).await
+    }
+
+    /// Decides on a reservation that is on a quorum, by the answers to its write.
+    ///
+    /// # Errors
+    /// [`TurnError`].
+    pub async fn decide(
+        &self,
+        entry: &TurnEntry,
+        written: BudgetView,
+        budget: u64,
+        deadline: Instant,
+    ) -> Result<Reservation, TurnError> {
+        let mut program = written;
         let mut verdict = program.first_verdict(budget);
         if verdict == BudgetVerdict::ReadAgain {
             program = self.read(entry.program, deadline).await?;
             verdict = program.second_verdict(budget);
         }
-        let granted = verdict == BudgetVerdict::Granted;
-        if !granted {
-            log::info!(target: part::TURN, "Budget spent: turn={} program={:016x} total={} budget={budget}.", entry.turn, entry.program.0, program.total());
-        }
-        Ok(Reservation { granted, program })
+        Ok(Reservation { granted: verdict == BudgetVerdict::Granted, program })
     }
 
     /// Writes an entry to a quorum.
@@ -226,16 +237,38 @@
     /// # Errors
     /// [`TurnError`].
     pub async fn write(&self, entry: &TurnEntry, deadline: Instant) -> Result<BudgetView, TurnError> {
-        let without_text = entry.without_text();
-        let regions = entry.regions();
         let request = |member: &ReplicaMember, set_version| {
-            let may_carry = self.regions.may_hold(member.zone, regions);
-            let entry = if may_carry { entry.clone() } else { without_text.clone() };
-            RpcBody::StoreEntry(StoreEntry { set_version, entry })
+            RpcBody::StoreEntry(StoreEntry { set_version, entry: self.as_sent_to(member, entry) })
+        };
+        self.round(deadline, entry.regions(), request).await
+    }
+
+    /// Writes entries of one program to a quorum.
+    ///
+    /// # Errors
+    /// [`TurnError`].
+    pub async fn write_all(&self, entries: Vec<TurnEntry>, deadline: Instant) -> Result<BudgetView, TurnError> {
+        if let [entry] = entries.as_slice() {
+            return self.write(entry, deadline).await;
+        }
+        // At most one of them carries text.
+        let regions = entries.iter().map(TurnEntry::regions).find(|regions| !regions.is_empty()).unwrap_or_default();
+        let request = |member: &ReplicaMember, set_version| {
+            let entries = entries.iter().map(|entry| self.as_sent_to(member, entry)).collect();
+            RpcBody::StoreEntries(StoreEntries { set_version, entries })
         };
         self.round(deadline, regions, request).await
     }
 
+    /// An entry as a member gets it: without its text where that may not be kept.
+    fn as_sent_to(&self, member: &ReplicaMember, entry: &TurnEntry) -> TurnEntry {
+        if self.regions.may_hold(member.zone, entry.regions()) {
+            entry.clone()
+        } else {
+            entry.without_text()
+        }
+    }
+
     async fn read(&self, program: ProgramKey, deadline: Instant) -> Result<BudgetView, TurnError> {
         self.round(deadline, &[], |_, set_version| RpcBody::ReadProgram(ReadProgram { set_version, program })).await
     }
@@ -254,11 +287,23 @@
     /// # Errors
     /// [`TurnError`]; the turn may then be kept or not.
     pub async fn keep(&self, entry: &TurnEntry, deadline: Instant) -> Result<(), TurnError> {
-        self.write(entry, deadline).await?;
-        if let Some(record) = entry.record.first() {
+        self.keep_with(vec![entry.clone()], deadline).await.map(drop)
+    }
+
+    /// Writes a turn that ended whole, and with it other entries of its program. Returns the program's books if an entry is
+    /// not settled.
+    ///
+    /// # Errors
+    /// [`TurnError`]; the turn may then be kept or not.
+    pub async fn keep_with(&self, entries: Vec<TurnEntry>, deadline: Instant) -> Result<BudgetView, TurnError> {
+        let kept: Vec<TurnEntry> = entries.iter().filter(|entry| !entry.record.is_empty()).cloned().collect();
+        let program = self.write_all(entries, deadline).await?;
+        for entry in &kept {
             self.note_copies(entry);
-            self.cache_record(entry.turn, Arc::new(record.clone()));
+            if let Some(record) = entry.record.first() {
+                self.cache_record(entry.turn, Arc::new(record.clone()));
+            }
         }
-        Ok(())
+        Ok(program)
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -106,6 +106,10 @@
     pub weakly_kept: Counter,
     /// Seconds until a request of a tenant with a limit was let in or refused.
     pub quota_seconds: Histogram,
+    /// Seconds until a turn had a ticket for tokens that are reserved ahead, or none.
+    pub ticket_seconds: Histogram,
+    /// Tickets by what became of them.
+    pub tickets: Family<Outcome, Counter>,
     /// Requests of tenants with a limit, by what became of them.
     pub tenants: Family<TenantOutcome, Counter>,
     /// Questions for leave to send to cold engines, by how they ended.
@@ -139,6 +143,8 @@
             zone_moves: Counter::default(),
             weakly_kept: Counter::default(),
             quota_seconds: histogram(),
+            ticket_seconds: histogram(),
+            tickets: Family::default(),
             tenants: Family::default(),
             cold_leaves: Family::default(),
             cold_sends: Counter::default(),
@@ -171,6 +177,8 @@
             metrics.weakly_kept.clone(),
         );
         registry.register("quota_seconds", "Until a limit let a request in or not", metrics.quota_seconds.clone());
+        registry.register("ticket_seconds", "Until a turn had a ticket or none", metrics.ticket_seconds.clone());
+        registry.register("tickets", "Tickets by what became of them", metrics.tickets.clone());
         registry.register("tenant_requests", "Requests of tenants with a limit", metrics.tenants.clone());
         let registry = &mut metrics.registry;
         registry.register("cold_leaves", "Questions for leave to send to cold engines", metrics.cold_leaves.clone());
@@ -227,6 +235,11 @@
         self.ways.get_or_create(&WayLabel { place }).inc();
     }
 
+    /// Counts what became of a ticket.
+    pub fn count_ticket(&self, outcome: &'static str) {
+        self.tickets.get_or_create(&Outcome { outcome }).inc();
+    }
+
     /// Counts a request of a tenant that has a limit.
     pub fn count_tenant(&self, tenant: &str, outcome: &'static str) {
         let mut named = lock(&self.named_tenants);
--- a/crates/gateway/src/peers/replica_client.rs
+++ b/crates/gateway/src/peers/replica_client.rs
@@ -14,6 +14,7 @@
 use foxnotch_turns::zone_regions::ZoneRegions;
 use foxnotch_wire::{
     decode_rpc, encode_rpc, Content, MemberUpdate, NodeId, RegionId, RelayRequest, ReplicaMember, ReplicaSet, RpcBody,
+    TurnEntry,
 };
 use std::future::pending;
 use std::sync::{Arc, Mutex};
@@ -45,14 +46,19 @@
 /// A read brings text of which it is not known yet to what it is bound: it passes through this gateway's own region alone.
 fn passage_of(body: &RpcBody) -> Passage<'_> {
     match body {
-        RpcBody::StoreEntry(request) if !request.entry.record.is_empty() && !request.entry.regions().is_empty() => {
-            Passage::Through(request.entry.regions())
-        }
+        RpcBody::StoreEntry(request) => passage_of_entries(std::slice::from_ref(&request.entry)),
+        RpcBody::StoreEntries(request) => passage_of_entries(&request.entries),
         RpcBody::ReadChain(_) => Passage::Through(&[]),
         _ => Passage::Any,
     }
 }
 
+/// At most one entry of a write carries text.
+fn passage_of_entries(entries: &[TurnEntry]) -> Passage<'_> {
+    let with_text = entries.iter().find(|entry| !entry.record.is_empty() && !entry.regions().is_empty());
+    with_text.map_or(Passage::Any, |entry| Passage::Through(entry.regions()))
+}
+
 impl Relays {
     /// Relays among the members.
     pub fn new(members: Arc<Members>) -> Self {
@@ -231,6 +237,7 @@
     matches!(
         body,
         RpcBody::StoreEntry(_)
+            | RpcBody::StoreEntries(_)
             | RpcBody::ReadProgram(_)
             | RpcBody::ReadChain(_)
             | RpcBody::AdoptSet(_)
--- a/crates/gateway/tests/relay_tests.rs
+++ b/crates/gateway/tests/relay_tests.rs
@@ -124,6 +124,10 @@
     let mut bound = turn(1, 0, "bound");
     bound.record[0].regions = vec![region_id("ra")];
     assert_eq!(cut_off.keeper.keep(&bound, within()).await.is_ok(), may_pass);
+    let mut bound_with_others = turn(4, 0, "bound, written with another entry");
+    bound_with_others.record[0].regions = vec![region_id("ra")];
+    let entries = vec![reservation(5, 7, 10), bound_with_others];
+    assert_eq!(cut_off.keeper.keep_with(entries, within()).await.is_ok(), may_pass);
     let books = cut_off.keeper.reserve(&reservation(2, 7, 10), 1000, Instant::now() + milliseconds(5000)).await;
     assert!(books.is_ok_and(|reservation| reservation.granted), "books pass everywhere");
     cluster.keep(&turn(3, 0, "unbound")).await;
--- a/crates/gateway/tests/support/cluster.rs
+++ b/crates/gateway/tests/support/cluster.rs
@@ -118,9 +118,7 @@
 impl Cluster {
     /// A deployment with `replicas` replicas, all in the set, that starts for the first time. `net` keeps tests apart.
     pub async fn start(net: u8, replicas: u8) -> Self {
-        let cluster = Self::begin(net, replicas, Some(usize::from(replicas)));
-        cluster.wait_for_members(&(1..=replicas).collect::<Vec<_>>()).await;
-        cluster
+        Self::start_in(net, replicas, ONE_ZONE).await
     }
 
     /// The same, with the nodes in several zones.
@@ -307,6 +305,12 @@
         answer.await.expect("the replica answers")
     }
 
+    /// What a replica answers to a request.
+    pub async fn ask(&self, number: u8, body: RpcBody) -> RpcBody {
+        let answer = self.client.call(self.peer_address(number), body, Duration::from_secs(5));
+        answer.await.expect("the replica answers")
+    }
+
     /// Writes an entry to some replicas alone: the others have missed it.
     pub async fn write_only_to(&self, numbers: &[u8], entry: &TurnEntry) {
         for number in numbers {
--- a/crates/turns/src/lib.rs
+++ b/crates/turns/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod quorum;
 pub mod record_quorum;
 pub mod replica_set;
+pub mod reserve_ahead;
 pub mod segment;
 pub mod zone_regions;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,6 +14,7 @@
 mod rpc;
 mod slow_start;
 mod text;
+mod tickets;
 mod turns;
 mod view;
 
@@ -32,6 +33,7 @@
 pub use rpc::{decode_rpc, encode_rpc, RelayRequest, RpcBody, RpcMessage};
 pub use slow_start::{ColdLeave, TakeColdLeave};
 pub use text::Text;
+pub use tickets::{ReclaimTickets, ReclaimedTickets, StoreEntries, TakeTicket, Ticket, TicketAnswer, TicketRequest};
 pub use turns::{
     Chain, ChainLink, Content, DiskIdentity, Entries, FetchEntries, ListMarks, Marks, ProgramKey, ReadChain,
     ReadProgram, RecordElsewhere, RegionId, ReplicaMember, ReplicaSet, ReplicaStanding, RunPlace, SetNews, StoreEntry,
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -4,8 +4,8 @@
 
 use crate::{
     Chain, ColdLeave, Content, Entries, FetchEntries, KeptViewHeld, ListMarks, Marks, MemberList, MemberUpdate, NodeId,
-    QuotaGiven, ReadChain, ReadKeptView, ReadProgram, SetNews, StoreEntry, Stored, TakeColdLeave, TakeQuota, ViewNews,
-    WireError, MAXIMUM_MESSAGE_BYTES, PROTOCOL_VERSION,
+    QuotaGiven, ReadChain, ReadKeptView, ReadProgram, SetNews, StoreEntries, StoreEntry, Stored, TakeColdLeave,
+    TakeQuota, TicketAnswer, TicketRequest, ViewNews, WireError, MAXIMUM_MESSAGE_BYTES, PROTOCOL_VERSION,
 };
 use deku::prelude::*;
 
@@ -72,6 +72,12 @@
     /// Request.
     #[deku(id = "14")]
     TakeColdLeave(TakeColdLeave),
+    /// Request.
+    #[deku(id = "15")]
+    StoreEntries(StoreEntries),
+    /// Request to a replica that holds tickets.
+    #[deku(id = "16")]
+    Ticket(TicketRequest),
     /// Answer.
     #[deku(id = "64")]
     Stored(Stored),
@@ -114,6 +120,9 @@
     /// Answer.
     #[deku(id = "77")]
     ColdLeave(ColdLeave),
+    /// Answer to [`RpcBody::Ticket`].
+    #[deku(id = "78")]
+    TicketAnswer(TicketAnswer),
 }
 
 /// A request or its answer.
