Data residency: tests of the cache, of a refill that owes text, and of the messages

Cause: nothing tested that a gateway outside forgets text, nor that a refill waits for the text of its region; the property of losses took the quorum's own word for what may be lost.

--- a/crates/gateway/tests/residency_tests.rs
+++ b/crates/gateway/tests/residency_tests.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use foxnotch_gateway::edge::chain_reader::ChainError;
 use foxnotch_gateway::edge::turn_cache::TurnCache;
 use foxnotch_gateway::edge::turns::TurnKeeper;
 use foxnotch_gateway::peers::replica_client::ReplicaClient;
@@ -14,7 +15,7 @@
 use foxnotch_scheduler::tenants::Tenant;
 use foxnotch_turns::identity::{region_id, zone_hash};
 use foxnotch_turns::replica_set::Tolerance;
-use foxnotch_wire::{NodeId, TurnEntry};
+use foxnotch_wire::{NodeId, TurnEntry, TurnId};
 use rstest::rstest;
 use std::collections::BTreeSet;
 use std::fs;
@@ -294,6 +295,60 @@
     entry
 }
 
+/// A gateway's keeper of turns, with a cache.
+fn keeper_in(zone: &str, cluster: &Cluster, view: Arc<ViewHolder>) -> TurnKeeper {
+    let client = Arc::new(ReplicaClient::direct(Arc::new(RpcClient::new(NodeId(61)))));
+    let tolerance = Tolerance { machines: 1, zones: 0 };
+    let keeper = TurnKeeper::new(client, view, TurnCache::new(10_000), zone_hash(zone), tolerance);
+    keeper.with_regions(cluster.settings(50, false).zone_regions())
+}
+
+/// A gateway outside reads text for a caller of its own and forgets it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn text_is_cached_in_its_region_alone() {
+    let mut cluster = Cluster::start_in(110, 6, THREE_REGIONS).await;
+    let inside = keeper_in("za", &cluster, cluster.view.clone());
+    let outside = keeper_in("zb", &cluster, cluster.view.clone());
+    inside.keep(&bound_turn(1, "secret"), Instant::now() + PATIENCE).await.expect("it is kept");
+    outside.keep(&bound_turn(2, "secret"), Instant::now() + PATIENCE).await.expect("it is kept");
+    assert!(outside.chain(TurnId(1), Instant::now() + PATIENCE).await.is_ok(), "it may be read everywhere");
+    cluster.kill(1);
+    cluster.kill(2);
+    let soon = || Instant::now() + Duration::from_millis(500);
+    assert!(inside.chain(TurnId(1), soon()).await.is_ok());
+    for turn in [1, 2] {
+        let read = outside.chain(TurnId(turn), soon()).await;
+        assert!(matches!(read, Err(ChainError::Unknown(_))), "turn {turn}: {read:?}");
+    }
+}
+
+/// Complete members enough to refill from answer, and none of them holds the text.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_empty_replica_does_not_count_before_it_has_the_text_of_its_region() {
+    let mut cluster = Cluster::start_in(111, 6, THREE_REGIONS).await;
+    let keeper = keeper_in("za", &cluster, cluster.view.clone());
+    keeper.keep(&bound_turn(1, "secret"), Instant::now() + PATIENCE).await.expect("it is kept");
+    cluster.wipe(1);
+    cluster.kill(2);
+    cluster.start_replica(1, false);
+    eventually_owed(&cluster, 1).await;
+    assert_eq!(cluster.metric(1, "replica_complete").await, Some(0));
+    cluster.start_replica(2, false);
+    cluster.wait_until_complete(1).await;
+    assert!(holds(&cluster.data_folder(1), b"secret"));
+}
+
+/// Waits until a replica knows of text that it lacks.
+async fn eventually_owed(cluster: &Cluster, number: u8) {
+    let until = Instant::now() + PATIENCE;
+    while cluster.metric(number, "texts_owed").await != Some(1) {
+        assert!(Instant::now() < until, "replica {number} never knows of the text");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    // A few more of its tries, in less time than it takes to hold the other for gone.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+}
+
 /// What goes to each replica when a turn is kept, by the first to the last: text to those of its region alone.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn text_is_sent_to_no_replica_outside_its_region() {
@@ -309,11 +364,7 @@
     }
     let view = Arc::new(ViewHolder::default());
     view.adopt_set(&set, Origin::Store);
-    let settings = cluster.settings(51, false);
-    let client = Arc::new(ReplicaClient::direct(Arc::new(RpcClient::new(NodeId(61)))));
-    let tolerance = Tolerance { machines: 1, zones: 0 };
-    let keeper = TurnKeeper::new(client, view, TurnCache::new(10_000), zone_hash("zb"), tolerance)
-        .with_regions(settings.zone_regions());
+    let keeper = keeper_in("zb", &cluster, view);
     let deadline = Instant::now() + PATIENCE;
     keeper.keep(&bound_turn(1, "secret"), deadline).await.expect("it is kept");
     assert!(taps.iter().all(|tap| tap.len() > 0), "all replicas are told of the turn");
@@ -325,6 +376,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_replica_neither_keeps_text_of_other_regions_nor_hands_its_own_to_them() {
     let cluster = Cluster::start_in(109, 6, THREE_REGIONS).await;
+    cluster.wait_until_synced(&[1, 3]).await;
     cluster.write_only_to(&[1, 3], &bound_turn(1, "secret")).await;
     assert!(holds(&cluster.data_folder(1), b"secret") && !holds(&cluster.data_folder(3), b"secret"));
     let outside = cluster.fetch(3, "za", 1).await.expect("it knows of the turn");
--- a/crates/turns/tests/record_quorum_tests.rs
+++ b/crates/turns/tests/record_quorum_tests.rs
@@ -181,6 +181,7 @@
         let may_hold = |member: &ReplicaMember| regions().may_hold(member.zone, &bound);
         prop_assert_eq!(quorum.is_none(), !set.members.iter().any(may_hold));
         let Some(quorum) = quorum else { return Ok(()) };
+        let may_be_lost = set.members.iter().filter(|member| may_hold(member)).count() <= losses;
         let mut deployment = Deployment::new(&set, losses);
         let mut tally = Tally::default();
         let written = entry(&bound);
@@ -208,7 +209,7 @@
             let read = deployment.read();
             prop_assert!(read.denials() < denial_quorum(zones.len(), losses), "a kept turn is denied");
             let is_read = read.resolve(TURN).is_ok();
-            prop_assert!(is_read || quorum.is_weakened(), "the text of a kept turn is lost");
+            prop_assert!(is_read || may_be_lost, "the text of a kept turn is lost");
         }
     }
 
--- a/crates/wire/tests/rpc_tests.rs
+++ b/crates/wire/tests/rpc_tests.rs
@@ -12,7 +12,7 @@
     TurnRecord {
         previous: TurnId(4),
         engine: 77,
-        regions: Vec::new(),
+        regions: vec![RegionId(8), RegionId(9)],
         input: Content::from(b"input".to_vec()),
         output: Content::from(b"output\n".to_vec()),
     }
@@ -47,6 +47,9 @@
 
 #[rstest]
 #[case::store(RpcBody::StoreEntry(StoreEntry { set_version: 9, entry: entry() }))]
+#[case::store_without_text(RpcBody::StoreEntry(StoreEntry { set_version: 9, entry: entry().without_text() }))]
+#[case::fetch(RpcBody::FetchEntries(FetchEntries { zone: 4, turns: vec![TurnId(5)] }))]
+#[case::chain_elsewhere(RpcBody::Chain(Chain { witness: stored().witness, links: Vec::new(), elsewhere: 1 }))]
 #[case::chain(RpcBody::ReadChain(ReadChain { set_version: 9, turn: TurnId(5) }))]
 #[case::set(RpcBody::AdoptSet(SetNews { set: set(), synced: 8 }))]
 #[case::relay(RpcBody::Relay(RelayRequest { replica: NodeId(3), within_ms: 40, request: Content::from(b"request".to_vec()) }))]
