--- a/crates/node/tests/explain_tests.rs
+++ b/crates/node/tests/explain_tests.rs
@@ -31,6 +31,7 @@
 
 #[rstest]
 #[case("INFO call: Call c1 refused: cause=no_quorum status=503 after=1ms: too few.", "too few replicas")]
+#[case("INFO call: Call c1 refused: cause=zones_drained status=503 after=1ms: drained.", "an operator drains")]
 #[case("INFO call: Call c1 refused: cause=budget_spent status=402 after=1ms: spent.", "budget was spent")]
 #[case("INFO call: Call c1 refused: cause=configuration_behind status=503 after=1ms: behind.", "newer configuration")]
 #[case(
