--- a/crates/gateway/src/engines/selector.rs
+++ b/crates/gateway/src/engines/selector.rs
@@ -80,8 +80,8 @@
 /// Prompt tokens that the engine probably holds.
 fn held_tokens(engine: &Engine, placement: &Placement<'_>, home: Option<u32>) -> f64 {
     let known = f64::from(engine.parts().held_tokens(placement.prompt));
-    // One that has just started holds nothing of the time before.
-    if home != Some(engine.number) || engine.warmth.cold_rate().is_some() {
+    // One that has started anew holds nothing of the time before.
+    if home != Some(engine.number) || engine.warmth.may_be_emptied() {
         return known;
     }
     let prompt: u32 = placement.prompt.iter().map(|part| part.tokens).sum();
--- a/crates/scheduler/src/cost.rs
+++ b/crates/scheduler/src/cost.rs
@@ -2,8 +2,9 @@
 
 /// The price of a new connection, in milliseconds, besides its round trip: engines bear few and pay for each.
 const CONNECTION_MS: f64 = 8.0;
-/// What a cold engine costs, in milliseconds: leave has to be asked for, and it works slowly. Less than an engine that is full.
-const COLD_MS: f64 = 150.0;
+/// What a cold engine costs, in milliseconds: leave has to be asked for, and may be wanted more elsewhere. At 150 ms warm engines
+/// were overloaded while cold ones had free slots.
+const COLD_MS: f64 = 20.0;
 /// The price of each reason to pass over an engine, in milliseconds: it is taken only when there is no other.
 const DETERRENT_MS: f64 = 1_000.0;
 /// What a failed try costs, in milliseconds: the caller's pause, another try, and a third of a program that its third ends.
