A ticket carries each place once, and failed engines first

Cause: the books of a program hold a place once for each replica that answered, with failures last. A ticket took all of them; the holder cut at 64, which dropped the failures, and the vector kept its capacity.

Change: `places_to_carry` keeps each place once, engines that failed first, then the longest prompts, 16 at most, in memory of just that size. The gateway uses it when it makes the ticket and the holder when it takes one. The comment of MAXIMUM_HELD counts bytes at worst.

Run: foxnotch-turns ticket_book_tests, 10 passed; with the old cut the test of the holder fails.

--- a/crates/gateway/src/edge/tickets.rs
+++ b/crates/gateway/src/edge/tickets.rs
@@ -9,7 +9,7 @@
 use foxnotch_turns::budget::BudgetView;
 use foxnotch_turns::identity::zone_hash;
 use foxnotch_turns::reserve_ahead::{
-    ahead_entry, choose_holder, holder_of, refusal_verdict, tokens_ahead, RefusalVerdict,
+    ahead_entry, choose_holder, holder_of, places_to_carry, refusal_verdict, tokens_ahead, RefusalVerdict,
 };
 use foxnotch_wire::{
     NodeId, ProgramKey, ReclaimTickets, ReclaimedTickets, ReplicaMember, ReplicaSet, RpcBody, TakeTicket, Ticket,
@@ -195,7 +195,7 @@
             budget,
             others_total: program.total().saturating_sub(u64::from(entry.reserved)),
             retention_ms: entry.retention_ms,
-            places: program.places().to_vec(),
+            places: places_to_carry(program.places()),
         };
         match self.ask(&holder, TicketRequest::Deposit(ticket), DEPOSIT_TIME).await {
             Some(TicketAnswer::Held) => self.metrics.count_ticket("deposited"),
--- a/crates/turns/src/reserve_ahead.rs
+++ b/crates/turns/src/reserve_ahead.rs
@@ -6,9 +6,10 @@
 
 use crate::budget::BudgetView;
 use foxnotch_wire::{
-    NodeId, ProgramKey, ReclaimTickets, ReclaimedTickets, ReplicaMember, TakeTicket, Ticket, TicketAnswer,
+    NodeId, ProgramKey, ReclaimTickets, ReclaimedTickets, ReplicaMember, RunPlace, TakeTicket, Ticket, TicketAnswer,
     TicketRequest, TurnId,
 };
+use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
@@ -18,10 +19,12 @@
 const AHEAD_MARK: u128 = 0x7ea5_e7f0;
 /// Tickets of one program that are held: as many sub-agents as mostly run side by side.
 const MAXIMUM_OF_PROGRAM: usize = 8;
-/// Tickets that one holder holds: some 200 bytes each on a machine of 100 MB.
+/// Tickets that one holder keeps, and as many that it remembers as handed out: at worst some 700 bytes each with maps and
+/// places, 28 MB together on a machine of 100 MB.
 const MAXIMUM_HELD: usize = 20_000;
-/// Places of prompts that a ticket carries: bounds what one ticket takes.
-const MAXIMUM_PLACES: usize = 64;
+/// Places of prompts that a ticket carries: the program's failed engines and its few longest prompts, one for each sub-agent
+/// that mostly runs beside another, in 256 bytes.
+const MAXIMUM_PLACES: usize = 16;
 /// Time for which a ticket that was handed out is remembered: longer than any turn takes to end and be settled.
 const HANDED_OUT_TIME: Duration = Duration::from_secs(30);
 /// Time between two looks for tickets that have been held long enough.
@@ -53,6 +56,17 @@
     near.or_else(|| members.iter().max_by_key(weight)).copied()
 }
 
+/// The places that a ticket carries, each once: engines that failed first, then the longest prompts.
+pub fn places_to_carry(places: &[RunPlace]) -> Vec<RunPlace> {
+    let mut carried = places.to_vec();
+    // A failed place tells the greatest number of tokens.
+    carried.sort_unstable_by_key(|place| Reverse((place.prompt_tokens, place.engine, place.part)));
+    carried.dedup();
+    carried.truncate(MAXIMUM_PLACES);
+    carried.shrink_to_fit();
+    carried
+}
+
 /// How many tokens to reserve ahead when a turn ends: as many as it reserved itself, unless the books that it knows already
 /// tell that the budget does not hold them.
 pub fn tokens_ahead(most: u32, known_total: u64, budget: u64) -> Option<u32> {
@@ -155,7 +169,8 @@
         if is_full || of_program.len() >= MAXIMUM_OF_PROGRAM {
             return TicketAnswer::Refused;
         }
-        ticket.places.truncate(MAXIMUM_PLACES);
+        // Whatever the gateway sent: what is kept has a bound.
+        ticket.places = places_to_carry(&ticket.places);
         let expires_at = now + Duration::from_millis(ticket.retention_ms.into());
         self.held.entry(ticket.program).or_default().push(HeldTicket { ticket, expires_at });
         self.count += 1;
--- a/crates/turns/tests/ticket_book_tests.rs
+++ b/crates/turns/tests/ticket_book_tests.rs
@@ -2,10 +2,10 @@
 
 use foxnotch_turns::budget::BudgetView;
 use foxnotch_turns::reserve_ahead::{
-    ahead_entry, choose_holder, holder_of, refusal_verdict, tokens_ahead, RefusalVerdict, TicketBook,
+    ahead_entry, choose_holder, holder_of, places_to_carry, refusal_verdict, tokens_ahead, RefusalVerdict, TicketBook,
 };
 use foxnotch_wire::{
-    NodeId, ProgramKey, ReclaimTickets, ReclaimedTickets, ReplicaMember, TakeTicket, Ticket, TicketAnswer,
+    NodeId, ProgramKey, ReclaimTickets, ReclaimedTickets, ReplicaMember, RunPlace, TakeTicket, Ticket, TicketAnswer,
     TicketRequest, TurnCharge, TurnId,
 };
 use rstest::rstest;
@@ -122,3 +122,39 @@
     assert_eq!(book.answer(TicketRequest::Take(later), Duration::from_secs(61)), TicketAnswer::NoneHeld);
     assert!(book.is_empty());
 }
+
+/// A program of many turns as three replicas tell it: each place three times, and failures last.
+fn places_of_many_turns() -> Vec<RunPlace> {
+    let ran = |turn: u32| RunPlace { engine: turn % 7, part: u64::from(turn), prompt_tokens: 100 * turn };
+    let failed = [RunPlace::failed_at(41), RunPlace::failed_at(42)];
+    (0..3).flat_map(|_| (1..=200).map(ran).chain(failed)).collect()
+}
+
+fn is_told_of_failures_and_longest_prompts(places: &[RunPlace]) -> bool {
+    let prompts: Vec<u32> =
+        places.iter().filter(|place| !place.is_failure()).map(|place| place.prompt_tokens).collect();
+    let longest: Vec<u32> = (187..=200).rev().map(|turn| 100 * turn).collect();
+    places.iter().filter(|place| place.is_failure()).count() == 2 && prompts == longest
+}
+
+#[test]
+fn a_ticket_of_a_program_with_many_places_carries_failures_and_the_longest_prompts() {
+    let carried = places_to_carry(&places_of_many_turns());
+    assert!(is_told_of_failures_and_longest_prompts(&carried), "{carried:?}");
+    assert_eq!(carried.capacity(), carried.len(), "memory is kept for places that are not carried");
+}
+
+#[test]
+fn a_holder_bounds_the_places_of_a_ticket_that_brings_too_many() {
+    let entry = ahead_entry(NodeId(1), 5);
+    let mut book = TicketBook::default();
+    let deposit = Ticket { places: places_of_many_turns(), ..ticket(entry, 30) };
+    assert_eq!(book.answer(TicketRequest::Deposit(deposit), Duration::ZERO), TicketAnswer::Held);
+    let request = TakeTicket { program: PROGRAM, asker: 1, least: 30, budget: 100 };
+    match book.answer(TicketRequest::Take(request), Duration::ZERO) {
+        TicketAnswer::Given(ticket) => {
+            assert!(is_told_of_failures_and_longest_prompts(&ticket.places), "{:?}", ticket.places);
+        }
+        other => panic!("{other:?} is no ticket"),
+    }
+}
