An entry that only brings a record hides no reservation

Cause: a kept turn under a ticket writes its record under its own identifier, not settled and with nothing reserved. A replica without the turn's earlier reservation then told 0 tokens, and the lowest told counts: what other replicas knew as reserved was missing from the total.

Change: `Ledger::charges` leaves out entries with nothing reserved that are not settled.

Run: foxnotch-turns ledger_tests, 13 passed; without the change the new test reads 0 for 80.

--- a/crates/turns/src/ledger.rs
+++ b/crates/turns/src/ledger.rs
@@ -110,7 +110,8 @@
             tokens: entry.charge(),
             settled: u8::from(entry.used != NOT_SETTLED),
         };
-        entries.map(charge).collect()
+        // An entry that only brings a record says nothing of tokens; its turn's reservation may be on other replicas.
+        entries.filter(|entry| entry.reserved > 0 || entry.used != NOT_SETTLED).map(charge).collect()
     }
 
     /// Where the prompts of a program were read: for each last part the longest prompt that ended with it; and the engines
--- a/crates/turns/tests/ledger_tests.rs
+++ b/crates/turns/tests/ledger_tests.rs
@@ -1,6 +1,7 @@
 //! What a replica holds, and for how long.
 
 use foxnotch_core::time::Millis;
+use foxnotch_turns::budget::BudgetView;
 use foxnotch_turns::chain::{compose_body, ChainAssembly, NO_TURN};
 use foxnotch_turns::ledger::Ledger;
 use foxnotch_wire::{
@@ -51,6 +52,27 @@
     assert_eq!(ledger.chain(TurnId(1)).len(), 1);
 }
 
+/// A turn that ran under an entry reserved ahead keeps its record under its own identifier, of which an earlier try may have
+/// left a reservation on other replicas.
+#[test]
+fn an_entry_that_only_brings_a_record_hides_no_reservation() {
+    let brings_record = TurnEntry { used: NOT_SETTLED, reserved: 0, ..recorded(1, 7, 0, "in", "out\n") };
+    let (mut with_reservation, mut without) = (Ledger::default(), Ledger::default());
+    with_reservation.apply(reserved(1, 7, 80), START);
+    for ledger in [&mut with_reservation, &mut without] {
+        ledger.apply(brings_record.clone(), START);
+    }
+    let mut books = BudgetView::default();
+    for ledger in [&with_reservation, &without] {
+        books.merge(&ledger.charges(ProgramKey(7)));
+    }
+    assert_eq!(books.total(), 80);
+    // Released, it counts nothing, also where its reservation never was.
+    without.apply(TurnEntry { used: 0, ..reserved(1, 7, 0) }, START);
+    books.merge(&without.charges(ProgramKey(7)));
+    assert_eq!(books.total(), 0);
+}
+
 #[test]
 fn a_chain_is_read_from_the_newest_turn_back() {
     let mut ledger = Ledger::default();
