Without a replica in its region a gateway has no holder of tickets

Cause: the choice fell back to any member. Over a path of 40 ms there and back each ask ran into the 15 ms that a turn waits.

Change: `choose_holder` chooses near members alone; without one nothing is taken or reserved ahead, and turns make the ordinary round.

--- a/crates/turns/src/reserve_ahead.rs
+++ b/crates/turns/src/reserve_ahead.rs
@@ -41,7 +41,7 @@
 }
 
 /// The replica that holds tickets of a program for gateways of one region. All of them choose the same as long as they go
-/// by the same replica set; without a replica in the region, one elsewhere.
+/// by the same replica set. None without a replica in the region: one elsewhere takes as long to ask as a quorum.
 pub fn choose_holder(
     program: ProgramKey,
     members: &[ReplicaMember],
@@ -52,8 +52,7 @@
         bytes.extend_from_slice(&member.node.0.to_le_bytes());
         xxh3_64(&bytes)
     };
-    let near = members.iter().filter(|member| is_near(member)).max_by_key(weight);
-    near.or_else(|| members.iter().max_by_key(weight)).copied()
+    members.iter().filter(|member| is_near(member)).max_by_key(weight).copied()
 }
 
 /// The places that a ticket carries, each once: engines that failed first, then the longest prompts.
