A planned stop waits for tickets that are released late

Cause: the fetch of a ticket whose answer came late, and releases of tickets that were given back, ran in tasks that no work guard counted: a planned stop lost them, and their tokens stayed reserved. A late fetch that failed told nothing.

Change: the keeper of tickets counts its work in the background with the gateway's other work; a turn's account uses the same function. A late fetch without an answer is logged and counted as `late_unanswered`. The settlement, which logged the same line in two files, is written and logged in one; `TurnKeeper::settle` went with that.

--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -104,6 +104,7 @@
     let near_zones = settings.places().has_several_regions().then(|| settings.zones_nearby());
     let reserves_ahead = settings.policy.reserve_ahead;
     let tickets = TicketKeeper::new(turns.clone(), client, near_zones, reserves_ahead, metrics.clone());
+    let under_way = Arc::new(AtomicUsize::new(0));
     let gateway = Arc::new(Gateway {
         zone: settings.zone.clone(),
         places: settings.places(),
@@ -118,12 +119,12 @@
         quotas,
         zone_drains: ZoneDrainRules::new(settings.times.zone_drain(), members.duty().times()),
         cold_leaves,
-        tickets: Arc::new(tickets),
+        tickets: Arc::new(tickets.with_work(under_way.clone())),
         shares: Default::default(),
         policy: settings.policy,
         routes: Mutex::default(),
         stop: OnceLock::new(),
-        under_way: Arc::new(AtomicUsize::new(0)),
+        under_way,
     });
     let answers = Arc::new(PeerAnswers { members: members.clone(), view: view.clone(), replicas });
     tokio::spawn(rpc_server::serve(peers, own, answers.clone()));
--- a/crates/gateway/src/edge/tickets.rs
+++ b/crates/gateway/src/edge/tickets.rs
@@ -1,6 +1,7 @@
 //! Tickets of tokens that are reserved ahead: a turn that has one needs no round over the replicas before it is sent.
 
-use crate::edge::turns::TurnKeeper;
+use crate::edge::handler::WorkGuard;
+use crate::edge::turns::{TurnError, TurnKeeper};
 use crate::locks::lock;
 use crate::logging::part;
 use crate::metrics::Metrics;
@@ -17,6 +18,8 @@
 };
 use futures_util::future::join_all;
 use std::collections::{HashMap, HashSet};
+use std::future::Future;
+use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -51,6 +54,8 @@
     near_zones: Option<HashSet<u32>>,
     is_on: bool,
     metrics: Arc<Metrics>,
+    /// Work that a planned stop waits for.
+    under_way: Arc<AtomicUsize>,
     /// Holders that did not answer, and until when they are not asked.
     silent: Mutex<HashMap<NodeId, Instant>>,
 }
@@ -65,7 +70,22 @@
         metrics: Arc<Metrics>,
     ) -> Self {
         let near_zones = near_zones.map(|zones| zones.iter().map(|zone| zone_hash(zone)).collect());
-        Self { turns, client, near_zones, is_on, metrics, silent: Mutex::default() }
+        Self { turns, client, near_zones, is_on, metrics, under_way: Arc::default(), silent: Mutex::default() }
+    }
+
+    /// Counts its work in the background together with other work that a planned stop waits for.
+    pub fn with_work(mut self, under_way: Arc<AtomicUsize>) -> Self {
+        self.under_way = under_way;
+        self
+    }
+
+    /// Runs work that a planned stop waits for.
+    pub(super) fn in_background(&self, work: impl Future<Output = ()> + Send + 'static) {
+        let guard = WorkGuard::new(&self.under_way);
+        tokio::spawn(async move {
+            work.await;
+            drop(guard);
+        });
     }
 
     /// The holder of a program's tickets, unless it was silent a moment ago.
@@ -128,13 +148,19 @@
     /// Fetches a ticket whose turn has not waited for it, and releases what it reserves.
     async fn release_late(self: Arc<Self>, holder: ReplicaMember, request: TakeTicket) {
         // The same asker is given the same ticket, or the first that is there.
-        let answer = self.ask(&holder, TicketRequest::Take(request), LATE_TIME).await;
-        if let Some(TicketAnswer::Given(ticket)) = answer {
-            let entries = vec![ticket.entry];
-            let reclaim = ReclaimTickets { program: request.program, asker: request.asker, entries };
-            // Tells the holder that no turn runs under it. Without an answer another turn may be refused as if one did.
-            let _ = self.ask(&holder, TicketRequest::Reclaim(reclaim), LATE_TIME).await;
-            self.release(&ticket_entry(&ticket)).await;
+        match self.ask(&holder, TicketRequest::Take(request), LATE_TIME).await {
+            Some(TicketAnswer::Given(ticket)) => {
+                let entries = vec![ticket.entry];
+                let reclaim = ReclaimTickets { program: request.program, asker: request.asker, entries };
+                // Tells the holder that no turn runs under it. Without an answer another turn may be refused as if one did.
+                let _ = self.ask(&holder, TicketRequest::Reclaim(reclaim), LATE_TIME).await;
+                self.release(&ticket_entry(&ticket)).await;
+            }
+            Some(_) => {}
+            None => {
+                self.metrics.count_ticket("late_unanswered");
+                log::info!(target: part::TURN, "A ticket may be handed out in vain: program={:016x} holder={}.", request.program.0, holder.node);
+            }
         }
     }
 
@@ -152,20 +178,26 @@
 
     /// Settles a turn, and reserves ahead in the same round.
     pub async fn settle(&self, entry: TurnEntry, ahead: Option<AheadReservation>) {
-        let deadline = Instant::now() + SETTLE_TIME;
-        let Some(ahead) = ahead else {
-            let used = entry.used;
-            return self.turns.settle(entry, used, deadline).await;
-        };
-        let turn = entry.turn;
-        let written = self.turns.write_all(vec![entry, ahead.entry.clone()], deadline).await;
+        let written = self.write_settled(entry, ahead.as_ref().map(|ahead| &ahead.entry)).await;
+        if let Some(ahead) = ahead {
+            self.finish(ahead, written.ok()).await;
+        }
+    }
+
+    /// Writes a settled entry, and with it one that is reserved ahead.
+    async fn write_settled(&self, settled: TurnEntry, ahead: Option<&TurnEntry>) -> Result<BudgetView, TurnError> {
+        debug_assert!(settled.used != NOT_SETTLED);
+        let turn = settled.turn;
+        let entries = std::iter::once(settled).chain(ahead.cloned()).collect();
+        let written = self.turns.write_all(entries, Instant::now() + SETTLE_TIME).await;
         if let Err(error) = &written {
             log::warn!(target: part::TURN, "Turn {turn} is not settled and counts at its most: {error}.");
         }
-        self.finish(ahead, written.ok()).await;
+        written
     }
 
-    /// Goes on with a reservation ahead: given the program's books, it is on a quorum.
+    /// Ends a reservation ahead. `written` holds the program's books if the reservation reached a quorum: its ticket is then
+    /// deposited. Otherwise the reservation is released.
     pub async fn finish(&self, ahead: AheadReservation, written: Option<BudgetView>) {
         match written {
             Some(program) => self.deposit(ahead, program, Instant::now() + SETTLE_TIME).await,
@@ -215,7 +247,8 @@
     /// Writes that nothing was used of a reservation. Only whoever has its ticket may do so.
     async fn release(&self, entry: &TurnEntry) {
         self.metrics.count_ticket("given_up");
-        self.turns.settle(entry.clone(), 0, Instant::now() + SETTLE_TIME).await;
+        // A release that fails is logged there, and counts at its most.
+        let _ = self.write_settled(TurnEntry { used: 0, ..entry.clone() }, None).await;
     }
 
     /// Decides on a turn that the books alone refuse: takes back what is reserved ahead and not in use.
@@ -238,7 +271,7 @@
         for entry in reclaimed.given {
             let entry = TurnEntry { turn: entry, reserved: 0, place: None, record: Vec::new(), ..refused.clone() };
             let keeper = self.clone();
-            tokio::spawn(async move { keeper.release(&entry).await });
+            self.in_background(async move { keeper.release(&entry).await });
         }
         verdict
     }
@@ -277,7 +310,7 @@
 impl Drop for PendingTake {
     fn drop(&mut self) {
         if !self.is_answered {
-            tokio::spawn(self.keeper.clone().release_late(self.holder, self.request));
+            self.keeper.in_background(self.keeper.clone().release_late(self.holder, self.request));
         }
     }
 }
--- a/crates/gateway/src/edge/turn_account.rs
+++ b/crates/gateway/src/edge/turn_account.rs
@@ -1,7 +1,7 @@
 //! A turn's place in its program's books: what it may hand out, and what it has.
 
 use crate::edge::call::Call;
-use crate::edge::handler::{Gateway, WorkGuard};
+use crate::edge::handler::Gateway;
 use crate::edge::refusal::Refusal;
 use crate::edge::tickets::AheadReservation;
 use crate::edge::tries::Tries;
@@ -147,7 +147,7 @@
         if let Some(ahead) = ahead {
             let gateway = self.gateway.clone();
             let written = kept.clone();
-            self.in_background(async move { gateway.tickets.finish(ahead, written.ok()).await });
+            self.gateway.tickets.in_background(async move { gateway.tickets.finish(ahead, written.ok()).await });
         }
         kept.map(drop)
     }
@@ -176,15 +176,6 @@
     fn used(&self) -> u32 {
         self.events.saturating_mul(self.event_tokens).min(self.entry.reserved)
     }
-
-    /// Runs work that a planned stop waits for.
-    fn in_background(&self, work: impl std::future::Future<Output = ()> + Send + 'static) {
-        let guard = WorkGuard::new(&self.gateway.under_way);
-        tokio::spawn(async move {
-            work.await;
-            drop(guard);
-        });
-    }
 }
 
 impl Drop for TurnAccount {
@@ -195,6 +186,6 @@
         let gateway = self.gateway.clone();
         let entry = TurnEntry { used: self.used(), ..self.entry.clone() };
         let ahead = if self.has_ended_whole { self.plan_ahead() } else { None };
-        self.in_background(async move { gateway.tickets.settle(entry, ahead).await });
+        self.gateway.tickets.in_background(async move { gateway.tickets.settle(entry, ahead).await });
     }
 }
--- a/crates/gateway/src/edge/turns.rs
+++ b/crates/gateway/src/edge/turns.rs
@@ -1,7 +1,6 @@
 //! Keeps turns and budgets on the replicas.
 
 use crate::edge::turn_cache::TurnCache;
-use crate::logging::part;
 use crate::metrics::Metrics;
 use crate::peers::replica_client::ReplicaClient;
 use crate::peers::view::{Origin, ViewHolder};
@@ -12,7 +11,7 @@
 use foxnotch_turns::zone_regions::ZoneRegions;
 use foxnotch_wire::{
     ProgramKey, ReadProgram, RegionId, ReplicaMember, ReplicaSet, ReplicaStanding, RpcBody, SetNews, StoreEntries,
-    StoreEntry, Stored, TurnEntry, NOT_SETTLED,
+    StoreEntry, Stored, TurnEntry,
 };
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use std::sync::Arc;
@@ -273,15 +272,6 @@
         self.round(deadline, &[], |_, set_version| RpcBody::ReadProgram(ReadProgram { set_version, program })).await
     }
 
-    /// Settles a turn without a record.
-    pub async fn settle(&self, mut entry: TurnEntry, used: u32, deadline: Instant) {
-        debug_assert!(used != NOT_SETTLED);
-        entry.used = used;
-        if let Err(error) = self.write(&entry, deadline).await {
-            log::warn!(target: part::TURN, "Turn {} is not settled and counts at its most: {error}.", entry.turn);
-        }
-    }
-
     /// Writes a turn that ended whole; afterwards it can be continued everywhere.
     ///
     /// # Errors
--- a/crates/gateway/tests/reserve_ahead_tests.rs
+++ b/crates/gateway/tests/reserve_ahead_tests.rs
@@ -3,11 +3,22 @@
 
 mod support;
 
+use foxnotch_gateway::edge::tickets::TicketKeeper;
+use foxnotch_gateway::edge::turn_cache::TurnCache;
+use foxnotch_gateway::edge::turns::TurnKeeper;
+use foxnotch_gateway::metrics::Metrics;
+use foxnotch_gateway::peers::replica_client::ReplicaClient;
+use foxnotch_gateway::peers::rpc_client::RpcClient;
+use foxnotch_gateway::peers::view::{Origin, ViewHolder};
 use foxnotch_gateway::ports::store::Kind;
 use foxnotch_turns::identity::program_key;
-use foxnotch_wire::{RpcBody, TakeTicket, TicketAnswer, TicketRequest};
+use foxnotch_turns::replica_set::Tolerance;
+use foxnotch_turns::reserve_ahead::RefusalVerdict;
+use foxnotch_wire::{NodeId, ReplicaMember, ReplicaSet, RpcBody, TakeTicket, TicketAnswer, TicketRequest, TurnEntry};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
-use support::cluster::{Cluster, Zones};
+use support::cluster::{eventually, reservation, Cluster, Zones};
 use support::engine::{Behaviour, EngineStandIn};
 use support::gateway::{configuration, list_engine, Answer, RunningGateway};
 
@@ -239,3 +250,47 @@
     assert!(runs * 18 <= 400, "{runs} turns ran");
     assert!(runs * 18 > 400 - 4 * 30, "only {runs} turns ran");
 }
+
+/// A keeper of tickets alone, the work that a planned stop waits for, and its metrics.
+fn ticket_keeper(view: Arc<ViewHolder>) -> (Arc<TicketKeeper>, Arc<AtomicUsize>, Arc<Metrics>) {
+    let client = Arc::new(RpcClient::new(NodeId(61)));
+    let replicas = Arc::new(ReplicaClient::direct(client.clone()));
+    let tolerance = Tolerance { machines: 1, zones: 0 };
+    let turns = Arc::new(TurnKeeper::new(replicas, view, TurnCache::new(10_000), 0, tolerance));
+    let (under_way, metrics) = (Arc::new(AtomicUsize::new(0)), Arc::new(Metrics::default()));
+    let keeper = TicketKeeper::new(turns, client, None, true, metrics.clone()).with_work(under_way.clone());
+    (Arc::new(keeper), under_way, metrics)
+}
+
+#[tokio::test]
+async fn a_planned_stop_waits_for_a_ticket_whose_answer_is_late() {
+    let silent = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let port = silent.local_addr().expect("it is bound").port();
+    let holder = ReplicaMember { node: NodeId(1), zone: 0, ip: [127, 0, 0, 1], port };
+    let view = Arc::new(ViewHolder::default());
+    view.adopt_set(&ReplicaSet { version: 1, members: vec![holder], previous: Vec::new() }, Origin::Store);
+    let (keeper, under_way, metrics) = ticket_keeper(view);
+    let request = TakeTicket { program: program_key("", "p"), asker: 99, least: 1, budget: 100 };
+    assert_eq!(keeper.take(request).await, None);
+    assert_eq!(under_way.load(Ordering::Relaxed), 1);
+    eventually("the late ticket is given up", || under_way.load(Ordering::Relaxed) == 0).await;
+    let text = metrics.to_text();
+    assert!(text.contains("tickets_total{outcome=\"late_unanswered\"} 1"), "{text}");
+}
+
+/// Without a quorum the release takes all its time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_planned_stop_waits_for_the_release_of_tickets_that_were_given_back() {
+    let (mut deployment, holder) = Deployment::start_with_ticket(230, 70).await;
+    let entry = TurnEntry { program: program_key("", "p"), ..reservation(2, 0, 40) };
+    let reserved = deployment.cluster.keeper.reserve(&entry, 70, Instant::now() + PATIENCE).await;
+    let books = reserved.expect("a quorum answers").program;
+    let (keeper, under_way, metrics) = ticket_keeper(deployment.cluster.view.clone());
+    for number in (1..=3).filter(|number| *number != holder) {
+        deployment.cluster.kill(number);
+    }
+    assert_eq!(keeper.decide_refusal(&entry, &books, 70, 99).await, RefusalVerdict::Granted);
+    assert_eq!(under_way.load(Ordering::Relaxed), 1);
+    eventually("the release is written", || under_way.load(Ordering::Relaxed) == 0).await;
+    assert!(metrics.to_text().contains("tickets_total{outcome=\"given_up\"} 1"));
+}
