Reservations ahead: what is promised, in words a newcomer follows

Cause: the property test and the note promised that no turn is refused for tokens that nobody uses; while the answer to a take is lost and the path stays cut, another gateway answers 402 for up to 30 s. To mend that a taker would have to confirm to the holder, which its settlement does not do. Other comments promised what nothing guarantees, repeated names, or used words of ours.

Change: the property test is renamed after what it checks (no check is changed) and the note says what is not covered. Comments of tickets, verdicts and askers say what they are for.

--- a/crates/gateway/src/edge/tickets.rs
+++ b/crates/gateway/src/edge/tickets.rs
@@ -114,7 +114,7 @@
         }
     }
 
-    /// Asks for a ticket that is enough for a turn. `asker` is drawn by lot for each turn.
+    /// Asks for a ticket that is enough for a turn.
     pub async fn take(self: &Arc<Self>, request: TakeTicket) -> Option<Ticket> {
         if !self.is_on {
             return None;
--- a/crates/gateway/src/edge/turn_account.rs
+++ b/crates/gateway/src/edge/turn_account.rs
@@ -129,7 +129,7 @@
         self.entry.place = tries.last_choice().map(|choice| RunPlace::failed_at(choice.engine.number));
     }
 
-    /// The turn has ended whole and is not kept: another one of its program may follow.
+    /// The turn has ended whole. If it was not kept, its settlement also reserves ahead for the program's next turn.
     pub(super) fn note_whole(&mut self) {
         self.has_ended_whole = true;
     }
--- a/crates/gateway/tests/reserve_ahead_tests.rs
+++ b/crates/gateway/tests/reserve_ahead_tests.rs
@@ -1,5 +1,5 @@
 //! Tokens reserved ahead, over real replicas and gateways: a turn with a ticket waits for no quorum, and whatever fails, no more
-//! than the budget is spent and none is refused for tokens that nobody uses.
+//! than the budget is spent and none is refused for a ticket that was not handed out.
 
 mod support;
 
--- a/crates/turns/src/reserve_ahead.rs
+++ b/crates/turns/src/reserve_ahead.rs
@@ -25,14 +25,16 @@
 /// Places of prompts that a ticket carries: the program's failed engines and its few longest prompts, one for each sub-agent
 /// that mostly runs beside another, in 256 bytes.
 const MAXIMUM_PLACES: usize = 16;
-/// Time for which a ticket that was handed out is remembered: longer than any turn takes to end and be settled.
+/// Time for which a ticket that was handed out is remembered. While a turn runs longer than that, a refusal that hangs on its
+/// ticket answers 503 instead of counting it as in use.
 const HANDED_OUT_TIME: Duration = Duration::from_secs(30);
 /// Time between two looks for tickets that have been held long enough.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 
-/// The identifier of an entry that is reserved ahead, with a number drawn by lot.
-pub fn ahead_entry(holder: NodeId, lot: u64) -> TurnId {
-    TurnId(AHEAD_MARK << 96 | u128::from(lot) << 32 | u128::from(holder.0))
+/// The identifier of an entry that is reserved ahead: a mark, a random number that keeps entries apart, and its ticket's
+/// holder.
+pub fn ahead_entry(holder: NodeId, random: u64) -> TurnId {
+    TurnId(AHEAD_MARK << 96 | u128::from(random) << 32 | u128::from(holder.0))
 }
 
 /// The replica that holds the ticket of an entry; none for an entry that is not reserved ahead.
@@ -73,14 +75,14 @@
     (most > 0 && is_held).then_some(most)
 }
 
-/// What is left of a refusal once holders were asked for the tickets of the program's entries ahead.
+/// What becomes of a turn that the books refuse, once holders were asked to give up the program's unused tickets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RefusalVerdict {
-    /// The budget holds the turn without what was reclaimed.
+    /// It may run: what was given up makes room for it.
     Granted,
-    /// The budget is spent, whatever became of the other tickets.
+    /// It is refused: the budget is spent even if every ticket of unknown state is unused.
     Spent,
-    /// It depends on tickets of which nothing is known.
+    /// It fits only if tickets of unknown state are unused.
     Unknown,
 }
 
--- a/crates/turns/tests/reserve_ahead_tests.rs
+++ b/crates/turns/tests/reserve_ahead_tests.rs
@@ -1,5 +1,5 @@
 //! Reservations ahead: in whatever order messages arrive, get lost or come twice, no more is spent than the budget, and no turn
-//! is refused for tokens that nobody uses.
+//! is refused for a ticket that was not handed out. One whose answer was lost counts as handed out until it is released.
 
 use foxnotch_core::time::Millis;
 use foxnotch_turns::budget::{BudgetVerdict, BudgetView};
@@ -85,7 +85,7 @@
     claims: Vec<Claim>,
     /// Deposits that were delivered and arrive once more.
     repeated: Vec<(usize, TicketRequest)>,
-    lots: u64,
+    entries_ahead: u64,
 }
 
 fn entry(turn: TurnId, reserved: u32) -> TurnEntry {
@@ -291,11 +291,11 @@
 
     fn settle(&mut self, index: usize) -> Phase {
         if self.turns[index].reached == 0 && self.turns[index].ahead.is_none() {
-            self.lots += 1;
+            self.entries_ahead += 1;
             let turn = &mut self.turns[index];
-            let lot = self.lots;
+            let random = self.entries_ahead;
             let tokens = tokens_ahead(turn.most, u64::from(turn.used), self.budget);
-            turn.ahead = tokens.map(|tokens| entry(ahead_entry(NodeId(turn.holder as u32 + 1), lot), tokens));
+            turn.ahead = tokens.map(|tokens| entry(ahead_entry(NodeId(turn.holder as u32 + 1), random), tokens));
         }
         let turn = &self.turns[index];
         let mut entries = vec![TurnEntry { used: turn.used, ..turn.entry.clone() }];
@@ -377,7 +377,7 @@
 
     /// Turns of one program, of sub-agents side by side and one after the other, that enter at gateways of two regions.
     #[test]
-    fn no_more_is_spent_than_the_budget_and_no_turn_is_refused_for_tokens_that_nobody_uses(
+    fn no_more_is_spent_than_the_budget_and_no_turn_is_refused_for_a_ticket_that_was_not_handed_out(
         turns in prop::collection::vec((0..HOLDERS, 0..REPLICAS, 1_u32..4, share()), 1..14),
         steps in prop::collection::vec((0..SIDE_BY_SIDE, fault()), 0..200),
         budget in 20_u64..250,
@@ -406,7 +406,7 @@
             turns,
             claims: Vec::new(),
             repeated: Vec::new(),
-            lots: 0,
+            entries_ahead: 0,
         };
         for (index, fault) in steps {
             if let Some(index) = world.nth_under_way(index) {
--- a/crates/turns/tests/ticket_book_tests.rs
+++ b/crates/turns/tests/ticket_book_tests.rs
@@ -112,7 +112,7 @@
 #[test]
 fn a_ticket_is_held_for_the_retention_of_its_program_and_no_program_fills_the_book() {
     let (mut book, _) = book_with(30);
-    let deposits = (6..20).map(|lot| TicketRequest::Deposit(ticket(ahead_entry(NodeId(1), lot), 30)));
+    let deposits = (6..20).map(|random| TicketRequest::Deposit(ticket(ahead_entry(NodeId(1), random), 30)));
     let answers: Vec<TicketAnswer> = deposits.map(|request| book.answer(request, Duration::ZERO)).collect();
     assert!(answers.contains(&TicketAnswer::Refused));
     let later = TakeTicket { program: PROGRAM, asker: 3, least: 30, budget: 100 };
--- a/crates/wire/src/tickets.rs
+++ b/crates/wire/src/tickets.rs
@@ -8,7 +8,8 @@
 use crate::{ProgramKey, RunPlace, TurnEntry, TurnId};
 use deku::prelude::*;
 
-/// The most entries of one write.
+/// The most entries of one write: a turn ends with three (its record, its settlement, the reservation ahead), and a later
+/// sender may add a few.
 const MAXIMUM_ENTRIES: u32 = 8;
 
 /// Stores entries of one program. Answered by [`crate::RpcBody::Stored`] once all are on disk.
@@ -20,7 +21,7 @@
     pub set_version: u64,
     #[deku(temp, temp_value = "Length::of(&entries)")]
     length: Length<MAXIMUM_ENTRIES>,
-    /// The entries.
+    /// What is merged into the books, together: all of one program, at most one with a record.
     #[deku(count = "length.get()")]
     pub entries: Vec<TurnEntry>,
 }
@@ -30,17 +31,17 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
 pub struct Ticket {
-    /// The reservation's entry.
+    /// The entry that the turn is settled under.
     pub entry: TurnId,
-    /// The program.
+    /// Whose turns may use it.
     pub program: ProgramKey,
-    /// Tokens reserved.
+    /// The most tokens that the turn may hand out.
     pub reserved: u32,
-    /// The budget that holds them.
+    /// The budget that was found to hold them: a turn that tells a smaller one does not get the ticket.
     pub budget: u64,
     /// Tokens that the program's other turns counted for when the ticket was made.
     pub others_total: u64,
-    /// Milliseconds for which the program is kept.
+    /// Milliseconds for which the program is kept, and the ticket held.
     pub retention_ms: u32,
     #[deku(temp, temp_value = "Length::of(&places)")]
     length: Length<MAXIMUM_TURNS>,
@@ -49,13 +50,13 @@
     pub places: Vec<RunPlace>,
 }
 
-/// Asks for a ticket of a program. The same asker is given the same ticket again.
+/// Asks for a ticket of a program.
 #[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq, Eq)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
 pub struct TakeTicket {
-    /// The program.
+    /// The turn's program.
     pub program: ProgramKey,
-    /// Drawn by lot for each turn.
+    /// Who asks: a random number, new for each turn. The same asker is given the same ticket again.
     pub asker: u64,
     /// Tokens that the turn needs.
     pub least: u32,
@@ -68,13 +69,13 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
 pub struct ReclaimTickets {
-    /// The program.
+    /// The program that the entries belong to.
     pub program: ProgramKey,
-    /// Drawn by lot for each turn.
+    /// Who asks: a random number, new for each turn. What it took for a turn is its own to release.
     pub asker: u64,
     #[deku(temp, temp_value = "Length::of(&entries)")]
     length: Length<MAXIMUM_TURNS>,
-    /// The entries.
+    /// Open entries ahead of the program that name this holder.
     #[deku(count = "length.get()")]
     pub entries: Vec<TurnId>,
 }
@@ -87,10 +88,10 @@
     /// Hold a ticket. Sent once and directly: a copy that arrives at a holder which has started again would count twice.
     #[deku(id = "0")]
     Deposit(Ticket),
-    /// Hand one out.
+    /// Hand one out to a turn that is to run under it.
     #[deku(id = "1")]
     Take(TakeTicket),
-    /// Hand out those of some entries.
+    /// Hand out those of some entries, so that what they reserve is released.
     #[deku(id = "2")]
     Reclaim(ReclaimTickets),
 }
