--- a/crates/turns/src/reserve_ahead.rs
+++ b/crates/turns/src/reserve_ahead.rs
@@ -19,8 +19,8 @@
 const AHEAD_MARK: u128 = 0x7ea5_e7f0;
 /// Tickets of one program that are held: as many sub-agents as mostly run side by side.
 const MAXIMUM_OF_PROGRAM: usize = 8;
-/// Tickets that one holder keeps, and as many that it remembers as handed out: at worst some 700 bytes each with maps and
-/// places, 28 MB together on a machine of 100 MB.
+/// Tickets that one holder keeps, and as many that it remembers as handed out: at worst some 800 bytes each with maps and
+/// places, 32 MB together on a machine of 100 MB.
 const MAXIMUM_HELD: usize = 20_000;
 /// Places of prompts that a ticket carries: the program's failed engines and its few longest prompts, one for each sub-agent
 /// that mostly runs beside another, in 256 bytes.
