--- a/crates/turns/src/reserve_ahead.rs
+++ b/crates/turns/src/reserve_ahead.rs
@@ -6,9 +6,10 @@
 
 use crate::budget::BudgetView;
 use foxnotch_wire::{
-    NodeId, ProgramKey, ReclaimTickets, ReclaimedTickets, ReplicaMember, TakeTicket, Ticket, TicketAnswer,
+    NodeId, ProgramKey, ReclaimTickets, ReclaimedTickets, ReplicaMember, RunPlace, TakeTicket, Ticket, TicketAnswer,
     TicketRequest, TurnId,
 };
+use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
@@ -18,18 +19,22 @@
 const AHEAD_MARK: u128 = 0x7ea5_e7f0;
 /// Tickets of one program that are held: as many sub-agents as mostly run side by side.
 const MAXIMUM_OF_PROGRAM: usize = 8;
-/// Tickets that one holder holds: some 200 bytes each on a machine of 100 MB.
+/// Tickets that one holder keeps, and as many that it remembers as handed out: at worst some 800 bytes each with maps and
+/// places, 32 MB together on a machine of 100 MB.
 const MAXIMUM_HELD: usize = 20_000;
-/// Places of prompts that a ticket carries: bounds what one ticket takes.
-const MAXIMUM_PLACES: usize = 64;
-/// Time for which a ticket that was handed out is remembered: longer than any turn takes to end and be settled.
+/// Places of prompts that a ticket carries: the program's failed engines and its few longest prompts, one for each sub-agent
+/// that mostly runs beside another, in 256 bytes.
+const MAXIMUM_PLACES: usize = 16;
+/// Time for which a ticket that was handed out is remembered. While a turn runs longer than that, a refusal that hangs on its
+/// ticket answers 503 instead of counting it as in use.
 const HANDED_OUT_TIME: Duration = Duration::from_secs(30);
 /// Time between two looks for tickets that have been held long enough.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 
-/// The identifier of an entry that is reserved ahead, with a number drawn by lot.
-pub fn ahead_entry(holder: NodeId, lot: u64) -> TurnId {
-    TurnId(AHEAD_MARK << 96 | u128::from(lot) << 32 | u128::from(holder.0))
+/// The identifier of an entry that is reserved ahead: a mark, a random number that keeps entries apart, and its ticket's
+/// holder.
+pub fn ahead_entry(holder: NodeId, random: u64) -> TurnId {
+    TurnId(AHEAD_MARK << 96 | u128::from(random) << 32 | u128::from(holder.0))
 }
 
 /// The replica that holds the ticket of an entry; none for an entry that is not reserved ahead.
@@ -38,7 +43,7 @@
 }
 
 /// The replica that holds tickets of a program for gateways of one region. All of them choose the same as long as they go
-/// by the same replica set; without a replica in the region, one elsewhere.
+/// by the same replica set. None without a replica in the region: one elsewhere takes as long to ask as a quorum.
 pub fn choose_holder(
     program: ProgramKey,
     members: &[ReplicaMember],
@@ -49,8 +54,18 @@
         bytes.extend_from_slice(&member.node.0.to_le_bytes());
         xxh3_64(&bytes)
     };
-    let near = members.iter().filter(|member| is_near(member)).max_by_key(weight);
-    near.or_else(|| members.iter().max_by_key(weight)).copied()
+    members.iter().filter(|member| is_near(member)).max_by_key(weight).copied()
+}
+
+/// The places that a ticket carries, each once: engines that failed first, then the longest prompts.
+pub fn places_to_carry(places: &[RunPlace]) -> Vec<RunPlace> {
+    let mut carried = places.to_vec();
+    // A failed place tells the greatest number of tokens.
+    carried.sort_unstable_by_key(|place| Reverse((place.prompt_tokens, place.engine, place.part)));
+    carried.dedup();
+    carried.truncate(MAXIMUM_PLACES);
+    carried.shrink_to_fit();
+    carried
 }
 
 /// How many tokens to reserve ahead when a turn ends: as many as it reserved itself, unless the books that it knows already
@@ -60,14 +75,14 @@
     (most > 0 && is_held).then_some(most)
 }
 
-/// What is left of a refusal once holders were asked for the tickets of the program's entries ahead.
+/// What becomes of a turn that the books refuse, once holders were asked to give up the program's unused tickets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RefusalVerdict {
-    /// The budget holds the turn without what was reclaimed.
+    /// It may run: what was given up makes room for it.
     Granted,
-    /// The budget is spent, whatever became of the other tickets.
+    /// It is refused: the budget is spent even if every ticket of unknown state is unused.
     Spent,
-    /// It depends on tickets of which nothing is known.
+    /// It fits only if tickets of unknown state are unused.
     Unknown,
 }
 
@@ -155,7 +170,8 @@
         if is_full || of_program.len() >= MAXIMUM_OF_PROGRAM {
             return TicketAnswer::Refused;
         }
-        ticket.places.truncate(MAXIMUM_PLACES);
+        // Whatever the gateway sent: what is kept has a bound.
+        ticket.places = places_to_carry(&ticket.places);
         let expires_at = now + Duration::from_millis(ticket.retention_ms.into());
         self.held.entry(ticket.program).or_default().push(HeldTicket { ticket, expires_at });
         self.count += 1;
