Replicas: entries of other versions are refused, bound texts stay covered

Cause: a record whose checksum holds but which does not decode was read as torn, so a replica on files of the version before came back counting and empty. A retirement did not ask whether a member inside the regions remains. A replica acknowledged an entry whose text it had left out. A changer that is not synced went by its own empty ledger for whether bound text is spread.

Change: entries have a new id; a record that checks and is not read whole is SegmentError::UnknownForm and the folder is refused. LastInRegions holds a retirement up. An entry without its text is answered as not counting. is_text_unspread is a rule of record_quorum and holds a changer up that is not synced, where regions are named.

--- a/crates/gateway/src/replica/core.rs
+++ b/crates/gateway/src/replica/core.rs
@@ -21,10 +21,11 @@
 use foxnotch_turns::zone_regions::ZoneRegions;
 use foxnotch_wire::{
     Chain, DiskIdentity, Entries, FetchEntries, KeptViewHeld, ListMarks, Marks, NodeId, ProgramKey, ReadChain,
-    ReadKeptView, ReadProgram, ReplicaSet, ReplicaStanding, RpcBody, SetNews, StoreEntries, StoreEntry, Stored,
-    TakeColdLeave, TakeQuota, TurnEntry, TurnId, Witness, NOT_SETTLED,
+    ReadKeptView, ReadProgram, RegionId, ReplicaSet, ReplicaStanding, RpcBody, SetNews, StoreEntries, StoreEntry,
+    Stored, TakeColdLeave, TakeQuota, TurnEntry, TurnId, Witness, NOT_SETTLED,
 };
 use futures_util::future::BoxFuture;
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -141,9 +142,19 @@
         lock(&self.ledger).knows_bound()
     }
 
+    /// The regions to which texts that are held here are bound: a list for each binding.
+    pub fn bound_regions(&self) -> BTreeSet<Vec<RegionId>> {
+        lock(&self.ledger).bound_regions()
+    }
+
+    /// Whether all of an entry may be kept here.
+    fn may_keep(&self, entry: &TurnEntry) -> bool {
+        entry.record.is_empty() || self.regions.may_hold(self.zone, entry.regions())
+    }
+
     /// The entry as it may be kept here: text that is bound to other regions never reaches the disk.
     fn as_kept_here(&self, entry: TurnEntry) -> TurnEntry {
-        if entry.record.is_empty() || self.regions.may_hold(self.zone, entry.regions()) {
+        if self.may_keep(&entry) {
             return entry;
         }
         log::warn!(target: part::REPLICA, "Text left out: turn={} regions={:?}: it may not be kept here; check that all nodes go by the same regions.", entry.turn, entry.regions());
@@ -303,6 +314,7 @@
         }
         let Some(program) = request.entries.first().map(|entry| entry.program) else { return RpcBody::NotServed };
         let is_reservation = request.entries.iter().any(|entry| entry.used == NOT_SETTLED);
+        let is_kept_whole = request.entries.iter().all(|entry| self.may_keep(entry));
         let full = lock(&self.ledger).bytes() > self.memory_limit;
         let stored = if full {
             Err(DiskError::Refused("the memory for turns is full".to_owned()))
@@ -314,6 +326,10 @@
         }
         // Whoever settles a turn asks for nothing; a program's books are long beside all other answers.
         let mut answer = if is_reservation { self.books_of(program) } else { self.acknowledgement() };
+        if !is_kept_whole {
+            // The asker would take this answer for a copy of the text.
+            answer.witness.standing = ReplicaStanding::Refilling;
+        }
         if let Err(error) = stored {
             log::warn!(target: part::REPLICA, "An entry was refused: {error}.");
             answer.witness.standing = ReplicaStanding::Full;
--- a/crates/gateway/src/replica/disk.rs
+++ b/crates/gateway/src/replica/disk.rs
@@ -50,13 +50,15 @@
     /// Reads all segments of a folder and starts a writer. Returns what was read, oldest first.
     ///
     /// # Errors
-    /// When the folder cannot be made or read.
+    /// When the folder cannot be made or read, or holds a record that this version does not know.
     pub fn open(folder: &Path) -> io::Result<(Self, Vec<Record>)> {
         fs::create_dir_all(folder)?;
         let mut records = Vec::new();
         let mut old = VecDeque::new();
         for number in segment_numbers(folder)? {
-            let content = read_segment(&fs::read(segment_path(folder, number))?);
+            let path = segment_path(folder, number);
+            let content = read_segment(&fs::read(&path)?)
+                .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, format!("{}: {error}", path.display())))?;
             if content.torn_bytes > 0 {
                 log::warn!(target: part::DISK, "Segment {number} ends with {} bytes that were not synced; they are left out.", content.torn_bytes);
             }
--- a/crates/gateway/src/replica/steward/leaving.rs
+++ b/crates/gateway/src/replica/steward/leaving.rs
@@ -4,7 +4,7 @@
 use crate::locks::lock;
 use crate::logging::part;
 use foxnotch_turns::replica_set;
-use foxnotch_wire::{NodeId, ReplicaMember, ReplicaSet};
+use foxnotch_wire::{NodeId, RegionId, ReplicaMember, ReplicaSet};
 use std::time::{Duration, Instant};
 
 /// Time after which a member that membership holds for dead is taken out.
@@ -28,6 +28,7 @@
                 // Without this replica a loss of disks that has to be borne would take acknowledged turns along.
                 return Err(StepError::TooFewRemain(remaining));
             }
+            self.check_bound_texts(&rest)?;
             let safe = self.may_shrink(set);
             let waited = retirement.since.elapsed().as_secs_f64() > retirement.within.as_secs_f64() * PATIENCE;
             if !safe && !waited {
@@ -47,6 +48,16 @@
         Ok(true)
     }
 
+    /// Whether a member that remains may hold each of the bound texts that are held here.
+    fn check_bound_texts(&self, rest: &ReplicaSet) -> Result<(), StepError> {
+        let remaining = || rest.members.iter().filter(|member| !self.members.is_dead(member.node));
+        let is_last = |bound: &Vec<RegionId>| !remaining().any(|member| self.regions.may_hold(member.zone, bound));
+        if self.core.bound_regions().iter().any(is_last) {
+            return Err(StepError::LastInRegions);
+        }
+        Ok(())
+    }
+
     /// Takes out a member that has been silent for long, if this replica is the first of those alive and enough remain.
     pub(super) async fn remove_dead(&self, set: &ReplicaSet) -> Result<bool, StepError> {
         let dead = self.long_silent(set).first().copied();
--- a/crates/gateway/src/replica/steward/mod.rs
+++ b/crates/gateway/src/replica/steward/mod.rs
@@ -61,6 +61,8 @@
     NotSynced(u64),
     #[error("only {0} replicas would remain; add a machine with a disk, then this one can go")]
     TooFewRemain(usize),
+    #[error("texts bound to this region are on no other member that is up; start a replica there, or wait until they expire")]
+    LastInRegions,
     #[error("{0} members of the set do not answer; they are taken out once they are found dead")]
     Unheard(usize),
     #[error("{owed} texts that are bound to this region are not here yet and {missed} members do not answer; check that they run")]
--- a/crates/gateway/src/replica/steward/set_changes.rs
+++ b/crates/gateway/src/replica/steward/set_changes.rs
@@ -6,7 +6,7 @@
 use crate::peers::view::Origin;
 use crate::ports::store::{Freshness, Kind, ObjectBody, StoreError};
 use crate::replica::sync::address_of;
-use foxnotch_turns::replica_set;
+use foxnotch_turns::{record_quorum, replica_set};
 use foxnotch_wire::{NodeId, ReplicaSet, RpcBody, SetNews};
 use futures_util::future::join_all;
 use std::time::Duration;
@@ -57,12 +57,11 @@
         self.write_set(set, next, &synced).await
     }
 
-    /// Whether members that answer are not synced while text is bound to regions: it is on fewer members than a majority, so
-    /// a majority that is synced does not tell that it is on enough of them.
+    /// Whether bound texts may be on too few members to change the set.
     fn is_text_unspread(&self, set: &ReplicaSet, synced: &[NodeId]) -> bool {
         let answers = |node| node == self.own.node || self.members.is_reachable(node);
-        let is_behind = |node: NodeId| answers(node) && !synced.contains(&node);
-        self.core.knows_bound_texts() && set.members.iter().any(|member| is_behind(member.node))
+        let knows_bound = self.core.knows_bound_texts();
+        record_quorum::is_text_unspread(&self.regions, self.own.node, knows_bound, &set.members, synced, answers)
     }
 
     /// Writes the next version by compare-and-swap, and tells all members.
--- a/crates/gateway/tests/residency_tests.rs
+++ b/crates/gateway/tests/residency_tests.rs
@@ -10,27 +10,30 @@
 use foxnotch_gateway::peers::view::{Origin, ViewHolder};
 use foxnotch_gateway::ports::configuration::{Configuration, RouteKind};
 use foxnotch_gateway::ports::store::{Kind, ObjectBody};
+use foxnotch_gateway::replica::disk::Disk;
 use foxnotch_gateway::replica::steward::bound_routes::regions_of_kept_turns;
 use foxnotch_scheduler::residency::Residency;
 use foxnotch_scheduler::tenants::Tenant;
-use foxnotch_turns::identity::{region_id, zone_hash};
+use foxnotch_turns::identity::{node_id, region_id, zone_hash};
 use foxnotch_turns::replica_set::Tolerance;
-use foxnotch_wire::{NodeId, TurnEntry, TurnId};
+use foxnotch_turns::segment::{append_frame, Record};
+use foxnotch_wire::{NodeId, ReplicaStanding, RpcBody, TurnEntry, TurnId};
 use rstest::rstest;
 use std::collections::BTreeSet;
 use std::fs;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use support::cluster::{turn, Cluster, Zones};
+use support::cluster::{eventually, name, turn, Cluster, Zones};
 use support::engine::{Behaviour, EngineStandIn};
 use support::gateway::{configuration, list_engine_in, tenant, Answer, RunningGateway};
 use support::tap::Tap;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// The longest wait for a change to be in force.
 const PATIENCE: Duration = Duration::from_secs(20);
 
-/// Two replicas and a gateway in each of three regions, one of which has a zone each.
+/// Three regions of one zone each, with two replicas and a gateway in each.
 const THREE_REGIONS: Zones = Zones {
     of_node: |number| match number {
         1 | 2 | 50 => "za",
@@ -377,7 +380,12 @@
 async fn a_replica_neither_keeps_text_of_other_regions_nor_hands_its_own_to_them() {
     let cluster = Cluster::start_in(109, 6, THREE_REGIONS).await;
     cluster.wait_until_synced(&[1, 3]).await;
-    cluster.write_only_to(&[1, 3], &bound_turn(1, "secret")).await;
+    let standing_of = async |number| match cluster.write_to(number, &bound_turn(1, "secret")).await {
+        RpcBody::Stored(stored) => stored.witness.standing,
+        other => panic!("replica {number} answers {other:?}"),
+    };
+    assert_eq!(standing_of(1).await, ReplicaStanding::Counts);
+    assert_eq!(standing_of(3).await, ReplicaStanding::Refilling, "a text that was left out is no copy");
     assert!(holds(&cluster.data_folder(1), b"secret") && !holds(&cluster.data_folder(3), b"secret"));
     let outside = cluster.fetch(3, "za", 1).await.expect("it knows of the turn");
     let told = outside.elsewhere.expect("it tells that there is a record");
@@ -386,3 +394,42 @@
     let to_outside = cluster.fetch(1, "zc", 1).await.expect("it holds the turn");
     assert_eq!((to_inside.record.len(), to_outside.record.len()), (1, 0));
 }
+
+/// The last replica that holds texts of its region stays until another may take them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_retirement_does_not_take_the_only_copy_of_bound_text() {
+    let cluster = Cluster::start_in(112, 6, THREE_REGIONS).await;
+    let keeper = keeper_in("za", &cluster, cluster.view.clone());
+    keeper.keep(&bound_turn(1, "secret"), Instant::now() + PATIENCE).await.expect("it is kept");
+    let retire = |number| {
+        let body = ObjectBody::Retirement { within: Duration::from_secs(1), done: false };
+        cluster.store.put(Kind::Retirements, &name(number), body);
+    };
+    retire(1);
+    eventually("the first retirement is reported", || cluster.store.retired().contains(&name(1))).await;
+    retire(2);
+    // Several times what the same retirement takes when nothing holds it up.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    assert!(!cluster.store.retired().contains(&name(2)));
+    assert!(cluster.members().contains(&node_id(&name(2))), "it is still a member");
+    // What is bound to no region there holds nobody up.
+    retire(3);
+    eventually("the third retirement is reported", || cluster.store.retired().contains(&name(3))).await;
+}
+
+/// What was synced is not left out because another version wrote it: the replica would count without it.
+#[test]
+fn a_folder_with_records_of_another_version_is_refused() {
+    let folder = tempfile::tempdir().expect("a folder can be made");
+    let mut bytes = Vec::new();
+    append_frame(&mut bytes, &Record::Entry(bound_turn(1, "x"))).expect("it can be coded");
+    let mut payload = bytes.split_off(12);
+    payload[0] = 0;
+    let mut frame = (payload.len() as u32).to_le_bytes().to_vec();
+    frame.extend_from_slice(&xxh3_64(&payload).to_le_bytes());
+    frame.extend_from_slice(&payload);
+    fs::write(folder.path().join("turns-0000000007"), frame).expect("it can be written");
+    let error = Disk::open(folder.path()).err().expect("it is refused");
+    assert_eq!(error.kind(), std::io::ErrorKind::InvalidData);
+    assert!(error.to_string().contains("turns-0000000007"), "{error}");
+}
--- a/crates/turns/src/ledger.rs
+++ b/crates/turns/src/ledger.rs
@@ -7,10 +7,10 @@
 use crate::zone_regions::ZoneRegions;
 use foxnotch_core::time::Millis;
 use foxnotch_wire::{
-    ChainLink, ProgramKey, RunPlace, TurnCharge, TurnEntry, TurnId, TurnMark, NOT_SETTLED, RECORD_ELSEWHERE,
+    ChainLink, ProgramKey, RegionId, RunPlace, TurnCharge, TurnEntry, TurnId, TurnMark, NOT_SETTLED, RECORD_ELSEWHERE,
     RECORD_HERE,
 };
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 
 /// Milliseconds by which a program is kept longer than asked for: the caller counts from a later moment.
 const RETENTION_MARGIN: u64 = 15_000;
@@ -155,6 +155,12 @@
         self.entries.values().filter(is_owed).count()
     }
 
+    /// The regions to which texts that are held here are bound: a list for each binding.
+    pub fn bound_regions(&self) -> BTreeSet<Vec<RegionId>> {
+        let records = self.entries.values().filter_map(|entry| entry.record.first());
+        records.map(|record| record.regions.clone()).filter(|regions| !regions.is_empty()).collect()
+    }
+
     /// Whether any turn is held whose text is bound to regions.
     pub fn knows_bound(&self) -> bool {
         self.entries.values().any(|entry| !entry.regions().is_empty())
--- a/crates/turns/src/record_quorum.rs
+++ b/crates/turns/src/record_quorum.rs
@@ -73,3 +73,18 @@
     joined.push(standby);
     missing_members(&joined, tolerance, zones, regions) < missing_members(members, tolerance, zones, regions)
 }
+
+/// Whether members that answer are not synced while text may be bound to regions: it is on fewer members than a majority, so
+/// a majority that is synced does not tell that it is on enough of them. A changer that is not synced itself may know of no
+/// bound text although there is some.
+pub fn is_text_unspread(
+    zones: &ZoneRegions,
+    own: NodeId,
+    knows_bound: bool,
+    members: &[ReplicaMember],
+    synced: &[NodeId],
+    answers: impl Fn(NodeId) -> bool,
+) -> bool {
+    let may_be_bound = zones.are_known() && (knows_bound || !synced.contains(&own));
+    may_be_bound && members.iter().any(|member| answers(member.node) && !synced.contains(&member.node))
+}
--- a/crates/turns/src/segment.rs
+++ b/crates/turns/src/segment.rs
@@ -13,7 +13,7 @@
 /// The longest record, in bytes.
 const MAXIMUM_RECORD_BYTES: usize = 32 * 1024 * 1024;
 
-/// Why a record cannot be written.
+/// Why a record cannot be written or read.
 #[derive(Debug, thiserror::Error)]
 pub enum SegmentError {
     /// The record cannot be coded.
@@ -22,6 +22,9 @@
     /// The record is too long.
     #[error("a record of {0} bytes is over the limit of {MAXIMUM_RECORD_BYTES}; lower the limit of request bodies")]
     TooLong(usize),
+    /// A record was read that this version does not know.
+    #[error("a record that checks is of a form that this version does not read; start the version that wrote it, or retire this replica and start it with an empty folder")]
+    UnknownForm,
 }
 
 /// What a replica is: its disk, its standing, the set that it knows.
@@ -70,8 +73,9 @@
 #[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
 #[deku(endian = "little", id_type = "u8")]
 pub enum Record {
-    /// An entry; merges with earlier ones of the same turn.
-    #[deku(id = "0")]
+    /// An entry; merges with earlier ones of the same turn. The id 0 stays free: it was the entry before records told
+    /// their regions.
+    #[deku(id = "3")]
     Entry(TurnEntry),
     /// The replica's state; replaces earlier ones.
     #[deku(id = "1")]
@@ -105,19 +109,23 @@
     pub torn_bytes: usize,
 }
 
-/// Reads a file.
-pub fn read_segment(bytes: &[u8]) -> SegmentContent {
+/// Reads a file. A frame that does not check is torn; one that checks was synced, so it is never left out.
+///
+/// # Errors
+/// [`SegmentError::UnknownForm`] when a record that checks is not read whole.
+pub fn read_segment(bytes: &[u8]) -> Result<SegmentContent, SegmentError> {
     let mut content = SegmentContent::default();
     let mut rest = bytes;
-    while let Some((record, length)) = read_frame(rest) {
-        content.records.push(record);
-        rest = &rest[length..];
+    while let Some(payload) = read_frame(rest) {
+        content.records.push(read_record(payload)?);
+        rest = &rest[FRAME_HEADER_BYTES + payload.len()..];
     }
     content.torn_bytes = rest.len();
-    content
+    Ok(content)
 }
 
-fn read_frame(bytes: &[u8]) -> Option<(Record, usize)> {
+/// The record's bytes of a frame that checks.
+fn read_frame(bytes: &[u8]) -> Option<&[u8]> {
     let header = bytes.get(..FRAME_HEADER_BYTES)?;
     let length = u32::from_le_bytes(header[..4].try_into().ok()?) as usize;
     let checksum = u64::from_le_bytes(header[4..].try_into().ok()?);
@@ -125,9 +133,12 @@
         return None;
     }
     let payload = bytes.get(FRAME_HEADER_BYTES..FRAME_HEADER_BYTES + length)?;
-    if xxh3_64(payload) != checksum {
-        return None;
+    (xxh3_64(payload) == checksum).then_some(payload)
+}
+
+fn read_record(payload: &[u8]) -> Result<Record, SegmentError> {
+    match Record::from_bytes((payload, 0)) {
+        Ok(((rest, _), record)) if rest.is_empty() => Ok(record),
+        _ => Err(SegmentError::UnknownForm),
     }
-    let (_, record) = Record::from_bytes((payload, 0)).ok()?;
-    Some((record, FRAME_HEADER_BYTES + length))
 }
--- a/crates/turns/tests/record_quorum_tests.rs
+++ b/crates/turns/tests/record_quorum_tests.rs
@@ -6,7 +6,7 @@
 use foxnotch_turns::identity::{region_id, zone_hash};
 use foxnotch_turns::ledger::Ledger;
 use foxnotch_turns::quorum::Tally;
-use foxnotch_turns::record_quorum::{is_standby_wanted, RecordQuorum};
+use foxnotch_turns::record_quorum::{is_standby_wanted, is_text_unspread, RecordQuorum};
 use foxnotch_turns::replica_set::{denial_quorum, refill_quorum, Tolerance};
 use foxnotch_turns::zone_regions::ZoneRegions;
 use foxnotch_wire::{
@@ -301,3 +301,28 @@
         &[region_id("B"), region_id("C")]
     ));
 }
+
+/// A set of the nodes 1 to 4. A changer that is a newcomer is node 5.
+#[rstest]
+#[case::all_are_synced(1, true, &[1, 2, 3, 4], &[1, 2, 3, 4], false)]
+#[case::one_that_answers_is_behind(1, true, &[1, 2, 3], &[1, 2, 3, 4], true)]
+#[case::one_that_is_gone_is_behind(1, true, &[1, 2, 3], &[1, 2, 3], false)]
+#[case::a_synced_changer_knows_of_no_bound_text(1, false, &[1, 2, 3], &[1, 2, 3, 4], false)]
+#[case::a_changer_that_is_behind_may_not_know_of_one(1, false, &[2, 3, 4], &[1, 2, 3, 4], true)]
+#[case::a_newcomer_may_not_know_of_one(5, false, &[1, 2, 3], &[1, 2, 3, 4, 5], true)]
+#[case::a_newcomer_that_heard_all_be_synced(5, false, &[1, 2, 3, 4], &[1, 2, 3, 4, 5], false)]
+fn the_set_changes_once_bound_text_is_spread(
+    #[case] own: u32,
+    #[case] knows_bound: bool,
+    #[case] synced: &[u32],
+    #[case] answering: &[u32],
+    #[case] is_unspread: bool,
+) {
+    let members = set(&[0, 0, 1, 2]).members;
+    let synced: Vec<NodeId> = synced.iter().copied().map(NodeId).collect();
+    let answers = |node: NodeId| answering.contains(&node.0);
+    let told = is_text_unspread(&regions(), NodeId(own), knows_bound, &members, &synced, answers);
+    assert_eq!(told, is_unspread);
+    let one_region = ZoneRegions::default();
+    assert!(!is_text_unspread(&one_region, NodeId(own), knows_bound, &members, &synced, answers));
+}
--- a/crates/turns/tests/segment_tests.rs
+++ b/crates/turns/tests/segment_tests.rs
@@ -1,8 +1,9 @@
 //! Files after a loss of power: torn, missing and mangled writes never bring back a wrong record.
 
-use foxnotch_turns::segment::{append_frame, read_segment, Record, ReplicaState};
+use foxnotch_turns::segment::{append_frame, read_segment, Record, ReplicaState, SegmentError};
 use foxnotch_wire::{Content, DiskIdentity, NodeId, ProgramKey, RunPlace, TurnEntry, TurnId, TurnRecord};
 use proptest::prelude::*;
+use xxhash_rust::xxh3::xxh3_64;
 
 fn record(turn: u128, length: usize) -> Record {
     let content = TurnRecord {
@@ -36,7 +37,7 @@
 fn a_whole_file_is_read_whole() {
     let peers = vec![DiskIdentity { node: NodeId(1), disk: 9 }];
     let records = vec![record(1, 10), Record::State(ReplicaState { disk: 4, peers, ..ReplicaState::default() })];
-    let content = read_segment(&file(&records));
+    let content = read_segment(&file(&records)).expect("known");
     assert_eq!(content.records, records);
     assert_eq!(content.torn_bytes, 0);
 }
@@ -45,7 +46,7 @@
 fn zeros_behind_the_last_record_are_left_out() {
     let mut bytes = file(&[record(1, 10)]);
     bytes.extend_from_slice(&[0; 100]);
-    let content = read_segment(&bytes);
+    let content = read_segment(&bytes).expect("known");
     assert_eq!(content.records.len(), 1);
     assert_eq!(content.torn_bytes, 100);
 }
@@ -68,8 +69,47 @@
         for byte in bytes.iter_mut().skip(torn_at).take(hole) {
             *byte = fill;
         }
-        let content = read_segment(&bytes);
+        let content = read_segment(&bytes).expect("known");
         prop_assert!(content.records.len() >= synced);
         prop_assert_eq!(&content.records[..], &all[..content.records.len()]);
     }
 }
+
+/// A frame with a right checksum around these bytes.
+fn frame(payload: &[u8]) -> Vec<u8> {
+    let mut bytes = (payload.len() as u32).to_le_bytes().to_vec();
+    bytes.extend_from_slice(&xxh3_64(payload).to_le_bytes());
+    bytes.extend_from_slice(payload);
+    bytes
+}
+
+/// The record's bytes of a file with one record.
+fn payload_of(record: &Record) -> Vec<u8> {
+    file(std::slice::from_ref(record)).split_off(12)
+}
+
+/// What was synced is never taken for torn, or a replica would count without it.
+#[test]
+fn a_record_that_checks_and_is_not_known_is_an_error() {
+    let mut of_an_earlier_version = payload_of(&record(2, 10));
+    of_an_earlier_version[0] = 0;
+    let mut with_a_surplus_byte = payload_of(&record(2, 10));
+    with_a_surplus_byte.push(0);
+    for payload in [of_an_earlier_version, with_a_surplus_byte] {
+        let bytes = [file(&[Record::State(ReplicaState::default())]), frame(&payload)].concat();
+        assert!(matches!(read_segment(&bytes), Err(SegmentError::UnknownForm)));
+    }
+}
+
+#[test]
+fn a_frame_with_a_wrong_checksum_is_torn() {
+    let mut bytes = file(&[record(1, 10)]);
+    let synced = bytes.len();
+    let mut payload = payload_of(&record(2, 10));
+    payload[0] = 0;
+    let mut torn = frame(&payload);
+    torn[4] ^= 1;
+    bytes.extend_from_slice(&torn);
+    let content = read_segment(&bytes).expect("a torn frame is no error");
+    assert_eq!((content.records.len(), content.torn_bytes), (1, bytes.len() - synced));
+}
--- a/crates/wire/src/turns.rs
+++ b/crates/wire/src/turns.rs
@@ -307,7 +307,7 @@
     /// The replica holds all that it ever acknowledged and the entry is on its disk.
     #[deku(id = "0")]
     Counts,
-    /// The replica is being refilled or is no member: its answer is a hint.
+    /// The replica is being refilled, is no member, or left out a text that it may not keep: its answer is a hint.
     #[deku(id = "1")]
     Refilling,
     /// The disk takes no more.
