--- a/crates/gateway/src/edge/residency.rs
+++ b/crates/gateway/src/edge/residency.rs
@@ -13,8 +13,10 @@
 use foxnotch_wire::{RegionId, TurnEntry, TurnId, TurnRecord};
 use std::sync::Arc;
 
-/// The regions that a residency is bound to, as nodes name them to each other; none when it is bound to none.
+/// The regions that a residency is bound to, as nodes name them to each other; empty when it is bound to none. It would be
+/// empty too for a residency that allows nothing: callers refuse that first.
 fn region_ids(residency: &Residency) -> Vec<RegionId> {
+    debug_assert!(!residency.is_nowhere(), "what may be kept nowhere is refused before its regions are asked for");
     residency.names().into_iter().map(region_id).collect()
 }
 
@@ -24,7 +26,7 @@
         return residency.clone();
     }
     let names = places.regions().filter(|name| regions.contains(&region_id(name)));
-    residency.and(&Residency::only(names.map(str::to_owned)))
+    residency.and(&Residency::exactly(names.map(str::to_owned)))
 }
 
 impl Gateway {
@@ -106,7 +108,7 @@
         let quorum = RecordQuorum::of(&set, self.tolerance, &self.regions, entry.regions());
         if let Some(quorum) = quorum.filter(|quorum| !entry.regions().is_empty() && quorum.is_weakened()) {
             self.metrics.weakly_kept.inc();
-            log::info!(target: part::TURN, "Turn {} is kept on few replicas of its regions: copies={} for_losses={} set={}.", entry.turn, quorum.copies, quorum.copies_promised, set.version);
+            log::info!(target: part::TURN, "Turn {} is kept on few replicas of its regions: copies_required={} copies_for_all_losses={} set={}; add a machine with a disk in its regions.", entry.turn, quorum.copies, quorum.copies_for_all_losses, set.version);
         }
     }
 
--- a/crates/gateway/src/edge/turns.rs
+++ b/crates/gateway/src/edge/turns.rs
@@ -11,8 +11,8 @@
 use foxnotch_turns::replica_set::Tolerance;
 use foxnotch_turns::zone_regions::ZoneRegions;
 use foxnotch_wire::{
-    ProgramKey, ReadProgram, RegionId, ReplicaMember, ReplicaSet, ReplicaStanding, RpcBody, SetNews, StoreEntries,
-    StoreEntry, Stored, TurnEntry, NOT_SETTLED,
+    regions_of, ProgramKey, ReadProgram, RegionId, ReplicaMember, ReplicaSet, ReplicaStanding, RpcBody, SetNews,
+    StoreEntries, StoreEntry, Stored, TurnEntry, NOT_SETTLED,
 };
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use std::sync::Arc;
@@ -251,13 +251,11 @@
         if let [entry] = entries.as_slice() {
             return self.write(entry, deadline).await;
         }
-        // At most one of them carries text.
-        let regions = entries.iter().map(TurnEntry::regions).find(|regions| !regions.is_empty()).unwrap_or_default();
         let request = |member: &ReplicaMember, set_version| {
             let entries = entries.iter().map(|entry| self.as_sent_to(member, entry)).collect();
             RpcBody::StoreEntries(StoreEntries { set_version, entries })
         };
-        self.round(deadline, regions, request).await
+        self.round(deadline, regions_of(&entries), request).await
     }
 
     /// An entry as a member gets it: without its text where that may not be kept.
--- a/crates/gateway/src/peers/replica_client.rs
+++ b/crates/gateway/src/peers/replica_client.rs
@@ -13,8 +13,8 @@
 use crate::replica::sync::address_of;
 use foxnotch_turns::zone_regions::ZoneRegions;
 use foxnotch_wire::{
-    decode_rpc, encode_rpc, Content, MemberUpdate, NodeId, RegionId, RelayRequest, ReplicaMember, ReplicaSet, RpcBody,
-    TurnEntry,
+    decode_rpc, encode_rpc, regions_of, Content, MemberUpdate, NodeId, RegionId, RelayRequest, ReplicaMember,
+    ReplicaSet, RpcBody, TurnEntry,
 };
 use std::future::pending;
 use std::sync::{Arc, Mutex};
@@ -41,22 +41,24 @@
     Any,
     /// It carries text that is bound to these regions: a gateway there, or of this gateway's own region.
     Through(&'a [RegionId]),
+    /// It may bring text of which it is not known yet to what it is bound: a gateway of this gateway's own region.
+    OwnRegion,
 }
 
-/// A read brings text of which it is not known yet to what it is bound: it passes through this gateway's own region alone.
 fn passage_of(body: &RpcBody) -> Passage<'_> {
     match body {
         RpcBody::StoreEntry(request) => passage_of_entries(std::slice::from_ref(&request.entry)),
         RpcBody::StoreEntries(request) => passage_of_entries(&request.entries),
-        RpcBody::ReadChain(_) => Passage::Through(&[]),
+        RpcBody::ReadChain(_) => Passage::OwnRegion,
         _ => Passage::Any,
     }
 }
 
-/// At most one entry of a write carries text.
 fn passage_of_entries(entries: &[TurnEntry]) -> Passage<'_> {
-    let with_text = entries.iter().find(|entry| !entry.record.is_empty() && !entry.regions().is_empty());
-    with_text.map_or(Passage::Any, |entry| Passage::Through(entry.regions()))
+    match regions_of(entries) {
+        [] => Passage::Any,
+        regions => Passage::Through(regions),
+    }
 }
 
 impl Relays {
@@ -79,6 +81,7 @@
         self.members.pick_gateway(preferred, |gateway| {
             let may_pass = match passage {
                 Passage::Any => true,
+                Passage::OwnRegion => self.regions.may_pass(gateway.zone, self.zone, &[]),
                 Passage::Through(regions) => self.regions.may_pass(gateway.zone, self.zone, regions),
             };
             may_pass && !asked.contains(&gateway.node)
--- a/crates/gateway/src/replica/core.rs
+++ b/crates/gateway/src/replica/core.rs
@@ -132,9 +132,9 @@
         self.zone
     }
 
-    /// Turns of which the text belongs here and is known to be elsewhere alone.
-    pub fn owed_texts(&self) -> usize {
-        lock(&self.ledger).owed()
+    /// Turns whose text may be kept here and is not here: this replica knows only that others have it.
+    pub fn lacking_texts(&self) -> usize {
+        lock(&self.ledger).lacking_texts()
     }
 
     /// Whether any turn is held whose text is bound to regions.
--- a/crates/gateway/src/replica/process.rs
+++ b/crates/gateway/src/replica/process.rs
@@ -167,9 +167,11 @@
     metrics
         .read("entries_handed_out", "Entries handed to replicas that lacked them", move || replica.handed_out() as i64);
     let replica = core.clone();
-    metrics.read("texts_owed", "Turns of which the text belongs here and is elsewhere alone", move || {
-        replica.owed_texts() as i64
-    });
+    metrics.read(
+        "texts_lacking",
+        "Turns whose text may be kept here and is not here: this replica knows only that others have it",
+        move || replica.lacking_texts() as i64,
+    );
     let replica = core.clone();
     metrics
         .read("limited_tenants", "Tenants of whose limits a share is held", move || replica.limited_tenants() as i64);
--- a/crates/gateway/src/replica/steward/bound_routes.rs
+++ b/crates/gateway/src/replica/steward/bound_routes.rs
@@ -22,7 +22,7 @@
 }
 
 fn names_in_regions(names: &[&str]) -> Residency {
-    Residency::in_regions(names.iter().map(|name| (*name).to_owned()))
+    Residency::in_regions_if_any(names.iter().map(|name| (*name).to_owned()))
 }
 
 impl Steward {
--- a/crates/gateway/src/replica/steward/filling.rs
+++ b/crates/gateway/src/replica/steward/filling.rs
@@ -59,11 +59,11 @@
 }
 
 impl Steward {
-    /// Text that is bound to regions is on fewer members than a quorum: while any is owed, all members that are not gone have to
+    /// Text that is bound to regions is on fewer members than a quorum: while any is lacking, all members that are not gone have to
     /// be heard, since any of them may hold it.
     fn check_texts(&self, set: &ReplicaSet, heard: &[Heard]) -> Result<(), StepError> {
-        let owed = self.core.owed_texts();
-        if owed == 0 {
+        let lacking = self.core.lacking_texts();
+        if lacking == 0 {
             return Ok(());
         }
         let gone = self.long_silent(set);
@@ -73,9 +73,9 @@
         };
         let missed = set.members.iter().filter(is_missed).count();
         if missed > 0 {
-            return Err(StepError::TextsOwed { owed, missed });
+            return Err(StepError::TextsLacking { lacking, missed });
         }
-        log::warn!(target: part::REPLICA, "Texts are owed and no member that answers holds them: owed={owed} set={} gone={gone:?}; start the replicas of this region that are down.", set.version);
+        log::warn!(target: part::REPLICA, "Texts are lacking and no member that answers holds them: lacking={lacking} set={} gone={gone:?}; start the replicas of this region that are down.", set.version);
         Ok(())
     }
 }
--- a/crates/gateway/src/replica/steward/mod.rs
+++ b/crates/gateway/src/replica/steward/mod.rs
@@ -1,8 +1,9 @@
 //! Keeps the replica set whole: founds it, joins it while it is too small, refills, syncs after each change, takes out
 //! members that are gone, and leaves when its machine is retired.
 //!
-//! The set has as many members as the tolerance needs, however many replicas run: each turn is written to all members. It has
-//! more where turns are bound to regions and too few of the members are there. The other replicas stand by, hold nothing, and take the places of members that are lost or leave.
+//! The set has as many members as the tolerance needs, however many replicas run: each turn is written to all members. It
+//! has more where turns are bound to regions and too few of the members are there. The other replicas stand by and hold
+//! nothing. They take the places of members that are lost, and of members that leave.
 //!
 //! One step at a time; each step may fail and is taken again. Only compare-and-swap on the platform's store changes the
 //! set.
@@ -65,8 +66,8 @@
     LastInRegions,
     #[error("{0} members of the set do not answer; they are taken out once they are found dead")]
     Unheard(usize),
-    #[error("{owed} texts that are bound to this region are not here yet and {missed} members do not answer; check that they run")]
-    TextsOwed { owed: usize, missed: usize },
+    #[error("{lacking} texts that are bound to this region are not here yet and {missed} members do not answer; check that they run")]
+    TextsLacking { lacking: usize, missed: usize },
     #[error("too few complete replicas were heard ({0}); check that the other replicas run")]
     TooFewHeard(usize),
 }
--- a/crates/gateway/tests/residency_tests.rs
+++ b/crates/gateway/tests/residency_tests.rs
@@ -54,7 +54,7 @@
 };
 
 fn bound_to(regions: &[&str]) -> Residency {
-    Residency::in_regions(regions.iter().map(|region| (*region).to_owned()))
+    Residency::in_regions_if_any(regions.iter().map(|region| (*region).to_owned()))
 }
 
 /// The usual configuration with the route `turn` bound to regions.
@@ -192,7 +192,7 @@
 
 #[rstest]
 #[case::no_region_in_common(102, &["ra"], &["rb"], "allow no region in common")]
-#[case::no_engine_there(103, &["rx"], &[], "has no engine in them")]
+#[case::no_engine_there(103, &["rx"], &[], "has no engine in its regions")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn what_may_be_served_nowhere_is_refused_at_once(
     #[case] net: u8,
@@ -214,7 +214,8 @@
 async fn a_bound_request_waits_for_no_engine_that_takes_no_work() {
     let deployment = Deployment::start(104, THREE_REGIONS, bound_configuration(1, &["ra"], None)).await;
     list_engine_in(&deployment.cluster, "e-za", "turn", deployment.engines[0].address, "za", true);
-    let answer = deployment.wait_for_refusal(0, "t", None, "no engine of its service is in service in them").await;
+    let answer =
+        deployment.wait_for_refusal(0, "t", None, "no engine of its service is in service in its regions").await;
     assert!(answer.says_when());
     assert!(deployment.engines_that_saw("refused body").iter().all(|engine| *engine == 0));
 }
@@ -225,7 +226,7 @@
     let answer = deployment.wait_for_refusal(2, "t", None, "cannot be kept inside its regions").await;
     assert!(answer.says_when());
     let draft = deployment.gateways[2].send("POST /draft/", "t-attempt: d1\r\nt-deadline: 2000\r\n", "x").await;
-    assert!(draft.body.contains("has no engine in them"), "what is not kept needs no replica: {}", draft.body);
+    assert!(draft.body.contains("has no engine in its regions"), "what is not kept needs no replica: {}", draft.body);
     assert!(deployment.disks_that_hold("refused body").is_empty());
 }
 
@@ -334,7 +335,7 @@
     cluster.wipe(1);
     cluster.kill(2);
     cluster.start_replica(1, false);
-    eventually_owed(&cluster, 1).await;
+    eventually_lacking(&cluster, 1).await;
     assert_eq!(cluster.metric(1, "replica_complete").await, Some(0));
     cluster.start_replica(2, false);
     cluster.wait_until_complete(1).await;
@@ -342,9 +343,9 @@
 }
 
 /// Waits until a replica knows of text that it lacks.
-async fn eventually_owed(cluster: &Cluster, number: u8) {
+async fn eventually_lacking(cluster: &Cluster, number: u8) {
     let until = Instant::now() + PATIENCE;
-    while cluster.metric(number, "texts_owed").await != Some(1) {
+    while cluster.metric(number, "texts_lacking").await != Some(1) {
         assert!(Instant::now() < until, "replica {number} never knows of the text");
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
--- a/crates/node/src/explain.rs
+++ b/crates/node/src/explain.rs
@@ -64,7 +64,7 @@
     ("cause=no_common_region", "refused, not run: its route and its tenant allow no region in common"),
     ("cause=no_engine_in_regions", "refused, not run: its service has no engine in the regions that it is bound to"),
     (
-        "cause=none_up_in_regions",
+        "cause=none_in_service_in_regions",
         "refused, not run: no engine of its service was in service in the regions that it is bound to",
     ),
     (
--- a/crates/scheduler/src/residency.rs
+++ b/crates/scheduler/src/residency.rs
@@ -11,10 +11,10 @@
     #[error("its route and its tenant allow no region in common; change the regions of one of them")]
     NoCommonRegion,
     /// The service has no engine there.
-    #[error("its service has no engine in them; start one there, or widen the regions")]
+    #[error("its service has no engine in its regions; start one there, or widen the regions")]
     NoEngine,
     /// The engines there take no work.
-    #[error("no engine of its service is in service in them now; ask again after the time given")]
+    #[error("no engine of its service is in service in its regions now; ask again after the time given")]
     NoneInService,
 }
 
@@ -24,7 +24,7 @@
         match self {
             Self::NoCommonRegion => "no_common_region",
             Self::NoEngine => "no_engine_in_regions",
-            Self::NoneInService => "none_up_in_regions",
+            Self::NoneInService => "none_in_service_in_regions",
         }
     }
 }
@@ -47,14 +47,14 @@
 }
 
 impl Residency {
-    /// Bound to these regions; a list without names binds to none.
-    pub fn in_regions(names: impl IntoIterator<Item = String>) -> Self {
+    /// Bound to these regions. An empty list sets no bound: everything is allowed.
+    pub fn in_regions_if_any(names: impl IntoIterator<Item = String>) -> Self {
         let regions: BTreeSet<String> = names.into_iter().collect();
         Self { regions: (!regions.is_empty()).then_some(regions) }
     }
 
-    /// Bound to these regions, and to none at all if there are no names.
-    pub fn only(names: impl IntoIterator<Item = String>) -> Self {
+    /// Bound to exactly these regions. An empty list allows no region: nothing may be served.
+    pub fn exactly(names: impl IntoIterator<Item = String>) -> Self {
         Self { regions: Some(names.into_iter().collect()) }
     }
 
@@ -101,7 +101,7 @@
         Self { regions }
     }
 
-    /// Whether content may go to a zone. A zone whose region is not known is allowed only to what is bound to none.
+    /// Whether content may go to a zone. Bound content never goes to a zone whose region is not known.
     pub fn allows_zone(&self, places: &Places, zone: &str) -> bool {
         let Some(regions) = &self.regions else { return true };
         places.region_of(zone).is_some_and(|region| regions.contains(region))
--- a/crates/scheduler/tests/placement_rules_tests.rs
+++ b/crates/scheduler/tests/placement_rules_tests.rs
@@ -11,7 +11,7 @@
 }
 
 fn bound(regions: &[&str]) -> Residency {
-    Residency::in_regions(regions.iter().map(|region| (*region).to_owned()))
+    Residency::in_regions_if_any(regions.iter().map(|region| (*region).to_owned()))
 }
 
 #[rstest]
--- a/crates/scheduler/tests/residency_tests.rs
+++ b/crates/scheduler/tests/residency_tests.rs
@@ -14,7 +14,7 @@
 
 /// The regions of zones; none stands for bound to none.
 fn residency(zones: Option<&Vec<&str>>) -> Residency {
-    zones.map_or_else(Residency::default, |zones| Residency::only(zones.iter().map(|zone| zone.to_uppercase())))
+    zones.map_or_else(Residency::default, |zones| Residency::exactly(zones.iter().map(|zone| zone.to_uppercase())))
 }
 
 fn bound() -> impl Strategy<Value = Option<Vec<&'static str>>> {
--- a/crates/turns/src/ledger.rs
+++ b/crates/turns/src/ledger.rs
@@ -8,7 +8,7 @@
 use foxnotch_core::time::Millis;
 use foxnotch_wire::{
     ChainLink, ProgramKey, RegionId, RunPlace, TurnCharge, TurnEntry, TurnId, TurnMark, NOT_SETTLED, RECORD_ELSEWHERE,
-    RECORD_HERE,
+    RECORD_HERE, RECORD_UNKNOWN,
 };
 use std::collections::{BTreeSet, HashMap, HashSet};
 
@@ -149,10 +149,10 @@
         self.entries.get(&turn).is_some_and(|entry| entry.record.is_empty() && entry.elsewhere.is_some())
     }
 
-    /// Turns of which the text may be kept here and is known to be elsewhere alone.
-    pub fn owed(&self) -> usize {
-        let is_owed = |entry: &&TurnEntry| self.is_elsewhere(entry.turn) && self.may_hold(entry);
-        self.entries.values().filter(is_owed).count()
+    /// Turns whose text may be kept here and is not here: this replica knows only that others have it.
+    pub fn lacking_texts(&self) -> usize {
+        let is_lacking = |entry: &&TurnEntry| self.is_elsewhere(entry.turn) && self.may_hold(entry);
+        self.entries.values().filter(is_lacking).count()
     }
 
     /// The regions to which texts that are held here are bound: a list for each binding.
@@ -241,7 +241,7 @@
     match (entry.record.is_empty(), &entry.elsewhere) {
         (false, _) => RECORD_HERE,
         (true, Some(_)) => RECORD_ELSEWHERE,
-        (true, None) => 0,
+        (true, None) => RECORD_UNKNOWN,
     }
 }
 
--- a/crates/turns/src/record_quorum.rs
+++ b/crates/turns/src/record_quorum.rs
@@ -16,10 +16,10 @@
     pub acknowledgements: usize,
     /// Members that may hold the text.
     holders: Vec<NodeId>,
-    /// Members that have to hold the text.
+    /// Members inside the regions that have to hold the text before the turn counts as kept.
     pub copies: usize,
-    /// Members that would have to hold the text for it to outlast every loss that has to be borne.
-    pub copies_promised: usize,
+    /// Members inside the regions that would have to hold it for the text to outlast every loss within the tolerance.
+    pub copies_for_all_losses: usize,
 }
 
 impl RecordQuorum {
@@ -31,15 +31,15 @@
             return None;
         }
         let acknowledgements = write_quorum(set.members.len(), tolerance.losses(&set.members));
-        let copies_promised = tolerance.losses(&members) + 1;
-        let copies = copies_promised.min(members.len());
+        let copies_for_all_losses = tolerance.losses(&members) + 1;
+        let copies = copies_for_all_losses.min(members.len());
         let holders = members.iter().map(|member| member.node).collect();
-        Some(Self { acknowledgements, holders, copies, copies_promised })
+        Some(Self { acknowledgements, holders, copies, copies_for_all_losses })
     }
 
     /// Whether a loss that has to be borne may take all copies of the text.
     pub fn is_weakened(&self) -> bool {
-        self.copies < self.copies_promised
+        self.copies < self.copies_for_all_losses
     }
 
     /// Whether these answers are enough.
--- a/crates/turns/src/segment.rs
+++ b/crates/turns/src/segment.rs
@@ -138,7 +138,7 @@
 
 fn read_record(payload: &[u8]) -> Result<Record, SegmentError> {
     match Record::from_bytes((payload, 0)) {
-        Ok(((rest, _), record)) if rest.is_empty() => Ok(record),
+        Ok((([], _), record)) => Ok(record),
         _ => Err(SegmentError::UnknownForm),
     }
 }
--- a/crates/turns/src/zone_regions.rs
+++ b/crates/turns/src/zone_regions.rs
@@ -4,7 +4,8 @@
 use foxnotch_wire::RegionId;
 use std::collections::{BTreeMap, HashMap};
 
-/// The region of each zone. Empty where the deployment names no regions: all zones are of one then.
+/// The region of each zone. Empty where the deployment names no regions: text that is bound to regions may then be kept
+/// nowhere.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ZoneRegions {
     by_hash: HashMap<u32, RegionId>,
@@ -30,8 +31,9 @@
         regions.is_empty() || self.by_hash.get(&zone).is_some_and(|region| regions.contains(region))
     }
 
-    /// Whether text that is bound to `regions` may pass through a node of a zone, given by its number, on its way from a node in
-    /// the zone `own`, given by its hash: it may in its regions, and in the region that it starts from.
+    /// Whether text that is bound to `regions` may pass through a node of a zone, given by its number, on its way from a
+    /// node in the zone `own`, given by its hash: it may in its regions, and in the region that it starts from. An empty
+    /// list allows the own region alone.
     pub fn may_pass(&self, zone: u8, own: u32, regions: &[RegionId]) -> bool {
         if self.by_hash.is_empty() {
             return regions.is_empty();
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -35,8 +35,9 @@
 pub use text::Text;
 pub use tickets::{ReclaimTickets, ReclaimedTickets, StoreEntries, TakeTicket, Ticket, TicketAnswer, TicketRequest};
 pub use turns::{
-    Chain, ChainLink, Content, DiskIdentity, Entries, FetchEntries, ListMarks, Marks, ProgramKey, ReadChain,
-    ReadProgram, RecordElsewhere, RegionId, ReplicaMember, ReplicaSet, ReplicaStanding, RunPlace, SetNews, StoreEntry,
-    Stored, TurnCharge, TurnEntry, TurnId, TurnMark, TurnRecord, Witness, NOT_SETTLED, RECORD_ELSEWHERE, RECORD_HERE,
+    regions_of, Chain, ChainLink, Content, DiskIdentity, Entries, FetchEntries, ListMarks, Marks, ProgramKey,
+    ReadChain, ReadProgram, RecordElsewhere, RegionId, ReplicaMember, ReplicaSet, ReplicaStanding, RunPlace, SetNews,
+    StoreEntry, Stored, TurnCharge, TurnEntry, TurnId, TurnMark, TurnRecord, Witness, MAXIMUM_REGIONS, NOT_SETTLED,
+    RECORD_ELSEWHERE, RECORD_HERE, RECORD_UNKNOWN,
 };
 pub use view::{KeptPart, KeptViewHeld, ReadKeptView, ViewNews};
--- a/crates/wire/src/turns.rs
+++ b/crates/wire/src/turns.rs
@@ -8,8 +8,9 @@
 pub const MAXIMUM_TURNS: u32 = 200_000;
 /// The most replicas in a set.
 pub const MAXIMUM_REPLICAS: u32 = 256;
-/// The most regions that one record is bound to.
-const MAXIMUM_REGIONS: u32 = 64;
+/// The most regions that one record is bound to: every replica keeps the list with each bound turn, so it stays small beside
+/// the text. A configuration that names more is refused when it is read.
+pub const MAXIMUM_REGIONS: u32 = 64;
 /// The longest text of a record, in bytes.
 const MAXIMUM_CONTENT_BYTES: u32 = 8 * 1024 * 1024;
 
@@ -187,6 +188,15 @@
     }
 }
 
+/// The regions that the text of a write is bound to; empty when it carries none, or text bound to no region. At most one
+/// entry of a write carries text.
+pub fn regions_of(entries: &[TurnEntry]) -> &[RegionId] {
+    let mut with_text = entries.iter().filter(|entry| !entry.record.is_empty());
+    let regions = with_text.next().map(TurnEntry::regions);
+    debug_assert!(with_text.next().is_none(), "at most one entry of a write carries text");
+    regions.unwrap_or_default()
+}
+
 /// A replica in a set.
 #[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
@@ -250,10 +260,12 @@
     pub turn: TurnId,
     /// Whether it is settled.
     pub settled: u8,
-    /// 1 when its record is there, 2 when the record is known to be elsewhere.
+    /// What is known of its record: [`RECORD_UNKNOWN`], [`RECORD_HERE`] or [`RECORD_ELSEWHERE`].
     pub recorded: u8,
 }
 
+/// [`TurnMark::recorded`] of a turn of which no record is known.
+pub const RECORD_UNKNOWN: u8 = 0;
 /// [`TurnMark::recorded`] of a turn whose record is there.
 pub const RECORD_HERE: u8 = 1;
 /// [`TurnMark::recorded`] of a turn whose record is known to be kept elsewhere.
