--- a/crates/turns/src/record_quorum.rs
+++ b/crates/turns/src/record_quorum.rs
@@ -16,10 +16,10 @@
     pub acknowledgements: usize,
     /// Members that may hold the text.
     holders: Vec<NodeId>,
-    /// Members that have to hold the text.
+    /// Members inside the regions that have to hold the text before the turn counts as kept.
     pub copies: usize,
-    /// Members that would have to hold the text for it to outlast every loss that has to be borne.
-    pub copies_promised: usize,
+    /// Members inside the regions that would have to hold it for the text to outlast every loss within the tolerance.
+    pub copies_for_all_losses: usize,
 }
 
 impl RecordQuorum {
@@ -31,15 +31,15 @@
             return None;
         }
         let acknowledgements = write_quorum(set.members.len(), tolerance.losses(&set.members));
-        let copies_promised = tolerance.losses(&members) + 1;
-        let copies = copies_promised.min(members.len());
+        let copies_for_all_losses = tolerance.losses(&members) + 1;
+        let copies = copies_for_all_losses.min(members.len());
         let holders = members.iter().map(|member| member.node).collect();
-        Some(Self { acknowledgements, holders, copies, copies_promised })
+        Some(Self { acknowledgements, holders, copies, copies_for_all_losses })
     }
 
     /// Whether a loss that has to be borne may take all copies of the text.
     pub fn is_weakened(&self) -> bool {
-        self.copies < self.copies_promised
+        self.copies < self.copies_for_all_losses
     }
 
     /// Whether these answers are enough.
@@ -73,3 +73,18 @@
     joined.push(standby);
     missing_members(&joined, tolerance, zones, regions) < missing_members(members, tolerance, zones, regions)
 }
+
+/// Whether members that answer are not synced while text may be bound to regions: it is on fewer members than a majority, so
+/// a majority that is synced does not tell that it is on enough of them. A changer that is not synced itself may know of no
+/// bound text although there is some.
+pub fn is_text_unspread(
+    zones: &ZoneRegions,
+    own: NodeId,
+    knows_bound: bool,
+    members: &[ReplicaMember],
+    synced: &[NodeId],
+    answers: impl Fn(NodeId) -> bool,
+) -> bool {
+    let may_be_bound = zones.are_known() && (knows_bound || !synced.contains(&own));
+    may_be_bound && members.iter().any(|member| answers(member.node) && !synced.contains(&member.node))
+}
