--- a/crates/gateway/tests/slow_start_tests.rs
+++ b/crates/gateway/tests/slow_start_tests.rs
@@ -2,13 +2,25 @@
 
 mod support;
 
+use foxnotch_gateway::edge::slow_start::ColdLeaveKeeper;
+use foxnotch_gateway::engines::engine::Engine;
+use foxnotch_gateway::engines::table::EngineTable;
+use foxnotch_gateway::metrics::Metrics;
+use foxnotch_gateway::peers::replica_client::ReplicaClient;
+use foxnotch_gateway::peers::rpc_client::RpcClient;
+use foxnotch_gateway::peers::view::{Versioned, View};
 use foxnotch_gateway::ports::configuration::EngineEntry;
 use foxnotch_gateway::ports::store::{Kind, ObjectBody};
 use foxnotch_scheduler::slow_start::SlowStart;
+use foxnotch_scheduler::zone_drain::ZoneDrains;
+use foxnotch_turns::identity::zone_hash;
+use foxnotch_wire::NodeId;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
-use support::cluster::Cluster;
-use support::engine::{Behaviour, EngineStandIn};
+use support::cluster::{eventually, Cluster, Zones};
+use support::engine::{Behaviour, EngineStandIn, Received};
 use support::gateway::{configuration, exchange, Answer, RunningGateway};
 use tokio::net::TcpListener;
 
@@ -21,7 +33,10 @@
 
 /// A deployment whose plain reads are served by engines with a slow start.
 async fn cluster_with_slow_start(net: u8) -> Cluster {
-    let cluster = Cluster::start(net, 3).await;
+    with_slow_start(Cluster::start(net, 3).await)
+}
+
+fn with_slow_start(cluster: Cluster) -> Cluster {
     let ObjectBody::Configuration(mut configuration) = configuration(1) else { unreachable!("it is one") };
     configuration.services[0].slow_start = SlowStart::new(COLD_MS, RATE as f64);
     cluster.store.put(Kind::Configuration, "main", ObjectBody::Configuration(configuration));
@@ -76,8 +91,8 @@
 }
 
 /// The most requests that arrived within a second.
-fn most_in_a_second(engine: &EngineStandIn) -> usize {
-    let mut arrivals: Vec<Instant> = engine.received().iter().map(|received| received.at).collect();
+fn most_in_a_second(received: &[Received]) -> usize {
+    let mut arrivals: Vec<Instant> = received.iter().map(|received| received.at).collect();
     arrivals.sort();
     let within = |first: &Instant| {
         arrivals.iter().filter(|at| *at >= first && at.duration_since(*first) < Duration::from_secs(1)).count()
@@ -86,7 +101,7 @@
 }
 
 fn assert_rate_is_kept_and_used(engine: &EngineStandIn) {
-    let most = most_in_a_second(engine);
+    let most = most_in_a_second(&engine.received());
     assert!(most <= RATE, "{most} requests in a second");
     // Eight of ten are given in each window, which is longer than a second by the time that a send may take.
     assert!(engine.received().len() >= 16, "{} requests in all", engine.received().len());
@@ -130,6 +145,173 @@
     assert!(cold.received().is_empty());
 }
 
+/// Waits until the gateway takes so many engines for cold.
+async fn are_cold(cluster: &Cluster, count: u64) -> bool {
+    for _ in 0..500 {
+        if cluster.metric(50, "engines_cold").await == Some(count) {
+            return true;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    false
+}
+
+/// Puts something in a replica's place that takes connections and never answers, until it is dropped.
+async fn silence(cluster: &mut Cluster, number: u8) -> TcpListener {
+    cluster.kill(number);
+    TcpListener::bind(cluster.peer_address(number)).await.expect("the replica's address is free")
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_warm_engine_serves_while_replicas_are_silent_and_cold_engines_cost_less() {
+    let mut cluster = cluster_with_slow_start(215).await;
+    let warm = EngineStandIn::start(Behaviour::Hang).await;
+    list(&cluster, EngineEntry { slots: 1, ..entry("w", warm.address) });
+    let gateway = started_gateway(&cluster, 50).await;
+    let callers = gateway.callers;
+    let waiting: Vec<_> = (0..4).map(|number| tokio::spawn(hold(callers, format!("h{number}")))).collect();
+    eventually("the warm engine is busy", || warm.received().len() == 4).await;
+    warm.set(Behaviour::Answer("warm"));
+    let mut cold = Vec::new();
+    for number in 0..4 {
+        let engine = EngineStandIn::start(Behaviour::Answer("cold")).await;
+        list(&cluster, EngineEntry { cold_left_ms: COLD_MS, ..entry(&format!("c{number}"), engine.address) });
+        cold.push(engine);
+    }
+    assert!(are_cold(&cluster, 4).await, "the cold engines are not known");
+    let mut silent = Vec::new();
+    for number in 1..=3 {
+        silent.push(silence(&mut cluster, number).await);
+    }
+    let (answer, after) = send(gateway.callers, "a".to_owned()).await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, "warm"), "after {after:?}");
+    assert!(cold.iter().all(|engine| engine.received().is_empty()));
+    waiting.iter().for_each(tokio::task::JoinHandle::abort);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_engine_that_drains_while_leave_is_asked_for_gets_nothing() {
+    // The replica near the gateway is asked first.
+    let of_node = |number| if matches!(number, 2 | 3) { "b" } else { "a" };
+    let zones = Zones { of_node, regions: &[("a", "r"), ("b", "r")] };
+    let mut cluster = with_slow_start(Cluster::start_in(217, 3, zones).await);
+    let engine = EngineStandIn::start(Behaviour::Answer("done")).await;
+    let listed = EngineEntry { cold_left_ms: COLD_MS, ..entry("e1", engine.address) };
+    list(&cluster, listed.clone());
+    let gateway = started_gateway(&cluster, 50).await;
+    assert!(are_cold(&cluster, 1).await, "the cold engine is not known");
+    // Replicas that have just joined the set give nothing for a while.
+    tokio::time::sleep(Duration::from_millis(1300)).await;
+    let _silent = silence(&mut cluster, 1).await;
+    let sent = tokio::spawn(send(gateway.callers, "a".to_owned()));
+    tokio::time::sleep(Duration::from_millis(15)).await;
+    list(&cluster, EngineEntry { draining: true, ..listed });
+    let (answer, _) = sent.await.expect("a send does not panic");
+    assert_eq!((answer.status, engine.received().len()), (503, 0));
+}
+
+/// Sends a request that may wait as long as its route lets it.
+async fn hold(gateway: SocketAddr, attempt: String) {
+    let request = format!("GET /read/ HTTP/1.1\r\nhost: h.example\r\nconnection: close\r\nt-attempt: {attempt}\r\nt-deadline: 20000\r\ncontent-length: 0\r\n\r\n");
+    exchange(gateway, request.as_bytes()).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_engine_whose_leave_is_spent_is_paused_as_long_as_replicas_say_though_one_is_silent() {
+    let mut cluster = Cluster::start(216, 3).await;
+    eventually("the set is known", || cluster.view.set().version > 0).await;
+    let _silent = silence(&mut cluster, 2).await;
+    let client = Arc::new(ReplicaClient::direct(Arc::new(RpcClient::new(NodeId(77)))));
+    let metrics = Arc::new(Metrics::default());
+    let keeper = ColdLeaveKeeper::new(client, cluster.keeper.clone(), zone_hash("a"), metrics);
+    let engine = Arc::new(warm_engine());
+    engine.warmth.note_entry("e1", COLD_MS, SlowStart::new(COLD_MS, RATE as f64));
+    // Replicas that have just joined the set give nothing for a while.
+    let until = Instant::now() + Duration::from_secs(30);
+    while keeper.take("a", &engine, RATE as f64).await.is_none() {
+        assert!(Instant::now() < until, "nothing is given");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(1300)).await;
+    // Leave that comes late is none either, and the next question may get some.
+    let mut refused = 0;
+    while refused < 2 {
+        let is_given = keeper.take("a", &engine, RATE as f64).await.is_some();
+        refused = if is_given { 0 } else { refused + 1 };
+    }
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(keeper.without_leave(&[engine], false), ["e1"]);
+}
+
+/// An engine of a service with a slow start that was just listed and is warm.
+fn warm_engine() -> Engine {
+    let engine = Engine::new(entry("e1", SocketAddr::from(([127, 0, 0, 1], 1))), 0).expect("the address is one");
+    engine.warmth.note_entry("e1", 0, SlowStart::new(COLD_MS, RATE as f64));
+    engine
+}
+
+#[test]
+fn only_an_engine_that_refuses_or_resets_connections_may_have_been_emptied() {
+    let beliefs = |kind| {
+        let engine = warm_engine();
+        engine.note_unreachable(kind);
+        (engine.warmth.cold_rate().is_some(), engine.warmth.may_be_emptied())
+    };
+    for kind in [ErrorKind::ConnectionRefused, ErrorKind::ConnectionReset] {
+        assert_eq!(beliefs(kind), (true, true), "{kind}");
+    }
+    // It may have started anew, and its host may as well be slow.
+    for kind in [ErrorKind::TimedOut, ErrorKind::HostUnreachable] {
+        assert_eq!(beliefs(kind), (true, false), "{kind}");
+    }
+    let too_many_files = std::io::Error::from_raw_os_error(24).kind();
+    let no_buffers = std::io::Error::from_raw_os_error(105).kind();
+    for kind in [too_many_files, no_buffers, ErrorKind::AddrNotAvailable, ErrorKind::ConnectionAborted] {
+        assert_eq!(beliefs(kind), (false, false), "{kind}");
+    }
+}
+
+/// A view with one engine in zone `a`, which may be drained.
+fn view_of_one(is_drained: bool) -> View {
+    let ObjectBody::Configuration(mut terms) = configuration(1) else { unreachable!("it is one") };
+    terms.services[0].slow_start = SlowStart::new(COLD_MS, RATE as f64);
+    let engines = vec![entry("e1", SocketAddr::from(([127, 0, 0, 1], 1)))];
+    View {
+        configuration: Versioned { revision: 1, value: Arc::new(terms) },
+        engines: Versioned { revision: 1, value: Arc::new(engines) },
+        zone_drains: Versioned { revision: 1, value: Arc::new(ZoneDrains::of(is_drained.then(|| "a".to_owned()))) },
+        ..View::default()
+    }
+}
+
+#[test]
+fn a_drain_ends_for_calls_when_its_engines_are_cold_and_not_before() {
+    let (drained, in_use) = (view_of_one(true), view_of_one(false));
+    for round in 0..500 {
+        let table = EngineTable::default();
+        table.update(&drained);
+        std::thread::scope(|scope| {
+            scope.spawn(|| table.update(&in_use));
+            while table.drains().is_drained("a") {
+                std::hint::spin_loop();
+            }
+            let is_cold = table.candidates("read").iter().all(|engine| engine.warmth.cold_rate().is_some());
+            assert!(is_cold, "round {round}: a warm engine was handed out");
+        });
+    }
+}
+
+#[test]
+fn a_start_that_becomes_known_is_no_restart_and_another_one_is() {
+    let engine = warm_engine();
+    let entry_of = |started_at_ms| EngineEntry { started_at_ms, ..engine.entry.clone() };
+    assert!(engine.is_start_of(&entry_of(Some(1000))));
+    engine.note_start(Some(1000));
+    assert!(engine.is_start_of(&entry_of(Some(1000))));
+    assert!(engine.is_start_of(&entry_of(None)));
+    assert!(!engine.is_start_of(&entry_of(Some(2000))));
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_engine_that_starts_again_under_its_identifier_is_cold_whatever_its_entry_says() {
     let cluster = cluster_with_slow_start(212).await;
@@ -140,15 +322,7 @@
     let connections = engine.connections();
     list(&cluster, EngineEntry { started_at_ms: Some(2000), ..entry("e1", engine.address) });
     // What a gateway is not told yet it cannot go by.
-    let mut is_known = false;
-    for _ in 0..500 {
-        is_known = cluster.metric(50, "engines_cold").await == Some(1);
-        if is_known {
-            break;
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-    assert!(is_known, "the start is not known");
+    assert!(are_cold(&cluster, 1).await, "the start is not known");
     burst(&[&gateway]).await;
     assert_rate_is_kept_and_used(&engine);
     assert!(engine.connections() > connections, "a connection of the time before was used");
@@ -188,6 +362,7 @@
     let before = engine.received().len();
     cluster.store.remove(Kind::ZoneDrains, "a", ObjectBody::ZoneDrain);
     burst(&[&gateway]).await;
-    assert!(most_in_a_second(&engine) <= RATE + before);
+    let most = most_in_a_second(&engine.received()[before..]);
+    assert!(most <= RATE, "{most} requests in a second");
     assert!(engine.received().len() >= before + 16);
 }
