Clearer names for drains of zones, sends to cold engines and distances; the send log in its own module

Cause: a newcomer's review: handler.rs had grown beyond what one reads at once, its log line computed all candidates again, two types were called RoundTrips, and 'home', 'leave' and 'prompt' stood for several things each. Change: edge/send_log.rs; Choice::candidates; DrainStarts, is_age_bounded, moves_after, send_by, ZoneSamples, GatewayDistances, prompt_engine, zone_drain_rules, use_freshness_of, is_same_start. The price of a cold engine is part of price_ms rather than of work_ms; the total is the same. Run: cargo check of all targets.

--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -17,7 +17,7 @@
 use crate::engines::engine::Engine;
 use crate::engines::learned_costs::{LearnedCosts, ServicePrices};
 use crate::engines::load_board::LoadEstimate;
-use crate::engines::round_trips::RoundTrips;
+use crate::engines::round_trips::GatewayDistances;
 use crate::engines::selector::{choose, Choice, Placement};
 use crate::engines::table::EngineTable;
 use crate::locks::lock;
@@ -69,7 +69,7 @@
     /// What was learned of model engines.
     pub costs: LearnedCosts,
     /// How far the zones are.
-    pub round_trips: Arc<RoundTrips>,
+    pub round_trips: Arc<GatewayDistances>,
     /// Counters and histograms.
     pub metrics: Arc<Metrics>,
     /// Turns and budgets.
@@ -77,7 +77,7 @@
     /// Leave for requests of tenants that have a limit.
     pub quotas: QuotaKeeper,
     /// How it goes by drains of zones.
-    pub zone_drains: ZoneDrainRules,
+    pub zone_drain_rules: ZoneDrainRules,
     /// Leave for sends to cold engines.
     pub cold_leaves: ColdLeaveKeeper,
     /// Tickets for tokens that are reserved ahead.
@@ -275,7 +275,7 @@
                 continue;
             };
             let engine = choice.engine.clone();
-            let Ok(leave_by) = self.take_cold_leave(call, &engine).await else {
+            let Ok(send_by) = self.take_cold_leave(call, &engine).await else {
                 if tries.note_no_leave() >= REFUSALS_BEFORE_PAUSE {
                     self.wait_for_room(call, tries).await?;
                 }
@@ -295,7 +295,7 @@
             if call.is_model() && self.policy.known_parts {
                 engine.parts().insert(&call.metadata.parts, call.metadata.most_tokens);
             }
-            let error = match self.send_once(call, &engine, request, leave_by).await {
+            let error = match self.send_once(call, &engine, request, send_by).await {
                 Ok(answer) => return Ok(answer),
                 Err(error) => error,
             };
@@ -397,7 +397,7 @@
     }
 
     /// Prices at the engines of a service.
-    fn prices(&self, service: &str) -> ServicePrices {
+    pub(super) fn prices(&self, service: &str) -> ServicePrices {
         if self.policy.learned_prices {
             self.costs.prices(service)
         } else {
@@ -411,10 +411,10 @@
         call: &Call,
         engine: &Arc<Engine>,
         request: Request<Full<Bytes>>,
-        leave_by: Option<Instant>,
+        send_by: Option<Instant>,
     ) -> Result<EngineAnswer, AttemptError> {
         let attempt = &call.metadata.attempt;
-        let limits = SendLimits { leave_by, give_up_at: call.expires_at };
+        let limits = SendLimits { send_by, give_up_at: call.expires_at };
         let mut outcome = attempt::send(engine, request, attempt, &*self.dialect, limits).await;
         if let Some(time) = outcome.as_mut().ok().and_then(|answer| answer.connection.take_connect_time()) {
             self.round_trips.take(&engine.entry.zone, time);
@@ -427,30 +427,6 @@
     }
 }
 
-impl Gateway {
-    /// Counts how far a request goes, and tells why one leaves the region.
-    fn note_way(&self, call: &Call, choice: &Choice) {
-        self.metrics.count_way(choice.way.proximity.name());
-        let Some(near) = choice.cost_nearby else { return };
-        self.metrics.spills.inc();
-        let Choice { engine, cost, way, .. } = choice;
-        log::info!(target: part::ENGINE, "Call {} leaves its region: program={} service={} engine={} zone={} round_trip_ms={:.1} cost_ms={:.0} work_ms={:.0} nearby_cost_ms={:.0} nearby_work_ms={:.0}.",
-            call.metadata.attempt, call.metadata.program.as_deref().unwrap_or("-"), call.service, engine.entry.id, engine.entry.zone, way.round_trip_ms, cost.total_ms(), cost.work_ms, near.total_ms(), near.work_ms);
-    }
-
-    /// Logs what decided for an engine: loads, what it holds, and how old the knowledge of engines is.
-    fn log_send(&self, call: &Call, choice: &Choice) {
-        let metadata = &call.metadata;
-        let view = self.view.get();
-        let Choice { engine, missing_tokens, under_way, .. } = choice;
-        let predecessor = call.predecessor.unwrap_or_default();
-        let ServicePrices { token_ms, request_ms, .. } = self.prices(&call.service);
-        let candidates = self.candidates(call).len();
-        log::info!(target: part::ENGINE, "Call {} sent: program={} tenant={} route={} engine={} number={} before={predecessor} avoided={} of={candidates} own={} all={under_way:.0} missing={missing_tokens:.0}/{} token_ms={token_ms:.4} request_ms={request_ms:.2} left={:?} configuration={} engines={}.",
-            metadata.attempt, metadata.program.as_deref().unwrap_or("-"), call.tenant_name(), call.route.name, engine.entry.id, engine.number, call.avoided.len(), engine.under_way(), metadata.prompt_tokens, call.engine_time().unwrap_or_default(), view.configuration.value.version, view.engines.revision);
-    }
-}
-
 fn refusals_before_pause(call: &Call) -> u32 {
     match call.standing {
         Standing::New => REFUSALS_OF_NEW,
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -13,6 +13,7 @@
 pub mod refusal;
 pub mod residency;
 pub mod routes;
+mod send_log;
 pub mod slow_start;
 pub mod stream_call;
 pub mod tickets;
--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -13,7 +13,7 @@
 use crate::edge::zone_moves::ZoneDrainRules;
 use crate::engines::learned_costs::LearnedCosts;
 use crate::engines::load_exchange;
-use crate::engines::round_trips::RoundTrips;
+use crate::engines::round_trips::GatewayDistances;
 use crate::engines::table::EngineTable;
 use crate::logging::part;
 use crate::metrics::{self, Metrics};
@@ -88,9 +88,10 @@
     let members = Members::bind(&settings, clock, client.clone(), view.clone())
         .await
         .context("the port for datagrams cannot be bound")?;
-    view.go_by(members.duty());
+    view.use_freshness_of(members.duty());
     let cache = TurnCache::new((settings.resources.memory_mb * 1024 * 1024 / CACHE_SHARE) as usize);
-    let round_trips = RoundTrips::new(settings.places(), &settings.zone, &settings.zones, settings.distance.prices());
+    let round_trips =
+        GatewayDistances::new(settings.places(), &settings.zone, &settings.zones, settings.distance.prices());
     let metrics = gateway_metrics(&view, &members, &round_trips);
     let store: Arc<dyn MetadataStore> = Arc::new(CountedStore::new(platform.store, metrics.clone()));
     let relays = Relays::new(members.clone()).with_regions(zone_hash(&settings.zone), settings.zone_regions());
@@ -116,7 +117,7 @@
         metrics: metrics.clone(),
         turns: turns.clone(),
         quotas,
-        zone_drains: ZoneDrainRules::new(settings.times.zone_drain(), members.duty().times()),
+        zone_drain_rules: ZoneDrainRules::new(settings.times.zone_drain(), members.duty().times()),
         cold_leaves,
         tickets: Arc::new(tickets),
         shares: Default::default(),
@@ -142,7 +143,7 @@
     tokio::spawn(follow(store.clone(), Kind::Engines, FirstList::AtStart, duty.clone(), engines));
     let retirements = RetirementFollower { view: view.clone() };
     tokio::spawn(follow(store.clone(), Kind::Retirements, FirstList::OnDuty, duty.clone(), retirements));
-    if gateway.zone_drains.is_on() {
+    if gateway.zone_drain_rules.is_on() {
         let drains = ZoneDrainFollower { view: view.clone() };
         tokio::spawn(follow(store.clone(), Kind::ZoneDrains, FirstList::AtStart, duty.clone(), drains));
     }
@@ -194,7 +195,7 @@
     client: Arc<RpcClient>,
     relays: Relays,
     metrics: &Arc<Metrics>,
-    round_trips: &Arc<RoundTrips>,
+    round_trips: &Arc<GatewayDistances>,
     policy: PolicySettings,
 ) -> Arc<ReplicaClient> {
     let replicas = ReplicaClient::direct(client).with_metrics(metrics.clone());
@@ -206,7 +207,11 @@
 }
 
 /// The metrics of a gateway, with what it knows.
-fn gateway_metrics(view: &Arc<ViewHolder>, members: &Arc<Members>, round_trips: &Arc<RoundTrips>) -> Arc<Metrics> {
+fn gateway_metrics(
+    view: &Arc<ViewHolder>,
+    members: &Arc<Members>,
+    round_trips: &Arc<GatewayDistances>,
+) -> Arc<Metrics> {
     let mut metrics = Metrics::default();
     round_trips.add_metrics(&mut metrics);
     let known = view.clone();
--- /dev/null
+++ b/crates/gateway/src/edge/send_log.rs
@@ -0,0 +1,48 @@
+//! What logs and counters tell of each send: what decided for the engine, and when a program leaves its region or a drained zone.
+
+use crate::edge::call::Call;
+use crate::edge::handler::Gateway;
+use crate::engines::learned_costs::ServicePrices;
+use crate::engines::selector::Choice;
+use crate::logging::part;
+use std::time::Instant;
+
+impl Gateway {
+    /// Counts how far a request goes, and tells why one leaves the region.
+    pub(super) fn note_way(&self, call: &Call, choice: &Choice) {
+        self.metrics.count_way(choice.way.proximity.name());
+        let Some(near) = choice.cost_nearby else { return };
+        self.metrics.spills.inc();
+        let Choice { engine, cost, way, .. } = choice;
+        log::info!(target: part::ENGINE, "Call {} leaves its region: program={} service={} engine={} zone={} round_trip_ms={:.1} cost_ms={:.0} work_ms={:.0} nearby_cost_ms={:.0} nearby_work_ms={:.0}.",
+            call.metadata.attempt, call.metadata.program.as_deref().unwrap_or("-"), call.service, engine.entry.id, engine.entry.zone, way.round_trip_ms, cost.total_ms(), cost.work_ms, near.total_ms(), near.work_ms);
+    }
+
+    /// Logs what decided for an engine: loads, what it holds, and how old the knowledge of engines is.
+    pub(super) fn log_send(&self, call: &Call, choice: &Choice) {
+        let metadata = &call.metadata;
+        let view = self.view.get();
+        let Choice { engine, candidates, missing_tokens, under_way, .. } = choice;
+        let predecessor = call.predecessor.unwrap_or_default();
+        let ServicePrices { token_ms, request_ms, .. } = self.prices(&call.service);
+        log::info!(target: part::ENGINE, "Call {} sent: program={} tenant={} route={} engine={} number={} before={predecessor} avoided={} of={candidates} own={} all={under_way:.0} missing={missing_tokens:.0}/{} token_ms={token_ms:.4} request_ms={request_ms:.2} left={:?} configuration={} engines={}.",
+            metadata.attempt, metadata.program.as_deref().unwrap_or("-"), call.tenant_name(), call.route.name, engine.entry.id, engine.number, call.avoided.len(), engine.under_way(), metadata.prompt_tokens, call.engine_time().unwrap_or_default(), view.configuration.value.version, view.engines.revision);
+    }
+    /// Counts and tells that a drain of a zone decided where a program goes on.
+    pub(super) fn note_zone_move(&self, call: &Call, choice: &Choice) {
+        let view = self.view.get();
+        if view.zone_drains.value.zones().next().is_none() {
+            return;
+        }
+        let moved_from = call.predecessor.filter(|number| *number != choice.engine.number);
+        let Some(predecessor) = moved_from else { return };
+        let engines = self.engines.candidates(&call.service);
+        let Some(predecessor) = engines.iter().find(|engine| engine.number == predecessor) else { return };
+        let zone = &predecessor.entry.zone;
+        if view.zone_drains.value.is_drained(zone) {
+            let age = view.drain_starts.age(zone, Instant::now()).unwrap_or_default();
+            self.metrics.zone_moves.inc();
+            log::info!(target: part::ENGINE, "Call {} leaves a drained zone: zone={zone} known_for={age:?} program={} from={} to={} tokens={}.", call.metadata.attempt, call.metadata.program.as_deref().unwrap_or("-"), predecessor.entry.id, choice.engine.entry.id, call.metadata.prompt_tokens);
+        }
+    }
+}
--- a/crates/gateway/src/edge/zone_moves.rs
+++ b/crates/gateway/src/edge/zone_moves.rs
@@ -7,18 +7,18 @@
 use crate::edge::handler::Gateway;
 use crate::edge::refusal::Refusal;
 use crate::engines::engine::Engine;
-use crate::engines::selector::Choice;
 use crate::locks::lock;
 use crate::logging::part;
 use crate::peers::view::View;
 use crate::peers::watch_duty::DutyTimes;
-use foxnotch_scheduler::zone_drain::{move_window, DrainMoves, HeldPrompt, ZoneDrains};
+use foxnotch_scheduler::zone_drain::{move_window, DrainStarts, HeldPrompt, ZoneDrains};
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64;
 
-/// The size of a prompt whose engine's memory is not known.
+/// The size of a prompt, from 0 to 1, where the engine's memory is not known: the middle, so that its program moves neither with
+/// the smallest nor with the largest.
 const UNKNOWN_SIZE: f64 = 0.5;
 
 /// How a gateway goes by drains of zones.
@@ -46,10 +46,10 @@
 /// What the drains known at one moment mean for one call.
 pub(super) struct CallDrains {
     drains: Arc<ZoneDrains>,
-    moves: Arc<DrainMoves>,
+    starts: Arc<DrainStarts>,
     window: Duration,
-    /// The engine that holds the program's prompt.
-    home: Option<u32>,
+    /// The engine that ran the turn before, by its number; none when that is unknown, or the engine failed this program.
+    prompt_engine: Option<u32>,
     program_hash: u64,
     prompt_tokens: f64,
     /// Tokens that the memory of an engine of the service takes; 0 when that is not known.
@@ -65,7 +65,8 @@
 
     fn may_stay_at(&self, engine: &Engine) -> bool {
         let prompt = HeldPrompt { program_hash: self.program_hash, size: self.size_at(engine) };
-        self.home == Some(engine.number) && self.moves.may_stay(&engine.entry.zone, prompt, self.window, self.now)
+        self.prompt_engine == Some(engine.number)
+            && self.starts.may_stay(&engine.entry.zone, prompt, self.window, self.now)
     }
 
     /// The prompt's share of the memory that an engine has for one request.
@@ -86,9 +87,9 @@
         let predecessor = call.predecessor.filter(|engine| self.policy.home && !call.avoided.contains(engine));
         CallDrains {
             drains: view.zone_drains.value,
-            moves: view.drain_moves,
-            window: self.zone_drains.window.unwrap_or_default(),
-            home: predecessor,
+            starts: view.drain_starts,
+            window: self.zone_drain_rules.window.unwrap_or_default(),
+            prompt_engine: predecessor,
             program_hash: xxh3_64(call.metadata.program.as_deref().unwrap_or_default().as_bytes()),
             prompt_tokens: f64::from(call.metadata.prompt_tokens),
             memory_tokens: model.map_or(0.0, |model| model.memory_tokens as f64),
@@ -115,27 +116,10 @@
         Err(Refusal::ZonesDrained)
     }
 
-    /// Counts and tells that a drain of a zone decided where a program goes on.
-    pub(super) fn note_zone_move(&self, call: &Call, choice: &Choice) {
-        let view = self.view.get();
-        if view.zone_drains.value.zones().next().is_none() {
-            return;
-        }
-        let Some(home) = call.predecessor.filter(|number| *number != choice.engine.number) else { return };
-        let engines = self.engines.candidates(&call.service);
-        let Some(home) = engines.iter().find(|engine| engine.number == home) else { return };
-        let zone = &home.entry.zone;
-        if view.zone_drains.value.is_drained(zone) {
-            let age = view.drain_moves.age(zone, Instant::now()).unwrap_or_default();
-            self.metrics.zone_moves.inc();
-            log::info!(target: part::ENGINE, "Call {} leaves a drained zone: zone={zone} known_for={age:?} program={} from={} to={} tokens={}.", call.metadata.attempt, call.metadata.program.as_deref().unwrap_or("-"), home.entry.id, choice.engine.entry.id, call.metadata.prompt_tokens);
-        }
-    }
-
     /// Whether a first configuration may be gone by: not before it is known which zones are drained, unless nobody can tell,
     /// as after a start without the store.
     pub(super) fn knows_zone_drains(&self, view: &View) -> bool {
-        !self.zone_drains.is_on() || view.zone_drains.revision > 0 || view.kept.is_some()
+        !self.zone_drain_rules.is_on() || view.zone_drains.revision > 0 || view.kept.is_some()
     }
 
     /// Tells once of each drained zone that has no engine: its name may be wrong.
@@ -146,7 +130,7 @@
         let has_engine = |zone: &str| view.engines.value.iter().any(|engine| engine.zone == zone);
         let unknown: BTreeSet<String> =
             view.zone_drains.value.zones().filter(|zone| !has_engine(zone)).map(str::to_owned).collect();
-        let mut told = lock(&self.zone_drains.told_unknown);
+        let mut told = lock(&self.zone_drain_rules.told_unknown);
         for zone in unknown.difference(&told) {
             log::warn!(target: part::VIEW, "Zone {zone} is drained and has no engine: check its name, or take the drain back.");
         }
--- a/crates/gateway/src/engines/attempt.rs
+++ b/crates/gateway/src/engines/attempt.rs
@@ -76,8 +76,8 @@
 /// How long a send may take.
 #[derive(Clone, Copy, Debug)]
 pub struct SendLimits {
-    /// The moment up to which it has to leave; none when it may leave at any time.
-    pub leave_by: Option<Instant>,
+    /// The moment by which a request to a cold engine has to be sent, since its permission lapses then; none for a warm engine.
+    pub send_by: Option<Instant>,
     /// The moment up to which the head of the answer is waited for.
     pub give_up_at: Instant,
 }
@@ -95,7 +95,7 @@
 ) -> Result<EngineAnswer, AttemptError> {
     let lease = engine.begin();
     let waiting = engine.begin_waiting();
-    let exchange = exchange(engine, request, limits.leave_by);
+    let exchange = exchange(engine, request, limits.send_by);
     let outcome = tokio::time::timeout_at(limits.give_up_at.into(), exchange).await;
     drop(waiting);
     let (response, mut connection) = match outcome {
@@ -128,7 +128,7 @@
 async fn exchange(
     engine: &Arc<Engine>,
     mut request: http::Request<Full<Bytes>>,
-    leave_by: Option<Instant>,
+    send_by: Option<Instant>,
 ) -> Result<(http::Response<Incoming>, EngineConnection), AttemptError> {
     while let Some(mut connection) = engine.take_connection() {
         match connection.send(request).await {
@@ -139,7 +139,7 @@
     }
     let opened = EngineConnection::open(engine.address).await;
     let mut connection = opened.map_err(|error| AttemptError::Unreachable(error.to_string()))?;
-    if leave_by.is_some_and(|leave_by| Instant::now() >= leave_by) {
+    if send_by.is_some_and(|send_by| Instant::now() >= send_by) {
         engine.keep_connection(connection);
         return Err(AttemptError::LeaveLapsed);
     }
--- a/crates/gateway/src/engines/engine.rs
+++ b/crates/gateway/src/engines/engine.rs
@@ -80,7 +80,7 @@
     }
 
     /// Whether an entry is of the same start of the same engine.
-    pub fn is_start_of(&self, entry: &EngineEntry) -> bool {
+    pub fn is_same_start(&self, entry: &EngineEntry) -> bool {
         let (own, other) = (&self.entry, entry);
         own.id == other.id && own.address == other.address && own.started_at_ms == other.started_at_ms
     }
--- a/crates/gateway/src/engines/round_trips.rs
+++ b/crates/gateway/src/engines/round_trips.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// What the way to a zone costs.
+/// How far a zone is: its relation to this gateway's zone, and the round trip.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Way {
     /// Where the zone is.
@@ -43,7 +43,7 @@
 }
 
 /// What this gateway has learned of distances.
-pub struct RoundTrips {
+pub struct GatewayDistances {
     started_at: Instant,
     prices: TrafficPrices,
     learned: Mutex<LearnedDistances>,
@@ -51,7 +51,7 @@
     zones: BTreeMap<u32, String>,
 }
 
-impl RoundTrips {
+impl GatewayDistances {
     /// Nothing learned yet, seen from `zone`.
     pub fn new(places: Places, zone: &str, zones: &[String], prices: TrafficPrices) -> Arc<Self> {
         Arc::new(Self {
--- a/crates/gateway/src/engines/selector.rs
+++ b/crates/gateway/src/engines/selector.rs
@@ -45,6 +45,8 @@
 pub struct Choice {
     /// The engine.
     pub engine: Arc<Engine>,
+    /// Engines that the request could go to, before those without room or leave were left out.
+    pub candidates: usize,
     /// Prompt tokens that it probably has to read.
     pub missing_tokens: f64,
     /// Requests under way there.
@@ -167,6 +169,7 @@
     let best = offers.iter().min_by(|left, right| left.rank_ms.total_cmp(&right.rank_ms))?;
     Some(Choice {
         engine: best.engine.clone(),
+        candidates: candidates.len(),
         missing_tokens: missing_tokens(best.engine, placement, home),
         under_way: requests_under_way(best.engine, placement),
         chosen_at: Instant::now(),
--- a/crates/gateway/src/engines/table.rs
+++ b/crates/gateway/src/engines/table.rs
@@ -57,8 +57,8 @@
             services.drain().flat_map(|(_, engines)| engines).map(|engine| (engine.entry.id.clone(), engine)).collect();
         for entry in view.engines.value.iter() {
             let before = known.remove(&entry.id);
-            let is_restart = before.as_ref().is_some_and(|engine| !engine.is_start_of(entry));
-            let kept = before.filter(|engine| engine.is_start_of(entry));
+            let is_restart = before.as_ref().is_some_and(|engine| !engine.is_same_start(entry));
+            let kept = before.filter(|engine| engine.is_same_start(entry));
             let service = view.configuration.value.service(&entry.service);
             let engine = match kept {
                 Some(engine) => engine,
--- a/crates/gateway/src/peers/replica_client.rs
+++ b/crates/gateway/src/peers/replica_client.rs
@@ -3,7 +3,7 @@
 //! A gateway may be cut off from the replicas while others reach them and it reaches those. What it asks is made such
 //! that a replica may get it twice, so a second way costs nothing but a message.
 
-use crate::engines::round_trips::RoundTrips;
+use crate::engines::round_trips::GatewayDistances;
 use crate::locks::lock;
 use crate::logging::part;
 use crate::metrics::Metrics;
@@ -92,7 +92,7 @@
     paths: Mutex<DirectPaths>,
     relays: Option<Relays>,
     metrics: Arc<Metrics>,
-    round_trips: Option<Arc<RoundTrips>>,
+    round_trips: Option<Arc<GatewayDistances>>,
 }
 
 impl ReplicaClient {
@@ -114,7 +114,7 @@
     }
 
     /// Notes how long direct answers take.
-    pub fn with_round_trips(mut self, round_trips: Arc<RoundTrips>) -> Self {
+    pub fn with_round_trips(mut self, round_trips: Arc<GatewayDistances>) -> Self {
         self.round_trips = Some(round_trips);
         self
     }
--- a/crates/gateway/src/peers/view.rs
+++ b/crates/gateway/src/peers/view.rs
@@ -13,7 +13,7 @@
 use crate::peers::view_codec::to_content;
 use crate::peers::watch_duty::WatchDuty;
 use crate::ports::configuration::{Configuration, EngineEntry, RetirementRequest};
-use foxnotch_scheduler::zone_drain::{DrainMoves, ZoneDrains};
+use foxnotch_scheduler::zone_drain::{DrainStarts, ZoneDrains};
 use foxnotch_wire::{Content, ReplicaSet};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
@@ -63,8 +63,8 @@
     pub retirements: Versioned<Vec<RetirementRequest>>,
     /// Zones whose engines get no new work.
     pub zone_drains: Versioned<ZoneDrains>,
-    /// When this node learned of each.
-    pub drain_moves: Arc<DrainMoves>,
+    /// When this node learned of each drain; from that follows which programs may still go on in a drained zone.
+    pub drain_starts: Arc<DrainStarts>,
     /// The replica set.
     pub set: Arc<ReplicaSet>,
 }
@@ -133,7 +133,7 @@
     }
 
     /// From now on `duty` tells how fresh this node's knowledge of the store is.
-    pub fn go_by(&self, duty: Arc<WatchDuty>) {
+    pub fn use_freshness_of(&self, duty: Arc<WatchDuty>) {
         // A process has one duty.
         let _ = self.duty.set(duty);
     }
@@ -300,8 +300,8 @@
             // That nothing is drained is news for a node that did not know.
             let differs = known_before == 0 || *view.zone_drains.value != drains;
             if newer {
-                let is_prompt = known_before > 0 && known_age.is_some();
-                Arc::make_mut(&mut view.drain_moves).follow(&drains, Instant::now(), is_prompt);
+                let is_age_bounded = known_before > 0 && known_age.is_some();
+                Arc::make_mut(&mut view.drain_starts).follow(&drains, Instant::now(), is_age_bounded);
                 view.zone_drains = Versioned { revision, value: Arc::new(drains) };
             }
             newer && differs
--- a/crates/gateway/tests/region_choice_tests.rs
+++ b/crates/gateway/tests/region_choice_tests.rs
@@ -3,7 +3,7 @@
 use foxnotch_gateway::engines::engine::Engine;
 use foxnotch_gateway::engines::learned_costs::ServicePrices;
 use foxnotch_gateway::engines::load_board::LoadEstimate;
-use foxnotch_gateway::engines::round_trips::{RoundTrips, Ways};
+use foxnotch_gateway::engines::round_trips::{GatewayDistances, Ways};
 use foxnotch_gateway::engines::selector::{choose, Choice, Placement};
 use foxnotch_gateway::ports::configuration::EngineEntry;
 use foxnotch_gateway::ports::dialect::PromptPart;
@@ -15,10 +15,10 @@
 
 const ZONES: [&str; 4] = ["a1", "a2", "b1", "b2"];
 
-fn round_trips() -> Arc<RoundTrips> {
+fn round_trips() -> Arc<GatewayDistances> {
     let regions = ZONES.iter().map(|zone| ((*zone).to_owned(), zone[..1].to_owned()));
     let prices = TrafficPrices { zone_ms_per_kilobyte: 1.0, region_ms_per_kilobyte: 4.0 };
-    RoundTrips::new(Places::new(regions.collect()), "a1", &ZONES.map(str::to_owned), prices)
+    GatewayDistances::new(Places::new(regions.collect()), "a1", &ZONES.map(str::to_owned), prices)
 }
 
 /// An engine of four slots in each zone.
--- a/crates/gateway/tests/zone_drain_age_tests.rs
+++ b/crates/gateway/tests/zone_drain_age_tests.rs
@@ -16,14 +16,14 @@
 fn start() -> (ViewHolder, Arc<WatchDuty>) {
     let view = ViewHolder::default();
     let duty = Arc::new(WatchDuty::new(DutyTimes::within(Duration::from_secs(2))));
-    view.go_by(duty.clone());
+    view.use_freshness_of(duty.clone());
     (view, duty)
 }
 
 /// Whether a program may go on in the zone for a while.
 fn may_stay(view: &ViewHolder, zone: &str) -> bool {
     let prompt = HeldPrompt { program_hash: u64::MAX, size: 1.0 };
-    view.get().drain_moves.may_stay(zone, prompt, WINDOW, Instant::now())
+    view.get().drain_starts.may_stay(zone, prompt, WINDOW, Instant::now())
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/scheduler/src/cost.rs
+++ b/crates/scheduler/src/cost.rs
@@ -2,12 +2,13 @@
 
 /// The price of a new connection, in milliseconds, besides its round trip: engines bear few and pay for each.
 const CONNECTION_MS: f64 = 8.0;
-/// What a cold engine costs, in milliseconds: leave has to be asked for, and may be wanted more elsewhere. At 150 ms warm engines
-/// were overloaded while cold ones had free slots.
+/// The price of a cold engine, in milliseconds: its leave takes a round trip, and may be wanted more elsewhere; far more than that
+/// would overload warm engines while cold ones have free slots.
 const COLD_MS: f64 = 20.0;
 /// The price of each reason to pass over an engine, in milliseconds: it is taken only when there is no other.
 const DETERRENT_MS: f64 = 1_000.0;
-/// What a failed try costs, in milliseconds: the caller's pause, another try, and a third of a program that its third ends.
+/// What a failed try costs, in milliseconds: the caller's pause, another try, and a third of the program's worth, since its third
+/// failed try ends a program.
 const FAILURE_MS: f64 = 1_000.0;
 
 /// Prices of a request at the engines of a service.
@@ -74,7 +75,7 @@
     pub work_ms: f64,
     /// The way of the request and of the first part of the answer, twice with a connection to be made.
     pub distance_ms: f64,
-    /// The price of the bytes on the way and of a new connection.
+    /// The price of the bytes on the way, of a new connection and of a cold engine.
     pub price_ms: f64,
     /// What may go wrong, and reasons to pass the engine over.
     pub risk_ms: f64,
@@ -91,9 +92,9 @@
         let connection_ms = if engine.is_connected { 0.0 } else { CONNECTION_MS };
         let cold_ms = if engine.is_cold { COLD_MS } else { 0.0 };
         Self {
-            work_ms: work_ms + cold_ms,
+            work_ms,
             distance_ms: engine.round_trip_ms * round_trips,
-            price_ms: engine.traffic_ms + connection_ms,
+            price_ms: engine.traffic_ms + connection_ms + cold_ms,
             risk_ms: FAILURE_MS * engine.failure_probability + DETERRENT_MS * f64::from(engine.deterrents),
         }
     }
@@ -106,8 +107,8 @@
 
 /// What a turn costs at a model engine, to itself and to those under way there.
 ///
-/// While the engine reads a prompt all others at it wait too. A request beyond the slots waits until one is free, and each
-/// turn's time as many get free as there are slots.
+/// While the engine reads a prompt all others at it wait too. A request beyond the slots waits until one is free: in the time of
+/// one turn as many become free as there are slots.
 fn turn_ms(missing_tokens: f64, engine: &EngineState, prices: &ServicePrices) -> f64 {
     let EngineState { under_way, slots, .. } = *engine;
     let reading = missing_tokens * prices.token_ms * (1.0 + under_way.min(slots));
--- a/crates/scheduler/src/distance.rs
+++ b/crates/scheduler/src/distance.rs
@@ -87,14 +87,14 @@
 
 /// Round trips to one zone.
 #[derive(Clone, Debug, Default)]
-struct RoundTrips {
+struct ZoneSamples {
     samples: VecDeque<f64>,
     /// The lower quartile of the samples: most of what makes an answer late is no distance.
     lower_quartile_ms: f64,
     newest_at_ms: u64,
 }
 
-impl RoundTrips {
+impl ZoneSamples {
     fn add(&mut self, round_trip_ms: f64, now_ms: u64) {
         if self.samples.len() == MAXIMUM_SAMPLES {
             self.samples.pop_front();
@@ -119,12 +119,12 @@
     }
 }
 
-/// Round trips from one zone to all others, as far as they were learned.
+/// Round trips from one zone to every zone, its own included, as far as they were learned.
 #[derive(Clone, Debug)]
 pub struct LearnedDistances {
     places: Places,
     zone: String,
-    learned: BTreeMap<String, RoundTrips>,
+    learned: BTreeMap<String, ZoneSamples>,
 }
 
 impl LearnedDistances {
--- a/crates/scheduler/src/slow_start/leave.rs
+++ b/crates/scheduler/src/slow_start/leave.rs
@@ -41,11 +41,11 @@
     /// from engine to engine, so that the shares of all together are the whole.
     fn per_window(&self, tolerance: SlowStartTolerance) -> usize {
         let tolerated = self.per_second * tolerance.factor + tolerance.slack;
-        // A share of one goes to somebody also where a cold engine bears less than one request a second.
+        // Where the engine bears hardly one request a second, one share still gives one send.
         let total = ((tolerated * TOLERANCE_USE) as usize).max(usize::from(tolerated >= 1.0));
         let shares = self.shares.max(1);
-        let turn = (self.share + (self.engine % shares as u64) as usize) % shares;
-        total / shares + usize::from(turn < total % shares)
+        let rotated = (self.share + (self.engine % shares as u64) as usize) % shares;
+        total / shares + usize::from(rotated < total % shares)
     }
 }
 
@@ -53,7 +53,7 @@
 #[derive(Debug)]
 pub struct LeaveBook {
     tolerance: SlowStartTolerance,
-    /// Nothing is given before.
+    /// Until then nothing is given: what was given from these shares during the last window is not known.
     closed_until: Duration,
     /// When leave was given that still counts, by engine.
     given: HashMap<u64, VecDeque<Duration>>,
--- a/crates/scheduler/src/zone_drain.rs
+++ b/crates/scheduler/src/zone_drain.rs
@@ -47,8 +47,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct DrainStart {
     learned_at: Instant,
-    /// Whether the node went by a recent answer of the store until then, so that it knows how old the drain may be.
-    is_prompt: bool,
+    /// Whether the node had a recent answer of the store when it learned of the drain: the drain is then at most that old.
+    is_age_bounded: bool,
 }
 
 /// A prompt that an engine of a drained zone holds for a program.
@@ -60,29 +60,29 @@
     pub size: f64,
 }
 
-/// Which programs have yet to leave drained zones.
+/// When this node learned of each drain; from that follows which programs may still go on in a drained zone.
 ///
 /// A program that has its cached prompt in a drained zone reads all of it elsewhere with its next turn. If all did so in one
 /// instant, the engines that are left would do little else; so they leave one after the other, the largest prompts last.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct DrainMoves {
+pub struct DrainStarts {
     starts: BTreeMap<String, DrainStart>,
 }
 
-impl DrainMoves {
+impl DrainStarts {
     /// Notes which zones are drained at `now`. Drains that are known keep their start; one that was taken back and comes again
     /// has a new one.
-    pub fn follow(&mut self, drains: &ZoneDrains, now: Instant, is_prompt: bool) {
+    pub fn follow(&mut self, drains: &ZoneDrains, now: Instant, is_age_bounded: bool) {
         self.starts.retain(|zone, _| drains.is_drained(zone));
         for zone in drains.zones() {
-            self.starts.entry(zone.to_owned()).or_insert(DrainStart { learned_at: now, is_prompt });
+            self.starts.entry(zone.to_owned()).or_insert(DrainStart { learned_at: now, is_age_bounded });
         }
     }
 
     /// Whether a program may still go on with its turns at the engine of a drained zone that holds its prompt.
     pub fn may_stay(&self, zone: &str, prompt: HeldPrompt, window: Duration, now: Instant) -> bool {
-        let Some(start) = self.starts.get(zone).filter(|start| start.is_prompt) else { return false };
-        now.saturating_duration_since(start.learned_at) < leave_after(prompt, window)
+        let Some(start) = self.starts.get(zone).filter(|start| start.is_age_bounded) else { return false };
+        now.saturating_duration_since(start.learned_at) < moves_after(prompt, window)
     }
 
     /// How long ago this node learned that a zone is drained.
@@ -97,8 +97,8 @@
     bound.saturating_sub(news_age).mul_f64(WINDOW_SHARE)
 }
 
-/// How long after a drain was learned a program leaves.
-pub fn leave_after(prompt: HeldPrompt, window: Duration) -> Duration {
+/// How long after a drain was learned a program moves to another zone.
+pub fn moves_after(prompt: HeldPrompt, window: Duration) -> Duration {
     let size = if prompt.size.is_nan() { 0.0 } else { prompt.size.clamp(0.0, 1.0) };
     let lot = prompt.program_hash as f64 / u64::MAX as f64;
     window.mul_f64((SIZE_SHARE * size + (1.0 - SIZE_SHARE) * lot).min(1.0))
--- a/crates/scheduler/tests/zone_drain_tests.rs
+++ b/crates/scheduler/tests/zone_drain_tests.rs
@@ -1,6 +1,6 @@
 //! When programs leave zones that are drained.
 
-use foxnotch_scheduler::zone_drain::{leave_after, move_window, DrainMoves, HeldPrompt, ZoneDrains};
+use foxnotch_scheduler::zone_drain::{move_window, moves_after, DrainStarts, HeldPrompt, ZoneDrains};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::time::{Duration, Instant};
@@ -18,7 +18,7 @@
 
 #[test]
 fn a_zone_that_is_not_drained_has_nothing_to_leave() {
-    let mut moves = DrainMoves::default();
+    let mut moves = DrainStarts::default();
     let now = Instant::now();
     moves.follow(&drains(&["a"]), now, true);
     assert!(moves.may_stay("a", LAST, ms(1000), now));
@@ -30,7 +30,7 @@
 /// A node that started, or was cut off, cannot know how long the drain has been in force.
 #[test]
 fn nothing_stays_where_the_age_of_the_drain_is_not_known() {
-    let mut moves = DrainMoves::default();
+    let mut moves = DrainStarts::default();
     let now = Instant::now();
     moves.follow(&drains(&["a"]), now, false);
     assert!(!moves.may_stay("a", LAST, ms(1000), now));
@@ -41,7 +41,7 @@
 
 #[test]
 fn a_drain_that_was_taken_back_starts_anew() {
-    let mut moves = DrainMoves::default();
+    let mut moves = DrainStarts::default();
     let now = Instant::now();
     moves.follow(&drains(&["a"]), now, true);
     moves.follow(&drains(&["a"]), now + ms(900), true);
@@ -54,7 +54,7 @@
 
 #[test]
 fn two_zones_have_a_start_each() {
-    let mut moves = DrainMoves::default();
+    let mut moves = DrainStarts::default();
     let now = Instant::now();
     moves.follow(&drains(&["a"]), now, true);
     moves.follow(&drains(&["a", "b"]), now + ms(600), true);
@@ -68,7 +68,7 @@
 #[test]
 fn a_size_that_is_no_number_counts_as_none() {
     let prompt = HeldPrompt { program_hash: 7, size: f64::NAN };
-    assert_eq!(leave_after(prompt, ms(1000)), leave_after(HeldPrompt { size: 0.0, ..prompt }, ms(1000)));
+    assert_eq!(moves_after(prompt, ms(1000)), moves_after(HeldPrompt { size: 0.0, ..prompt }, ms(1000)));
 }
 
 proptest! {
@@ -92,13 +92,13 @@
         let window = move_window(bound, news_age);
         prop_assert!(window + news_age <= bound.max(news_age));
         let prompt = HeldPrompt { program_hash, size };
-        let mut moves = DrainMoves::default();
+        let mut moves = DrainStarts::default();
         let mut now = Instant::now();
         let mut drained_at: [Option<Instant>; 2] = [None; 2];
-        for (pause_ms, first, second, is_prompt) in steps {
+        for (pause_ms, first, second, is_age_bounded) in steps {
             now += ms(pause_ms);
             let zones = [("a", first), ("b", second)];
-            moves.follow(&ZoneDrains::of(zones.iter().filter(|(_, on)| *on).map(|(zone, _)| (*zone).to_owned())), now, is_prompt);
+            moves.follow(&ZoneDrains::of(zones.iter().filter(|(_, on)| *on).map(|(zone, _)| (*zone).to_owned())), now, is_age_bounded);
             for (index, (zone, on)) in zones.into_iter().enumerate() {
                 drained_at[index] = if on { drained_at[index].or(Some(now)) } else { None };
                 let asked_at = now + ms(wait_ms);
@@ -114,7 +114,7 @@
     fn larger_prompts_leave_later(program_hash in any::<u64>(), left in 0.0f64..2.0, right in 0.0f64..2.0, window_ms in 0u64..20_000) {
         let (small, large) = (left.min(right), left.max(right));
         let window = ms(window_ms);
-        let after = |size| leave_after(HeldPrompt { program_hash, size }, window);
+        let after = |size| moves_after(HeldPrompt { program_hash, size }, window);
         prop_assert!(after(small) <= after(large));
         prop_assert!(after(large) <= window);
     }
@@ -122,7 +122,7 @@
     /// Programs of one size leave over half of the window, not at once.
     #[test]
     fn programs_of_one_size_leave_one_after_the_other(size in 0.0f64..1.0) {
-        let after = |program_hash| leave_after(HeldPrompt { program_hash, size }, ms(1000));
+        let after = |program_hash| moves_after(HeldPrompt { program_hash, size }, ms(1000));
         prop_assert!(after(u64::MAX) - after(0) >= ms(499));
         prop_assert!(after(u64::MAX / 2) > after(u64::MAX / 4));
     }
