--- a/crates/gateway/src/peers/view_pulls.rs
+++ b/crates/gateway/src/peers/view_pulls.rs
@@ -64,9 +64,14 @@
     /// Pulls the view of a member that has a newer one, unless the store or the nodes that tell this one bring it first.
     pub(super) fn pull_if_behind(self: &Arc<Self>, from: NodeId) {
         let Some(update) = self.known(from) else { return };
-        let knows_nothing = self.view.get().revision() == 0;
+        // The drains of zones alone may be known, at a revision as high as that of the others' views.
+        let lacks_a_part = |view: &View| view.configuration.revision == 0 || view.engines.revision == 0;
+        let knows_nothing = lacks_a_part(&self.view.get());
         let delay = if knows_nothing { Duration::ZERO } else { self.duty.times().period };
-        self.pull_view(update, delay, move |view| update.config_revision > view.revision(), || {});
+        let is_behind = move |view: &View| {
+            update.config_revision > view.revision() || update.config_revision > 0 && lacks_a_part(view)
+        };
+        self.pull_view(update, delay, is_behind, || {});
     }
 
     /// Pulls the view of a member after `delay`, while this node's own is behind and no other pull goes on. Then, unless it
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -65,6 +65,7 @@
     follower: impl Follower,
 ) {
     let mut following = Following::new(store, kind, duty, follower);
+    following.note_no_longer_followed();
     if first == FirstList::AtStart {
         following.list_at_start().await;
     }
@@ -126,6 +127,14 @@
         }
     }
 
+    /// Drains of zones are as old as before until the store has answered for them, whatever it answers for other kinds: a drain
+    /// that is learned then is of unknown age.
+    fn note_no_longer_followed(&self) {
+        if self.kind == Kind::ZoneDrains {
+            self.duty.note_watches(self.kind, true);
+        }
+    }
+
     /// Lists once, cheaply. What that lacks is brought by other nodes, or by this one's watch.
     async fn list_at_start(&mut self) {
         while self.revision.is_none() && !self.duty.must_watch() {
@@ -154,6 +163,7 @@
             outcome = self.step() => outcome,
             () = duty.until(false) => {
                 self.is_in_contact = false;
+                self.note_no_longer_followed();
                 return;
             }
             _ = silences.changed() => Err(StoreError::Unanswered("another question was not answered".to_owned())),
--- a/crates/gateway/tests/large_configuration_tests.rs
+++ b/crates/gateway/tests/large_configuration_tests.rs
@@ -12,6 +12,7 @@
 use foxnotch_gateway::peers::view_exchange;
 use foxnotch_gateway::ports::configuration::{Configuration, RouteKind};
 use foxnotch_gateway::ports::store::Kind;
+use foxnotch_scheduler::zone_drain::ZoneDrains;
 use foxnotch_wire::{
     encode, MemberAddress, MemberState, MemberUpdate, Message, NodeId, Ping, RpcBody, ShortRevision, StoreNews,
 };
@@ -90,8 +91,9 @@
     assert_eq!(view.get().configuration.value.version, 21);
 }
 
-/// Another node, as far as the one under test can tell: it is a member, and tells of a newer configuration for ever.
-async fn start_teller(ip: Ipv4Addr, told: SocketAddr, pause: Duration, pulls: Arc<PullCount>) {
+/// Another node, as far as the one under test can tell: it is a member, and tells of a newer configuration for ever, as news of the
+/// store too if `tells_news`.
+async fn start_teller(ip: Ipv4Addr, told: SocketAddr, pause: Duration, pulls: Arc<PullCount>, tells_news: bool) {
     let node = NodeId(u32::from(ip));
     let port = told.port();
     let listener = TcpListener::bind((ip, port)).await.expect("the address is free");
@@ -112,7 +114,7 @@
     tokio::spawn(async move {
         loop {
             let ping = Message::Ping(Ping { sequence: 0, updates: vec![own] });
-            for message in [ping, Message::StoreNews(news)] {
+            for message in [ping].into_iter().chain(tells_news.then_some(Message::StoreNews(news))) {
                 let bytes = encode(node, message).expect("it can be coded");
                 socket.send_to(&bytes, told).await.expect("it can be sent");
             }
@@ -136,12 +138,27 @@
     let pulls = Arc::new(PullCount::default());
     let told = SocketAddr::from((settings.ip, settings.peer_port));
     for number in 61..65 {
-        start_teller(cluster.ip(number), told, Duration::from_millis(700), pulls.clone()).await;
+        start_teller(cluster.ip(number), told, Duration::from_millis(700), pulls.clone(), true).await;
     }
     eventually("the newer configuration is known", || view.get().configuration.value.version == 21).await;
     assert_eq!(pulls.most_at_once.load(Ordering::SeqCst), 1);
 }
 
+/// The drains of zones had reached it at a revision as high as that of the others' views, so it did not see that it lacked the rest.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_node_that_knows_only_drains_pulls_the_rest() {
+    let cluster = Cluster::begin(86, 0, None);
+    let settings = cluster.settings(51, false);
+    let view = Arc::new(ViewHolder::default());
+    view.adopt_zone_drains(REVISION, ZoneDrains::default(), Origin::Peer);
+    let client = Arc::new(RpcClient::new(NodeId(51)));
+    let members = Members::bind(&settings, SteadyClock::start(), client, view.clone()).await;
+    tokio::spawn(members.expect("the address is free").run());
+    let told = SocketAddr::from((settings.ip, settings.peer_port));
+    start_teller(cluster.ip(61), told, Duration::ZERO, Arc::default(), false).await;
+    eventually("the configuration is known", || view.get().configuration.value.version == 21).await;
+}
+
 /// That a path has no route is final: callers give up. A gateway that was told of a newer configuration than it has cannot know.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_gateway_that_knows_that_it_is_behind_denies_no_route() {
@@ -152,7 +169,7 @@
     let refusal = gateway.send("GET /none/", "t-attempt: a1\r\n", "").await;
     assert_eq!(refusal.status, 404);
     let told = cluster.peer_address(50);
-    start_teller(cluster.ip(61), told, Duration::from_secs(60), Arc::default()).await;
+    start_teller(cluster.ip(61), told, Duration::from_secs(60), Arc::default(), true).await;
     for number in 0..200 {
         let refusal = gateway.send("GET /none/", &format!("t-attempt: b{number}\r\n"), "").await;
         if refusal.status == 503 {
--- a/crates/gateway/tests/zone_drain_age_tests.rs
+++ b/crates/gateway/tests/zone_drain_age_tests.rs
@@ -1,10 +1,17 @@
 //! Whether a node knows how old a drain of a zone may be, in virtual time.
 
+mod support;
+
 use foxnotch_gateway::peers::view::{Origin, ViewHolder};
 use foxnotch_gateway::peers::watch_duty::{DutyTimes, WatchDuty};
+use foxnotch_gateway::ports::configuration::Configuration;
+use foxnotch_gateway::ports::store::{Kind, ObjectBody};
+use foxnotch_gateway::store_followers::ZoneDrainFollower;
+use foxnotch_gateway::store_watch::{follow, FirstList};
 use foxnotch_scheduler::zone_drain::{HeldPrompt, ZoneDrains};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use support::store::StubStore;
 
 /// Far more time than a test takes.
 const WINDOW: Duration = Duration::from_secs(3600);
@@ -38,7 +45,7 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn a_node_that_was_cut_off_does_not() {
+async fn a_node_that_was_cut_off_does_not_know_how_old_a_drain_is() {
     let (view, duty) = start();
     view.adopt_zone_drains(1, drains(&[]), Origin::Peer);
     duty.take_news(Duration::from_millis(100));
@@ -52,7 +59,7 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn a_node_that_has_just_started_does_not() {
+async fn a_node_that_has_just_started_does_not_know_how_old_a_drain_is() {
     let (view, duty) = start();
     duty.take_news(Duration::from_millis(100));
     view.adopt_zone_drains(2, drains(&["a"]), Origin::Peer);
@@ -61,7 +68,7 @@
 
 /// What replicas have kept may be of any age; and a drain that was taken back and came again is a new one.
 #[tokio::test(start_paused = true)]
-async fn a_node_that_found_it_on_disks_does_not() {
+async fn a_node_that_found_a_drain_on_disks_does_not_know_how_old_it_is() {
     let (view, duty) = start();
     view.adopt_zone_drains(2, drains(&["a"]), Origin::KeptByReplicas);
     assert!(!may_stay(&view, "a"));
@@ -70,3 +77,41 @@
     view.adopt_zone_drains(4, drains(&["a"]), Origin::Peer);
     assert!(may_stay(&view, "a"));
 }
+
+/// After a cut the store may answer for another kind first: that tells nothing of how old the drains are.
+#[tokio::test(start_paused = true)]
+async fn an_answer_for_another_kind_tells_nothing_of_the_age_of_drains() {
+    let (view, duty) = start();
+    let (view, limit) = (Arc::new(view), duty.times().contact_limit);
+    let store = Arc::new(StubStore::default());
+    store.put(Kind::Configuration, "main", ObjectBody::Configuration(Configuration::default()));
+    let follower = ZoneDrainFollower { view: view.clone() };
+    tokio::spawn(follow(store.clone(), Kind::ZoneDrains, FirstList::OnDuty, duty.clone(), follower));
+    duty.demand();
+    pause().await;
+    assert!(view.get().zone_drains.revision > 0);
+    // Other nodes watch for a while; then it hears of nobody.
+    let until = tokio::time::Instant::now() + limit;
+    while tokio::time::Instant::now() <= until {
+        tokio::time::sleep(duty.times().period).await;
+        duty.take_news(Duration::ZERO);
+        duty.review();
+    }
+    assert!(!duty.must_watch());
+    store.put(Kind::ZoneDrains, "a", ObjectBody::ZoneDrain);
+    tokio::time::sleep(limit).await;
+    duty.demand();
+    duty.note_contact();
+    pause().await;
+    assert!(view.get().zone_drains.value.is_drained("a"));
+    assert!(!may_stay(&view, "a"));
+    // It is in touch from now on.
+    store.put(Kind::ZoneDrains, "b", ObjectBody::ZoneDrain);
+    pause().await;
+    assert!(may_stay(&view, "b"));
+}
+
+/// Time in which the store answers.
+async fn pause() {
+    tokio::time::sleep(Duration::from_millis(10)).await;
+}
--- a/crates/scheduler/src/distance.rs
+++ b/crates/scheduler/src/distance.rs
@@ -16,6 +16,9 @@
 const PRIOR_WEIGHT: f64 = 2.0;
 /// The longest round trip that is believed, in milliseconds: what takes longer waited for something else.
 const LONGEST_ROUND_TRIP_MS: f64 = 500.0;
+/// The longest round trip that a sample tells, as a multiple of the prior: what took longer waited for the host or for packets that
+/// were sent again, and one such sample must not make a near zone as far as another region.
+const MOST_TIMES_PRIOR: f64 = 10.0;
 /// Samples kept of each zone.
 const MAXIMUM_SAMPLES: usize = 16;
 /// Zones of which samples are kept: bounds the memory where zones come and go.
@@ -138,12 +141,14 @@
         Proximity::between(&self.places, &self.zone, zone)
     }
 
-    /// Takes the time of a round trip to a zone. What is no time, or too long for one, is left out.
+    /// Takes the time of a round trip to a zone. What is no time, or too long for one, is left out; what is long for a zone so near
+    /// counts as the most that is believed of it.
     pub fn take(&mut self, zone: &str, round_trip_ms: f64, now_ms: u64) {
         let is_round_trip = (0.0..=LONGEST_ROUND_TRIP_MS).contains(&round_trip_ms);
         let has_room = self.learned.len() < MAXIMUM_ZONES || self.learned.contains_key(zone);
         if is_round_trip && has_room {
-            self.learned.entry(zone.to_owned()).or_default().add(round_trip_ms, now_ms);
+            let most_ms = MOST_TIMES_PRIOR * self.proximity(zone).prior_ms();
+            self.learned.entry(zone.to_owned()).or_default().add(round_trip_ms.min(most_ms), now_ms);
         }
     }
 
--- a/crates/scheduler/src/slow_start/leave.rs
+++ b/crates/scheduler/src/slow_start/leave.rs
@@ -17,8 +17,7 @@
 const DELIVERY: Duration = Duration::from_millis(50);
 /// The window in which the rate has to hold.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
-/// Part of the tolerated rate that is given: the rest is for replicas that go by different sets for a while, where a share is
-/// held twice.
+/// The most of the tolerated rate that is given: in large sets the rest bears more than one share that is held twice.
 const TOLERANCE_USE: f64 = 0.85;
 /// Engines at which those that got nothing lately are forgotten.
 const ENGINES_BEFORE_SWEEP: usize = 256;
@@ -42,8 +41,11 @@
     fn per_window(&self, tolerance: SlowStartTolerance) -> usize {
         let tolerated = self.per_second * tolerance.factor + tolerance.slack;
         // Where the engine bears hardly one request a second, one share still gives one send.
-        let total = ((tolerated * TOLERANCE_USE) as usize).max(usize::from(tolerated >= 1.0));
+        let least = usize::from(tolerated >= 1.0);
         let shares = self.shares.max(1);
+        // One share more than there are has to fit in: while replicas go by different sets, two may hold the same.
+        let whole = tolerated as usize;
+        let total = ((tolerated * TOLERANCE_USE) as usize).min(whole - whole.div_ceil(shares + 1)).max(least);
         let rotated = (self.share + (self.engine % shares as u64) as usize) % shares;
         total / shares + usize::from(rotated < total % shares)
     }
--- a/crates/scheduler/src/zone_drain.rs
+++ b/crates/scheduler/src/zone_drain.rs
@@ -6,6 +6,8 @@
 
 /// Share of the time that is left of the bound in which programs leave a drained zone.
 const WINDOW_SHARE: f64 = 0.5;
+/// The longest that a send takes to arrive after its engine was chosen: leave for a cold engine, a new connection and the way.
+const SEND_TIME: Duration = Duration::from_millis(700);
 /// Share of that time that goes by the size of prompts; the rest goes by chance, to tell programs of one size apart.
 const SIZE_SHARE: f64 = 0.5;
 
@@ -92,9 +94,10 @@
 }
 
 /// The time in which programs leave a zone, when a drain has to be in force within `bound` and news of it may be `news_age`
-/// old: half of what is left, since a send takes time to arrive.
+/// old: half of what is left, or less where a send that is chosen at its end would arrive after the bound.
 pub fn move_window(bound: Duration, news_age: Duration) -> Duration {
-    bound.saturating_sub(news_age).mul_f64(WINDOW_SHARE)
+    let left = bound.saturating_sub(news_age);
+    left.mul_f64(WINDOW_SHARE).min(left.saturating_sub(SEND_TIME))
 }
 
 /// How long after a drain was learned a program moves to another zone.
--- a/crates/scheduler/tests/distance_tests.rs
+++ b/crates/scheduler/tests/distance_tests.rs
@@ -58,6 +58,18 @@
     assert!(distances.round_trip_ms("a2", 0) < 5.0, "the own region is no farther for it");
 }
 
+/// A host that stands still for a moment sees all connections late, those to its own zone too.
+#[test]
+fn one_slow_connection_makes_no_near_zone_far() {
+    for slow_ms in [100.0, 499.0] {
+        let mut distances = distances();
+        distances.take("a1", slow_ms, 0);
+        distances.take("a2", slow_ms, 0);
+        let [own, near, far, _] = ZONES.map(|zone| distances.round_trip_ms(zone, 0));
+        assert!(own < 3.0 && near < 10.0 && own < near && near < far, "{own} {near} {far}");
+    }
+}
+
 #[test]
 fn bytes_cost_more_the_farther_they_go() {
     let prices = TrafficPrices { zone_ms_per_kilobyte: 1.0, region_ms_per_kilobyte: 4.0 };
--- a/crates/scheduler/tests/slow_start_tests.rs
+++ b/crates/scheduler/tests/slow_start_tests.rs
@@ -90,10 +90,12 @@
 
 #[test]
 fn the_shares_of_all_replicas_are_most_of_what_is_tolerated() {
-    // 23 x 1.5 + 5 = 39.5, of which 0.85 is given.
+    // 23 x 1.5 + 5 = 39.5, of which 0.85 is given; in small sets less, so that one share more fits into 39.
+    let of_small_sets = [19, 26, 29, 31, 32];
     for shares in 1..=40 {
+        let expected = of_small_sets.get(shares - 1).copied().unwrap_or(33);
         for engine in [1, 7, 0xfeed_beef_dead_cafe] {
-            assert_eq!(given_at_once(engine, 23.0, shares), 33, "{shares} shares");
+            assert_eq!(given_at_once(engine, 23.0, shares), expected, "{shares} shares");
         }
     }
 }
@@ -194,13 +196,20 @@
     /// One replica of a set that is changed, and those that replace others, stay under what is tolerated together with members
     /// that go by the older set still.
     #[test]
-    fn a_share_that_is_held_twice_for_a_while_is_tolerated(engine in any::<u64>(), shares in 7usize..16) {
-        let total = given_at_once(engine, 23.0, shares);
+    fn a_share_that_is_held_twice_for_a_while_is_tolerated(
+        engine in any::<u64>(),
+        per_second in 1.0f64..60.0,
+        shares in 3usize..16,
+        share in 0usize..16,
+    ) {
+        let total = given_at_once(engine, per_second, shares);
         let mut held_twice = LeaveBook::new(TOLERANCE, true, ms(0));
+        let wanted = LeaveRequest { engine, per_second, shares, share: share % shares };
         let mut extra = 0;
-        while held_twice.take(&request(engine, shares, 0), ms(0)).granted {
+        while held_twice.take(&wanted, ms(0)).granted {
             extra += 1;
         }
-        prop_assert!((total + extra) as f64 <= 39.5);
+        let most = per_second * TOLERANCE.factor + TOLERANCE.slack;
+        prop_assert!((total + extra) as f64 <= most, "{total} and {extra} of {most}");
     }
 }
--- a/crates/scheduler/tests/zone_drain_tests.rs
+++ b/crates/scheduler/tests/zone_drain_tests.rs
@@ -90,7 +90,8 @@
         let bound = ms(bound_ms);
         let news_age = bound.mul_f64(news_share);
         let window = move_window(bound, news_age);
-        prop_assert!(window + news_age <= bound.max(news_age));
+        // A send that is chosen at the end of the window asks for leave, connects and travels.
+        prop_assert!(window.is_zero() || window + news_age + ms(700) <= bound);
         let prompt = HeldPrompt { program_hash, size };
         let mut moves = DrainStarts::default();
         let mut now = Instant::now();
