--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -44,11 +44,12 @@
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(150);
 /// Pause before other engines are tried when some have refused.
 const ROOM_PAUSE: Duration = Duration::from_millis(15);
-/// Engines that may refuse a request for lack of room one after the other. When the ones thought emptiest are full, or give a
-/// request back for a reason of their own, asking all others only adds to their work: a calm day had 44 sends a round.
+/// Engines that may refuse a request for lack of room one after the other: asking all others only adds to their work.
 const REFUSALS_BEFORE_PAUSE: u32 = 3;
 /// The same for the first request of a program.
 const REFUSALS_OF_NEW: u32 = 2;
+/// Cold engines without leave that one request tries before it pauses: asking for all of them only adds to the replicas' work.
+const NO_LEAVE_BEFORE_PAUSE: u32 = 3;
 /// Bytes of a kilobyte.
 const BYTES_PER_KILOBYTE: f64 = 1000.0;
 
@@ -276,7 +277,7 @@
             };
             let engine = choice.engine.clone();
             let Ok(send_by) = self.take_cold_leave(call, &engine).await else {
-                if tries.note_no_leave() >= REFUSALS_BEFORE_PAUSE {
+                if tries.note_no_leave() >= NO_LEAVE_BEFORE_PAUSE {
                     self.wait_for_room(call, tries).await?;
                 }
                 continue;
--- a/crates/gateway/src/edge/quotas.rs
+++ b/crates/gateway/src/edge/quotas.rs
@@ -12,7 +12,7 @@
 use foxnotch_scheduler::quota::{Grant, Standing};
 use foxnotch_scheduler::tenants::RateLimit;
 use foxnotch_turns::identity::program_key;
-use foxnotch_wire::{ProgramKey, ProgramStanding, ReplicaMember, ReplicaSet, RpcBody, SetNews, TakeQuota};
+use foxnotch_wire::{ProgramKey, ProgramStanding, ReplicaMember, ReplicaSet, RpcBody, TakeQuota};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64;
@@ -130,8 +130,7 @@
     }
 
     fn plan(&self, applicant: &Applicant<'_>, set: &ReplicaSet) -> AskPlan {
-        let holder = |member: &ReplicaMember| ShareHolder { node: member.node.0, is_near: member.zone == self.zone };
-        let holders: Vec<ShareHolder> = set.members.iter().map(holder).collect();
+        let holders = share_holders(set, self.zone);
         let now = self.started_at.elapsed();
         lock(&self.answers).plan(applicant.number, &holders, applicant.standing, now)
     }
@@ -165,7 +164,7 @@
             }
             Ok(RpcBody::OtherSet(news)) if news.set.version > set.version => Asked::NewerSet(news.set),
             Ok(RpcBody::OtherSet(_)) => {
-                self.teach(member, set, within).await;
+                self.turns.teach(member, set, within).await;
                 Asked::Unanswered
             }
             Ok(_) | Err(_) => {
@@ -174,14 +173,11 @@
             }
         }
     }
+}
 
-    /// Tells a replica of a newer set than the one that it goes by.
-    async fn teach(&self, member: &ReplicaMember, set: &ReplicaSet, within: Duration) {
-        let news = SetNews { set: set.clone(), synced: 0 };
-        if let Err(error) = self.client.call(member, RpcBody::AdoptSet(news), within).await {
-            log::debug!(target: part::TURN, "Replica {} was not told of set {}: {error}.", member.node, set.version);
-        }
-    }
+/// The replicas of a set as those that hold shares, seen from `zone`.
+pub(super) fn share_holders(set: &ReplicaSet, zone: u32) -> Vec<ShareHolder> {
+    set.members.iter().map(|member| ShareHolder { node: member.node.0, is_near: member.zone == zone }).collect()
 }
 
 /// What became of asking the replicas of one set.
--- a/crates/gateway/src/edge/slow_start.rs
+++ b/crates/gateway/src/edge/slow_start.rs
@@ -2,6 +2,7 @@
 
 use crate::edge::call::Call;
 use crate::edge::handler::Gateway;
+use crate::edge::quotas::share_holders;
 use crate::edge::turns::TurnKeeper;
 use crate::engines::engine::Engine;
 use crate::locks::lock;
@@ -9,10 +10,10 @@
 use crate::metrics::Metrics;
 use crate::peers::replica_client::ReplicaClient;
 use crate::peers::view::Origin;
-use foxnotch_scheduler::quota::asks::{AskPlan, ShareAnswers, ShareHolder};
+use foxnotch_scheduler::quota::asks::{AskPlan, ShareAnswers};
 use foxnotch_scheduler::quota::{Grant, Standing};
 use foxnotch_scheduler::slow_start::leave::USE_WITHIN;
-use foxnotch_wire::{ReplicaMember, ReplicaSet, RpcBody, SetNews, TakeColdLeave};
+use foxnotch_wire::{ReplicaMember, ReplicaSet, RpcBody, TakeColdLeave};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -33,9 +34,9 @@
     turns: Arc<TurnKeeper>,
     zone: u32,
     started_at: Instant,
-    /// What each share told last, by engine.
+    /// What each share told last, by the 64-bit hash of the engine's identifier that requests carry.
     answers: Mutex<ShareAnswers>,
-    /// Until when there is no leave, by engine number.
+    /// Until when each engine is passed over for want of leave, by [`Engine::number`].
     paused: Mutex<HashMap<u32, Instant>>,
     metrics: Arc<Metrics>,
 }
@@ -106,12 +107,12 @@
     /// Asks the replicas of the set, one after the other, until one gives.
     async fn ask_set(&self, engine: &str, per_second: f64, deadline: Instant) -> Asked {
         let Ok(set) = self.turns.wait_for_set(deadline).await else { return Asked::Unanswered };
-        let number = xxh3_64(engine.as_bytes());
-        let order = match self.plan(number, &set) {
+        let engine_hash = xxh3_64(engine.as_bytes());
+        let order = match self.plan(engine_hash, &set) {
             AskPlan::Ask(order) => order,
             AskPlan::Refuse(come_back) => return Asked::Spent(come_back),
         };
-        let request = TakeColdLeave { set_version: set.version, engine: number, per_second };
+        let request = TakeColdLeave { set_version: set.version, engine: engine_hash, per_second };
         let mut is_answered = false;
         for index in order {
             match self.ask(request, &set, &set.members[index], deadline).await {
@@ -121,17 +122,16 @@
             }
         }
         // Shares that were not asked now may give sooner than those that were.
-        match self.plan(number, &set) {
+        match self.plan(engine_hash, &set) {
             AskPlan::Refuse(come_back) => Asked::Spent(come_back),
             AskPlan::Ask(_) if is_answered => Asked::Spent(LEAST_PAUSE),
             AskPlan::Ask(_) => Asked::Unanswered,
         }
     }
 
-    fn plan(&self, engine: u64, set: &ReplicaSet) -> AskPlan {
-        let holder = |member: &ReplicaMember| ShareHolder { node: member.node.0, is_near: member.zone == self.zone };
-        let holders: Vec<ShareHolder> = set.members.iter().map(holder).collect();
-        lock(&self.answers).plan(engine, &holders, Standing::UnderWay, self.started_at.elapsed())
+    fn plan(&self, engine_hash: u64, set: &ReplicaSet) -> AskPlan {
+        let holders = share_holders(set, self.zone);
+        lock(&self.answers).plan(engine_hash, &holders, Standing::UnderWay, self.started_at.elapsed())
     }
 
     async fn ask(&self, request: TakeColdLeave, set: &ReplicaSet, member: &ReplicaMember, deadline: Instant) -> Asked {
@@ -157,7 +157,7 @@
                 Asked::Unanswered
             }
             Ok(RpcBody::OtherSet(_)) => {
-                self.teach(member, set, within).await;
+                self.turns.teach(member, set, within).await;
                 Asked::Unanswered
             }
             Ok(_) | Err(_) => {
@@ -166,14 +166,6 @@
             }
         }
     }
-
-    /// Tells a replica of a newer set than the one that it goes by.
-    async fn teach(&self, member: &ReplicaMember, set: &ReplicaSet, within: Duration) {
-        let news = SetNews { set: set.clone(), synced: 0 };
-        if let Err(error) = self.client.call(member, RpcBody::AdoptSet(news), within).await {
-            log::debug!(target: part::TURN, "Replica {} was not told of set {}: {error}.", member.node, set.version);
-        }
-    }
 }
 
 impl Gateway {
--- a/crates/gateway/src/edge/turns.rs
+++ b/crates/gateway/src/edge/turns.rs
@@ -125,6 +125,14 @@
         }
     }
 
+    /// Tells a replica of a newer set than the one that it goes by.
+    pub(super) async fn teach(&self, member: &ReplicaMember, set: &ReplicaSet, within: Duration) {
+        let news = SetNews { set: set.clone(), synced: 0 };
+        if let Err(error) = self.client.call(member, RpcBody::AdoptSet(news), within).await {
+            log::debug!(target: part::TURN, "Replica {} was not told of set {}: {error}.", member.node, set.version);
+        }
+    }
+
     /// Asks one replica until it gives an answer that counts, or the set turns out to be old, or time is over.
     pub(super) async fn ask_member(
         &self,
--- a/crates/gateway/src/engines/attempt.rs
+++ b/crates/gateway/src/engines/attempt.rs
@@ -19,7 +19,7 @@
     #[error("another engine has the address")]
     Replaced,
     /// It has not run: the leave to send it lapsed before there was a connection.
-    #[error("the leave to send to a cold engine lapsed before there was a connection")]
+    #[error("the leave to send to a cold engine lapsed before there was a connection; if this is frequent, check the path to the engine")]
     LeaveLapsed,
     /// It has not run: no connection could be made.
     #[error("the engine cannot be reached ({0})")]
--- a/crates/gateway/src/replica/cold_leave.rs
+++ b/crates/gateway/src/replica/cold_leave.rs
@@ -23,8 +23,8 @@
 
     /// The replica has become a member of the set.
     pub fn begin_again(&self) {
-        lock(&self.book).begin_again(self.started_at.elapsed());
-        log::info!(target: part::REPLICA, "No leave for cold engines is given for a while: cause=joined_set.");
+        let time = lock(&self.book).begin_again(self.started_at.elapsed());
+        log::info!(target: part::REPLICA, "No leave for cold engines is given for {time:?}: cause=joined_set.");
     }
 
     /// Engines that leave was given for lately.
--- a/crates/gateway/src/replica/kept_view.rs
+++ b/crates/gateway/src/replica/kept_view.rs
@@ -41,7 +41,7 @@
 /// More than any revision: an asker that wants no contents.
 const NO_CONTENTS: u64 = u64::MAX;
 
-/// Something of each part.
+/// One value for each part of the platform that replicas keep on disk.
 #[derive(Clone, Debug, Default)]
 pub struct PerPart<T> {
     /// Of the configuration.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -146,7 +146,7 @@
 pub struct SlowStartSettings {
     /// The most in a second relative to the rate: 1.5 stands for half as much again.
     pub factor: f64,
-    /// Requests besides.
+    /// Requests that may come on top of `factor` times the rate in any second.
     pub slack: f64,
 }
 
--- a/crates/scheduler/src/slow_start/leave.rs
+++ b/crates/scheduler/src/slow_start/leave.rs
@@ -73,9 +73,11 @@
         Self { tolerance, closed_until, given: HashMap::new() }
     }
 
-    /// The replica has become a member of the set: others may have given from its shares until now.
-    pub fn begin_again(&mut self, now: Duration) {
+    /// The replica has become a member of the set: others may have given from its shares until now. Returns for how long nothing is
+    /// given.
+    pub fn begin_again(&mut self, now: Duration) -> Duration {
         self.closed_until = now + window();
+        window()
     }
 
     /// Engines that leave was given for lately.
--- a/crates/scheduler/src/slow_start/mod.rs
+++ b/crates/scheduler/src/slow_start/mod.rs
@@ -31,6 +31,6 @@
 pub struct SlowStartTolerance {
     /// The most in a second relative to the rate: 1.5 stands for half as much again.
     pub factor: f64,
-    /// Requests besides.
+    /// Requests that may come on top of `factor` times the rate in any second.
     pub slack: f64,
 }
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -60,16 +60,16 @@
     /// Request: the receiver is to ask a replica for the sender.
     #[deku(id = "10")]
     Relay(RelayRequest),
-    /// Request.
+    /// Request for leave to serve a request of a tenant that has a limit; answered by [`RpcBody::QuotaGiven`].
     #[deku(id = "11")]
     TakeQuota(TakeQuota),
-    /// Request.
+    /// Request for what a replica keeps of the platform on disk; answered by [`RpcBody::KeptViewHeld`].
     #[deku(id = "12")]
     ReadKeptView(ReadKeptView),
     /// Request of an operator; answered by [`RpcBody::View`] without contents.
     #[deku(id = "13")]
     ShowView,
-    /// Request.
+    /// Request for leave to send once to a cold engine; answered by [`RpcBody::ColdLeave`].
     #[deku(id = "14")]
     TakeColdLeave(TakeColdLeave),
     /// Request.
@@ -111,13 +111,13 @@
     /// Answer to [`RpcBody::Relay`]: the receiver does not reach the replica either, or knows no such replica.
     #[deku(id = "74")]
     Unreached,
-    /// Answer.
+    /// Answer to [`RpcBody::TakeQuota`]: whether the request may go on, and when to come back otherwise.
     #[deku(id = "75")]
     QuotaGiven(QuotaGiven),
-    /// Answer.
+    /// Answer to [`RpcBody::ReadKeptView`].
     #[deku(id = "76")]
     KeptViewHeld(KeptViewHeld),
-    /// Answer.
+    /// Answer to [`RpcBody::TakeColdLeave`]: whether the send may go on, and when to come back otherwise.
     #[deku(id = "77")]
     ColdLeave(ColdLeave),
     /// Answer to [`RpcBody::Ticket`].
