--- a/crates/gateway/src/engines/attempt.rs
+++ b/crates/gateway/src/engines/attempt.rs
@@ -20,7 +20,7 @@
     #[error("another engine has the address")]
     Replaced,
     /// It has not run: the leave to send it lapsed before there was a connection.
-    #[error("the leave to send to a cold engine lapsed before there was a connection")]
+    #[error("the leave to send to a cold engine lapsed before there was a connection; if this is frequent, check the path to the engine")]
     LeaveLapsed,
     /// It has not run: no connection could be made.
     #[error("the engine cannot be reached ({1})")]
@@ -77,8 +77,8 @@
 /// How long a send may take.
 #[derive(Clone, Copy, Debug)]
 pub struct SendLimits {
-    /// The moment up to which it has to leave; none when it may leave at any time.
-    pub leave_by: Option<Instant>,
+    /// The moment by which a request to a cold engine has to be sent, since its permission lapses then; none for a warm engine.
+    pub send_by: Option<Instant>,
     /// The moment up to which the head of the answer is waited for.
     pub give_up_at: Instant,
 }
@@ -96,7 +96,7 @@
 ) -> Result<EngineAnswer, AttemptError> {
     let lease = engine.begin();
     let waiting = engine.begin_waiting();
-    let exchange = exchange(engine, request, limits.leave_by);
+    let exchange = exchange(engine, request, limits.send_by);
     let outcome = tokio::time::timeout_at(limits.give_up_at.into(), exchange).await;
     drop(waiting);
     let (response, mut connection) = match outcome {
@@ -129,7 +129,7 @@
 async fn exchange(
     engine: &Arc<Engine>,
     mut request: http::Request<Full<Bytes>>,
-    leave_by: Option<Instant>,
+    send_by: Option<Instant>,
 ) -> Result<(http::Response<Incoming>, EngineConnection), AttemptError> {
     while let Some(mut connection) = engine.take_connection() {
         match connection.send(request).await {
@@ -140,7 +140,7 @@
     }
     let opened = EngineConnection::open(engine.address).await;
     let mut connection = opened.map_err(|error| AttemptError::Unreachable(error.kind(), error.to_string()))?;
-    if leave_by.is_some_and(|leave_by| Instant::now() >= leave_by) {
+    if send_by.is_some_and(|send_by| Instant::now() >= send_by) {
         engine.keep_connection(connection);
         return Err(AttemptError::LeaveLapsed);
     }
--- a/crates/gateway/src/engines/engine.rs
+++ b/crates/gateway/src/engines/engine.rs
@@ -85,7 +85,7 @@
     }
 
     /// Whether an entry is of the same start of the same engine.
-    pub fn is_start_of(&self, entry: &EngineEntry) -> bool {
+    pub fn is_same_start(&self, entry: &EngineEntry) -> bool {
         let (own, other) = (&self.entry, entry);
         // An entry may not tell yet when the engine started, or no longer.
         let is_other_start =
--- a/crates/gateway/tests/slow_start_tests.rs
+++ b/crates/gateway/tests/slow_start_tests.rs
@@ -305,11 +305,11 @@
 fn a_start_that_becomes_known_is_no_restart_and_another_one_is() {
     let engine = warm_engine();
     let entry_of = |started_at_ms| EngineEntry { started_at_ms, ..engine.entry.clone() };
-    assert!(engine.is_start_of(&entry_of(Some(1000))));
+    assert!(engine.is_same_start(&entry_of(Some(1000))));
     engine.note_start(Some(1000));
-    assert!(engine.is_start_of(&entry_of(Some(1000))));
-    assert!(engine.is_start_of(&entry_of(None)));
-    assert!(!engine.is_start_of(&entry_of(Some(2000))));
+    assert!(engine.is_same_start(&entry_of(Some(1000))));
+    assert!(engine.is_same_start(&entry_of(None)));
+    assert!(!engine.is_same_start(&entry_of(Some(2000))));
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/scheduler/src/slow_start/leave.rs
+++ b/crates/scheduler/src/slow_start/leave.rs
@@ -17,8 +17,7 @@
 const DELIVERY: Duration = Duration::from_millis(50);
 /// The window in which the rate has to hold.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
-/// Part of the tolerated rate that is given: the rest is for replicas that go by different sets for a while, where a share is
-/// held twice.
+/// The most of the tolerated rate that is given: in large sets the rest bears more than one share that is held twice.
 const TOLERANCE_USE: f64 = 0.85;
 /// Engines at which those that got nothing lately are forgotten.
 const ENGINES_BEFORE_SWEEP: usize = 256;
@@ -41,11 +40,14 @@
     /// from engine to engine, so that the shares of all together are the whole.
     fn per_window(&self, tolerance: SlowStartTolerance) -> usize {
         let tolerated = self.per_second * tolerance.factor + tolerance.slack;
-        // A share of one goes to somebody also where a cold engine bears less than one request a second.
-        let total = ((tolerated * TOLERANCE_USE) as usize).max(usize::from(tolerated >= 1.0));
+        // Where the engine bears hardly one request a second, one share still gives one send.
+        let least = usize::from(tolerated >= 1.0);
         let shares = self.shares.max(1);
-        let turn = (self.share + (self.engine % shares as u64) as usize) % shares;
-        total / shares + usize::from(turn < total % shares)
+        // One share more than there are has to fit in: while replicas go by different sets, two may hold the same.
+        let whole = tolerated as usize;
+        let total = ((tolerated * TOLERANCE_USE) as usize).min(whole - whole.div_ceil(shares + 1)).max(least);
+        let rotated = (self.share + (self.engine % shares as u64) as usize) % shares;
+        total / shares + usize::from(rotated < total % shares)
     }
 }
 
@@ -53,7 +55,7 @@
 #[derive(Debug)]
 pub struct LeaveBook {
     tolerance: SlowStartTolerance,
-    /// Nothing is given before.
+    /// Until then nothing is given: what was given from these shares during the last window is not known.
     closed_until: Duration,
     /// When leave was given that still counts, by engine.
     given: HashMap<u64, VecDeque<Duration>>,
@@ -71,9 +73,11 @@
         Self { tolerance, closed_until, given: HashMap::new() }
     }
 
-    /// The replica has become a member of the set: others may have given from its shares until now.
-    pub fn begin_again(&mut self, now: Duration) {
+    /// The replica has become a member of the set: others may have given from its shares until now. Returns for how long nothing is
+    /// given.
+    pub fn begin_again(&mut self, now: Duration) -> Duration {
         self.closed_until = now + window();
+        window()
     }
 
     /// Engines that leave was given for lately.
