Tests of zone drains use networks of their own

Cause: zone_drain_tests shared networks 210 to 214 and 220 to 223 with slow_start_tests and reserve_ahead_tests; run side by side in two clones they fail with 'Address already in use'. Change: 230 to 243, which no other test of the gateway uses.

--- a/crates/gateway/tests/zone_drain_tests.rs
+++ b/crates/gateway/tests/zone_drain_tests.rs
@@ -162,7 +162,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_drained_zone_gets_nothing_until_it_is_taken_back() {
-    let mut deployment = Deployment::start(210).await;
+    let mut deployment = Deployment::start(230).await;
     let (near, _) = deployment.spread().await;
     assert!(near > 0, "the engine near by is used");
     let asked_at = Instant::now();
@@ -178,7 +178,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_zone_that_is_drained_twice_is_free_once_it_is_taken_back() {
-    let mut deployment = Deployment::start(211).await;
+    let mut deployment = Deployment::start(231).await;
     deployment.drain("a");
     deployment.drain("a");
     deployment.wait_for_zones(GATEWAY, "a").await;
@@ -191,7 +191,7 @@
 /// All zones of a service are drained: waiting does not help the caller, who is told at once that nothing has run.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_service_with_all_zones_drained_is_refused_at_once() {
-    let mut deployment = Deployment::start(212).await;
+    let mut deployment = Deployment::start(232).await;
     deployment.drain("a");
     deployment.drain("b");
     deployment.wait_for_zones(GATEWAY, "a, b").await;
@@ -213,7 +213,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn programs_leave_a_drained_zone_one_after_the_other() {
     let bound = Duration::from_secs(15);
-    let mut deployment = Deployment::without_gateway(222).await;
+    let mut deployment = Deployment::without_gateway(242).await;
     deployment.near.set(Behaviour::Stream(vec!["data: x\n\n"]));
     deployment.far.set(Behaviour::Stream(vec!["data: x\n\n"]));
     deployment.start_gateway_with_bound(bound).await;
@@ -240,7 +240,7 @@
 /// A call that waits for room at the engine outside is not sent to the drained zone, and not refused for the drain.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_call_that_waits_for_room_stays_out_of_a_drained_zone() {
-    let mut deployment = Deployment::start(213).await;
+    let mut deployment = Deployment::start(233).await;
     deployment.drain("a");
     deployment.wait_for_zones(GATEWAY, "a").await;
     deployment.far.set(Behaviour::Full);
@@ -254,7 +254,7 @@
 /// The engine outside loses the answer: the repeat finds no other place, and is not said to have not run.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_repeat_stays_out_of_a_drained_zone() {
-    let mut deployment = Deployment::start(214).await;
+    let mut deployment = Deployment::start(234).await;
     deployment.drain("a");
     deployment.wait_for_zones(GATEWAY, "a").await;
     deployment.far.set(Behaviour::LoseAnswer);
@@ -265,7 +265,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_zone_without_engines_may_be_drained() {
-    let mut deployment = Deployment::start(215).await;
+    let mut deployment = Deployment::start(235).await;
     deployment.drain("nowhere");
     deployment.wait_for_zones(GATEWAY, "nowhere").await;
     let (near, far) = deployment.spread().await;
@@ -274,7 +274,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn two_zones_may_be_drained_one_over_the_other() {
-    let mut deployment = Deployment::start(216).await;
+    let mut deployment = Deployment::start(236).await;
     deployment.drain("a");
     deployment.wait_for_zones(GATEWAY, "a").await;
     assert_eq!(deployment.spread().await.0, 0);
@@ -289,7 +289,7 @@
 /// The drain holds while the store is away, and its end is learned once it is back.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_drain_that_is_taken_back_while_the_store_is_away_ends_once_it_is_back() {
-    let mut deployment = Deployment::start(217).await;
+    let mut deployment = Deployment::start(237).await;
     deployment.drain("a");
     deployment.wait_for_zones(GATEWAY, "a").await;
     deployment.cluster.store.fall_silent();
@@ -304,7 +304,7 @@
 /// From its first answer on, a gateway that starts again keeps out of the zone.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_gateway_that_starts_again_knows_the_drain_before_it_serves() {
-    let mut deployment = Deployment::start(218).await;
+    let mut deployment = Deployment::start(238).await;
     deployment.drain("a");
     deployment.wait_for_zones(GATEWAY, "a").await;
     deployment.gateway.take().expect("it runs").kill();
@@ -315,7 +315,7 @@
 /// A gateway that does not know yet which zones are drained serves nobody, and is not ready.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_gateway_without_the_list_of_drains_serves_nobody() {
-    let mut deployment = Deployment::without_gateway(223).await;
+    let mut deployment = Deployment::without_gateway(243).await;
     deployment.drain("a");
     deployment.cluster.store.refuse_list(Some(Kind::ZoneDrains));
     // Replicas bring a gateway what they know: they must not know of the drain either.
@@ -334,7 +334,7 @@
 /// The store turns this gateway away; it learns from the other one, within the bound.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_gateway_that_the_store_turns_away_learns_from_a_peer() {
-    let mut deployment = Deployment::without_gateway(219).await;
+    let mut deployment = Deployment::without_gateway(239).await;
     let other = RunningGateway::start_with(&deployment.cluster, OTHER, deployment.cluster.store.clone()).await;
     other.wait_ready().await;
     let own_store = deployment.cluster.store.view_of_one_node();
@@ -355,7 +355,7 @@
 /// A fleet that starts while the store is silent goes by the drains that its replicas have kept.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_fleet_that_starts_without_the_store_goes_by_the_drains_on_disks() {
-    let mut deployment = Deployment::start(220).await;
+    let mut deployment = Deployment::start(240).await;
     let revision = deployment.drain("a");
     deployment.wait_until_kept(revision, &[1, 2, 3]).await;
     deployment.cluster.store.fall_silent();
@@ -378,7 +378,7 @@
 /// The watches' history is dropped while the drain is written: all is listed anew.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_drain_is_learned_when_the_history_of_watches_is_lost() {
-    let mut deployment = Deployment::start(221).await;
+    let mut deployment = Deployment::start(241).await;
     deployment.spread().await;
     deployment.cluster.store.refuse(true);
     tokio::time::sleep(PAUSE).await;
