--- a/crates/gateway/src/replica/steward/bound_routes.rs
+++ b/crates/gateway/src/replica/steward/bound_routes.rs
@@ -16,12 +16,12 @@
     let of_routes: BTreeSet<Vec<&str>> = routes.map(|route| route.residency.names()).collect();
     let unbound = [Vec::new()];
     let pairs = of_routes.iter().flat_map(|route| of_tenants.iter().chain(&unbound).map(move |tenant| (route, tenant)));
-    let common = pairs.map(|(route, tenant)| names_in_regions(route).and(&names_in_regions(tenant)));
+    let common = pairs.map(|(route, tenant)| residency_of(route).and(&residency_of(tenant)));
     let common = common.map(|residency| residency.names().into_iter().map(region_id).collect());
     common.filter(|regions: &Vec<RegionId>| !regions.is_empty()).collect()
 }
 
-fn names_in_regions(names: &[&str]) -> Residency {
+fn residency_of(names: &[&str]) -> Residency {
     Residency::in_regions_if_any(names.iter().map(|name| (*name).to_owned()))
 }
 
