Slow start: warm engines are tried while replicas are silent

Cause: a call without leave asked for other cold engines, and for the first one again, until its time was over; a warm engine that cost more was never tried. One silent replica made an engine whose leave was spent be asked for again after 5 ms.

Change: after two questions without leave a call passes cold engines over until the next pause. What a silent replica does not say no longer shortens the pause that the others asked for. The pauses are locked once a choice, and those that are over are dropped there. The test of a drain that is taken back counts only what came after it (stricter).

--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -276,9 +276,7 @@
             };
             let engine = choice.engine.clone();
             let Ok(leave_by) = self.take_cold_leave(call, &engine).await else {
-                if tries.note_no_leave() >= REFUSALS_BEFORE_PAUSE {
-                    self.wait_for_room(call, tries).await?;
-                }
+                tries.note_no_leave();
                 continue;
             };
             self.log_send(call, &choice);
@@ -382,8 +380,7 @@
             outliers: self.policy.outliers,
         };
         let mut passed_over = tries.passed_over().to_vec();
-        let without_leave = candidates.iter().filter(|engine| self.cold_leaves.is_paused(engine));
-        passed_over.extend(without_leave.map(|engine| engine.entry.id.clone()));
+        passed_over.extend(self.cold_leaves.without_leave(&candidates, tries.passes_cold_over()));
         choose(&candidates, &placement, &passed_over)
     }
 
--- a/crates/gateway/src/edge/slow_start.rs
+++ b/crates/gateway/src/edge/slow_start.rs
@@ -24,8 +24,6 @@
 const SILENCE_PAUSE: Duration = Duration::from_millis(30);
 /// The least time for which an engine is passed over that there was no leave for: a round trip.
 const LEAST_PAUSE: Duration = Duration::from_millis(5);
-/// Engines passed over at which those of long ago are dropped.
-const PAUSES_BEFORE_SWEEP: usize = 1024;
 
 /// Asks replicas for leave.
 pub struct ColdLeaveKeeper {
@@ -47,7 +45,10 @@
 enum Asked {
     Given,
     Spent(Duration),
+    /// Nothing was learned.
     Unanswered,
+    /// The replica did not answer in its time.
+    Silent,
 }
 
 impl Asked {
@@ -56,7 +57,7 @@
         match self {
             Self::Given => "given",
             Self::Spent(_) => "refused",
-            Self::Unanswered => "unanswered",
+            Self::Unanswered | Self::Silent => "unanswered",
         }
     }
 }
@@ -68,10 +69,17 @@
         Self { client, turns, zone, started_at: Instant::now(), answers, paused, metrics }
     }
 
-    /// Whether there was no leave for an engine a moment ago, while it is taken for cold.
-    pub fn is_paused(&self, engine: &Engine) -> bool {
-        let is_paused = lock(&self.paused).get(&engine.number).is_some_and(|until| *until > Instant::now());
-        is_paused && engine.warmth.cold_rate().is_some()
+    /// The cold ones of these engines that there was no leave for a moment ago; all cold ones when none is to be tried.
+    pub fn without_leave(&self, engines: &[Arc<Engine>], passes_cold_over: bool) -> Vec<String> {
+        let now = Instant::now();
+        let mut paused = lock(&self.paused);
+        paused.retain(|_, until| *until > now);
+        if paused.is_empty() && !passes_cold_over {
+            return Vec::new();
+        }
+        let is_out = |engine: &&Arc<Engine>| passes_cold_over || paused.contains_key(&engine.number);
+        let out = engines.iter().filter(is_out).filter(|engine| engine.warmth.cold_rate().is_some());
+        out.map(|engine| engine.entry.id.clone()).collect()
     }
 
     /// Gets leave for one send to an engine that bears `per_second` while it is cold. Returns the moment up to which the send
@@ -88,49 +96,47 @@
             Asked::Given if !is_late => return Some(send_by),
             Asked::Given => LEAST_PAUSE,
             Asked::Spent(come_back) => come_back.max(LEAST_PAUSE),
-            Asked::Unanswered => SILENCE_PAUSE,
+            Asked::Unanswered | Asked::Silent => SILENCE_PAUSE,
         };
         self.pause(engine.number, pause);
         None
     }
 
     fn pause(&self, engine: u32, pause: Duration) {
-        let now = Instant::now();
-        let mut paused = lock(&self.paused);
-        if paused.len() >= PAUSES_BEFORE_SWEEP {
-            paused.retain(|_, until| *until > now);
-        }
-        paused.insert(engine, now + pause);
+        lock(&self.paused).insert(engine, Instant::now() + pause);
     }
 
     /// Asks the replicas of the set, one after the other, until one gives.
     async fn ask_set(&self, engine: &str, per_second: f64, deadline: Instant) -> Asked {
         let Ok(set) = self.turns.wait_for_set(deadline).await else { return Asked::Unanswered };
         let number = xxh3_64(engine.as_bytes());
-        let order = match self.plan(number, &set) {
+        let order = match self.plan(number, set.members.iter()) {
             AskPlan::Ask(order) => order,
             AskPlan::Refuse(come_back) => return Asked::Spent(come_back),
         };
         let request = TakeColdLeave { set_version: set.version, engine: number, per_second };
         let mut is_answered = false;
+        let mut silent = Vec::new();
         for index in order {
             match self.ask(request, &set, &set.members[index], deadline).await {
                 Asked::Given => return Asked::Given,
                 Asked::Spent(_) => is_answered = true,
+                Asked::Silent => silent.push(set.members[index].node),
                 Asked::Unanswered => {}
             }
         }
-        // Shares that were not asked now may give sooner than those that were.
-        match self.plan(number, &set) {
+        // Shares that were not asked now may give sooner than those that were. Of silent ones nothing is known: the others decide.
+        let known: Vec<&ReplicaMember> = set.members.iter().filter(|member| !silent.contains(&member.node)).collect();
+        match self.plan(number, known.into_iter()) {
             AskPlan::Refuse(come_back) => Asked::Spent(come_back),
             AskPlan::Ask(_) if is_answered => Asked::Spent(LEAST_PAUSE),
             AskPlan::Ask(_) => Asked::Unanswered,
         }
     }
 
-    fn plan(&self, engine: u64, set: &ReplicaSet) -> AskPlan {
+    fn plan<'a>(&self, engine: u64, members: impl Iterator<Item = &'a ReplicaMember>) -> AskPlan {
         let holder = |member: &ReplicaMember| ShareHolder { node: member.node.0, is_near: member.zone == self.zone };
-        let holders: Vec<ShareHolder> = set.members.iter().map(holder).collect();
+        let holders: Vec<ShareHolder> = members.map(holder).collect();
         lock(&self.answers).plan(engine, &holders, Standing::UnderWay, self.started_at.elapsed())
     }
 
@@ -162,7 +168,7 @@
             }
             Ok(_) | Err(_) => {
                 lock(&self.answers).note_silence(request.engine, member.node.0, now);
-                Asked::Unanswered
+                Asked::Silent
             }
         }
     }
--- a/crates/gateway/src/edge/tries.rs
+++ b/crates/gateway/src/edge/tries.rs
@@ -6,6 +6,9 @@
 
 /// How often the pause between rounds is doubled.
 const MOST_DOUBLINGS: u32 = 3;
+/// Questions for leave without success after which only warm engines are tried until the next pause: a question takes as long
+/// as many a request has.
+const MOST_WITHOUT_LEAVE: u32 = 2;
 
 /// The record of one request's sends.
 ///
@@ -75,10 +78,14 @@
         self.full
     }
 
-    /// Notes that there was no leave to send it to a cold engine. Returns how often since the last pause.
-    pub fn note_no_leave(&mut self) -> u32 {
+    /// Notes that there was no leave to send it to a cold engine.
+    pub fn note_no_leave(&mut self) {
         self.no_leave += 1;
-        self.no_leave
+    }
+
+    /// Whether no more cold engines are tried until the next pause.
+    pub fn passes_cold_over(&self) -> bool {
+        self.no_leave >= MOST_WITHOUT_LEAVE
     }
 
     /// Whether an engine refused it for lack of room since the last pause.
--- a/crates/gateway/tests/slow_start_tests.rs
+++ b/crates/gateway/tests/slow_start_tests.rs
@@ -2,13 +2,21 @@
 
 mod support;
 
+use foxnotch_gateway::edge::slow_start::ColdLeaveKeeper;
+use foxnotch_gateway::engines::engine::Engine;
+use foxnotch_gateway::metrics::Metrics;
+use foxnotch_gateway::peers::replica_client::ReplicaClient;
+use foxnotch_gateway::peers::rpc_client::RpcClient;
 use foxnotch_gateway::ports::configuration::EngineEntry;
 use foxnotch_gateway::ports::store::{Kind, ObjectBody};
 use foxnotch_scheduler::slow_start::SlowStart;
+use foxnotch_turns::identity::zone_hash;
+use foxnotch_wire::NodeId;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
-use support::cluster::Cluster;
-use support::engine::{Behaviour, EngineStandIn};
+use support::cluster::{eventually, Cluster};
+use support::engine::{Behaviour, EngineStandIn, Received};
 use support::gateway::{configuration, exchange, Answer, RunningGateway};
 use tokio::net::TcpListener;
 
@@ -76,8 +84,8 @@
 }
 
 /// The most requests that arrived within a second.
-fn most_in_a_second(engine: &EngineStandIn) -> usize {
-    let mut arrivals: Vec<Instant> = engine.received().iter().map(|received| received.at).collect();
+fn most_in_a_second(received: &[Received]) -> usize {
+    let mut arrivals: Vec<Instant> = received.iter().map(|received| received.at).collect();
     arrivals.sort();
     let within = |first: &Instant| {
         arrivals.iter().filter(|at| *at >= first && at.duration_since(*first) < Duration::from_secs(1)).count()
@@ -86,7 +94,7 @@
 }
 
 fn assert_rate_is_kept_and_used(engine: &EngineStandIn) {
-    let most = most_in_a_second(engine);
+    let most = most_in_a_second(&engine.received());
     assert!(most <= RATE, "{most} requests in a second");
     // Eight of ten are given in each window, which is longer than a second by the time that a send may take.
     assert!(engine.received().len() >= 16, "{} requests in all", engine.received().len());
@@ -130,6 +138,84 @@
     assert!(cold.received().is_empty());
 }
 
+/// Waits until the gateway takes so many engines for cold.
+async fn are_cold(cluster: &Cluster, count: u64) -> bool {
+    for _ in 0..500 {
+        if cluster.metric(50, "engines_cold").await == Some(count) {
+            return true;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    false
+}
+
+/// Puts something in a replica's place that takes connections and never answers, until it is dropped.
+async fn silence(cluster: &mut Cluster, number: u8) -> TcpListener {
+    cluster.kill(number);
+    TcpListener::bind(cluster.peer_address(number)).await.expect("the replica's address is free")
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_warm_engine_serves_while_replicas_are_silent_and_cold_engines_cost_less() {
+    let mut cluster = cluster_with_slow_start(215).await;
+    let warm = EngineStandIn::start(Behaviour::Hang).await;
+    list(&cluster, EngineEntry { slots: 1, ..entry("w", warm.address) });
+    let gateway = started_gateway(&cluster, 50).await;
+    let callers = gateway.callers;
+    let waiting: Vec<_> = (0..4).map(|number| tokio::spawn(hold(callers, format!("h{number}")))).collect();
+    eventually("the warm engine is busy", || warm.received().len() == 4).await;
+    warm.set(Behaviour::Answer("warm"));
+    let mut cold = Vec::new();
+    for number in 0..4 {
+        let engine = EngineStandIn::start(Behaviour::Answer("cold")).await;
+        list(&cluster, EngineEntry { cold_left_ms: COLD_MS, ..entry(&format!("c{number}"), engine.address) });
+        cold.push(engine);
+    }
+    assert!(are_cold(&cluster, 4).await, "the cold engines are not known");
+    let mut silent = Vec::new();
+    for number in 1..=3 {
+        silent.push(silence(&mut cluster, number).await);
+    }
+    let (answer, after) = send(gateway.callers, "a".to_owned()).await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, "warm"), "after {after:?}");
+    assert!(cold.iter().all(|engine| engine.received().is_empty()));
+    waiting.iter().for_each(tokio::task::JoinHandle::abort);
+}
+
+/// Sends a request that may wait as long as its route lets it.
+async fn hold(gateway: SocketAddr, attempt: String) {
+    let request = format!("GET /read/ HTTP/1.1\r\nhost: h.example\r\nconnection: close\r\nt-attempt: {attempt}\r\nt-deadline: 20000\r\ncontent-length: 0\r\n\r\n");
+    exchange(gateway, request.as_bytes()).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_engine_whose_leave_is_spent_is_paused_as_long_as_replicas_say_though_one_is_silent() {
+    let mut cluster = Cluster::start(216, 3).await;
+    eventually("the set is known", || cluster.view.set().version > 0).await;
+    let _silent = silence(&mut cluster, 2).await;
+    let client = Arc::new(ReplicaClient::direct(Arc::new(RpcClient::new(NodeId(77)))));
+    let metrics = Arc::new(Metrics::default());
+    let keeper = ColdLeaveKeeper::new(client, cluster.keeper.clone(), zone_hash("a"), metrics);
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let engine = Arc::new(Engine::new(entry("e1", address), 0).expect("the address is one"));
+    engine.warmth.note_entry("e1", COLD_MS, SlowStart::new(COLD_MS, RATE as f64));
+    // Replicas that have just joined the set give nothing for a while.
+    let until = Instant::now() + Duration::from_secs(30);
+    while keeper.take("a", &engine, RATE as f64).await.is_none() {
+        assert!(Instant::now() < until, "nothing is given");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(1300)).await;
+    // Leave that comes late is none either, and the next question may get some.
+    let mut refused = 0;
+    while refused < 2 {
+        let is_given = keeper.take("a", &engine, RATE as f64).await.is_some();
+        refused = if is_given { 0 } else { refused + 1 };
+    }
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(keeper.without_leave(&[engine], false), ["e1"]);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_engine_that_starts_again_under_its_identifier_is_cold_whatever_its_entry_says() {
     let cluster = cluster_with_slow_start(212).await;
@@ -140,15 +226,7 @@
     let connections = engine.connections();
     list(&cluster, EngineEntry { started_at_ms: Some(2000), ..entry("e1", engine.address) });
     // What a gateway is not told yet it cannot go by.
-    let mut is_known = false;
-    for _ in 0..500 {
-        is_known = cluster.metric(50, "engines_cold").await == Some(1);
-        if is_known {
-            break;
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-    assert!(is_known, "the start is not known");
+    assert!(are_cold(&cluster, 1).await, "the start is not known");
     burst(&[&gateway]).await;
     assert_rate_is_kept_and_used(&engine);
     assert!(engine.connections() > connections, "a connection of the time before was used");
@@ -188,6 +266,7 @@
     let before = engine.received().len();
     cluster.store.remove(Kind::ZoneDrains, "a", ObjectBody::ZoneDrain);
     burst(&[&gateway]).await;
-    assert!(most_in_a_second(&engine) <= RATE + before);
+    let most = most_in_a_second(&engine.received()[before..]);
+    assert!(most <= RATE, "{most} requests in a second");
     assert!(engine.received().len() >= before + 16);
 }
