Slow start: only a refused or reset connection means an emptied engine

Cause: every failure to connect took an engine for cold and for emptied: a timeout, a machine without descriptors or buffers, a fresh connection that closed. An entry that began to tell when the engine started counted as a restart.

Change: the kind of the failure is kept. A refused or reset connection is a probable start; a timeout, or a host that cannot be reached, makes the engine cold alone; all else says nothing of it. An engine remembers its start once an entry tells; only another known start is a restart.

--- a/crates/gateway/src/engines/attempt.rs
+++ b/crates/gateway/src/engines/attempt.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use std::io;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -22,8 +23,8 @@
     #[error("the leave to send to a cold engine lapsed before there was a connection")]
     LeaveLapsed,
     /// It has not run: no connection could be made.
-    #[error("the engine cannot be reached ({0})")]
-    Unreachable(String),
+    #[error("the engine cannot be reached ({1})")]
+    Unreachable(io::ErrorKind, String),
     /// It may have run.
     #[error("the engine's answer was lost ({0})")]
     AnswerLost(String),
@@ -39,7 +40,7 @@
             Self::Full => "full",
             Self::Replaced => "replaced",
             Self::LeaveLapsed => "leave_lapsed",
-            Self::Unreachable(_) => "unreachable",
+            Self::Unreachable(..) => "unreachable",
             Self::AnswerLost(_) => "answer_lost",
             Self::TimedOut => "timed_out",
         }
@@ -47,7 +48,7 @@
 
     /// Whether the request has certainly not run.
     pub fn is_not_run(&self) -> bool {
-        matches!(self, Self::Full | Self::Replaced | Self::LeaveLapsed | Self::Unreachable(_))
+        matches!(self, Self::Full | Self::Replaced | Self::LeaveLapsed | Self::Unreachable(..))
     }
 }
 
@@ -103,8 +104,8 @@
         Ok(Err(AttemptError::LeaveLapsed)) => return Err(AttemptError::LeaveLapsed),
         Ok(Err(error)) => {
             engine.note_failure();
-            if matches!(error, AttemptError::Unreachable(_)) {
-                engine.note_unreachable();
+            if let AttemptError::Unreachable(kind, _) = &error {
+                engine.note_unreachable(*kind);
             }
             return Err(error);
         }
@@ -138,14 +139,16 @@
         }
     }
     let opened = EngineConnection::open(engine.address).await;
-    let mut connection = opened.map_err(|error| AttemptError::Unreachable(error.to_string()))?;
+    let mut connection = opened.map_err(|error| AttemptError::Unreachable(error.kind(), error.to_string()))?;
     if leave_by.is_some_and(|leave_by| Instant::now() >= leave_by) {
         engine.keep_connection(connection);
         return Err(AttemptError::LeaveLapsed);
     }
     match connection.send(request).await {
         Ok(response) => Ok((response, connection)),
-        Err(SendError::NotSent(_)) => Err(AttemptError::Unreachable("the connection closed".to_owned())),
+        Err(SendError::NotSent(_)) => {
+            Err(AttemptError::Unreachable(io::ErrorKind::ConnectionAborted, "the connection closed".to_owned()))
+        }
         Err(SendError::MayHaveRun(problem)) => Err(AttemptError::AnswerLost(problem)),
     }
 }
--- a/crates/gateway/src/engines/engine.rs
+++ b/crates/gateway/src/engines/engine.rs
@@ -9,9 +9,10 @@
 use foxnotch_scheduler::outliers::{OutcomeWindow, Outcomes};
 use foxnotch_scheduler::slow_start::warmth::ColdCause;
 use std::collections::VecDeque;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::{Duration, Instant};
 
 /// Time for which an engine that refused for lack of room is passed over.
@@ -48,6 +49,8 @@
     pub number: u32,
     /// Whether it is taken for cold.
     pub warmth: EngineWarmth,
+    /// When it started, once an entry has told.
+    started_at_ms: OnceLock<u64>,
     under_way: AtomicU32,
     draining: AtomicBool,
     replaced: AtomicBool,
@@ -64,11 +67,13 @@
         let address = entry.address.parse().ok()?;
         let draining = AtomicBool::new(entry.draining);
         let number = engine_number(&entry.id);
+        let started_at_ms = entry.started_at_ms.map_or_else(OnceLock::new, OnceLock::from);
         Some(Self {
             entry,
             address,
             number,
             warmth: EngineWarmth::new(),
+            started_at_ms,
             under_way: AtomicU32::new(0),
             draining,
             replaced: AtomicBool::new(false),
@@ -82,7 +87,17 @@
     /// Whether an entry is of the same start of the same engine.
     pub fn is_start_of(&self, entry: &EngineEntry) -> bool {
         let (own, other) = (&self.entry, entry);
-        own.id == other.id && own.address == other.address && own.started_at_ms == other.started_at_ms
+        // An entry may not tell yet when the engine started, or no longer.
+        let is_other_start =
+            self.started_at_ms.get().zip(other.started_at_ms).is_some_and(|(known, told)| *known != told);
+        own.id == other.id && own.address == other.address && !is_other_start
+    }
+
+    /// Notes when the engine started, if its entry tells.
+    pub fn note_start(&self, started_at_ms: Option<u64>) {
+        if let Some(started_at_ms) = started_at_ms {
+            self.started_at_ms.get_or_init(|| started_at_ms);
+        }
     }
 
     /// Requests of this gateway under way.
@@ -178,9 +193,15 @@
         health.ejected_until = Some(Instant::now() + ejection);
     }
 
-    /// Nobody listens at its address. When somebody answers there again, it has probably started anew.
-    pub fn note_unreachable(&self) {
-        self.warmth.suspect(&self.entry.id, ColdCause::Unreachable);
+    /// No connection could be made, for a reason of this kind.
+    pub fn note_unreachable(&self, kind: io::ErrorKind) {
+        let cause = match kind {
+            io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset => ColdCause::Unreachable,
+            io::ErrorKind::TimedOut | io::ErrorKind::HostUnreachable => ColdCause::ConnectTimeout,
+            // This machine ran out of something, or the reason tells nothing of the engine.
+            _ => return,
+        };
+        self.warmth.suspect(&self.entry.id, cause);
     }
 
     /// A resting connection: the one that has rested longest, so that all stay in use.
--- a/crates/gateway/src/engines/table.rs
+++ b/crates/gateway/src/engines/table.rs
@@ -73,6 +73,7 @@
                 }
             };
             engine.set_draining(entry.draining);
+            engine.note_start(entry.started_at_ms);
             engine.warmth.note_entry(&entry.id, entry.cold_left_ms, service.and_then(|service| service.slow_start));
             if is_restart {
                 engine.warmth.suspect(&entry.id, ColdCause::Restart);
--- a/crates/scheduler/src/slow_start/warmth.rs
+++ b/crates/scheduler/src/slow_start/warmth.rs
@@ -15,8 +15,10 @@
     Entry,
     /// Its entry tells of another start under the same identifier.
     Restart,
-    /// It could not be reached: it may have started anew when it answers again.
+    /// Nobody listened at its address: it has probably started anew when it answers again.
     Unreachable,
+    /// A connection to it took too long: it may have started anew, or its host or the network is slow.
+    ConnectTimeout,
     /// The drain of its zone was taken back.
     DrainEnded,
 }
@@ -33,6 +35,7 @@
             Self::Entry => "entry",
             Self::Restart => "restart",
             Self::Unreachable => "unreachable",
+            Self::ConnectTimeout => "connect_timeout",
             Self::DrainEnded => "drain_ended",
         }
     }
--- a/crates/scheduler/tests/slow_start_tests.rs
+++ b/crates/scheduler/tests/slow_start_tests.rs
@@ -82,6 +82,7 @@
     let mut warmth = Warmth::default();
     warmth.note_entry(2900, ms(0));
     warmth.suspect(ColdCause::DrainEnded, ms(3000), ms(0));
+    warmth.suspect(ColdCause::ConnectTimeout, ms(3000), ms(0));
     assert!(!warmth.may_be_emptied(ms(1)));
     warmth.suspect(ColdCause::Unreachable, ms(3000), ms(10));
     assert!(warmth.may_be_emptied(ms(3009)));
