Slow start: an engine is looked at again after leave; homes are warm engines

Cause: an engine was chosen before up to 100 ms of asking for leave, and got the request though it drained meanwhile. A drained zone's programs all chose homes by hash, cold engines too, and asked leave there.

Change: after leave was got, the engine has to be a candidate still. A new home is an engine of the region that is not cold, while there is one.

That all engines of the region may be cold held before as well.

--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -279,6 +279,10 @@
                 tries.note_no_leave();
                 continue;
             };
+            // Asking takes time, in which the engine may have been drained or replaced.
+            if leave_by.is_some() && !self.candidates(call).iter().any(|known| Arc::ptr_eq(known, &engine)) {
+                continue;
+            }
             self.log_send(call, &choice);
             self.note_zone_move(call, &choice);
             self.note_way(call, &choice);
--- a/crates/gateway/src/engines/selector.rs
+++ b/crates/gateway/src/engines/selector.rs
@@ -73,8 +73,13 @@
     let score = |engine: &&Arc<Engine>| xxh3_64_with_seed(program, u64::from(engine.number));
     let is_near = |engine: &&Arc<Engine>| placement.ways.to(&engine.entry.zone).proximity != Proximity::OtherRegion;
     // A program's turns mostly enter in one region, and the new home has to read all anyway.
-    let near = candidates.iter().filter(is_near).max_by_key(score);
-    near.or_else(|| candidates.iter().max_by_key(score)).map(|engine| engine.number)
+    let near = || candidates.iter().filter(is_near);
+    // A cold one takes few programs at a time, and all of a drained zone look for a home at once.
+    let near_warm = near().filter(|engine| engine.warmth.cold_rate().is_none()).max_by_key(score);
+    near_warm
+        .or_else(|| near().max_by_key(score))
+        .or_else(|| candidates.iter().max_by_key(score))
+        .map(|engine| engine.number)
 }
 
 /// Prompt tokens that the engine probably holds.
--- a/crates/gateway/tests/region_choice_tests.rs
+++ b/crates/gateway/tests/region_choice_tests.rs
@@ -9,6 +9,7 @@
 use foxnotch_gateway::ports::dialect::PromptPart;
 use foxnotch_scheduler::distance::{Proximity, TrafficPrices};
 use foxnotch_scheduler::places::Places;
+use foxnotch_scheduler::slow_start::SlowStart;
 use foxnotch_turns::identity::zone_hash;
 use std::sync::Arc;
 use std::time::Duration;
@@ -119,3 +120,23 @@
     }
     assert!(round_trips.ways(ZONES.into_iter()).to("a2").round_trip_ms > 8.0);
 }
+
+#[test]
+fn a_new_home_is_an_engine_that_is_not_cold() {
+    let (engines, ways) = (engines(), ways());
+    let gone = Some(u32::MAX);
+    let home = choice(&engines, &ways, 100_000, gone).engine;
+    home.warmth.note_entry(&home.entry.id, 5000, SlowStart::new(5000, 1.0));
+    let other = choice(&engines, &ways, 100_000, gone);
+    assert_ne!(other.engine.number, home.number);
+    assert_eq!(other.missing_tokens, 0.0, "it was not chosen as the home");
+}
+
+#[test]
+fn a_new_home_is_a_cold_engine_of_the_region_when_all_there_are_cold() {
+    let (engines, ways) = (engines(), ways());
+    for engine in engines.iter().filter(|engine| engine.entry.zone.starts_with('a')) {
+        engine.warmth.note_entry(&engine.entry.id, 5000, SlowStart::new(5000, 1.0));
+    }
+    assert!(choice(&engines, &ways, 100_000, Some(u32::MAX)).engine.entry.zone.starts_with('a'));
+}
--- a/crates/gateway/tests/slow_start_tests.rs
+++ b/crates/gateway/tests/slow_start_tests.rs
@@ -12,10 +12,11 @@
 use foxnotch_scheduler::slow_start::SlowStart;
 use foxnotch_turns::identity::zone_hash;
 use foxnotch_wire::NodeId;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use support::cluster::{eventually, Cluster};
+use support::cluster::{eventually, Cluster, Zones};
 use support::engine::{Behaviour, EngineStandIn, Received};
 use support::gateway::{configuration, exchange, Answer, RunningGateway};
 use tokio::net::TcpListener;
@@ -29,7 +30,10 @@
 
 /// A deployment whose plain reads are served by engines with a slow start.
 async fn cluster_with_slow_start(net: u8) -> Cluster {
-    let cluster = Cluster::start(net, 3).await;
+    with_slow_start(Cluster::start(net, 3).await)
+}
+
+fn with_slow_start(cluster: Cluster) -> Cluster {
     let ObjectBody::Configuration(mut configuration) = configuration(1) else { unreachable!("it is one") };
     configuration.services[0].slow_start = SlowStart::new(COLD_MS, RATE as f64);
     cluster.store.put(Kind::Configuration, "main", ObjectBody::Configuration(configuration));
@@ -182,6 +186,27 @@
     waiting.iter().for_each(tokio::task::JoinHandle::abort);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_engine_that_drains_while_leave_is_asked_for_gets_nothing() {
+    // The replica near the gateway is asked first.
+    let of_node = |number| if matches!(number, 2 | 3) { "b" } else { "a" };
+    let zones = Zones { of_node, regions: &[("a", "r"), ("b", "r")] };
+    let mut cluster = with_slow_start(Cluster::start_in(217, 3, zones).await);
+    let engine = EngineStandIn::start(Behaviour::Answer("done")).await;
+    let listed = EngineEntry { cold_left_ms: COLD_MS, ..entry("e1", engine.address) };
+    list(&cluster, listed.clone());
+    let gateway = started_gateway(&cluster, 50).await;
+    assert!(are_cold(&cluster, 1).await, "the cold engine is not known");
+    // Replicas that have just joined the set give nothing for a while.
+    tokio::time::sleep(Duration::from_millis(1300)).await;
+    let _silent = silence(&mut cluster, 1).await;
+    let sent = tokio::spawn(send(gateway.callers, "a".to_owned()));
+    tokio::time::sleep(Duration::from_millis(15)).await;
+    list(&cluster, EngineEntry { draining: true, ..listed });
+    let (answer, _) = sent.await.expect("a send does not panic");
+    assert_eq!((answer.status, engine.received().len()), (503, 0));
+}
+
 /// Sends a request that may wait as long as its route lets it.
 async fn hold(gateway: SocketAddr, attempt: String) {
     let request = format!("GET /read/ HTTP/1.1\r\nhost: h.example\r\nconnection: close\r\nt-attempt: {attempt}\r\nt-deadline: 20000\r\ncontent-length: 0\r\n\r\n");
@@ -196,8 +221,7 @@
     let client = Arc::new(ReplicaClient::direct(Arc::new(RpcClient::new(NodeId(77)))));
     let metrics = Arc::new(Metrics::default());
     let keeper = ColdLeaveKeeper::new(client, cluster.keeper.clone(), zone_hash("a"), metrics);
-    let address = SocketAddr::from(([127, 0, 0, 1], 1));
-    let engine = Arc::new(Engine::new(entry("e1", address), 0).expect("the address is one"));
+    let engine = Arc::new(warm_engine());
     engine.warmth.note_entry("e1", COLD_MS, SlowStart::new(COLD_MS, RATE as f64));
     // Replicas that have just joined the set give nothing for a while.
     let until = Instant::now() + Duration::from_secs(30);
@@ -216,6 +240,45 @@
     assert_eq!(keeper.without_leave(&[engine], false), ["e1"]);
 }
 
+/// An engine of a service with a slow start that was just listed and is warm.
+fn warm_engine() -> Engine {
+    let engine = Engine::new(entry("e1", SocketAddr::from(([127, 0, 0, 1], 1))), 0).expect("the address is one");
+    engine.warmth.note_entry("e1", 0, SlowStart::new(COLD_MS, RATE as f64));
+    engine
+}
+
+#[test]
+fn only_an_engine_that_refuses_or_resets_connections_may_have_been_emptied() {
+    let beliefs = |kind| {
+        let engine = warm_engine();
+        engine.note_unreachable(kind);
+        (engine.warmth.cold_rate().is_some(), engine.warmth.may_be_emptied())
+    };
+    for kind in [ErrorKind::ConnectionRefused, ErrorKind::ConnectionReset] {
+        assert_eq!(beliefs(kind), (true, true), "{kind}");
+    }
+    // It may have started anew, and its host may as well be slow.
+    for kind in [ErrorKind::TimedOut, ErrorKind::HostUnreachable] {
+        assert_eq!(beliefs(kind), (true, false), "{kind}");
+    }
+    let too_many_files = std::io::Error::from_raw_os_error(24).kind();
+    let no_buffers = std::io::Error::from_raw_os_error(105).kind();
+    for kind in [too_many_files, no_buffers, ErrorKind::AddrNotAvailable, ErrorKind::ConnectionAborted] {
+        assert_eq!(beliefs(kind), (false, false), "{kind}");
+    }
+}
+
+#[test]
+fn a_start_that_becomes_known_is_no_restart_and_another_one_is() {
+    let engine = warm_engine();
+    let entry_of = |started_at_ms| EngineEntry { started_at_ms, ..engine.entry.clone() };
+    assert!(engine.is_start_of(&entry_of(Some(1000))));
+    engine.note_start(Some(1000));
+    assert!(engine.is_start_of(&entry_of(Some(1000))));
+    assert!(engine.is_start_of(&entry_of(None)));
+    assert!(!engine.is_start_of(&entry_of(Some(2000))));
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_engine_that_starts_again_under_its_identifier_is_cold_whatever_its_entry_says() {
     let cluster = cluster_with_slow_start(212).await;
