Zone drains: a taken back drain holds until its engines are cold; no stay at an emptied engine

Cause: calls went by the live view, and engines of a zone whose drain was taken back turned cold a moment later, with the engine table: calls in between asked for no leave. A program stayed in a drained zone at an engine that had started anew.

Change: a zone is drained for calls also while the engine table holds it as drained; the table changes that under the lock by which it hands out engines. A program stays only at an engine that may still hold its prompt.

Run: zone_drain_tests and slow_start_tests of the gateway. The new test (the stay) fails without this.

--- a/crates/gateway/src/edge/zone_moves.rs
+++ b/crates/gateway/src/edge/zone_moves.rs
@@ -46,6 +46,8 @@
 /// What the drains known at one moment mean for one call.
 pub(super) struct CallDrains {
     drains: Arc<ZoneDrains>,
+    /// The drains that the engine table goes by: engines of a zone whose drain was just taken back are not cold there yet.
+    table_drains: Arc<ZoneDrains>,
     moves: Arc<DrainMoves>,
     window: Duration,
     /// The engine that holds the program's prompt.
@@ -60,12 +62,15 @@
 impl CallDrains {
     /// Whether the call may go to an engine.
     pub(super) fn allow(&self, engine: &Engine) -> bool {
-        !self.drains.is_drained(&engine.entry.zone) || self.may_stay_at(engine)
+        let zone = &engine.entry.zone;
+        let is_drained = self.drains.is_drained(zone) || self.table_drains.is_drained(zone);
+        !is_drained || self.may_stay_at(engine)
     }
 
     fn may_stay_at(&self, engine: &Engine) -> bool {
         let prompt = HeldPrompt { program_hash: self.program_hash, size: self.size_at(engine) };
-        self.home == Some(engine.number) && self.moves.may_stay(&engine.entry.zone, prompt, self.window, self.now)
+        let is_home = self.home == Some(engine.number) && !engine.warmth.may_be_emptied();
+        is_home && self.moves.may_stay(&engine.entry.zone, prompt, self.window, self.now)
     }
 
     /// The prompt's share of the memory that an engine has for one request.
@@ -86,6 +91,7 @@
         let predecessor = call.predecessor.filter(|engine| self.policy.home && !call.avoided.contains(engine));
         CallDrains {
             drains: view.zone_drains.value,
+            table_drains: self.engines.drains(),
             moves: view.drain_moves,
             window: self.zone_drains.window.unwrap_or_default(),
             home: predecessor,
--- a/crates/gateway/src/engines/table.rs
+++ b/crates/gateway/src/engines/table.rs
@@ -42,6 +42,11 @@
         services.values().flatten().filter(|engine| engine.warmth.cold_rate().is_some()).count()
     }
 
+    /// The zones that were drained when the view was taken over last: their engines are not taken for cold yet.
+    pub fn drains(&self) -> Arc<ZoneDrains> {
+        lock(&self.drains).clone()
+    }
+
     /// Zones whose drain was taken back since the view was taken over last.
     fn drains_ended(&self, view: &View) -> Vec<String> {
         let mut drains = lock(&self.drains);
@@ -51,8 +56,9 @@
 
     /// Takes over a view. Engines that stay keep their connections and what is known of them.
     pub fn update(&self, view: &View) {
-        let drains_ended = self.drains_ended(view);
         let mut services = lock(&self.services);
+        // Engines are handed out again when those of zones whose drain ended are taken for cold.
+        let drains_ended = self.drains_ended(view);
         let mut known: HashMap<String, Arc<Engine>> =
             services.drain().flat_map(|(_, engines)| engines).map(|engine| (engine.entry.id.clone(), engine)).collect();
         for entry in view.engines.value.iter() {
--- a/crates/gateway/tests/zone_drain_tests.rs
+++ b/crates/gateway/tests/zone_drain_tests.rs
@@ -5,6 +5,7 @@
 use foxnotch_gateway::inspect;
 use foxnotch_gateway::ports::configuration::EngineEntry;
 use foxnotch_gateway::ports::store::{Kind, ObjectBody};
+use foxnotch_scheduler::slow_start::SlowStart;
 use std::time::Duration;
 use support::cluster::Cluster;
 use support::engine::{Behaviour, EngineStandIn};
@@ -237,6 +238,44 @@
     assert_eq!(deployment.cluster.metric(GATEWAY, "zone_drain_moves_total").await, Some(1));
 }
 
+/// A prompt that is gone is no reason to stay: the engine that held it has started anew.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_program_does_not_stay_at_an_engine_that_has_started_anew() {
+    let mut deployment = Deployment::without_gateway(230).await;
+    let ObjectBody::Configuration(mut terms) = configuration(2) else { unreachable!("it is one") };
+    terms.services.iter_mut().for_each(|service| service.slow_start = SlowStart::new(20_000, 10.0));
+    deployment.cluster.store.put(Kind::Configuration, "main", ObjectBody::Configuration(terms));
+    deployment.near.set(Behaviour::Stream(vec!["data: x\n\n"]));
+    let list_started = |deployment: &Deployment, started_at_ms| {
+        let address = deployment.near.address.to_string();
+        let (id, service, zone) = ("near-turn".to_owned(), "turn".to_owned(), "a".to_owned());
+        let entry =
+            EngineEntry { id, service, address, zone, slots: 4, draining: false, started_at_ms, cold_left_ms: 0 };
+        deployment.cluster.store.put(Kind::Engines, "near-turn", ObjectBody::Engine(entry));
+    };
+    list_started(&deployment, Some(1000));
+    deployment.start_gateway_with_bound(Duration::from_secs(20)).await;
+    // The gateway has to have heard the store before the drain.
+    tokio::time::sleep(BOUND).await;
+    let late = (0u32..).map(|number| format!("p{number}")).find(|name| xxh3_64(name.as_bytes()) > u64::MAX / 10 * 9);
+    let late = late.expect("one of ten is such");
+    assert_eq!(deployment.continue_program(&late).await, (1, 0));
+    deployment.drain("a");
+    deployment.wait_for_zones(GATEWAY, "a").await;
+    assert_eq!(deployment.continue_program(&late).await, (1, 0), "it stays while its prompt is there");
+    list_started(&deployment, Some(2000));
+    let until = Instant::now() + PATIENCE;
+    while deployment.cluster.metric(GATEWAY, "engines_cold").await != Some(1) {
+        assert!(Instant::now() < until, "the start is not known");
+        tokio::time::sleep(PAUSE).await;
+    }
+    let before = deployment.near.received().len();
+    deployment.far.set(Behaviour::Full);
+    let headers = format!("t-attempt: c9\r\nt-deadline: 2000\r\nt-program: {late}\r\nt-previous: c2\r\n");
+    let answer = deployment.gateway.as_ref().expect("the gateway runs").send("POST /turn/", &headers, "x").await;
+    assert_eq!((answer.status, deployment.near.received().len()), (503, before), "{}", answer.body);
+}
+
 /// A call that waits for room at the engine outside is not sent to the drained zone, and not refused for the drain.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_call_that_waits_for_room_stays_out_of_a_drained_zone() {
