--- a/crates/gateway/tests/slow_start_tests.rs
+++ b/crates/gateway/tests/slow_start_tests.rs
@@ -4,12 +4,15 @@
 
 use foxnotch_gateway::edge::slow_start::ColdLeaveKeeper;
 use foxnotch_gateway::engines::engine::Engine;
+use foxnotch_gateway::engines::table::EngineTable;
 use foxnotch_gateway::metrics::Metrics;
 use foxnotch_gateway::peers::replica_client::ReplicaClient;
 use foxnotch_gateway::peers::rpc_client::RpcClient;
+use foxnotch_gateway::peers::view::{Versioned, View};
 use foxnotch_gateway::ports::configuration::EngineEntry;
 use foxnotch_gateway::ports::store::{Kind, ObjectBody};
 use foxnotch_scheduler::slow_start::SlowStart;
+use foxnotch_scheduler::zone_drain::ZoneDrains;
 use foxnotch_turns::identity::zone_hash;
 use foxnotch_wire::NodeId;
 use std::io::ErrorKind;
@@ -268,6 +271,36 @@
     }
 }
 
+/// A view with one engine in zone `a`, which may be drained.
+fn view_of_one(is_drained: bool) -> View {
+    let ObjectBody::Configuration(mut terms) = configuration(1) else { unreachable!("it is one") };
+    terms.services[0].slow_start = SlowStart::new(COLD_MS, RATE as f64);
+    let engines = vec![entry("e1", SocketAddr::from(([127, 0, 0, 1], 1)))];
+    View {
+        configuration: Versioned { revision: 1, value: Arc::new(terms) },
+        engines: Versioned { revision: 1, value: Arc::new(engines) },
+        zone_drains: Versioned { revision: 1, value: Arc::new(ZoneDrains::of(is_drained.then(|| "a".to_owned()))) },
+        ..View::default()
+    }
+}
+
+#[test]
+fn a_drain_ends_for_calls_when_its_engines_are_cold_and_not_before() {
+    let (drained, in_use) = (view_of_one(true), view_of_one(false));
+    for round in 0..500 {
+        let table = EngineTable::default();
+        table.update(&drained);
+        std::thread::scope(|scope| {
+            scope.spawn(|| table.update(&in_use));
+            while table.drains().is_drained("a") {
+                std::hint::spin_loop();
+            }
+            let is_cold = table.candidates("read").iter().all(|engine| engine.warmth.cold_rate().is_some());
+            assert!(is_cold, "round {round}: a warm engine was handed out");
+        });
+    }
+}
+
 #[test]
 fn a_start_that_becomes_known_is_no_restart_and_another_one_is() {
     let engine = warm_engine();
