--- a/crates/gateway/tests/zone_drain_tests.rs
+++ b/crates/gateway/tests/zone_drain_tests.rs
@@ -241,7 +241,7 @@
 /// A prompt that is gone is no reason to stay: the engine that held it has started anew.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_program_does_not_stay_at_an_engine_that_has_started_anew() {
-    let mut deployment = Deployment::without_gateway(230).await;
+    let mut deployment = Deployment::without_gateway(244).await;
     let ObjectBody::Configuration(mut terms) = configuration(2) else { unreachable!("it is one") };
     terms.services.iter_mut().for_each(|service| service.slow_start = SlowStart::new(20_000, 10.0));
     deployment.cluster.store.put(Kind::Configuration, "main", ObjectBody::Configuration(terms));
