Test of an engine that drains while leave is asked for: a try in which the news came too late is made again

The gateway waits 55 ms for a silent replica's leave; the test took for granted that it learns of the drain within 40 ms of them. Shown by the test itself now: it asks the gateway's metric whether the drain was known in time, and judges only a try in which it was; six tries at most, and none is a failure. New metric engines_draining, for operators too.

--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -222,6 +222,10 @@
     let known = view.clone();
     metrics.read("engines_known", "Engines listed", move || known.get().engines.value.len() as i64);
     let known = view.clone();
+    metrics.read("engines_draining", "Engines that are about to leave", move || {
+        known.get().engines.value.iter().filter(|engine| engine.draining).count() as i64
+    });
+    let known = view.clone();
     metrics.read("zones_drained", "Zones whose engines get no new work", move || {
         known.get().zone_drains.value.zones().count() as i64
     });
--- a/crates/gateway/tests/slow_start_tests.rs
+++ b/crates/gateway/tests/slow_start_tests.rs
@@ -28,6 +28,8 @@
 const RATE: usize = 10;
 /// Milliseconds for which an engine is cold after a start: longer than any burst of the tests.
 const COLD_MS: u64 = 6000;
+/// Less than the time for which a gateway waits for a silent replica's leave before it asks another.
+const SILENT_FOR: Duration = Duration::from_millis(55);
 /// Time for which callers send in a burst.
 const BURST: Duration = Duration::from_millis(2600);
 
@@ -189,12 +191,13 @@
     waiting.iter().for_each(tokio::task::JoinHandle::abort);
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn an_engine_that_drains_while_leave_is_asked_for_gets_nothing() {
+/// An engine drains while a gateway waits for leave to send to it. The status of the answer and the requests that reached the
+/// engine; none when the gateway learned of it too late to act on it.
+async fn drained_while_leave_is_asked_for(net: u8) -> Option<(u16, usize)> {
     // The replica near the gateway is asked first.
     let of_node = |number| if matches!(number, 2 | 3) { "b" } else { "a" };
     let zones = Zones { of_node, regions: &[("a", "r"), ("b", "r")] };
-    let mut cluster = with_slow_start(Cluster::start_in(217, 3, zones).await);
+    let mut cluster = with_slow_start(Cluster::start_in(net, 3, zones).await);
     let engine = EngineStandIn::start(Behaviour::Answer("done")).await;
     let listed = EngineEntry { cold_left_ms: COLD_MS, ..entry("e1", engine.address) };
     list(&cluster, listed.clone());
@@ -203,11 +206,28 @@
     // Replicas that have just joined the set give nothing for a while.
     tokio::time::sleep(Duration::from_millis(1300)).await;
     let _silent = silence(&mut cluster, 1).await;
+    let begun_at = Instant::now();
     let sent = tokio::spawn(send(gateway.callers, "a".to_owned()));
-    tokio::time::sleep(Duration::from_millis(15)).await;
+    tokio::time::sleep(Duration::from_millis(5)).await;
     list(&cluster, EngineEntry { draining: true, ..listed });
+    while cluster.metric(50, "engines_draining").await != Some(1) && begun_at.elapsed() < SILENT_FOR {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let is_known_in_time = begun_at.elapsed() < SILENT_FOR;
     let (answer, _) = sent.await.expect("a send does not panic");
-    assert_eq!((answer.status, engine.received().len()), (503, 0));
+    is_known_in_time.then_some((answer.status, engine.received().len()))
+}
+
+/// On a busy machine the gateway may learn of the drain after the leave has come: such a try shows nothing and is made again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_engine_that_drains_while_leave_is_asked_for_gets_nothing() {
+    for net in [217, 245, 246, 247, 248, 249] {
+        if let Some(outcome) = drained_while_leave_is_asked_for(net).await {
+            assert_eq!(outcome, (503, 0));
+            return;
+        }
+    }
+    panic!("the gateway never learned of the drain in time");
 }
 
 /// Sends a request that may wait as long as its route lets it.
