Read again: work done once, twins joined, what is dead removed

Cause: a second reading of the change found pieces that stood twice or were no longer read. None of them is a fault that a caller has seen.

Change: - A send is noted by one function, which takes the view once (twice before) and logs the prices by which the costs were compared, carried in `Choice`; they were looked up again before, under a lock. - `TurnKeeper::write_all` borrows its entries, so `keep_with` hands the record to the cache instead of copying it, with its text, twice. - `TurnKeeper::keep` was called by tests alone: gone; the tests call `keep_with`, their assertions are the same. - `ask_member` calls `teach` instead of writing out the same call, whose error it dropped: a replica that cannot be told is now in the log (debug). - `Gateway::zone` was no longer read: gone. - The bytes of a record's text were summed in four places: `TurnRecord::text_bytes`, `TurnEntry::text_bytes`. - Gateway and replica work out their zone's hash and the regions once at start. - Blank lines between constants.

Behaviour: the same, but for the debug line above, and that a send's log line shows the prices that decided, not those learned since.

--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -53,8 +53,6 @@
 
 /// Everything that serving a request needs.
 pub struct Gateway {
-    /// The zone of this gateway.
-    pub zone: String,
     /// Zones and their regions.
     pub places: Places,
     /// What is known of the platform.
@@ -282,9 +280,7 @@
             if send_by.is_some() && !self.candidates(call).iter().any(|known| Arc::ptr_eq(known, &engine)) {
                 continue;
             }
-            self.log_send(call, &choice);
-            self.note_zone_move(call, &choice);
-            self.note_way(call, &choice);
+            self.note_send(call, &choice);
             tries.note_choice(choice);
             let request = match call.to_engine(&*self.dialect, &engine.entry.id, body.clone(), last_event) {
                 Ok(request) => request,
@@ -397,7 +393,7 @@
     }
 
     /// Prices at the engines of a service.
-    pub(super) fn prices(&self, service: &str) -> ServicePrices {
+    fn prices(&self, service: &str) -> ServicePrices {
         if self.policy.learned_prices {
             self.costs.prices(service)
         } else {
--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -94,20 +94,19 @@
         GatewayDistances::new(settings.places(), &settings.zone, &settings.zones, settings.distance.prices());
     let metrics = gateway_metrics(&view, &members, &round_trips);
     let store: Arc<dyn MetadataStore> = Arc::new(CountedStore::new(platform.store, metrics.clone()));
-    let relays = Relays::new(members.clone()).with_regions(zone_hash(&settings.zone), settings.zone_regions());
-    let replicas = replica_client(client.clone(), relays, &metrics, &round_trips, settings.policy);
-    let keeper =
-        TurnKeeper::new(replicas.clone(), view.clone(), cache, zone_hash(&settings.zone), settings.tolerance());
-    let turns = Arc::new(keeper.with_metrics(metrics.clone()).with_regions(settings.zone_regions()));
-    let quotas = QuotaKeeper::new(replicas.clone(), turns.clone(), zone_hash(&settings.zone), metrics.clone());
     let zone = zone_hash(&settings.zone);
+    let regions = settings.zone_regions();
+    let relays = Relays::new(members.clone()).with_regions(zone, regions.clone());
+    let replicas = replica_client(client.clone(), relays, &metrics, &round_trips, settings.policy);
+    let keeper = TurnKeeper::new(replicas.clone(), view.clone(), cache, zone, settings.tolerance());
+    let turns = Arc::new(keeper.with_metrics(metrics.clone()).with_regions(regions));
+    let quotas = QuotaKeeper::new(replicas.clone(), turns.clone(), zone, metrics.clone());
     let cold_leaves = ColdLeaveKeeper::new(replicas.clone(), turns.clone(), zone, metrics.clone());
     let near_zones = settings.places().has_several_regions().then(|| settings.zones_nearby());
     let reserves_ahead = settings.policy.reserve_ahead;
     let tickets = TicketKeeper::new(turns.clone(), client, near_zones, reserves_ahead, metrics.clone());
     let under_way = Arc::new(AtomicUsize::new(0));
     let gateway = Arc::new(Gateway {
-        zone: settings.zone.clone(),
         places: settings.places(),
         view: view.clone(),
         dialect: platform.dialect,
--- a/crates/gateway/src/edge/refusal.rs
+++ b/crates/gateway/src/edge/refusal.rs
@@ -15,10 +15,8 @@
 const COME_BACK_CONFIGURED: Duration = Duration::from_millis(300);
 /// When the platform's store may answer again: it may be away for long, and the answer stays the same until then.
 const COME_BACK_CONFIRMED: Duration = Duration::from_secs(1);
-
 /// When zones may be taken back that an operator drains: maintenance takes longer than that, and nobody is told of its end.
 const COME_BACK_DRAINED: Duration = Duration::from_secs(1);
-
 /// When a configuration may allow what the present one cannot: an operator has to change it first.
 const COME_BACK_ALLOWED: Duration = Duration::from_secs(30);
 
--- a/crates/gateway/src/edge/send_log.rs
+++ b/crates/gateway/src/edge/send_log.rs
@@ -5,11 +5,20 @@
 use crate::engines::learned_costs::ServicePrices;
 use crate::engines::selector::Choice;
 use crate::logging::part;
+use crate::peers::view::View;
 use std::time::Instant;
 
 impl Gateway {
+    /// Logs and counts a send.
+    pub(super) fn note_send(&self, call: &Call, choice: &Choice) {
+        let view = self.view.get();
+        log_send(&view, call, choice);
+        self.note_zone_move(&view, call, choice);
+        self.note_way(call, choice);
+    }
+
     /// Counts how far a request goes, and tells why one leaves the region.
-    pub(super) fn note_way(&self, call: &Call, choice: &Choice) {
+    fn note_way(&self, call: &Call, choice: &Choice) {
         self.metrics.count_way(choice.way.proximity.name());
         let Some(near) = choice.cost_nearby else { return };
         self.metrics.spills.inc();
@@ -18,19 +27,8 @@
             call.metadata.attempt, call.metadata.program.as_deref().unwrap_or("-"), call.service, engine.entry.id, engine.entry.zone, way.round_trip_ms, cost.total_ms(), cost.work_ms, near.total_ms(), near.work_ms);
     }
 
-    /// Logs what decided for an engine: loads, what it holds, and how old the knowledge of engines is.
-    pub(super) fn log_send(&self, call: &Call, choice: &Choice) {
-        let metadata = &call.metadata;
-        let view = self.view.get();
-        let Choice { engine, candidates, missing_tokens, under_way, .. } = choice;
-        let predecessor = call.predecessor.unwrap_or_default();
-        let ServicePrices { token_ms, request_ms, .. } = self.prices(&call.service);
-        log::info!(target: part::ENGINE, "Call {} sent: program={} tenant={} route={} engine={} number={} before={predecessor} avoided={} of={candidates} own={} all={under_way:.0} missing={missing_tokens:.0}/{} token_ms={token_ms:.4} request_ms={request_ms:.2} left={:?} configuration={} engines={}.",
-            metadata.attempt, metadata.program.as_deref().unwrap_or("-"), call.tenant_name(), call.route.name, engine.entry.id, engine.number, call.avoided.len(), engine.under_way(), metadata.prompt_tokens, call.engine_time().unwrap_or_default(), view.configuration.value.version, view.engines.revision);
-    }
     /// Counts and tells that a drain of a zone decided where a program goes on.
-    pub(super) fn note_zone_move(&self, call: &Call, choice: &Choice) {
-        let view = self.view.get();
+    fn note_zone_move(&self, view: &View, call: &Call, choice: &Choice) {
         if view.zone_drains.value.zones().next().is_none() {
             return;
         }
@@ -46,3 +44,13 @@
         }
     }
 }
+
+/// Logs what decided for an engine: loads, what it holds, and how old the knowledge of engines is.
+fn log_send(view: &View, call: &Call, choice: &Choice) {
+    let metadata = &call.metadata;
+    let Choice { engine, candidates, missing_tokens, under_way, prices, .. } = choice;
+    let predecessor = call.predecessor.unwrap_or_default();
+    let ServicePrices { token_ms, request_ms, .. } = prices;
+    log::info!(target: part::ENGINE, "Call {} sent: program={} tenant={} route={} engine={} number={} before={predecessor} avoided={} of={candidates} own={} all={under_way:.0} missing={missing_tokens:.0}/{} token_ms={token_ms:.4} request_ms={request_ms:.2} left={:?} configuration={} engines={}.",
+        metadata.attempt, metadata.program.as_deref().unwrap_or("-"), call.tenant_name(), call.route.name, engine.entry.id, engine.number, call.avoided.len(), engine.under_way(), metadata.prompt_tokens, call.engine_time().unwrap_or_default(), view.configuration.value.version, view.engines.revision);
+}
--- a/crates/gateway/src/edge/tickets.rs
+++ b/crates/gateway/src/edge/tickets.rs
@@ -188,8 +188,8 @@
     async fn write_settled(&self, settled: TurnEntry, ahead: Option<&TurnEntry>) -> Result<BudgetView, TurnError> {
         debug_assert!(settled.used != NOT_SETTLED);
         let turn = settled.turn;
-        let entries = std::iter::once(settled).chain(ahead.cloned()).collect();
-        let written = self.turns.write_all(entries, Instant::now() + SETTLE_TIME).await;
+        let entries: Vec<TurnEntry> = std::iter::once(settled).chain(ahead.cloned()).collect();
+        let written = self.turns.write_all(&entries, Instant::now() + SETTLE_TIME).await;
         if let Err(error) = &written {
             log::warn!(target: part::TURN, "Turn {turn} is not settled and counts at its most: {error}.");
         }
--- a/crates/gateway/src/edge/turn_cache.rs
+++ b/crates/gateway/src/edge/turn_cache.rs
@@ -20,7 +20,7 @@
 }
 
 fn size(record: &TurnRecord) -> usize {
-    record.input.bytes.len() + record.output.bytes.len() + 128
+    record.text_bytes() + 128
 }
 
 impl TurnCache {
--- a/crates/gateway/src/edge/turns.rs
+++ b/crates/gateway/src/edge/turns.rs
@@ -151,9 +151,8 @@
                     return Some(MemberAnswer::NewerSet(news.set));
                 }
                 Ok(RpcBody::OtherSet(_)) => {
-                    let news = SetNews { set: set.clone(), synced: 0 };
-                    // A replica that cannot be told is asked again below.
-                    let _ = self.client.call(&member, RpcBody::AdoptSet(news), left).await;
+                    // A replica that cannot be told is asked again.
+                    self.teach(&member, set, left).await;
                     continue;
                 }
                 Ok(RpcBody::Stored(stored)) if stored.witness.standing == ReplicaStanding::Counts => {
@@ -255,15 +254,15 @@
     ///
     /// # Errors
     /// [`TurnError`].
-    pub async fn write_all(&self, entries: Vec<TurnEntry>, deadline: Instant) -> Result<BudgetView, TurnError> {
-        if let [entry] = entries.as_slice() {
+    pub async fn write_all(&self, entries: &[TurnEntry], deadline: Instant) -> Result<BudgetView, TurnError> {
+        if let [entry] = entries {
             return self.write(entry, deadline).await;
         }
         let request = |member: &ReplicaMember, set_version| {
             let entries = entries.iter().map(|entry| self.as_sent_to(member, entry)).collect();
             RpcBody::StoreEntries(StoreEntries { set_version, entries })
         };
-        self.round(deadline, regions_of(&entries), request).await
+        self.round(deadline, regions_of(entries), request).await
     }
 
     /// An entry as a member gets it: without its text where that may not be kept.
@@ -279,26 +278,17 @@
         self.round(deadline, &[], |_, set_version| RpcBody::ReadProgram(ReadProgram { set_version, program })).await
     }
 
-    /// Writes a turn that ended whole; afterwards it can be continued everywhere.
-    ///
-    /// # Errors
-    /// [`TurnError`]; the turn may then be kept or not.
-    pub async fn keep(&self, entry: &TurnEntry, deadline: Instant) -> Result<(), TurnError> {
-        self.keep_with(vec![entry.clone()], deadline).await.map(drop)
-    }
-
-    /// Writes a turn that ended whole, and with it other entries of its program. Returns the program's books if an entry is
-    /// not settled.
+    /// Writes a turn that ended whole, and with it other entries of its program: afterwards it can be continued everywhere.
+    /// Returns the program's books if an entry is not settled.
     ///
     /// # Errors
     /// [`TurnError`]; the turn may then be kept or not.
     pub async fn keep_with(&self, entries: Vec<TurnEntry>, deadline: Instant) -> Result<BudgetView, TurnError> {
-        let kept: Vec<TurnEntry> = entries.iter().filter(|entry| !entry.record.is_empty()).cloned().collect();
-        let program = self.write_all(entries, deadline).await?;
-        for entry in &kept {
-            self.note_copies(entry);
-            if let Some(record) = entry.record.first() {
-                self.cache_record(entry.turn, Arc::new(record.clone()));
+        let program = self.write_all(&entries, deadline).await?;
+        for entry in entries.into_iter().filter(|entry| !entry.record.is_empty()) {
+            self.note_copies(&entry);
+            if let Some(record) = entry.record.into_iter().next() {
+                self.cache_record(entry.turn, Arc::new(record));
             }
         }
         Ok(program)
--- a/crates/gateway/src/engines/selector.rs
+++ b/crates/gateway/src/engines/selector.rs
@@ -15,6 +15,7 @@
 
 /// Milliseconds of chance, so that gateways do not all choose alike.
 const CHANCE_MS: f64 = 1.0;
+
 /// What is to be placed.
 #[derive(Clone, Copy)]
 pub struct Placement<'a> {
@@ -59,6 +60,8 @@
     pub cost: Cost,
     /// The least cost in this gateway's region, when the engine is in another.
     pub cost_nearby: Option<Cost>,
+    /// What was known of the service's engines when the costs were compared.
+    pub prices: ServicePrices,
 }
 
 /// The engine that probably holds what a request continues: the one that ran the turn before, wherever that entered.
@@ -181,5 +184,6 @@
         way: best.way,
         cost: best.cost,
         cost_nearby: cost_nearby(&offers, best),
+        prices: placement.prices,
     })
 }
--- a/crates/gateway/src/replica/core.rs
+++ b/crates/gateway/src/replica/core.rs
@@ -431,8 +431,7 @@
         for known in request.turns.iter().filter_map(|turn| ledger.entry(*turn)) {
             let may_carry = self.regions.may_hold(request.zone, known.regions());
             let entry = if may_carry { known.clone() } else { known.without_text() };
-            bytes +=
-                entry.record.iter().map(|record| record.input.bytes.len() + record.output.bytes.len()).sum::<usize>();
+            bytes += entry.text_bytes();
             if !entries.is_empty() && bytes > PAGE_BYTES {
                 break;
             }
--- a/crates/gateway/src/replica/process.rs
+++ b/crates/gateway/src/replica/process.rs
@@ -54,10 +54,12 @@
     let cold_leaves = ColdLeaves::new(settings.slow_start.tolerance(), history == History::None);
     let quotas = ReplicaQuotas::new(settings.quota.rules(), settings.policy.admission(), history);
     let kept = Arc::new(KeptView::open(&folder, own));
+    let zone = zone_hash(&settings.zone);
+    let regions = settings.zone_regions();
     let parts = ReplicaParts {
         own,
-        zone: zone_hash(&settings.zone),
-        regions: settings.zone_regions(),
+        zone,
+        regions: regions.clone(),
         clock,
         disk,
         memory_limit,
@@ -69,12 +71,7 @@
     };
     let core = Arc::new(ReplicaCore::new(parts, records));
     identify(&core, settings.first_start).await?;
-    let member = ReplicaMember {
-        node: own,
-        zone: zone_hash(&settings.zone),
-        ip: settings.ip.octets(),
-        port: settings.peer_port,
-    };
+    let member = ReplicaMember { node: own, zone, ip: settings.ip.octets(), port: settings.peer_port };
     let metrics = replica_metrics(&core, &view);
     let store: Arc<dyn MetadataStore> = Arc::new(CountedStore::new(store, metrics.clone()));
     let recovery =
@@ -88,7 +85,7 @@
         own: member,
         name: settings.node.clone(),
         target: settings.set_target(),
-        regions: settings.zone_regions(),
+        regions,
     };
     let steward = Arc::new(Steward::new(parts));
     tokio::spawn(rpc_server::serve(listener, own, core.clone()));
--- a/crates/gateway/tests/support/cluster.rs
+++ b/crates/gateway/tests/support/cluster.rs
@@ -337,7 +337,8 @@
     /// Keeps a turn, trying again until it is kept.
     pub async fn keep(&self, entry: &TurnEntry) {
         let until = Instant::now() + PATIENCE;
-        while let Err(error) = self.keeper.keep(entry, Instant::now() + Duration::from_secs(1)).await {
+        while let Err(error) = self.keeper.keep_with(vec![entry.clone()], Instant::now() + Duration::from_secs(1)).await
+        {
             assert!(Instant::now() < until, "a turn cannot be kept: {error}");
         }
     }
--- a/crates/turns/src/chain.rs
+++ b/crates/turns/src/chain.rs
@@ -63,7 +63,7 @@
 
 /// The body that an engine gets: inputs and outputs of the chain, oldest first, then the new input.
 pub fn compose_body(chain: &[(TurnId, Arc<TurnRecord>)], input: &[u8]) -> Vec<u8> {
-    let length: usize = chain.iter().map(|(_, record)| record.input.bytes.len() + record.output.bytes.len()).sum();
+    let length: usize = chain.iter().map(|(_, record)| record.text_bytes()).sum();
     let mut body = Vec::with_capacity(length + input.len());
     for (_, record) in chain {
         body.extend_from_slice(&record.input.bytes);
--- a/crates/turns/src/ledger.rs
+++ b/crates/turns/src/ledger.rs
@@ -67,7 +67,7 @@
 
     fn merge(&mut self, entry: TurnEntry) {
         let Some(known) = self.entries.get_mut(&entry.turn) else {
-            self.bytes += entry_bytes(&entry);
+            self.bytes += entry.text_bytes();
             self.entries.insert(entry.turn, entry);
             return;
         };
@@ -76,10 +76,10 @@
         known.used = known.used.min(entry.used);
         known.place = known.place.or(entry.place);
         if known.record.is_empty() && !entry.record.is_empty() {
-            self.bytes -= entry_bytes(known);
+            self.bytes -= known.text_bytes();
             known.record = entry.record;
             known.elsewhere = None;
-            self.bytes += entry_bytes(known);
+            self.bytes += known.text_bytes();
         }
         if known.record.is_empty() && known.elsewhere.is_none() {
             known.elsewhere = entry.elsewhere;
@@ -214,7 +214,7 @@
             let Some(kept) = self.programs.remove(program) else { continue };
             for turn in kept.turns {
                 if let Some(entry) = self.entries.remove(&turn) {
-                    self.bytes -= entry_bytes(&entry);
+                    self.bytes -= entry.text_bytes();
                 }
             }
         }
@@ -245,7 +245,3 @@
         (true, None) => RECORD_UNKNOWN,
     }
 }
-
-fn entry_bytes(entry: &TurnEntry) -> usize {
-    entry.record.iter().map(|record| record.input.bytes.len() + record.output.bytes.len()).sum()
-}
--- a/crates/wire/src/turns.rs
+++ b/crates/wire/src/turns.rs
@@ -155,7 +155,19 @@
     pub record: Vec<TurnRecord>,
 }
 
+impl TurnRecord {
+    /// Bytes of its input and output.
+    pub fn text_bytes(&self) -> usize {
+        self.input.bytes.len() + self.output.bytes.len()
+    }
+}
+
 impl TurnEntry {
+    /// Bytes of text in its record.
+    pub fn text_bytes(&self) -> usize {
+        self.record.iter().map(TurnRecord::text_bytes).sum()
+    }
+
     /// Tokens that count against the budget.
     pub fn charge(&self) -> u32 {
         if self.used == NOT_SETTLED {
