Tests of engines that are gone while nobody unlists them: they fail

A gateway counts the slots of all listed engines when it lets programs in, and tries gone engines again with callers' requests. Ruled out: that the stand-ins are at fault; the engine that is left answers, refused connections go on to it at once.

--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -1,6 +1,7 @@
 //! Engines as a stand-in: what they answer is set by the test, what they got is kept.
 
 use bytes::Bytes;
+use socket2::{Domain, Socket, Type};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -35,6 +36,8 @@
 pub enum Behaviour {
     /// 200 with this body.
     Answer(&'static str),
+    /// The same after a while.
+    AnswerAfter(Duration, &'static str),
     /// 200 with these events, in chunks.
     Stream(Vec<&'static str>),
     /// Some events, then the connection breaks.
@@ -176,6 +179,10 @@
         format!("HTTP/1.1 200 OK\r\n{signed}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n");
     let bytes = match behaviour {
         Behaviour::Answer(body) => whole("200 OK", &signed, body),
+        Behaviour::AnswerAfter(time, body) => {
+            tokio::time::sleep(time).await;
+            whole("200 OK", &signed, body)
+        }
         Behaviour::Stream(events) => {
             let chunks: String = events.iter().map(|event| chunk(event)).collect();
             Bytes::from(format!("{streamed}{chunks}0\r\n\r\n"))
@@ -216,3 +223,29 @@
 
 /// Time within which a closed connection is noticed.
 pub const CLOSE_TIME: Duration = Duration::from_secs(5);
+
+/// An address at which nothing answers: connections to it neither come up nor are refused.
+pub struct SilentAddress {
+    /// The address.
+    pub address: SocketAddr,
+    _listener: Socket,
+    _waiting: Vec<TcpStream>,
+}
+
+/// Time after which a connection that does not come up shows that the queue is full.
+const QUEUE_IS_FULL: Duration = Duration::from_millis(150);
+
+impl SilentAddress {
+    /// Takes an address and fills its queue of new connections, which nobody empties.
+    pub async fn take() -> Self {
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket can be had");
+        listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("an address can be had");
+        listener.listen(0).expect("it can listen");
+        let address = listener.local_addr().ok().and_then(|address| address.as_socket()).expect("it is bound");
+        let mut waiting = Vec::new();
+        while let Ok(Ok(stream)) = tokio::time::timeout(QUEUE_IS_FULL, TcpStream::connect(address)).await {
+            waiting.push(stream);
+        }
+        Self { address, _listener: listener, _waiting: waiting }
+    }
+}
