--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -29,7 +29,6 @@
 use crate::ports::configuration::{Route, RouteKind};
 use crate::ports::dialect::{CallMetadata, Dialect};
 use bytes::Bytes;
-use foxnotch_scheduler::admission::{self, ServiceLoad};
 use foxnotch_scheduler::places::Places;
 use foxnotch_scheduler::quota::Standing;
 use foxnotch_scheduler::tenants::Tenant;
@@ -42,8 +41,8 @@
 
 /// The longest wait for a first configuration.
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(150);
-/// Pause before other engines are tried when some have refused.
-const ROOM_PAUSE: Duration = Duration::from_millis(15);
+/// Time between two looks for a first configuration.
+const CONFIGURATION_PERIOD: Duration = Duration::from_millis(15);
 /// Engines that may refuse a request for lack of room one after the other: asking all others only adds to their work.
 const REFUSALS_BEFORE_PAUSE: u32 = 3;
 /// The same for the first request of a program.
@@ -175,7 +174,7 @@
             if Instant::now() >= until {
                 return Err(Refusal::NoConfiguration);
             }
-            tokio::time::sleep(ROOM_PAUSE).await;
+            tokio::time::sleep(CONFIGURATION_PERIOD).await;
         }
     }
 
@@ -313,83 +312,6 @@
         }
     }
 
-    /// Waits before engines are tried again that had no room.
-    ///
-    /// # Errors
-    /// The refusal, when no more time is left for that, or engines have refused the first request of a program.
-    async fn wait_for_room(&self, call: &Call, tries: &mut Tries) -> Result<(), Refusal> {
-        let is_refused_as_new = call.standing == Standing::New && tries.is_refused();
-        let pause = tries.pause_after_refusals(ROOM_PAUSE);
-        if is_refused_as_new || Instant::now() + pause > call.place_deadline() {
-            let no_room = if self.reachable_candidates(call).is_empty() {
-                Refusal::NoEngineReachable
-            } else {
-                Refusal::NoRoom(admission::come_back(rand::random()))
-            };
-            return Err(if tries.may_have_run() { lost("no other engine has room") } else { no_room });
-        }
-        tokio::time::sleep(pause).await;
-        Ok(())
-    }
-
-    /// Refuses the first turn of a program while the engines are full.
-    ///
-    /// # Errors
-    /// [`Refusal::NoRoom`], [`Refusal::NoEngineReachable`], [`Refusal::ZonesDrained`].
-    pub fn check_room(&self, call: &Call) -> Result<(), Refusal> {
-        if call.standing == Standing::UnderWay || !self.policy.admission_by_load {
-            return Ok(());
-        }
-        self.check_engines(call)?;
-        let candidates = self.reachable_candidates(call);
-        let loads = self.loads_of_others(&candidates);
-        let mut load = ServiceLoad::default();
-        for engine in &candidates {
-            load.under_way += f64::from(engine.under_way()) + loads.under_way(engine.number);
-            load.slots += f64::from(engine.entry.slots);
-        }
-        if admission::may_begin(call.standing, load, rand::random()) {
-            return Ok(());
-        }
-        let come_back = admission::come_back(rand::random());
-        log::info!(target: part::CALL, "Call {} may not begin: program={} service={} under_way={:.0} slots={:.0} come_back={come_back:?}.", call.metadata.attempt, call.metadata.program.as_deref().unwrap_or("-"), call.service, load.under_way, load.slots);
-        Err(Refusal::NoRoom(come_back))
-    }
-
-    /// The engines that a call may go to.
-    pub(super) fn candidates(&self, call: &Call) -> Vec<Arc<Engine>> {
-        let drains = self.drains_for(call);
-        let mut candidates = self.engines.candidates(&call.service);
-        candidates
-            .retain(|engine| drains.allow(engine) && call.residency.allows_zone(&self.places, &engine.entry.zone));
-        candidates
-    }
-
-    /// Those of them that can be reached. The list may name engines that have gone, for as long as the platform's store is away: as
-    /// candidates they cost callers half a second each, and with their slots counted as room a fleet with 18 of 45 engines let in
-    /// more than three programs' turns for each slot and served 12 of 100 programs in time.
-    fn reachable_candidates(&self, call: &Call) -> Vec<Arc<Engine>> {
-        let mut candidates = self.candidates(call);
-        candidates.retain(|engine| engine.reachability.is_reachable());
-        candidates
-    }
-
-    /// Refuses a call that no engine can serve now. Only a call of a program under way waits for one that cannot be reached: all
-    /// that the program has done is lost with it.
-    ///
-    /// # Errors
-    /// [`Refusal::NoEngineReachable`], [`Refusal::ZonesDrained`].
-    fn check_engines(&self, call: &Call) -> Result<(), Refusal> {
-        let candidates = self.candidates(call);
-        self.check_zones(call, &candidates)?;
-        let is_any_reachable = candidates.iter().any(|engine| engine.reachability.is_reachable());
-        if call.standing == Standing::UnderWay || candidates.is_empty() || is_any_reachable {
-            return Ok(());
-        }
-        log::info!(target: part::CALL, "Call {} has no engine that can be reached: service={} unreachable={}.", call.metadata.attempt, call.service, candidates.len());
-        Err(Refusal::NoEngineReachable)
-    }
-
     /// The engine that will answer soonest, of those that are not passed over.
     fn choose_engine(&self, call: &Call, body: &Bytes, tries: &Tries) -> Option<Choice> {
         let candidates = self.reachable_candidates(call);
@@ -413,7 +335,7 @@
     }
 
     /// What other gateways have under way at these engines.
-    fn loads_of_others(&self, candidates: &[Arc<Engine>]) -> LoadEstimate {
+    pub(super) fn loads_of_others(&self, candidates: &[Arc<Engine>]) -> LoadEstimate {
         if !self.policy.shared_loads {
             return LoadEstimate::default();
         }
@@ -459,7 +381,7 @@
     }
 }
 
-fn lost(problem: &str) -> Refusal {
+pub(super) fn lost(problem: &str) -> Refusal {
     Refusal::MayHaveRun(problem.to_owned())
 }
 
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -12,6 +12,7 @@
 pub mod quotas;
 pub mod refusal;
 pub mod residency;
+pub mod room;
 pub mod routes;
 mod send_log;
 pub mod slow_start;
--- /dev/null
+++ b/crates/gateway/src/edge/room.rs
@@ -0,0 +1,99 @@
+//! Which engines a call may go to, and whether there is room for it.
+
+use crate::edge::call::Call;
+use crate::edge::handler::{lost, Gateway};
+use crate::edge::refusal::Refusal;
+use crate::edge::tries::Tries;
+use crate::engines::engine::Engine;
+use crate::logging::part;
+use foxnotch_scheduler::admission::{self, ServiceLoad};
+use foxnotch_scheduler::quota::Standing;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Pause before other engines are tried when some have refused.
+const ROOM_PAUSE: Duration = Duration::from_millis(15);
+
+impl Gateway {
+    /// Waits before engines are tried again that had no room.
+    ///
+    /// # Errors
+    /// The refusal, when no more time is left for that, or engines have refused the first request of a program.
+    pub(super) async fn wait_for_room(&self, call: &Call, tries: &mut Tries) -> Result<(), Refusal> {
+        let is_refused_as_new = call.standing == Standing::New && tries.is_refused();
+        let pause = tries.pause_after_refusals(ROOM_PAUSE);
+        if is_refused_as_new || Instant::now() + pause > call.place_deadline() {
+            let no_room = if self.reachable_candidates(call).is_empty() {
+                Refusal::NoEngineReachable
+            } else {
+                Refusal::NoRoom(admission::come_back(rand::random()))
+            };
+            return Err(if tries.may_have_run() { lost("no other engine has room") } else { no_room });
+        }
+        tokio::time::sleep(pause).await;
+        Ok(())
+    }
+
+    /// Refuses the first turn of a program while the engines are full.
+    ///
+    /// # Errors
+    /// [`Refusal::NoRoom`], [`Refusal::NoEngineReachable`], [`Refusal::ZonesDrained`].
+    pub fn check_room(&self, call: &Call) -> Result<(), Refusal> {
+        if call.standing == Standing::UnderWay || !self.policy.admission_by_load {
+            return Ok(());
+        }
+        self.check_engines(call)?;
+        let load = self.load_of(&self.reachable_candidates(call));
+        if admission::may_begin(call.standing, load, rand::random()) {
+            return Ok(());
+        }
+        let come_back = admission::come_back(rand::random());
+        log::info!(target: part::CALL, "Call {} may not begin: program={} service={} under_way={:.0} slots={:.0} come_back={come_back:?}.", call.metadata.attempt, call.metadata.program.as_deref().unwrap_or("-"), call.service, load.under_way, load.slots);
+        Err(Refusal::NoRoom(come_back))
+    }
+
+    /// The engines that a call may go to.
+    pub(super) fn candidates(&self, call: &Call) -> Vec<Arc<Engine>> {
+        let drains = self.drains_for(call);
+        let mut candidates = self.engines.candidates(&call.service);
+        candidates
+            .retain(|engine| drains.allow(engine) && call.residency.allows_zone(&self.places, &engine.entry.zone));
+        candidates
+    }
+
+    /// Those of them that can be reached. The list may name engines that have gone, for as long as the platform's store is away: as
+    /// candidates they cost callers half a second each, and with their slots counted as room a fleet with 18 of 45 engines let in
+    /// more than three programs' turns for each slot and served 12 of 100 programs in time.
+    pub(super) fn reachable_candidates(&self, call: &Call) -> Vec<Arc<Engine>> {
+        let mut candidates = self.candidates(call);
+        candidates.retain(|engine| engine.reachability.is_reachable());
+        candidates
+    }
+
+    /// Refuses a call that no engine can serve now. Only a call of a program under way waits for one that cannot be reached: all
+    /// that the program has done is lost with it.
+    ///
+    /// # Errors
+    /// [`Refusal::NoEngineReachable`], [`Refusal::ZonesDrained`].
+    pub(super) fn check_engines(&self, call: &Call) -> Result<(), Refusal> {
+        let candidates = self.candidates(call);
+        self.check_zones(call, &candidates)?;
+        let is_any_reachable = candidates.iter().any(|engine| engine.reachability.is_reachable());
+        if call.standing == Standing::UnderWay || candidates.is_empty() || is_any_reachable {
+            return Ok(());
+        }
+        log::info!(target: part::CALL, "Call {} has no engine that can be reached: service={} unreachable={}.", call.metadata.attempt, call.service, candidates.len());
+        Err(Refusal::NoEngineReachable)
+    }
+
+    /// How loaded these engines are, as far as this gateway can tell.
+    fn load_of(&self, engines: &[Arc<Engine>]) -> ServiceLoad {
+        let loads = self.loads_of_others(engines);
+        let mut load = ServiceLoad::default();
+        for engine in engines {
+            load.under_way += f64::from(engine.under_way()) + loads.under_way(engine.number);
+            load.slots += f64::from(engine.entry.slots);
+        }
+        load
+    }
+}
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -7,7 +7,7 @@
 use deku::prelude::*;
 
 /// The version of the protocol; raised whenever a message changes.
-pub const PROTOCOL_VERSION: u8 = 8;
+pub const PROTOCOL_VERSION: u8 = 9;
 /// The longest coded message, in bytes.
 pub const MAXIMUM_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
 
