Test of a replica set of three that bears two losses: it fails

Cause: refill_quorum asks for members - majority + 1 complete members, while a write is acknowledged by max(majority, losses + 1) of them. A set of three with two losses to be borne is on all three; when two disks are lost the one that is left is not enough to refill from, for good.

Ruled out: that something acknowledged was lost (the third member is complete and synced); that the store or engines were away.

--- /dev/null
+++ b/crates/gateway/tests/small_set_tests.rs
@@ -0,0 +1,40 @@
+//! A replica set that has become as small as it may is refilled from what is left of it.
+//!
+//! Symptom: after a loss of all power, with as many disks lost as the deployment has to bear, no turn was served for the 19 s that
+//! the store, the engines and all machines were back: "0 of 145 requests". Sequence: two of five members were cut off shortly
+//! before and taken out of the set one after the other, so that it had three members, of which two lost their disks. Cause: an
+//! empty replica waited to hear of as many complete members as it takes where a majority acknowledges writes; where two losses
+//! have to be borne, all three members of such a set acknowledge each write, so the one that was left held everything. What settled it:
+//! "A step waits: too few complete replicas were heard (1)" at both that had lost their disks, to the end, beside "Synced to replica
+//! set 13" at the third one a moment before the power went.
+
+mod support;
+
+use std::time::{Duration, Instant};
+use support::cluster::{turn, Cluster};
+
+/// The time to serve again that deployments allow is 12 s and more.
+const RECOVERY_TIME: Duration = Duration::from_secs(10);
+
+/// Three members, two losses to be borne. All go down, two disks are lost; what was kept is there again and new turns are kept.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_set_of_three_that_bears_two_losses_is_refilled_from_the_one_that_is_left() {
+    let mut cluster = Cluster::start_tolerating(84, 3, 2).await;
+    cluster.wait_until_synced(&[1, 2, 3]).await;
+    cluster.keep(&turn(1, 0, "first")).await;
+    cluster.keep(&turn(2, 1, "second")).await;
+    cluster.store.fall_silent();
+    cluster.wipe(1);
+    cluster.wipe(2);
+    cluster.kill(3);
+    for number in 1..=3 {
+        cluster.start_replica(number, false);
+    }
+    let begun_at = Instant::now();
+    for number in 1..=3 {
+        cluster.wait_until_complete(number).await;
+    }
+    assert_eq!(cluster.inputs(2).await, ["first", "second"]);
+    cluster.keep(&turn(3, 2, "third")).await;
+    assert!(begun_at.elapsed() < RECOVERY_TIME, "it took {:?}", begun_at.elapsed());
+}
--- a/crates/gateway/tests/support/cluster.rs
+++ b/crates/gateway/tests/support/cluster.rs
@@ -72,6 +72,8 @@
     folder: TempDir,
     set_size: Option<usize>,
     zones: Zones,
+    /// Machines that may be lost at once.
+    losses: usize,
     running: BTreeMap<u8, RunningReplica>,
 }
 
@@ -135,6 +137,17 @@
 
     /// The same, with the nodes in several zones.
     pub fn begin_in(net: u8, replicas: u8, set_size: Option<usize>, zones: Zones) -> Self {
+        Self::begin_tolerating(net, replicas, set_size, zones, 1)
+    }
+
+    /// A deployment in one zone that starts for the first time and has to bear the loss of so many machines at once.
+    pub async fn start_tolerating(net: u8, replicas: u8, losses: usize) -> Self {
+        let cluster = Self::begin_tolerating(net, replicas, Some(usize::from(replicas)), ONE_ZONE, losses);
+        cluster.wait_for_members(&(1..=replicas).collect::<Vec<_>>()).await;
+        cluster
+    }
+
+    fn begin_tolerating(net: u8, replicas: u8, set_size: Option<usize>, zones: Zones, losses: usize) -> Self {
         if std::env::var_os("SHOW_LOGS").is_some() {
             // Only the first cluster of a process starts the logs.
             let _ = foxnotch_gateway::logging::start("info");
@@ -148,10 +161,11 @@
             view.clone(),
             cache,
             zone_hash("a"),
-            Tolerance { machines: 1, zones: 0 },
+            Tolerance { machines: losses, zones: 0 },
         ));
         let folder = TempDir::new().expect("a folder can be made");
-        let mut cluster = Self { store, keeper, view, client, net, folder, set_size, zones, running: BTreeMap::new() };
+        let mut cluster =
+            Self { store, keeper, view, client, net, folder, set_size, zones, losses, running: BTreeMap::new() };
         for number in 1..=replicas {
             cluster.start_replica(number, true);
         }
@@ -200,7 +214,7 @@
             data_folder: Some(self.data_folder(number)),
             log_level: "info".to_owned(),
             quota: Default::default(),
-            tolerance: ToleranceSettings { machines: 1, zones: 0 },
+            tolerance: ToleranceSettings { machines: self.losses, zones: 0 },
             regions: self.zones.regions(),
             slow_start: foxnotch_gateway::settings::SlowStartSettings::default(),
             distance: foxnotch_gateway::settings::DistanceSettings::default(),
