A small replica set is refilled from what is left of it

Cause: refill_quorum was members - majority + 1, while a write is acknowledged by max(majority, losses + 1) members. A set of three that bears two losses waited for a second complete member that had lost its disk too, for good.

Ruled out: to forbid sets below 2 x losses + 1. A member that is dead has to go before its successor joins, so the set is smaller for a while whatever is done; and with the rule of writes nothing is lost then.

Change: refill_quorum(members, losses) = members + 1 - write_quorum; covers_previous likewise, for members that are synced to the version before, or as many as meet every majority. Joining keeps the majority.

--- a/crates/gateway/src/replica/steward/filling.rs
+++ b/crates/gateway/src/replica/steward/filling.rs
@@ -3,8 +3,8 @@
 use super::{StepError, Steward};
 use crate::logging::part;
 use crate::replica::sync::{pull_all, Heard};
-use foxnotch_turns::replica_set;
-use foxnotch_wire::{NodeId, ReplicaMember, ReplicaSet};
+use foxnotch_turns::replica_set::{self, SyncedMember};
+use foxnotch_wire::{ReplicaMember, ReplicaSet};
 
 impl Steward {
     /// Fills an empty replica. Whether or not it is a member, it counts for nothing before.
@@ -12,11 +12,10 @@
         let heard = pull_all(&self.core, &self.client, set, &self.own).await;
         self.check_current(set)?;
         let counted = complete_members(&heard, &set.members);
-        let before = complete_members(&heard, &set.previous);
-        let earlier = set.previous.is_empty()
-            || is_any_synced(&heard, set)
-            || before >= replica_set::refill_quorum(set.previous.len());
-        if counted < replica_set::refill_quorum(set.members.len()) || !earlier {
+        let losses = self.target.tolerance.losses(&set.members);
+        let holds_earlier = is_any_synced(&heard, set) || self.covers_previous(set, &complete(&heard));
+        // What has to be borne may leave less than a majority of a set that has become small: of three members one, which holds all.
+        if counted < replica_set::refill_quorum(set.members.len(), losses) || !holds_earlier {
             return Err(StepError::TooFewHeard(counted));
         }
         self.check_texts(set, &heard)?;
@@ -35,12 +34,18 @@
         Ok(true)
     }
 
-    /// Pulls what a majority of the version before holds.
+    fn covers_previous(&self, set: &ReplicaSet, known: &[SyncedMember]) -> bool {
+        replica_set::covers_previous(set, self.target.tolerance.losses(&set.previous), known)
+    }
+
+    /// Pulls all that was acknowledged under the version before.
     pub(super) async fn sync(&self, set: &ReplicaSet) -> Result<bool, StepError> {
         let heard = pull_all(&self.core, &self.client, set, &self.own).await;
         self.check_current(set)?;
-        let complete: Vec<NodeId> = heard.iter().filter(|heard| heard.complete).map(|heard| heard.node).collect();
-        if !is_any_synced(&heard, set) && !replica_set::covers_previous(set, self.own.node, &complete) {
+        let complete = complete(&heard);
+        let own = SyncedMember { node: self.own.node, synced: self.core.state().synced };
+        let known: Vec<SyncedMember> = complete.iter().copied().chain([own]).collect();
+        if !is_any_synced(&heard, set) && !self.covers_previous(set, &known) {
             return Err(StepError::TooFewHeard(complete.len()));
         }
         self.check_texts(set, &heard)?;
@@ -86,6 +91,12 @@
     heard.iter().any(|heard| heard.complete && heard.synced == set.version)
 }
 
+/// The complete replicas that were heard.
+fn complete(heard: &[Heard]) -> Vec<SyncedMember> {
+    let complete = heard.iter().filter(|heard| heard.complete);
+    complete.map(|heard| SyncedMember { node: heard.node, synced: heard.synced }).collect()
+}
+
 /// How many of these members are complete and were heard.
 pub(super) fn complete_members(heard: &[Heard], members: &[ReplicaMember]) -> usize {
     let is_complete = |member: &&ReplicaMember| heard.iter().any(|heard| heard.complete && heard.node == member.node);
--- a/crates/gateway/src/replica/steward/joining.rs
+++ b/crates/gateway/src/replica/steward/joining.rs
@@ -84,7 +84,7 @@
         self.check_current(set)?;
         let counted = complete_members(&heard, &set.members);
         let own = usize::from(replica_set::contains(set, self.own.node));
-        if counted + own < replica_set::refill_quorum(set.members.len()) {
+        if counted + own < replica_set::majority_meeting(set.members.len()) {
             return Err(StepError::TooFewHeard(counted));
         }
         if let Some(lost) = self.lost_of_two(set) {
--- a/crates/gateway/tests/small_set_tests.rs
+++ b/crates/gateway/tests/small_set_tests.rs
@@ -10,6 +10,8 @@
 
 mod support;
 
+use foxnotch_turns::replica_set::{denial_quorum, refill_quorum, write_quorum};
+use rstest::rstest;
 use std::time::{Duration, Instant};
 use support::cluster::{turn, Cluster};
 
@@ -38,3 +40,19 @@
     cluster.keep(&turn(3, 2, "third")).await;
     assert!(begun_at.elapsed() < RECOVERY_TIME, "it took {:?}", begun_at.elapsed());
 }
+
+/// Whatever set may be there and whatever losses it has to bear: the members that are left after them are enough to refill the others,
+/// and any of those that are heard for it holds each acknowledged write at least once.
+#[rstest]
+fn what_is_left_after_the_losses_is_enough_and_holds_everything(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11)] members: usize,
+    #[values(0, 1, 2, 3, 4, 5)] losses: usize,
+) {
+    if members <= losses {
+        return;
+    }
+    let heard = refill_quorum(members, losses);
+    assert!(heard >= 1 && heard <= members - losses, "{heard} of {members}");
+    assert!(heard + write_quorum(members, losses) > members, "a write may be on none of {heard} of {members}");
+    assert!(heard <= denial_quorum(members, losses));
+}
--- a/crates/turns/src/replica_set.rs
+++ b/crates/turns/src/replica_set.rs
@@ -89,9 +89,16 @@
     of_this_version.max(majority(members))
 }
 
-/// How many other replicas an empty one has to hear before it counts.
-pub fn refill_quorum(members: usize) -> usize {
-    members - (members / 2 + 1) + 1
+/// How many complete members an empty replica has to hear of a set before it holds all that was acknowledged under it: each write is
+/// on [`write_quorum`] members, of which any so many hold one at least. What is left after `losses` disks are lost is enough
+/// in any set that has more members than that.
+pub fn refill_quorum(members: usize, losses: usize) -> usize {
+    (members + 1).saturating_sub(write_quorum(members, losses)).max(1)
+}
+
+/// How many members meet every majority.
+pub fn majority_meeting(members: usize) -> usize {
+    members - majority(members) + 1
 }
 
 /// A plain majority.
@@ -146,12 +153,27 @@
     count >= majority(set.members.len())
 }
 
-/// Whether the members in `heard`, and the node itself, meet every majority of the version before: what they hold is all
-/// that was acknowledged under it. Since they know the new version, no majority of the old one is left for a late write.
-pub fn covers_previous(set: &ReplicaSet, own: NodeId, heard: &[NodeId]) -> bool {
+/// A complete member, and the version that it is synced to: it holds all that was acknowledged under earlier ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SyncedMember {
+    /// The member.
+    pub node: NodeId,
+    /// The version.
+    pub synced: u64,
+}
+
+/// Whether these complete members, which all know `set`, hold together all that was acknowledged under the version before it and
+/// under earlier ones. `losses` are those that the version before had to bear.
+///
+/// Since they know the new version, too few members of the old one are left for a late write.
+pub fn covers_previous(set: &ReplicaSet, losses: usize, known: &[SyncedMember]) -> bool {
     if set.previous.is_empty() {
         return true;
     }
-    let known = |member: &&ReplicaMember| member.node == own || heard.contains(&member.node);
-    set.previous.iter().filter(known).count() >= refill_quorum(set.previous.len())
+    let is_of_previous = |known: &&SyncedMember| set.previous.iter().any(|member| member.node == known.node);
+    let of_previous: Vec<&SyncedMember> = known.iter().filter(is_of_previous).collect();
+    // The version before came into being only once a majority was synced to it.
+    let holds_earlier = of_previous.iter().any(|member| member.synced + 1 >= set.version)
+        || of_previous.len() >= majority_meeting(set.previous.len());
+    holds_earlier && of_previous.len() >= refill_quorum(set.previous.len(), losses)
 }
--- a/crates/turns/tests/quorum_tests.rs
+++ b/crates/turns/tests/quorum_tests.rs
@@ -2,10 +2,11 @@
 
 use foxnotch_turns::quorum::Tally;
 use foxnotch_turns::replica_set::{
-    contains, covers_previous, denial_quorum, founding, majority, may_follow, refill_quorum, with_member,
-    with_replacement, without_member, write_quorum, Tolerance,
+    contains, covers_previous, denial_quorum, founding, majority, majority_meeting, may_follow, refill_quorum,
+    with_member, with_replacement, without_member, write_quorum, SyncedMember, Tolerance,
 };
 use foxnotch_wire::{DiskIdentity, NodeId, ReplicaMember, ReplicaStanding, Witness};
+use proptest::prelude::*;
 use rstest::rstest;
 
 fn witness(node: u32, disk: u64, others: &[(u32, u64)]) -> Witness {
@@ -60,7 +61,7 @@
 fn a_refill_meets_what_a_loss_has_left(#[values(3, 4, 5, 6, 8, 11)] members: usize, #[values(1, 2)] losses: usize) {
     let copies_left = write_quorum(members, losses) - losses;
     let others_left = members - losses;
-    let unheard = others_left.saturating_sub(refill_quorum(members));
+    let unheard = others_left.saturating_sub(refill_quorum(members, losses));
     assert!(copies_left > unheard, "{copies_left} copies, {unheard} not heard");
 }
 
@@ -87,7 +88,7 @@
 fn whoever_refills_meets_every_majority_of_the_others(#[values(2, 3, 4, 5, 6, 7, 9)] members: usize) {
     let others = members - 1;
     let copies_without_the_lost_disk = majority(members) - 1;
-    assert!(refill_quorum(members) + copies_without_the_lost_disk > others);
+    assert!(majority_meeting(members) + copies_without_the_lost_disk > others);
 }
 
 #[test]
@@ -137,19 +138,79 @@
     assert!(may_follow(&set, &[NodeId(1), NodeId(3)]));
 }
 
+/// Members that are synced to none of the versions in question.
+fn unsynced(nodes: &[u32]) -> Vec<SyncedMember> {
+    nodes.iter().map(|node| SyncedMember { node: NodeId(*node), synced: 0 }).collect()
+}
+
 #[test]
 fn a_sync_meets_every_majority_of_the_version_before() {
     let three = with_member(&with_member(&founding(member(1)), member(2)), member(3));
     let four = with_member(&three, member(4));
-    assert!(!covers_previous(&four, NodeId(4), &[NodeId(1)]));
-    assert!(covers_previous(&four, NodeId(4), &[NodeId(1), NodeId(2)]));
-    assert!(covers_previous(&four, NodeId(3), &[NodeId(1)]));
+    assert!(!covers_previous(&four, 1, &unsynced(&[4, 1])));
+    assert!(covers_previous(&four, 1, &unsynced(&[4, 1, 2])));
+    assert!(covers_previous(&four, 1, &unsynced(&[3, 1])));
     // Of two, each holds all that was acknowledged: the loss of one must not stop the sync for good.
     let two = with_member(&founding(member(1)), member(2));
     let grown = with_member(&two, member(3));
-    assert!(covers_previous(&grown, NodeId(3), &[NodeId(1)]));
-    assert!(covers_previous(&grown, NodeId(1), &[]));
-    assert!(!covers_previous(&grown, NodeId(3), &[]));
+    assert!(covers_previous(&grown, 1, &unsynced(&[3, 1])));
+    assert!(covers_previous(&grown, 1, &unsynced(&[1])));
+    assert!(!covers_previous(&grown, 1, &unsynced(&[3])));
+}
+
+/// Of three that bore two losses each holds all that was acknowledged under their version, and those that are synced to it all from
+/// before. Two disks are lost just after a fourth member has joined: the third one must not wait for them for good.
+#[test]
+fn one_of_a_set_of_three_that_bears_two_losses_is_enough_when_it_is_synced() {
+    let three = with_member(&with_member(&founding(member(1)), member(2)), member(3));
+    let four = with_member(&three, member(4));
+    let synced = SyncedMember { node: NodeId(1), synced: three.version };
+    let joined = SyncedMember { node: NodeId(4), synced: 0 };
+    assert!(covers_previous(&four, 2, &[synced, joined]));
+    assert!(!covers_previous(&four, 2, &unsynced(&[1, 4])));
+    assert!(!covers_previous(&four, 1, &[synced, joined]), "two acknowledge a write there, which may be the others");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 4000, rng_seed: proptest::test_runner::RngSeed::Fixed(31), ..ProptestConfig::default() })]
+
+    /// A write of the version before is on a quorum of its members, and what was acknowledged earlier is at least on those that
+    /// were synced to it, a majority. Whoever covers the version before holds both.
+    #[test]
+    fn whoever_covers_the_version_before_holds_all_that_was_acknowledged(
+        members in 1_usize..8,
+        losses in 0_usize..4,
+        order_of_writes in Just((0..8_u32).collect::<Vec<_>>()).prop_shuffle(),
+        order_of_syncs in Just((0..8_u32).collect::<Vec<_>>()).prop_shuffle(),
+        known in any::<u8>(),
+    ) {
+        let quorum = write_quorum(members, losses);
+        if quorum > members {
+            // Nothing is acknowledged there.
+            return Ok(());
+        }
+        let mut before = founding(member(0));
+        for node in 1..members as u32 {
+            before = with_member(&before, member(node));
+        }
+        let set = with_member(&before, member(50));
+        let is_member = |node: &&u32| **node < members as u32;
+        let written: Vec<u32> = order_of_writes.iter().filter(is_member).take(quorum).copied().collect();
+        let synced: Vec<u32> = order_of_syncs.iter().filter(is_member).take(majority(members)).copied().collect();
+        let known: Vec<u32> = (0..members as u32).filter(|node| known >> node & 1 == 1).collect();
+        let told: Vec<SyncedMember> = known
+            .iter()
+            .map(|node| SyncedMember { node: NodeId(*node), synced: if synced.contains(node) { before.version } else { 0 } })
+            .collect();
+        if covers_previous(&set, losses, &told) {
+            prop_assert!(known.iter().any(|node| written.contains(node)), "a write is not held");
+            prop_assert!(known.iter().any(|node| synced.contains(node)), "what was acknowledged earlier is not held");
+        }
+        let left = members - losses.min(members);
+        if known.len() >= left && known.iter().any(|node| synced.contains(node)) {
+            prop_assert!(covers_previous(&set, losses, &told), "what is left after the losses is not enough");
+        }
+    }
 }
 
 #[test]
--- a/crates/turns/tests/record_quorum_tests.rs
+++ b/crates/turns/tests/record_quorum_tests.rs
@@ -145,7 +145,7 @@
         }
         let complete = heard.iter().filter(|number| self.replicas[**number].is_complete).count();
         let is_lacking = self.replicas[index].ledger.lacking_texts() > 0;
-        if complete >= refill_quorum(self.replicas.len()) && (!is_lacking || heard.len() == up.len()) {
+        if complete >= refill_quorum(self.replicas.len(), self.losses) && (!is_lacking || heard.len() == up.len()) {
             self.replicas[index].is_complete = true;
         }
     }
