A refill from less than a majority wants the set's version confirmed

Cause, by reading the change before: one member of three may be enough to refill from, but it may have missed a newer version of the set under which others hold what was acknowledged. With a majority heard that cannot be.

Change: below a majority the platform's store has to say that the version is the newest, or, while it does not answer, each replica that any of those heard has ever met (their disks are noted) has to answer and know no newer one. Answers to a refill name all that were met, not members alone.

Test: one_that_is_left_is_not_enough_while_nobody_can_tell_that_its_set_is_the_newest; with the guard taken out it fails ('replica 1 counts'), with it it passes.

--- a/crates/gateway/src/replica/core.rs
+++ b/crates/gateway/src/replica/core.rs
@@ -420,8 +420,13 @@
         self.adopt_set(&request.set, Origin::Peer).await;
         let news = self.set_news();
         let marks = lock(&self.ledger).marks();
-        let complete = lock(&self.state).complete;
-        RpcBody::Marks(Marks { witness: self.witness(), set: news.set, synced: news.synced, complete, marks })
+        let (complete, others) = {
+            let state = lock(&self.state);
+            (state.complete, state.peers.clone())
+        };
+        // Whoever is refilled has to know of all that this replica has met, not of members alone.
+        let witness = Witness { others, ..self.witness() };
+        RpcBody::Marks(Marks { witness, set: news.set, synced: news.synced, complete, marks })
     }
 
     fn on_fetch(&self, request: &FetchEntries) -> RpcBody {
--- a/crates/gateway/src/replica/steward/filling.rs
+++ b/crates/gateway/src/replica/steward/filling.rs
@@ -2,9 +2,14 @@
 
 use super::{StepError, Steward};
 use crate::logging::part;
+use crate::peers::view::Origin;
 use crate::replica::sync::{pull_all, Heard};
 use foxnotch_turns::replica_set::{self, SyncedMember};
-use foxnotch_wire::{ReplicaMember, ReplicaSet};
+use foxnotch_wire::{NodeId, ReplicaMember, ReplicaSet};
+use std::time::Duration;
+
+/// Time for the platform's store to tell the set: far more than an answer takes, and little beside the time that a refill may take.
+const STORE_TIME: Duration = Duration::from_millis(500);
 
 impl Steward {
     /// Fills an empty replica. Whether or not it is a member, it counts for nothing before.
@@ -18,6 +23,9 @@
         if counted < replica_set::refill_quorum(set.members.len(), losses) || !holds_earlier {
             return Err(StepError::TooFewHeard(counted));
         }
+        if counted < replica_set::majority_meeting(set.members.len()) {
+            self.check_newest(set, &heard).await?;
+        }
         self.check_texts(set, &heard)?;
         let version = set.version;
         let is_member = replica_set::contains(set, self.own.node);
@@ -34,6 +42,22 @@
         Ok(true)
     }
 
+    /// Less than a majority may have missed a newer version of the set, under which others hold what was acknowledged: the platform's
+    /// store tells, or while it is away each replica that any of those heard has ever met.
+    async fn check_newest(&self, set: &ReplicaSet, heard: &[Heard]) -> Result<(), StepError> {
+        let answered = self.ask_standing(set).await;
+        if let Ok(Ok(Some((stored, _)))) = tokio::time::timeout(STORE_TIME, self.read_set()).await {
+            self.core.adopt_set(&stored, Origin::Store).await;
+            return self.check_current(set);
+        }
+        self.check_current(set)?;
+        let is_missed = |node: &&NodeId| **node != self.own.node && !answered.contains(node);
+        if heard.iter().flat_map(|heard| &heard.met).any(|node| is_missed(&node)) {
+            return Err(StepError::NotConfirmed(set.version));
+        }
+        Ok(())
+    }
+
     fn covers_previous(&self, set: &ReplicaSet, known: &[SyncedMember]) -> bool {
         replica_set::covers_previous(set, self.target.tolerance.losses(&set.previous), known)
     }
--- a/crates/gateway/src/replica/steward/mod.rs
+++ b/crates/gateway/src/replica/steward/mod.rs
@@ -70,6 +70,8 @@
     TextsLacking { lacking: usize, missed: usize },
     #[error("too few complete replicas were heard ({0}); check that the other replicas run")]
     TooFewHeard(usize),
+    #[error("nobody can tell whether version {0} of the set is the newest; check that the platform's store answers, or that all replicas run")]
+    NotConfirmed(u64),
 }
 
 /// Takes the steps.
--- a/crates/gateway/src/replica/steward/set_changes.rs
+++ b/crates/gateway/src/replica/steward/set_changes.rs
@@ -83,6 +83,24 @@
         Ok(true)
     }
 
+    /// Tells all replicas that run of the set, and takes a newer one from them. Returns those that answered.
+    pub(super) async fn ask_standing(&self, set: &ReplicaSet) -> Vec<NodeId> {
+        let news = SetNews { set: set.clone(), synced: self.core.state().synced };
+        let others = self.members.standing_replicas().into_iter().filter(|update| update.node != self.own.node);
+        let asks = others.filter_map(|update| {
+            let address = socket_of(&update.address)?;
+            let body = RpcBody::AdoptSet(news.clone());
+            Some(async move { (update.node, self.client.call(address, body, SET_TIMEOUT).await) })
+        });
+        let mut answered = Vec::new();
+        for (node, answer) in join_all(asks).await {
+            let Ok(RpcBody::SetKnown(news)) = answer else { continue };
+            self.core.adopt_set(&news.set, Origin::Peer).await;
+            answered.push(node);
+        }
+        answered
+    }
+
     /// Tells the replicas that stand by of the set. One that does not hear it learns it from the platform's store.
     pub(super) async fn tell_standbys(&self, set: &ReplicaSet) {
         let news = SetNews { set: set.clone(), synced: self.core.state().synced };
--- a/crates/gateway/src/replica/sync.rs
+++ b/crates/gateway/src/replica/sync.rs
@@ -21,7 +21,7 @@
 const TURNS_PER_PAGE: usize = 2000;
 
 /// Another replica of which all was pulled.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Heard {
     /// The replica.
     pub node: NodeId,
@@ -29,6 +29,8 @@
     pub complete: bool,
     /// The version that it is synced to: it holds all that was acknowledged under earlier ones.
     pub synced: u64,
+    /// The replicas that it has met, members or not.
+    pub met: Vec<NodeId>,
 }
 
 /// Where a member listens.
@@ -113,5 +115,6 @@
     kept_view::pull(core, client, &member).await?;
     let complete = marks.complete == 1;
     log::info!(target: part::REPLICA, "Pulled from node {}: entries={count} complete={complete} set={}.", member.node, marks.set.version);
-    Some(Heard { node: member.node, complete, synced: marks.synced })
+    let met = marks.witness.others.iter().map(|disk| disk.node).collect();
+    Some(Heard { node: member.node, complete, synced: marks.synced, met })
 }
--- a/crates/gateway/tests/small_set_tests.rs
+++ b/crates/gateway/tests/small_set_tests.rs
@@ -10,10 +10,11 @@
 
 mod support;
 
+use foxnotch_gateway::ports::store::{Kind, ObjectBody};
 use foxnotch_turns::replica_set::{denial_quorum, refill_quorum, write_quorum};
 use rstest::rstest;
 use std::time::{Duration, Instant};
-use support::cluster::{turn, Cluster};
+use support::cluster::{name, turn, Cluster};
 
 /// The time to serve again that deployments allow is 12 s and more.
 const RECOVERY_TIME: Duration = Duration::from_secs(10);
@@ -41,6 +42,37 @@
     assert!(begun_at.elapsed() < RECOVERY_TIME, "it took {:?}", begun_at.elapsed());
 }
 
+/// The same after a fourth replica has left, which is down now. While the store is silent nobody can tell whether that one has come
+/// back meanwhile in a newer version of the set, and holds what was acknowledged under it: the empty ones count for nothing until
+/// the store answers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_that_is_left_is_not_enough_while_nobody_can_tell_that_its_set_is_the_newest() {
+    let mut cluster = Cluster::start_tolerating(85, 4, 2).await;
+    cluster.wait_until_synced(&[1, 2, 3, 4]).await;
+    let within = Duration::from_secs(5);
+    cluster.store.put(Kind::Retirements, &name(4), ObjectBody::Retirement { within, done: false });
+    cluster.wait_for_members(&[1, 2, 3]).await;
+    cluster.wait_until_synced(&[1, 2, 3]).await;
+    cluster.keep(&turn(1, 0, "first")).await;
+    cluster.store.fall_silent();
+    cluster.wipe(1);
+    cluster.wipe(2);
+    cluster.kill(3);
+    cluster.kill(4);
+    for number in 1..=3 {
+        cluster.start_replica(number, false);
+    }
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    for number in [1, 2] {
+        assert_eq!(cluster.metric(number, "replica_complete").await, Some(0), "replica {number} counts");
+    }
+    cluster.store.speak_again();
+    for number in [1, 2] {
+        cluster.wait_until_complete(number).await;
+    }
+    assert_eq!(cluster.inputs(1).await, ["first"]);
+}
+
 /// Whatever set may be there and whatever losses it has to bear: the members that are left after them are enough to refill the others,
 /// and any of those that are heard for it holds each acknowledged write at least once.
 #[rstest]
