--- a/crates/gateway/src/engines/load_board.rs
+++ b/crates/gateway/src/engines/load_board.rs
@@ -6,7 +6,7 @@
 
 use crate::locks::lock;
 use foxnotch_scheduler::outliers::Outcomes;
-use foxnotch_scheduler::reachability::Hearsay;
+use foxnotch_scheduler::reachability::PeerReports;
 use foxnotch_wire::{EngineLoad, NodeId};
 use std::collections::HashMap;
 use std::sync::Mutex;
@@ -47,8 +47,8 @@
     }
 
     /// What was told lately of engines that can or cannot be reached, by engine.
-    pub fn hearsay(&self) -> HashMap<u32, Hearsay> {
-        let mut heard: HashMap<u32, Hearsay> = HashMap::new();
+    pub fn peer_reports(&self) -> HashMap<u32, PeerReports> {
+        let mut heard: HashMap<u32, PeerReports> = HashMap::new();
         for told in lock(&self.told).values().filter(|told| told.at.elapsed() < VALID_FOR) {
             for load in &told.loads {
                 heard.entry(load.engine).or_default().answered += u32::from(load.answered);
--- a/crates/gateway/src/engines/reachability.rs
+++ b/crates/gateway/src/engines/reachability.rs
@@ -2,7 +2,7 @@
 
 use crate::locks::lock;
 use crate::logging::part;
-use foxnotch_scheduler::reachability::{ConnectFailure, Hearsay, Reachability, ReachabilityChange};
+use foxnotch_scheduler::reachability::{ConnectFailure, PeerReports, Reachability, ReachabilityChange};
 use std::io::ErrorKind;
 use std::sync::Mutex;
 use std::time::Instant;
@@ -66,8 +66,8 @@
     }
 
     /// Takes what other gateways tell.
-    pub fn note_hearsay(&self, id: &str, hearsay: Hearsay) {
-        let change = lock(&self.belief).note_hearsay(hearsay, self.listed_at.elapsed());
+    pub fn note_peer_reports(&self, id: &str, reports: PeerReports) {
+        let change = lock(&self.belief).note_peer_reports(reports, self.listed_at.elapsed());
         log_change(id, change);
     }
 
@@ -93,8 +93,8 @@
         Some(ReachabilityChange::Lost(failure)) => {
             log::info!(target: part::ENGINE, "Engine {id} cannot be reached: cause={}. It gets no requests until a connection comes up.", failure.name());
         }
-        Some(ReachabilityChange::Doubted(hearsay)) => {
-            log::info!(target: part::ENGINE, "Engine {id} is checked: unreachable_to={} gateways answered={}.", hearsay.unreachable, hearsay.answered);
+        Some(ReachabilityChange::Doubted(reports)) => {
+            log::info!(target: part::ENGINE, "Engine {id} is checked: unreachable_to={} gateways answered={}.", reports.unreachable, reports.answered);
         }
         Some(ReachabilityChange::Back(after)) => {
             log::info!(target: part::ENGINE, "Engine {id} can be reached: after={after:?}.");
--- a/crates/gateway/src/engines/reachability_checks.rs
+++ b/crates/gateway/src/engines/reachability_checks.rs
@@ -22,7 +22,7 @@
         tokio::time::sleep(PERIOD).await;
         let mut engines = gateway.engines.all();
         engines.retain(|engine| engine.takes_work());
-        take_hearsay(&gateway, &engines);
+        take_peer_reports(&gateway, &engines);
         expedite_if_alone(&engines);
         gateway.metrics.engines_unreachable.set(unreachable(&engines) as i64);
         begin_checks(&gateway, &engines, &places);
@@ -51,11 +51,11 @@
     engines.iter().filter(|engine| !engine.reachability.is_reachable()).count()
 }
 
-fn take_hearsay(gateway: &Gateway, engines: &[Arc<Engine>]) {
-    let heard = gateway.members.loads().hearsay();
+fn take_peer_reports(gateway: &Gateway, engines: &[Arc<Engine>]) {
+    let heard = gateway.members.loads().peer_reports();
     for engine in engines {
-        if let Some(hearsay) = heard.get(&engine.number) {
-            engine.reachability.note_hearsay(&engine.entry.id, *hearsay);
+        if let Some(reports) = heard.get(&engine.number) {
+            engine.reachability.note_peer_reports(&engine.entry.id, *reports);
         }
     }
 }
--- a/crates/scheduler/src/reachability.rs
+++ b/crates/scheduler/src/reachability.rs
@@ -11,8 +11,8 @@
 
 /// Connections in a row that got no answer after which an engine is taken for unreachable. One may be a lost packet.
 const SILENT_CONNECTIONS: u32 = 2;
-/// Time between the first two checks of an engine that cannot be reached; doubled from check to check. An engine that starts anew at
-/// its address takes about as long.
+/// Time between the first two checks of an engine that cannot be reached; doubled from check to check. Short, so that an engine
+/// that was down for a moment is used again soon.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
 /// The longest such time: how late an engine that is back is found by a gateway that hears of it from nobody.
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
@@ -22,9 +22,9 @@
 const TRUST_IN_CONTACT: Duration = Duration::from_secs(1);
 /// The least time between two checks that others cause. Gateways that are cut off from an engine go on telling that it cannot be
 /// reached.
-const HEARSAY_PAUSE: Duration = Duration::from_secs(5);
+const REPORTS_PAUSE: Duration = Duration::from_secs(5);
 /// Gateways that have to tell that an engine cannot be reached before it is checked here. One alone may be cut off.
-const TELLERS: u32 = 2;
+const REPORTERS: u32 = 2;
 
 /// How a connection failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,7 +47,7 @@
 
 /// What other gateways tell of an engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Hearsay {
+pub struct PeerReports {
     /// Gateways that could not reach it.
     pub unreachable: u32,
     /// Requests that it has answered to gateways lately.
@@ -60,7 +60,7 @@
     /// It cannot be reached.
     Lost(ConnectFailure),
     /// Others could not reach it: it is passed over until it has been checked here.
-    Doubted(Hearsay),
+    Doubted(PeerReports),
     /// It can be reached again, after so long.
     Back(Duration),
 }
@@ -87,7 +87,7 @@
     /// When the engine is to be checked; none while it can be reached.
     check_at: Option<Duration>,
     /// When what others tell had it checked last.
-    hearsay_at: Option<Duration>,
+    reports_at: Option<Duration>,
 }
 
 impl Reachability {
@@ -145,28 +145,28 @@
     }
 
     /// Takes what other gateways tell.
-    pub fn note_hearsay(&mut self, hearsay: Hearsay, now: Duration) -> Option<ReachabilityChange> {
-        let is_answering = hearsay.answered > 0;
-        let pause = if is_answering { FIRST_PAUSE } else { HEARSAY_PAUSE };
-        let is_told_again = self.hearsay_at.is_some_and(|at| now.saturating_sub(at) < pause);
+    pub fn note_peer_reports(&mut self, reports: PeerReports, now: Duration) -> Option<ReachabilityChange> {
+        let is_answering = reports.answered > 0;
+        let pause = if is_answering { FIRST_PAUSE } else { REPORTS_PAUSE };
+        let is_told_again = self.reports_at.is_some_and(|at| now.saturating_sub(at) < pause);
         if is_told_again {
             return None;
         }
         if is_answering {
             if !self.is_reachable() {
-                self.hearsay_at = Some(now);
+                self.reports_at = Some(now);
                 self.expedite(now);
             }
             return None;
         }
         let has_contact = self.contact_at.is_some_and(|at| now.saturating_sub(at) < TRUST_IN_CONTACT);
-        if hearsay.unreachable < TELLERS || has_contact || !self.is_reachable() {
+        if reports.unreachable < REPORTERS || has_contact || !self.is_reachable() {
             return None;
         }
-        self.hearsay_at = Some(now);
+        self.reports_at = Some(now);
         self.check_at = Some(now);
         self.change(Belief::Doubted, now);
-        Some(ReachabilityChange::Doubted(hearsay))
+        Some(ReachabilityChange::Doubted(reports))
     }
 
     /// Has an engine that cannot be reached checked now: another one that was silent is back, or others get answers from it.
--- a/crates/scheduler/tests/reachability_tests.rs
+++ b/crates/scheduler/tests/reachability_tests.rs
@@ -1,6 +1,6 @@
 //! Whether an engine can be reached: by connections of one's own, hastened by what others tell.
 
-use foxnotch_scheduler::reachability::{ConnectFailure, Hearsay, Reachability, ReachabilityChange};
+use foxnotch_scheduler::reachability::{ConnectFailure, PeerReports, Reachability, ReachabilityChange};
 use proptest::prelude::*;
 use std::time::Duration;
 
@@ -69,16 +69,16 @@
 #[test]
 fn what_others_tell_has_an_engine_checked_and_no_more() {
     let mut engine = Reachability::default();
-    let one = Hearsay { unreachable: 1, answered: 0 };
-    assert_eq!(engine.note_hearsay(one, ms(0)), None);
-    let two = Hearsay { unreachable: 2, answered: 0 };
-    assert_eq!(engine.note_hearsay(two, ms(0)), Some(ReachabilityChange::Doubted(two)));
+    let one = PeerReports { unreachable: 1, answered: 0 };
+    assert_eq!(engine.note_peer_reports(one, ms(0)), None);
+    let two = PeerReports { unreachable: 2, answered: 0 };
+    assert_eq!(engine.note_peer_reports(two, ms(0)), Some(ReachabilityChange::Doubted(two)));
     assert!(!engine.is_reachable() && engine.failure().is_none());
     assert!(engine.begin_check(ms(0)));
     engine.note_contact(ms(2));
     assert!(engine.is_reachable());
     // Whoever is cut off goes on telling it: that costs a check now and then.
-    assert_eq!(engine.note_hearsay(two, ms(4900)), None);
+    assert_eq!(engine.note_peer_reports(two, ms(4900)), None);
     assert!(engine.is_reachable());
 }
 
@@ -86,16 +86,16 @@
 fn ones_own_contact_counts_for_more_than_what_others_tell() {
     let mut engine = Reachability::default();
     engine.note_contact(ms(100));
-    let two = Hearsay { unreachable: 2, answered: 0 };
-    assert_eq!(engine.note_hearsay(two, ms(1000)), None);
-    assert!(engine.note_hearsay(two, ms(1200)).is_some());
+    let two = PeerReports { unreachable: 2, answered: 0 };
+    assert_eq!(engine.note_peer_reports(two, ms(1000)), None);
+    assert!(engine.note_peer_reports(two, ms(1200)).is_some());
 }
 
 #[test]
 fn an_engine_that_answers_others_is_neither_doubted_nor_left_alone_for_long() {
     let mut reachable = Reachability::default();
-    let answering = Hearsay { unreachable: 5, answered: 1 };
-    assert_eq!(reachable.note_hearsay(answering, ms(0)), None);
+    let answering = PeerReports { unreachable: 5, answered: 1 };
+    assert_eq!(reachable.note_peer_reports(answering, ms(0)), None);
     assert!(reachable.is_reachable());
     let mut gone = refused_at(ms(0));
     for now in [200, 600, 1400].map(ms) {
@@ -103,7 +103,7 @@
         gone.note_failure(ConnectFailure::Refused, now, EVEN);
     }
     assert!(!gone.begin_check(ms(1500)));
-    gone.note_hearsay(answering, ms(1500));
+    gone.note_peer_reports(answering, ms(1500));
     assert!(gone.begin_check(ms(1500)));
 }
 
@@ -112,17 +112,17 @@
 enum Event {
     Contact,
     Failure(ConnectFailure),
-    Hearsay(Hearsay),
+    PeerReports(PeerReports),
     Check,
 }
 
 fn event() -> impl Strategy<Value = Event> {
     let failure = prop_oneof![Just(ConnectFailure::Refused), Just(ConnectFailure::Silent)];
-    let hearsay = (0..5_u32, 0..2_u32).prop_map(|(unreachable, answered)| Hearsay { unreachable, answered });
+    let reports = (0..5_u32, 0..2_u32).prop_map(|(unreachable, answered)| PeerReports { unreachable, answered });
     prop_oneof![
         Just(Event::Contact),
         failure.prop_map(Event::Failure),
-        hearsay.prop_map(Event::Hearsay),
+        reports.prop_map(Event::PeerReports),
         Just(Event::Check)
     ]
 }
@@ -145,7 +145,7 @@
                     engine.note_failure(failure, now, dice);
                     is_check_under_way = false;
                 }
-                Event::Hearsay(hearsay) => drop(engine.note_hearsay(hearsay, now)),
+                Event::PeerReports(reports) => drop(engine.note_peer_reports(reports, now)),
                 Event::Check => is_check_under_way |= engine.begin_check(now),
             }
             let mut later = engine;
