One exchange about the replica set; candidates are gathered once for a first turn

Read again: synced_members and ask_standing told replicas of a set and took newer ones in two copies of a loop; both call exchange_set now. A first turn's engines were gathered twice, for the check and for the load; once now. The count of unreachable engines was made twice at each look. No change of behaviour: all tests of the gateway pass as they were.

--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -264,7 +264,7 @@
     ) -> Result<EngineAnswer, Refusal> {
         loop {
             let Some(choice) = self.choose_engine(call, body, tries) else {
-                if let Err(refusal) = self.check_engines(call) {
+                if let Err(refusal) = self.check_engines(call, &self.candidates(call)) {
                     return Err(if tries.may_have_run() { lost(&refusal.to_string()) } else { refusal });
                 }
                 self.wait_for_room(call, tries).await?;
--- a/crates/gateway/src/edge/room.rs
+++ b/crates/gateway/src/edge/room.rs
@@ -42,8 +42,9 @@
         if call.standing == Standing::UnderWay || !self.policy.admission_by_load {
             return Ok(());
         }
-        self.check_engines(call)?;
-        let load = self.load_of(&self.reachable_candidates(call));
+        let candidates = self.candidates(call);
+        self.check_engines(call, &candidates)?;
+        let load = self.load_of(&reachable(candidates));
         if admission::may_begin(call.standing, load, rand::random()) {
             return Ok(());
         }
@@ -61,23 +62,18 @@
         candidates
     }
 
-    /// Those of them that can be reached. The list may name engines that have gone, for as long as the platform's store is away: as
-    /// candidates they cost callers half a second each, and with their slots counted as room a fleet with 18 of 45 engines let in
-    /// more than three programs' turns for each slot and served 12 of 100 programs in time.
+    /// Those of them that can be reached.
     pub(super) fn reachable_candidates(&self, call: &Call) -> Vec<Arc<Engine>> {
-        let mut candidates = self.candidates(call);
-        candidates.retain(|engine| engine.reachability.is_reachable());
-        candidates
+        reachable(self.candidates(call))
     }
 
-    /// Refuses a call that no engine can serve now. Only a call of a program under way waits for one that cannot be reached: all
+    /// Refuses a call that none of its candidates can serve now. Only a call of a program under way waits for one that cannot be reached: all
     /// that the program has done is lost with it.
     ///
     /// # Errors
     /// [`Refusal::NoEngineReachable`], [`Refusal::ZonesDrained`].
-    pub(super) fn check_engines(&self, call: &Call) -> Result<(), Refusal> {
-        let candidates = self.candidates(call);
-        self.check_zones(call, &candidates)?;
+    pub(super) fn check_engines(&self, call: &Call, candidates: &[Arc<Engine>]) -> Result<(), Refusal> {
+        self.check_zones(call, candidates)?;
         let is_any_reachable = candidates.iter().any(|engine| engine.reachability.is_reachable());
         if call.standing == Standing::UnderWay || candidates.is_empty() || is_any_reachable {
             return Ok(());
@@ -97,3 +93,11 @@
         load
     }
 }
+
+/// The engines that can be reached. The list may name engines that have gone, for as long as the platform's store is away: as
+/// candidates they cost callers half a second each, and with their slots counted as room a fleet with 18 of 45 engines let in
+/// more than three programs' turns for each slot and served 12 of 100 programs in time.
+fn reachable(mut engines: Vec<Arc<Engine>>) -> Vec<Arc<Engine>> {
+    engines.retain(|engine| engine.reachability.is_reachable());
+    engines
+}
--- a/crates/gateway/src/engines/reachability_checks.rs
+++ b/crates/gateway/src/engines/reachability_checks.rs
@@ -23,8 +23,11 @@
         let mut engines = gateway.engines.all();
         engines.retain(|engine| engine.takes_work());
         take_peer_reports(&gateway, &engines);
-        expedite_if_alone(&engines);
-        gateway.metrics.engines_unreachable.set(unreachable(&engines) as i64);
+        let unreachable = engines.iter().filter(|engine| !engine.reachability.is_reachable()).count();
+        gateway.metrics.engines_unreachable.set(unreachable as i64);
+        if unreachable == engines.len() {
+            expedite_one(&engines);
+        }
         begin_checks(&gateway, &engines, &places);
     }
 }
@@ -47,10 +50,6 @@
     }
 }
 
-fn unreachable(engines: &[Arc<Engine>]) -> usize {
-    engines.iter().filter(|engine| !engine.reachability.is_reachable()).count()
-}
-
 fn take_peer_reports(gateway: &Gateway, engines: &[Arc<Engine>]) {
     let heard = gateway.members.loads().peer_reports();
     for engine in engines {
@@ -60,12 +59,9 @@
     }
 }
 
-/// Checks one engine at each look while none can be reached: this gateway is probably cut off, and has to notice soon when it is not
-/// any more.
-fn expedite_if_alone(engines: &[Arc<Engine>]) {
-    if unreachable(engines) < engines.len() {
-        return;
-    }
+/// Has one engine checked, at each look while none can be reached: this gateway is probably cut off, and has to notice soon when it is
+/// not any more.
+fn expedite_one(engines: &[Arc<Engine>]) {
     if let Some(engine) = engines.choose(&mut rand::rng()) {
         engine.reachability.expedite();
     }
--- a/crates/gateway/src/replica/steward/set_changes.rs
+++ b/crates/gateway/src/replica/steward/set_changes.rs
@@ -9,11 +9,27 @@
 use foxnotch_turns::{record_quorum, replica_set};
 use foxnotch_wire::{NodeId, ReplicaSet, RpcBody, SetNews};
 use futures_util::future::join_all;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Time for one exchange about the set.
 const SET_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// A replica that is told of the set.
+struct SetPeer {
+    node: NodeId,
+    address: SocketAddr,
+    /// Time to answer.
+    within: Duration,
+}
+
+/// That a replica knows the set.
+struct SetAnswer {
+    node: NodeId,
+    /// The version that it is synced to.
+    synced: u64,
+}
+
 impl Steward {
     pub(super) async fn read_set(&self) -> Result<Option<(ReplicaSet, u64)>, StoreError> {
         let listing = self.store.list(Kind::ReplicaSet, Freshness::Newest).await?;
@@ -26,25 +42,36 @@
 
     /// Tells all members the set and asks which are synced to it.
     pub(super) async fn synced_members(&self, set: &ReplicaSet) -> Vec<NodeId> {
-        let own = self.core.state();
-        let news = SetNews { set: set.clone(), synced: own.synced };
-        let asks = set.members.iter().filter(|member| member.node != self.own.node).map(|member| {
+        let own_synced = self.core.state().synced;
+        let others = set.members.iter().filter(|member| member.node != self.own.node);
+        let peers = others.map(|member| SetPeer {
+            node: member.node,
+            address: address_of(member),
+            within: self.core.patience(member.node, SET_TIMEOUT),
+        });
+        let answers = self.exchange_set(set, peers).await;
+        let is_synced = |answer: &&SetAnswer| answer.synced == set.version;
+        let mut synced: Vec<NodeId> = answers.iter().filter(is_synced).map(|answer| answer.node).collect();
+        if replica_set::contains(set, self.own.node) && own_synced == set.version {
+            synced.push(self.own.node);
+        }
+        synced
+    }
+
+    /// Tells other replicas of the set, and takes a newer one from them. Returns the answers.
+    async fn exchange_set(&self, set: &ReplicaSet, peers: impl Iterator<Item = SetPeer>) -> Vec<SetAnswer> {
+        let news = SetNews { set: set.clone(), synced: self.core.state().synced };
+        let asks = peers.map(|peer| {
             let body = RpcBody::AdoptSet(news.clone());
-            let patience = self.core.patience(member.node, SET_TIMEOUT);
-            async move { (member.node, self.client.call(address_of(member), body, patience).await) }
+            async move { (peer.node, self.client.call(peer.address, body, peer.within).await) }
         });
-        let mut synced = Vec::new();
+        let mut answers = Vec::new();
         for (node, answer) in join_all(asks).await {
             let Ok(RpcBody::SetKnown(news)) = answer else { continue };
             self.core.adopt_set(&news.set, Origin::Peer).await;
-            if news.synced == set.version {
-                synced.push(node);
-            }
-        }
-        if replica_set::contains(set, self.own.node) && own.synced == set.version {
-            synced.push(self.own.node);
+            answers.push(SetAnswer { node, synced: news.synced });
         }
-        synced
+        answers
     }
 
     /// Writes the next version if the present one allows it, and tells all members.
@@ -85,20 +112,13 @@
 
     /// Tells all replicas that run of the set, and takes a newer one from them. Returns those that answered.
     pub(super) async fn ask_standing(&self, set: &ReplicaSet) -> Vec<NodeId> {
-        let news = SetNews { set: set.clone(), synced: self.core.state().synced };
         let others = self.members.standing_replicas().into_iter().filter(|update| update.node != self.own.node);
-        let asks = others.filter_map(|update| {
+        let peers = others.filter_map(|update| {
             let address = socket_of(&update.address)?;
-            let body = RpcBody::AdoptSet(news.clone());
-            Some(async move { (update.node, self.client.call(address, body, SET_TIMEOUT).await) })
+            Some(SetPeer { node: update.node, address, within: SET_TIMEOUT })
         });
-        let mut answered = Vec::new();
-        for (node, answer) in join_all(asks).await {
-            let Ok(RpcBody::SetKnown(news)) = answer else { continue };
-            self.core.adopt_set(&news.set, Origin::Peer).await;
-            answered.push(node);
-        }
-        answered
+        let answers = self.exchange_set(set, peers).await;
+        answers.into_iter().map(|answer| answer.node).collect()
     }
 
     /// Tells the replicas that stand by of the set. One that does not hear it learns it from the platform's store.
