--- a/crates/gateway/tests/stored_data_tests.rs
+++ b/crates/gateway/tests/stored_data_tests.rs
@@ -24,7 +24,7 @@
 use std::fs;
 use std::path::Path;
 use support::cluster::{eventually, name, Cluster};
-use support::fixtures::{assert_same_lines, bytes_by_name, from_hex, to_hex};
+use support::fixtures::{assert_same_lines, fill_folder, from_hex, to_hex};
 use support::view_samples::{configuration, engines, zone_drains};
 use tempfile::TempDir;
 
@@ -142,14 +142,6 @@
     }
 }
 
-/// Puts the files of the fixture into a folder.
-fn fill(folder: &Path) {
-    fs::create_dir_all(folder).expect("a folder can be made");
-    for (file, bytes) in bytes_by_name(FOLDER) {
-        fs::write(folder.join(file), bytes).expect("a file can be written");
-    }
-}
-
 fn lines_of(folder: &Path) -> Vec<String> {
     let files = fs::read_dir(folder).expect("the folder can be read").map(|file| file.expect("it is there").path());
     let line = |path: &Path| {
@@ -176,7 +168,7 @@
 #[tokio::test]
 async fn every_record_of_the_fixture_is_read() {
     let folder = TempDir::new().expect("a folder can be made");
-    fill(folder.path());
+    fill_folder(folder.path(), FOLDER);
     let (_, records) = Disk::open(folder.path()).expect("the folder can be read");
     let first = [before_the_restart().remove(0), caps(&[(0xa1, 30), (0xa2, 40)])];
     let second = [Record::State(state()), caps(&[(0xa1, 30), (0xa2, 50)])];
@@ -189,7 +181,7 @@
 #[test]
 fn the_kept_view_of_the_fixture_is_read() {
     let folder = TempDir::new().expect("a folder can be made");
-    fill(folder.path());
+    fill_folder(folder.path(), FOLDER);
     let kept = StoredView::open(folder.path(), node_id(&name(NUMBER)));
     let revisions = kept.revisions();
     assert_eq!((revisions.configuration, revisions.engines, revisions.zone_drains), (81, 82, 83));
@@ -203,7 +195,7 @@
 /// A replica that starts with the folder, beside none of the others.
 async fn started(net: u8) -> Cluster {
     let mut cluster = Cluster::begin(net, 0, Some(3));
-    fill(&cluster.data_folder(NUMBER));
+    fill_folder(&cluster.data_folder(NUMBER), FOLDER);
     cluster.start_replica(NUMBER, false);
     let address = cluster.peer_address(NUMBER);
     eventually("the replica listens", || std::net::TcpStream::connect(address).is_ok()).await;
--- a/crates/gateway/tests/support/fixtures.rs
+++ b/crates/gateway/tests/support/fixtures.rs
@@ -1,6 +1,8 @@
 //! Fixtures of bytes: lines with a name, a space and bytes in hexadecimal.
 
 use std::collections::BTreeMap;
+use std::fs;
+use std::path::Path;
 
 /// Bytes as hexadecimal text.
 pub fn to_hex(bytes: &[u8]) -> String {
@@ -25,3 +27,11 @@
     let actual = actual.join("\n");
     assert_eq!(actual, fixture.trim_end(), "the form has changed; actual:\n{actual}");
 }
+
+/// Puts the files of a fixture into a folder.
+pub fn fill_folder(folder: &Path, fixture: &str) {
+    fs::create_dir_all(folder).expect("a folder can be made");
+    for (file, bytes) in bytes_by_name(fixture) {
+        fs::write(folder.join(file), bytes).expect("a file can be written");
+    }
+}
