Replicas read the records of turns that the version in production wrote

What callers saw: after an upgrade no turn was served.

Cause: a record of a turn got the number 3 when it began to name the regions that it is bound to, and the reader gave up number 0, by which the version before had written every turn. A record that checks and is not known is an error, since it was acknowledged; so the process ended, at each start.

Why this mend holds: what stands in a file is an enumeration of its own now, in which a number stays taken for ever. The form of version 7 is read into the present one; a turn of then is bound to no region. A record that is known in no form is an error as before.

--- a/crates/gateway/tests/upgrade_data_tests.rs
+++ b/crates/gateway/tests/upgrade_data_tests.rs
@@ -1,7 +1,10 @@
 //! A replica that is upgraded starts with the data folder that the version before it wrote.
 //!
 //! After an upgrade and a loss of power no request was served any more: 12 s after the machines were back, 0 of 52. The
-//! replicas ended with code 1 as soon as they had started, again and again, and without them no turn has a quorum.
+//! replicas ended with code 1 as soon as they had started, every 0.52 s, and without them no turn has a quorum: "the data
+//! folder cannot be used; check the disk: turns-0000000001: a record that checks is of a form that this version does not
+//! read". When records of turns began to name regions, they got a new number and the reader forgot the old one, so the
+//! disks of every running fleet became unreadable to the next version.
 
 mod support;
 
--- a/crates/turns/src/segment.rs
+++ b/crates/turns/src/segment.rs
@@ -5,6 +5,7 @@
 //! the one before.
 
 use deku::prelude::*;
+use foxnotch_wire::version_7::TurnEntry7;
 use foxnotch_wire::{DiskIdentity, ReplicaSet, TurnEntry};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -73,19 +74,51 @@
 }
 
 /// One record.
-#[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
-#[deku(endian = "little", id_type = "u8")]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Record {
-    /// An entry; merges with earlier ones of the same turn. The id 0 stays free: it was the entry before records named
-    /// their regions.
-    #[deku(id = "3")]
+    /// An entry; merges with earlier ones of the same turn.
     Entry(TurnEntry),
     /// The replica's state; replaces earlier ones.
-    #[deku(id = "1")]
     State(ReplicaState),
     /// Caps of tenants; each replaces an earlier one of the same tenant.
+    QuotaCaps(QuotaCaps),
+}
+
+/// A record as it stands in a file. A number whose form has changed stays taken, and is read for ever: an upgraded
+/// replica starts with the files of the version before.
+#[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "little", id_type = "u8")]
+enum WrittenRecord {
+    /// An entry of protocol version 7, which is bound to no region.
+    #[deku(id = "0")]
+    Entry7(TurnEntry7),
+    #[deku(id = "1")]
+    State(ReplicaState),
     #[deku(id = "2")]
     QuotaCaps(QuotaCaps),
+    #[deku(id = "3")]
+    Entry(TurnEntry),
+}
+
+impl From<Record> for WrittenRecord {
+    fn from(record: Record) -> Self {
+        match record {
+            Record::Entry(entry) => Self::Entry(entry),
+            Record::State(state) => Self::State(state),
+            Record::QuotaCaps(caps) => Self::QuotaCaps(caps),
+        }
+    }
+}
+
+impl From<WrittenRecord> for Record {
+    fn from(record: WrittenRecord) -> Self {
+        match record {
+            WrittenRecord::Entry7(entry) => Self::Entry(entry.into()),
+            WrittenRecord::Entry(entry) => Self::Entry(entry),
+            WrittenRecord::State(state) => Self::State(state),
+            WrittenRecord::QuotaCaps(caps) => Self::QuotaCaps(caps),
+        }
+    }
 }
 
 /// Appends a frame to `buffer`.
@@ -93,7 +126,8 @@
 /// # Errors
 /// [`SegmentError`]; `buffer` is then as it was.
 pub fn append_frame(buffer: &mut Vec<u8>, record: &Record) -> Result<(), SegmentError> {
-    let bytes = record.to_bytes().map_err(|error| SegmentError::Uncodable(error.to_string()))?;
+    let written = WrittenRecord::from(record.clone());
+    let bytes = written.to_bytes().map_err(|error| SegmentError::Uncodable(error.to_string()))?;
     if bytes.len() > MAX_RECORD_BYTES {
         return Err(SegmentError::TooLong(bytes.len()));
     }
@@ -140,8 +174,8 @@
 }
 
 fn read_record(payload: &[u8]) -> Result<Record, SegmentError> {
-    match Record::from_bytes((payload, 0)) {
-        Ok((([], _), record)) => Ok(record),
+    match WrittenRecord::from_bytes((payload, 0)) {
+        Ok((([], _), record)) => Ok(record.into()),
         _ => Err(SegmentError::UnknownForm),
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -23,6 +23,7 @@
 mod tickets;
 mod turn_entry;
 mod turn_exchange;
+pub mod version_7;
 mod view;
 
 pub use codec::{decode, encode, Envelope, Message, WireError, MAX_MESSAGE_BYTES, PROTOCOL_VERSION};
--- /dev/null
+++ b/crates/wire/src/version_7/turns.rs
@@ -0,0 +1,87 @@
+//! Turns as version 7 has them: a record that names no regions, and none that is elsewhere.
+
+use crate::content::Content;
+use crate::length::Length;
+use crate::turn_entry::{ProgramKey, RunLocation, TurnEntry, TurnId, TurnRecord};
+use deku::prelude::*;
+
+/// Why something has no form in version 7.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum NotInVersion7 {
+    /// A node of version 7 would store and send the text as if it were bound to no region.
+    #[error("a turn is bound to regions, which nodes of protocol version 7 do not respect; upgrade them")]
+    BoundToRegions,
+    /// A request or an answer that came later.
+    #[error("nodes of protocol version 7 do not know this kind of message; upgrade them")]
+    UnknownKind,
+}
+
+/// [`TurnRecord`] in version 7.
+#[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct TurnRecord7 {
+    previous: TurnId,
+    engine: u32,
+    input: Content,
+    output: Content,
+}
+
+/// [`TurnEntry`] in version 7.
+#[deku_derive(DekuRead, DekuWrite)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
+pub struct TurnEntry7 {
+    turn: TurnId,
+    program: ProgramKey,
+    retention_ms: u32,
+    reserved: u32,
+    used: u32,
+    #[deku(temp, temp_value = "u8::from(place.is_some())")]
+    has_place: u8,
+    #[deku(cond = "*has_place == 1")]
+    place: Option<RunLocation>,
+    #[deku(temp, temp_value = "Length::of(&record)")]
+    records: Length<1>,
+    #[deku(count = "records.get()")]
+    record: Vec<TurnRecord7>,
+}
+
+impl From<TurnRecord7> for TurnRecord {
+    fn from(record: TurnRecord7) -> Self {
+        let TurnRecord7 { previous, engine, input, output } = record;
+        Self { previous, engine, regions: Vec::new(), input, output }
+    }
+}
+
+impl TryFrom<TurnRecord> for TurnRecord7 {
+    type Error = NotInVersion7;
+
+    fn try_from(record: TurnRecord) -> Result<Self, NotInVersion7> {
+        if !record.regions.is_empty() {
+            return Err(NotInVersion7::BoundToRegions);
+        }
+        let TurnRecord { previous, engine, input, output, .. } = record;
+        Ok(Self { previous, engine, input, output })
+    }
+}
+
+impl From<TurnEntry7> for TurnEntry {
+    fn from(entry: TurnEntry7) -> Self {
+        let TurnEntry7 { turn, program, retention_ms, reserved, used, place, record } = entry;
+        let record = record.into_iter().map(TurnRecord::from).collect();
+        Self { turn, program, retention_ms, reserved, used, place, elsewhere: None, record }
+    }
+}
+
+impl TryFrom<TurnEntry> for TurnEntry7 {
+    type Error = NotInVersion7;
+
+    fn try_from(entry: TurnEntry) -> Result<Self, NotInVersion7> {
+        if entry.elsewhere.is_some() {
+            return Err(NotInVersion7::BoundToRegions);
+        }
+        let TurnEntry { turn, program, retention_ms, reserved, used, place, record, .. } = entry;
+        let record = record.into_iter().map(TurnRecord7::try_from).collect::<Result<_, _>>()?;
+        Ok(Self { turn, program, retention_ms, reserved, used, place, record })
+    }
+}
