A node of the version in production beside this one: tests, red

What callers saw: as soon as the first gateways of a fleet were upgraded, most requests that reached them were refused for lack of a quorum, while the replicas answered the gateways that were not upgraded yet.

The replica ends the connection of an older node, does not answer its probe, and sends it what it cannot read.

--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -10,6 +10,7 @@
 pub mod engine;
 pub mod fixtures;
 pub mod gateway;
+pub mod older_node;
 pub mod slow_path;
 pub mod store;
 pub mod tap;
--- /dev/null
+++ b/crates/gateway/tests/upgrade_peer_tests.rs
@@ -0,0 +1,85 @@
+//! Nodes of this version and of version 7 run side by side while a fleet is upgraded.
+//!
+//! After the first gateways had been upgraded, most requests that reached them were refused: "cause=no_quorum ... 0 of 2
+//! replicas answered", while the same replicas answered the gateways of the version before. Served in time fell from 29
+//! of 29 requests in a second to 4 of 17.
+
+mod support;
+
+use foxnotch_gateway::peers::rpc_client::RpcClient;
+use foxnotch_wire::{NodeId, RpcBody, RpcMessage, StoreEntry, TurnEntry};
+use std::net::SocketAddr;
+use std::time::Duration;
+use support::cluster::Cluster;
+use support::older_node::{body_of, datagram, exchange_of, read_frame, request, write_frame, OlderNode, VERSION};
+use tokio::net::{TcpStream, UdpSocket};
+
+/// Time for an answer.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// Kinds of requests and answers on the wire.
+const STORE_ENTRY: u8 = 0;
+const SHOW_SET: u8 = 9;
+const SET_KNOWN: u8 = 68;
+/// Kind of a datagram, behind the version and the sender.
+const DATAGRAM_KIND: usize = 5;
+const ACK: u8 = 2;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_of_an_older_node_is_answered_in_its_version() {
+    let cluster = Cluster::start(144, 1).await;
+    let mut stream = TcpStream::connect(cluster.peer_address(1)).await.expect("the replica listens");
+    let asked = request("show_set");
+    write_frame(&mut stream, &asked).await;
+    let answer = tokio::time::timeout(PATIENCE, read_frame(&mut stream)).await.expect("an answer in time");
+    let answer = answer.expect("the connection stays");
+    assert_eq!((answer[0], body_of(&answer)[0]), (VERSION, SET_KNOWN));
+    assert_eq!(exchange_of(&answer), exchange_of(&asked));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_probe_of_an_older_node_is_answered_in_its_version() {
+    let cluster = Cluster::start(145, 1).await;
+    let address: SocketAddr = "127.77.145.99:7380".parse().expect("an address");
+    let socket = UdpSocket::bind(address).await.expect("the address is free");
+    // The older node tells of itself in its probe, and is answered where it says that it listens.
+    let mut probe = datagram("ping");
+    let (node, listens_at) = (7_u32.to_le_bytes(), [127, 77, 145, 99]);
+    probe[1..5].copy_from_slice(&node);
+    let told = [10, 1, 0, 38];
+    let position = probe.windows(told.len()).position(|bytes| bytes == told).expect("the probe tells an address");
+    probe[position..position + told.len()].copy_from_slice(&listens_at);
+    socket.send_to(&probe, cluster.peer_address(1)).await.expect("it can be sent");
+    let mut answer = [0; 2048];
+    let received = tokio::time::timeout(PATIENCE, socket.recv_from(&mut answer)).await;
+    received.expect("an answer in time").expect("it is received");
+    assert_eq!((answer[0], answer[DATAGRAM_KIND]), (VERSION, ACK));
+}
+
+#[tokio::test]
+async fn an_older_node_is_called_in_its_version() {
+    let older = OlderNode::start(&[(SHOW_SET, "set_known"), (STORE_ENTRY, "stored_counts")]).await;
+    let client = RpcClient::new(NodeId(2));
+    let answer = client.call(older.address, RpcBody::ShowSet, PATIENCE).await;
+    let Ok(RpcBody::SetKnown(update)) = answer else { panic!("no set: {answer:?}") };
+    assert_eq!((update.set.version, update.synced, update.set.members.len()), (9, 8, 2));
+
+    let RpcMessage { body, .. } = foxnotch_wire::decode_rpc(&request("store_reservation")).expect("it is read");
+    let RpcBody::StoreEntry(StoreEntry { set_version, entry }) = body else { panic!("not an entry: {body:?}") };
+    assert_eq!((set_version, entry.reserved, entry.record.len()), (9, 80, 0));
+    let answer = client.call(older.address, RpcBody::StoreEntry(StoreEntry { set_version, entry }), PATIENCE).await;
+    let Ok(RpcBody::Stored(stored)) = answer else { panic!("not stored: {answer:?}") };
+    assert_eq!(stored.charges.iter().map(|charge| charge.tokens).collect::<Vec<_>>(), [80, 41]);
+
+    assert_eq!(older.received(STORE_ENTRY), [body_of(&request("store_reservation"))]);
+    assert_eq!(older.unreadable(), 0);
+}
+
+/// Everything that a node of version 7 says is read; what it does not know has the value that means so.
+#[test]
+fn a_kept_turn_of_an_older_node_is_bound_to_no_region() {
+    let RpcMessage { body, .. } = foxnotch_wire::decode_rpc(&request("store_kept_turn")).expect("it is read");
+    let RpcBody::StoreEntry(StoreEntry { entry, .. }) = body else { panic!("not an entry: {body:?}") };
+    let TurnEntry { used, elsewhere, record, .. } = &entry;
+    assert_eq!((*used, elsewhere, record.len()), (41, &None, 1));
+    assert!(entry.regions().is_empty());
+}
