Nodes speak to each other in the newest version of the protocol that both read

What callers saw: while a fleet was upgraded, turns that reached an upgraded gateway were refused for lack of a quorum until the last replica was upgraded: from 29 of 29 requests in a second served in time to 4 of 17.

Cause: a message begins with a version, and a node dropped every other version than its own, on streams and datagrams. From 7 to 9 the number was raised in place. Nodes of both builds took each other for dead.

Why this mend holds: the forms of version 7 that have changed stand in a module of their own, and are read. Nothing is sent to a node that it cannot read: towards a node of which nothing is known the oldest version is spoken, and the newest is offered in a number that every version sends back unchanged, that of a probe or an exchange. Whoever understands the offer answers in the newest version. On streams each connection finds it out anew, so another build at the same address cannot be taken for the one before; for datagrams it holds for one incarnation of a node. Members whose version is not known are probed for it, eight each 150 ms, so a fleet that starts speaks the newest version after a second or two.

What version 7 cannot say: a text that is bound to regions is not sent to a replica of version 7, which would treat it as bound to none; a chain that ends before such a text does not count there as word that a turn does not exist; entries of one write go one after the other; permits and tickets are not asked of it. `foxnotch node` writes version 7, which has all of its messages.

The test of a probe that stood red changed every address of the sample, not the first alone; it failed on the code before in that form as well.

--- a/crates/gateway/src/peers/frame.rs
+++ b/crates/gateway/src/peers/frame.rs
@@ -1,7 +1,9 @@
 //! Frames of a stream between nodes: a length, then a coded message.
 
 use bytes::{Buf, BytesMut};
-use foxnotch_wire::{decode_rpc, encode_rpc, NodeId, RpcBody, RpcMessage, WireError, MAX_MESSAGE_BYTES};
+use foxnotch_wire::{
+    decode_rpc, encode_rpc_in, NodeId, ProtocolVersion, RpcBody, RpcMessage, WireError, MAX_MESSAGE_BYTES,
+};
 use std::io;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
@@ -12,12 +14,25 @@
 /// Bytes reserved for each read. Chosen, not measured.
 const READ_BYTES: usize = 16 * 1024;
 
-/// Codes a frame.
+/// Codes a frame in the newest version of the protocol.
 ///
 /// # Errors
 /// [`WireError`].
 pub fn code_frame(from: NodeId, exchange: u64, body: RpcBody) -> Result<Vec<u8>, WireError> {
-    let message = encode_rpc(from, exchange, body)?;
+    code_frame_in(ProtocolVersion::NEWEST, from, exchange, body)
+}
+
+/// Codes a frame for a node that reads `version`.
+///
+/// # Errors
+/// [`WireError`].
+pub fn code_frame_in(
+    version: ProtocolVersion,
+    from: NodeId,
+    exchange: u64,
+    body: RpcBody,
+) -> Result<Vec<u8>, WireError> {
+    let message = encode_rpc_in(version, from, exchange, body)?;
     let mut frame = Vec::with_capacity(message.len() + LENGTH_BYTES);
     frame.extend_from_slice(&(message.len() as u32).to_le_bytes());
     frame.extend_from_slice(&message);
--- a/crates/gateway/src/peers/member_table.rs
+++ b/crates/gateway/src/peers/member_table.rs
@@ -6,11 +6,13 @@
 use crate::clock::{time_of_day_ms, SteadyClock};
 use crate::locks::lock;
 use crate::peers::addresses::socket_of;
+use crate::peers::peer_versions::PeerVersions;
 use crate::settings::ProcessSettings;
 use foxnotch_membership::{Datagram, Membership};
 use foxnotch_turns::identity::node_id;
 use foxnotch_wire::{
-    decode, encode, Envelope, MemberAddress, MemberState, MemberUpdate, Message, NodeId, Ping, RpcBody,
+    decode, encode_in, is_offering_sequence, offering_sequence, without_offer, Ack, Envelope, MemberAddress,
+    MemberState, MemberUpdate, Message, NodeId, Ping, ProtocolVersion, RpcBody,
 };
 use std::sync::Mutex;
 use std::time::Duration;
@@ -18,6 +20,8 @@
 
 /// The longest datagram, in bytes: a probe with all the updates that it may carry is far shorter.
 const MAX_DATAGRAM: usize = 2048;
+/// The number of a probe whose answer the state machine does not wait for: its own begin with 1.
+const UNAWAITED: u32 = 0;
 /// Pause after a failed receive. Chosen, not measured: it keeps a broken socket from taking a core.
 const PAUSE_AFTER_ERROR: Duration = Duration::from_millis(100);
 
@@ -26,6 +30,7 @@
     own: NodeId,
     clock: SteadyClock,
     membership: Mutex<Membership>,
+    versions: Mutex<PeerVersions>,
     socket: UdpSocket,
 }
 
@@ -50,7 +55,7 @@
             config_revision: 0,
         };
         let membership = Mutex::new(Membership::new(update, &[], clock.now()));
-        Ok(Self { own, clock, membership, socket })
+        Ok(Self { own, clock, membership, versions: Mutex::default(), socket })
     }
 
     fn with<T>(&self, act: impl FnOnce(&mut Membership) -> T) -> T {
@@ -178,13 +183,33 @@
     fn send(&self, datagrams: Vec<Datagram>) {
         for datagram in datagrams {
             let Some(address) = socket_of(&datagram.address) else { continue };
-            if let Ok(bytes) = encode(self.own, datagram.message) {
+            let version = self.version_of(datagram.to).unwrap_or(ProtocolVersion::OLDEST);
+            let message = match datagram.message {
+                Message::Ping(ping) if version < ProtocolVersion::NEWEST => {
+                    Message::Ping(Ping { sequence: offering_sequence(ping.sequence), ..ping })
+                }
+                message => message,
+            };
+            if let Ok(bytes) = encode_in(version, self.own, message) {
                 // A datagram that cannot be sent is as good as lost: the protocol bears lost datagrams.
                 let _ = self.socket.try_send_to(&bytes, address);
             }
         }
     }
 
+    /// The newest version of the protocol that a node is known to read.
+    pub(super) fn version_of(&self, node: NodeId) -> Option<ProtocolVersion> {
+        let incarnation = self.known(node)?.incarnation;
+        lock(&self.versions).of(node, incarnation)
+    }
+
+    /// Notes what a datagram says about the version that its sender reads.
+    fn note_version(&self, from: NodeId, read: Option<ProtocolVersion>) {
+        if let (Some(version), Some(sender)) = (read, self.known(from)) {
+            lock(&self.versions).note(from, sender.incarnation, version);
+        }
+    }
+
     /// Takes a step of the state machine; probes carry the revision of this node's view.
     pub(super) fn tick(&self, revision: u64) {
         let now = self.clock.now();
@@ -193,17 +218,33 @@
             membership.tick(now)
         });
         self.send(datagrams);
+        self.ask_for_versions();
+    }
+
+    /// Probes the members whose version is not known, beside the probes of the state machine: those reach all members
+    /// only in turn.
+    fn ask_for_versions(&self) {
+        let alive = self.alive();
+        let incarnations: Vec<(NodeId, u64)> = alive.iter().map(|member| (member.node, member.incarnation)).collect();
+        let unasked = lock(&self.versions).take_unasked(&incarnations, self.clock.now());
+        if !unasked.is_empty() {
+            let probe = Ping { sequence: UNAWAITED, updates: vec![self.own()] };
+            self.send_to(&unasked, &Message::Ping(probe));
+        }
     }
 
-    /// Takes a message of membership and answers it. Other messages change nothing.
-    pub(super) fn on_message(&self, from: NodeId, message: Message) {
+    /// Takes a message of membership, written in `version`, and answers it. Other messages change nothing.
+    pub(super) fn on_message(&self, from: NodeId, version: u8, message: Message) {
         let now = self.clock.now();
+        let read = version_read_by_sender(version, &message);
         let datagrams = self.with(|membership| match message {
             Message::Ping(ping) => membership.on_ping(from, ping, now),
             Message::PingRequest(request) => membership.on_ping_request(from, request, now),
-            Message::Ack(ack) => membership.on_ack(ack, now),
+            Message::Ack(ack) => membership.on_ack(Ack { sequence: without_offer(ack.sequence), ..ack }, now),
             _ => Vec::new(),
         });
+        // Before the answer is written: a sender that offers the newest version is answered in it.
+        self.note_version(from, read);
         self.send(datagrams);
     }
 
@@ -222,16 +263,28 @@
     }
 
     /// Probes a member: the probe carries this node's revision, and the member pulls what it lacks.
-    pub(super) async fn announce_revision(&self, member: &MemberUpdate, revision: u64) {
-        let Some(address) = socket_of(&member.address) else { return };
+    pub(super) fn announce_revision(&self, member: NodeId, revision: u64) {
         let own = self.with(|membership| {
             membership.set_revision(revision);
             *membership.own()
         });
-        let ping = Ping { sequence: 0, updates: vec![own] };
-        if let Ok(bytes) = encode(self.own, Message::Ping(ping)) {
-            // A datagram that is lost is made up for by the next probes.
-            let _ = self.socket.send_to(&bytes, address).await;
-        }
+        // A datagram that is lost is made up for by the next probes.
+        self.send_to(&[member], &Message::Ping(Ping { sequence: UNAWAITED, updates: vec![own] }));
+    }
+}
+
+/// The newest version that the sender of a message reads, as far as the message tells.
+fn version_read_by_sender(version: u8, message: &Message) -> Option<ProtocolVersion> {
+    let written = ProtocolVersion::from_number(version)?;
+    if written == ProtocolVersion::NEWEST {
+        return Some(written);
+    }
+    match message {
+        Message::Ping(ping) if is_offering_sequence(ping.sequence) => Some(ProtocolVersion::NEWEST),
+        Message::Ping(_) => Some(written),
+        // A node that understood the offer would have answered it in the newest version.
+        Message::Ack(ack) if is_offering_sequence(ack.sequence) => Some(written),
+        // It does not know what this node reads.
+        _ => None,
     }
 }
--- a/crates/gateway/src/peers/members.rs
+++ b/crates/gateway/src/peers/members.rs
@@ -151,18 +151,18 @@
     async fn receive(self: Arc<Self>) {
         loop {
             let envelope = self.table.receive().await;
-            self.on_message(envelope.from, envelope.message);
+            self.on_message(envelope.from, envelope.version, envelope.message);
         }
     }
 
-    fn on_message(&self, from: NodeId, message: Message) {
+    fn on_message(&self, from: NodeId, version: u8, message: Message) {
         match message {
             Message::LoadReport(report) => {
                 self.loads.take(from, &report.loads, &report.unreachable);
             }
-            Message::StoreUpdate(update) => self.store_updates.on_update(from, update),
+            Message::StoreUpdate(update) => self.store_updates.on_update(from, version, update),
             of_membership => {
-                self.table.on_message(from, of_membership);
+                self.table.on_message(from, version, of_membership);
                 let Some(sender) = self.table.known(from) else { return };
                 self.view_pulls.pull_if_behind(sender, self.watcher_role.times().period);
             }
@@ -196,7 +196,7 @@
                 let index = self.table.random_below(alive.len());
                 let member = alive.swap_remove(index);
                 if member.config_revision < revision {
-                    self.table.announce_revision(&member, self.view.get().revision()).await;
+                    self.table.announce_revision(member.node, self.view.get().revision());
                 }
             }
         }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -5,6 +5,7 @@
 //!   through another gateway where [`direct_paths`] considers the direct path silent.
 //! - [`view`] owns what this node knows of the platform; [`view_exchange`], [`view_codec`] and [`engine_list`] bring it
 //!   from node to node.
+//! - `peer_versions` knows which nodes run an older build, which are told only what they can read.
 //! - [`watcher_role`] decides whether this node watches the platform's store itself.
 
 pub mod addresses;
@@ -14,6 +15,7 @@
 mod member_discovery;
 mod member_table;
 pub mod members;
+mod peer_versions;
 pub mod replica_client;
 pub mod rpc_client;
 pub mod rpc_server;
--- a/crates/gateway/src/peers/replica_client.rs
+++ b/crates/gateway/src/peers/replica_client.rs
@@ -14,9 +14,10 @@
 use foxnotch_turns::zone_regions::ZoneRegions;
 use foxnotch_wire::{
     decode_rpc, encode_rpc, regions_of, Content, MemberUpdate, NodeId, RegionId, RelayRequest, ReplicaMember,
-    ReplicaSet, RpcBody, TurnEntry,
+    ReplicaSet, ReplicaStanding, RpcBody, StoreEntries, StoreEntry, Stored, TurnEntry,
 };
 use std::future::pending;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -128,7 +129,7 @@
     /// Any [`RpcError`] of the direct path.
     pub async fn call(&self, replica: &ReplicaMember, body: RpcBody, within: Duration) -> Result<RpcBody, RpcError> {
         let Some(relays) = &self.relays else {
-            return self.client.call(address_of(replica), body, within).await;
+            return self.call_directly(replica, body, within).await;
         };
         let begun_at = Instant::now();
         let plan = lock(&self.paths).plan(replica.node, begun_at);
@@ -136,7 +137,7 @@
             if !plan.direct {
                 pending::<()>().await;
             }
-            self.client.call(address_of(replica), body.clone(), within).await
+            self.call_directly(replica, body.clone(), within).await
         };
         let relayed = async {
             // A path on which something arrives, if only a part of a long answer, is not silent.
@@ -163,6 +164,49 @@
         }
     }
 
+    /// Calls a replica directly. One of an older build gets the entries of one write one after the other.
+    async fn call_directly(
+        &self,
+        replica: &ReplicaMember,
+        body: RpcBody,
+        within: Duration,
+    ) -> Result<RpcBody, RpcError> {
+        let address = address_of(replica);
+        let RpcBody::StoreEntries(write) = body else {
+            return self.client.call(address, body, within).await;
+        };
+        let begun_at = Instant::now();
+        if !self.client.is_older(address) {
+            match self.client.call(address, RpcBody::StoreEntries(write.clone()), within).await {
+                Err(RpcError::NotInItsVersion(_)) => {}
+                answer => return answer,
+            }
+        }
+        self.store_one_by_one(address, write, begun_at + within).await
+    }
+
+    /// Writes entries in their order. Returns what the replica knows after the last, with the standing of the worst
+    /// answer.
+    async fn store_one_by_one(
+        &self,
+        address: SocketAddr,
+        write: StoreEntries,
+        deadline: Instant,
+    ) -> Result<RpcBody, RpcError> {
+        let mut merged: Option<Stored> = None;
+        for entry in write.entries {
+            let left = deadline.saturating_duration_since(Instant::now());
+            let request = StoreEntry { set_version: write.set_version, entry };
+            let answer = self.client.call(address, RpcBody::StoreEntry(request), left).await?;
+            let RpcBody::Stored(stored) = answer else { return Ok(answer) };
+            merged = Some(match merged {
+                None => stored,
+                Some(before) => merge_answers(before, stored),
+            });
+        }
+        Ok(merged.map_or(RpcBody::NotServed, RpcBody::Stored))
+    }
+
     fn note_direct(&self, replica: &ReplicaMember, answer: &Result<RpcBody, RpcError>, begun_at: Instant) {
         if answer.is_err() {
             return;
@@ -234,11 +278,21 @@
             return None;
         }
         let within = Duration::from_millis(relay.within_ms.into()).min(RELAY_TIMEOUT);
-        let answer = self.client.call(address_of(replica), request.body, within).await.ok()?;
+        let answer = self.call_directly(replica, request.body, within).await.ok()?;
         encode_rpc(replica.node, 0, answer).ok()
     }
 }
 
+/// The answers to two writes as the answer to both.
+fn merge_answers(mut first: Stored, second: Stored) -> Stored {
+    if first.witness.standing == ReplicaStanding::Counts {
+        first.witness = second.witness;
+    }
+    first.charges.extend(second.charges);
+    first.places.extend(second.places);
+    first
+}
+
 /// Whether a request is one of those that gateways send to replicas.
 fn may_be_relayed(body: &RpcBody) -> bool {
     matches!(
--- a/crates/gateway/src/peers/rpc_client.rs
+++ b/crates/gateway/src/peers/rpc_client.rs
@@ -1,16 +1,20 @@
 //! Calls other nodes: one connection a node, many exchanges at a time.
+//!
+//! Each connection begins with a request that every version reads, and whose number offers the newest one. The version
+//! of the answer is that of the connection: another build at the same address needs another connection.
 
 use crate::locks::lock;
 use crate::logging::part;
 use crate::network;
-use crate::peers::frame::{code_frame, FrameReader};
-use foxnotch_wire::{NodeId, RpcBody};
+use crate::peers::frame::{code_frame_in, FrameReader};
+use foxnotch_wire::{offering_exchange, NodeId, ProtocolVersion, RpcBody, WireError};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
@@ -56,17 +60,36 @@
     /// The request cannot be coded.
     #[error("a request cannot be coded ({0}); report this with the log")]
     Uncodable(String),
+    /// The node runs a build that does not know the request. It was not sent.
+    #[error("node at {0} runs an older build that does not read the request; upgrade it")]
+    NotInItsVersion(SocketAddr),
 }
 
-type Pending = Arc<Mutex<HashMap<u64, oneshot::Sender<RpcBody>>>>;
+/// What a caller waits for.
+type Answer = Result<RpcBody, RpcError>;
+type Pending = Arc<Mutex<HashMap<u64, oneshot::Sender<Answer>>>>;
+
+/// A request that waits to be sent.
+struct Outgoing {
+    exchange: u64,
+    body: RpcBody,
+}
 
 /// A connection, seen from the caller.
 #[derive(Clone)]
 struct Connection {
-    outgoing: mpsc::UnboundedSender<Vec<u8>>,
+    outgoing: mpsc::UnboundedSender<Outgoing>,
+    shared: Shared,
+}
+
+/// What the calls on a connection share with the task that runs it.
+#[derive(Clone, Default)]
+struct Shared {
     pending: Pending,
     /// Bytes that have arrived.
     received: Arc<AtomicU64>,
+    /// The version that both nodes read; unset until the other one has answered.
+    version: Arc<OnceLock<ProtocolVersion>>,
 }
 
 /// Calls other nodes.
@@ -113,23 +136,29 @@
     /// Any [`RpcError`].
     pub async fn call_with(&self, address: SocketAddr, body: RpcBody, patience: Patience) -> Result<RpcBody, RpcError> {
         let number = self.next_exchange.fetch_add(1, Ordering::Relaxed);
-        let frame = code_frame(self.own, number, body).map_err(|error| RpcError::Uncodable(error.to_string()))?;
         let connection = self.connection(address);
         let (answer, waiting) = oneshot::channel();
-        lock(&connection.pending).insert(number, answer);
-        let _exchange = Exchange { pending: connection.pending.clone(), number };
-        if connection.outgoing.send(frame).is_err() {
+        lock(&connection.shared.pending).insert(number, answer);
+        let _exchange = Exchange { pending: connection.shared.pending.clone(), number };
+        if connection.outgoing.send(Outgoing { exchange: number, body }).is_err() {
             return Err(RpcError::Unreachable(address));
         }
-        let received = connection.received.clone();
+        let received = connection.shared.received.clone();
         drop(connection);
         match wait_for(waiting, &received, patience).await {
-            Some(Ok(body)) => Ok(body),
+            Some(Ok(answer)) => answer,
             Some(Err(_)) => Err(RpcError::Unreachable(address)),
             None => Err(RpcError::TimedOut(address)),
         }
     }
 
+    /// Whether the node at an address is known to run an older build, from the present connection to it.
+    pub fn is_older(&self, address: SocketAddr) -> bool {
+        let connections = lock(&self.connections);
+        let version = connections.get(&address).and_then(|connection| connection.shared.version.get());
+        version.is_some_and(|version| *version < ProtocolVersion::NEWEST)
+    }
+
     /// Waits until nothing has arrived from a node for a time.
     pub async fn until_silent(&self, address: SocketAddr, silence: Duration) {
         let mut seen = self.received_from(address);
@@ -145,7 +174,7 @@
 
     /// Bytes that have arrived on the present connection to a node.
     fn received_from(&self, address: SocketAddr) -> u64 {
-        lock(&self.connections).get(&address).map_or(0, |connection| connection.received.load(Ordering::Relaxed))
+        lock(&self.connections).get(&address).map_or(0, |connection| connection.shared.received.load(Ordering::Relaxed))
     }
 
     fn connection(&self, address: SocketAddr) -> Connection {
@@ -155,19 +184,20 @@
         }
         connections.retain(|_, known| !known.outgoing.is_closed());
         let (outgoing, queue) = mpsc::unbounded_channel();
-        let connection = Connection { outgoing, pending: Pending::default(), received: Arc::default() };
+        let connection = Connection { outgoing, shared: Shared::default() };
         connections.insert(address, connection.clone());
-        tokio::spawn(run_connection(address, queue, connection.pending.clone(), connection.received.clone()));
+        let running = RunningConnection { own: self.own, address, shared: connection.shared.clone() };
+        tokio::spawn(running.run(queue));
         connection
     }
 }
 
 /// Waits for an answer as long as `patience` allows while bytes arrive on its connection. None when that is over.
 async fn wait_for(
-    mut answer: oneshot::Receiver<RpcBody>,
+    mut answer: oneshot::Receiver<Answer>,
     received: &AtomicU64,
     patience: Patience,
-) -> Option<Result<RpcBody, oneshot::error::RecvError>> {
+) -> Option<Result<Answer, oneshot::error::RecvError>> {
     let give_up_at = Instant::now() + patience.whole;
     let mut seen = received.load(Ordering::Relaxed);
     loop {
@@ -183,48 +213,78 @@
     }
 }
 
-/// Runs one connection until it breaks or is idle; then all calls that still wait fail.
-async fn run_connection(
+/// One connection, from its beginning until it breaks or is idle; then all calls that still wait fail.
+struct RunningConnection {
+    own: NodeId,
     address: SocketAddr,
-    mut queue: mpsc::UnboundedReceiver<Vec<u8>>,
-    pending: Pending,
-    received: Arc<AtomicU64>,
-) {
-    match network::connect(address, CONNECT_TIMEOUT).await {
-        Ok(stream) => exchange(stream, &mut queue, &pending, received).await,
-        Err(error) => log::debug!(target: part::PEER, "The node at {address} cannot be reached: {error}."),
-    }
-    queue.close();
-    lock(&pending).clear();
+    shared: Shared,
 }
 
-async fn exchange(
-    stream: TcpStream,
-    queue: &mut mpsc::UnboundedReceiver<Vec<u8>>,
-    pending: &Pending,
-    received: Arc<AtomicU64>,
-) {
-    let (read, mut write) = stream.into_split();
-    let mut reader = FrameReader::new(read).counting(received);
-    loop {
-        tokio::select! {
-            frame = queue.recv() => {
-                let Some(mut bytes) = frame else { return };
-                while let Ok(next) = queue.try_recv() {
-                    bytes.extend_from_slice(&next);
+impl RunningConnection {
+    async fn run(self, mut queue: mpsc::UnboundedReceiver<Outgoing>) {
+        match network::connect(self.address, CONNECT_TIMEOUT).await {
+            Ok(stream) => self.exchange(stream, &mut queue).await,
+            Err(error) => log::debug!(target: part::PEER, "The node at {} cannot be reached: {error}.", self.address),
+        }
+        queue.close();
+        lock(&self.shared.pending).clear();
+    }
+
+    async fn exchange(&self, stream: TcpStream, queue: &mut mpsc::UnboundedReceiver<Outgoing>) {
+        let (read, mut write) = stream.into_split();
+        let mut reader = FrameReader::new(read).counting(self.shared.received.clone());
+        let Some(version) = self.agree_on_version(&mut reader, &mut write).await else { return };
+        loop {
+            tokio::select! {
+                request = queue.recv() => {
+                    let Some(request) = request else { return };
+                    let mut bytes = Vec::new();
+                    self.code(version, request, &mut bytes);
+                    while let Ok(next) = queue.try_recv() {
+                        self.code(version, next, &mut bytes);
+                    }
+                    if write.write_all(&bytes).await.is_err() {
+                        return;
+                    }
                 }
-                if write.write_all(&bytes).await.is_err() {
-                    return;
+                message = reader.next() => {
+                    let Ok(Some(message)) = message else { return };
+                    self.answer(message.exchange, Ok(message.body));
                 }
+                () = tokio::time::sleep(IDLE_TIMEOUT) => return,
             }
-            message = reader.next() => {
-                let Ok(Some(message)) = message else { return };
-                if let Some(waiting) = lock(pending).remove(&message.exchange) {
-                    // The caller waits no more when it had enough answers.
-                    let _ = waiting.send(message.body);
-                }
+        }
+    }
+
+    /// Asks in the oldest version what every node answers, and offers the newest one. None when the connection breaks.
+    async fn agree_on_version(
+        &self,
+        reader: &mut FrameReader<OwnedReadHalf>,
+        write: &mut OwnedWriteHalf,
+    ) -> Option<ProtocolVersion> {
+        let frame = code_frame_in(ProtocolVersion::OLDEST, self.own, offering_exchange(0), RpcBody::ShowSet).ok()?;
+        write.write_all(&frame).await.ok()?;
+        let answer = tokio::time::timeout(IDLE_TIMEOUT, reader.next()).await.ok()?;
+        let version = ProtocolVersion::from_number(answer.ok()??.version)?;
+        Some(*self.shared.version.get_or_init(|| version))
+    }
+
+    /// Appends a request to what is sent next. One that cannot be coded fails at once.
+    fn code(&self, version: ProtocolVersion, request: Outgoing, bytes: &mut Vec<u8>) {
+        match code_frame_in(version, self.own, request.exchange, request.body) {
+            Ok(frame) => bytes.extend_from_slice(&frame),
+            Err(WireError::NotInVersion(problem)) => {
+                log::debug!(target: part::PEER, "A request to {} was not sent: {problem}.", self.address);
+                self.answer(request.exchange, Err(RpcError::NotInItsVersion(self.address)));
             }
-            () = tokio::time::sleep(IDLE_TIMEOUT) => return,
+            Err(error) => self.answer(request.exchange, Err(RpcError::Uncodable(error.to_string()))),
+        }
+    }
+
+    fn answer(&self, exchange: u64, answer: Answer) {
+        if let Some(waiting) = lock(&self.shared.pending).remove(&exchange) {
+            // The caller waits no more when it had enough answers.
+            let _ = waiting.send(answer);
         }
     }
 }
--- a/crates/gateway/src/peers/rpc_server.rs
+++ b/crates/gateway/src/peers/rpc_server.rs
@@ -2,8 +2,8 @@
 
 use crate::logging::part;
 use crate::network;
-use crate::peers::frame::{code_frame, FrameReader};
-use foxnotch_wire::{NodeId, RpcBody};
+use crate::peers::frame::{code_frame_in, FrameReader};
+use foxnotch_wire::{is_offering_exchange, NodeId, ProtocolVersion, RpcBody, RpcMessage};
 use futures_util::future::BoxFuture;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -44,11 +44,12 @@
     loop {
         match reader.next().await {
             Ok(Some(message)) => {
+                let version = version_read_by_caller(&message);
                 let handling = handler.clone().handle(message.from, message.body);
                 let answers = answers.clone();
                 tokio::spawn(async move {
                     let body = handling.await;
-                    match code_frame(own, message.exchange, body) {
+                    match code_frame_in(version, own, message.exchange, body) {
                         // A connection that has ended takes no answer.
                         Ok(frame) => drop(answers.send(frame)),
                         Err(error) => log::error!(target: part::PEER, "An answer was dropped: {error}."),
@@ -66,3 +67,11 @@
     // Requests under way are still answered; a writer whose connection is gone has ended already.
     let _ = writer.await;
 }
+
+/// The newest version that the caller reads: the one that it offers, or else that of its request.
+fn version_read_by_caller(message: &RpcMessage) -> ProtocolVersion {
+    if is_offering_exchange(message.exchange) {
+        return ProtocolVersion::NEWEST;
+    }
+    ProtocolVersion::from_number(message.version).unwrap_or(ProtocolVersion::OLDEST)
+}
--- a/crates/gateway/src/peers/store_updates.rs
+++ b/crates/gateway/src/peers/store_updates.rs
@@ -8,7 +8,7 @@
 use crate::peers::view::{View, ViewHolder};
 use crate::peers::view_pulls::ViewPulls;
 use crate::peers::watcher_role::{assignment_of, Assignment, NodeInZone, Rank, WatcherRole};
-use foxnotch_wire::{MemberState, MemberUpdate, Message, NodeId, ShortRevision, StoreUpdate};
+use foxnotch_wire::{MemberState, MemberUpdate, Message, NodeId, ShortRevision, StoreUpdate, PROTOCOL_VERSION};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -121,8 +121,12 @@
         self.table.send_to(nodes, &Message::StoreUpdate(update));
     }
 
-    /// Takes the update of another node, once this one has pulled what it lacks.
-    pub(super) fn on_update(self: &Arc<Self>, from: NodeId, update: StoreUpdate) {
+    /// Takes the update of another node, written in `version`, once this one has pulled what it lacks.
+    pub(super) fn on_update(self: &Arc<Self>, from: NodeId, version: u8, mut update: StoreUpdate) {
+        if version < PROTOCOL_VERSION {
+            // The sender knows nothing of drains.
+            update.zone_drains_revision = ShortRevision::of(self.view.get().zone_drains.revision);
+        }
         self.view.note_configuration_heard(update.configuration_revision);
         let contact_age = Duration::from_millis(u64::from(update.contact_age_ms));
         if !lacks(&self.view.get(), &update) {
--- a/crates/gateway/tests/upgrade_peer_tests.rs
+++ b/crates/gateway/tests/upgrade_peer_tests.rs
@@ -2,7 +2,9 @@
 //!
 //! After the first gateways had been upgraded, most requests that reached them were refused: "cause=no_quorum ... 0 of 2
 //! replicas answered", while the same replicas answered the gateways of the version before. Served in time fell from 29
-//! of 29 requests in a second to 4 of 17.
+//! of 29 requests in a second to 4 of 17. Each message begins with the number of a protocol version, and a node dropped
+//! what had another number than its own: the number had been raised from 7 to 9 while fields were added, and nothing of
+//! version 7 was read or written any more. So two fleets stood side by side, each with the disks of some replicas.
 
 mod support;
 
@@ -43,11 +45,11 @@
     let socket = UdpSocket::bind(address).await.expect("the address is free");
     // The older node tells of itself in its probe, and is answered where it says that it listens.
     let mut probe = datagram("ping");
-    let (node, listens_at) = (7_u32.to_le_bytes(), [127, 77, 145, 99]);
+    let (node, listens_at, told) = (7_u32.to_le_bytes(), [127, 77, 145, 99], [10, 1, 0, 38]);
     probe[1..5].copy_from_slice(&node);
-    let told = [10, 1, 0, 38];
-    let position = probe.windows(told.len()).position(|bytes| bytes == told).expect("the probe tells an address");
-    probe[position..position + told.len()].copy_from_slice(&listens_at);
+    while let Some(position) = probe.windows(told.len()).position(|bytes| bytes == told) {
+        probe[position..position + told.len()].copy_from_slice(&listens_at);
+    }
     socket.send_to(&probe, cluster.peer_address(1)).await.expect("it can be sent");
     let mut answer = [0; 2048];
     let received = tokio::time::timeout(PATIENCE, socket.recv_from(&mut answer)).await;
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -6,7 +6,9 @@
 //! higher incarnation, then of the later state, is kept.
 
 use crate::time::Millis;
-use foxnotch_wire::{Ack, MemberAddress, MemberList, MemberState, MemberUpdate, Message, NodeId, Ping, PingRequest};
+use foxnotch_wire::{
+    Ack, MemberAddress, MemberList, MemberState, MemberUpdate, Message, NodeId, Ping, PingRequest, MAX_SEQUENCE,
+};
 use std::collections::BTreeMap;
 use std::ops::Bound::{Excluded, Unbounded};
 
@@ -260,9 +262,9 @@
             if dead {
                 continue;
             }
-            self.sequence += 1;
-            self.probe = Some(Probe { target, sequence: self.sequence, sent_at: now, indirect: false });
-            self.push_ping(target, self.sequence, out);
+            let sequence = self.next_sequence();
+            self.probe = Some(Probe { target, sequence, sent_at: now, indirect: false });
+            self.push_ping(target, sequence, out);
             return;
         }
     }
@@ -274,8 +276,14 @@
             return;
         }
         let target = dead[self.random_below(dead.len())];
-        self.sequence += 1;
-        self.push_ping(target, self.sequence, out);
+        let sequence = self.next_sequence();
+        self.push_ping(target, sequence, out);
+    }
+
+    /// The number of the next probe. The bits above the highest are not the state machine's.
+    fn next_sequence(&mut self) -> u32 {
+        self.sequence = if self.sequence < MAX_SEQUENCE { self.sequence + 1 } else { 1 };
+        self.sequence
     }
 
     fn push_ping(&mut self, to: NodeId, sequence: u32, out: &mut Vec<Datagram>) {
@@ -340,10 +348,10 @@
     /// Probes on another node's behalf.
     pub fn on_ping_request(&mut self, from: NodeId, request: PingRequest, now: Millis) -> Vec<Datagram> {
         let mut out = Vec::new();
-        self.sequence += 1;
+        let sequence = self.next_sequence();
         let relay = Relay { asker: from, asker_sequence: request.sequence, sent_at: now };
-        self.relays.insert(self.sequence, relay);
-        self.push_ping(request.target, self.sequence, &mut out);
+        self.relays.insert(sequence, relay);
+        self.push_ping(request.target, sequence, &mut out);
         out
     }
 
--- a/crates/node/src/transport.rs
+++ b/crates/node/src/transport.rs
@@ -3,7 +3,7 @@
 
 use crate::logging::part;
 use foxnotch_core::effect::Event;
-use foxnotch_wire::{decode, encode, MemberAddress, Message, NodeId, MAX_MESSAGE_BYTES};
+use foxnotch_wire::{decode, encode_in, MemberAddress, Message, NodeId, ProtocolVersion, MAX_MESSAGE_BYTES};
 use std::collections::HashMap;
 use std::io;
 use std::net::{IpAddr, Ipv6Addr, SocketAddr};
@@ -77,7 +77,8 @@
 
     /// Sends one message.
     pub fn send(&mut self, to: NodeId, address: &MemberAddress, message: Message, datagram: bool) {
-        let bytes = match encode(self.node, message) {
+        // The form of its messages has not changed since, so nodes of older builds read them.
+        let bytes = match encode_in(ProtocolVersion::OLDEST, self.node, message) {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::error!(target: part::PEER, "A message to node {to} was dropped: {error}");
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -1,13 +1,13 @@
 //! The envelope around every message.
 
+use crate::protocol_version::{ProtocolVersion, PROTOCOL_VERSION};
+use crate::version_7::{Envelope7, NotInVersion7};
 use crate::{
     Accept, AcceptReply, Ack, ConfigDelta, ConfigPull, LoadReport, MemberList, MemberPull, NodeId, Ping, PingRequest,
     Prepare, Promise, RefillPage, RefillRequest, StoreUpdate,
 };
 use deku::prelude::*;
 
-/// The version of the protocol; raised whenever a message changes.
-pub const PROTOCOL_VERSION: u8 = 9;
 /// The longest coded message, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
 
@@ -67,8 +67,7 @@
 #[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
 #[deku(endian = "little")]
 pub struct Envelope {
-    /// [`PROTOCOL_VERSION`] of the sender.
-    #[deku(assert_eq = "PROTOCOL_VERSION")]
+    /// The version that the sender wrote it in.
     pub version: u8,
     /// The sender.
     pub from: NodeId,
@@ -85,36 +84,84 @@
     /// Not a message of this version.
     #[error("message cannot be read ({0}); check that all nodes run protocol version {PROTOCOL_VERSION}")]
     Malformed(String),
+    /// The version of the receiver does not have it.
+    #[error(transparent)]
+    NotInVersion(#[from] NotInVersion7),
     /// Bytes follow the message.
     #[error("{0} bytes follow the message; check that all nodes run protocol version {PROTOCOL_VERSION}")]
     TrailingBytes(usize),
 }
 
-/// Codes a message.
+/// The version that a message is written in.
 ///
 /// # Errors
-/// [`WireError::TooLong`] when the result would be refused by the receiver.
-pub fn encode(from: NodeId, message: Message) -> Result<Vec<u8>, WireError> {
-    let envelope = Envelope { version: PROTOCOL_VERSION, from, message };
-    let bytes = envelope.to_bytes().map_err(|error| WireError::Malformed(error.to_string()))?;
+/// [`WireError::Malformed`] for one that this build does not speak.
+pub(crate) fn version_of(bytes: &[u8]) -> Result<ProtocolVersion, WireError> {
+    let number = bytes.first().ok_or_else(|| WireError::Malformed("it is empty".to_owned()))?;
+    ProtocolVersion::from_number(*number)
+        .ok_or_else(|| WireError::Malformed(format!("it is of protocol version {number}")))
+}
+
+/// The one value that fills `bytes`.
+pub(crate) fn read_whole<T>(bytes: &[u8]) -> Result<T, WireError>
+where
+    T: for<'a> DekuContainerRead<'a>,
+{
+    let ((rest, _), value) = T::from_bytes((bytes, 0)).map_err(malformed)?;
+    if rest.is_empty() {
+        Ok(value)
+    } else {
+        Err(WireError::TrailingBytes(rest.len()))
+    }
+}
+
+/// The bytes of a value, if a receiver takes as many.
+pub(crate) fn write_bounded(value: &impl DekuContainerWrite) -> Result<Vec<u8>, WireError> {
+    let bytes = value.to_bytes().map_err(malformed)?;
+    check_length(&bytes)?;
+    Ok(bytes)
+}
+
+/// # Errors
+/// [`WireError::TooLong`].
+pub(crate) fn check_length(bytes: &[u8]) -> Result<(), WireError> {
     if bytes.len() > MAX_MESSAGE_BYTES {
         return Err(WireError::TooLong(bytes.len()));
     }
-    Ok(bytes)
+    Ok(())
 }
 
-/// Reads a message that fills `bytes`.
+fn malformed(error: DekuError) -> WireError {
+    WireError::Malformed(error.to_string())
+}
+
+/// Codes a message in the newest version.
+///
+/// # Errors
+/// [`WireError::TooLong`] when the result would be refused by the receiver.
+pub fn encode(from: NodeId, message: Message) -> Result<Vec<u8>, WireError> {
+    encode_in(ProtocolVersion::NEWEST, from, message)
+}
+
+/// Codes a message for a receiver that reads `version`.
+///
+/// # Errors
+/// [`WireError::TooLong`] when the result would be refused by the receiver.
+pub fn encode_in(version: ProtocolVersion, from: NodeId, message: Message) -> Result<Vec<u8>, WireError> {
+    match version {
+        ProtocolVersion::Seven => write_bounded(&Envelope7::around(from, message)),
+        ProtocolVersion::Nine => write_bounded(&Envelope { version: version.number(), from, message }),
+    }
+}
+
+/// Reads a message that fills `bytes`, in any version that this build speaks.
 ///
 /// # Errors
 /// Any [`WireError`]; nothing larger than the input's length bound is allocated.
 pub fn decode(bytes: &[u8]) -> Result<Envelope, WireError> {
-    if bytes.len() > MAX_MESSAGE_BYTES {
-        return Err(WireError::TooLong(bytes.len()));
-    }
-    let ((rest, _), envelope) =
-        Envelope::from_bytes((bytes, 0)).map_err(|error| WireError::Malformed(error.to_string()))?;
-    if !rest.is_empty() {
-        return Err(WireError::TrailingBytes(rest.len()));
+    check_length(bytes)?;
+    match version_of(bytes)? {
+        ProtocolVersion::Seven => read_whole::<Envelope7>(bytes).map(Envelope::from),
+        ProtocolVersion::Nine => read_whole(bytes),
     }
-    Ok(envelope)
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,7 +1,9 @@
 //! Messages between foxnotch nodes.
 //!
 //! `codec` and `rpc` hold the frames, datagram and stream; each other module holds the messages of one part. Names of
-//! variants and fields may change, their order and numbers may not: they are the bytes on the wire.
+//! variants and fields may change, their order and numbers may not: they are the bytes on the wire, and nodes of the
+//! version in production run beside this one. `version_7` holds the forms of that version that have changed since, and
+//! `protocol_version` how two nodes find out what both read.
 //!
 //! Every message is a `deku` structure in an [`Envelope`] that carries the protocol version and the
 //! sender. All lengths are bounded and checked before anything is allocated, so a truncated or
@@ -14,6 +16,7 @@
 mod identifiers;
 mod length;
 mod membership;
+mod protocol_version;
 mod quota;
 mod replica_pull;
 mod replica_set;
@@ -26,7 +29,7 @@
 pub mod version_7;
 mod view;
 
-pub use codec::{decode, encode, Envelope, Message, WireError, MAX_MESSAGE_BYTES, PROTOCOL_VERSION};
+pub use codec::{decode, encode, encode_in, Envelope, Message, WireError, MAX_MESSAGE_BYTES};
 pub use configuration::{ConfigDelta, ConfigObject, ConfigPull, ObjectKind};
 pub use content::Content;
 pub use history::{
@@ -38,12 +41,16 @@
     Ack, EngineLoad, LoadReport, MemberAddress, MemberList, MemberPull, MemberState, MemberUpdate, Ping, PingRequest,
     ShortRevision, StoreUpdate, MAX_LOADS, MAX_UNREACHABLE, MAX_UPDATES,
 };
+pub use protocol_version::{
+    is_offering_exchange, is_offering_sequence, offering_exchange, offering_sequence, without_offer, ProtocolVersion,
+    MAX_SEQUENCE, PROTOCOL_VERSION,
+};
 pub use quota::{ProgramStageTag, QuotaGiven, TakeQuota};
 pub use replica_pull::{
     Entries, FetchEntries, ListMarks, Marks, TurnMark, RECORD_ELSEWHERE, RECORD_HERE, RECORD_UNKNOWN,
 };
 pub use replica_set::{DiskIdentity, ReplicaMember, ReplicaSet, ReplicaSetUpdate, ReplicaStanding, Witness};
-pub use rpc::{decode_rpc, encode_rpc, RelayRequest, RpcBody, RpcMessage};
+pub use rpc::{decode_rpc, encode_rpc, encode_rpc_in, RelayRequest, RpcBody, RpcMessage};
 pub use slow_start::{ColdPermit, TakeColdPermit};
 pub use text::Text;
 pub use tickets::{ReclaimTickets, ReclaimedTickets, StoreEntries, TakeTicket, Ticket, TicketAnswer, TicketRequest};
--- a/crates/wire/src/membership.rs
+++ b/crates/wire/src/membership.rs
@@ -165,6 +165,11 @@
         Self(revision as u32)
     }
 
+    /// The low half as a whole revision.
+    pub(crate) fn low_half(self) -> u64 {
+        self.0.into()
+    }
+
     /// Whether this is a newer revision than `known`.
     pub fn is_after(self, known: u64) -> bool {
         let ahead = self.0.wrapping_sub(known as u32);
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -2,10 +2,13 @@
 //!
 //! They travel by stream, each request with a number that its answer repeats.
 
+use crate::codec::{check_length, read_whole, version_of, write_bounded};
+use crate::protocol_version::ProtocolVersion;
+use crate::version_7::RpcMessage7;
 use crate::{
     Chain, ColdPermit, Content, Entries, FetchEntries, ListMarks, Marks, MemberList, MemberUpdate, NodeId, QuotaGiven,
     ReadChain, ReadProgram, ReadStoredView, ReplicaSetUpdate, StoreEntries, StoreEntry, Stored, StoredViewHeld,
-    TakeColdPermit, TakeQuota, TicketAnswer, TicketRequest, ViewUpdate, WireError, MAX_MESSAGE_BYTES, PROTOCOL_VERSION,
+    TakeColdPermit, TakeQuota, TicketAnswer, TicketRequest, ViewUpdate, WireError,
 };
 use deku::prelude::*;
 
@@ -129,8 +132,7 @@
 #[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq)]
 #[deku(endian = "little")]
 pub struct RpcMessage {
-    /// [`PROTOCOL_VERSION`] of the sender.
-    #[deku(assert_eq = "PROTOCOL_VERSION")]
+    /// The version that the sender wrote it in.
     pub version: u8,
     /// The sender.
     pub from: NodeId,
@@ -140,31 +142,39 @@
     pub body: RpcBody,
 }
 
-/// Codes a request or an answer.
+/// Codes a request or an answer in the newest version.
 ///
 /// # Errors
 /// [`WireError::TooLong`] when the receiver would refuse the result.
 pub fn encode_rpc(from: NodeId, exchange: u64, body: RpcBody) -> Result<Vec<u8>, WireError> {
-    let message = RpcMessage { version: PROTOCOL_VERSION, from, exchange, body };
-    let bytes = message.to_bytes().map_err(|error| WireError::Malformed(error.to_string()))?;
-    if bytes.len() > MAX_MESSAGE_BYTES {
-        return Err(WireError::TooLong(bytes.len()));
+    encode_rpc_in(ProtocolVersion::NEWEST, from, exchange, body)
+}
+
+/// Codes a request or an answer for a receiver that reads `version`.
+///
+/// # Errors
+/// [`WireError::TooLong`] when the receiver would refuse the result, [`WireError::NotInVersion`] when its version does
+/// not have it.
+pub fn encode_rpc_in(
+    version: ProtocolVersion,
+    from: NodeId,
+    exchange: u64,
+    body: RpcBody,
+) -> Result<Vec<u8>, WireError> {
+    match version {
+        ProtocolVersion::Seven => write_bounded(&RpcMessage7::with(from, exchange, body)?),
+        ProtocolVersion::Nine => write_bounded(&RpcMessage { version: version.number(), from, exchange, body }),
     }
-    Ok(bytes)
 }
 
-/// Reads a request or an answer that fills `bytes`.
+/// Reads a request or an answer that fills `bytes`, in any version that this build speaks.
 ///
 /// # Errors
 /// Any [`WireError`].
 pub fn decode_rpc(bytes: &[u8]) -> Result<RpcMessage, WireError> {
-    if bytes.len() > MAX_MESSAGE_BYTES {
-        return Err(WireError::TooLong(bytes.len()));
-    }
-    let ((rest, _), message) =
-        RpcMessage::from_bytes((bytes, 0)).map_err(|error| WireError::Malformed(error.to_string()))?;
-    if !rest.is_empty() {
-        return Err(WireError::TrailingBytes(rest.len()));
+    check_length(bytes)?;
+    match version_of(bytes)? {
+        ProtocolVersion::Seven => read_whole::<RpcMessage7>(bytes).map(RpcMessage::from),
+        ProtocolVersion::Nine => read_whole(bytes),
     }
-    Ok(message)
 }
--- a/crates/wire/src/version_7/turns.rs
+++ b/crates/wire/src/version_7/turns.rs
@@ -3,23 +3,13 @@
 use crate::content::Content;
 use crate::length::Length;
 use crate::turn_entry::{ProgramKey, RunLocation, TurnEntry, TurnId, TurnRecord};
+use crate::version_7::NotInVersion7;
 use deku::prelude::*;
 
-/// Why something has no form in version 7.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum NotInVersion7 {
-    /// A node of version 7 would store and send the text as if it were bound to no region.
-    #[error("a turn is bound to regions, which nodes of protocol version 7 do not respect; upgrade them")]
-    BoundToRegions,
-    /// A request or an answer that came later.
-    #[error("nodes of protocol version 7 do not know this kind of message; upgrade them")]
-    UnknownKind,
-}
-
 /// [`TurnRecord`] in version 7.
 #[derive(DekuRead, DekuWrite, Clone, Debug, PartialEq, Eq)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
-pub struct TurnRecord7 {
+pub(super) struct TurnRecord7 {
     previous: TurnId,
     engine: u32,
     input: Content,
@@ -73,6 +63,18 @@
     }
 }
 
+impl TurnEntry7 {
+    /// An entry for a replica of version 7 that asks for it: without a text that is bound to regions, which it may not
+    /// have, and without word of one that is elsewhere, which it cannot tell from a turn that has not ended whole.
+    pub(super) fn without_bound_text(entry: TurnEntry) -> Self {
+        let is_bound = entry.elsewhere.is_some() || !entry.regions().is_empty();
+        let TurnEntry { turn, program, retention_ms, reserved, used, place, record, .. } = entry;
+        let unbound = if is_bound { Vec::new() } else { record };
+        let record = unbound.into_iter().filter_map(|record| TurnRecord7::try_from(record).ok()).collect();
+        Self { turn, program, retention_ms, reserved, used, place, record }
+    }
+}
+
 impl TryFrom<TurnEntry> for TurnEntry7 {
     type Error = NotInVersion7;
 
