A message that cannot be read is counted and named, and so is a node of an older build

Cause: a datagram of another version was dropped without a word and a stream ended with a line of level debug, so a fleet of two builds that do not read each other looked like one with dead nodes: "0 of 2 replicas answered", beside replicas that ran.

Measured: messages_that_cannot_be_read_are_counted; a_probe_that_offers_the_newest_version_is_answered_in_it.

--- a/crates/gateway/src/edge/parts.rs
+++ b/crates/gateway/src/edge/parts.rs
@@ -189,6 +189,7 @@
     metrics.read("store_watched", "1 while this gateway watches the platform's store by itself", move || {
         i64::from(watcher_role.must_watch())
     });
+    metrics.read_older_nodes(members);
     let members = members.clone();
     metrics.read("gateways_known", "Other gateways that answer", move || members.gateway_count() as i64);
     Arc::new(metrics)
--- a/crates/gateway/src/metrics/mod.rs
+++ b/crates/gateway/src/metrics/mod.rs
@@ -11,6 +11,8 @@
 use crate::engines::connection::opened;
 use crate::locks::lock;
 use crate::logging::lines_left_out;
+use crate::peers::members::Members;
+use crate::peers::unreadable::unreadable_messages;
 use crate::peers::view::ViewHolder;
 use crate::peers::view_exchange::pulls;
 use prometheus_client::encoding::text::encode;
@@ -208,6 +210,7 @@
         self.read("engine_connections_opened", "Connections opened to engines", || opened() as i64);
         self.read("view_pulls_answered", "Views pulled from other nodes", || pulls().0 as i64);
         self.read("view_pulls_failed", "Pulls of a view that failed", || pulls().1 as i64);
+        self.read("messages_not_read", "Messages of other nodes that were not read", || unreadable_messages() as i64);
         self.read("log_lines_left_out", "Log lines left out", || lines_left_out() as i64);
     }
 
@@ -218,6 +221,12 @@
         self.readings.push((gauge, Box::new(reading)));
     }
 
+    /// Adds the gauge of other nodes that run an older build.
+    pub(crate) fn read_older_nodes(&mut self, members: &Arc<Members>) {
+        let known = members.clone();
+        self.read("older_nodes_known", "Other nodes that run an older build", move || known.older_nodes() as i64);
+    }
+
     /// Adds the gauges of a configuration that comes from replicas' disks and that the store has not confirmed.
     pub(crate) fn read_unconfirmed_configuration(&mut self, view: &Arc<ViewHolder>) {
         let known = view.clone();
--- a/crates/gateway/src/peers/member_table.rs
+++ b/crates/gateway/src/peers/member_table.rs
@@ -7,6 +7,7 @@
 use crate::locks::lock;
 use crate::peers::addresses::socket_of;
 use crate::peers::peer_versions::PeerVersions;
+use crate::peers::unreadable::note_unreadable;
 use crate::settings::ProcessSettings;
 use foxnotch_membership::{Datagram, Membership};
 use foxnotch_turns::identity::node_id;
@@ -203,6 +204,13 @@
         lock(&self.versions).of(node, incarnation)
     }
 
+    /// How many members that are not dead are known to run an older build.
+    pub(super) fn older_nodes(&self) -> usize {
+        let is_older = |member: &&MemberUpdate| self.version_of(member.node) < Some(ProtocolVersion::NEWEST);
+        let known = |member: &&MemberUpdate| self.version_of(member.node).is_some();
+        self.alive().iter().filter(known).filter(is_older).count()
+    }
+
     /// Notes what a datagram says about the version that its sender reads.
     fn note_version(&self, from: NodeId, read: Option<ProtocolVersion>) {
         if let (Some(version), Some(sender)) = (read, self.known(from)) {
@@ -252,12 +260,13 @@
     pub(super) async fn receive(&self) -> Envelope {
         let mut buffer = [0; MAX_DATAGRAM];
         loop {
-            let Ok((length, _)) = self.socket.recv_from(&mut buffer).await else {
+            let Ok((length, from)) = self.socket.recv_from(&mut buffer).await else {
                 tokio::time::sleep(PAUSE_AFTER_ERROR).await;
                 continue;
             };
-            if let Ok(envelope) = decode(&buffer[..length]) {
-                return envelope;
+            match decode(&buffer[..length]) {
+                Ok(envelope) => return envelope,
+                Err(error) => note_unreadable(from, &error),
             }
         }
     }
--- a/crates/gateway/src/peers/members.rs
+++ b/crates/gateway/src/peers/members.rs
@@ -116,6 +116,11 @@
         self.table.gateway_count()
     }
 
+    /// How many other nodes that are not dead run an older build, as far as is known.
+    pub fn older_nodes(&self) -> usize {
+        self.table.older_nodes()
+    }
+
     /// A gateway of those that fit: `preferred` if it is one, or else a random one.
     pub fn pick_gateway(
         &self,
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -20,6 +20,7 @@
 pub mod rpc_client;
 pub mod rpc_server;
 mod store_updates;
+pub mod unreadable;
 pub mod view;
 pub mod view_codec;
 pub mod view_exchange;
--- a/crates/gateway/src/peers/rpc_client.rs
+++ b/crates/gateway/src/peers/rpc_client.rs
@@ -7,8 +7,10 @@
 use crate::logging::part;
 use crate::network;
 use crate::peers::frame::{code_frame_in, FrameReader};
+use crate::peers::unreadable::note_unreadable;
 use foxnotch_wire::{offering_exchange, NodeId, ProtocolVersion, RpcBody, WireError};
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
@@ -248,6 +250,7 @@
                     }
                 }
                 message = reader.next() => {
+                    let message = message.inspect_err(|error| self.note_broken(error));
                     let Ok(Some(message)) = message else { return };
                     self.answer(message.exchange, Ok(message.body));
                 }
@@ -265,10 +268,17 @@
         let frame = code_frame_in(ProtocolVersion::OLDEST, self.own, offering_exchange(0), RpcBody::ShowSet).ok()?;
         write.write_all(&frame).await.ok()?;
         let answer = tokio::time::timeout(IDLE_TIMEOUT, reader.next()).await.ok()?;
-        let version = ProtocolVersion::from_number(answer.ok()??.version)?;
+        let answer = answer.inspect_err(|error| self.note_broken(error)).ok()??;
+        let version = ProtocolVersion::from_number(answer.version)?;
         Some(*self.shared.version.get_or_init(|| version))
     }
 
+    fn note_broken(&self, error: &io::Error) {
+        if error.kind() == io::ErrorKind::InvalidData {
+            note_unreadable(self.address, error);
+        }
+    }
+
     /// Appends a request to what is sent next. One that cannot be coded fails at once.
     fn code(&self, version: ProtocolVersion, request: Outgoing, bytes: &mut Vec<u8>) {
         match code_frame_in(version, self.own, request.exchange, request.body) {
--- a/crates/gateway/src/peers/rpc_server.rs
+++ b/crates/gateway/src/peers/rpc_server.rs
@@ -3,8 +3,10 @@
 use crate::logging::part;
 use crate::network;
 use crate::peers::frame::{code_frame_in, FrameReader};
+use crate::peers::unreadable::note_unreadable;
 use foxnotch_wire::{is_offering_exchange, NodeId, ProtocolVersion, RpcBody, RpcMessage};
 use futures_util::future::BoxFuture;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::io::AsyncWriteExt;
@@ -58,6 +60,9 @@
             }
             Ok(None) => break,
             Err(error) => {
+                if error.kind() == io::ErrorKind::InvalidData {
+                    note_unreadable(from, &error);
+                }
                 log::debug!(target: part::PEER, "The connection from {from} ended: {error}.");
                 break;
             }
--- a/crates/gateway/src/replica/process.rs
+++ b/crates/gateway/src/replica/process.rs
@@ -65,7 +65,7 @@
     let replica = Arc::new(open_replica(&settings, &folder, &shared)?);
     let identified = replica.state().identify(settings.first_start).await;
     identified.context("the disk's identity cannot be written; check the disk")?;
-    let metrics = replica_metrics(&replica, &shared.view);
+    let metrics = replica_metrics(&replica, &shared.view, &shared.members);
     let store: Arc<dyn MetadataStore> = Arc::new(CountedStore::new(store, metrics.clone()));
     let set_manager = new_set_manager(&settings, &replica, &shared, store.clone());
 
--- a/crates/gateway/src/replica/replica_metrics.rs
+++ b/crates/gateway/src/replica/replica_metrics.rs
@@ -2,6 +2,7 @@
 
 use super::service::ReplicaService;
 use crate::metrics::Metrics;
+use crate::peers::members::Members;
 use crate::peers::view::ViewHolder;
 use std::sync::Arc;
 
@@ -18,9 +19,14 @@
 }
 
 /// The metrics, in the order in which they are shown.
-pub(super) fn replica_metrics(replica: &Arc<ReplicaService>, view: &Arc<ViewHolder>) -> Arc<Metrics> {
+pub(super) fn replica_metrics(
+    replica: &Arc<ReplicaService>,
+    view: &Arc<ViewHolder>,
+    members: &Arc<Members>,
+) -> Arc<Metrics> {
     let mut metrics = Metrics::default();
     metrics.read_unconfirmed_configuration(view);
+    metrics.read_older_nodes(members);
     let mut add = |name, help, value: fn(&ReplicaService) -> i64| read(&mut metrics, replica, name, help, value);
     add("kept_configuration_revision", "The configuration on this disk", |replica| {
         replica.stored_view().revisions().configuration as i64
--- a/crates/gateway/tests/upgrade_peer_tests.rs
+++ b/crates/gateway/tests/upgrade_peer_tests.rs
@@ -9,8 +9,11 @@
 mod support;
 
 use foxnotch_gateway::peers::rpc_client::RpcClient;
-use foxnotch_wire::{NodeId, RpcBody, RpcMessage, StoreEntry, TurnEntry};
-use std::net::SocketAddr;
+use foxnotch_wire::{
+    decode, encode_in, offering_sequence, without_offer, MemberAddress, MemberState, MemberUpdate, Message, NodeId,
+    Ping, ProtocolVersion, RpcBody, RpcMessage, StoreEntry, TurnEntry, PROTOCOL_VERSION,
+};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 use support::cluster::Cluster;
 use support::older_node::{body_of, datagram, exchange_of, read_frame, request, write_frame, OlderNode, VERSION};
@@ -57,6 +60,50 @@
     assert_eq!((answer[0], answer[DATAGRAM_KIND]), (VERSION, ACK));
 }
 
+/// A node of this version begins like an older one, and offers the version that it reads.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_probe_that_offers_the_newest_version_is_answered_in_it() {
+    let cluster = Cluster::start(146, 1).await;
+    let address: SocketAddr = "127.77.146.99:7380".parse().expect("an address");
+    let socket = UdpSocket::bind(address).await.expect("the address is free");
+    let own = MemberUpdate {
+        node: NodeId(7),
+        state: MemberState::Alive,
+        incarnation: 8,
+        zone: 0,
+        address: MemberAddress {
+            ip: Ipv4Addr::new(127, 77, 146, 99).to_ipv6_mapped().octets(),
+            peer_port: 7380,
+            caller_port: 0,
+        },
+        config_revision: 0,
+    };
+    let ping = Message::Ping(Ping { sequence: offering_sequence(5), updates: vec![own] });
+    let probe = encode_in(ProtocolVersion::OLDEST, NodeId(7), ping).expect("it can be coded");
+    socket.send_to(&probe, cluster.peer_address(1)).await.expect("it can be sent");
+    let mut bytes = [0; 2048];
+    let received = tokio::time::timeout(PATIENCE, socket.recv_from(&mut bytes)).await;
+    let (length, _) = received.expect("an answer in time").expect("it is received");
+    let answer = decode(&bytes[..length]).expect("it is read");
+    let Message::Ack(ack) = answer.message else { panic!("no answer to the probe: {answer:?}") };
+    assert_eq!((answer.version, without_offer(ack.sequence)), (PROTOCOL_VERSION, 5));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn messages_that_cannot_be_read_are_counted() {
+    let cluster = Cluster::start(147, 1).await;
+    let before = cluster.metric(1, "messages_not_read").await.expect("the metrics are there");
+    let socket = UdpSocket::bind("127.77.147.99:7380").await.expect("the address is free");
+    socket.send_to(&[8, 1, 2, 3], cluster.peer_address(1)).await.expect("it can be sent");
+    let mut stream = TcpStream::connect(cluster.peer_address(1)).await.expect("the replica listens");
+    write_frame(&mut stream, &[8, 1, 2, 3]).await;
+    let until = tokio::time::Instant::now() + PATIENCE;
+    while cluster.metric(1, "messages_not_read").await < Some(before + 2) {
+        assert!(tokio::time::Instant::now() < until, "they are never counted");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 #[tokio::test]
 async fn an_older_node_is_called_in_its_version() {
     let older = OlderNode::start(&[(SHOW_SET, "set_known"), (STORE_ENTRY, "stored_counts")]).await;
