A turn stands on disk in the oldest form that has all of it

What callers would see: a machine that is put back to the build in production forgets turns that were acknowledged; with all replicas put back, the program's next turn is answered 404.

Cause: each turn was written as a record that names regions, also one that is bound to none. The build before takes a record that it does not know for torn and leaves it and all behind it out, without a word.

Why this mend holds: a turn that is bound to no region is written in the form of version 7, byte for byte as that version writes it (the test that stood red compares with its own folder).

Tests: the fixture that held today's form on disk stays and is read as before; the form that is written has a fixture of its own, as the head of that test asks, and both are read by the same tests. The test of a record that checks and is not known used number 0 for the unknown one; it uses 4 now, since 0 is known.

--- a/crates/gateway/tests/stored_data_tests.rs
+++ b/crates/gateway/tests/stored_data_tests.rs
@@ -1,7 +1,8 @@
-//! A replica's data folder as it was written, in `tests/fixtures/replica_folder.txt`: a line for each file with its name and
-//! its bytes in hexadecimal. A replica that is started with it has to find everything.
+//! Replicas' data folders as they were written, in `tests/fixtures`: a line for each file with its name and its bytes in
+//! hexadecimal. A replica that is started with one has to find everything. `replica_folder.txt` was written while all turns
+//! stood in records that name regions, `replica_folder_oldest_form.txt` since a turn stands in the oldest form that has it.
 //!
-//! When the format changes on purpose: folders of the version before have to stay readable, so keep this fixture and add
+//! When the format changes on purpose: folders of the version before have to stay readable, so keep these fixtures and add
 //! another one. To write one, run this test, and put the lines that it prints as `actual` into the new fixture.
 
 mod support;
@@ -20,6 +21,7 @@
     ReplicaMember, ReplicaSet, ReplicaStanding, RpcBody, RunLocation, StoredPart, TurnCharge, TurnEntry, TurnId,
     TurnRecord, NOT_SETTLED,
 };
+use rstest::rstest;
 use std::collections::BTreeMap;
 use std::fs;
 use std::path::Path;
@@ -29,6 +31,7 @@
 use tempfile::TempDir;
 
 const FOLDER: &str = include_str!("fixtures/replica_folder.txt");
+const FOLDER_IN_OLDEST_FORM: &str = include_str!("fixtures/replica_folder_oldest_form.txt");
 const VIEW_PARTS: &str = include_str!("fixtures/view_parts.txt");
 
 /// The replica that wrote the folder.
@@ -150,14 +153,17 @@
         disk.write(records).await.expect("the disk takes it");
     }
     write_view(folder.path());
-    assert_same_lines(&lines_of_folder(folder.path()), FOLDER);
+    assert_same_lines(&lines_of_folder(folder.path()), FOLDER_IN_OLDEST_FORM);
 }
 
 /// Each segment begins with the state and the caps that were known.
+#[rstest]
+#[case(FOLDER)]
+#[case(FOLDER_IN_OLDEST_FORM)]
 #[tokio::test]
-async fn every_record_of_the_fixture_is_read() {
+async fn every_record_of_the_fixture_is_read(#[case] fixture: &str) {
     let folder = TempDir::new().expect("a folder can be made");
-    fill_folder(folder.path(), FOLDER);
+    fill_folder(folder.path(), fixture);
     let (_, records) = Disk::open(folder.path()).expect("the folder can be read");
     let first = [before_the_restart().remove(0), caps(&[(0xa1, 30), (0xa2, 40)])];
     let second = [Record::State(state()), caps(&[(0xa1, 30), (0xa2, 50)])];
@@ -182,18 +188,21 @@
 }
 
 /// A replica that starts with the folder, beside none of the others.
-async fn started(net: u8) -> Cluster {
+async fn started(net: u8, fixture: &str) -> Cluster {
     let mut cluster = Cluster::begin(net, 0, Some(3));
-    fill_folder(&cluster.data_folder(NUMBER), FOLDER);
+    fill_folder(&cluster.data_folder(NUMBER), fixture);
     cluster.start_replica(NUMBER, false);
     let address = cluster.peer_address(NUMBER);
     eventually("the replica listens", || std::net::TcpStream::connect(address).is_ok()).await;
     cluster
 }
 
+#[rstest]
+#[case(NET, FOLDER)]
+#[case(NET + 2, FOLDER_IN_OLDEST_FORM)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_replica_that_starts_with_the_folder_has_everything() {
-    let cluster = started(NET).await;
+async fn a_replica_that_starts_with_the_folder_has_everything(#[case] net: u8, #[case] fixture: &str) {
+    let cluster = started(net, fixture).await;
     let RpcBody::SetKnown(update) = cluster.ask(NUMBER, RpcBody::ShowSet).await else { panic!("no set") };
     assert_eq!((update.set, update.synced), (set(), SET_VERSION));
 
@@ -221,7 +230,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_replica_that_starts_with_the_folder_tells_the_kept_view() {
-    let cluster = started(NET + 1).await;
+    let cluster = started(NET + 1, FOLDER).await;
     let RpcBody::StoredViewHeld(held) = cluster.ask(NUMBER, RpcBody::ReadStoredView(ReadStoredView::default())).await
     else {
         panic!("nothing is kept")
--- a/crates/turns/src/segment.rs
+++ b/crates/turns/src/segment.rs
@@ -101,9 +101,11 @@
 }
 
 impl From<Record> for WrittenRecord {
+    /// An entry stands in the oldest form that has all of it: a machine that is put back to the build before would take
+    /// a number that it does not know for torn, and leave acknowledged turns out.
     fn from(record: Record) -> Self {
         match record {
-            Record::Entry(entry) => Self::Entry(entry),
+            Record::Entry(entry) => TurnEntry7::of_unbound(entry).map_or_else(Self::Entry, Self::Entry7),
             Record::State(state) => Self::State(state),
             Record::QuotaCaps(caps) => Self::QuotaCaps(caps),
         }
--- a/crates/turns/tests/segment_tests.rs
+++ b/crates/turns/tests/segment_tests.rs
@@ -91,11 +91,11 @@
 /// What was synced is never taken for torn, or a replica would count without it.
 #[test]
 fn a_record_that_checks_and_is_not_known_is_an_error() {
-    let mut of_an_earlier_version = payload_of(&record(2, 10));
-    of_an_earlier_version[0] = 0;
+    let mut of_another_version = payload_of(&record(2, 10));
+    of_another_version[0] = 4;
     let mut with_a_surplus_byte = payload_of(&record(2, 10));
     with_a_surplus_byte.push(0);
-    for payload in [of_an_earlier_version, with_a_surplus_byte] {
+    for payload in [of_another_version, with_a_surplus_byte] {
         let bytes = [file(&[Record::State(ReplicaState::default())]), frame(&payload)].concat();
         assert!(matches!(read_segment(&bytes), Err(SegmentError::UnknownForm)));
     }
--- a/crates/wire/src/version_7/requests.rs
+++ b/crates/wire/src/version_7/requests.rs
@@ -213,7 +213,8 @@
     fn from(chain: Chain) -> Self {
         let Chain { mut witness, links, elsewhere } = chain;
         let count = links.len();
-        let link = |link: ChainLink| Some(ChainLink7 { turn: link.turn, record: link.record.try_into().ok()? });
+        let link =
+            |link: ChainLink| Some(ChainLink7 { turn: link.turn, record: TurnRecord7::of_unbound(link.record)? });
         let links: Vec<ChainLink7> = links.into_iter().map_while(link).collect();
         if elsewhere == 1 || links.len() < count {
             witness.standing = ReplicaStanding::Refilling;
@@ -294,7 +295,8 @@
     fn try_from(body: RpcBody) -> Result<Self, NotInVersion7> {
         Ok(match body {
             RpcBody::StoreEntry(StoreEntry { set_version, entry }) => {
-                Self::StoreEntry(StoreEntry7 { set_version, entry: entry.try_into()? })
+                let entry = TurnEntry7::of_unbound(entry).map_err(|_| NotInVersion7::BoundToRegions)?;
+                Self::StoreEntry(StoreEntry7 { set_version, entry })
             }
             RpcBody::ReadProgram(request) => Self::ReadProgram(request),
             RpcBody::ReadChain(request) => Self::ReadChain(request),
--- a/crates/wire/src/version_7/turns.rs
+++ b/crates/wire/src/version_7/turns.rs
@@ -3,7 +3,6 @@
 use crate::content::Content;
 use crate::length::Length;
 use crate::turn_entry::{ProgramKey, RunLocation, TurnEntry, TurnId, TurnRecord};
-use crate::version_7::NotInVersion7;
 use deku::prelude::*;
 
 /// [`TurnRecord`] in version 7.
@@ -43,15 +42,11 @@
     }
 }
 
-impl TryFrom<TurnRecord> for TurnRecord7 {
-    type Error = NotInVersion7;
-
-    fn try_from(record: TurnRecord) -> Result<Self, NotInVersion7> {
-        if !record.regions.is_empty() {
-            return Err(NotInVersion7::BoundToRegions);
-        }
-        let TurnRecord { previous, engine, input, output, .. } = record;
-        Ok(Self { previous, engine, input, output })
+impl TurnRecord7 {
+    /// The record, if it is bound to no region.
+    pub(super) fn of_unbound(record: TurnRecord) -> Option<Self> {
+        let TurnRecord { previous, engine, regions, input, output } = record;
+        regions.is_empty().then_some(Self { previous, engine, input, output })
     }
 }
 
@@ -64,26 +59,23 @@
 }
 
 impl TurnEntry7 {
+    /// The entry, if its record is here and bound to no region, or if it has none.
+    ///
+    /// # Errors
+    /// The entry as it was.
+    #[allow(clippy::result_large_err, reason = "an entry that has no such form is still needed")]
+    pub fn of_unbound(entry: TurnEntry) -> Result<Self, TurnEntry> {
+        if entry.elsewhere.is_some() || !entry.regions().is_empty() {
+            return Err(entry);
+        }
+        Ok(Self::without_bound_text(entry))
+    }
+
     /// An entry for a replica of version 7 that asks for it: without a text that is bound to regions, which it may not
     /// have, and without word of one that is elsewhere, which it cannot tell from a turn that has not ended whole.
     pub(super) fn without_bound_text(entry: TurnEntry) -> Self {
-        let is_bound = entry.elsewhere.is_some() || !entry.regions().is_empty();
         let TurnEntry { turn, program, retention_ms, reserved, used, place, record, .. } = entry;
-        let unbound = if is_bound { Vec::new() } else { record };
-        let record = unbound.into_iter().filter_map(|record| TurnRecord7::try_from(record).ok()).collect();
+        let record = record.into_iter().filter_map(TurnRecord7::of_unbound).collect();
         Self { turn, program, retention_ms, reserved, used, place, record }
     }
 }
-
-impl TryFrom<TurnEntry> for TurnEntry7 {
-    type Error = NotInVersion7;
-
-    fn try_from(entry: TurnEntry) -> Result<Self, NotInVersion7> {
-        if entry.elsewhere.is_some() {
-            return Err(NotInVersion7::BoundToRegions);
-        }
-        let TurnEntry { turn, program, retention_ms, reserved, used, place, record, .. } = entry;
-        let record = record.into_iter().map(TurnRecord7::try_from).collect::<Result<_, _>>()?;
-        Ok(Self { turn, program, retention_ms, reserved, used, place, record })
-    }
-}
