Tokens reserved ahead beside an older gateway: test, red

What callers see: while a fleet is upgraded, a turn that a program's budget holds is refused with 402 at a gateway that is not upgraded yet, because the turn before has reserved for it at one that is.

--- a/crates/gateway/tests/support/older_node.rs
+++ b/crates/gateway/tests/support/older_node.rs
@@ -3,11 +3,13 @@
 //! Like that node it reads nothing of another version: a frame of one ends the connection, and is counted.
 
 use crate::support::fixtures::bytes_by_name;
+use foxnotch_wire::{encode_in, MemberAddress, MemberState, MemberUpdate, Message, NodeId, Ping, ProtocolVersion};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 /// Its requests and answers: a line each with the name and the bytes in hexadecimal.
 const REQUESTS: &str = include_str!("../../../wire/tests/fixtures/version_7/requests.txt");
@@ -17,6 +19,8 @@
 pub const VERSION: u8 = 7;
 /// Where the number of an exchange stands: behind the version and the sender.
 const EXCHANGE: std::ops::Range<usize> = 5..13;
+/// Time between two probes of [`OlderGateway`]: soon enough that nobody finds it dead.
+const PROBE_PERIOD: Duration = Duration::from_millis(200);
 /// Where the kind of a request stands.
 const KIND: usize = 13;
 
@@ -91,6 +95,44 @@
     }
 }
 
+/// A gateway of version 7 that is alive to other nodes: it probes them with word of itself, again and again.
+pub struct OlderGateway {
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Drop for OlderGateway {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl OlderGateway {
+    /// Starts a gateway at an address, which probes these nodes.
+    pub async fn start(node: NodeId, address: SocketAddrV4, nodes: Vec<SocketAddr>) -> Self {
+        let socket = UdpSocket::bind(address).await.expect("the address is free");
+        let task = tokio::spawn(async move {
+            for incarnation in 1.. {
+                let ip = address.ip().to_ipv6_mapped().octets();
+                let own = MemberUpdate {
+                    node,
+                    state: MemberState::Alive,
+                    incarnation,
+                    zone: 0,
+                    address: MemberAddress { ip, peer_port: address.port(), caller_port: 80 },
+                    config_revision: 0,
+                };
+                let probe = Message::Ping(Ping { sequence: incarnation as u32, updates: vec![own] });
+                let bytes = encode_in(ProtocolVersion::Seven, node, probe).expect("it can be coded");
+                for node in &nodes {
+                    socket.send_to(&bytes, node).await.expect("it can be sent");
+                }
+                tokio::time::sleep(PROBE_PERIOD).await;
+            }
+        });
+        Self { task }
+    }
+}
+
 async fn serve(mut stream: TcpStream, answers: BTreeMap<u8, &'static str>, log: Arc<Mutex<Vec<Vec<u8>>>>) {
     while let Some(message) = read_frame(&mut stream).await {
         log.lock().expect("nobody has panicked").push(message.clone());
--- a/crates/gateway/tests/upgrade_peer_tests.rs
+++ b/crates/gateway/tests/upgrade_peer_tests.rs
@@ -9,18 +9,26 @@
 mod support;
 
 use foxnotch_gateway::peers::rpc_client::RpcClient;
+use foxnotch_gateway::ports::store::Kind;
+use foxnotch_turns::identity::program_key;
 use foxnotch_wire::{
     decode, encode_in, offering_sequence, without_offer, MemberAddress, MemberState, MemberUpdate, Message, NodeId,
-    Ping, ProtocolVersion, RpcBody, RpcMessage, StoreEntry, TurnEntry, PROTOCOL_VERSION,
+    Ping, ProtocolVersion, ReadProgram, RpcBody, RpcMessage, StoreEntry, TurnEntry, PROTOCOL_VERSION,
 };
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::Duration;
 use support::cluster::Cluster;
-use support::older_node::{body_of, datagram, exchange_of, read_frame, request, write_frame, OlderNode, VERSION};
+use support::engine::{Behaviour, EngineStandIn};
+use support::gateway::{configuration, list_engine, RunningGateway};
+use support::older_node::{
+    body_of, datagram, exchange_of, read_frame, request, write_frame, OlderGateway, OlderNode, VERSION,
+};
 use tokio::net::{TcpStream, UdpSocket};
 
 /// Time for an answer.
 const PATIENCE: Duration = Duration::from_secs(5);
+/// The number of a cluster's gateway.
+const GATEWAY: u8 = 50;
 /// Kinds of requests and answers on the wire.
 const STORE_ENTRY: u8 = 0;
 const SHOW_SET: u8 = 9;
@@ -132,3 +140,47 @@
     assert_eq!((*used, elsewhere, record.len()), (41, &None, 1));
     assert!(entry.regions().is_empty());
 }
+
+/// A gateway of version 7 knows no tickets: to it, tokens that are reserved ahead are spent, and it refuses a turn with 402
+/// that the budget holds. So none are reserved while such a gateway may get the program's next turn.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn tokens_are_not_reserved_ahead_beside_an_older_gateway() {
+    let cluster = Cluster::start(148, 3).await;
+    cluster.wait_until_synced(&[1, 2, 3]).await;
+    cluster.store.put(Kind::Configuration, "main", configuration(1));
+    let engine = EngineStandIn::start(Behaviour::Stream(vec!["data: x\n\n", "data: y\n\n"])).await;
+    list_engine(&cluster, "e-draft", "draft", engine.address);
+    let gateway = RunningGateway::start_changed(&cluster, GATEWAY, cluster.store.clone(), |settings| {
+        settings.policy.reserve_ahead = true;
+    })
+    .await;
+    gateway.wait_ready().await;
+    let older = NodeId(7);
+    let nodes = [1, 2, 3, GATEWAY].map(|number| cluster.peer_address(number)).to_vec();
+    let _older = OlderGateway::start(older, SocketAddrV4::new(cluster.ip(7), 7380), nodes).await;
+    let until = tokio::time::Instant::now() + PATIENCE;
+    loop {
+        let RpcBody::Members(list) = cluster.ask(GATEWAY, RpcBody::ShowMembers).await else { panic!("no members") };
+        if list.members.iter().any(|member| member.node == older) {
+            break;
+        }
+        assert!(tokio::time::Instant::now() < until, "the older gateway is never known");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+
+    let headers = "t-attempt: t1\r\nt-deadline: 2000\r\nt-program: p\r\nt-budget: 500\r\nt-most: 30\r\n";
+    let answer = gateway.send("POST /draft/", headers, "in").await;
+    assert_eq!((answer.status, answer.is_whole), (200, true), "{}", answer.body);
+    // Its settlement and what is reserved ahead would be written together.
+    let request = ReadProgram { set_version: cluster.view.set().version, program: program_key("", "p") };
+    loop {
+        let RpcBody::Stored(stored) = cluster.ask(1, RpcBody::ReadProgram(request)).await else { panic!("no charges") };
+        let charges: Vec<(u32, u8)> = stored.charges.iter().map(|charge| (charge.tokens, charge.settled)).collect();
+        if charges.iter().any(|(_, settled)| *settled == 1) {
+            assert_eq!(charges, [(18, 1)]);
+            return;
+        }
+        assert!(tokio::time::Instant::now() < until, "the turn is never settled: {charges:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
