Tokens are reserved ahead only while every node knows of tickets

What callers saw: while a fleet is upgraded, a program near the end of its budget is refused with 402 at a gateway that is not upgraded yet, although the budget holds the turn.

Cause: an upgraded gateway that ends a turn reserves for the program's next one and leaves a ticket. A gateway of the version in production knows no tickets; it finds the reservation among the program's turns and counts it as spent.

Why this mend holds: a gateway reserves ahead only while all nodes that are not dead, replicas among them, are known to read the version that has tickets. One that has not been asked yet counts as older; it is asked as soon as it is known. Each turn makes the ordinary round over the replicas meanwhile, as it does without a ticket.

The gauge of older nodes shows just this number now: nodes that are not known to read the newest protocol.

The tests of reservations wait until a gateway knows what the others read, since it reserves nothing before.

--- a/crates/gateway/src/edge/parts.rs
+++ b/crates/gateway/src/edge/parts.rs
@@ -92,7 +92,7 @@
         let is_on = settings.policy.reserve_ahead;
         let tickets =
             TicketClient::new(self.turns.clone(), self.client.clone(), near_zones, is_on, self.metrics.clone());
-        Arc::new(tickets.with_work(under_way.clone()))
+        Arc::new(tickets.with_work(under_way.clone()).with_members(self.members.clone()))
     }
 
     /// Finds engines, and sends to them.
@@ -189,7 +189,7 @@
     metrics.read("store_watched", "1 while this gateway watches the platform's store by itself", move || {
         i64::from(watcher_role.must_watch())
     });
-    metrics.read_older_nodes(members);
+    metrics.read_nodes_not_on_newest_protocol(members);
     let members = members.clone();
     metrics.read("gateways_known", "Other gateways that answer", move || members.gateway_count() as i64);
     Arc::new(metrics)
--- a/crates/gateway/src/edge/tickets.rs
+++ b/crates/gateway/src/edge/tickets.rs
@@ -6,6 +6,7 @@
 use crate::logging::part;
 use crate::metrics::Metrics;
 use crate::peers::addresses::address_of;
+use crate::peers::members::Members;
 use crate::peers::rpc_client::RpcClient;
 use foxnotch_turns::ahead_entry::{ahead_entry, holder_of};
 use foxnotch_turns::budget::BudgetView;
@@ -60,6 +61,8 @@
     under_way: Arc<AtomicUsize>,
     /// Holders that did not answer, and until when they are not asked.
     silent: Mutex<HashMap<NodeId, Instant>>,
+    /// The other nodes; none in tests without them.
+    members: Option<Arc<Members>>,
 }
 
 impl TicketClient {
@@ -72,7 +75,22 @@
         metrics: Arc<Metrics>,
     ) -> Self {
         let near_zones = near_zones.map(|zones| zones.iter().map(|zone| zone_hash(zone)).collect());
-        Self { turns, client, near_zones, is_on, metrics, under_way: Arc::default(), silent: Mutex::default() }
+        Self {
+            turns,
+            client,
+            near_zones,
+            is_on,
+            metrics,
+            under_way: Arc::default(),
+            silent: Mutex::default(),
+            members: None,
+        }
+    }
+
+    /// Lets it reserve ahead only while all of these nodes know of tickets.
+    pub fn with_members(mut self, members: Arc<Members>) -> Self {
+        self.members = Some(members);
+        self
     }
 
     /// Counts its work in the background together with other work that a planned stop waits for.
@@ -179,10 +197,16 @@
         }
     }
 
+    /// Whether each node that may get a program's next turn, or its ticket, knows of tickets. To a gateway of an older
+    /// build, tokens that are reserved ahead are spent: it would refuse a turn that the budget holds.
+    fn are_known_everywhere(&self) -> bool {
+        self.members.as_ref().is_none_or(|members| members.nodes_not_on_newest_protocol() == 0)
+    }
+
     /// What to reserve for the next turn of a program while the turn of `entry` ends, given what is known of its
     /// budget.
     pub fn plan(&self, entry: &TurnEntry, budget: u64, known_total: u64) -> Option<AheadReservation> {
-        if !self.is_on {
+        if !self.is_on || !self.are_known_everywhere() {
             return None;
         }
         let reserved = tokens_ahead(entry.reserved, known_total, budget)?;
--- a/crates/gateway/src/metrics/mod.rs
+++ b/crates/gateway/src/metrics/mod.rs
@@ -221,10 +221,12 @@
         self.readings.push((gauge, Box::new(reading)));
     }
 
-    /// Adds the gauge of other nodes that run an older build.
-    pub(crate) fn read_older_nodes(&mut self, members: &Arc<Members>) {
+    /// Adds the gauge of other nodes that are not known to read the newest version of the protocol.
+    pub(crate) fn read_nodes_not_on_newest_protocol(&mut self, members: &Arc<Members>) {
         let known = members.clone();
-        self.read("older_nodes_known", "Other nodes that run an older build", move || known.older_nodes() as i64);
+        self.read("nodes_not_on_newest_protocol", "Other nodes not known to read what this build writes", move || {
+            known.nodes_not_on_newest_protocol() as i64
+        });
     }
 
     /// Adds the gauges of a configuration that comes from replicas' disks and that the store has not confirmed.
--- a/crates/gateway/src/peers/member_table.rs
+++ b/crates/gateway/src/peers/member_table.rs
@@ -101,6 +101,7 @@
     pub(super) fn take_list(&self, members: &[MemberUpdate]) {
         let now = self.clock.now();
         self.with(|membership| membership.on_list(members, now));
+        self.ask_for_versions();
     }
 
     /// All members, this node included.
@@ -204,11 +205,13 @@
         lock(&self.versions).of(node, incarnation)
     }
 
-    /// How many members that are not dead are known to run an older build.
-    pub(super) fn older_nodes(&self) -> usize {
-        let is_older = |member: &&MemberUpdate| self.version_of(member.node) < Some(ProtocolVersion::NEWEST);
-        let known = |member: &&MemberUpdate| self.version_of(member.node).is_some();
-        self.alive().iter().filter(known).filter(is_older).count()
+    /// How many members that are not dead are not known to read the newest version.
+    pub(super) fn nodes_not_on_newest_protocol(&self) -> usize {
+        let alive = self.alive();
+        let versions = lock(&self.versions);
+        let reads_newest =
+            |member: &MemberUpdate| versions.of(member.node, member.incarnation) == Some(ProtocolVersion::NEWEST);
+        alive.iter().filter(|member| !reads_newest(member)).count()
     }
 
     /// Notes what a datagram says about the version that its sender reads.
--- a/crates/gateway/src/peers/members.rs
+++ b/crates/gateway/src/peers/members.rs
@@ -116,9 +116,10 @@
         self.table.gateway_count()
     }
 
-    /// How many other nodes that are not dead run an older build, as far as is known.
-    pub fn older_nodes(&self) -> usize {
-        self.table.older_nodes()
+    /// How many other nodes that are not dead are not known to read the newest version of the protocol: they run an
+    /// older build, or have not been asked yet.
+    pub fn nodes_not_on_newest_protocol(&self) -> usize {
+        self.table.nodes_not_on_newest_protocol()
     }
 
     /// A gateway of those that fit: `preferred` if it is one, or else a random one.
--- a/crates/gateway/src/replica/replica_metrics.rs
+++ b/crates/gateway/src/replica/replica_metrics.rs
@@ -26,7 +26,7 @@
 ) -> Arc<Metrics> {
     let mut metrics = Metrics::default();
     metrics.read_unconfirmed_configuration(view);
-    metrics.read_older_nodes(members);
+    metrics.read_nodes_not_on_newest_protocol(members);
     let mut add = |name, help, value: fn(&ReplicaService) -> i64| read(&mut metrics, replica, name, help, value);
     add("kept_configuration_revision", "The configuration on this disk", |replica| {
         replica.stored_view().revisions().configuration as i64
--- a/crates/gateway/tests/reserve_ahead_tests.rs
+++ b/crates/gateway/tests/reserve_ahead_tests.rs
@@ -11,14 +11,14 @@
 use foxnotch_gateway::peers::rpc_client::RpcClient;
 use foxnotch_gateway::peers::view::{Origin, ViewHolder};
 use foxnotch_gateway::ports::store::Kind;
-use foxnotch_turns::identity::{program_key, turn_id};
+use foxnotch_turns::identity::{node_id, program_key, turn_id};
 use foxnotch_turns::replica_set::Tolerance;
 use foxnotch_turns::reserve_ahead::RefusalVerdict;
 use foxnotch_wire::{NodeId, ReplicaMember, ReplicaSet, RpcBody, TakeTicket, TicketAnswer, TicketRequest, TurnEntry};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use support::cluster::{eventually, reservation, Cluster, Zones};
+use support::cluster::{eventually, name, reservation, Cluster, Zones};
 use support::engine::{Behaviour, EngineStandIn};
 use support::gateway::{configuration, list_engine, Answer, RunningGateway};
 
@@ -44,9 +44,25 @@
     })
     .await;
     gateway.wait_ready().await;
+    until_all_are_known(cluster, number).await;
     gateway
 }
 
+/// Waits until a gateway knows the replicas, and that all nodes know of tickets: before that it reserves nothing ahead.
+async fn until_all_are_known(cluster: &Cluster, gateway: u8) {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        let RpcBody::Members(list) = cluster.ask(gateway, RpcBody::ShowMembers).await else { panic!("no members") };
+        let is_known = |number: u8| list.members.iter().any(|member| member.node == node_id(&name(number)));
+        let unknown = cluster.metric(gateway, "nodes_not_on_newest_protocol").await;
+        if (1..=3).all(is_known) && unknown == Some(0) {
+            return;
+        }
+        assert!(Instant::now() < until, "gateway {gateway} does not know of all: {unknown:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 impl Deployment {
     /// `net` keeps tests apart.
     async fn start(net: u8) -> Self {
