--- a/crates/gateway/tests/support/older_node.rs
+++ b/crates/gateway/tests/support/older_node.rs
@@ -69,10 +69,14 @@
 impl OlderNode {
     /// Starts a node that answers a request of a kind with the answer of that name, and others with "not served".
     pub async fn start(answers: &[(u8, &'static str)]) -> Self {
+        Self::start_with(answers.iter().map(|(kind, name)| (*kind, request(name))).collect()).await
+    }
+
+    /// Starts a node that answers a request of a kind with these bytes, and others with "not served".
+    pub async fn start_with(answers: BTreeMap<u8, Vec<u8>>) -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("an address can be had");
         let address = listener.local_addr().expect("it is bound");
         let received = Arc::new(Mutex::new(Vec::new()));
-        let answers: BTreeMap<u8, &'static str> = answers.iter().copied().collect();
         let log = received.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -133,13 +137,13 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, answers: BTreeMap<u8, &'static str>, log: Arc<Mutex<Vec<Vec<u8>>>>) {
+async fn serve(mut stream: TcpStream, answers: BTreeMap<u8, Vec<u8>>, log: Arc<Mutex<Vec<Vec<u8>>>>) {
     while let Some(message) = read_frame(&mut stream).await {
         log.lock().expect("nobody has panicked").push(message.clone());
         if message[0] != VERSION {
             return;
         }
-        let mut answer = request(answers.get(&message[KIND]).copied().unwrap_or("not_served"));
+        let mut answer = answers.get(&message[KIND]).cloned().unwrap_or_else(|| request("not_served"));
         answer[EXCHANGE].copy_from_slice(exchange_of(&message));
         write_frame(&mut stream, &answer).await;
     }
--- a/crates/gateway/tests/upgrade_peer_tests.rs
+++ b/crates/gateway/tests/upgrade_peer_tests.rs
@@ -9,20 +9,29 @@
 mod support;
 
 use foxnotch_gateway::peers::rpc_client::RpcClient;
+use foxnotch_gateway::peers::view::{Origin, ViewHolder};
+use foxnotch_gateway::peers::view_codec::from_content;
+use foxnotch_gateway::peers::view_exchange;
 use foxnotch_gateway::ports::store::Kind;
+use foxnotch_scheduler::residency::Residency;
 use foxnotch_turns::identity::program_key;
 use foxnotch_wire::{
-    decode, encode_in, offering_sequence, without_offer, MemberAddress, MemberState, MemberUpdate, Message, NodeId,
-    Ping, ProtocolVersion, ReadProgram, RpcBody, RpcMessage, StoreEntry, TurnEntry, PROTOCOL_VERSION,
+    decode, encode_in, encode_rpc_in, offering_sequence, without_offer, Content, MemberAddress, MemberState,
+    MemberUpdate, Message, NodeId, Ping, ProtocolVersion, ReadProgram, RpcBody, RpcMessage, StoreEntry, TurnEntry,
+    ViewUpdate, PROTOCOL_VERSION,
 };
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::sync::Arc;
 use std::time::Duration;
 use support::cluster::Cluster;
 use support::engine::{Behaviour, EngineStandIn};
+use support::fixtures::from_hex;
 use support::gateway::{configuration, list_engine, RunningGateway};
 use support::older_node::{
     body_of, datagram, exchange_of, read_frame, request, write_frame, OlderGateway, OlderNode, VERSION,
 };
+use support::view_samples;
 use tokio::net::{TcpStream, UdpSocket};
 
 /// Time for an answer.
@@ -31,6 +40,7 @@
 const GATEWAY: u8 = 50;
 /// Kinds of requests and answers on the wire.
 const STORE_ENTRY: u8 = 0;
+const PULL_VIEW: u8 = 7;
 const SHOW_SET: u8 = 9;
 const SET_KNOWN: u8 = 68;
 /// Kind of a datagram, behind the version and the sender.
@@ -184,3 +194,39 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
+
+/// An older node sends a configuration without what its build does not know: the regions that requests are bound to, and
+/// the terms of cold engines. Whoever had it from there kept it so until the configuration changed, though the store, and
+/// every node that read it there, had the whole one under the same revision.
+#[tokio::test]
+async fn what_an_older_node_knows_of_a_configuration_gives_way_to_the_whole_one() {
+    let whole = view_samples::configuration();
+    let known = ViewUpdate {
+        configuration_revision: 81,
+        configuration_version: 7,
+        configuration: older_configuration(),
+        ..ViewUpdate::default()
+    };
+    let answer = encode_rpc_in(ProtocolVersion::Seven, NodeId(3), 0, RpcBody::View(known)).expect("it can be coded");
+    let older = OlderNode::start_with(BTreeMap::from([(PULL_VIEW, answer)])).await;
+    let (client, holder) = (Arc::new(RpcClient::new(NodeId(2))), ViewHolder::default());
+    view_exchange::pull(&client, &holder, older.address).await.expect("it answers");
+    let taken = holder.get().configuration;
+    assert_eq!((taken.revision, taken.value.version, taken.value.routes.len()), (81, 7, 3));
+    assert_eq!(taken.value.routes[0].residency, Residency::default());
+
+    assert!(holder.adopt_configuration(81, whole.clone(), Origin::Store));
+    assert_eq!(*holder.get().configuration.value, whole);
+    assert_eq!(from_content(&holder.coded_configuration(&holder.get().configuration)), Some(whole.clone()));
+    // From then on nothing of the same revision replaces it.
+    view_exchange::pull(&client, &holder, older.address).await.expect("it answers");
+    assert_eq!(*holder.get().configuration.value, whole);
+    assert_eq!(older.unreadable(), 0);
+}
+
+/// A configuration as a node of version 7 codes it.
+fn older_configuration() -> Content {
+    let parts = include_str!("fixtures/version_7/view_parts.txt");
+    let line = parts.lines().find(|line| line.starts_with("configuration ")).expect("the fixture has it");
+    Content::from(from_hex(line.split(' ').nth(1).expect("a line has bytes")))
+}
