What an older node sends of the configuration counts as a part of it

What callers saw: after an upgrade, requests of routes that are bound to regions were served in others, and cold engines got as many requests as warm ones, until the configuration changed; while an upgrade went on, upgraded gateways did not hear of drained zones as long as gateways that were not upgraded yet watched the store.

Cause: a node of an older build passes on only those fields that it knows. A configuration from there was taken like any other, and the whole one, from the store or from a node of this build, has the same revision, so it was not newer. And an update of such a node counted as fresh word of all that the store holds.

Why this mend holds: a configuration from an older node is marked as partial. It serves, gives way to a whole one of the same revision, is asked for again at the store and at other nodes, and is not passed on. An update of an older node does not count while the configuration is partial or uses what its build does not know; the node then watches the store by itself, as it does without any update. A deployment that uses none of that makes no call more.

A write that a replica of an older build cannot hold is not sent to it again and again until the turn's time is over.

--- a/crates/gateway/src/edge/turns.rs
+++ b/crates/gateway/src/edge/turns.rs
@@ -7,6 +7,7 @@
 use crate::logging::part;
 use crate::metrics::Metrics;
 use crate::peers::replica_client::ReplicaClient;
+use crate::peers::rpc_client::RpcError;
 use crate::peers::view::{Origin, ViewHolder};
 use foxnotch_turns::budget::{BudgetVerdict, BudgetView};
 use foxnotch_turns::quorum::Tally;
@@ -162,6 +163,8 @@
                     return Some(MemberAnswer::Body(RpcBody::Stored(stored)));
                 }
                 Ok(RpcBody::Chain(chain)) => return Some(MemberAnswer::Body(RpcBody::Chain(chain))),
+                // Asked again it would refuse as well.
+                Err(RpcError::NotInItsVersion(_)) => return None,
                 Ok(_) | Err(_) => {}
             }
             tokio::time::sleep(RETRY_PAUSE.min(left)).await;
--- a/crates/gateway/src/peers/store_updates.rs
+++ b/crates/gateway/src/peers/store_updates.rs
@@ -123,14 +123,15 @@
 
     /// Takes the update of another node, written in `version`, once this one has pulled what it lacks.
     pub(super) fn on_update(self: &Arc<Self>, from: NodeId, version: u8, mut update: StoreUpdate) {
-        if version < PROTOCOL_VERSION {
+        let is_from_older = version < PROTOCOL_VERSION;
+        if is_from_older {
             // The sender knows nothing of drains.
             update.zone_drains_revision = ShortRevision::of(self.view.get().zone_drains.revision);
         }
         self.view.note_configuration_heard(update.configuration_revision);
         let contact_age = Duration::from_millis(u64::from(update.contact_age_ms));
         if !lacks(&self.view.get(), &update) {
-            self.take(&update, contact_age);
+            self.take(&update, contact_age, is_from_older);
             return;
         }
         let Some(sender) = self.table.known(from) else { return };
@@ -138,11 +139,17 @@
         let updates = self.clone();
         let is_behind = move |view: &View| lacks(view, &update);
         self.view_pulls.pull_view(sender, Duration::ZERO, is_behind, move || {
-            updates.take(&update, contact_age + received_at.elapsed());
+            updates.take(&update, contact_age + received_at.elapsed(), is_from_older);
         });
     }
 
-    fn take(&self, update: &StoreUpdate, contact_age: Duration) {
+    /// This node has all that an update names. One of an older node does not count where the store holds what its build
+    /// does not know: this node then watches by itself until a node of its own build sends it updates.
+    fn take(&self, update: &StoreUpdate, contact_age: Duration, is_from_older: bool) {
+        let view = self.view.get();
+        if is_from_older && (view.is_configuration_partial || view.uses_what_older_builds_lack()) {
+            return;
+        }
         self.view.confirm_configuration(update.configuration_revision);
         self.watcher_role.take_update(contact_age);
         self.update_taken.notify_one();
--- a/crates/gateway/src/peers/view.rs
+++ b/crates/gateway/src/peers/view.rs
@@ -13,6 +13,7 @@
 use crate::peers::view_codec::to_content;
 use crate::peers::watcher_role::WatcherRole;
 use crate::ports::configuration::{Configuration, EngineEntry, RetirementRequest};
+use foxnotch_scheduler::residency::Residency;
 use foxnotch_scheduler::zone_drain::{DrainStarts, ZoneDrains};
 use foxnotch_wire::{Content, ReplicaSet};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -57,6 +58,8 @@
     pub configuration: Versioned<Configuration>,
     /// Set while the configuration is not confirmed.
     pub unconfirmed: Option<UnconfirmedConfiguration>,
+    /// Whether the configuration came from a node of an older build, without what that does not know.
+    pub is_configuration_partial: bool,
     /// The engines, ordered by identifier.
     pub engines: Versioned<Vec<EngineEntry>>,
     /// Replicas that are to retire.
@@ -70,6 +73,23 @@
 }
 
 impl View {
+    /// The revision up to which the whole configuration is known: below that of a partial one, which is wanted again.
+    pub fn whole_configuration_revision(&self) -> u64 {
+        self.configuration.revision.saturating_sub(u64::from(self.is_configuration_partial))
+    }
+
+    /// Whether the deployment uses something that nodes of older builds do not know: drains of zones, regions that
+    /// requests are bound to, engines that start slowly. What such a node has heard from the platform's store is then
+    /// not all that there is.
+    pub fn uses_what_older_builds_lack(&self) -> bool {
+        let configuration = &self.configuration.value;
+        let tenants = configuration.tenants.iter().flatten();
+        self.zone_drains.revision > 0
+            || configuration.services.iter().any(|service| service.slow_start.is_some())
+            || configuration.routes.iter().any(|route| route.residency != Residency::default())
+            || tenants.into_iter().any(|tenant| tenant.residency != Residency::default())
+    }
+
     /// The newest revision of any part that the platform counts.
     pub fn revision(&self) -> u64 {
         self.configuration.revision.max(self.engines.revision).max(self.zone_drains.revision)
@@ -83,6 +103,8 @@
     Store,
     /// Another node.
     Peer,
+    /// Another node, of an older build: what that does not know is missing.
+    OlderPeer,
     /// This node's disk.
     Disk,
     /// Disks of replicas, of which enough answered to know that no newer version is stored.
@@ -184,7 +206,7 @@
     pub fn adopt_configuration(&self, revision: u64, configuration: Configuration, origin: Origin) -> bool {
         let version = configuration.version;
         let routes = configuration.routes.len();
-        let adopted = self.replace_configuration(revision, configuration, None);
+        let adopted = self.replace_configuration(revision, configuration, None, origin);
         if adopted {
             log::info!(
                 target: part::VIEW,
@@ -204,7 +226,7 @@
     ) -> bool {
         let version = configuration.version;
         let routes = configuration.routes.len();
-        let adopted = self.replace_configuration(revision, configuration, Some(unconfirmed));
+        let adopted = self.replace_configuration(revision, configuration, Some(unconfirmed), origin);
         if adopted {
             log::warn!(
                 target: part::VIEW,
@@ -221,12 +243,18 @@
         revision: u64,
         configuration: Configuration,
         unconfirmed: Option<UnconfirmedConfiguration>,
+        origin: Origin,
     ) -> bool {
+        let is_partial = origin == Origin::OlderPeer;
         self.change(|view| {
-            let newer = revision > view.configuration.revision;
+            // A partial one gives way to the whole one of the same revision, or it would stay until the next change.
+            let known = if is_partial { view.configuration.revision } else { view.whole_configuration_revision() };
+            let newer = revision > known;
             if newer {
                 view.configuration = Versioned { revision, value: Arc::new(configuration) };
                 view.unconfirmed = unconfirmed;
+                view.is_configuration_partial = is_partial;
+                *lock(&self.coded) = Default::default();
             }
             newer
         })
--- a/crates/gateway/src/peers/view_exchange.rs
+++ b/crates/gateway/src/peers/view_exchange.rs
@@ -38,7 +38,7 @@
     holder.note_configuration_heard(known.configuration_revision);
     let view = holder.get();
     let mut update = revisions_of(&view);
-    if view.configuration.revision > known.configuration_revision {
+    if view.configuration.revision > known.configuration_revision && !view.is_configuration_partial {
         update.configuration = holder.coded_configuration(&view.configuration);
     }
     if view.engines.revision > known.engines_revision {
@@ -59,35 +59,40 @@
     update
 }
 
-/// Takes what is newer.
+/// Takes what is newer, from a node of this build.
 pub fn adopt(holder: &ViewHolder, update: &ViewUpdate) {
+    adopt_from(holder, update, Origin::Peer);
+}
+
+/// Takes what is newer.
+fn adopt_from(holder: &ViewHolder, update: &ViewUpdate, origin: Origin) {
     // Before routes and engines: whoever serves by those must not send to a drained zone meanwhile.
     if let Some(drains) = from_content(&update.zone_drains) {
-        holder.adopt_zone_drains(update.zone_drains_revision, drains, Origin::Peer);
+        holder.adopt_zone_drains(update.zone_drains_revision, drains, origin);
     }
     if let Some(configuration) = from_content(&update.configuration) {
         let revision = update.configuration_revision;
         match update.configuration_kept_at_ms {
-            0 => holder.adopt_configuration(revision, configuration, Origin::Peer),
+            0 => holder.adopt_configuration(revision, configuration, origin),
             at_ms => holder.adopt_unconfirmed_configuration(
                 revision,
                 configuration,
                 UnconfirmedConfiguration { at_ms },
-                Origin::Peer,
+                origin,
             ),
         };
     }
     if update.engines_since > 0 {
         if let Some(changes) = from_content(&update.engines) {
-            holder.adopt_engine_changes(update.engines_since, update.engines_revision, changes, Origin::Peer);
+            holder.adopt_engine_changes(update.engines_since, update.engines_revision, changes, origin);
         }
     } else if let Some(engines) = from_content(&update.engines) {
-        holder.adopt_engines(update.engines_revision, engines, Origin::Peer);
+        holder.adopt_engines(update.engines_revision, engines, origin);
     }
     if let Some(retirements) = from_content(&update.retirements) {
-        holder.adopt_retirements(update.retirements_revision, retirements, Origin::Peer);
+        holder.adopt_retirements(update.retirements_revision, retirements, origin);
     }
-    holder.adopt_set(&update.set, Origin::Peer);
+    holder.adopt_set(&update.set, origin);
 }
 
 /// Pulls of a view that were answered since the start.
@@ -118,13 +123,15 @@
 /// [`PullError`], which has been logged and counted.
 pub async fn pull(client: &Arc<RpcClient>, holder: &ViewHolder, address: SocketAddr) -> Result<(), PullError> {
     let begun_at = Instant::now();
-    let known = revisions_of(&holder.get());
+    let view = holder.get();
+    let known = ViewUpdate { configuration_revision: view.whole_configuration_revision(), ..revisions_of(&view) };
     let (configuration, engines) = (known.configuration_revision, known.engines_revision);
     let patience = Patience::while_arriving(ANSWER_SILENCE);
     let answer = client.call_with(address, RpcBody::PullView(known), patience).await;
     let outcome = match answer {
         Ok(RpcBody::View(update)) => {
-            adopt(holder, &update);
+            let origin = if client.is_older(address) { Origin::OlderPeer } else { Origin::Peer };
+            adopt_from(holder, &update, origin);
             Ok(())
         }
         Ok(_) => Err(PullError::NotServed(address)),
--- a/crates/gateway/src/store_followers.rs
+++ b/crates/gateway/src/store_followers.rs
@@ -44,7 +44,7 @@
 
     /// There is one configuration object, so everything of the kind is known up to its revision.
     fn known_revision(&self) -> u64 {
-        self.view.get().configuration.revision
+        self.view.get().whole_configuration_revision()
     }
 }
 
--- a/crates/gateway/tests/support/older_node.rs
+++ b/crates/gateway/tests/support/older_node.rs
@@ -3,7 +3,10 @@
 //! Like that node it reads nothing of another version: a frame of one ends the connection, and is counted.
 
 use crate::support::fixtures::bytes_by_name;
-use foxnotch_wire::{encode_in, MemberAddress, MemberState, MemberUpdate, Message, NodeId, Ping, ProtocolVersion};
+use foxnotch_wire::{
+    encode_in, MemberAddress, MemberState, MemberUpdate, Message, NodeId, Ping, ProtocolVersion, ShortRevision,
+    StoreUpdate,
+};
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::{Arc, Mutex};
@@ -99,7 +102,8 @@
     }
 }
 
-/// A gateway of version 7 that is alive to other nodes: it probes them with word of itself, again and again.
+/// A gateway of version 7 that is alive to other nodes: it probes them with word of itself, again and again, and tells
+/// them that the platform's store has just answered it.
 pub struct OlderGateway {
     task: tokio::task::JoinHandle<()>,
 }
@@ -126,9 +130,18 @@
                     config_revision: 0,
                 };
                 let probe = Message::Ping(Ping { sequence: incarnation as u32, updates: vec![own] });
-                let bytes = encode_in(ProtocolVersion::Seven, node, probe).expect("it can be coded");
-                for node in &nodes {
-                    socket.send_to(&bytes, node).await.expect("it can be sent");
+                let update = Message::StoreUpdate(StoreUpdate {
+                    configuration_revision: 0,
+                    engines_revision: 0,
+                    retirements_revision: ShortRevision::of(0),
+                    zone_drains_revision: ShortRevision::of(0),
+                    contact_age_ms: 0,
+                });
+                for message in [probe, update] {
+                    let bytes = encode_in(ProtocolVersion::Seven, node, message).expect("it can be coded");
+                    for node in &nodes {
+                        socket.send_to(&bytes, node).await.expect("it can be sent");
+                    }
                 }
                 tokio::time::sleep(PROBE_PERIOD).await;
             }
--- a/crates/gateway/tests/upgrade_peer_tests.rs
+++ b/crates/gateway/tests/upgrade_peer_tests.rs
@@ -12,14 +12,16 @@
 use foxnotch_gateway::peers::view::{Origin, ViewHolder};
 use foxnotch_gateway::peers::view_codec::from_content;
 use foxnotch_gateway::peers::view_exchange;
-use foxnotch_gateway::ports::store::Kind;
+use foxnotch_gateway::ports::store::{Kind, ObjectBody};
 use foxnotch_scheduler::residency::Residency;
+use foxnotch_scheduler::slow_start::SlowStart;
 use foxnotch_turns::identity::program_key;
 use foxnotch_wire::{
     decode, encode_in, encode_rpc_in, offering_sequence, without_offer, Content, MemberAddress, MemberState,
     MemberUpdate, Message, NodeId, Ping, ProtocolVersion, ReadProgram, RpcBody, RpcMessage, StoreEntry, TurnEntry,
     ViewUpdate, PROTOCOL_VERSION,
 };
+use rstest::rstest;
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::Arc;
@@ -224,6 +226,44 @@
     assert_eq!(older.unreadable(), 0);
 }
 
+/// Two gateways of version 7 watch the store for the others. They do not follow what their build does not know, so a
+/// gateway of this build watches by itself as soon as the configuration uses it, and not before.
+#[rstest]
+#[case::plain(149, None, 0)]
+#[case::slow_start(150, SlowStart::new(3000, 23.5), 1)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_gateway_watches_by_itself_what_older_watchers_do_not_know(
+    #[case] net: u8,
+    #[case] slow_start: Option<SlowStart>,
+    #[case] watched: u64,
+) {
+    let cluster = Cluster::start(net, 1).await;
+    let ObjectBody::Configuration(mut in_store) = configuration(1) else { panic!("it is one") };
+    in_store.services[0].slow_start = slow_start;
+    cluster.store.put(Kind::Configuration, "main", ObjectBody::Configuration(in_store));
+    let gateway = RunningGateway::start_changed(&cluster, GATEWAY, cluster.store.clone(), |settings| {
+        settings.times.zone_drain_ms = None;
+    })
+    .await;
+    gateway.wait_ready().await;
+    let mut older = Vec::new();
+    for number in [8, 9] {
+        let address = SocketAddrV4::new(cluster.ip(number), 7380);
+        let nodes = [1, GATEWAY].map(|number| cluster.peer_address(number)).to_vec();
+        older.push(OlderGateway::start(NodeId(number.into()), address, nodes).await);
+    }
+    // As long as it takes twice to learn whether updates count.
+    let until = tokio::time::Instant::now() + PATIENCE;
+    let mut held_since = tokio::time::Instant::now();
+    while held_since.elapsed() < Duration::from_secs(2) {
+        if cluster.metric(GATEWAY, "store_watched").await != Some(watched) {
+            held_since = tokio::time::Instant::now();
+        }
+        assert!(tokio::time::Instant::now() < until + PATIENCE, "it never holds");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
 /// A configuration as a node of version 7 codes it.
 fn older_configuration() -> Content {
     let parts = include_str!("fixtures/version_7/view_parts.txt");
