--- a/crates/gateway/tests/stored_data_tests.rs
+++ b/crates/gateway/tests/stored_data_tests.rs
@@ -23,7 +23,6 @@
 };
 use rstest::rstest;
 use std::collections::BTreeMap;
-use std::fs;
 use std::path::Path;
 use support::cluster::{eventually, name, Cluster};
 use support::fixtures::{assert_same_lines, fill_folder, from_hex, lines_of_folder};
