Soak: all machines may begin with an older build, and run this one once they are started again

What is left of the older build after the faults is stopped as planned, one machine after the other, before the drain in calm: an older gateway knows no drains.

--- a/crates/lab/tests/soak/processes.rs
+++ b/crates/lab/tests/soak/processes.rs
@@ -99,15 +99,43 @@
 pub(crate) struct Machine {
     node: Node,
     addresses: Addresses,
-    program: PathBuf,
+    programs: Programs,
+    is_upgraded: bool,
     folder: PathBuf,
     child: Option<Child>,
 }
 
+/// The builds that machines run.
+#[derive(Clone, Debug)]
+pub(crate) struct Programs {
+    /// The product as it is.
+    pub newest: PathBuf,
+    /// The build that all machines begin with, if it is another one: an older one, which knows no drains of zones.
+    pub older: Option<PathBuf>,
+}
+
 impl Machine {
     /// A machine on which nothing runs yet.
-    pub(crate) fn new(node: Node, addresses: Addresses, program: &Path, folder: &Path) -> Self {
-        Self { node, addresses, program: program.to_owned(), folder: folder.to_owned(), child: None }
+    pub(crate) fn new(node: Node, addresses: Addresses, programs: &Programs, folder: &Path) -> Self {
+        let (programs, is_upgraded) = (programs.clone(), programs.older.is_none());
+        Self { node, addresses, programs, is_upgraded, folder: folder.to_owned(), child: None }
+    }
+
+    /// Whether its next process is of the newest build.
+    pub(crate) fn is_upgraded(&self) -> bool {
+        self.is_upgraded
+    }
+
+    /// Its next process is of the newest build.
+    pub(crate) fn upgrade(&mut self) {
+        self.is_upgraded = true;
+    }
+
+    fn program(&self) -> &Path {
+        match &self.programs.older {
+            Some(older) if !self.is_upgraded => older,
+            _ => &self.programs.newest,
+        }
     }
 
     /// Starts its process.
@@ -120,7 +148,8 @@
         let log = self.folder.join(format!("{}.log", name(self.node)));
         let log = File::options().create(true).append(true).open(log).context("the log cannot be opened")?;
         let role = if matches!(self.node, Node::Gateway(_)) { "gateway" } else { "replica" };
-        let child = Command::new(&self.program)
+        let program = self.program().to_owned();
+        let child = Command::new(&program)
             .arg(role)
             .arg("--settings")
             .arg(&settings)
@@ -128,7 +157,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn();
-        self.child = Some(child.with_context(|| format!("{} cannot be started", self.program.display()))?);
+        self.child = Some(child.with_context(|| format!("{} cannot be started", program.display()))?);
         Ok(())
     }
 
@@ -148,11 +177,12 @@
             ),
             Node::Replica(_) => format!("data_folder = \"{}\"\n", self.data_folder().display()),
         };
+        let zone_drain = if self.is_upgraded { format!("zone_drain_ms = {ZONE_DRAIN_MS}\n") } else { String::new() };
         format!(
             "node = \"{}\"\nzone = \"{zone}\"\nzones = [\"a\", \"b\"]\nip = \"{}\"\npeer_port = {PEER_PORT}\n\
              metrics_port = {METRICS_PORT}\nseeds = [{}]\nstore_address = \"{}\"\nfirst_start = {first_start}\n{own}\
              [tolerance]\nmachines = 1\n[times]\ndrain_ms = {CHANGE_MS}\napply_ms = {CHANGE_MS}\n\
-             zone_drain_ms = {ZONE_DRAIN_MS}\ngrace_s = {GRACE_S}\n\
+             {zone_drain}grace_s = {GRACE_S}\n\
              [resources]\nmemory_mb = {MEMORY_MB}\ndescriptors = 4000\n",
             name(self.node),
             self.addresses.of(self.node),
--- a/crates/lab/tests/soak/run.rs
+++ b/crates/lab/tests/soak/run.rs
@@ -5,7 +5,7 @@
 use super::engines::{service_of, SoakEngine, MODEL_SERVICE, PLAIN_SERVICE};
 use super::ledger::{Ledger, Violation};
 use super::plan::{Fault, Node, PathFault, Plan, Step, ENGINES, GATEWAYS};
-use super::processes::{all_nodes, name, Addresses, Machine, GRACE_S};
+use super::processes::{all_nodes, name, Addresses, Machine, Programs, GRACE_S};
 use super::proxy::Proxy;
 use super::store::SoakStore;
 use anyhow::Context;
@@ -14,7 +14,7 @@
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::fmt;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -40,8 +40,8 @@
 pub(crate) struct SoakSettings {
     /// The plan.
     pub plan: Plan,
-    /// The product's program.
-    pub program: PathBuf,
+    /// The product's programs. Every machine that is started again runs the newest one from then on.
+    pub programs: Programs,
     /// Where settings, logs and data go.
     pub folder: PathBuf,
 }
@@ -164,6 +164,7 @@
     play(&mut soak).await;
     soak.end_faults();
     soak.wait_until_well("after the faults").await;
+    soak.upgrade_the_rest().await;
     soak.drain_in_calm().await;
     soak.callers.stop.store(true, Ordering::SeqCst);
     for caller in calling {
@@ -181,11 +182,8 @@
 
 impl Soak {
     async fn start(settings: SoakSettings) -> anyhow::Result<Self> {
-        anyhow::ensure!(
-            settings.program.exists(),
-            "{} is not there; run `cargo build --workspace` first",
-            settings.program.display()
-        );
+        check_program(&settings.programs.newest)?;
+        settings.programs.older.as_deref().map_or(Ok(()), check_program)?;
         let addresses = Addresses::new((settings.plan.seed % 250) as u8 + 1);
         let ledger = Arc::new(Ledger::default());
         let store = SoakStore::start(addresses.store());
@@ -222,7 +220,7 @@
         }
         soak.configure(0);
         for node in all_nodes() {
-            let mut machine = Machine::new(node, addresses, &soak.settings.program, &soak.settings.folder);
+            let mut machine = Machine::new(node, addresses, &soak.settings.programs, &soak.settings.folder);
             machine.start(true)?;
             soak.machines.insert(node, (machine, Condition::Running));
         }
@@ -305,13 +303,7 @@
                 machine.signal(Signal::STOP);
                 Condition::Paused(until)
             }),
-            Fault::Stop { node } => {
-                let told = Told::now(&self.disk);
-                self.disturb(node, |machine| {
-                    machine.signal(Signal::TERM);
-                    Condition::Stopping(told)
-                });
-            }
+            Fault::Stop { node } => self.stop(node),
             Fault::Wipe { node } => self.disturb(node, |machine| {
                 machine.kill();
                 if let Err(error) = machine.wipe() {
@@ -453,6 +445,33 @@
         turn.map(|_| ()).ok_or("no turn is served")
     }
 
+    /// Stops the machines that still run the older build, one after the other, each once all is well again.
+    async fn upgrade_the_rest(&mut self) {
+        for node in all_nodes() {
+            let is_older = |soak: &Self| soak.machines.get(&node).is_some_and(|(machine, _)| !machine.is_upgraded());
+            if !is_older(self) {
+                continue;
+            }
+            while is_older(self) {
+                self.look();
+                if self.machines.get(&node).is_some_and(|(_, condition)| *condition == Condition::Running) {
+                    self.stop(node);
+                }
+                tokio::time::sleep(LOOK_PERIOD).await;
+            }
+            self.wait_until_well(&format!("after the upgrade of {}", name(node))).await;
+        }
+    }
+
+    /// Tells a machine to stop as planned; it is started again once it has ended.
+    fn stop(&mut self, node: Node) {
+        let told = Told::now(&self.disk);
+        self.disturb(node, |machine| {
+            machine.signal(Signal::TERM);
+            Condition::Stopping(told)
+        });
+    }
+
     /// Continues turns that were answered whole: none may be lost.
     async fn continue_turns(&self, client: &HttpClient) {
         let begun = Told::now(&self.disk);
@@ -469,10 +488,18 @@
     }
 }
 
+/// # Errors
+/// When the program is not there.
+fn check_program(program: &Path) -> anyhow::Result<()> {
+    anyhow::ensure!(program.exists(), "{} is not there; run `cargo build --workspace` first", program.display());
+    Ok(())
+}
+
 fn start_again(node: Node, machine: &mut Machine, callers: &Callers) {
     if let Node::Gateway(number) = node {
         callers.lives[number].fetch_add(1, Ordering::SeqCst);
     }
+    machine.upgrade();
     if let Err(error) = machine.start(false) {
         eprintln!("soak: {error:#}");
     }
--- a/crates/lab/tests/soak_tests.rs
+++ b/crates/lab/tests/soak_tests.rs
@@ -6,6 +6,7 @@
 
 use soak::cold_starts::{draw_cold_starts, plan_of as plan_of_cold_starts, run_cold_starts};
 use soak::plan::{Fault, Node, Plan};
+use soak::processes::Programs;
 use soak::run::{run, SoakSettings};
 use std::path::{Path, PathBuf};
 use std::str::FromStr;
@@ -27,6 +28,12 @@
     }
 }
 
+/// The program beside the tests, and the older one that `scripts/soak` gives.
+fn programs() -> Programs {
+    let newest = Path::new(env!("CARGO_BIN_EXE_foxnotch-lab")).with_file_name("foxnotch");
+    Programs { newest, older: std::env::var("SOAK_OLDER").ok().map(PathBuf::from) }
+}
+
 fn plan_of(file: &str) -> Plan {
     let text = std::fs::read(file).unwrap_or_else(|error| panic!("{file} cannot be read ({error})"));
     serde_json::from_slice(&text)
@@ -64,10 +71,9 @@
 async fn promises_hold_through_a_soak() {
     let temporary = tempfile::tempdir().expect("a folder can be made");
     let folder = std::env::var("SOAK_FOLDER").map_or_else(|_| temporary.path().join("soak"), PathBuf::from);
-    let program = Path::new(env!("CARGO_BIN_EXE_foxnotch-lab")).with_file_name("foxnotch");
     let plan = std::env::var("SOAK_REPLAY")
         .map_or_else(|_| Plan::draw(given("SOAK_SEED", SEED), given("SOAK_SECONDS", SECONDS)), |file| plan_of(&file));
-    let report = run(SoakSettings { plan, program, folder }).await.expect("everything can be started");
+    let report = run(SoakSettings { plan, programs: programs(), folder }).await.expect("everything can be started");
     println!("{report}");
     assert!(report.violations.is_empty(), "{report}");
 }
@@ -84,9 +90,8 @@
 async fn promises_hold_when_all_start_again_without_the_store() {
     let temporary = tempfile::tempdir().expect("a folder can be made");
     let folder = std::env::var("SOAK_FOLDER").map_or_else(|_| temporary.path().join("soak"), PathBuf::from);
-    let program = Path::new(env!("CARGO_BIN_EXE_foxnotch-lab")).with_file_name("foxnotch");
     let plan = plan_of_cold_starts(given("SOAK_SEED", COLD_SEED));
-    let settings = SoakSettings { plan, program, folder };
+    let settings = SoakSettings { plan, programs: programs(), folder };
     let report = run_cold_starts(settings, given("SOAK_COLD_STARTS", COLD_STARTS)).await;
     let report = report.expect("everything can be started");
     println!("{report}");
@@ -96,8 +101,8 @@
 #[tokio::test]
 async fn a_program_that_is_not_there_is_named() {
     let folder = tempfile::tempdir().expect("a folder can be made");
-    let program = folder.path().join("foxnotch");
-    let settings = SoakSettings { plan: Plan::draw(6, 1), program, folder: folder.path().join("soak") };
+    let programs = Programs { newest: folder.path().join("foxnotch"), older: None };
+    let settings = SoakSettings { plan: Plan::draw(6, 1), programs, folder: folder.path().join("soak") };
     let error = run(settings).await.err().expect("nothing can be started").to_string();
     assert!(error.contains("cargo build --workspace"), "{error}");
 }
