--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -4,13 +4,12 @@
 use foxnotch_membership::Millis;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// Milliseconds that the clock shows at the start: times before the start, as of a message's age, stay above 0. Chosen,
-/// not measured.
+/// Milliseconds that the clock shows at the start: times before the start, as of a message's age, stay above 0.
 const START_MS: u64 = 1_000_000;
 
-/// Time between two checks for a pause. Chosen, not measured.
+/// Time between two checks for a pause.
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
-/// How late a check has to be to be logged: several times what a busy machine delays a task. Chosen, not measured.
+/// How late a check has to be to be logged: several times what a busy machine delays a task.
 const MIN_PAUSE: Duration = Duration::from_millis(800);
 
 /// Logs pauses of the process for ever: a frozen or starved process explains the time-outs that its callers saw.
--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -29,9 +29,9 @@
     "upgrade",
     "expect",
 ];
-/// The part of the caller's time that is reserved for the return of the answer. Chosen, not measured.
+/// The part of the caller's time that is reserved for the return of the answer.
 const RETURN_TIME: Duration = Duration::from_millis(5);
-/// The shortest time for an engine; with less the request is not sent. Chosen, not measured.
+/// The shortest time for an engine; with less the request is not sent.
 const MIN_ENGINE_TIME: Duration = Duration::from_millis(5);
 
 /// A request with its route.
--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -24,10 +24,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// The longest wait for a first configuration. Chosen, not measured: a gateway that has just started mostly gets one
+/// The longest wait for a first configuration: a gateway that has just started mostly gets one
 /// from a peer within it.
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(150);
-/// Time between two looks for a first configuration. Chosen, not measured.
+/// Time between two looks for a first configuration.
 const CONFIGURATION_PERIOD: Duration = Duration::from_millis(15);
 
 impl Gateway {
--- a/crates/gateway/src/edge/parts.rs
+++ b/crates/gateway/src/edge/parts.rs
@@ -27,7 +27,7 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex, OnceLock};
 
-/// The part of the memory that cached turns may take, as a divisor: a tenth. Chosen, not measured.
+/// The part of the memory that cached turns may take, as a divisor: a tenth.
 const CACHE_SHARE: u64 = 10;
 
 /// What a gateway needs from the platform's adapter.
--- a/crates/gateway/src/edge/planned_stop.rs
+++ b/crates/gateway/src/edge/planned_stop.rs
@@ -2,11 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-/// The end of the time to stop that is left unused. Chosen, not measured.
+/// The end of the time to stop that is left unused.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 /// Share of the time to stop: a request that may take longer than this is taken while this much time is left, a shorter
 /// one while its own time is left.
-/// Chosen, not measured.
 const LAST_CALL_SHARE: f64 = 0.4;
 
 /// A planned stop that has begun.
--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -27,14 +27,14 @@
 use tokio::net::TcpListener;
 use tokio::sync::{watch, Semaphore};
 
-/// Descriptors reserved for engines, nodes and files. Chosen, not measured.
+/// Descriptors reserved for engines, nodes and files.
 const RESERVED_DESCRIPTORS: u64 = 1000;
-/// The lower bound of the limit on callers' connections, however few descriptors there are. Chosen, not measured.
+/// The lower bound of the limit on callers' connections, however few descriptors there are.
 const MIN_CONNECTIONS: u64 = 64;
 /// Time after the signal to stop at which idle connections are closed: by then the
-/// platform has noticed that this gateway is not ready, and sends no new ones. Chosen, not measured.
+/// platform has noticed that this gateway is not ready, and sends no new ones.
 const CLOSE_AFTER: Duration = Duration::from_millis(2800);
-/// Time between two looks whether all is done. Chosen, not measured.
+/// Time between two looks whether all is done.
 const DRAIN_PERIOD: Duration = Duration::from_millis(50);
 
 /// Runs a gateway until a signal stops it.
--- a/crates/gateway/src/edge/quotas.rs
+++ b/crates/gateway/src/edge/quotas.rs
@@ -18,9 +18,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Time that one replica is given to answer: a reachable one takes a few milliseconds, also through another gateway.
-/// Chosen, not measured.
 const ANSWER_TIME: Duration = Duration::from_millis(150);
-/// Pause before replicas of which none answered are asked again. Chosen, not measured.
+/// Pause before replicas of which none answered are asked again.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 
 /// Asks replicas whether requests are within their tenants' limits.
--- a/crates/gateway/src/edge/readiness.rs
+++ b/crates/gateway/src/edge/readiness.rs
@@ -13,7 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 
-/// Connections that ask for readiness at one time. Chosen, not measured: more than the platform's probes open.
+/// Connections that ask for readiness at one time: more than the platform's probes open.
 const MAX_PROBES: usize = 512;
 
 /// Answers for as long as the process runs.
--- a/crates/gateway/src/edge/slow_start.rs
+++ b/crates/gateway/src/edge/slow_start.rs
@@ -18,12 +18,11 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Time that one replica is given to answer: a permit lasts 100 ms from the question, so one that comes later could
-/// hardly be used. Chosen, not measured.
+/// hardly be used.
 const ANSWER_TIME: Duration = Duration::from_millis(60);
-/// Time for which an engine is passed over when no replica answered. Chosen, not measured.
+/// Time for which an engine is passed over when no replica answered.
 const SILENCE_PAUSE: Duration = Duration::from_millis(30);
-/// The shortest time for which an engine is passed over after a refused permit: about a round trip. Chosen, not
-/// measured.
+/// The shortest time for which an engine is passed over after a refused permit: about a round trip.
 const MIN_PAUSE: Duration = Duration::from_millis(5);
 
 /// Asks replicas for permits.
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -32,14 +32,14 @@
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 
-/// Pieces that wait for a caller that reads slowly. Chosen, not measured.
+/// Pieces that wait for a caller that reads slowly.
 const QUEUE_PIECES: usize = 16;
-/// The longest time, from the arrival, for a reservation, a chain and a permit of the tenant's limit. Chosen, not
-/// measured alone. With 60 ms for a gateway that hears no other node, days with such gateways earned 0.864 and 0.762
+/// The longest time, from the arrival, for a reservation, a chain and a permit of the tenant's limit.
+/// With 60 ms for a gateway that hears no other node, days with such gateways earned 0.864 and 0.762
 /// against 0.874 and 0.758 with 900 ms (mean of four seeds), so no shorter time is set.
 const PREPARE_TIME: Duration = Duration::from_millis(900);
 /// The shortest time to store a turn that has ended, also when the caller's time is over: the engine's work is lost
-/// otherwise. Chosen, not measured.
+/// otherwise.
 const KEEP_TIME: Duration = Duration::from_millis(1500);
 
 /// Serves a call on a streaming route.
--- a/crates/gateway/src/edge/tickets.rs
+++ b/crates/gateway/src/edge/tickets.rs
@@ -27,17 +27,15 @@
 /// answers within it from the next zone. The value is chosen; with it 56 questions had no answer on a day of 12,148
 /// turns (three regions).
 const TAKE_TIME: Duration = Duration::from_millis(15);
-/// Time in which a late answer is still taken, so that its ticket is released and not lost. Chosen, not measured.
+/// Time in which a late answer is still taken, so that its ticket is released and not lost.
 const LATE_TIME: Duration = Duration::from_secs(2);
-/// Time for a ticket to be deposited. Chosen, not measured.
+/// Time for a ticket to be deposited.
 const DEPOSIT_TIME: Duration = Duration::from_millis(500);
 /// Time for holders to answer before a turn is refused: enough for a path to the farthest region and back.
-/// Chosen, not measured.
 const RECLAIM_TIME: Duration = Duration::from_millis(250);
-/// Time for which a holder that did not answer is not asked: a turn must not wait for it each time. Chosen, not
-/// measured.
+/// Time for which a holder that did not answer is not asked: a turn must not wait for it each time.
 const SILENCE_PAUSE: Duration = Duration::from_secs(1);
-/// Time to settle a turn, or to write a release, in the background. Chosen, not measured.
+/// Time to settle a turn, or to write a release, in the background.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
 
 /// A reservation that is written together with the end of a turn.
--- a/crates/gateway/src/edge/view_loops.rs
+++ b/crates/gateway/src/edge/view_loops.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 
-/// Time between two looks for the replica set, or for a configuration, while it is wanted. Chosen, not measured.
+/// Time between two looks for the replica set, or for a configuration, while it is wanted.
 const VIEW_PERIOD: Duration = Duration::from_millis(400);
 
 /// Updates routes and engines at each change of the view.
--- a/crates/gateway/src/engines/engine.rs
+++ b/crates/gateway/src/engines/engine.rs
@@ -17,7 +17,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::Instant;
 
-/// The limit of idle connections to one engine. Chosen, not measured.
+/// The limit of idle connections to one engine.
 const MAX_RESTING: usize = 64;
 
 /// What was seen of an engine lately.
--- a/crates/gateway/src/engines/load_board.rs
+++ b/crates/gateway/src/engines/load_board.rs
@@ -14,7 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Time for which a report of a gateway is believed. A gateway that has work repeats its report each 0.5 s, each time
-/// to a few other gateways at random: in a small fleet two may be lost. Chosen, not measured.
+/// to a few other gateways at random: in a small fleet two may be lost.
 const VALID_FOR: Duration = Duration::from_millis(1200);
 
 /// Requests that the mean of all engines stands for beside those heard of at one: the fewer were heard of, the less one
--- a/crates/gateway/src/engines/load_exchange.rs
+++ b/crates/gateway/src/engines/load_exchange.rs
@@ -9,11 +9,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Time between two reports while something changes. Chosen, not measured.
+/// Time between two reports while something changes.
 const PERIOD: Duration = Duration::from_millis(120);
-/// Time after which an unchanged report is sent again: receivers believe one for 1.2 s. Chosen, not measured.
+/// Time after which an unchanged report is sent again: receivers believe one for 1.2 s.
 const REPEAT: Duration = Duration::from_millis(500);
-/// Gateways that get a report at a time, at random: bounds the messages of a large fleet. Chosen, not measured.
+/// Gateways that get a report at a time, at random: bounds the messages of a large fleet.
 const FANOUT: usize = 4;
 
 fn report(engines: &EngineTable) -> LoadReport {
--- a/crates/gateway/src/inspect.rs
+++ b/crates/gateway/src/inspect.rs
@@ -14,7 +14,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Time for one answer: a person waits for it. Chosen, not measured.
+/// Time for one answer: a person waits for it.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 /// The number under which an operator asks: no node has it.
 const OPERATOR: NodeId = NodeId(0);
--- a/crates/gateway/src/logging.rs
+++ b/crates/gateway/src/logging.rs
@@ -21,19 +21,18 @@
 
 /// The form of a line: time of day (UTC), level, part, sentence. `foxnotch explain` reads it.
 const PATTERN: &str = "{d(%H:%M:%S%.3f)(utc)} {l} {t}: {m}{n}";
-/// Lines that may wait to be written: over two seconds at [`LINES_PER_SECOND`]. Chosen, not measured.
+/// Lines that may wait to be written: over two seconds at [`LINES_PER_SECOND`].
 const QUEUE_LINES: usize = 1024;
 /// Lines a second; warnings and errors are written beyond it. It bounds the processor time that a burst of requests
-/// costs in lines. Chosen, not measured.
+/// costs in lines.
 const LINES_PER_SECOND: u64 = 400;
-/// Lines that are written with one system call. Chosen, not measured.
+/// Lines that are written with one system call.
 const LINES_PER_WRITE: usize = 64;
-/// The longest wait for lines at the end of the process: a part of the time that a planned stop has. Chosen, not
-/// measured.
+/// The longest wait for lines at the end of the process: a part of the time that a planned stop has.
 const FINISH_TIME: Duration = Duration::from_millis(150);
-/// Time between two checks whether they are written. Chosen, not measured.
+/// Time between two checks whether they are written.
 const FINISH_PERIOD: Duration = Duration::from_millis(5);
-/// Time between two reports of lines left out. Chosen, not measured.
+/// Time between two reports of lines left out.
 const REPORT_PERIOD: Duration = Duration::from_secs(1);
 
 /// The parts that log, as they stand before each sentence. Operators filter by them.
--- a/crates/gateway/src/metrics/mod.rs
+++ b/crates/gateway/src/metrics/mod.rs
@@ -27,7 +27,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// The lowest bound of a histogram, in seconds: below a round to the replicas of one zone. Chosen, not measured.
+/// The lowest bound of a histogram, in seconds: below a round to the replicas of one zone.
 const FIRST_BUCKET: f64 = 0.0005;
 /// Each bound is this many times the one before: a time is known to within half of it.
 const BUCKET_FACTOR: f64 = 1.5;
@@ -35,7 +35,7 @@
 const BUCKETS: u16 = 26;
 
 /// Tenants that are counted by name, the first that are seen: bounds the memory and the text of the metrics, whatever
-/// the number of tenants. Chosen, not measured.
+/// the number of tenants.
 const MAX_TENANTS: usize = 200;
 /// The name under which all others are counted.
 const OTHER_TENANTS: &str = "others";
--- a/crates/gateway/src/metrics/server.rs
+++ b/crates/gateway/src/metrics/server.rs
@@ -15,7 +15,6 @@
 use tokio::sync::Semaphore;
 
 /// Connections of readers at one time: a scraper needs one, and more would compete with callers for descriptors.
-/// Chosen, not measured.
 const MAX_READERS: usize = 16;
 
 /// Serves the metrics for ever, whatever the path. An address that cannot be bound is logged and costs the metrics
--- a/crates/gateway/src/network.rs
+++ b/crates/gateway/src/network.rs
@@ -10,17 +10,16 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Semaphore;
 
-/// Time for which sent bytes may stay unacknowledged before the connection fails. Chosen, not measured.
+/// Time for which sent bytes may stay unacknowledged before the connection fails.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// Idle time after which a connection is probed, and the time between probes. Chosen, not measured.
+/// Idle time after which a connection is probed, and the time between probes.
 const KEEPALIVE_PERIOD: Duration = Duration::from_secs(1);
-/// Probes without an answer after which an idle connection fails: with [`KEEPALIVE_PERIOD`] it does after 3 s. Chosen,
-/// not measured.
+/// Probes without an answer after which an idle connection fails: with [`KEEPALIVE_PERIOD`] it does after 3 s.
 const KEEPALIVE_RETRIES: u32 = 2;
-/// Pause after a failed accept: descriptors that ran out come back when connections end. Chosen, not measured.
+/// Pause after a failed accept: descriptors that ran out come back when connections end.
 const PAUSE_AFTER_ERROR: Duration = Duration::from_millis(50);
 /// Connections that the system may hold until they are accepted: callers that come at once after a pause of the
-/// process. Chosen, not measured.
+/// process.
 const BACKLOG: u32 = 1024;
 
 /// Sets the options of a connection.
--- a/crates/gateway/src/peers/direct_paths.rs
+++ b/crates/gateway/src/peers/direct_paths.rs
@@ -6,13 +6,13 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-/// A path is considered silent after this many of its usual round trips. Chosen, not measured.
+/// A path is considered silent after this many of its usual round trips.
 const RELAY_DELAY_ROUND_TRIPS: u32 = 4;
-/// The shortest time after which a replica is also called through another node. Chosen, not measured.
+/// The shortest time after which a replica is also called through another node.
 const MIN_RELAY_DELAY: Duration = Duration::from_millis(20);
-/// The longest such time; also that for a path of which nothing is known yet. Chosen, not measured.
+/// The longest such time; also that for a path of which nothing is known yet.
 const MAX_RELAY_DELAY: Duration = Duration::from_millis(120);
-/// Time between two tries of a path that is silent. Chosen, not measured.
+/// Time between two tries of a path that is silent.
 const RETRY_PERIOD: Duration = Duration::from_millis(300);
 /// Weight of a new round trip in the smoothed one, as its reciprocal: that of TCP's smoothed round trip.
 const SMOOTHING: u32 = 8;
--- a/crates/gateway/src/peers/engine_list.rs
+++ b/crates/gateway/src/peers/engine_list.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
-/// Changes that are remembered. Chosen, not measured. A node that lags by more gets the whole list.
+/// Changes that are remembered. A node that lags by more gets the whole list.
 const MAX_SPANS: usize = 128;
 
 /// What has changed of a list of engines.
--- a/crates/gateway/src/peers/frame.rs
+++ b/crates/gateway/src/peers/frame.rs
@@ -11,7 +11,7 @@
 
 /// Bytes of a frame's length.
 const LENGTH_BYTES: usize = 4;
-/// Bytes reserved for each read. Chosen, not measured.
+/// Bytes reserved for each read.
 const READ_BYTES: usize = 16 * 1024;
 
 /// Codes a frame in the newest version of the protocol.
--- a/crates/gateway/src/peers/member_discovery.rs
+++ b/crates/gateway/src/peers/member_discovery.rs
@@ -11,15 +11,15 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// Time between two tries to find the first member. Chosen, not measured.
+/// Time between two tries to find the first member.
 const SEED_PERIOD: Duration = Duration::from_millis(500);
-/// Pauses after the first pulls of all members. Chosen, not measured: nodes that start together know few of the others
+/// Pauses after the first pulls of all members: nodes that start together know few of the others
 /// at first.
 const FIRST_PULL_PAUSES: [Duration; 3] =
     [Duration::from_millis(500), Duration::from_millis(1500), Duration::from_secs(6)];
-/// Time between two later pulls of all members. Chosen, not measured.
+/// Time between two later pulls of all members.
 const PULL_PERIOD: Duration = Duration::from_secs(20);
-/// Time for one pull of all members. Chosen, not measured.
+/// Time for one pull of all members.
 const PULL_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Finds members.
--- a/crates/gateway/src/peers/member_table.rs
+++ b/crates/gateway/src/peers/member_table.rs
@@ -23,7 +23,7 @@
 const MAX_DATAGRAM: usize = 2048;
 /// The number of a probe whose answer the state machine does not wait for: its own begin with 1.
 const UNAWAITED: u32 = 0;
-/// Pause after a failed receive. Chosen, not measured: it keeps a broken socket from taking a core.
+/// Pause after a failed receive: it keeps a broken socket from taking a core.
 const PAUSE_AFTER_ERROR: Duration = Duration::from_millis(100);
 
 /// The members as this node sees them.
--- a/crates/gateway/src/peers/members.rs
+++ b/crates/gateway/src/peers/members.rs
@@ -27,10 +27,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time between two steps of the state machine. Chosen, not measured: as long as a direct probe may take to be
+/// Time between two steps of the state machine: as long as a direct probe may take to be
 /// answered.
 const TICK: Duration = Duration::from_millis(150);
-/// Members that are probed at once after a change. Chosen, not measured: store updates reach the others.
+/// Members that are probed at once after a change: store updates reach the others.
 const FANOUT: usize = 3;
 
 /// The members as this node sees them, kept up to date by [`Members::run`].
--- a/crates/gateway/src/peers/replica_client.rs
+++ b/crates/gateway/src/peers/replica_client.rs
@@ -21,9 +21,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// Time for one gateway to relay. Chosen, not measured.
+/// Time for one gateway to relay.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(150);
-/// Gateways that are asked to relay one request, one after the other. Chosen, not measured.
+/// Gateways that are asked to relay one request, one after the other.
 const MAX_RELAYS: usize = 3;
 
 /// Gateways that may relay.
--- a/crates/gateway/src/peers/rpc_client.rs
+++ b/crates/gateway/src/peers/rpc_client.rs
@@ -21,11 +21,11 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
-/// Time to make a connection. Chosen, not measured.
+/// Time to make a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
-/// The longest time for an answer that keeps coming. Computed, not measured: 8 MB, the longest content, at 6 Mbit/s.
+/// The longest time for an answer that keeps coming: 8 MB, the longest content, at 6 Mbit/s.
 const WHOLE_ANSWER: Duration = Duration::from_secs(10);
-/// Time without traffic after which a connection is closed. Chosen, not measured.
+/// Time without traffic after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// How long an answer may take.
--- a/crates/gateway/src/peers/rpc_server.rs
+++ b/crates/gateway/src/peers/rpc_server.rs
@@ -13,7 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, Semaphore};
 
-/// Connections from other nodes at one time. Chosen, not measured.
+/// Connections from other nodes at one time.
 const MAX_CONNECTIONS: usize = 1024;
 
 /// Answers requests.
--- a/crates/gateway/src/peers/store_updates.rs
+++ b/crates/gateway/src/peers/store_updates.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, MissedTickBehavior};
 
 /// Share of the period between two updates within which a head does not pass on another one: it gets those of two
-/// watchers. Chosen, not measured.
+/// watchers.
 const QUIET_SHARE: f64 = 0.5;
 
 /// Whether a node with this view lacks something that the update names.
--- a/crates/gateway/src/peers/view_pulls.rs
+++ b/crates/gateway/src/peers/view_pulls.rs
@@ -17,7 +17,7 @@
 use tokio::time::Instant;
 
 /// Time after a failed pull in which the same node is not asked again: another that announced the view goes first. As
-/// long as such a pull mostly takes, so that two sources take turns. Chosen, not measured.
+/// long as such a pull mostly takes, so that two sources take turns.
 const FAILURE_PAUSE: Duration = Duration::from_secs(1);
 
 /// The pulls of one node.
--- a/crates/gateway/src/peers/watcher_role.rs
+++ b/crates/gateway/src/peers/watcher_role.rs
@@ -18,12 +18,11 @@
 /// one watcher for each 16 gateways, 51 gateways made 962 calls on a quiet simulated day (one run).
 const WATCHERS: usize = 2;
 /// Gateways of one zone that share their heads: bounds what a head sends. A head of a whole group sends some 2 KB a
-/// second (computed, not measured).
+/// second.
 const GROUP_SIZE: usize = 16;
 /// Gateways of a group that get updates from the watchers and pass them on: one may be lost.
 const HEADS: usize = 2;
-/// Share of the time for a change after which the store's last answer is too old to rely on. Chosen, not measured, as
-/// are the shares below.
+/// Share of the time for a change after which the store's last answer is too old to rely on.
 const CONTACT_SHARE: f64 = 0.6;
 /// Share of that time after which a watcher begins: it has to know the other members before.
 const WATCHER_START_SHARE: f64 = 0.2;
--- a/crates/gateway/src/ports/configuration.rs
+++ b/crates/gateway/src/ports/configuration.rs
@@ -112,7 +112,7 @@
     pub idle_ms: u64,
 }
 
-/// Limits where the configuration states none, in bytes and milliseconds. Chosen, not measured.
+/// Limits where the configuration states none, in bytes and milliseconds.
 const DEFAULT_LIMITS: RequestLimits = RequestLimits { header_bytes: 16_384, body_bytes: 4 << 20, idle_ms: 15_000 };
 
 impl Default for RequestLimits {
--- a/crates/gateway/src/replica/cold_start.rs
+++ b/crates/gateway/src/replica/cold_start.rs
@@ -22,9 +22,9 @@
 /// Without the store, a fleet of 59 machines that lost power had its stored configuration in force 0.4 to 1.0 s after
 /// its first start (one simulated day).
 const STORE_HEAD_START: Duration = Duration::from_millis(400);
-/// Time between two attempts. Chosen, not measured.
+/// Time between two attempts.
 const RECOVERY_PERIOD: Duration = Duration::from_millis(150);
-/// Time for an answer without contents. Chosen, not measured.
+/// Time for an answer without contents.
 const ANSWER_TIME: Duration = Duration::from_millis(600);
 /// More than any revision: the caller wants no contents.
 const NO_CONTENTS: u64 = u64::MAX;
--- a/crates/gateway/src/replica/disk/segments.rs
+++ b/crates/gateway/src/replica/disk/segments.rs
@@ -9,10 +9,10 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-/// Bytes after which a new segment is begun. Chosen, not measured: a segment is removed as a whole, so it should be
+/// Bytes after which a new segment is begun: a segment is removed as a whole, so it should be
 /// small beside what a replica holds.
 const SEGMENT_BYTES: u64 = 4 << 20;
-/// Time after which a new segment is begun. Chosen, not measured: a quiet replica gets its space back as well.
+/// Time after which a new segment is begun: a quiet replica gets its space back as well.
 const SEGMENT_AGE: Duration = Duration::from_secs(15);
 /// The start of a segment's file name.
 const PREFIX: &str = "turns-";
--- a/crates/gateway/src/replica/disk/writer.rs
+++ b/crates/gateway/src/replica/disk/writer.rs
@@ -11,7 +11,7 @@
 use std::sync::mpsc::Receiver;
 use std::{fs, io};
 
-/// Jobs that are synced together at most. Chosen, not measured: it bounds how long the first of them waits.
+/// Jobs that are synced together at most: it bounds how long the first of them waits.
 const JOBS_PER_SYNC: usize = 512;
 
 /// The segments of a folder, and what each new one has to begin with.
--- a/crates/gateway/src/replica/process.rs
+++ b/crates/gateway/src/replica/process.rs
@@ -33,9 +33,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time between two checks for turns that have expired. Chosen, not measured.
+/// Time between two checks for turns that have expired.
 const EXPIRY_PERIOD: Duration = Duration::from_secs(2);
-/// The part of the machine's memory that turns may take, as its reciprocal. Chosen, not measured.
+/// The part of the machine's memory that turns may take, as its reciprocal.
 const MEMORY_SHARE: u64 = 3;
 
 /// What all tasks of a replica share with its peers.
--- a/crates/gateway/src/replica/quota_service.rs
+++ b/crates/gateway/src/replica/quota_service.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 /// When a caller should come back to a replica whose disk takes no cap: the disk may stay full, and other replicas give
-/// meanwhile. Chosen, not measured.
+/// meanwhile.
 const FULL_DISK_RETRY: Duration = Duration::from_millis(500);
 
 /// The shares, with the clock by which they are given.
--- a/crates/gateway/src/replica/service.rs
+++ b/crates/gateway/src/replica/service.rs
@@ -24,7 +24,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time for an answer of a replica that membership considers dead, which may be wrong. Chosen, not measured: with 1.5 s
+/// Time for an answer of a replica that membership considers dead, which may be wrong: with 1.5 s
 /// a set needed 3.2 s to begin taking a dead member out (one simulated day).
 const DEAD_REPLICA_TIMEOUT: Duration = Duration::from_millis(200);
 
--- a/crates/gateway/src/replica/set_manager/joining.rs
+++ b/crates/gateway/src/replica/set_manager/joining.rs
@@ -9,11 +9,10 @@
 use foxnotch_wire::{NodeId, ReplicaMember, ReplicaSet};
 use std::time::{Duration, Instant};
 
-/// Time by which each further standby waits longer before it joins, in case those before it cannot. Chosen, not
-/// measured.
+/// Time by which each further standby waits longer before it joins, in case those before it cannot.
 const JOINING_DELAY_STEP: Duration = Duration::from_millis(1000);
-/// Time after the start for which a newcomer waits for members that do not answer and are not dead. Chosen, not
-/// measured: far more than membership takes to find a dead member.
+/// Time after the start for which a newcomer waits for members that do not answer and are not dead:
+/// far more than membership takes to find a dead member.
 const SILENT_MEMBER_DELAY: Duration = Duration::from_secs(8);
 
 /// A version of the set that has too few members, and since when this replica has known that.
--- a/crates/gateway/src/replica/set_manager/mod.rs
+++ b/crates/gateway/src/replica/set_manager/mod.rs
@@ -34,9 +34,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// Time between two steps while there is something to do. Chosen, not measured.
+/// Time between two steps while there is something to do.
 const BUSY_PERIOD: Duration = Duration::from_millis(150);
-/// Time between two checks while there is nothing to do. Chosen, not measured.
+/// Time between two checks while there is nothing to do.
 const IDLE_PERIOD: Duration = Duration::from_millis(500);
 
 /// Why a step was not taken.
--- a/crates/gateway/src/replica/set_manager/refilling.rs
+++ b/crates/gateway/src/replica/set_manager/refilling.rs
@@ -13,7 +13,7 @@
 use foxnotch_wire::{NodeId, ReplicaSet};
 use std::time::Duration;
 
-/// Time for reading the newest set from the platform's store, while a refill waits for it. Chosen, not measured: far
+/// Time for reading the newest set from the platform's store, while a refill waits for it: far
 /// more than an answer takes, and little beside a refill.
 const STORE_TIMEOUT: Duration = Duration::from_millis(500);
 
--- a/crates/gateway/src/replica/set_manager/retiring.rs
+++ b/crates/gateway/src/replica/set_manager/retiring.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 /// Share of the time allowed for a retirement after which the set may become smaller than the tolerance needs: no
-/// standby has joined, and the rest of the time is left for the other members to sync. Chosen, not measured.
+/// standby has joined, and the rest of the time is left for the other members to sync.
 const STANDBY_WAIT_SHARE: f64 = 0.55;
 
 /// A request to take this replica out of service.
--- a/crates/gateway/src/replica/set_manager/set_exchange.rs
+++ b/crates/gateway/src/replica/set_manager/set_exchange.rs
@@ -15,7 +15,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Time for one exchange of the set with another replica. Chosen, not measured: the other one writes the set to its
+/// Time for one exchange of the set with another replica: the other one writes the set to its
 /// disk.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(800);
 
--- a/crates/gateway/src/replica/set_manager/silent_members.rs
+++ b/crates/gateway/src/replica/set_manager/silent_members.rs
@@ -8,10 +8,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// Time after which a member that membership considers dead counts as gone. Chosen, not measured.
+/// Time after which a member that membership considers dead counts as gone.
 const DEAD_MEMBER_DELAY: Duration = Duration::from_millis(1500);
 /// Time after which a member that membership does not know counts as gone: longer, since it may not have been found yet
-/// after the start of this process. Chosen, not measured.
+/// after the start of this process.
 const UNKNOWN_MEMBER_DELAY: Duration = Duration::from_secs(6);
 
 /// Since when each member has been silent, as this replica sees it.
--- a/crates/gateway/src/replica/stored_view/writer.rs
+++ b/crates/gateway/src/replica/stored_view/writer.rs
@@ -13,10 +13,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Time between two writes of the engines. Chosen, not measured: they may change several times a second, and a list
+/// Time between two writes of the engines: they may change several times a second, and a list
 /// that is a little old serves.
 const ENGINES_PERIOD: Duration = Duration::from_millis(500);
-/// Time after a failed write before the next. Chosen, not measured: a full disk stays full for a while.
+/// Time after a failed write before the next: a full disk stays full for a while.
 const RETRY_PERIOD: Duration = Duration::from_secs(1);
 
 /// The configuration of a view, to be stored.
--- a/crates/gateway/src/replica/sync/mod.rs
+++ b/crates/gateway/src/replica/sync/mod.rs
@@ -16,11 +16,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// A pull of marks is given up after this time in which nothing of the list arrives. Chosen, not measured.
+/// A pull of marks is given up after this time in which nothing of the list arrives.
 const LIST_SILENCE: Duration = Duration::from_millis(1500);
-/// A pull of entries is given up after this time in which nothing of a page arrives. Chosen, not measured.
+/// A pull of entries is given up after this time in which nothing of a page arrives.
 const PAGE_SILENCE: Duration = Duration::from_secs(2);
-/// Turns named in one request for entries. Chosen, not measured: 32 KB of identifiers.
+/// Turns named in one request for entries: 32 KB of identifiers.
 const TURNS_PER_PAGE: usize = 2000;
 
 /// Another replica, with the marks of what it holds.
--- a/crates/gateway/src/replica/sync/stored_parts.rs
+++ b/crates/gateway/src/replica/sync/stored_parts.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// A read of contents is given up after this time in which nothing of them arrives. Chosen, not measured.
+/// A read of contents is given up after this time in which nothing of them arrives.
 pub(in crate::replica) const CONTENT_SILENCE: Duration = Duration::from_secs(1);
 
 /// Takes over the parts that another replica has newer than this one. None when that fails, which is logged.
--- a/crates/gateway/src/replica/turn_store.rs
+++ b/crates/gateway/src/replica/turn_store.rs
@@ -14,7 +14,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
 
-/// Bytes of entries in one answer. Chosen, not measured: well below the limit of a message.
+/// Bytes of entries in one answer: well below the limit of a message.
 const PAGE_BYTES: usize = 512 * 1024;
 
 /// Where a replica is, and what it may take.
--- a/crates/gateway/src/settings/sections.rs
+++ b/crates/gateway/src/settings/sections.rs
@@ -4,14 +4,14 @@
 use crate::settings::formats;
 use serde::Deserialize;
 
-/// The bound for changes where the deployment states none, in milliseconds. Chosen, not measured.
+/// The bound for changes where the deployment states none, in milliseconds.
 const DEFAULT_CHANGE_MS: f64 = 2000.0;
-/// The window of tenants' limits where the deployment states none, in seconds. Chosen, not measured.
+/// The window of tenants' limits where the deployment states none, in seconds.
 const DEFAULT_QUOTA_WINDOW_S: f64 = 5.0;
 /// What a kilobyte sent to another zone is worth where the deployment says nothing, in milliseconds: a turn of some
-/// kilobytes leaves its zone for an engine that is less loaded by a request or two. Chosen, not measured.
+/// kilobytes leaves its zone for an engine that is less loaded by a request or two.
 const DEFAULT_ZONE_MS_PER_KILOBYTE: f64 = 1.0;
-/// The same to another region: providers charge some two to ten times as much for these bytes. Chosen, not measured.
+/// The same to another region: providers charge some two to ten times as much for these bytes.
 const DEFAULT_REGION_MS_PER_KILOBYTE: f64 = 4.0;
 
 /// Times that the deployment promises or demands.
--- a/crates/gateway/src/settings/validate.rs
+++ b/crates/gateway/src/settings/validate.rs
@@ -8,17 +8,15 @@
 use foxnotch_turns::replica_set::min_set_size;
 
 /// The shortest window of tenants' limits, in seconds: a shorter one is over before shares of it have been asked for.
-/// Chosen, not measured.
 const MIN_QUOTA_WINDOW_S: f64 = 0.1;
 /// The shortest time for a change to be in force everywhere, in milliseconds: a change takes some round trips among
-/// nodes. Chosen, not measured.
+/// nodes.
 const MIN_CHANGE_MS: f64 = 100.0;
-/// The shortest time for a planned stop, in seconds. Chosen, not measured.
+/// The shortest time for a planned stop, in seconds.
 const MIN_GRACE_S: f64 = 1.0;
-/// The smallest memory of a machine, in megabytes. Chosen, not measured.
+/// The smallest memory of a machine, in megabytes.
 const MIN_MEMORY_MB: u64 = 16;
-/// The fewest file descriptors: below it not even the store, the nodes and a few engines can be reached. Chosen, not
-/// measured.
+/// The fewest file descriptors: below it not even the store, the nodes and a few engines can be reached.
 const MIN_DESCRIPTORS: u64 = 256;
 
 impl ProcessSettings {
--- a/crates/gateway/src/store_watch/pacing.rs
+++ b/crates/gateway/src/store_watch/pacing.rs
@@ -6,24 +6,22 @@
 use std::time::{Duration, Instant};
 
 /// The longest wait of one watch. A store that falls silent swallows the watches that wait, and says nothing of it when
-/// it is back; so this bounds the time in which this node learns nothing. Chosen, not measured.
+/// it is back; so this bounds the time in which this node learns nothing.
 const WATCH_WAIT: Duration = Duration::from_millis(2500);
-/// The longest wait of a watch whose changes have seconds to arrive: each watch costs a call. Chosen, not measured.
+/// The longest wait of a watch whose changes have seconds to arrive: each watch costs a call.
 const LONG_WATCH_WAIT: Duration = Duration::from_secs(6);
-/// The wait of the first watch after a failure: it shows soon whether the store serves this node again. Chosen, not
-/// measured.
+/// The wait of the first watch after a failure: it shows soon whether the store serves this node again.
 const RECOVERY_WAIT: Duration = Duration::from_millis(200);
-/// Pause before more changes are asked for while they come one after the other: each answer costs a call. Chosen, not
-/// measured.
+/// Pause before more changes are asked for while they come one after the other: each answer costs a call.
 pub(super) const SETTLE_PAUSE: Duration = Duration::from_millis(100);
 /// Answers with changes that are taken without a pause in one [`CHANGE_WINDOW`]: a single change reaches callers at
-/// once, a rollout of many engines is taken in batches. Chosen, not measured.
+/// once, a rollout of many engines is taken in batches.
 const PROMPT_CHANGES: u32 = 4;
-/// The time over which answers with changes are counted. Chosen, not measured.
+/// The time over which answers with changes are counted.
 const CHANGE_WINDOW: Duration = Duration::from_secs(1);
-/// The first pause after a failure, in milliseconds; doubled for each one that follows. Chosen, not measured.
+/// The first pause after a failure, in milliseconds; doubled for each one that follows.
 const FIRST_PAUSE_MS: u64 = 80;
-/// The longest pause, in milliseconds: a store that is back is noticed within it. Chosen, not measured.
+/// The longest pause, in milliseconds: a store that is back is noticed within it.
 const MAX_PAUSE_MS: u64 = 700;
 /// Doublings after which the pause is longer than [`MAX_PAUSE_MS`] anyway.
 const MAX_DOUBLINGS: u32 = 8;
--- a/crates/scheduler/src/admission.rs
+++ b/crates/scheduler/src/admission.rs
@@ -23,10 +23,9 @@
 const FIRST_REFUSALS: f64 = 1.25;
 /// Requests under way for each slot at which all new programs are refused.
 const ALL_REFUSED: f64 = 1.6;
-/// The least time after which a refused caller may try again: the engines take as long for a turn or two. Chosen, not
-/// measured.
+/// The least time after which a refused caller may try again: the engines take as long for a turn or two.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
-/// The longest. Callers try again spread over the time between. Chosen, not measured.
+/// The longest. Callers try again spread over the time between.
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(1000);
 
 /// How loaded the engines of a service are.
--- a/crates/scheduler/src/cost.rs
+++ b/crates/scheduler/src/cost.rs
@@ -4,8 +4,8 @@
 //! risk. What makes an engine worse is a price and not an exclusion, so an engine is still used where there is no
 //! better one.
 
-/// The price of a new connection, in milliseconds, besides its round trip: engines bear few and pay for each. Chosen,
-/// not measured; a larger value saves connections in fleets with many pairs of gateway and engine, and sends turns to
+/// The price of a new connection, in milliseconds, besides its round trip: engines bear few and pay for each.
+/// A larger value saves connections in fleets with many pairs of gateway and engine, and sends turns to
 /// more loaded engines.
 const CONNECTION_MS: f64 = 8.0;
 /// The price of a cold engine, in milliseconds: its permit takes a round trip, and other gateways may need it more.
@@ -13,7 +13,7 @@
 /// the traffic, worth 0.878 with 150 ms, 0.945 with 20 ms and the other changes of the same step (one play each).
 const COLD_MS: f64 = 20.0;
 /// The price of each reason to pass over an engine, in milliseconds: more than work and distance differ by, so the
-/// engine is taken only when there is no other. Chosen, not measured.
+/// engine is taken only when there is no other.
 const PENALTY_MS: f64 = 1_000.0;
 /// What a failed request costs, in milliseconds: the caller's pause, another request, and a third of the program, since
 /// its third failed request ends a program. The value is chosen; weighing failures at all lowered failed programs from
--- a/crates/scheduler/src/engine_choice.rs
+++ b/crates/scheduler/src/engine_choice.rs
@@ -16,7 +16,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// The range of the random part of a cost, in milliseconds. Without it, all gateways would send to the same one of
-/// equal engines until they hear of each other's load. Chosen, not measured: about what one request under way costs by
+/// equal engines until they hear of each other's load: about what one request under way costs by
 /// the prior. A larger value would send requests to engines that are really dearer.
 const CHANCE_MS: f64 = 1.0;
 
--- a/crates/scheduler/src/engine_health.rs
+++ b/crates/scheduler/src/engine_health.rs
@@ -9,17 +9,16 @@
 
 use std::time::Duration;
 
-/// Time for which an engine that refused for lack of room is passed over. Chosen, not measured.
+/// Time for which an engine that refused for lack of room is passed over.
 const FULL_PAUSE: Duration = Duration::from_millis(40);
-/// The first time for which an engine that failed is passed over; doubled for each failure in a row. Chosen, not
-/// measured.
+/// The first time for which an engine that failed is passed over; doubled for each failure in a row.
 const FIRST_EJECTION: Duration = Duration::from_millis(400);
-/// The longest such time: the engine is tried again after it. Chosen, not measured.
+/// The longest such time: the engine is tried again after it.
 const MAX_EJECTION: Duration = Duration::from_secs(4);
 /// How often the time is doubled at most, so that it cannot overflow; [`MAX_EJECTION`] is reached before.
 const MAX_DOUBLINGS: u32 = 8;
 /// Time without the head of an answer after which a request counts as failed, for as long as it waits: engines that say
-/// nothing look idle. Loaded ones take a few hundred milliseconds. Chosen, not measured.
+/// nothing look idle. Loaded ones take a few hundred milliseconds.
 pub const OVERDUE: Duration = Duration::from_secs(1);
 
 /// What this gateway saw of an engine in the last moments.
@@ -35,7 +34,7 @@
 
 impl EngineHealth {
     /// Reasons to pass the engine over. An ejected engine counts two: it is not available, and it failed lately. So a
-    /// full one is tried before it. Chosen, not measured.
+    /// full one is tried before it.
     pub fn penalties(self) -> u32 {
         match self {
             Self::Available => 0,
--- a/crates/scheduler/src/place_time.rs
+++ b/crates/scheduler/src/place_time.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// Share of its whole time for which a place is sought for a request of a program under way; the rest is for the turn.
-/// Chosen, not measured alone: a larger share finds more places for turns that then end late.
+/// A larger share finds more places for turns that then end late.
 const PLACE_SHARE: f64 = 0.5;
 /// The objective of a route that has none: its requests are still sent once.
 const MIN_OBJECTIVE: Duration = Duration::from_millis(1);
--- a/crates/scheduler/src/quota/mod.rs
+++ b/crates/scheduler/src/quota/mod.rs
@@ -25,7 +25,7 @@
 use std::time::Duration;
 
 /// Share of the deployment's tolerance that the shares use; the rest covers requests that no share counts, such as one
-/// that is sent twice. Chosen, not measured.
+/// that is sent twice.
 const TOLERANCE_USE: f64 = 0.6;
 /// Time by which a request may reach its engine later than it was let in: windows are counted longer by it.
 const DELAY_SECONDS: f64 = 0.4;
--- a/crates/scheduler/src/quota/share.rs
+++ b/crates/scheduler/src/quota/share.rs
@@ -5,8 +5,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Requests given within this time are counted together, as given at its end: bounds the memory of a share. Chosen, not
-/// measured.
+/// Requests given within this time are counted together, as given at its end: bounds the memory of a share.
 const COUNTING_STEP: Duration = Duration::from_millis(50);
 /// Share of a window that may be given at once. The smaller it is, the less can have been given just before a restart.
 const BURST_SHARE: f64 = 0.3;
--- a/crates/scheduler/src/retry.rs
+++ b/crates/scheduler/src/retry.rs
@@ -11,25 +11,25 @@
 //! turn, round after round, keep the engines busy with refusals. On a day with four times the traffic for 10 s, three
 //! sends a round, pauses that grow, two refusals for a new program, and refusals by load ([`crate::admission`])
 //! together raised the programs served in time from 0.28 to 0.68 of all, and lowered those that failed from 0.57 to
-//! 0.04. The single numbers below were not measured one by one.
+//! 0.04.
 
 use crate::quota::ProgramStage;
 use std::time::Duration;
 
-/// Engines that may refuse a request of a program under way for lack of room before a pause. Chosen, not measured
-/// alone: a larger value finds the last free slot sooner and costs the full engines more refusals.
+/// Engines that may refuse a request of a program under way for lack of room before a pause. A larger
+/// value finds the last free slot sooner and costs the full engines more refusals.
 const REFUSALS_BEFORE_PAUSE: u32 = 3;
-/// Engines that may refuse a new program's first request before the program is refused. Chosen, not measured alone:
-/// two, because one engine may be full by accident.
+/// Engines that may refuse a new program's first request before the program is refused: two, because one
+/// engine may be full by accident.
 const REFUSALS_OF_NEW: u32 = 2;
-/// The first pause before engines that were full are tried again. Chosen, not measured: a larger value wastes slots
+/// The first pause before engines that were full are tried again: a larger value wastes slots
 /// that become free meanwhile, a smaller one costs full engines more refusals.
 const FIRST_PAUSE: Duration = Duration::from_millis(15);
-/// How often the pause is doubled: 15, 30, 60, then 120 ms each. Chosen, not measured: gateways report their loads each
+/// How often the pause is doubled: 15, 30, 60, then 120 ms each: gateways report their loads each
 /// 120 ms, so the choice after the longest pause knows more than the one before.
 const MAX_DOUBLINGS: u32 = 3;
 /// Refused questions for a permit to use a cold engine, after which only warm engines are tried until the next pause.
-/// Chosen, not measured alone: a question takes up to 60 ms, much of a request's time. Without a bound, calls asked for
+/// A question takes up to 60 ms, much of a request's time. Without a bound, calls asked for
 /// one cold engine after the other until their time was over, and never tried a warm engine that cost more.
 const MAX_PERMIT_REFUSALS: u32 = 2;
 
--- a/crates/scheduler/src/retry_after.rs
+++ b/crates/scheduler/src/retry_after.rs
@@ -8,19 +8,18 @@
 use std::time::Duration;
 
 /// Another gateway, or this one by another path, may serve what this one cannot; a caller's next try mostly enters
-/// elsewhere. Chosen, not measured.
+/// elsewhere.
 const ELSEWHERE: Duration = Duration::from_millis(200);
 /// A configuration that is on its way has come by then: 4,250 routes were in force at nine replicas of 66 machines 0.15
 /// to 0.5 s after the operator had sent them (one simulated day).
 const NEWER_CONFIGURATION: Duration = Duration::from_millis(300);
 /// The answer stays the same until the platform's store answers or an engine is in service again, which may take long.
-/// Chosen, not measured.
 const STORE_OR_ENGINES_BACK: Duration = Duration::from_secs(1);
-/// Maintenance of a zone takes longer than that, and nothing announces its end. Chosen, not measured.
+/// Maintenance of a zone takes longer than that, and nothing announces its end.
 const DRAIN_ENDED: Duration = Duration::from_secs(1);
-/// An operator has to change the configuration first. Chosen, not measured.
+/// An operator has to change the configuration first.
 const CONFIGURATION_CHANGED: Duration = Duration::from_secs(30);
-/// The shortest Retry-After for a tenant over its limit: the answer itself takes about as long. Chosen, not measured.
+/// The shortest Retry-After for a tenant over its limit: the answer itself takes about as long.
 const MIN_OVER_LIMIT: Duration = Duration::from_millis(20);
 
 /// Why a caller may try again after a time, or should not.
--- a/crates/scheduler/src/slow_start/permits.rs
+++ b/crates/scheduler/src/slow_start/permits.rs
@@ -16,12 +16,12 @@
 /// Time after asking within which a gateway has to send what it got a permit for: some round trips between zones, and a
 /// connection.
 pub const USE_WITHIN: Duration = Duration::from_millis(100);
-/// Time that a request may take to the engine: several times the path between zones. Chosen, not measured.
+/// Time that a request may take to the engine: several times the path between zones.
 const DELIVERY: Duration = Duration::from_millis(50);
 /// The window in which the rate has to hold.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 /// Share of the tolerated rate that is given at most: in large sets the rest covers more than one share that two
-/// replicas hold at once. Chosen, not measured.
+/// replicas hold at once.
 const TOLERANCE_USE: f64 = 0.85;
 /// Engines at which those that got nothing lately are forgotten.
 const ENGINES_BEFORE_SWEEP: usize = 256;
--- a/crates/turns/src/ledger.rs
+++ b/crates/turns/src/ledger.rs
@@ -12,8 +12,7 @@
 };
 use std::collections::{BTreeSet, HashMap, HashSet};
 
-/// Milliseconds by which a program is stored longer than requested: the caller counts from a later moment. Chosen, not
-/// measured.
+/// Milliseconds by which a program is stored longer than requested: the caller counts from a later moment.
 const RETENTION_MARGIN: u64 = 15_000;
 
 /// The turns of a program, and how long they are stored.
--- a/crates/turns/src/replica_set/changes.rs
+++ b/crates/turns/src/replica_set/changes.rs
@@ -10,10 +10,9 @@
 use std::time::Duration;
 
 /// Time after the start in which a replica of a new deployment learns of others, before the first of them writes
-/// the first version. Chosen, not measured.
+/// the first version.
 const BOOTSTRAP_DELAY: Duration = Duration::from_millis(400);
 /// Time by which each further replica waits longer before it writes the first version, in case those before it cannot.
-/// Chosen, not measured.
 const BOOTSTRAP_DELAY_STEP: Duration = Duration::from_millis(400);
 
 /// What a replica that knows no set does.
--- a/crates/turns/src/reserve_ahead.rs
+++ b/crates/turns/src/reserve_ahead.rs
@@ -11,8 +11,8 @@
 use std::collections::HashSet;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Run locations that a ticket carries at most, 256 bytes: the program's failed engines and its few longest prompts.
-/// Chosen, not measured: one for each sub-agent that mostly runs beside another.
+/// Run locations that a ticket carries at most, 256 bytes: the program's failed engines and its few longest prompts:
+/// one for each sub-agent that mostly runs beside another.
 const MAX_LOCATIONS: usize = 16;
 
 /// The replica that holds tickets of a program for gateways of one region. All of them choose the same as long as they
--- a/crates/turns/src/segment.rs
+++ b/crates/turns/src/segment.rs
@@ -11,7 +11,7 @@
 
 /// Bytes before the record: its length and its checksum.
 const FRAME_HEADER_BYTES: usize = 12;
-/// The longest record, in bytes. Chosen, not measured.
+/// The longest record, in bytes.
 const MAX_RECORD_BYTES: usize = 32 * 1024 * 1024;
 
 /// Why a record cannot be written or read.
--- a/crates/turns/src/ticket_book.rs
+++ b/crates/turns/src/ticket_book.rs
@@ -10,15 +10,15 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Tickets of one program that are held at most. Chosen, not measured: as many sub-agents as mostly run side by side.
+/// Tickets of one program that are held at most: as many sub-agents as mostly run side by side.
 const MAX_OF_PROGRAM: usize = 8;
-/// Tickets that one holder holds at most, and as many that it remembers as handed out. Computed, not measured: at worst
+/// Tickets that one holder holds at most, and as many that it remembers as handed out: at worst
 /// some 800 bytes each with maps and run locations, 32 MB together on a machine of 100 MB.
 const MAX_HELD: usize = 20_000;
-/// Time for which a ticket that was handed out is remembered. Chosen, not measured: while a turn runs longer than that,
+/// Time for which a ticket that was handed out is remembered: while a turn runs longer than that,
 /// a refusal that hangs on its ticket answers 503 instead of counting it as in use.
 const HANDED_OUT_TIME: Duration = Duration::from_secs(30);
-/// Time between two checks for tickets that have expired. Chosen, not measured.
+/// Time between two checks for tickets that have expired.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 
 /// A ticket that waits for the program's next turn.
--- a/crates/wire/src/content.rs
+++ b/crates/wire/src/content.rs
@@ -3,7 +3,7 @@
 use crate::length::{write_whole, Length};
 use deku::prelude::*;
 
-/// The longest text of a record, in bytes. Chosen, not measured.
+/// The longest text of a record, in bytes.
 const MAX_CONTENT_BYTES: u32 = 8 * 1024 * 1024;
 
 /// Bytes of at most eight megabytes.
--- a/crates/wire/src/replica_set.rs
+++ b/crates/wire/src/replica_set.rs
@@ -4,7 +4,7 @@
 use crate::NodeId;
 use deku::prelude::*;
 
-/// Replicas in a set at most. Chosen, not measured.
+/// Replicas in a set at most.
 pub const MAX_REPLICAS: u32 = 256;
 
 /// A replica in a set.
--- a/crates/wire/src/turn_exchange.rs
+++ b/crates/wire/src/turn_exchange.rs
@@ -5,7 +5,7 @@
 use crate::turn_entry::{ProgramKey, RunLocation, TurnCharge, TurnEntry, TurnId, TurnRecord};
 use deku::prelude::*;
 
-/// Turns of one program or of one page at most. Chosen, not measured.
+/// Turns of one program or of one page at most.
 pub const MAX_TURNS: u32 = 200_000;
 
 /// A record with its turn.
