--- a/crates/gateway/src/peers/members.rs
+++ b/crates/gateway/src/peers/members.rs
@@ -27,8 +27,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time between two steps of the state machine: as long as a direct probe may take to be
-/// answered.
+/// Time between two steps of the state machine: as long as a direct probe may take to be answered.
 const TICK: Duration = Duration::from_millis(150);
 /// Members that are probed at once after a change: store updates reach the others.
 const FANOUT: usize = 3;
--- a/crates/gateway/src/peers/peer_versions.rs
+++ b/crates/gateway/src/peers/peer_versions.rs
@@ -6,7 +6,7 @@
 use crate::logging::part;
 use foxnotch_membership::Millis;
 use foxnotch_wire::{NodeId, ProtocolVersion};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 /// Nodes that are asked at one time at most: a fleet that starts together must not send a datagram to each other node at
 /// once.
@@ -49,7 +49,8 @@
 
     /// Of these nodes those that have to be asked for their version now. They count as asked then.
     pub(super) fn take_unasked(&mut self, nodes: &[(NodeId, u64)], now: Millis) -> Vec<NodeId> {
-        self.known.retain(|node, _| nodes.iter().any(|(known, _)| known == node));
+        let alive: HashSet<NodeId> = nodes.iter().map(|(node, _)| *node).collect();
+        self.known.retain(|node, _| alive.contains(node));
         let mut unasked = Vec::new();
         for (node, incarnation) in nodes {
             if unasked.len() == MAX_ASKED {
