Ports for tests are tried with sockets that don't listen

What was seen: a stand-in ended at once with "cannot be bound ... Address already in use" on a port that had just been found free, and the test waited its minute in vain.

Cause: the port was tried by listening on it. While the socket is open, another thread may start a process; that inherits a copy, which goes on listening until the process has loaded its own program, also after the original is closed.

Change: TCP is tried with a socket that is bound with address reuse and never listens, so that a copy hinders nobody who listens later; UDP by a datagram that is refused at once where nobody takes it. No lock around the starting of processes is needed, which a later test could forget.

--- a/crates/lab/src/ports.rs
+++ b/crates/lab/src/ports.rs
@@ -1,7 +1,9 @@
 //! Ports for processes that are about to be started.
 
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::io::ErrorKind;
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
 use std::sync::{Mutex, OnceLock, PoisonError};
+use tokio::net::TcpSocket;
 
 /// Ports below those that the system gives to outgoing connections, so that none is taken before it is bound.
 const PORT_RANGE: std::ops::Range<u16> = 12_000..30_000;
@@ -18,8 +20,8 @@
     port
 }
 
-/// Ports that are free for TCP and UDP on the loopback address. They are let go before they are given, so that a
-/// process can bind them; what is given once is therefore not given again, also to another thread.
+/// Ports that are free for TCP and UDP on the loopback address. They aren't held, so that a process can bind them;
+/// what is given once is therefore not given again, also to another thread.
 ///
 /// # Errors
 /// When there are not enough.
@@ -30,8 +32,8 @@
             break;
         }
         let port = next_port();
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        if is_free_for_tcp(address) && is_free_for_udp(address)? {
             ports.push(port);
         }
     }
@@ -39,3 +41,18 @@
     anyhow::ensure!(ports.len() == count, "fewer than {count} ports are free from {} to {}", range.start, range.end);
     Ok(ports)
 }
+
+/// Whether a process can listen here. The socket that tries it doesn't listen: a process that another thread is just
+/// starting holds a copy of it until its own program is loaded, and a copy that listens would keep the port taken.
+fn is_free_for_tcp(address: SocketAddr) -> bool {
+    TcpSocket::new_v4().and_then(|socket| socket.set_reuseaddr(true).and_then(|()| socket.bind(address))).is_ok()
+}
+
+/// Whether nobody takes datagrams here, by the refusal of one; a socket bound here could stay as a copy too.
+fn is_free_for_udp(address: SocketAddr) -> std::io::Result<bool> {
+    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+    socket.set_nonblocking(true)?;
+    socket.connect(address)?;
+    socket.send(&[])?;
+    Ok(socket.recv(&mut []).is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused))
+}
