Tests of replicas' folders share the samples that they compare with

Two test programs built the same set, disk, turns and questions to a replica that was started with a folder of a fixture: 30 lines stood in both, and 20 in nearly the same words. They stand in `support/replica_samples.rs` now.

--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -11,6 +11,7 @@
 pub mod fixtures;
 pub mod gateway;
 pub mod older_node;
+pub mod replica_samples;
 pub mod slow_path;
 pub mod store;
 pub mod tap;
