--- a/crates/lab/tests/soak/cold_starts.rs
+++ b/crates/lab/tests/soak/cold_starts.rs
@@ -1,9 +1,12 @@
 //! All processes are killed while the store answers nobody, again and again: what replicas have kept has to be enough
 //! to serve by, before the store is back.
 
+use super::disk_watch::Told;
+use super::faults::Condition;
 use super::plan::{Fault, Node, PathFault, Plan, REPLICAS};
 use super::processes::all_nodes;
-use super::run::{run_with, Condition, Soak, SoakReport, SoakSettings, Told};
+use super::report::SoakReport;
+use super::run::{run_with, Soak, SoakSettings, LOOK_PERIOD};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::time::{Duration, Instant};
@@ -12,8 +15,6 @@
 const KEEPING_TIME: Duration = Duration::from_secs(1);
 /// Time after the store is back in which a disk that was lost is refilled.
 const REFILL_TIME: Duration = Duration::from_secs(6);
-/// Pause between two looks at the processes.
-const LOOK_PERIOD: Duration = Duration::from_millis(25);
 
 /// One time that everything is killed.
 #[derive(Clone, Copy, Debug)]
--- /dev/null
+++ b/crates/lab/tests/soak/configuration.rs
@@ -0,0 +1,61 @@
+//! What the operator writes into the store during a soak: the configuration and the list of engines.
+
+use super::callers::HOST;
+use super::engines::{service_of, MODEL_SERVICE, PLAIN_SERVICE};
+use super::run::Soak;
+use serde_json::json;
+use std::sync::atomic::Ordering;
+
+/// Extensions by many routes that are in force at one time; the oldest goes. Real stores bound an object to some
+/// megabyte.
+const MAX_EXTENSIONS: usize = 3;
+
+impl Soak {
+    /// The zone of an engine.
+    pub(super) fn zone_of(engine: usize) -> &'static str {
+        ["a", "b"][engine % 2]
+    }
+
+    pub(super) fn list_engine(&self, number: usize, state: &str) {
+        let entry = json!({
+            "service": service_of(number), "address": self.addresses.engine_path(number).to_string(),
+            "zone": Self::zone_of(number), "slots": 8, "state": state,
+        });
+        self.store.put("servers", &self.engine_ids[number], entry);
+    }
+
+    /// Writes the next version of the configuration: all routes so far, one of its own, and `more` beside it.
+    pub(super) fn configure(&mut self, more: usize) {
+        let version = self.callers.newest_version.load(Ordering::SeqCst) + 1;
+        if more > 0 {
+            self.extra_routes.insert(version, more);
+        }
+        if self.extra_routes.len() > MAX_EXTENSIONS {
+            self.extra_routes.pop_first();
+        }
+        let route = |name: &str, kind: &str, service: &str, retain: bool| {
+            json!({
+                "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "route_type": kind, "timeout_ms": 4000,
+                "target_ms": 300, "priority": 1, "service": service, "attempts": 2, "retain": retain, "retention_s": 120,
+            })
+        };
+        let mut routes = vec![
+            route("read", "idempotent", PLAIN_SERVICE, false),
+            route("write", "non_idempotent", PLAIN_SERVICE, false),
+            route("turn", "streaming", MODEL_SERVICE, true),
+        ];
+        routes.extend((1..=version).map(|known| route(&format!("v{known}"), "idempotent", PLAIN_SERVICE, false)));
+        for (added, count) in &self.extra_routes {
+            let names = (0..*count).map(|number| format!("w{added}-{number}"));
+            routes.extend(names.map(|name| route(&name, "idempotent", PLAIN_SERVICE, false)));
+        }
+        let services = json!([
+            {"name": PLAIN_SERVICE, "max_conns": 400},
+            {"name": MODEL_SERVICE, "max_conns": 400, "engine": {"kv_capacity": 100_000, "tokens_per_event": 9}},
+        ]);
+        let limits = json!({"max_header_bytes": 16_384, "max_body_bytes": 4_194_304, "idle_timeout_ms": 15_000});
+        let spec = json!({"version": version, "routes": routes, "services": services, "limits": limits});
+        self.store.put("config", "main", spec);
+        self.callers.newest_version.store(version, Ordering::SeqCst);
+    }
+}
--- a/crates/lab/tests/soak/disk_watch.rs
+++ b/crates/lab/tests/soak/disk_watch.rs
@@ -65,3 +65,21 @@
         std::thread::sleep(PERIOD);
     }
 }
+
+/// A time, and for how long the disk had stalled by then.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Told {
+    at: Instant,
+    stalled: Duration,
+}
+
+impl Told {
+    pub(super) fn now(disk: &DiskWatch) -> Self {
+        Self { at: Instant::now(), stalled: disk.stalled() }
+    }
+
+    /// Time since, without the stalls of the disk.
+    pub(super) fn elapsed(self, disk: &DiskWatch) -> Duration {
+        self.at.elapsed().saturating_sub(disk.stalled().saturating_sub(self.stalled))
+    }
+}
--- a/crates/lab/tests/soak/mod.rs
+++ b/crates/lab/tests/soak/mod.rs
@@ -6,12 +6,16 @@
 
 pub(crate) mod callers;
 pub(crate) mod cold_starts;
+pub(crate) mod configuration;
 pub(crate) mod disk_watch;
 pub(crate) mod engines;
+pub(crate) mod faults;
 pub(crate) mod ledger;
 pub(crate) mod plan;
 pub(crate) mod processes;
 pub(crate) mod proxy;
+pub(crate) mod recovery;
+pub(crate) mod report;
 pub(crate) mod run;
 pub(crate) mod store;
 pub(crate) mod zone_drains;
--- /dev/null
+++ b/crates/lab/tests/soak/report.rs
@@ -0,0 +1,47 @@
+//! What came of a soak, for a reader.
+
+use super::ledger::Violation;
+use super::plan::{Fault, Plan};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+/// What came of a soak.
+pub(crate) struct SoakReport {
+    pub(super) plan: Plan,
+    pub(super) skipped: usize,
+    pub(super) stalled: Duration,
+    pub(super) outcomes: BTreeMap<String, u64>,
+    /// Promises that were broken.
+    pub violations: Vec<Violation>,
+}
+
+impl fmt::Display for SoakReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(formatter, "seed {}: {} s, {} steps", self.plan.seed, self.plan.seconds, self.plan.steps.len())?;
+        let mut kinds: BTreeMap<String, usize> = BTreeMap::new();
+        for step in &self.plan.steps {
+            *kinds.entry(kind_of(&step.fault)).or_default() += 1;
+        }
+        for (kind, count) in kinds {
+            writeln!(formatter, "  step {kind}: {count}")?;
+        }
+        writeln!(formatter, "  steps passed over, their node being in another: {}", self.skipped)?;
+        writeln!(formatter, "  this machine's disk stalled for {:.1} s", self.stalled.as_secs_f64())?;
+        for (outcome, count) in &self.outcomes {
+            writeln!(formatter, "  requests, {outcome}: {count}")?;
+        }
+        for violation in &self.violations {
+            writeln!(formatter, "  BROKEN {violation}")?;
+        }
+        writeln!(formatter, "violations: {}", self.violations.len())
+    }
+}
+
+/// The name of a fault in a plan.
+fn kind_of(fault: &Fault) -> String {
+    let value = serde_json::to_value(fault).unwrap_or_default();
+    let word = |name: &str| value.get(name).and_then(Value::as_str).unwrap_or_default().to_owned();
+    [word("do"), word("how")].join(" ").trim().to_owned()
+}
