--- a/crates/gateway/tests/stored_data_tests.rs
+++ b/crates/gateway/tests/stored_data_tests.rs
@@ -16,12 +16,12 @@
 use foxnotch_turns::identity::node_id;
 use foxnotch_turns::segment::Record;
 use foxnotch_turns::stored_view_file::PartKind;
-use foxnotch_wire::{Content, ReadStoredView, RecordElsewhere, RegionId, RpcBody, StoredPart, TurnEntry, TurnId};
+use foxnotch_wire::{ReadStoredView, RecordElsewhere, RegionId, RpcBody, StoredPart, TurnEntry, TurnId};
 use rstest::rstest;
 use std::collections::BTreeMap;
 use std::path::Path;
 use support::cluster::name;
-use support::fixtures::{assert_same_lines, fill_folder, from_hex, lines_of_folder};
+use support::fixtures::{assert_same_lines, fill_folder, lines_of_folder, view_part};
 use support::replica_samples::{
     assert_charges, assert_set_and_turns, caps, chain, charge, entries, kept_turn, new_state, peer, place, record,
     reservation, set, started, synced_state, NUMBER, SET_VERSION,
@@ -51,14 +51,8 @@
     [Record::State(synced_state(NET))].into_iter().chain(turns).chain([caps(&[(0xa2, 50)])]).collect()
 }
 
-/// What a part of the view is coded as.
-fn coded(part: &str) -> Content {
-    let line = VIEW_PARTS.lines().find(|line| line.starts_with(&format!("{part} "))).expect("the fixture has the part");
-    Content::from(from_hex(line.split(' ').nth(1).expect("a line has bytes")))
-}
-
 fn kept(revision: u64, part: &str) -> StoredPart {
-    StoredPart { revision, kept_at_ms: 1_764_716_042_123, content: coded(part) }
+    StoredPart { revision, kept_at_ms: 1_764_716_042_123, content: view_part(VIEW_PARTS, part) }
 }
 
 fn write_view(folder: &Path) {
--- a/crates/gateway/tests/support/fixtures.rs
+++ b/crates/gateway/tests/support/fixtures.rs
@@ -1,5 +1,6 @@
 //! Fixtures of bytes: lines with a name, a space and bytes in hexadecimal.
 
+use foxnotch_wire::Content;
 use std::collections::BTreeMap;
 use std::fs;
 use std::path::Path;
@@ -22,6 +23,12 @@
     lines.map(|(name, hex)| (name, from_hex(hex))).collect()
 }
 
+/// What a part of the view is coded as, in a fixture whose lines hold its name, its bytes and its text.
+pub fn view_part(fixture: &str, part: &str) -> Content {
+    let line = fixture.lines().find(|line| line.starts_with(&format!("{part} "))).expect("the fixture has the part");
+    Content::from(from_hex(line.split(' ').nth(1).expect("a line has bytes")))
+}
+
 /// Compares lines with a fixture, and prints them when they differ.
 pub fn assert_same_lines(actual: &[String], fixture: &str) {
     let actual = actual.join("\n");
--- a/crates/gateway/tests/view_format_tests.rs
+++ b/crates/gateway/tests/view_format_tests.rs
@@ -18,7 +18,7 @@
 use foxnotch_turns::identity::{node_id, program_key, region_id, turn_id, zone_hash};
 use foxnotch_wire::{Content, NodeId, ProgramKey, RegionId, RpcBody, TurnId, ViewUpdate};
 use std::io::Read;
-use support::fixtures::{assert_same_lines, from_hex, to_hex};
+use support::fixtures::{assert_same_lines, to_hex, view_part};
 use support::view_samples::{
     bare_configuration, configuration, engine, engine_changes, engines, retirements, zone_drains,
 };
@@ -50,8 +50,7 @@
 
 /// The bytes of a part in the fixture.
 fn kept(name: &str) -> Content {
-    let line = PARTS.lines().find(|line| line.starts_with(&format!("{name} "))).expect("the fixture has the part");
-    Content::from(from_hex(line.split(' ').nth(1).expect("a line has bytes")))
+    view_part(PARTS, name)
 }
 
 #[test]
