Log the software version of engines and what a call resumes

Callers resumed streams at engines of another software version, and no log line or metric could show it: the adapter read neither the version in an engine's entry nor the header that names the attempt which began a stream.

The entry's version is decoded into EngineEntry::software_version, an optional JSON field beside the others that older builds skip; it is absent, not empty, when an older build sent or stored the entry. The line of each send ends with version= and resumes=, and foxnotch_engine_versions tells how many versions a service has. No decision uses them yet.

--- a/crates/gateway/src/edge/parts.rs
+++ b/crates/gateway/src/edge/parts.rs
@@ -12,6 +12,7 @@
 use crate::engines::learned_costs::LearnedCosts;
 use crate::engines::round_trips::GatewayDistances;
 use crate::metrics::Metrics;
+use crate::peers::engine_list::max_software_versions_of_a_service;
 use crate::peers::members::Members;
 use crate::peers::replica_client::{RelayGateways, ReplicaClient};
 use crate::peers::rpc_client::RpcClient;
@@ -182,6 +183,10 @@
         shared_view.get().engines.value.iter().filter(|engine| engine.draining).count() as i64
     });
     let shared_view = view.clone();
+    metrics.add_gauge("engine_versions", "Most software versions among the engines of one service", move || {
+        max_software_versions_of_a_service(&shared_view.get().engines.value) as i64
+    });
+    let shared_view = view.clone();
     metrics.add_gauge(
         "zones_drained",
         "Zones whose engines get no new programs because an operator drains them",
--- a/crates/gateway/src/edge/send_log.rs
+++ b/crates/gateway/src/edge/send_log.rs
@@ -81,6 +81,8 @@
 /// - `missing`: the prompt tokens that are missing from the engine's cache, out of all prompt tokens
 /// - `left`: the time that the engine has for its answer
 /// - `engines`: the revision of the list of engines
+/// - `version`: the version of the engine's software, `-` if unknown
+/// - `resumes`: the attempt that brought the first event of the stream that the call resumes, `-` if it resumes none
 fn log_engine_choice(view: &View, call: &Call, choice: &Choice) {
     let metadata = &call.metadata;
     let Choice { engine, candidates, missing_tokens, in_flight_requests, prices, .. } = choice;
@@ -90,7 +92,7 @@
         target: part::ENGINE,
         "Call {} sent: program={} tenant={} route={} engine={} number={} before={previous_engine} avoided={} \
          of={candidates} own={} all={in_flight_requests:.0} missing={missing_tokens:.0}/{} token_ms={token_ms:.4} \
-         request_ms={request_ms:.2} left={:?} configuration={} engines={}.",
+         request_ms={request_ms:.2} left={:?} configuration={} engines={} version={} resumes={}.",
         metadata.attempt,
         metadata.program.as_deref().unwrap_or("-"),
         call.tenant_name(),
@@ -103,5 +105,7 @@
         call.time_left_for_engine().unwrap_or_default(),
         view.configuration.value.version,
         view.engines.revision,
+        engine.software_version().unwrap_or("-"),
+        metadata.resumes.as_deref().unwrap_or("-"),
     );
 }
--- a/crates/gateway/src/engines/engine.rs
+++ b/crates/gateway/src/engines/engine.rs
@@ -34,8 +34,8 @@
 /// restarts.
 #[derive(Debug)]
 pub struct Engine {
-    /// The entry when the engine was first listed. Its `draining`, `cold_left_ms` and `started_at_ms` may be out of
-    /// date.
+    /// The entry when the engine was first listed. Its `draining`, `cold_left_ms`, `started_at_ms` and
+    /// `software_version` may be out of date.
     pub entry: EngineEntry,
     /// The address that the engine listens on.
     pub address: SocketAddr,
@@ -48,6 +48,8 @@
     pub reachability: EngineReachability,
     /// When the engine started, in milliseconds since 1970; empty until one of its entries states it.
     started_at_ms: OnceLock<u64>,
+    /// The version of the engine's software; unset until one of its entries states it.
+    software_version: OnceLock<String>,
     in_flight_requests: AtomicU32,
     draining: AtomicBool,
     /// Whether another engine now has this engine's address.
@@ -68,6 +70,7 @@
         let draining = AtomicBool::new(entry.draining);
         let number = engine_number(&entry.id);
         let started_at_ms = entry.started_at_ms.map_or_else(OnceLock::new, OnceLock::from);
+        let software_version = entry.software_version.clone().map_or_else(OnceLock::new, OnceLock::from);
         Some(Self {
             entry,
             address,
@@ -75,6 +78,7 @@
             warmth: EngineWarmth::new(),
             reachability: EngineReachability::new(),
             started_at_ms,
+            software_version,
             in_flight_requests: AtomicU32::new(0),
             draining,
             replaced: AtomicBool::new(false),
@@ -102,6 +106,18 @@
         }
     }
 
+    /// Stores the version of the engine's software, unless it is `None` or a version is already stored.
+    pub fn set_software_version_if_unset(&self, software_version: Option<&str>) {
+        if let Some(version) = software_version {
+            self.software_version.get_or_init(|| version.to_owned());
+        }
+    }
+
+    /// The version of the engine's software, empty if the engine states none; `None` while it is unknown.
+    pub fn software_version(&self) -> Option<&str> {
+        self.software_version.get().map(String::as_str)
+    }
+
     /// Number of this gateway's requests in flight at the engine.
     pub fn in_flight_requests(&self) -> u32 {
         self.in_flight_requests.load(Ordering::Relaxed)
--- a/crates/gateway/src/ports/configuration.rs
+++ b/crates/gateway/src/ports/configuration.rs
@@ -171,6 +171,10 @@
     /// long ago.
     #[serde(default)]
     pub cold_left_ms: u64,
+    /// The version of the engine's software; empty if the engine states none. `None` if the entry came from a node or a
+    /// disk of an older build, which drops this field.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software_version: Option<String>,
 }
 
 /// The operator's request to retire a replica, that is, to take it out of service permanently.
--- a/crates/gateway/src/ports/dialect.rs
+++ b/crates/gateway/src/ports/dialect.rs
@@ -39,6 +39,8 @@
     pub previous: Option<String>,
     /// The identifier of the last event that the caller received from an earlier attempt.
     pub last_event: Option<String>,
+    /// The identifier of the attempt that brought the first event of the stream that the caller resumes.
+    pub resumes: Option<String>,
     /// The API key that authenticates the caller as a tenant.
     pub key: PresentedKey,
 }
--- a/crates/gateway/tests/edge_tests.rs
+++ b/crates/gateway/tests/edge_tests.rs
@@ -158,6 +158,7 @@
         draining: false,
         started_at_ms: None,
         cold_left_ms: 0,
+        software_version: Some(String::new()),
     };
     Arc::new(Engine::new(entry, 100_000).expect("the address is valid"))
 }
--- a/crates/gateway/tests/engine_list_tests.rs
+++ b/crates/gateway/tests/engine_list_tests.rs
@@ -18,6 +18,7 @@
         draining: false,
         started_at_ms: None,
         cold_left_ms: 0,
+        software_version: Some(String::new()),
     }
 }
 
--- a/crates/gateway/tests/region_choice_tests.rs
+++ b/crates/gateway/tests/region_choice_tests.rs
@@ -35,6 +35,7 @@
         draining: false,
         started_at_ms: None,
         cold_left_ms: 0,
+        software_version: Some(String::new()),
     };
     ZONES.iter().map(|zone| Arc::new(Engine::new(entry(zone), 100_000).expect("the address is valid"))).collect()
 }
--- a/crates/gateway/tests/region_tests.rs
+++ b/crates/gateway/tests/region_tests.rs
@@ -30,6 +30,7 @@
         draining,
         started_at_ms: None,
         cold_left_ms: 0,
+        software_version: Some(String::new()),
     })
 }
 
--- a/crates/gateway/tests/slow_start_tests.rs
+++ b/crates/gateway/tests/slow_start_tests.rs
@@ -75,6 +75,7 @@
         draining: false,
         started_at_ms: None,
         cold_left_ms: 0,
+        software_version: Some(String::new()),
     }
 }
 
--- a/crates/gateway/tests/store_watch_tests.rs
+++ b/crates/gateway/tests/store_watch_tests.rs
@@ -32,6 +32,7 @@
         draining,
         started_at_ms: None,
         cold_left_ms: 0,
+        software_version: Some(String::new()),
     })
 }
 
--- a/crates/gateway/tests/support/gateway.rs
+++ b/crates/gateway/tests/support/gateway.rs
@@ -51,6 +51,8 @@
             program: header_text(headers, "t-program"),
             token_budget: header_number(headers, "t-budget"),
             previous: header_text(headers, "t-previous"),
+            last_event: header_text(headers, "t-last-event"),
+            resumes: header_text(headers, "t-resumes"),
             key: headers
                 .get("t-key")
                 .map_or(PresentedKey::Absent, |key| PresentedKey::One(KeyDigest::of(key.as_bytes()))),
@@ -194,6 +196,7 @@
         draining,
         started_at_ms: None,
         cold_left_ms: 0,
+        software_version: Some(String::new()),
     };
     cluster.store.put(Kind::Engines, id, ObjectBody::Engine(entry))
 }
--- a/crates/gateway/tests/support/view_samples.rs
+++ b/crates/gateway/tests/support/view_samples.rs
@@ -84,6 +84,7 @@
         draining: true,
         started_at_ms: Some(1_764_716_042_123),
         cold_left_ms: 2900,
+        software_version: None,
     }
 }
 
--- a/crates/gateway/tests/view_format_tests.rs
+++ b/crates/gateway/tests/view_format_tests.rs
@@ -78,6 +78,16 @@
     assert_eq!(read, engines().remove(1));
 }
 
+/// Older builds skip the field, so it may be sent to them. Without a version the field is absent, as in their entries.
+#[test]
+fn the_software_version_is_an_optional_field_of_an_engine() {
+    let with_version = EngineEntry { software_version: Some("v1.2".to_owned()), ..engine("i-1") };
+    let without_version = serde_json::to_string(&engine("i-1")).expect("the entry can be encoded");
+    let expected = without_version.replace('}', r#","software_version":"v1.2"}"#);
+    assert_eq!(serde_json::to_string(&with_version).expect("the entry can be encoded"), expected);
+    assert_eq!(serde_json::from_str::<EngineEntry>(&expected).expect("the entry is parsed"), with_version);
+}
+
 /// The parts of an update are adopted into a node's view, and the view produces the same update again.
 #[test]
 fn an_update_with_the_parts_of_the_fixture_is_adopted() {
--- a/crates/gateway/tests/zone_drain_tests.rs
+++ b/crates/gateway/tests/zone_drain_tests.rs
@@ -48,6 +48,7 @@
         draining: false,
         started_at_ms: None,
         cold_left_ms: 0,
+        software_version: Some(String::new()),
     };
     cluster.store.put(Kind::Engines, id, ObjectBody::Engine(entry));
 }
@@ -276,8 +277,17 @@
     let list_started = |deployment: &Deployment, started_at_ms| {
         let address = deployment.engine_a.address.to_string();
         let (id, service, zone) = ("near-turn".to_owned(), "turn".to_owned(), "a".to_owned());
-        let entry =
-            EngineEntry { id, service, address, zone, slots: 4, draining: false, started_at_ms, cold_left_ms: 0 };
+        let entry = EngineEntry {
+            id,
+            service,
+            address,
+            zone,
+            slots: 4,
+            draining: false,
+            started_at_ms,
+            cold_left_ms: 0,
+            software_version: None,
+        };
         deployment.cluster.store.put(Kind::Engines, "near-turn", ObjectBody::Engine(entry));
     };
     list_started(&deployment, Some(1000));
