Resume streams at the service and software version that began them

What two versions write does not fit together.

Cause: the choice of an engine knew nothing of versions, and the gateway at which a caller returns, mostly another one, had no way to know where the stream began: only the gateway that served it knew, while it served it.

Change: when the head of a resumable stream's answer has come, its gateway stores service and version of the engine on the replicas, as a settled entry in a program of its own; replicas of all builds store and return such entries, so no message changes. A call that resumes a stream reads the entry beside its reservation, and its candidates are the engines of that service and version, found again before each send. Without a record the stream goes on only if its service has had one version for as long as any stream lives. Otherwise the call is refused, not run, with a time to retry: stream_version_unknown or stream_version_gone. An engine that is listed anew with another version is another engine. A call that resumes a stream is never a new program.

Why it works: the record is written once for an attempt, after the last send of that attempt and by the engine whose first event the caller can get, so a record that is found is right, and one that is missing leads to a refusal and never to a guess. The first event does not wait for the record.

--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -11,6 +11,7 @@
 use foxnotch_scheduler::residency::Residency;
 use foxnotch_scheduler::retry::RepeatLimit;
 use foxnotch_scheduler::tenants::Tenant;
+use foxnotch_turns::stream_origin::StreamOrigin;
 use foxnotch_wire::RunLocation;
 use http::{header, HeaderMap, Request};
 use http_body_util::Full;
@@ -57,6 +58,9 @@
     pub previous_engine: Option<u32>,
     /// Engine numbers of the engines at which turns of the program failed.
     pub avoided: Vec<u32>,
+    /// The origin that the engine has to have because the call resumes a stream that began there; `None` for a call
+    /// that begins a stream.
+    pub required_origin: Option<StreamOrigin>,
     /// When the head of the request was received. The call's time limit starts then.
     pub arrived_at: Instant,
     /// The time by which the call has to be answered.
@@ -90,6 +94,7 @@
             service,
             previous_engine: None,
             avoided: Vec::new(),
+            required_origin: None,
             arrived_at,
             expires_at,
             head,
@@ -128,6 +133,17 @@
         self.route.kind == RouteKind::Streaming
     }
 
+    /// Whether the caller has received events of a stream and asks for the rest of it.
+    pub fn resumes_stream(&self) -> bool {
+        let names_stream = self.metadata.resumes.is_some() || self.metadata.last_event.is_some();
+        self.route.resumable && self.is_model_call() && names_stream
+    }
+
+    /// Whether an engine may serve the call as far as its software version is concerned.
+    pub fn allows_version_of(&self, engine: &Engine) -> bool {
+        self.required_origin.is_none_or(|required| engine.stream_origin() == Some(required))
+    }
+
     /// The number of engines at which the call may run, according to its route.
     pub fn repetition_limit(&self) -> RepeatLimit {
         if self.route.is_repeatable() {
--- a/crates/gateway/src/edge/candidates.rs
+++ b/crates/gateway/src/edge/candidates.rs
@@ -50,12 +50,14 @@
     }
 
     /// The engines of the call's service that accept new requests and that are excluded neither by a zone drain nor by
-    /// the call's region restriction. Includes engines that cannot be reached.
+    /// the call's region restriction nor by their software version. Includes engines that cannot be reached.
     pub(super) fn candidates(&self, call: &Call) -> Vec<Arc<Engine>> {
         let drain_facts = self.zone_drain_facts(call);
         let mut candidates = self.engines.engines_accepting_requests(&call.service);
         candidates.retain(|engine| {
-            drain_facts.allows(engine) && call.residency.allows_zone(&self.topology, &engine.entry.zone)
+            drain_facts.allows(engine)
+                && call.residency.allows_zone(&self.topology, &engine.entry.zone)
+                && call.allows_version_of(engine)
         });
         candidates
     }
@@ -88,7 +90,7 @@
     /// Refuses a call when [`CandidateCounts::decide_whether_to_proceed`] says that its candidates cannot serve it.
     ///
     /// # Errors
-    /// [`Refusal::NoEngineReachable`], [`Refusal::ZonesDrained`].
+    /// [`Refusal::NoEngineReachable`], [`Refusal::ZonesDrained`], [`Refusal::StreamVersionGone`].
     pub(super) fn check_candidates(&self, call: &Call, candidates: &[Arc<Engine>]) -> Result<(), Refusal> {
         let counts = self.count_candidates(call, candidates);
         match counts.decide_whether_to_proceed(call.stage) {
@@ -106,6 +108,17 @@
                 );
                 Err(Refusal::ZonesDrained)
             }
+            CandidateDecision::RefuseStreamVersionGone => {
+                log::info!(
+                    target: part::CALL,
+                    "Call {} is refused because no engine in service has the software version at which its stream \
+                     began: service={} resumes={}.",
+                    call.metadata.attempt,
+                    call.service,
+                    call.metadata.resumes.as_deref().unwrap_or("-"),
+                );
+                Err(Refusal::StreamVersionGone)
+            }
             CandidateDecision::RefuseNoneReachable => {
                 log::info!(
                     target: part::CALL,
@@ -130,10 +143,18 @@
         // for each new program.
         if candidates.is_empty() && is_any_zone_drained {
             let engines = self.engines.engines_accepting_requests(&call.service);
-            let is_allowed = |engine: &&Arc<Engine>| call.residency.allows_zone(&self.topology, &engine.entry.zone);
+            let is_allowed = |engine: &&Arc<Engine>| {
+                call.residency.allows_zone(&self.topology, &engine.entry.zone) && call.allows_version_of(engine)
+            };
             in_regions = engines.iter().filter(is_allowed).count();
         }
-        CandidateCounts { in_regions, candidates: candidates.len(), reachable, is_any_zone_drained }
+        CandidateCounts {
+            in_regions,
+            candidates: candidates.len(),
+            reachable,
+            is_any_zone_drained,
+            is_version_required: call.required_origin.is_some(),
+        }
     }
 
     /// The load of these engines: their slots, this gateway's requests in flight at them, and the estimated number of
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -24,6 +24,7 @@
 pub mod send_record;
 pub mod slow_start;
 pub mod stream_call;
+mod stream_origins;
 pub mod tickets;
 mod turn_account;
 pub mod turn_cache;
--- a/crates/gateway/src/edge/refusal.rs
+++ b/crates/gateway/src/edge/refusal.rs
@@ -80,6 +80,12 @@
     /// the holders of these tickets did not report.
     #[error("whether the program's budget is spent cannot be told now; ask again after the time given")]
     BudgetUnknown,
+    /// Not run: the stream that the request resumes may have begun at any of several software versions.
+    #[error("at which software version this stream began is not known now; begin it anew, or ask again after the time given")]
+    StreamVersionUnknown,
+    /// Not run: no engine in service has the software version at which the stream began that the request resumes.
+    #[error("no engine of the software version that began this stream is in service; begin it anew, or ask again after the time given")]
+    StreamVersionGone,
     /// Not run: too little of the request's time was left when it could be sent to an engine.
     #[error("the time was over before an engine had room; ask again with more time")]
     OutOfTime,
@@ -116,6 +122,8 @@
             | Self::NotKeptInRegions
             | Self::ChainOutsideRegions
             | Self::BudgetUnknown
+            | Self::StreamVersionUnknown
+            | Self::StreamVersionGone
             | Self::OutOfTime => StatusCode::SERVICE_UNAVAILABLE,
             Self::MayHaveRun(_) => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -155,6 +163,8 @@
             Self::NoSuchTurn => RefusalKind::NoSuchTurn,
             Self::BudgetSpent => RefusalKind::BudgetSpent,
             Self::BudgetUnknown => RefusalKind::BudgetUnknown,
+            Self::StreamVersionUnknown => RefusalKind::StreamVersionUnknown,
+            Self::StreamVersionGone => RefusalKind::StreamVersionGone,
             Self::OutOfTime => RefusalKind::OutOfTime,
             Self::MayHaveRun(_) => RefusalKind::MayHaveRun,
             Self::TimedOut => RefusalKind::TimedOut,
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -12,6 +12,7 @@
 use crate::edge::gateway::Gateway;
 use crate::edge::refusal::Refusal;
 use crate::edge::send_record::SendRecord;
+use crate::edge::stream_origins::ResumedOrigin;
 use crate::edge::turn_account::TurnAccount;
 use crate::edge::turn_pace::TurnPace;
 use crate::edge::turns::TurnError;
@@ -54,16 +55,24 @@
     let mut account = TurnAccount::open(&gateway, &call);
     let previous = call.metadata.previous.as_deref().filter(|_| call.route.retain);
     let previous = previous.map(|previous| turn_id(call.tenant_name(), previous));
-    let (chain, reserved) =
-        tokio::join!(read_chain(&gateway, previous, prepare_deadline), account.reserve_tokens(prepare_deadline));
+    let (chain, reserved, origin) = tokio::join!(
+        read_chain(&gateway, previous, prepare_deadline),
+        account.reserve_tokens(prepare_deadline),
+        gateway.find_resumed_origin(&call, prepare_deadline),
+    );
     let chain = chain?;
     let program = reserved?;
+    if let Some(ResumedOrigin { service, origin }) = origin? {
+        call.service = service;
+        call.required_origin = Some(origin);
+    }
     gateway.restrict_to_chain_regions(&mut call, &chain)?;
     // The tenant's limit is checked only after the budget: turns of programs that loop are refused by their budget and
     // must not use up the limit. When both were checked at the same time, a tenant with a limit of 96 requests in 5 s
     // was refused after 31.
     let has_other_turns = program.as_ref().is_some_and(|program| program.has_earlier_turns);
-    call.stage = program_stage::program_stage_at_turn(call.metadata.previous.is_some(), has_other_turns);
+    let continues = call.metadata.previous.is_some() || call.resumes_stream();
+    call.stage = program_stage::program_stage_at_turn(continues, has_other_turns);
     let budget = program.map(|program| program.budget);
     gateway.dispatcher.check_admission(&call)?;
     gateway.quotas.count_against_limit(&call, prepare_deadline).await?;
@@ -120,6 +129,7 @@
 ) -> Response<AnswerBody> {
     let EngineAnswer { response, connection, in_flight, .. } = answer;
     account.entry.run_location = call.run_location_at(in_flight.engine());
+    gateway.record_stream_origin(&call, in_flight.engine());
     let (mut head, body) = response.into_parts();
     remove_connection_headers(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
--- a/crates/gateway/src/edge/turns.rs
+++ b/crates/gateway/src/edge/turns.rs
@@ -13,6 +13,7 @@
 use foxnotch_turns::quorum::Tally;
 use foxnotch_turns::record_quorum::RecordQuorum;
 use foxnotch_turns::replica_set::Tolerance;
+use foxnotch_turns::stream_origin::{origin_in, origin_program, StreamOrigin};
 use foxnotch_turns::zone_regions::ZoneRegions;
 use foxnotch_wire::{
     text_regions, ProgramKey, ReadProgram, RegionId, ReplicaMember, ReplicaSet, ReplicaSetUpdate, ReplicaStanding,
@@ -189,6 +190,17 @@
         deadline: Instant,
         regions: &[RegionId],
         request: impl Fn(&ReplicaMember, u64) -> RpcBody,
+    ) -> Result<BudgetView, TurnError> {
+        self.ask_quorum_or_until(deadline, regions, request, |_| false).await
+    }
+
+    /// Like [`Self::ask_quorum`], but returns the merged answers as soon as `is_enough` returns true for them.
+    async fn ask_quorum_or_until(
+        &self,
+        deadline: Instant,
+        regions: &[RegionId],
+        request: impl Fn(&ReplicaMember, u64) -> RpcBody,
+        is_enough: impl Fn(&BudgetView) -> bool,
     ) -> Result<BudgetView, TurnError> {
         let begun_at = Instant::now();
         loop {
@@ -214,7 +226,7 @@
                     }
                     Some(MemberAnswer::Body(_)) | None => {}
                 }
-                if quorum.is_met_by(&tally) {
+                if quorum.is_met_by(&tally) || is_enough(&view) {
                     self.metrics.quorum_seconds.observe(begun_at.elapsed().as_secs_f64());
                     return Ok(view);
                 }
@@ -308,6 +320,24 @@
             .await
     }
 
+    /// Reads the origin of the stream that an attempt of a caller of `tenant` began. `None` if a quorum of replicas stores
+    /// none. One replica that stores it is enough, because an origin is written once.
+    ///
+    /// # Errors
+    /// [`TurnError`] when neither a replica that stores the origin nor a quorum answers before the deadline.
+    pub async fn read_stream_origin(
+        &self,
+        tenant: &str,
+        attempt: &str,
+        deadline: Instant,
+    ) -> Result<Option<StreamOrigin>, TurnError> {
+        let program = origin_program(tenant, attempt);
+        let request = |_: &ReplicaMember, set_version| RpcBody::ReadProgram(ReadProgram { set_version, program });
+        let is_found = |view: &BudgetView| origin_in(view.run_locations()).is_some();
+        let view = self.ask_quorum_or_until(deadline, &[], request, is_found).await?;
+        Ok(origin_in(view.run_locations()))
+    }
+
     /// Writes a completed turn together with other entries of its program. Afterwards the turn can be continued at
     /// every gateway. Returns the program's budget entries if one of the written entries is not settled, and an empty
     /// view otherwise.
--- a/crates/gateway/src/engines/engine.rs
+++ b/crates/gateway/src/engines/engine.rs
@@ -11,6 +11,7 @@
 use foxnotch_scheduler::engine_health::{EngineHealth, HealthRecord, OVERDUE_AFTER};
 use foxnotch_scheduler::outliers::{OutcomeWindow, Outcomes};
 use foxnotch_scheduler::slow_start::warmth::ColdCause;
+use foxnotch_turns::stream_origin::StreamOrigin;
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
@@ -89,14 +90,18 @@
         })
     }
 
-    /// Whether an entry describes the same engine process: the same identifier and address, and no different start
-    /// time.
+    /// Whether an entry describes the same engine process: the same identifier and address, and neither a different
+    /// start time nor a different software version.
     pub fn is_same_incarnation(&self, entry: &EngineEntry) -> bool {
         let (own, other) = (&self.entry, entry);
-        // The start time may be missing from the first entry or from a later one.
-        let is_other_incarnation =
+        // The start time and the version may be missing from the first entry or from a later one.
+        let is_other_start =
             self.started_at_ms.get().zip(other.started_at_ms).is_some_and(|(known, listed)| *known != listed);
-        own.id == other.id && own.address == other.address && !is_other_incarnation
+        let is_other_version = self
+            .software_version()
+            .zip(other.software_version.as_deref())
+            .is_some_and(|(known, listed)| known != listed);
+        own.id == other.id && own.address == other.address && !is_other_start && !is_other_version
     }
 
     /// Stores the engine's start time, unless it is `None` or a start time is already stored.
@@ -118,6 +123,11 @@
         self.software_version.get().map(String::as_str)
     }
 
+    /// The origin of the streams that the engine begins; `None` while the version of its software is unknown.
+    pub fn stream_origin(&self) -> Option<StreamOrigin> {
+        self.software_version().map(|version| StreamOrigin::new(&self.entry.service, version))
+    }
+
     /// Number of this gateway's requests in flight at the engine.
     pub fn in_flight_requests(&self) -> u32 {
         self.in_flight_requests.load(Ordering::Relaxed)
--- a/crates/gateway/src/engines/table.rs
+++ b/crates/gateway/src/engines/table.rs
@@ -5,9 +5,11 @@
 use crate::logging::part;
 use crate::peers::view::View;
 use foxnotch_scheduler::slow_start::warmth::ColdCause;
+use foxnotch_scheduler::stream_version::OnlyVersion;
 use foxnotch_scheduler::zone_drain::ZoneDrains;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
+use std::time::Instant;
 
 /// The engines of the latest view that was applied, by service.
 #[derive(Default)]
@@ -15,6 +17,21 @@
     services: Mutex<HashMap<String, Vec<Arc<Engine>>>>,
     /// The zones that are drained in the latest view that was applied.
     drains: Mutex<Arc<ZoneDrains>>,
+    /// The software version that all engines of a service have, by service. Services whose engines have several
+    /// versions, or one whose version is unknown, are left out.
+    only_versions: Mutex<HashMap<String, OnlyVersionSince>>,
+}
+
+/// The only software version of a service's engines.
+struct OnlyVersionSince {
+    version: String,
+    since: Instant,
+}
+
+/// The version that all these engines have; `None` if they have several, or the version of one is unknown.
+fn common_version(engines: &[Arc<Engine>]) -> Option<&str> {
+    let first = engines.first()?.software_version()?;
+    engines.iter().all(|engine| engine.software_version() == Some(first)).then_some(first)
 }
 
 impl EngineTable {
@@ -48,6 +65,26 @@
         lock(&self.drains).clone()
     }
 
+    /// The software version that all engines of a service have, including those that get no new requests, with the time
+    /// for which this has been so.
+    pub fn only_version(&self, service: &str) -> Option<OnlyVersion<String>> {
+        let only_versions = lock(&self.only_versions);
+        let only = only_versions.get(service)?;
+        Some(OnlyVersion { version: only.version.clone(), known_for: only.since.elapsed() })
+    }
+
+    fn update_only_versions(&self, services: &HashMap<String, Vec<Arc<Engine>>>) {
+        let mut only_versions = lock(&self.only_versions);
+        let mut previous = std::mem::take(&mut *only_versions);
+        for (service, engines) in services {
+            let Some(version) = common_version(engines) else { continue };
+            let unchanged = previous.remove(service).filter(|only| only.version == version);
+            let only =
+                unchanged.unwrap_or_else(|| OnlyVersionSince { version: version.to_owned(), since: Instant::now() });
+            only_versions.insert(service.clone(), only);
+        }
+    }
+
     /// Stores the drained zones of the view. Returns the zones that were drained in the previous view and are not in
     /// this one.
     fn replace_zone_drains(&self, view: &View) -> Vec<String> {
@@ -106,6 +143,7 @@
             }
             services.entry(entry.service.clone()).or_default().push(engine);
         }
+        self.update_only_versions(&services);
         for engine in previous_engines.into_values() {
             engine.set_draining(true);
             engine.close_idle_connections();
--- a/crates/gateway/src/metrics/mod.rs
+++ b/crates/gateway/src/metrics/mod.rs
@@ -107,6 +107,8 @@
     /// Number of turns restricted to regions that were stored on fewer replicas in these regions than the tolerated
     /// losses require.
     pub under_replicated_turns: Counter,
+    /// Streams that callers resume, by outcome: how their software version was found, or why it was not.
+    pub resumed_streams: Family<Outcome, Counter>,
     /// Seconds from the start of the check of a tenant's rate limit until the request was admitted or rejected.
     pub quota_seconds: Histogram,
     /// Seconds from a turn's request for a ticket for tokens reserved ahead to the answer or the timeout.
@@ -159,6 +161,7 @@
             relayed_answers: Counter::default(),
             zone_drain_moves: Counter::default(),
             under_replicated_turns: Counter::default(),
+            resumed_streams: Family::default(),
             quota_seconds: latency_histogram(),
             ticket_seconds: latency_histogram(),
             tickets: Family::default(),
@@ -226,6 +229,12 @@
              setting tolerance names",
             under_replicated_turns,
         );
+        registry.register(
+            "resumed_streams",
+            "Streams that callers resume by the software version that they need: recorded, only (no other version can \
+             have begun the stream), unknown, or gone (no engine has it)",
+            self.resumed_streams.clone(),
+        );
         registry.register(
             "quota_seconds",
             "Seconds that a request waited until it was admitted or rejected by its tenant's rate limit",
@@ -351,6 +360,11 @@
         self.cold_permits.get_or_create(&Outcome { outcome }).inc();
     }
 
+    /// Counts, by outcome, a stream that a caller resumes.
+    pub fn count_resumed_stream(&self, outcome: &'static str) {
+        self.resumed_streams.get_or_create(&Outcome { outcome }).inc();
+    }
+
     /// Counts, by network distance, an engine that was chosen for a request.
     pub fn count_engine_proximity(&self, place: &'static str) {
         self.engine_paths.get_or_create(&PathLabel { place }).inc();
--- a/crates/gateway/tests/decision_table_tests.rs
+++ b/crates/gateway/tests/decision_table_tests.rs
@@ -56,6 +56,8 @@
         (Refusal::NoSuchTurn, "no_such_turn", 404, None),
         (Refusal::BudgetSpent, "budget_spent", 402, None),
         (Refusal::BudgetUnknown, "budget_unknown", 503, Some("0.200")),
+        (Refusal::StreamVersionUnknown, "stream_version_unknown", 503, Some("0.200")),
+        (Refusal::StreamVersionGone, "stream_version_gone", 503, Some("0.200")),
         (Refusal::OutOfTime, "out_of_time", 503, Some("0.200")),
         (Refusal::MayHaveRun(text()), "may_have_run", 502, None),
         (Refusal::TimedOut, "timed_out", 504, None),
--- a/crates/gateway/tests/stream_version_tests.rs
+++ b/crates/gateway/tests/stream_version_tests.rs
@@ -3,8 +3,10 @@
 
 mod support;
 
-use foxnotch_gateway::ports::configuration::{Configuration, EngineEntry, Route, RouteKind};
+use foxnotch_gateway::ports::configuration::{Backend, Configuration, EngineEntry, Route, RouteKind};
 use foxnotch_gateway::ports::store::{Kind, ObjectBody};
+use rstest::rstest;
+use std::time::{Duration, Instant};
 use support::cluster::Cluster;
 use support::engine::{Behaviour, StubEngine};
 use support::gateway::{configuration, route, Answer, RunningGateway};
@@ -63,7 +65,15 @@
     }
 
     fn list_engine(&self, engine: &VersionedEngine, draining: bool) {
-        let entry = EngineEntry {
+        self.cluster.store.put(Kind::Engines, &engine.id, Self::entry_of(engine, draining));
+    }
+
+    fn remove_engine(&self, engine: &VersionedEngine) {
+        self.cluster.store.remove(Kind::Engines, &engine.id, Self::entry_of(engine, false));
+    }
+
+    fn entry_of(engine: &VersionedEngine, draining: bool) -> ObjectBody {
+        ObjectBody::Engine(EngineEntry {
             id: engine.id.clone(),
             service: engine.service.to_owned(),
             address: engine.stub.address.to_string(),
@@ -73,8 +83,7 @@
             started_at_ms: None,
             cold_left_ms: 0,
             software_version: Some(engine.version.to_owned()),
-        };
-        self.cluster.store.put(Kind::Engines, &engine.id, ObjectBody::Engine(entry));
+        })
     }
 
     async fn start_gateway(&self, number: u8) -> RunningGateway {
@@ -90,6 +99,23 @@
         }
     }
 
+    /// Waits until the gateway sends new streams to no other version.
+    async fn wait_until_served_by(&self, version: &str, gateway: &RunningGateway) {
+        let mut in_a_row = 0;
+        for number in 0..500 {
+            let attempt = format!("w{number}");
+            let headers = format!("t-attempt: {attempt}\r\nt-deadline: 2000\r\n");
+            gateway.send("POST /draft/", &headers, "in").await;
+            let is_served_by = self.origin_of(&attempt).is_some_and(|(_, served_by)| served_by == version);
+            in_a_row = if is_served_by { in_a_row + 1 } else { 0 };
+            if in_a_row == 8 {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("new streams are not served by {version} alone");
+    }
+
     /// Returns the service and version of the engine that ran an attempt.
     fn origin_of(&self, attempt: &str) -> Option<(&'static str, &'static str)> {
         let ran = |engine: &&VersionedEngine| {
@@ -112,6 +138,24 @@
     gateway.send("POST /draft/", &headers, "in").await
 }
 
+/// Time within which a gateway decides whether a stream can be resumed, with a margin for a busy machine.
+const DECISION_TIME: Duration = Duration::from_millis(900 + 600);
+/// Time within which a slow disk has stored a record.
+const STORE_TIME: Duration = Duration::from_secs(5);
+
+/// Resumes a stream like a caller that retries when it is refused: the record may not be stored yet, or a busy replica
+/// may not have answered.
+async fn resume_with_retries(gateway: &RunningGateway, begun: &str, attempt: &str) -> Answer {
+    let deadline = Instant::now() + STORE_TIME;
+    loop {
+        let answer = resume_stream(gateway, begun, attempt).await;
+        if answer.status != 503 || Instant::now() >= deadline {
+            return answer;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
 /// A gateway breaks off streams whose engine failed, and is killed. The callers return to another gateway, which never
 /// had these streams: it sent them to the engine of least cost, whatever its version.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -132,3 +176,148 @@
         assert_eq!(deployment.origin_of(&resumed), deployment.origin_of(&begun), "stream {begun} changed its version");
     }
 }
+
+/// The gateway that began the stream still runs and is asked again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_is_resumed_at_its_version_several_times() {
+    let deployment = Deployment::start(151, &["v1", "v2", "v3"]).await;
+    let gateways = [deployment.start_gateway(FIRST_GATEWAY).await, deployment.start_gateway(OTHER_GATEWAY).await];
+    for number in 0..8 {
+        let begun = format!("b{number}");
+        begin_stream(&gateways[0], &begun).await;
+        for attempt in 0..4 {
+            let resumed = format!("r{number}-{attempt}");
+            let answer = resume_with_retries(&gateways[attempt % 2], &begun, &resumed).await;
+            assert_eq!(answer.status, 200, "{answer:?}");
+            assert_eq!(deployment.origin_of(&resumed), deployment.origin_of(&begun));
+        }
+    }
+}
+
+/// Which engines of the version that began the stream remain.
+#[rstest]
+#[case::they_drain(152, true)]
+#[case::they_have_left(153, false)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_whose_version_has_left_is_refused_at_once(#[case] net: u8, #[case] remain_listed: bool) {
+    let mut deployment = Deployment::start(net, &["v1"]).await;
+    let gateway = deployment.start_gateway(FIRST_GATEWAY).await;
+    begin_stream(&gateway, "b0").await;
+    deployment.add_engine(ROUTE, "v2").await;
+    let old = &deployment.engines[0];
+    if remain_listed {
+        deployment.list_engine(old, true);
+    } else {
+        deployment.remove_engine(old);
+    }
+    deployment.let_streams_end();
+    deployment.wait_until_served_by("v2", &gateway).await;
+    let asked_at = Instant::now();
+    let answer = resume_stream(&gateway, "b0", "r0").await;
+    assert_eq!((answer.status, answer.has_retry_after()), (503, true), "{answer:?}");
+    assert!(asked_at.elapsed() < DECISION_TIME, "the refusal took {:?}", asked_at.elapsed());
+    assert_eq!(deployment.origin_of("r0"), None);
+}
+
+/// No replica knows the stream that the caller names, and engines of two versions may have begun it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_of_unknown_version_is_refused_while_several_versions_serve() {
+    let deployment = Deployment::start(154, &["v1", "v2"]).await;
+    let gateway = deployment.start_gateway(FIRST_GATEWAY).await;
+    deployment.let_streams_end();
+    let answer = resume_stream(&gateway, "unknown", "r0").await;
+    assert_eq!((answer.status, answer.has_retry_after()), (503, true), "{answer:?}");
+    let headers = "t-attempt: r1\r\nt-deadline: 2000\r\nt-last-event: 1\r\n";
+    let unnamed = gateway.send("POST /draft/", headers, "in").await;
+    assert_eq!((unnamed.status, unnamed.has_retry_after()), (503, true), "{unnamed:?}");
+    assert_eq!((deployment.origin_of("r0"), deployment.origin_of("r1")), (None, None));
+}
+
+/// Streams that a gateway of an older build began have no record. They are resumed once no other version can have begun
+/// them: after the only version has served for four of the route's timeouts.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_without_a_record_is_resumed_at_the_only_version_there_has_been() {
+    let deployment = Deployment::start(155, &["v1", "v1"]).await;
+    let short = configuration_with_route(2, |route| route.timeout_ms = 500);
+    deployment.cluster.store.put(Kind::Configuration, "main", short);
+    let gateway = deployment.start_gateway(FIRST_GATEWAY).await;
+    let started_at = Instant::now();
+    deployment.let_streams_end();
+    assert_eq!(resume_stream(&gateway, "unknown", "r0").await.status, 503);
+    tokio::time::sleep(Duration::from_millis(2100).saturating_sub(started_at.elapsed())).await;
+    let answer = resume_stream(&gateway, "unknown", "r1").await;
+    assert_eq!((answer.status, answer.is_whole), (200, true), "{answer:?}");
+}
+
+/// The route shares its requests between two services, and chooses one anew for each attempt.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_is_resumed_at_the_service_that_began_it() {
+    let mut deployment = Deployment::start(156, &["v1"]).await;
+    deployment.add_engine("turn", "v1").await;
+    let shared = configuration_with_route(2, |route| {
+        route.backends = [ROUTE, "turn"].map(|service| Backend { service: service.to_owned(), weight: 1 }).to_vec();
+    });
+    deployment.cluster.store.put(Kind::Configuration, "main", shared);
+    let gateway = deployment.start_gateway(FIRST_GATEWAY).await;
+    for number in 0..8 {
+        begin_stream(&gateway, &format!("b{number}")).await;
+    }
+    deployment.let_streams_end();
+    for number in 0..8 {
+        let (begun, resumed) = (format!("b{number}"), format!("r{number}"));
+        assert_eq!(resume_with_retries(&gateway, &begun, &resumed).await.status, 200);
+        assert_eq!(deployment.origin_of(&resumed), deployment.origin_of(&begun));
+    }
+}
+
+/// One replica of three is lost after the streams began; the others have the records.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_are_resumed_after_the_loss_of_a_replica() {
+    let mut deployment = Deployment::start(157, &["v1", "v2"]).await;
+    let gateway = deployment.start_gateway(FIRST_GATEWAY).await;
+    for number in 0..8 {
+        begin_stream(&gateway, &format!("b{number}")).await;
+    }
+    deployment.cluster.wipe(1);
+    deployment.let_streams_end();
+    for number in 0..8 {
+        let (begun, resumed) = (format!("b{number}"), format!("r{number}"));
+        let answer = resume_with_retries(&gateway, &begun, &resumed).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+        assert_eq!(deployment.origin_of(&resumed), deployment.origin_of(&begun));
+    }
+}
+
+/// The replica set is not reachable, so nothing can be read. The refusal is prompt and the request is not run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_whose_record_cannot_be_read_is_refused_while_several_versions_serve() {
+    let mut deployment = Deployment::start(158, &["v1", "v2"]).await;
+    let gateway = deployment.start_gateway(FIRST_GATEWAY).await;
+    begin_stream(&gateway, "b0").await;
+    for number in 1..=3 {
+        deployment.cluster.kill(number);
+    }
+    deployment.let_streams_end();
+    let asked_at = Instant::now();
+    let answer = resume_stream(&gateway, "b0", "r0").await;
+    assert_eq!((answer.status, answer.has_retry_after()), (503, true), "{answer:?}");
+    assert!(asked_at.elapsed() < DECISION_TIME, "the refusal took {:?}", asked_at.elapsed());
+    assert_eq!(deployment.origin_of("r0"), None);
+}
+
+/// An engine restarts under its identifier and at its address with other software.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_engine_that_is_replaced_under_its_identifier_has_the_version_of_its_newest_entry() {
+    let mut deployment = Deployment::start(159, &["v1"]).await;
+    let gateway = deployment.start_gateway(FIRST_GATEWAY).await;
+    begin_stream(&gateway, "b0").await;
+    deployment.engines[0].version = "v2";
+    deployment.list_engine(&deployment.engines[0], false);
+    deployment.let_streams_end();
+    let refused = async || resume_stream(&gateway, "b0", "r0").await.status == 503;
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while !refused().await {
+        assert!(Instant::now() < deadline, "the stream is still resumed at an engine of another version");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
--- a/crates/node/src/explain.rs
+++ b/crates/node/src/explain.rs
@@ -93,6 +93,14 @@
         "cause=budget_unknown",
         "refused, not run: its program's budget covers it only if tokens that a gateway reserved ahead are unused, and that gateway did not answer (see the line 'Budget not known')",
     ),
+    (
+        "cause=stream_version_unknown",
+        "refused, not run: it resumes a stream that engines of any of several software versions may have begun",
+    ),
+    (
+        "cause=stream_version_gone",
+        "refused, not run: no engine of the software version that began the stream it resumes was in service",
+    ),
     ("cause=out_of_time", "refused, not run: its deadline passed before an engine had free capacity"),
     ("cause=may_have_run", "failed: the engine's answer was lost; it may have run and was not sent again"),
     ("cause=timed_out", "failed: no answer came before its deadline; it may have run"),
--- a/crates/node/tests/explain_format_tests.rs
+++ b/crates/node/tests/explain_format_tests.rs
@@ -113,6 +113,8 @@
 #[case("no_such_turn", 404, "the turn that it continues does not exist")]
 #[case("budget_spent", 402, "token budget was exhausted")]
 #[case("budget_unknown", 503, "that gateway did not answer")]
+#[case("stream_version_unknown", 503, "engines of any of several software versions may have begun")]
+#[case("stream_version_gone", 503, "no engine of the software version that began the stream")]
 #[case("out_of_time", 503, "its deadline passed before an engine had free capacity")]
 #[case("may_have_run", 502, "the engine's answer was lost")]
 #[case("timed_out", 504, "no answer came before its deadline")]
--- a/crates/scheduler/src/eligibility.rs
+++ b/crates/scheduler/src/eligibility.rs
@@ -4,7 +4,8 @@
 //!
 //! - the engine accepts work: it is listed, and not as draining;
 //! - the engine's zone is not drained, or the program may stay there for now ([`crate::zone_drain`]);
-//! - the engine's zone is in an allowed region ([`crate::residency`]).
+//! - the engine's zone is in an allowed region ([`crate::residency`]);
+//! - if the request resumes a stream, the engine has the software version that began it ([`crate::stream_version`]).
 //!
 //! The gateway chooses only among the candidates that can be reached ([`crate::reachability`]). The gateway determines
 //! the candidates again before each send, so a retry takes into account the drains and failures known by then.
@@ -19,7 +20,8 @@
 /// Numbers of engines of a request's service, from which [`CandidateCounts::decide_whether_to_proceed`] decides.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CandidateCounts {
-    /// Number of engines in the allowed regions that accept work, including engines in drained zones.
+    /// Number of engines in the allowed regions that accept work and have the required software version, including
+    /// engines in drained zones.
     pub in_regions: usize,
     /// Number of engines among `in_regions` to which the request may be sent.
     pub candidates: usize,
@@ -27,6 +29,8 @@
     pub reachable: usize,
     /// Whether any zone is drained.
     pub is_any_zone_drained: bool,
+    /// Whether the request resumes a stream, so that only engines of one software version may serve it.
+    pub is_version_required: bool,
 }
 
 /// Whether a request proceeds with the candidates of its service.
@@ -38,6 +42,10 @@
     /// The request is refused because all engines are in drained zones. Waiting does not help: a drain lasts until an
     /// operator ends it.
     RefuseZonesDrained,
+    /// The request is refused because no engine in service has the software version that began the stream which it
+    /// resumes. Waiting rarely helps: an engine leaves for good while its version is replaced. The caller can begin the
+    /// stream anew.
+    RefuseStreamVersionGone,
     /// The first request of a program is refused because no candidate can be reached. Requests of running programs wait
     /// instead, because a refused turn loses all of the program's earlier work.
     RefuseNoneReachable,
@@ -49,6 +57,8 @@
         if self.candidates == 0 {
             return if self.is_any_zone_drained && self.in_regions > 0 {
                 CandidateDecision::RefuseZonesDrained
+            } else if self.is_version_required {
+                CandidateDecision::RefuseStreamVersionGone
             } else {
                 CandidateDecision::Proceed
             };
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -7,7 +7,8 @@
 //! - who may send: [`tenants`] (keys), [`configuration_denial`] (whether a denial is final), [`quota`] (rate limits of
 //!   tenants over all gateways together; [`quota::share_selection`] orders the replicas that a gateway asks);
 //! - where a request may run: [`topology`] (zones and regions), [`residency`] (allowed regions), [`zone_drain`] (zones
-//!   that get no new work), [`reachability`] (engines that cannot be reached), [`eligibility`] (all of these together);
+//!   that get no new work), [`reachability`] (engines that cannot be reached), [`eligibility`] (all of these together),
+//!   [`stream_version`] (the software version at which a stream may be resumed);
 //! - which engine gets it: [`engine_choice`], by [`cost`], with [`distance`], [`engine_health`] and [`outliers`];
 //!   [`slow_start`] for cold engines;
 //! - what happens when engines have too little capacity: [`program_stage`], [`admission`], [`placement_timeout`],
@@ -31,6 +32,7 @@
 pub mod retry;
 pub mod retry_after;
 pub mod slow_start;
+pub mod stream_version;
 pub mod tenants;
 pub mod topology;
 pub mod zone_drain;
--- a/crates/scheduler/src/program_stage.rs
+++ b/crates/scheduler/src/program_stage.rs
@@ -6,7 +6,7 @@
 //!
 //! - a plain request is [`ProgramStage::Running`]: it belongs to no program, and is refused only when engines refuse
 //!   it;
-//! - a turn that continues an earlier turn is `Running`;
+//! - a turn that continues an earlier turn, or resumes a stream that has begun, is `Running`;
 //! - a turn with a token budget is `Running` when the replicas report that another turn of its program is running or
 //!   has produced events;
 //! - any other turn is `New`. So a turn with neither a budget nor a previous turn is always `New`, because nothing is
@@ -20,10 +20,11 @@
 /// The stage of a plain request.
 pub const PLAIN_REQUEST_STAGE: ProgramStage = ProgramStage::Running;
 
-/// The stage of a turn's program. `has_other_turns` states whether replicas report another turn of the program that is
+/// The stage of a turn's program. `continues` states whether the turn continues an earlier turn or resumes a stream.
+/// `has_other_turns` states whether replicas report another turn of the program that is
 /// running or has produced events; it is also false when nothing is known about the program.
-pub fn program_stage_at_turn(continues_a_turn: bool, has_other_turns: bool) -> ProgramStage {
-    if continues_a_turn || has_other_turns {
+pub fn program_stage_at_turn(continues: bool, has_other_turns: bool) -> ProgramStage {
+    if continues || has_other_turns {
         ProgramStage::Running
     } else {
         ProgramStage::New
--- a/crates/scheduler/src/refusal.rs
+++ b/crates/scheduler/src/refusal.rs
@@ -62,6 +62,10 @@
     BudgetSpent => "budget_spent",
     /// Whether the program's token budget is exhausted is not known.
     BudgetUnknown => "budget_unknown",
+    /// The software version at which the stream that the request resumes began is not known.
+    StreamVersionUnknown => "stream_version_unknown",
+    /// No engine in service has the software version at which the stream that the request resumes began.
+    StreamVersionGone => "stream_version_gone",
     /// The previous turns are restricted to regions that are no longer allowed.
     ChainOutsideRegions => "chain_outside_regions",
     /// The tenant is over its limit.
--- a/crates/scheduler/src/retry_after.rs
+++ b/crates/scheduler/src/retry_after.rs
@@ -56,7 +56,9 @@
             | RefusalKind::NoQuorum
             | RefusalKind::ChainUnknown
             | RefusalKind::LimitUnknown
-            | RefusalKind::BudgetUnknown => Self::OtherGateway,
+            | RefusalKind::BudgetUnknown
+            | RefusalKind::StreamVersionUnknown
+            | RefusalKind::StreamVersionGone => Self::OtherGateway,
             RefusalKind::NoConfiguration | RefusalKind::ConfigurationBehind => Self::NewerConfiguration,
             RefusalKind::ConfigurationUnconfirmed | RefusalKind::NoneInServiceInRegions => Self::StoreOrEnginesBack,
             RefusalKind::ZonesDrained => Self::DrainEnded,
--- a/crates/scheduler/tests/retry_tests.rs
+++ b/crates/scheduler/tests/retry_tests.rs
@@ -94,7 +94,24 @@
     #[case] as_running: CandidateDecision,
 ) {
     let [in_regions, candidates, reachable] = engines;
-    let counts = CandidateCounts { in_regions, candidates, reachable, is_any_zone_drained };
+    let counts = CandidateCounts { in_regions, candidates, reachable, is_any_zone_drained, is_version_required: false };
     assert_eq!(counts.decide_whether_to_proceed(ProgramStage::New), as_new);
     assert_eq!(counts.decide_whether_to_proceed(ProgramStage::Running), as_running);
 }
+
+/// `engines` has the numbers of engines of the required version.
+#[rstest]
+#[case::all_reachable([2, 2, 2], false, CandidateDecision::Proceed)]
+#[case::none_in_service([0, 0, 0], false, CandidateDecision::RefuseStreamVersionGone)]
+#[case::none_in_service_while_others_drain([0, 0, 0], true, CandidateDecision::RefuseStreamVersionGone)]
+#[case::all_drained([2, 0, 0], true, CandidateDecision::RefuseZonesDrained)]
+#[case::none_reachable([2, 2, 0], false, CandidateDecision::Proceed)]
+fn a_stream_without_an_engine_of_its_version_is_refused(
+    #[case] engines: [usize; 3],
+    #[case] is_any_zone_drained: bool,
+    #[case] decision: CandidateDecision,
+) {
+    let [in_regions, candidates, reachable] = engines;
+    let counts = CandidateCounts { in_regions, candidates, reachable, is_any_zone_drained, is_version_required: true };
+    assert_eq!(counts.decide_whether_to_proceed(ProgramStage::Running), decision);
+}
--- a/crates/turns/src/lib.rs
+++ b/crates/turns/src/lib.rs
@@ -12,7 +12,7 @@
 //! - [`stored_view_file`] is the file format of the stored configuration, engines and drained zones. [`stored_view`]
 //!   selects the newest copy of each of them when a deployment starts while the platform's store is unavailable.
 //! - [`zone_regions`] decides in which zones text that is restricted to regions may be stored. [`identity`] derives
-//!   identifiers from names.
+//!   identifiers from names. [`stream_origin`] is the entry that tells at which software version a stream began.
 
 pub mod ahead_entry;
 pub mod budget;
@@ -26,5 +26,6 @@
 pub mod segment;
 pub mod stored_view;
 pub mod stored_view_file;
+pub mod stream_origin;
 pub mod ticket_book;
 pub mod zone_regions;
