Fill in software versions that nodes of older builds leave out

What callers would see: during an upgrade of the fleet a gateway that hears of an engine through a node of an older build knows the engine without its software version. Streams that begin there are not recorded, and streams of that version are refused, until the engine's entry changes, which it seldom does: the whole list of the same revision was not adopted.

Change: a version that is missing is filled in from any other entry of the same start of the engine, also from one of the same or an older revision, and an entry without a version does not take away a version that is known. While versions are missing, a gateway pulls whole lists and watches the store itself.

Evidence: without the watch, the new case of upgrade_peer_tests fails (store_watched stays at 0); with it, it passes, as do the cases of engine_list_tests.

--- a/crates/gateway/src/peers/engine_list.rs
+++ b/crates/gateway/src/peers/engine_list.rs
@@ -5,6 +5,9 @@
 //! Invariant: a list at revision r contains all changes of engines up to r. An [`EngineChanges`] value for the span
 //! between two revisions names every engine that was written in that span, even if the engine's content did not change.
 //! So it may be applied to a list of any revision in that span.
+//!
+//! Nodes of older builds drop the software versions of engines. A version that is missing is filled in from what else is
+//! known of the same start of the engine, also when the revision is not newer.
 
 use crate::ports::configuration::EngineEntry;
 use serde::{Deserialize, Serialize};
@@ -50,6 +53,24 @@
     changed_ids: Vec<String>,
 }
 
+/// Whether the software version of an engine is unknown because a node of an older build sent its entry.
+pub fn misses_software_versions(engines: &[EngineEntry]) -> bool {
+    engines.iter().any(|engine| engine.software_version.is_none())
+}
+
+/// Fills in an engine's software version, if it is missing, from an entry of the same start of the engine. Returns
+/// whether it did.
+fn fill_in_version(engine: &mut EngineEntry, entries: &[EngineEntry]) -> bool {
+    if engine.software_version.is_some() {
+        return false;
+    }
+    let is_same_start = |entry: &&EngineEntry| {
+        entry.id == engine.id && entry.address == engine.address && entry.started_at_ms == engine.started_at_ms
+    };
+    engine.software_version = entries.iter().find(is_same_start).and_then(|entry| entry.software_version.clone());
+    engine.software_version.is_some()
+}
+
 /// The outcome of applying changes to a list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ApplyOutcome {
@@ -57,6 +78,8 @@
     Applied,
     /// The list already had this revision or a newer one; it did not change.
     AlreadyKnown,
+    /// The list already had this revision or a newer one; software versions that were missing were filled in.
+    VersionsFilledIn,
     /// The list is older than the revision at which the changes begin; it did not change.
     Gap,
 }
@@ -80,10 +103,26 @@
         &self.engines
     }
 
-    /// Replaces the list by a newer one. Returns false if `revision` is not newer.
+    /// Fills in the software versions that are missing in this list from `entries`. Returns whether it changed the list.
+    fn fill_in_versions(&mut self, entries: &[EngineEntry]) -> bool {
+        if !misses_software_versions(&self.engines) {
+            return false;
+        }
+        let mut is_changed = false;
+        for engine in Arc::make_mut(&mut self.engines) {
+            is_changed |= fill_in_version(engine, entries);
+        }
+        is_changed
+    }
+
+    /// Replaces the list by a newer one. If `revision` is not newer, only fills in software versions that are missing.
+    /// Returns whether the list was replaced or versions were filled in.
     pub fn replace(&mut self, revision: u64, mut engines: Vec<EngineEntry>) -> bool {
         if revision <= self.revision {
-            return false;
+            return self.fill_in_versions(&engines);
+        }
+        for engine in &mut engines {
+            fill_in_version(engine, &self.engines);
         }
         engines.sort_by(|left, right| left.id.cmp(&right.id));
         self.revision = revision;
@@ -95,7 +134,8 @@
     /// Applies all changes after `since`, up to and including `revision`.
     pub fn apply_changes(&mut self, since: u64, revision: u64, changes: EngineChanges) -> ApplyOutcome {
         if revision <= self.revision {
-            return ApplyOutcome::AlreadyKnown;
+            let is_filled_in = self.fill_in_versions(&changes.changed);
+            return if is_filled_in { ApplyOutcome::VersionsFilledIn } else { ApplyOutcome::AlreadyKnown };
         }
         if self.revision < since || self.revision == 0 {
             return ApplyOutcome::Gap;
@@ -106,7 +146,8 @@
         for id in &changes.gone {
             engines.remove(id);
         }
-        for engine in changes.changed {
+        for mut engine in changes.changed {
+            fill_in_version(&mut engine, &self.engines);
             engines.insert(engine.id.clone(), engine);
         }
         self.engines = Arc::new(engines.into_values().collect());
--- a/crates/gateway/src/peers/store_updates.rs
+++ b/crates/gateway/src/peers/store_updates.rs
@@ -6,6 +6,7 @@
 //! forwards the update to its own receivers.
 
 use crate::logging::part;
+use crate::peers::engine_list::misses_software_versions;
 use crate::peers::member_table::MemberTable;
 use crate::peers::view::{View, ViewHolder};
 use crate::peers::view_pulls::ViewPulls;
@@ -109,6 +110,10 @@
         compute_watcher_assignment(in_zone(&own), &gateways, &replicas)
     }
 
+    fn is_gateway(&self) -> bool {
+        self.table.own_and_known_members().0.address.caller_port != 0
+    }
+
     fn send_update(&self, nodes: &[NodeId]) {
         let Some(age) = self.watcher_role.latest_contact_age() else { return };
         let view = self.view.get();
@@ -160,6 +165,10 @@
         if is_from_older_build && (view.is_configuration_partial || view.uses_features_unknown_to_older_builds()) {
             return;
         }
+        if misses_software_versions(&view.engines.value) && self.is_gateway() {
+            // Other nodes may get the list from an older build for as long as the upgrade takes.
+            self.watcher_role.watch_on_demand();
+        }
         self.view.confirm_configuration(update.configuration_revision);
         self.watcher_role.record_update(contact_age);
         self.update_accepted.notify_one();
--- a/crates/gateway/src/peers/view.rs
+++ b/crates/gateway/src/peers/view.rs
@@ -1,8 +1,9 @@
 //! This node's view of the platform: the configuration, the engines, retirements, zone drains and the replica set.
 //!
 //! Invariant: each part is only replaced by one of a higher revision, whatever its source. So no part returns to an
-//! older state while the process runs. The only exception is a partial configuration, which is replaced by the whole
-//! one of the same revision.
+//! older state while the process runs. There are two exceptions for what came from nodes of older builds: a partial
+//! configuration is replaced by the whole one of the same revision, and missing software versions of engines are filled
+//! in.
 //!
 //! A configuration that was read from replicas' disks is marked as [`UnconfirmedConfiguration`] until the platform's
 //! store has confirmed it: it is used to serve requests, but not to deny any.
@@ -10,7 +11,7 @@
 use crate::clock::time_of_day_ms;
 use crate::locks::lock;
 use crate::logging::part;
-use crate::peers::engine_list::{ApplyOutcome, EngineChanges, EngineList};
+use crate::peers::engine_list::{misses_software_versions, ApplyOutcome, EngineChanges, EngineList};
 use crate::peers::view_codec::encode_view_part;
 use crate::peers::watcher_role::WatcherRole;
 use crate::ports::configuration::{Configuration, EngineEntry, RetirementRequest};
@@ -81,6 +82,16 @@
         self.configuration.revision.saturating_sub(u64::from(self.is_configuration_partial))
     }
 
+    /// The revision of the list of engines if it has the software versions of all of them. Otherwise 0, so that this node
+    /// gets the whole list again.
+    pub fn whole_engines_revision(&self) -> u64 {
+        if misses_software_versions(&self.engines.value) {
+            0
+        } else {
+            self.engines.revision
+        }
+    }
+
     /// Whether the deployment uses a feature that nodes of older builds do not know: zone drains, requests restricted
     /// to regions, or engines with a slow start. If it does, the views of those nodes are incomplete.
     pub fn uses_features_unknown_to_older_builds(&self) -> bool {
@@ -287,7 +298,8 @@
         }
     }
 
-    /// Adopts a list of engines if it is newer. Returns whether it differs from the one before.
+    /// Adopts a list of engines if it is newer, or fills in software versions that are missing. Returns whether the list
+    /// differs from the one before.
     pub fn adopt_engines(&self, revision: u64, engines: Vec<EngineEntry>, origin: Origin) -> bool {
         let adopted = {
             let mut state = lock(&self.state);
@@ -317,7 +329,7 @@
             state.copy_engines_into_view();
             applied
         };
-        if applied == ApplyOutcome::Applied {
+        if matches!(applied, ApplyOutcome::Applied | ApplyOutcome::VersionsFilledIn) {
             self.publish_engine_change(origin);
         }
         applied
--- a/crates/gateway/src/peers/view_exchange.rs
+++ b/crates/gateway/src/peers/view_exchange.rs
@@ -129,8 +129,11 @@
 ) -> Result<(), PullError> {
     let begun_at = Instant::now();
     let view = holder.get();
-    let own_revisions =
-        ViewUpdate { configuration_revision: view.whole_configuration_revision(), ..revisions_with_replica_set(&view) };
+    let own_revisions = ViewUpdate {
+        configuration_revision: view.whole_configuration_revision(),
+        engines_revision: view.whole_engines_revision(),
+        ..revisions_with_replica_set(&view)
+    };
     let (configuration, engines) = (own_revisions.configuration_revision, own_revisions.engines_revision);
     let timeout = AnswerTimeout::with_max_silence(MAX_ANSWER_SILENCE);
     let answer = client.call_with_timeout(address, RpcBody::PullView(own_revisions), timeout).await;
--- a/crates/gateway/src/store_followers.rs
+++ b/crates/gateway/src/store_followers.rs
@@ -101,8 +101,10 @@
         applied != ApplyOutcome::Gap
     }
 
+    /// While software versions are missing, this node's watch begins at the revision up to which it has itself read the
+    /// store, so that it reads the entries that came from nodes of older builds.
     fn known_revision(&self) -> u64 {
-        self.view.get().engines.revision
+        self.view.get().whole_engines_revision()
     }
 }
 
--- a/crates/gateway/tests/engine_list_tests.rs
+++ b/crates/gateway/tests/engine_list_tests.rs
@@ -172,3 +172,50 @@
         }
     }
 }
+
+fn with_version(engine: EngineEntry, version: Option<&str>) -> EngineEntry {
+    EngineEntry { software_version: version.map(str::to_owned), ..engine }
+}
+
+fn versions(list: &EngineList) -> Vec<Option<&str>> {
+    list.engines().iter().map(|engine| engine.software_version.as_deref()).collect()
+}
+
+/// Nodes of older builds send entries without software versions. Guards against a list that loses the versions it had,
+/// or stays without them because the whole list has the same revision.
+#[test]
+fn missing_software_versions_are_filled_in_by_any_entry_of_the_same_start() {
+    let mut list = EngineList::default();
+    assert!(list.replace(10, vec![with_version(engine(0, 4), Some("v1")), with_version(engine(1, 4), None)]));
+    assert_eq!(versions(&list), [Some("v1"), None]);
+    // A newer list of an older build.
+    assert!(list.replace(11, vec![with_version(engine(0, 6), None), with_version(engine(1, 6), None)]));
+    assert_eq!(versions(&list), [Some("v1"), None]);
+    // Newer changes of an older build.
+    let changes = EngineChanges { changed: vec![with_version(engine(0, 8), None)], gone: Vec::new() };
+    assert_eq!(list.apply_changes(11, 12, changes), ApplyOutcome::Applied);
+    assert_eq!(versions(&list), [Some("v1"), None]);
+    // The same revision, and an older one, from a node of this build.
+    let changes = |version| EngineChanges { changed: vec![with_version(engine(1, 4), version)], gone: Vec::new() };
+    assert_eq!(list.apply_changes(11, 12, changes(None)), ApplyOutcome::AlreadyKnown);
+    assert_eq!(list.apply_changes(10, 11, changes(Some("v2"))), ApplyOutcome::VersionsFilledIn);
+    assert_eq!(versions(&list), [Some("v1"), Some("v2")]);
+    assert_eq!((list.revision(), list.engines()[1].slots), (12, 6));
+    // A version that is known stays, whatever an older list says.
+    assert_eq!(list.apply_changes(10, 11, changes(Some("v3"))), ApplyOutcome::AlreadyKnown);
+    assert!(!list.replace(12, vec![with_version(engine(1, 4), Some("v3"))]));
+    assert_eq!(versions(&list), [Some("v1"), Some("v2")]);
+}
+
+#[test]
+fn a_software_version_is_not_filled_in_from_another_start_of_the_engine() {
+    let first = EngineEntry { started_at_ms: Some(1000), ..with_version(engine(0, 4), Some("v1")) };
+    let second = EngineEntry { started_at_ms: Some(2000), ..with_version(engine(0, 4), None) };
+    let moved = EngineEntry { address: "10.0.0.9:81".to_owned(), started_at_ms: Some(1000), ..second.clone() };
+    for other_start in [second, moved] {
+        let mut list = EngineList::default();
+        assert!(list.replace(10, vec![first.clone()]));
+        assert!(list.replace(11, vec![other_start]));
+        assert_eq!(versions(&list), [None]);
+    }
+}
--- a/crates/gateway/tests/upgrade_peer_tests.rs
+++ b/crates/gateway/tests/upgrade_peer_tests.rs
@@ -13,6 +13,7 @@
 use foxnotch_gateway::peers::view::{Origin, ViewHolder};
 use foxnotch_gateway::peers::view_codec::decode_view_part;
 use foxnotch_gateway::peers::view_exchange;
+use foxnotch_gateway::ports::configuration::EngineEntry;
 use foxnotch_gateway::ports::store::{Kind, ObjectBody};
 use foxnotch_scheduler::residency::Residency;
 use foxnotch_scheduler::slow_start::SlowStart;
@@ -273,15 +274,44 @@
         let nodes = [1, GATEWAY].map(|number| cluster.peer_address(number)).to_vec();
         older.push(OlderGateway::start(NodeId(number.into()), address, nodes).await);
     }
-    // The metric has to stay at `watched` for 2 s, twice the time in which the gateway decides whether to accept the
-    // updates of the older gateways.
-    let until = tokio::time::Instant::now() + ANSWER_TIMEOUT;
+    wait_until_store_watched_stays(&cluster, watched).await;
+}
+
+/// Two gateways of an older build watch the store for the other nodes and drop the software versions of engines. Guards
+/// against a gateway that stays without them: it cannot tell which engines may go on with a stream. It watches the store
+/// itself until it has them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_gateway_watches_the_store_itself_while_older_watchers_leave_out_software_versions() {
+    let cluster = Cluster::start(151, 1).await;
+    cluster.store.put(Kind::Configuration, "main", configuration(1));
+    let entry = |software_version| ObjectBody::Engine(EngineEntry { software_version, ..view_samples::engine("e1") });
+    cluster.store.put(Kind::Engines, "e1", entry(None));
+    let gateway = RunningGateway::start_customized(&cluster, GATEWAY, cluster.store.clone(), |settings| {
+        settings.times.zone_drain_ms = None;
+    })
+    .await;
+    gateway.wait_ready().await;
+    let mut older = Vec::new();
+    for number in [8, 9] {
+        let address = SocketAddrV4::new(cluster.ip(number), 7380);
+        let nodes = [1, GATEWAY].map(|number| cluster.peer_address(number)).to_vec();
+        older.push(OlderGateway::start(NodeId(number.into()), address, nodes).await);
+    }
+    wait_until_store_watched_stays(&cluster, 1).await;
+    cluster.store.put(Kind::Engines, "e1", entry(Some("v1".to_owned())));
+    wait_until_store_watched_stays(&cluster, 0).await;
+}
+
+/// Waits until the gateway's metric `store_watched` has stayed at `watched` for 2 s, twice the time in which the gateway
+/// decides whether to accept the updates of the older gateways.
+async fn wait_until_store_watched_stays(cluster: &Cluster, watched: u64) {
+    let until = tokio::time::Instant::now() + ANSWER_TIMEOUT * 2;
     let mut unchanged_since = tokio::time::Instant::now();
     while unchanged_since.elapsed() < Duration::from_secs(2) {
         if cluster.metric(GATEWAY, "store_watched").await != Some(watched) {
             unchanged_since = tokio::time::Instant::now();
         }
-        assert!(tokio::time::Instant::now() < until + ANSWER_TIMEOUT, "`store_watched` does not stay at {watched}");
+        assert!(tokio::time::Instant::now() < until, "`store_watched` does not stay at {watched}");
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
