Resume streams of callers that do not name them after a gateway's restart

Cause: these callers send no name of their stream, so there is no record to read, and a gateway that has just started had known its only version for less than a stream lives.

Change: for a caller that does not name its stream it is enough that the gateway has never known another version of the service. A caller that names it gets a record, so for it the time stays. That time is two timeouts of the route now, since all attempts of a stream share the caller's deadline.

--- a/crates/gateway/src/edge/stream_origins.rs
+++ b/crates/gateway/src/edge/stream_origins.rs
@@ -8,7 +8,7 @@
 use crate::edge::refusal::Refusal;
 use crate::engines::engine::Engine;
 use crate::logging::part;
-use foxnotch_scheduler::stream_version::{stream_lifetime, OnlyVersion, ResumeVersion};
+use foxnotch_scheduler::stream_version::{stream_lifetime, ResumeVersion};
 use foxnotch_turns::stream_origin::{origin_entry, StreamOrigin};
 use std::time::{Duration, Instant};
 
@@ -72,19 +72,18 @@
         if !call.resumes_stream() {
             return Ok(None);
         }
-        let lifetime = stream_lifetime(Duration::from_millis(call.route.timeout_ms));
         let only = self.only_origin_of_route(call);
-        let is_optional = only.as_ref().is_some_and(|(_, only)| only.known_for >= lifetime);
-        let read_deadline = if is_optional { deadline.min(call.arrived_at + OPTIONAL_READ_TIMEOUT) } else { deadline };
+        let read_deadline =
+            if only.is_some() { deadline.min(call.arrived_at + OPTIONAL_READ_TIMEOUT) } else { deadline };
         let recorded = self.read_recorded_origin(call, read_deadline).await;
-        let decision = ResumeVersion::decide(recorded, only.as_ref().map(|(_, only)| *only), lifetime);
+        let decision = ResumeVersion::decide(recorded, only.as_ref().map(|only| only.origin));
         let (outcome, found) = match decision {
             ResumeVersion::Recorded(origin) => match self.service_of_origin(call, origin) {
                 Some(service) => ("recorded", Ok(ResumedOrigin { service, origin })),
                 None => ("gone", Err(Refusal::StreamVersionGone)),
             },
             ResumeVersion::Only(origin) => {
-                let service = only.map_or_else(|| call.service.clone(), |(service, _)| service);
+                let service = only.map_or_else(|| call.service.clone(), |only| only.service);
                 ("only", Ok(ResumedOrigin { service, origin }))
             }
             ResumeVersion::Unknown => ("unknown", Err(Refusal::StreamVersionUnknown)),
@@ -93,8 +92,8 @@
         log::info!(
             target: part::CALL,
             "Call {} resumes a stream; the software version that it needs is {outcome}: resumes={} last_event={} \
-             service={} only_for={:?} engines={} after={:?}; `only_for` is the time for which the service has had only \
-             one version.",
+             service={} only_for={:?} engines={} after={:?}; `only_for` is the time for which this gateway has known \
+             only one version of the service.",
             call.metadata.attempt,
             call.metadata.resumes.as_deref().unwrap_or("-"),
             call.metadata.last_event.as_deref().unwrap_or("-"),
@@ -135,12 +134,15 @@
         services.into_iter().find(has_origin).cloned()
     }
 
-    /// The only service and version that the call's route has; `None` if the route has several services, or its service
-    /// several versions.
-    fn only_origin_of_route(&self, call: &Call) -> Option<(String, OnlyVersion<StreamOrigin>)> {
+    /// The service and version at which the stream that a call resumes must have begun, because the call's route has no
+    /// other service, and no other version can have begun it.
+    fn only_origin_of_route(&self, call: &Call) -> Option<ResumedOrigin> {
         let [backend] = call.route.backends.as_slice() else { return None };
         let only = self.dispatcher.engines.only_version(&backend.service)?;
-        let origin = StreamOrigin::new(&backend.service, &only.version);
-        Some((backend.service.clone(), OnlyVersion { version: origin, known_for: only.known_for }))
+        let lifetime = stream_lifetime(Duration::from_millis(call.route.timeout_ms));
+        only.must_have_begun(lifetime, call.metadata.resumes.is_some()).then(|| ResumedOrigin {
+            service: backend.service.clone(),
+            origin: StreamOrigin::new(&backend.service, &only.version),
+        })
     }
 }
--- a/crates/lab/tests/soak/ledger.rs
+++ b/crates/lab/tests/soak/ledger.rs
@@ -64,6 +64,22 @@
         /// Number of requests.
         requests: u64,
     },
+    /// A stream has events of engines of two software versions.
+    VersionsMixed {
+        /// Attempt identifier of the attempt that began the stream.
+        begun_by: String,
+        /// Attempt identifier of the attempt that brought the event of another version.
+        attempt: String,
+        /// The version that began the stream, and the other one.
+        versions: [String; 2],
+    },
+    /// An attempt brought another event of a stream than the next one.
+    EventOutOfOrder {
+        /// Attempt identifier.
+        attempt: String,
+        /// The event that came, and the one expected.
+        numbers: [usize; 2],
+    },
     /// The system did not recover in time after faults.
     NotRecovered {
         /// What does not work, and at which stage of the run.
@@ -117,6 +133,15 @@
                     "drained zone: engines in {zone} received {requests} requests after the time limit of the drain"
                 )
             }
+            Self::VersionsMixed { begun_by, attempt, versions: [begun_at, got] } => {
+                write!(
+                    formatter,
+                    "mixed versions: the stream of {begun_by} began at {begun_at}, and {attempt} got {got}"
+                )
+            }
+            Self::EventOutOfOrder { attempt, numbers: [got, wanted] } => {
+                write!(formatter, "order of events: {attempt} got event {got} in place of {wanted}")
+            }
             Self::NotRecovered { what } => write!(formatter, "recovery: {what}"),
             Self::EndedByItself { node, status } => {
                 write!(formatter, "the process of {node} ended although the soak had not stopped it: {status}")
--- a/crates/lab/tests/soak/mod.rs
+++ b/crates/lab/tests/soak/mod.rs
@@ -18,6 +18,7 @@
 pub(crate) mod report;
 pub(crate) mod run;
 pub(crate) mod store;
+pub(crate) mod streams;
 pub(crate) mod zone_drains;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
--- a/crates/lab/tests/soak/plan.rs
+++ b/crates/lab/tests/soak/plan.rs
@@ -17,6 +17,10 @@
 /// Minimum time between the end of a fault of a replica and the next fault of any replica, so that the first replica is
 /// refilled in between.
 const REPLICA_REST_MS: u64 = 9000;
+/// Time between two replacements of engines by those of another software version, milliseconds.
+const VERSION_CHANGE_GAP_MS: std::ops::RangeInclusive<u64> = 500..=2500;
+/// Time for which an engine drains before it is replaced by one of another software version, milliseconds.
+const VERSION_CHANGE_DRAIN_MS: std::ops::RangeInclusive<u64> = 100..=1500;
 /// Maximum duration of a fault.
 const MAX_FAULT_MS: u64 = 3500;
 
@@ -153,6 +157,24 @@
     }
 }
 
+impl Plan {
+    /// Generates a plan as [`Plan::draw`] does, and adds replacements of the engines that run turns by engines of another
+    /// software version, one after the other.
+    pub(crate) fn draw_with_version_changes(seed: u64, seconds: u64) -> Self {
+        let mut plan = Self::draw(seed, seconds);
+        let mut random = StdRng::seed_from_u64(!seed);
+        let mut at_ms = FAULT_FREE_START_MS;
+        while at_ms < seconds * 1000 {
+            let engine = random.random_range(0..ENGINES);
+            let for_ms = random.random_range(VERSION_CHANGE_DRAIN_MS);
+            plan.steps.push(Step { at_ms, for_ms, fault: Fault::EngineLeaves { engine } });
+            at_ms += random.random_range(VERSION_CHANGE_GAP_MS);
+        }
+        plan.steps.sort_by_key(|step| step.at_ms);
+        plan
+    }
+}
+
 fn loses_a_replica(fault: &Fault) -> bool {
     match fault {
         Fault::Kill { node } | Fault::Pause { node } | Fault::Stop { node } | Fault::Wipe { node } => {
--- a/crates/lab/tests/soak/recovery.rs
+++ b/crates/lab/tests/soak/recovery.rs
@@ -14,6 +14,8 @@
 
 /// Time within which all gateways must serve requests again after faults.
 const RECOVERY_TIME: Duration = Duration::from_secs(30);
+/// Number of streams that run while no fault is injected.
+const STREAMS_WITHOUT_FAULTS: usize = 40;
 /// Pause between two checks of a gateway.
 const RECOVERY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -71,6 +73,18 @@
         }
     }
 
+    /// Runs streams while no fault is injected except that engines break them, and records a violation for each that does
+    /// not end: an engine of the version that began it is in service throughout.
+    pub(super) async fn resume_streams_without_faults(&mut self, client: &HttpClient) {
+        let streams = (0..STREAMS_WITHOUT_FAULTS).map(|_| self.callers.run_stream(client));
+        let ended = futures_util::future::join_all(streams).await;
+        let given_up = ended.iter().filter(|has_ended| !**has_ended).count();
+        if given_up > 0 {
+            let what = format!("{given_up} of {STREAMS_WITHOUT_FAULTS} streams did not end without other faults");
+            self.ledger.record_violation(Violation::NotRecovered { what });
+        }
+    }
+
     /// Continues the stored completed turns. Records a violation for each that cannot be continued.
     pub(super) async fn continue_turns(&self, client: &HttpClient) {
         let started = StallAdjustedInstant::now(&self.disk);
--- a/crates/lab/tests/soak_tests.rs
+++ b/crates/lab/tests/soak_tests.rs
@@ -15,6 +15,10 @@
 const SEED: u64 = 5;
 /// Duration of the faults in CI, in seconds.
 const FAULT_SECONDS: u64 = 15;
+/// Seed of the plan in CI in which engines are replaced by those of another software version.
+const VERSIONS_SEED: u64 = 12;
+/// Duration of the faults of that plan in CI, in seconds.
+const VERSIONS_SECONDS: u64 = 30;
 /// Seed of the cold starts in CI. Its two rounds include the loss of a disk and a configuration with 1400 additional
 /// routes.
 const COLD_SEED: u64 = 7;
@@ -82,6 +86,19 @@
     assert!(report.violations.is_empty(), "{report}");
 }
 
+/// Engines are replaced by those of another software version while gateways and replicas are under faults. Callers
+/// resume their streams at any gateway, and each stream stays at the version that began it.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_keep_their_version_through_a_soak() {
+    let temporary = tempfile::tempdir().expect("a temporary folder can be created");
+    let folder = std::env::var("SOAK_FOLDER").map_or_else(|_| temporary.path().join("soak"), PathBuf::from);
+    let seed = number_from_env("SOAK_SEED", VERSIONS_SEED);
+    let plan = Plan::draw_with_version_changes(seed, number_from_env("SOAK_SECONDS", VERSIONS_SECONDS));
+    let report = run(SoakSettings { plan, programs: programs(), folder }).await.expect("the soak can be started");
+    println!("{report}");
+    assert!(report.violations.is_empty(), "{report}");
+}
+
 #[test]
 fn the_cold_starts_of_ci_include_a_lost_disk_and_many_routes() {
     let starts = generate_cold_starts(COLD_SEED, COLD_STARTS);
--- a/crates/scheduler/src/stream_version.rs
+++ b/crates/scheduler/src/stream_version.rs
@@ -1,17 +1,20 @@
 //! Decides at which software version a stream may be resumed.
 //!
-//! Inputs: the version that was recorded when the stream began, if the record was found, and the only version that the
-//! engines of the service have had, with the time for which it has been the only one.
+//! Inputs: the version that was recorded when the stream began, if the caller names the stream and the record was found;
+//! and the only version that the engines of the service have had, with the time for which it has been the only one.
 //!
 //! The record decides. Without one, the stream may still be resumed if no other version can have begun it: the service
 //! has had one version for longer than any stream lives. In all other cases a guess could join the output of two
 //! versions, so the stream is not resumed.
+//!
+//! A caller that does not name its stream has no record. A gateway that has just started would refuse all of its
+//! streams, so for such callers it is enough that the gateway has never known another version.
 
 use std::time::Duration;
 
-/// The time for which a stream may be resumed, as a multiple of its route's timeout: the attempt that began the stream
-/// and the attempts that resumed it each take up to one timeout.
-const LIFETIME_TIMEOUTS: u32 = 4;
+/// The time for which a stream may be resumed, as a multiple of its route's timeout. All attempts of a stream share the
+/// caller's deadline, which may exceed the timeout.
+const LIFETIME_TIMEOUTS: u32 = 2;
 
 /// The time from the start of a stream after which callers do not resume it any more. `timeout` is that of the route.
 pub fn stream_lifetime(timeout: Duration) -> Duration {
@@ -23,8 +26,18 @@
 pub struct OnlyVersion<V> {
     /// The version.
     pub version: V,
-    /// The time for which the service has had no other version.
+    /// The time for which the gateway has known no other version of the service.
     pub known_for: Duration,
+    /// Whether the gateway has known no other version of the service since it started.
+    pub is_first: bool,
+}
+
+impl<V> OnlyVersion<V> {
+    /// Whether a stream that lives for `lifetime` at most can only have begun at this version. `is_named` tells whether
+    /// the caller names the stream.
+    pub fn must_have_begun(&self, lifetime: Duration, is_named: bool) -> bool {
+        self.known_for >= lifetime || (self.is_first && !is_named)
+    }
 }
 
 /// The version at which a stream may be resumed, and how it is known.
@@ -39,14 +52,13 @@
 }
 
 impl<V> ResumeVersion<V> {
-    /// Decides at which version a stream may be resumed that lives for `lifetime` at most.
-    pub fn decide(recorded: Option<V>, only: Option<OnlyVersion<V>>, lifetime: Duration) -> Self {
-        if let Some(version) = recorded {
-            return Self::Recorded(version);
-        }
-        match only {
-            Some(only) if only.known_for >= lifetime => Self::Only(only.version),
-            _ => Self::Unknown,
+    /// Decides at which version a stream may be resumed. `only` is the only version that must have begun the stream
+    /// ([`OnlyVersion::must_have_begun`]), if there is one.
+    pub fn decide(recorded: Option<V>, only: Option<V>) -> Self {
+        match (recorded, only) {
+            (Some(version), _) => Self::Recorded(version),
+            (None, Some(version)) => Self::Only(version),
+            (None, None) => Self::Unknown,
         }
     }
 }
