--- a/crates/gateway/src/edge/stream_origins.rs
+++ b/crates/gateway/src/edge/stream_origins.rs
@@ -126,12 +126,12 @@
     /// The service of the call's route that has an engine of this origin. Engines that get no new requests count, so
     /// that a refusal can tell a version that leaves from a route that has moved.
     fn service_of_origin(&self, call: &Call, origin: StreamOrigin) -> Option<String> {
-        let services = call.route.backends.iter().map(|backend| &backend.service);
+        let mut services = call.route.backends.iter().map(|backend| &backend.service);
         let has_origin = |service: &&String| {
             let engines = self.dispatcher.engines.engines_of(service);
             engines.iter().any(|engine| engine.stream_origin() == Some(origin))
         };
-        services.into_iter().find(has_origin).cloned()
+        services.find(has_origin).cloned()
     }
 
     /// The service and version at which the stream that a call resumes must have begun, because the call's route has no
--- a/crates/gateway/src/peers/engine_list.rs
+++ b/crates/gateway/src/peers/engine_list.rs
@@ -14,18 +14,6 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
-/// The largest number of software versions that the engines of one service have. Engines whose version is unknown are
-/// left out.
-pub fn max_software_versions_of_a_service(engines: &[EngineEntry]) -> usize {
-    let mut versions: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
-    for engine in engines {
-        if let Some(version) = &engine.software_version {
-            versions.entry(&engine.service).or_default().insert(version);
-        }
-    }
-    versions.values().map(BTreeSet::len).max().unwrap_or(0)
-}
-
 /// Maximum number of [`ChangeSpan`]s that a list stores. A node whose revision is older than the oldest span gets the
 /// whole list.
 const MAX_CHANGE_SPANS: usize = 128;
@@ -53,6 +41,18 @@
     changed_ids: Vec<String>,
 }
 
+/// The largest number of software versions that the engines of one service have. Engines whose version is unknown are
+/// left out.
+pub fn max_software_versions_of_a_service(engines: &[EngineEntry]) -> usize {
+    let mut versions: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+    for engine in engines {
+        if let Some(version) = &engine.software_version {
+            versions.entry(&engine.service).or_default().insert(version);
+        }
+    }
+    versions.values().map(BTreeSet::len).max().unwrap_or(0)
+}
+
 /// Whether the software version of an engine is unknown because a node of an older build sent its entry.
 pub fn misses_software_versions(engines: &[EngineEntry]) -> bool {
     engines.iter().any(|engine| engine.software_version.is_none())
--- a/crates/scheduler/src/program_stage.rs
+++ b/crates/scheduler/src/program_stage.rs
@@ -21,8 +21,8 @@
 pub const PLAIN_REQUEST_STAGE: ProgramStage = ProgramStage::Running;
 
 /// The stage of a turn's program. `continues` states whether the turn continues an earlier turn or resumes a stream.
-/// `has_other_turns` states whether replicas report another turn of the program that is
-/// running or has produced events; it is also false when nothing is known about the program.
+/// `has_other_turns` states whether replicas report another turn of the program that is running or has produced events;
+/// it is also false when nothing is known about the program.
 pub fn program_stage_at_turn(continues: bool, has_other_turns: bool) -> ProgramStage {
     if continues || has_other_turns {
         ProgramStage::Running
