--- a/crates/gateway/src/edge/turns.rs
+++ b/crates/gateway/src/edge/turns.rs
@@ -320,8 +320,8 @@
             .await
     }
 
-    /// Reads the origin of the stream that an attempt of a caller of `tenant` began. `None` if a quorum of replicas stores
-    /// none. One replica that stores it is enough, because an origin is written once.
+    /// Reads the origin of the stream that an attempt of a caller of `tenant` began. `None` if a quorum of replicas
+    /// stores none. One replica that stores it is enough, because an origin is written once.
     ///
     /// # Errors
     /// [`TurnError`] when neither a replica that stores the origin nor a quorum answers before the deadline.
--- a/crates/gateway/src/engines/table.rs
+++ b/crates/gateway/src/engines/table.rs
@@ -84,8 +84,8 @@
         lock(&self.drains).clone()
     }
 
-    /// The software version that all engines of a service have, including those that get no new requests. `None` if they
-    /// have several, or if the version of an engine is unknown.
+    /// The software version that all engines of a service have, including those that get no new requests. `None` if
+    /// they have several, or if the version of an engine is unknown.
     pub fn only_version(&self, service: &str) -> Option<OnlyVersion<String>> {
         let histories = lock(&self.version_histories);
         let history = histories.get(service).filter(|history| !history.is_incomplete)?;
--- a/crates/gateway/src/peers/engine_list.rs
+++ b/crates/gateway/src/peers/engine_list.rs
@@ -6,8 +6,8 @@
 //! between two revisions names every engine that was written in that span, even if the engine's content did not change.
 //! So it may be applied to a list of any revision in that span.
 //!
-//! Nodes of older builds drop the software versions of engines. A version that is missing is filled in from what else is
-//! known of the same start of the engine, also when the revision is not newer.
+//! Nodes of older builds drop the software versions of engines. A version that is missing is filled in from what else
+//! is known of the same start of the engine, also when the revision is not newer.
 
 use crate::ports::configuration::EngineEntry;
 use serde::{Deserialize, Serialize};
@@ -103,7 +103,8 @@
         &self.engines
     }
 
-    /// Fills in the software versions that are missing in this list from `entries`. Returns whether it changed the list.
+    /// Fills in the software versions that are missing in this list from `entries`. Returns whether it changed the
+    /// list.
     fn fill_in_versions(&mut self, entries: &[EngineEntry]) -> bool {
         if !misses_software_versions(&self.engines) {
             return false;
--- a/crates/gateway/src/peers/view.rs
+++ b/crates/gateway/src/peers/view.rs
@@ -82,8 +82,8 @@
         self.configuration.revision.saturating_sub(u64::from(self.is_configuration_partial))
     }
 
-    /// The revision of the list of engines if it has the software versions of all of them. Otherwise 0, so that this node
-    /// gets the whole list again.
+    /// The revision of the list of engines if it has the software versions of all of them. Otherwise 0, so that this
+    /// node gets the whole list again.
     pub fn whole_engines_revision(&self) -> u64 {
         if misses_software_versions(&self.engines.value) {
             0
@@ -298,8 +298,8 @@
         }
     }
 
-    /// Adopts a list of engines if it is newer, or fills in software versions that are missing. Returns whether the list
-    /// differs from the one before.
+    /// Adopts a list of engines if it is newer, or fills in software versions that are missing. Returns whether the
+    /// list differs from the one before.
     pub fn adopt_engines(&self, revision: u64, engines: Vec<EngineEntry>, origin: Origin) -> bool {
         let adopted = {
             let mut state = lock(&self.state);
--- a/crates/gateway/tests/stream_version_tests.rs
+++ b/crates/gateway/tests/stream_version_tests.rs
@@ -234,8 +234,8 @@
 }
 
 /// Streams that a gateway of an older build began have no record. They are resumed once no other version can have begun
-/// them: after the only version has served for two of the route's timeouts. A caller that does not name its stream gets it
-/// at once, since this gateway has never known another version.
+/// them: after the only version has served for two of the route's timeouts. A caller that does not name its stream gets
+/// it at once, since this gateway has never known another version.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stream_without_a_record_is_resumed_at_the_only_version_there_has_been() {
     let deployment = Deployment::start(155, &["v1", "v1"]).await;
--- a/crates/gateway/tests/upgrade_peer_tests.rs
+++ b/crates/gateway/tests/upgrade_peer_tests.rs
@@ -278,8 +278,8 @@
 }
 
 /// Two gateways of an older build watch the store for the other nodes and drop the software versions of engines. Guards
-/// against a gateway that stays without them: it cannot tell which engines may go on with a stream. It watches the store
-/// itself until it has them.
+/// against a gateway that stays without them: it cannot tell which engines may go on with a stream. It watches the
+/// store itself until it has them.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_gateway_watches_the_store_itself_while_older_watchers_leave_out_software_versions() {
     let cluster = Cluster::start(151, 1).await;
@@ -302,8 +302,8 @@
     wait_until_store_watched_stays(&cluster, 0).await;
 }
 
-/// Waits until the gateway's metric `store_watched` has stayed at `watched` for 2 s, twice the time in which the gateway
-/// decides whether to accept the updates of the older gateways.
+/// Waits until the gateway's metric `store_watched` has stayed at `watched` for 2 s, twice the time in which the
+/// gateway decides whether to accept the updates of the older gateways.
 async fn wait_until_store_watched_stays(cluster: &Cluster, watched: u64) {
     let until = tokio::time::Instant::now() + ANSWER_TIMEOUT * 2;
     let mut unchanged_since = tokio::time::Instant::now();
--- a/crates/lab/tests/soak/plan.rs
+++ b/crates/lab/tests/soak/plan.rs
@@ -158,8 +158,8 @@
 }
 
 impl Plan {
-    /// Generates a plan as [`Plan::draw`] does, and adds replacements of the engines that run turns by engines of another
-    /// software version, one after the other.
+    /// Generates a plan as [`Plan::draw`] does, and adds replacements of the engines that run turns by engines of
+    /// another software version, one after the other.
     pub(crate) fn draw_with_version_changes(seed: u64, seconds: u64) -> Self {
         let mut plan = Self::draw(seed, seconds);
         let mut random = StdRng::seed_from_u64(!seed);
--- a/crates/scheduler/src/stream_version.rs
+++ b/crates/scheduler/src/stream_version.rs
@@ -1,7 +1,8 @@
 //! Decides at which software version a stream may be resumed.
 //!
-//! Inputs: the version that was recorded when the stream began, if the caller names the stream and the record was found;
-//! and the only version that the engines of the service have had, with the time for which it has been the only one.
+//! Inputs: the version that was recorded when the stream began, if the caller names the stream and the record was
+//! found; and the only version that the engines of the service have had, with the time for which it has been the only
+//! one.
 //!
 //! The record decides. Without one, the stream may still be resumed if no other version can have begun it: the service
 //! has had one version for longer than any stream lives. In all other cases a guess could join the output of two
--- a/crates/turns/src/stream_origin.rs
+++ b/crates/turns/src/stream_origin.rs
@@ -2,16 +2,16 @@
 //!
 //! Streams of two software versions do not fit together, so a caller that resumes a stream has to get an engine of the
 //! version that began it, at whichever gateway the caller returns. The gateway that begins a stream therefore stores
-//! its origin on the replicas, as the settled entry of a turn in a program of its own. Replicas of all builds store such
-//! entries and return them with the program's run locations.
+//! its origin on the replicas, as the settled entry of a turn in a program of its own. Replicas of all builds store
+//! such entries and return them with the program's run locations.
 
 use crate::identity::{program_key, turn_id};
 use foxnotch_wire::{ProgramKey, RunLocation, TurnEntry};
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Separates an attempt's identifier from the rest of the name under which its stream's origin is stored. Headers hold no
-/// such bytes, so callers cannot use that name for a program or a turn.
+/// Separates an attempt's identifier from the rest of the name under which its stream's origin is stored. Headers hold
+/// no such bytes, so callers cannot use that name for a program or a turn.
 const ORIGIN_SUFFIX: &str = "\0\0stream origin";
 
 /// A service and one software version of its engines, as a hash of both.
@@ -29,8 +29,8 @@
     format!("{attempt}{ORIGIN_SUFFIX}")
 }
 
-/// The key of the program that has the origin of the stream which the attempt of a caller of `tenant` began. `tenant` is
-/// empty for a caller without a tenant.
+/// The key of the program that has the origin of the stream which the attempt of a caller of `tenant` began. `tenant`
+/// is empty for a caller without a tenant.
 pub fn origin_program(tenant: &str, attempt: &str) -> ProgramKey {
     program_key(tenant, &entry_name(attempt))
 }
