--- a/crates/gateway/tests/upgrade_peer_tests.rs
+++ b/crates/gateway/tests/upgrade_peer_tests.rs
@@ -268,12 +268,7 @@
     })
     .await;
     gateway.wait_ready().await;
-    let mut older = Vec::new();
-    for number in [8, 9] {
-        let address = SocketAddrV4::new(cluster.ip(number), 7380);
-        let nodes = [1, GATEWAY].map(|number| cluster.peer_address(number)).to_vec();
-        older.push(OlderGateway::start(NodeId(number.into()), address, nodes).await);
-    }
+    let _older = start_older_watchers(&cluster).await;
     wait_until_store_watched_stays(&cluster, watched).await;
 }
 
@@ -291,15 +286,21 @@
     })
     .await;
     gateway.wait_ready().await;
+    let _older = start_older_watchers(&cluster).await;
+    wait_until_store_watched_stays(&cluster, 1).await;
+    cluster.store.put(Kind::Engines, "e1", entry(Some("v1".to_owned())));
+    wait_until_store_watched_stays(&cluster, 0).await;
+}
+
+/// Starts two gateways of version 7 that watch the store for the other nodes.
+async fn start_older_watchers(cluster: &Cluster) -> Vec<OlderGateway> {
     let mut older = Vec::new();
     for number in [8, 9] {
         let address = SocketAddrV4::new(cluster.ip(number), 7380);
         let nodes = [1, GATEWAY].map(|number| cluster.peer_address(number)).to_vec();
         older.push(OlderGateway::start(NodeId(number.into()), address, nodes).await);
     }
-    wait_until_store_watched_stays(&cluster, 1).await;
-    cluster.store.put(Kind::Engines, "e1", entry(Some("v1".to_owned())));
-    wait_until_store_watched_stays(&cluster, 0).await;
+    older
 }
 
 /// Waits until the gateway's metric `store_watched` has stayed at `watched` for 2 s, twice the time in which the
