Resume streams without a record only by a list of engines that the store confirms

What callers saw: a stream that no replica has recorded (an older gateway began it, its gateway died, the write failed) broke, and its caller resumed it at a gateway that had not heard of a version that had just come. It went on at the version which that gateway had known for long: events of two software versions in one stream, without an error.

Cause: a gateway concluded from its own list of engines that no other version can have begun the stream. Unknown counted as equal: versions listed since, versions that came and went between two lists, engines of unknown version that left. "No record" and "too few replicas answered in 250 ms" were one case.

Change: a named stream without a record is resumed at the only version when the store has confirmed the list after the call arrived. One read serves all calls that arrived before it; a store that does not answer means 503 at once, not run. scheduler::version_history replaces the history in the table of engines and counts gaps, passing engines, unknown versions and, for 15 s, engines that are no longer listed against the only version. The record is waited for while the store is asked.

Why this works: the caller has received an event before its call arrives, so the version that began the stream was listed before; a read made after that names it, or names a change that the history keeps.

The unit test one_version_must_have_begun_a_stream_once_no_other_can_have was wrong: its first case asked a list alone, unconfirmed, to prove the version of a named stream, which is what the property forbids, with no more in hand. It now asks the same at the same bounds of a confirmed list, and a refusal of an unconfirmed one.

--- a/crates/gateway/src/edge/gateway.rs
+++ b/crates/gateway/src/edge/gateway.rs
@@ -15,6 +15,7 @@
 use crate::peers::view::ViewHolder;
 use crate::policy::PolicySettings;
 use crate::ports::dialect::Dialect;
+use crate::store_watch::confirmation::EngineListConfirmation;
 use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex, OnceLock};
 
@@ -32,6 +33,8 @@
     pub dispatcher: EngineDispatcher,
     /// Reads and writes turns and budgets on replicas.
     pub turns: Arc<TurnClient>,
+    /// Lets the store confirm the list of engines when a request depends on its being up to date.
+    pub engine_list_confirmation: EngineListConfirmation,
     /// Asks replicas whether a tenant is within its limit.
     pub quotas: QuotaClient,
     /// Deposits and takes tickets for tokens that were reserved ahead.
--- a/crates/gateway/src/edge/parts.rs
+++ b/crates/gateway/src/edge/parts.rs
@@ -22,6 +22,7 @@
 use crate::ports::dialect::Dialect;
 use crate::ports::store::MetadataStore;
 use crate::settings::ProcessSettings;
+use crate::store_watch::confirmation::EngineListConfirmation;
 use anyhow::Context;
 use foxnotch_turns::identity::{node_id, zone_hash};
 use foxnotch_wire::NodeId;
@@ -139,6 +140,7 @@
             metrics: metrics.clone(),
             dispatcher,
             turns: turns.clone(),
+            engine_list_confirmation: EngineListConfirmation::new(self.store.clone(), self.view.clone()),
             quotas,
             tickets,
             service_balancer: Default::default(),
--- a/crates/gateway/src/edge/stream_origins.rs
+++ b/crates/gateway/src/edge/stream_origins.rs
@@ -1,20 +1,21 @@
 //! Stores at which software version a stream began, and finds it when a caller resumes the stream.
 //!
-//! [`foxnotch_scheduler::stream_version`] decides. This module gathers the facts: the record on the replicas, and the
-//! versions of the engines that this gateway knows.
+//! [`foxnotch_scheduler::stream_version`] decides. This module gathers the facts: the record on the replicas, the
+//! versions of the engines that this gateway knows, and the store's confirmation that it knows all of them.
 
 use crate::edge::call::Call;
 use crate::edge::gateway::Gateway;
 use crate::edge::refusal::Refusal;
 use crate::engines::engine::Engine;
 use crate::logging::part;
-use foxnotch_scheduler::stream_version::{stream_lifetime, ResumeVersion};
+use foxnotch_scheduler::stream_version::{stream_lifetime, OnlyVersion, ResumeVersion};
 use foxnotch_turns::stream_origin::{origin_entry, StreamOrigin};
+use std::pin::pin;
 use std::time::{Duration, Instant};
 
-/// Time limit, from the arrival of the call, for reading the origin of a stream that can also be resumed without it. It
-/// exceeds a round trip to the farthest region.
-const OPTIONAL_READ_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time from the arrival of the call within which the record of its stream is usually read. Afterwards, the store is
+/// asked as well whether the stream can be resumed without the record. It exceeds a round trip to the farthest region.
+const PROMPT_READ_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time limit for storing a stream's origin, unless the call lasts longer.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -27,6 +28,54 @@
     pub(super) origin: StreamOrigin,
 }
 
+/// What is known of the record of a stream's origin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OriginRecord {
+    /// A replica stores this origin.
+    Found(StreamOrigin),
+    /// A quorum of replicas stores no record.
+    Missing,
+    /// Too few replicas have answered; there may be a record.
+    Unread,
+    /// The caller does not name its stream, so no record can be read.
+    Unnamed,
+}
+
+impl OriginRecord {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Found(_) => "found",
+            Self::Missing => "missing",
+            Self::Unread => "unread",
+            Self::Unnamed => "unnamed",
+        }
+    }
+}
+
+/// Why no version is the only one that can have begun a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NoOnlyOrigin {
+    /// The record tells the version.
+    NotNeeded,
+    /// The route has several services, or its service several versions or engines of unknown version.
+    SeveralVersions,
+    /// Another version may have served since the stream began.
+    KnownTooShort,
+    /// The store did not confirm the list of engines.
+    NotConfirmed,
+}
+
+impl NoOnlyOrigin {
+    fn name(self) -> &'static str {
+        match self {
+            Self::NotNeeded => "not_needed",
+            Self::SeveralVersions => "several_versions",
+            Self::KnownTooShort => "known_too_short",
+            Self::NotConfirmed => "not_confirmed",
+        }
+    }
+}
+
 impl Gateway {
     /// Stores in the background at which version a stream begins, so that any gateway can resume it. The first event is
     /// not delayed until the origin is stored: a stream without a stored origin is refused, not joined with another
@@ -72,18 +121,16 @@
         if !call.resumes_stream() {
             return Ok(None);
         }
-        let only = self.only_origin_of_route(call);
-        let read_deadline =
-            if only.is_some() { deadline.min(call.arrived_at + OPTIONAL_READ_TIMEOUT) } else { deadline };
-        let recorded = self.read_recorded_origin(call, read_deadline).await;
-        let decision = ResumeVersion::decide(recorded, only.as_ref().map(|only| only.origin));
+        let (record, only) = self.read_record_or_only_origin(call, deadline).await;
+        let recorded = if let OriginRecord::Found(origin) = record { Some(origin) } else { None };
+        let decision = ResumeVersion::decide(recorded, only.as_ref().ok().map(|only| only.origin));
         let (outcome, found) = match decision {
             ResumeVersion::Recorded(origin) => match self.service_of_origin(call, origin) {
                 Some(service) => ("recorded", Ok(ResumedOrigin { service, origin })),
                 None => ("gone", Err(Refusal::StreamVersionGone)),
             },
             ResumeVersion::Only(origin) => {
-                let service = only.map_or_else(|| call.service.clone(), |only| only.service);
+                let service = only.as_ref().map_or_else(|_| call.service.clone(), |only| only.service.clone());
                 ("only", Ok(ResumedOrigin { service, origin }))
             }
             ResumeVersion::Unknown => ("unknown", Err(Refusal::StreamVersionUnknown)),
@@ -92,25 +139,48 @@
         log::info!(
             target: part::CALL,
             "Call {} resumes a stream; the software version that it needs is {outcome}: resumes={} last_event={} \
-             service={} only_for={:?} engines={} after={:?}; `only_for` is the time for which this gateway has known \
-             only one version of the service.",
+             service={} record={} only={} only_for={:?} engines={} after={:?}; `only_for` is the time for which this \
+             gateway has known only one version of the service, `only` tells whether that version must have begun the \
+             stream.",
             call.metadata.attempt,
             call.metadata.resumes.as_deref().unwrap_or("-"),
             call.metadata.last_event.as_deref().unwrap_or("-"),
             found.as_ref().map_or(call.service.as_str(), |found| found.service.as_str()),
-            self.dispatcher.engines.only_version(&call.service).map(|only| only.known_for),
+            record.name(),
+            only.as_ref().map_or_else(|reason| reason.name(), |_| "yes"),
+            self.view.only_version(&call.service).map(|only| only.known_for),
             self.view.get().engines.revision,
             call.arrived_at.elapsed(),
         );
         found.map(Some)
     }
 
-    /// The origin that the replicas store for the stream that a call resumes; `None` if they store none, or if too few
-    /// replicas answer.
-    async fn read_recorded_origin(&self, call: &Call, deadline: Instant) -> Option<StreamOrigin> {
-        let begun_by = call.metadata.resumes.as_deref()?;
+    /// Reads the record of the stream that a call resumes. Without a record, or when the replicas are slow to answer,
+    /// looks for the only version that can have begun the stream.
+    async fn read_record_or_only_origin(
+        &self,
+        call: &Call,
+        deadline: Instant,
+    ) -> (OriginRecord, Result<ResumedOrigin, NoOnlyOrigin>) {
+        let mut reading = pin!(self.read_origin_record(call, deadline));
+        let prompt_deadline = deadline.min(call.arrived_at + PROMPT_READ_TIMEOUT);
+        let prompt_answer = tokio::time::timeout_at(prompt_deadline.into(), &mut reading).await;
+        match prompt_answer {
+            Ok(OriginRecord::Found(origin)) => (OriginRecord::Found(origin), Err(NoOnlyOrigin::NotNeeded)),
+            Ok(record) => (record, self.find_only_origin(call, deadline).await),
+            Err(_) => match self.find_only_origin(call, deadline).await {
+                Ok(only) => (OriginRecord::Unread, Ok(only)),
+                Err(reason) => (reading.await, Err(reason)),
+            },
+        }
+    }
+
+    /// Reads the origin that the replicas store for the stream that a call resumes.
+    async fn read_origin_record(&self, call: &Call, deadline: Instant) -> OriginRecord {
+        let Some(begun_by) = call.metadata.resumes.as_deref() else { return OriginRecord::Unnamed };
         match self.turns.read_stream_origin(call.tenant_name(), begun_by, deadline).await {
-            Ok(origin) => origin,
+            Ok(Some(origin)) => OriginRecord::Found(origin),
+            Ok(None) => OriginRecord::Missing,
             Err(error) => {
                 log::warn!(
                     target: part::CALL,
@@ -118,7 +188,7 @@
                      may be refused: {error}.",
                     call.metadata.attempt,
                 );
-                None
+                OriginRecord::Unread
             }
         }
     }
@@ -135,14 +205,33 @@
     }
 
     /// The service and version at which the stream that a call resumes must have begun, because the call's route has no
-    /// other service, and no other version can have begun it.
-    fn only_origin_of_route(&self, call: &Call) -> Option<ResumedOrigin> {
-        let [backend] = call.route.backends.as_slice() else { return None };
-        let only = self.dispatcher.engines.only_version(&backend.service)?;
+    /// other service, and no other version can have begun it. A caller that names its stream has received an event of
+    /// it before the call arrived, so the list of engines has to be newer than the call.
+    async fn find_only_origin(&self, call: &Call, deadline: Instant) -> Result<ResumedOrigin, NoOnlyOrigin> {
+        let [backend] = call.route.backends.as_slice() else { return Err(NoOnlyOrigin::SeveralVersions) };
         let lifetime = stream_lifetime(Duration::from_millis(call.route.timeout_ms));
-        only.must_have_begun(lifetime, call.metadata.resumes.is_some()).then(|| ResumedOrigin {
+        let is_named = call.metadata.resumes.is_some();
+        let origin = |only: &OnlyVersion<String>| ResumedOrigin {
             service: backend.service.clone(),
             origin: StreamOrigin::new(&backend.service, &only.version),
-        })
+        };
+        match self.view.only_version(&backend.service) {
+            Some(only) if only.must_have_begun(lifetime, is_named) => return Ok(origin(&only)),
+            Some(only) if !only.must_have_begun_if_confirmed(lifetime) => return Err(NoOnlyOrigin::KnownTooShort),
+            // The store can tell the versions that nodes of older builds left out.
+            None if !self.view.misses_software_versions() => return Err(NoOnlyOrigin::SeveralVersions),
+            Some(_) | None => {}
+        }
+        let confirmation = self.engine_list_confirmation.confirm_as_of(call.arrived_at);
+        let confirmed = tokio::time::timeout_at(deadline.into(), confirmation).await;
+        if !matches!(confirmed, Ok(Ok(()))) {
+            return Err(NoOnlyOrigin::NotConfirmed);
+        }
+        let only = self.view.only_version(&backend.service).ok_or(NoOnlyOrigin::SeveralVersions)?;
+        if only.must_have_begun(lifetime, is_named) || only.must_have_begun_if_confirmed(lifetime) {
+            Ok(origin(&only))
+        } else {
+            Err(NoOnlyOrigin::KnownTooShort)
+        }
     }
 }
--- a/crates/gateway/src/engines/table.rs
+++ b/crates/gateway/src/engines/table.rs
@@ -5,11 +5,9 @@
 use crate::logging::part;
 use crate::peers::view::View;
 use foxnotch_scheduler::slow_start::warmth::ColdCause;
-use foxnotch_scheduler::stream_version::OnlyVersion;
 use foxnotch_scheduler::zone_drain::ZoneDrains;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
 
 /// The engines of the latest view that was applied, by service.
 #[derive(Default)]
@@ -17,40 +15,6 @@
     services: Mutex<HashMap<String, Vec<Arc<Engine>>>>,
     /// The zones that are drained in the latest view that was applied.
     drains: Mutex<Arc<ZoneDrains>>,
-    /// Which software versions the engines of each service have had.
-    version_histories: Mutex<HashMap<String, VersionHistory>>,
-}
-
-/// The software versions of a service's engines since this gateway started.
-struct VersionHistory {
-    /// The version that all engines have; `None` if they have several.
-    only_version: Option<String>,
-    /// When the engines got this version, or several.
-    since: Instant,
-    /// Whether the engines have had another version, or several, before.
-    has_changed: bool,
-    /// Whether the version of an engine is unknown.
-    is_incomplete: bool,
-}
-
-impl VersionHistory {
-    fn new(only_version: Option<String>) -> Self {
-        Self { only_version, since: Instant::now(), has_changed: false, is_incomplete: false }
-    }
-
-    fn update(&mut self, only_version: Option<String>) {
-        self.is_incomplete = false;
-        if self.only_version != only_version {
-            *self = Self { has_changed: true, ..Self::new(only_version) };
-        }
-    }
-}
-
-/// The version that all these engines have; `None` if they have several.
-fn common_version(engines: &[Arc<Engine>]) -> Option<String> {
-    let first = engines.first()?.software_version();
-    let is_common = engines.iter().all(|engine| engine.software_version() == first);
-    first.filter(|_| is_common).map(str::to_owned)
 }
 
 impl EngineTable {
@@ -84,30 +48,6 @@
         lock(&self.drains).clone()
     }
 
-    /// The software version that all engines of a service have, including those that get no new requests. `None` if
-    /// they have several, or if the version of an engine is unknown.
-    pub fn only_version(&self, service: &str) -> Option<OnlyVersion<String>> {
-        let histories = lock(&self.version_histories);
-        let history = histories.get(service).filter(|history| !history.is_incomplete)?;
-        let version = history.only_version.clone()?;
-        Some(OnlyVersion { version, known_for: history.since.elapsed(), is_first: !history.has_changed })
-    }
-
-    fn update_version_histories(&self, services: &HashMap<String, Vec<Arc<Engine>>>) {
-        let mut histories = lock(&self.version_histories);
-        for (service, engines) in services {
-            let is_complete = engines.iter().all(|engine| engine.software_version().is_some());
-            match histories.get_mut(service) {
-                Some(history) if is_complete => history.update(common_version(engines)),
-                Some(history) => history.is_incomplete = true,
-                None if is_complete => {
-                    histories.insert(service.clone(), VersionHistory::new(common_version(engines)));
-                }
-                None => {}
-            }
-        }
-    }
-
     /// Stores the drained zones of the view. Returns the zones that were drained in the previous view and are not in
     /// this one.
     fn replace_zone_drains(&self, view: &View) -> Vec<String> {
@@ -166,7 +106,6 @@
             }
             services.entry(entry.service.clone()).or_default().push(engine);
         }
-        self.update_version_histories(&services);
         for engine in previous_engines.into_values() {
             engine.set_draining(true);
             engine.close_idle_connections();
--- a/crates/gateway/src/peers/store_updates.rs
+++ b/crates/gateway/src/peers/store_updates.rs
@@ -170,6 +170,7 @@
             self.watcher_role.watch_on_demand();
         }
         self.view.confirm_configuration(update.configuration_revision);
+        self.view.confirm_engines(contact_age);
         self.watcher_role.record_update(contact_age);
         self.update_accepted.notify_one();
     }
--- a/crates/gateway/src/peers/view.rs
+++ b/crates/gateway/src/peers/view.rs
@@ -16,6 +16,8 @@
 use crate::peers::watcher_role::WatcherRole;
 use crate::ports::configuration::{Configuration, EngineEntry, RetirementRequest};
 use foxnotch_scheduler::residency::Residency;
+use foxnotch_scheduler::stream_version::OnlyVersion;
+use foxnotch_scheduler::version_history::{Continuity, EngineStart, ListedEngine, VersionHistory};
 use foxnotch_scheduler::zone_drain::{DrainStarts, ZoneDrains};
 use foxnotch_wire::{Content, ReplicaSet};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -125,16 +127,29 @@
     StoredByReplicas,
 }
 
+/// What the history of software versions reads of an engine's entry.
+fn listed_engine(entry: &EngineEntry) -> ListedEngine {
+    ListedEngine {
+        service: entry.service.clone(),
+        start: EngineStart { id: entry.id.clone(), address: entry.address.clone(), started_at_ms: entry.started_at_ms },
+        version: entry.software_version.clone(),
+    }
+}
+
 /// The view, and the list of engines with its latest changes, which are sent to other nodes instead of the whole list.
 #[derive(Debug, Default)]
 struct ViewState {
     view: View,
     engines: EngineList,
+    /// The software versions that the engines of the list have and had.
+    versions: VersionHistory,
 }
 
 impl ViewState {
-    fn copy_engines_into_view(&mut self) {
+    fn copy_engines_into_view(&mut self, continuity: Continuity) {
         self.view.engines = Versioned { revision: self.engines.revision(), value: self.engines.engines().clone() };
+        let listed = self.engines.engines().iter().map(listed_engine).collect();
+        self.versions.add_list(listed, continuity, Instant::now());
     }
 }
 
@@ -303,10 +318,15 @@
     pub fn adopt_engines(&self, revision: u64, engines: Vec<EngineEntry>, origin: Origin) -> bool {
         let adopted = {
             let mut state = lock(&self.state);
-            let before = state.engines.engines().clone();
-            let is_newer = state.engines.replace(revision, engines);
-            state.copy_engines_into_view();
-            is_newer && before != *state.engines.engines()
+            let (before, revision_before) = (state.engines.engines().clone(), state.engines.revision());
+            let is_replaced = state.engines.replace(revision, engines);
+            if is_replaced {
+                // At the same revision only versions were filled in.
+                let is_same_revision = state.engines.revision() == revision_before;
+                let continuity = if is_same_revision { Continuity::AllChanges } else { Continuity::ResultOnly };
+                state.copy_engines_into_view(continuity);
+            }
+            is_replaced && before != *state.engines.engines()
         };
         if adopted {
             self.publish_engine_change(origin);
@@ -326,7 +346,16 @@
         let applied = {
             let mut state = lock(&self.state);
             let applied = state.engines.apply_changes(since, revision, changes);
-            state.copy_engines_into_view();
+            match applied {
+                // The store sends every change, other nodes send the latest state of each engine.
+                ApplyOutcome::Applied if origin != Origin::Store => {
+                    state.copy_engines_into_view(Continuity::ResultOnly);
+                }
+                ApplyOutcome::Applied | ApplyOutcome::VersionsFilledIn => {
+                    state.copy_engines_into_view(Continuity::AllChanges);
+                }
+                ApplyOutcome::AlreadyKnown | ApplyOutcome::Gap => {}
+            }
             applied
         };
         if matches!(applied, ApplyOutcome::Applied | ApplyOutcome::VersionsFilledIn) {
@@ -335,6 +364,33 @@
         applied
     }
 
+    /// Records the software versions of engines that the store names in its changes, including those of engines that are
+    /// gone again when the changes are applied.
+    pub fn record_versions_in_changes<'a>(&self, entries: impl Iterator<Item = &'a EngineEntry>) {
+        let mut state = lock(&self.state);
+        for entry in entries {
+            state.versions.add_passing_engine(listed_engine(entry), Instant::now());
+        }
+    }
+
+    /// Records that the list of engines was that of the store `age` ago.
+    pub fn confirm_engines(&self, age: Duration) {
+        if let Some(at) = Instant::now().checked_sub(age) {
+            lock(&self.state).versions.confirm(at);
+        }
+    }
+
+    /// The software version that all engines of a service have, including those that get no new requests. `None` if
+    /// they have several, if the version of an engine is unknown, or if no engine is listed.
+    pub fn only_version(&self, service: &str) -> Option<OnlyVersion<String>> {
+        lock(&self.state).versions.only_version(service, Instant::now())
+    }
+
+    /// Whether the software version of a listed engine is unknown.
+    pub fn misses_software_versions(&self) -> bool {
+        misses_software_versions(&lock(&self.state).view.engines.value)
+    }
+
     /// The changes of engines since a revision; none when the whole list has to be sent instead.
     pub fn engine_changes_since(&self, since: u64) -> Option<EngineChanges> {
         lock(&self.state).engines.changes_since(since)
--- a/crates/gateway/src/store_followers.rs
+++ b/crates/gateway/src/store_followers.rs
@@ -14,6 +14,7 @@
 use foxnotch_scheduler::zone_drain::ZoneDrains;
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Copies the configuration into the view.
 pub struct ConfigurationFollower {
@@ -97,10 +98,18 @@
     }
 
     fn apply_changes(&mut self, changes: Vec<Change>, since: u64, revision: u64) -> bool {
+        self.view.record_versions_in_changes(changes.iter().filter_map(|change| match &change.object.body {
+            ObjectBody::Engine(engine) => Some(engine),
+            _ => None,
+        }));
         let applied = self.view.adopt_engine_changes(since, revision, latest_engine_changes(changes), Origin::Store);
         applied != ApplyOutcome::Gap
     }
 
+    fn confirm_up_to(&mut self, _revision: u64) {
+        self.view.confirm_engines(Duration::ZERO);
+    }
+
     /// While software versions are missing, this node's watch begins at the revision up to which it has itself read the
     /// store, so that it reads the entries that came from nodes of older builds.
     fn known_revision(&self) -> u64 {
--- a/crates/gateway/src/store_watch/mod.rs
+++ b/crates/gateway/src/store_watch/mod.rs
@@ -6,7 +6,9 @@
 //! get changes from other nodes. [`MetadataStore`] sends each call once.
 //!
 //! `following` makes the calls, `pacing` has their waits and pauses, `probe` detects a store that no longer answers.
+//! `confirmation` reads the list of engines on demand.
 
+pub mod confirmation;
 mod following;
 mod pacing;
 mod probe;
--- a/crates/gateway/tests/stream_version_tests.rs
+++ b/crates/gateway/tests/stream_version_tests.rs
@@ -5,11 +5,13 @@
 
 use foxnotch_gateway::ports::configuration::{Backend, Configuration, EngineEntry, Route, RouteKind};
 use foxnotch_gateway::ports::store::{Kind, ObjectBody};
+use foxnotch_scheduler::version_history::MAX_LIST_GAP;
 use rstest::rstest;
 use std::time::{Duration, Instant};
 use support::cluster::Cluster;
 use support::engine::{Behaviour, StubEngine};
 use support::gateway::{configuration, route, Answer, RunningGateway};
+use support::store::StubStore;
 
 /// The route of the tests, and its service.
 const ROUTE: &str = "draft";
@@ -324,3 +326,126 @@
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
+
+/// The timeout of the route in tests that wait until its streams cannot have begun before a test.
+const SHORT_TIMEOUT_MS: u64 = 1500;
+/// The time for which a version has to be the only one, with a margin.
+const ONLY_VERSION_TIME: Duration = Duration::from_millis(2 * SHORT_TIMEOUT_MS + 500);
+
+/// A gateway that has known one version for longer than a stream of its route lives, and its handle of the store.
+struct SettledGateway {
+    deployment: Deployment,
+    gateway: RunningGateway,
+    store: StubStore,
+}
+
+impl SettledGateway {
+    /// Starts engines of the version v1, and the gateway.
+    async fn start(net: u8) -> Self {
+        let deployment = Deployment::start(net, &["v1", "v1"]).await;
+        let short = configuration_with_route(2, |route| route.timeout_ms = SHORT_TIMEOUT_MS);
+        deployment.cluster.store.put(Kind::Configuration, "main", short);
+        let store = deployment.cluster.store.clone_for_one_node();
+        let gateway = RunningGateway::start_with(&deployment.cluster, OTHER_GATEWAY, store.clone()).await;
+        gateway.wait_ready().await;
+        tokio::time::sleep(ONLY_VERSION_TIME).await;
+        Self { deployment, gateway, store }
+    }
+
+    /// Resumes a stream that has no record, and checks that the call is refused at once and not run.
+    async fn assert_refused(&self) {
+        self.deployment.let_streams_end();
+        let asked_at = Instant::now();
+        let answer = resume_stream(&self.gateway, "unknown", "r0").await;
+        assert_eq!((answer.status, answer.has_retry_after()), (503, true), "{answer:?}");
+        assert!(asked_at.elapsed() < DECISION_TIME, "the refusal took {:?}", asked_at.elapsed());
+        assert_eq!(self.deployment.origin_of("r0"), None);
+    }
+}
+
+/// What happens to the engines of a new version after the gateway's connections to the store have fallen silent.
+#[rstest]
+#[case::it_stays(160, true)]
+#[case::it_leaves_again(161, false)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_without_a_record_is_refused_by_a_gateway_whose_list_lags(#[case] net: u8, #[case] stays: bool) {
+    let mut settled = SettledGateway::start(net).await;
+    settled.store.silence_watches_of_this_node();
+    settled.deployment.add_engine(ROUTE, "v2").await;
+    if !stays {
+        let newest = settled.deployment.engines.last().expect("an engine was added");
+        settled.deployment.remove_engine(newest);
+    }
+    settled.assert_refused().await;
+}
+
+/// How the store fails for the gateway while an engine of another version is added.
+#[rstest]
+#[case::it_refuses(162, |store: &StubStore| store.refuse_this_node(true))]
+#[case::it_is_silent(163, |store: &StubStore| store.stop_answering())]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_without_a_record_is_refused_while_the_store_is_cut_off(
+    #[case] net: u8,
+    #[case] cut_off: fn(&StubStore),
+) {
+    let mut settled = SettledGateway::start(net).await;
+    cut_off(&settled.store);
+    settled.deployment.add_engine(ROUTE, "v2").await;
+    settled.assert_refused().await;
+}
+
+/// The store has dropped the changes since the gateway's list, in which an engine of another version may have come and
+/// gone while the gateway was cut off.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_without_a_record_is_refused_after_a_gap_in_the_lists() {
+    let mut settled = SettledGateway::start(164).await;
+    settled.store.refuse_this_node(true);
+    settled.deployment.add_engine(ROUTE, "v2").await;
+    tokio::time::sleep(MAX_LIST_GAP + Duration::from_millis(500)).await;
+    settled.deployment.remove_engine(settled.deployment.engines.last().expect("an engine was added"));
+    settled.deployment.cluster.store.drop_history();
+    settled.store.refuse_this_node(false);
+    settled.assert_refused().await;
+}
+
+/// What else fails while one version serves and the store answers.
+#[rstest]
+#[case::nothing(165, &[], false)]
+#[case::no_replica_answers(166, &[1, 2, 3], false)]
+#[case::connections_to_the_store_are_silent(167, &[], true)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_without_a_record_go_on_while_one_version_serves(
+    #[case] net: u8,
+    #[case] killed_replicas: &[u8],
+    #[case] is_silent: bool,
+) {
+    let mut settled = SettledGateway::start(net).await;
+    for number in killed_replicas {
+        settled.deployment.cluster.kill(*number);
+    }
+    if is_silent {
+        settled.store.silence_watches_of_this_node();
+    }
+    settled.deployment.let_streams_end();
+    for number in 0..16 {
+        let answer = resume_stream(&settled.gateway, &format!("unknown{number}"), &format!("r{number}")).await;
+        assert_eq!((answer.status, answer.is_whole), (200, true), "{answer:?}");
+    }
+}
+
+/// Many streams break at the same moment. Guards against one call to the store for each of them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_that_are_resumed_together_share_calls_to_the_store() {
+    let settled = SettledGateway::start(168).await;
+    settled.deployment.let_streams_end();
+    let calls_before = settled.deployment.cluster.store.call_count();
+    let resumed = (0..40).map(|number| {
+        let (begun, attempt) = (format!("unknown{number}"), format!("r{number}"));
+        let gateway = &settled.gateway;
+        async move { resume_stream(gateway, &begun, &attempt).await.status }
+    });
+    let statuses = futures_util::future::join_all(resumed).await;
+    assert_eq!(statuses.iter().filter(|status| **status == 200).count(), 40, "{statuses:?}");
+    let calls = settled.deployment.cluster.store.call_count() - calls_before;
+    assert!(calls < 20, "{calls} calls to the store for 40 streams");
+}
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -16,6 +16,9 @@
 /// Time after which a call to a silent store fails, in place of the timeout of the platform's adapter.
 const SILENT_CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The shortest wait of the watches that [`StubStore::silence_watches_of_this_node`] silences.
+const SHORTEST_SILENCED_WAIT: Duration = Duration::from_millis(100);
+
 #[derive(Clone, Debug)]
 struct Entry {
     kind: Kind,
@@ -85,6 +88,8 @@
     changed: Arc<Notify>,
     /// Whether list, watch and probe calls through this handle, and through clones that share the flag, are rejected.
     refuses_this_node: Arc<AtomicBool>,
+    /// Whether watches through this handle that wait for changes get no answer.
+    silences_watches: Arc<AtomicBool>,
 }
 
 impl StubStore {
@@ -94,7 +99,14 @@
 
     /// Returns a handle to the same store for one node, whose calls can be rejected separately.
     pub fn clone_for_one_node(&self) -> Self {
-        Self { refuses_this_node: Arc::default(), ..self.clone() }
+        Self { refuses_this_node: Arc::default(), silences_watches: Arc::default(), ..self.clone() }
+    }
+
+    /// From now on, watches through this handle that wait for changes get no answer, as on connections that have fallen
+    /// silent. All other calls are answered.
+    pub fn silence_watches_of_this_node(&self) {
+        self.silences_watches.store(true, Ordering::SeqCst);
+        self.changed.notify_waiters();
     }
 
     /// Sets whether list, watch and probe calls through this handle are rejected immediately. Writes are still served.
@@ -235,6 +247,9 @@
         let until = tokio::time::Instant::now() + wait;
         loop {
             let notified = self.changed.notified();
+            if self.silences_watches.load(Ordering::SeqCst) && wait >= SHORTEST_SILENCED_WAIT {
+                std::future::pending::<()>().await;
+            }
             self.check_served()?;
             if self.with_state(|state| state.is_silent) {
                 tokio::time::sleep_until(until).await;
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -8,7 +8,8 @@
 //!   tenants over all gateways together; [`quota::share_selection`] orders the replicas that a gateway asks);
 //! - where a request may run: [`topology`] (zones and regions), [`residency`] (allowed regions), [`zone_drain`] (zones
 //!   that get no new work), [`reachability`] (engines that cannot be reached), [`eligibility`] (all of these together),
-//!   [`stream_version`] (the software version at which a stream may be resumed);
+//!   [`stream_version`] (the software version at which a stream may be resumed) with [`version_history`] (the versions
+//!   that engines have had);
 //! - which engine gets it: [`engine_choice`], by [`cost`], with [`distance`], [`engine_health`] and [`outliers`];
 //!   [`slow_start`] for cold engines;
 //! - what happens when engines have too little capacity: [`program_stage`], [`admission`], [`placement_timeout`],
@@ -35,4 +36,5 @@
 pub mod stream_version;
 pub mod tenants;
 pub mod topology;
+pub mod version_history;
 pub mod zone_drain;
--- a/crates/scheduler/tests/stream_version_tests.rs
+++ b/crates/scheduler/tests/stream_version_tests.rs
@@ -19,6 +19,8 @@
     assert_eq!(ResumeVersion::decide(recorded, only), decision);
 }
 
+/// A gateway's own list may be behind, so it proves nothing about a stream that the caller names. A list that the store
+/// has confirmed does.
 #[rstest]
 #[case::for_long(8_000, false, true, true)]
 #[case::for_a_short_time(7_999, false, false, false)]
@@ -27,11 +29,12 @@
 fn one_version_must_have_begun_a_stream_once_no_other_can_have(
     #[case] known_for_ms: u64,
     #[case] is_first: bool,
-    #[case] if_named: bool,
+    #[case] if_confirmed: bool,
     #[case] if_unnamed: bool,
 ) {
     let only = OnlyVersion { version: "v1", known_for: Duration::from_millis(known_for_ms), is_first };
-    assert_eq!(only.must_have_begun(LIFETIME, true), if_named);
+    assert!(!only.must_have_begun(LIFETIME, true));
+    assert_eq!(only.must_have_begun_if_confirmed(LIFETIME), if_confirmed);
     assert_eq!(only.must_have_begun(LIFETIME, false), if_unnamed);
 }
 
