Let the store confirm the list before a stream's version counts as gone

What callers saw: a stream of a version that had just come broke, its caller resumed it at a gateway that had not heard of the version, and got 503 stream_version_gone, although engines of the version served.

Evidence: a_stream_goes_on_at_a_version_that_its_gateway_has_not_heard_of failed on (503 in place of 200), with a record on the replicas and a list that lags.

Why this works: the version was listed before the call arrived, so a read made after that brings it. The view is applied under a lock, since calls and the background task may now do so at the same time.

--- a/crates/gateway/src/edge/gateway.rs
+++ b/crates/gateway/src/edge/gateway.rs
@@ -45,6 +45,8 @@
     pub policy: PolicySettings,
     /// The routes in force; `None` until the first configuration is applied.
     pub routes: Mutex<Option<Arc<RouteTable>>>,
+    /// Locked while the view is read and applied, so that no older view replaces a newer one.
+    pub applying_view: Mutex<()>,
     /// Set when a planned stop begins.
     pub stop: OnceLock<PlannedStop>,
     /// Number of requests and background tasks that a planned stop waits for.
@@ -57,6 +59,7 @@
     /// The first configuration is applied only once the zone drains are known, or cannot become known because the store
     /// does not answer. This prevents requests from being sent to engines in drained zones.
     pub fn apply_view(&self) {
+        let _applying = lock(&self.applying_view);
         let view = self.view.get();
         self.dispatcher.engines.apply_view(&view);
         self.dispatcher.zone_drain_rules.log_unknown_zones(&view);
--- a/crates/gateway/src/edge/parts.rs
+++ b/crates/gateway/src/edge/parts.rs
@@ -146,6 +146,7 @@
             service_balancer: Default::default(),
             policy: settings.policy,
             routes: Mutex::default(),
+            applying_view: Mutex::default(),
             stop: OnceLock::new(),
             pending_work,
         })
--- a/crates/gateway/src/edge/stream_origins.rs
+++ b/crates/gateway/src/edge/stream_origins.rs
@@ -125,7 +125,7 @@
         let recorded = if let OriginRecord::Found(origin) = record { Some(origin) } else { None };
         let decision = ResumeVersion::decide(recorded, only.as_ref().ok().map(|only| only.origin));
         let (outcome, found) = match decision {
-            ResumeVersion::Recorded(origin) => match self.service_of_origin(call, origin) {
+            ResumeVersion::Recorded(origin) => match self.find_service_of_origin(call, origin, deadline).await {
                 Some(service) => ("recorded", Ok(ResumedOrigin { service, origin })),
                 None => ("gone", Err(Refusal::StreamVersionGone)),
             },
@@ -193,6 +193,26 @@
         }
     }
 
+    /// Like [`Self::service_of_origin`], but lets the store confirm the list of engines before an origin counts as gone:
+    /// this gateway may not have heard of a version that has just come.
+    async fn find_service_of_origin(&self, call: &Call, origin: StreamOrigin, deadline: Instant) -> Option<String> {
+        if let Some(service) = self.service_of_origin(call, origin) {
+            return Some(service);
+        }
+        if !self.confirm_engine_list(call, deadline).await {
+            return None;
+        }
+        self.apply_view();
+        self.service_of_origin(call, origin)
+    }
+
+    /// Lets the store confirm that this gateway's list of engines is newer than the call. Returns false if the store
+    /// does not answer.
+    async fn confirm_engine_list(&self, call: &Call, deadline: Instant) -> bool {
+        let confirmation = self.engine_list_confirmation.confirm_as_of(call.arrived_at);
+        matches!(tokio::time::timeout_at(deadline.into(), confirmation).await, Ok(Ok(())))
+    }
+
     /// The service of the call's route that has an engine of this origin. Engines that get no new requests count, so
     /// that a refusal can tell a version that leaves from a route that has moved.
     fn service_of_origin(&self, call: &Call, origin: StreamOrigin) -> Option<String> {
@@ -222,9 +242,7 @@
             None if !self.view.misses_software_versions() => return Err(NoOnlyOrigin::SeveralVersions),
             Some(_) | None => {}
         }
-        let confirmation = self.engine_list_confirmation.confirm_as_of(call.arrived_at);
-        let confirmed = tokio::time::timeout_at(deadline.into(), confirmation).await;
-        if !matches!(confirmed, Ok(Ok(()))) {
+        if !self.confirm_engine_list(call, deadline).await {
             return Err(NoOnlyOrigin::NotConfirmed);
         }
         let only = self.view.only_version(&backend.service).ok_or(NoOnlyOrigin::SeveralVersions)?;
--- a/crates/gateway/tests/stream_version_tests.rs
+++ b/crates/gateway/tests/stream_version_tests.rs
@@ -6,6 +6,7 @@
 use foxnotch_gateway::ports::configuration::{Backend, Configuration, EngineEntry, Route, RouteKind};
 use foxnotch_gateway::ports::store::{Kind, ObjectBody};
 use foxnotch_scheduler::version_history::MAX_LIST_GAP;
+use foxnotch_turns::stream_origin::{origin_entry, StreamOrigin};
 use rstest::rstest;
 use std::time::{Duration, Instant};
 use support::cluster::Cluster;
@@ -408,6 +409,22 @@
     settled.assert_refused().await;
 }
 
+/// Another gateway has begun a stream at a version that has just come, and stored its record. Guards against a gateway
+/// that refuses the stream because its own list does not have the version yet.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_goes_on_at_a_version_that_its_gateway_has_not_heard_of() {
+    let mut settled = SettledGateway::start(169).await;
+    settled.store.silence_watches_of_this_node();
+    settled.deployment.add_engine(ROUTE, "v2").await;
+    let entry = origin_entry("", "b0", 7, StreamOrigin::new(ROUTE, "v2"), Duration::from_secs(60));
+    let turns = &settled.deployment.cluster.turn_client;
+    turns.write_entry(&entry, Instant::now() + STORE_TIME).await.expect("the replicas store the record");
+    settled.deployment.let_streams_end();
+    let answer = resume_stream(&settled.gateway, "b0", "r0").await;
+    assert_eq!((answer.status, answer.is_whole), (200, true), "{answer:?}");
+    assert_eq!(settled.deployment.origin_of("r0"), Some((ROUTE, "v2")));
+}
+
 /// What else fails while one version serves and the store answers.
 #[rstest]
 #[case::nothing(165, &[], false)]
