Replace partial entries of engines by whole ones of the same revision

While a fleet is upgraded, an engine's version stays unknown, so streams that could go on there are refused, and a cold engine counts as warm, until the next change of the list.

Cause: nodes of older builds leave out version, start time and cold time. The whole entry of the same revision, from the store or a node of this build, filled in the version alone, and only for equal start times: one that was left out counted as another start. Unknown was never replaced.

Evidence: the_whole_entry_of_the_same_revision_replaces_an_older_nodes_ partial_one, 2 of 2 cases red on the code before.

Why this works: lists of one revision describe one state of the store, so an entry of that revision describes the same start. The history of versions takes what it tells for the engine that was listed.

--- a/crates/gateway/src/peers/engine_list.rs
+++ b/crates/gateway/src/peers/engine_list.rs
@@ -6,8 +6,9 @@
 //! between two revisions names every engine that was written in that span, even if the engine's content did not change.
 //! So it may be applied to a list of any revision in that span.
 //!
-//! Nodes of older builds drop the software versions of engines. A version that is missing is filled in from what else
-//! is known of the same start of the engine, also when the revision is not newer.
+//! Nodes of older builds drop fields of engines' entries, the software version always. An entry without a version is
+//! replaced by the whole one of the same revision. From other revisions, only its version is filled in, if they describe
+//! the same start of the engine.
 
 use crate::ports::configuration::EngineEntry;
 use serde::{Deserialize, Serialize};
@@ -71,6 +72,19 @@
     engine.software_version.is_some()
 }
 
+/// Replaces an entry that came from a node of an older build by the whole entry of the same revision, which describes
+/// the same start of the engine: the start's time and the time for which the engine stays cold may be missing too.
+/// Returns whether it did.
+fn replace_partial_entry(engine: &mut EngineEntry, entries: &[EngineEntry]) -> bool {
+    if engine.software_version.is_some() {
+        return false;
+    }
+    let is_whole = |entry: &&EngineEntry| entry.id == engine.id && entry.software_version.is_some();
+    let Some(whole) = entries.iter().find(is_whole) else { return false };
+    *engine = whole.clone();
+    true
+}
+
 /// The outcome of applying changes to a list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ApplyOutcome {
@@ -103,24 +117,25 @@
         &self.engines
     }
 
-    /// Fills in the software versions that are missing in this list from `entries`. Returns whether it changed the
-    /// list.
-    fn fill_in_versions(&mut self, entries: &[EngineEntry]) -> bool {
+    /// Completes the entries of this list that came from nodes of older builds by `entries` of the same revision or an
+    /// older one. Returns whether it changed the list.
+    fn complete_entries(&mut self, revision: u64, entries: &[EngineEntry]) -> bool {
         if !misses_software_versions(&self.engines) {
             return false;
         }
+        let complete = if revision == self.revision { replace_partial_entry } else { fill_in_version };
         let mut is_changed = false;
         for engine in Arc::make_mut(&mut self.engines) {
-            is_changed |= fill_in_version(engine, entries);
+            is_changed |= complete(engine, entries);
         }
         is_changed
     }
 
-    /// Replaces the list by a newer one. If `revision` is not newer, only fills in software versions that are missing.
-    /// Returns whether the list was replaced or versions were filled in.
+    /// Replaces the list by a newer one. If `revision` is not newer, only completes entries that came from nodes of
+    /// older builds. Returns whether the list was replaced or entries were completed.
     pub fn replace(&mut self, revision: u64, mut engines: Vec<EngineEntry>) -> bool {
         if revision <= self.revision {
-            return self.fill_in_versions(&engines);
+            return self.complete_entries(revision, &engines);
         }
         for engine in &mut engines {
             fill_in_version(engine, &self.engines);
@@ -135,8 +150,8 @@
     /// Applies all changes after `since`, up to and including `revision`.
     pub fn apply_changes(&mut self, since: u64, revision: u64, changes: EngineChanges) -> ApplyOutcome {
         if revision <= self.revision {
-            let is_filled_in = self.fill_in_versions(&changes.changed);
-            return if is_filled_in { ApplyOutcome::VersionsFilledIn } else { ApplyOutcome::AlreadyKnown };
+            let is_completed = self.complete_entries(revision, &changes.changed);
+            return if is_completed { ApplyOutcome::VersionsFilledIn } else { ApplyOutcome::AlreadyKnown };
         }
         if self.revision < since || self.revision == 0 {
             return ApplyOutcome::Gap;
--- a/crates/gateway/src/peers/view.rs
+++ b/crates/gateway/src/peers/view.rs
@@ -2,8 +2,8 @@
 //!
 //! Invariant: each part is only replaced by one of a higher revision, whatever its source. So no part returns to an
 //! older state while the process runs. There are two exceptions for what came from nodes of older builds: a partial
-//! configuration is replaced by the whole one of the same revision, and missing software versions of engines are filled
-//! in.
+//! configuration is replaced by the whole one of the same revision, and so are engines' entries without a software
+//! version.
 //!
 //! A configuration that was read from replicas' disks is marked as [`UnconfirmedConfiguration`] until the platform's
 //! store has confirmed it: it is used to serve requests, but not to deny any.
@@ -313,7 +313,7 @@
         }
     }
 
-    /// Adopts a list of engines if it is newer, or fills in software versions that are missing. Returns whether the
+    /// Adopts a list of engines if it is newer, or completes entries that came from nodes of older builds. Returns whether the
     /// list differs from the one before.
     pub fn adopt_engines(&self, revision: u64, engines: Vec<EngineEntry>, origin: Origin) -> bool {
         let adopted = {
@@ -321,9 +321,8 @@
             let (before, revision_before) = (state.engines.engines().clone(), state.engines.revision());
             let is_replaced = state.engines.replace(revision, engines);
             if is_replaced {
-                // At the same revision only versions were filled in.
                 let is_same_revision = state.engines.revision() == revision_before;
-                let continuity = if is_same_revision { Continuity::AllChanges } else { Continuity::ResultOnly };
+                let continuity = if is_same_revision { Continuity::SameRevision } else { Continuity::ResultOnly };
                 state.copy_engines_into_view(continuity);
             }
             is_replaced && before != *state.engines.engines()
@@ -351,9 +350,8 @@
                 ApplyOutcome::Applied if origin != Origin::Store => {
                     state.copy_engines_into_view(Continuity::ResultOnly);
                 }
-                ApplyOutcome::Applied | ApplyOutcome::VersionsFilledIn => {
-                    state.copy_engines_into_view(Continuity::AllChanges);
-                }
+                ApplyOutcome::Applied => state.copy_engines_into_view(Continuity::AllChanges),
+                ApplyOutcome::VersionsFilledIn => state.copy_engines_into_view(Continuity::SameRevision),
                 ApplyOutcome::AlreadyKnown | ApplyOutcome::Gap => {}
             }
             applied
--- a/crates/gateway/tests/engine_list_tests.rs
+++ b/crates/gateway/tests/engine_list_tests.rs
@@ -6,6 +6,7 @@
 use foxnotch_gateway::ports::configuration::EngineEntry;
 use foxnotch_wire::ViewUpdate;
 use proptest::prelude::*;
+use rstest::rstest;
 use std::collections::BTreeMap;
 
 fn engine(id: usize, slots: u32) -> EngineEntry {
@@ -207,6 +208,29 @@
     assert_eq!(versions(&list), [Some("v1"), Some("v2")]);
 }
 
+/// A node of an older build also leaves out when an engine started and how long it stays cold. Guards against a list
+/// that keeps such an entry until the next change, although the store sends the whole one at the same revision.
+#[rstest]
+#[case::by_the_list(true)]
+#[case::by_changes(false)]
+fn the_whole_entry_of_the_same_revision_replaces_an_older_nodes_partial_one(#[case] by_list: bool) {
+    let whole = EngineEntry { started_at_ms: Some(1000), cold_left_ms: 3000, ..with_version(engine(0, 4), Some("v1")) };
+    let partial = EngineEntry { started_at_ms: None, cold_left_ms: 0, software_version: None, ..whole.clone() };
+    let mut list = EngineList::default();
+    assert!(list.replace(10, vec![partial.clone()]));
+    // An older revision may describe another start of the engine.
+    let changes = |entry: &EngineEntry| EngineChanges { changed: vec![entry.clone()], gone: Vec::new() };
+    assert_eq!(list.apply_changes(8, 9, changes(&whole)), ApplyOutcome::AlreadyKnown);
+    assert_eq!(list.engines()[0], partial);
+    if by_list {
+        assert!(list.replace(10, vec![whole.clone()]));
+    } else {
+        assert_eq!(list.apply_changes(9, 10, changes(&whole)), ApplyOutcome::VersionsFilledIn);
+    }
+    assert_eq!(list.engines()[0], whole);
+    assert!(!list.replace(10, vec![partial]));
+}
+
 #[test]
 fn a_software_version_is_not_filled_in_from_another_start_of_the_engine() {
     let first = EngineEntry { started_at_ms: Some(1000), ..with_version(engine(0, 4), Some("v1")) };
--- a/crates/scheduler/src/version_history.rs
+++ b/crates/scheduler/src/version_history.rs
@@ -49,6 +49,8 @@
 /// Whether a list follows from the one before without a gap.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Continuity {
+    /// The list is the one before, with facts about its engines that were unknown.
+    SameRevision,
     /// All changes since the list before are known, also those that later ones have undone.
     AllChanges,
     /// Only the resulting list is known.
@@ -82,11 +84,14 @@
             self.gapless_since = Some(now);
         }
         let previous = std::mem::replace(&mut self.listed, engines);
-        let versions: HashMap<&EngineStart, &Option<String>> =
-            self.listed.iter().map(|engine| (&engine.start, &engine.version)).collect();
+        let listed: HashMap<&str, &ListedEngine> =
+            self.listed.iter().map(|engine| (engine.start.id.as_str(), engine)).collect();
         for engine in previous {
             // The list may tell the version of an engine whose version was unknown.
-            let version = engine.version.or_else(|| versions.get(&engine.start).copied().cloned().flatten());
+            let is_same_start =
+                |other: &&&ListedEngine| continuity == Continuity::SameRevision || other.start == engine.start;
+            let same = listed.get(engine.start.id.as_str()).filter(is_same_start);
+            let version = engine.version.or_else(|| same?.version.clone());
             self.earlier.entry(engine.service).or_default().insert(version, now);
         }
         for engine in &self.listed {
--- a/crates/scheduler/tests/version_history_tests.rs
+++ b/crates/scheduler/tests/version_history_tests.rs
@@ -108,6 +108,19 @@
     assert_eq!(gateway.known_for(), SECOND);
 }
 
+/// The whole entry of the same revision tells the start's time as well, and describes the same start.
+#[test]
+fn an_engine_whose_start_and_version_become_known_counts_with_that_version() {
+    let mut gateway = Gateway::new();
+    gateway.get_list(&[("a", Some("v1")), ("b", None)], Continuity::AllChanges);
+    gateway.wait(SECOND);
+    let mut whole = engine("b", Some("v1"));
+    whole.start.started_at_ms = Some(1000);
+    let list = vec![engine("a", Some("v1")), whole];
+    gateway.history.add_list(list, Continuity::SameRevision, gateway.now);
+    assert_eq!(gateway.known_for(), SECOND);
+}
+
 /// Whether the version is known since the start after a second list.
 #[rstest]
 #[case::all_changes_are_known(Continuity::AllChanges, None, true)]
