Forget an engine's version while its latest entry does not state it

A stream could go on at an engine that had started again under its identifier with other software, while nodes of older builds passed on its entry.

Cause: such an entry has neither version nor start time. The list of engines leaves the version unknown then; the table of engines kept the one that it had stored: unknown taken for equal.

Evidence: an_engine_has_no_known_version_while_its_entry_states_none, red on the code before.

Why this works: no stream is resumed at an engine of unknown version, and a call for whose version no engine is known lets the store confirm the list first, which brings the whole entry.

--- a/crates/gateway/src/engines/engine.rs
+++ b/crates/gateway/src/engines/engine.rs
@@ -51,6 +51,8 @@
     started_at_ms: OnceLock<u64>,
     /// The version of the engine's software; unset until one of its entries states it.
     software_version: OnceLock<String>,
+    /// Whether the engine's latest entry states the version. An entry that does not may describe another start.
+    is_version_stated: AtomicBool,
     in_flight_requests: AtomicU32,
     draining: AtomicBool,
     /// Whether another engine now has this engine's address.
@@ -71,6 +73,7 @@
         let draining = AtomicBool::new(entry.draining);
         let number = engine_number(&entry.id);
         let started_at_ms = entry.started_at_ms.map_or_else(OnceLock::new, OnceLock::from);
+        let is_version_stated = AtomicBool::new(entry.software_version.is_some());
         let software_version = entry.software_version.clone().map_or_else(OnceLock::new, OnceLock::from);
         Some(Self {
             entry,
@@ -80,6 +83,7 @@
             reachability: EngineReachability::new(),
             started_at_ms,
             software_version,
+            is_version_stated,
             in_flight_requests: AtomicU32::new(0),
             draining,
             replaced: AtomicBool::new(false),
@@ -97,10 +101,9 @@
         // The start time and the version may be missing from the first entry or from a later one.
         let is_other_start =
             self.started_at_ms.get().zip(other.started_at_ms).is_some_and(|(known, listed)| *known != listed);
-        let is_other_version = self
-            .software_version()
-            .zip(other.software_version.as_deref())
-            .is_some_and(|(known, listed)| known != listed);
+        let known_version = self.software_version.get().map(String::as_str);
+        let is_other_version =
+            known_version.zip(other.software_version.as_deref()).is_some_and(|(known, listed)| known != listed);
         own.id == other.id && own.address == other.address && !is_other_start && !is_other_version
     }
 
@@ -111,16 +114,19 @@
         }
     }
 
-    /// Stores the version of the engine's software, unless it is `None` or a version is already stored.
-    pub fn set_software_version_if_unset(&self, software_version: Option<&str>) {
+    /// Applies the version of the engine's software in its latest entry, `None` if the entry does not state it. Stores
+    /// the version unless one is already stored.
+    pub fn apply_stated_software_version(&self, software_version: Option<&str>) {
         if let Some(version) = software_version {
             self.software_version.get_or_init(|| version.to_owned());
         }
+        self.is_version_stated.store(software_version.is_some(), Ordering::Relaxed);
     }
 
     /// The version of the engine's software, empty if the engine states none; `None` while it is unknown.
     pub fn software_version(&self) -> Option<&str> {
-        self.software_version.get().map(String::as_str)
+        let version = self.software_version.get().map(String::as_str);
+        version.filter(|_| self.is_version_stated.load(Ordering::Relaxed))
     }
 
     /// The origin of the streams that the engine begins; `None` while the version of its software is unknown.
--- a/crates/gateway/src/engines/table.rs
+++ b/crates/gateway/src/engines/table.rs
@@ -89,7 +89,7 @@
             };
             engine.set_draining(entry.draining);
             engine.set_start_time_if_unset(entry.started_at_ms);
-            engine.set_software_version_if_unset(entry.software_version.as_deref());
+            engine.apply_stated_software_version(entry.software_version.as_deref());
             engine.warmth.apply_reported_cold_time(
                 &entry.id,
                 entry.cold_left_ms,
--- a/crates/gateway/tests/stream_version_tests.rs
+++ b/crates/gateway/tests/stream_version_tests.rs
@@ -3,16 +3,20 @@
 
 mod support;
 
+use foxnotch_gateway::engines::table::EngineTable;
+use foxnotch_gateway::peers::view::{Versioned, View};
 use foxnotch_gateway::ports::configuration::{Backend, Configuration, EngineEntry, Route, RouteKind};
 use foxnotch_gateway::ports::store::{Kind, ObjectBody};
 use foxnotch_scheduler::version_history::MAX_LIST_GAP;
 use foxnotch_turns::stream_origin::{origin_entry, StreamOrigin};
 use rstest::rstest;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use support::cluster::Cluster;
 use support::engine::{Behaviour, StubEngine};
 use support::gateway::{configuration, route, Answer, RunningGateway};
 use support::store::StubStore;
+use support::view_samples;
 
 /// The route of the tests, and its service.
 const ROUTE: &str = "draft";
@@ -466,3 +470,20 @@
     let calls = settled.deployment.cluster.store.call_count() - calls_before;
     assert!(calls < 20, "{calls} calls to the store for 40 streams");
 }
+
+/// A node of an older build sends an entry without version and start time, which may describe a new start of the engine
+/// with other software. Guards against a gateway that takes the version of the start before for its version.
+#[test]
+fn an_engine_has_no_known_version_while_its_entry_states_none() {
+    let whole = EngineEntry { started_at_ms: Some(1000), ..view_samples::engine("e1") };
+    let whole = EngineEntry { software_version: Some("v1".to_owned()), ..whole };
+    let partial = EngineEntry { started_at_ms: None, software_version: None, ..whole.clone() };
+    let table = EngineTable::default();
+    let origin_after = |entry: &EngineEntry| {
+        let engines = Versioned { revision: 1, value: Arc::new(vec![entry.clone()]) };
+        table.apply_view(&View { engines, ..View::default() });
+        table.all_engines()[0].stream_origin()
+    };
+    let origin = Some(StreamOrigin::new(&whole.service, "v1"));
+    assert_eq!([&whole, &partial, &whole].map(origin_after), [origin, None, origin]);
+}
