--- a/crates/gateway/tests/support/older_node.rs
+++ b/crates/gateway/tests/support/older_node.rs
@@ -9,7 +9,7 @@
     StoreUpdate,
 };
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, SocketAddrV4};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -80,7 +80,12 @@
     /// Starts a node that answers a request of each listed kind with these bytes, and any other request with the
     /// fixture `not_served`.
     pub async fn start_with(answers: BTreeMap<u8, Vec<u8>>) -> Self {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port is free");
+        Self::start_at(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0), answers).await
+    }
+
+    /// Like [`OlderNode::start_with`], at this address; port 0 stands for any free port.
+    pub async fn start_at(address: SocketAddrV4, answers: BTreeMap<u8, Vec<u8>>) -> Self {
+        let listener = TcpListener::bind(address).await.expect("the address is free");
         let address = listener.local_addr().expect("the listener is bound");
         let received = Arc::new(Mutex::new(Vec::new()));
         let log = received.clone();
@@ -120,6 +125,17 @@
 impl OlderGateway {
     /// Starts a gateway at `address` that probes `nodes`.
     pub async fn start(node: NodeId, address: SocketAddrV4, nodes: Vec<SocketAddr>) -> Self {
+        Self::start_with_engines(node, address, nodes, 0).await
+    }
+
+    /// Like [`OlderGateway::start`], with a list of engines of this revision, which an [`OlderNode`] at the same address
+    /// has to send to nodes that ask for it.
+    pub async fn start_with_engines(
+        node: NodeId,
+        address: SocketAddrV4,
+        nodes: Vec<SocketAddr>,
+        engines_revision: u64,
+    ) -> Self {
         let socket = UdpSocket::bind(address).await.expect("the address is free");
         let task = tokio::spawn(async move {
             for incarnation in 1.. {
@@ -135,7 +151,7 @@
                 let probe = Message::Ping(Ping { sequence: incarnation as u32, updates: vec![own] });
                 let update = Message::StoreUpdate(StoreUpdate {
                     configuration_revision: 0,
-                    engines_revision: 0,
+                    engines_revision,
                     retirements_revision: ShortRevision::of(0),
                     zone_drains_revision: ShortRevision::of(0),
                     contact_age_ms: 0,
--- a/crates/gateway/tests/upgrade_peer_tests.rs
+++ b/crates/gateway/tests/upgrade_peer_tests.rs
@@ -11,7 +11,7 @@
 
 use foxnotch_gateway::peers::rpc_client::RpcClient;
 use foxnotch_gateway::peers::view::{Origin, ViewHolder};
-use foxnotch_gateway::peers::view_codec::decode_view_part;
+use foxnotch_gateway::peers::view_codec::{decode_view_part, encode_view_part};
 use foxnotch_gateway::peers::view_exchange;
 use foxnotch_gateway::ports::configuration::EngineEntry;
 use foxnotch_gateway::ports::store::{Kind, ObjectBody};
@@ -28,7 +28,7 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
-use support::cluster::Cluster;
+use support::cluster::{eventually, Cluster};
 use support::engine::{Behaviour, StubEngine};
 use support::fixtures::encoded_view_part;
 use support::gateway::{configuration, put_engine_entry, RunningGateway};
@@ -292,6 +292,61 @@
     wait_until_store_watched_stays(&cluster, 0).await;
 }
 
+/// Gateways of an older build began streams and recorded none of them. Their list of engines, which lacks the software
+/// version of an engine that has just come, reaches the gateway at which the streams are resumed. Guards against
+/// refusing all of these streams on the day of an upgrade, although one version serves.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_of_older_gateways_go_on_while_one_version_serves() {
+    let cluster = Cluster::start(152, 3).await;
+    let ObjectBody::Configuration(mut in_store) = configuration(1) else {
+        panic!("configuration() returned an object of another kind")
+    };
+    let route = in_store.routes.iter_mut().find(|route| route.name == "draft").expect("the route exists");
+    (route.resumable, route.timeout_ms) = (true, 1500);
+    cluster.store.put(Kind::Configuration, "main", ObjectBody::Configuration(in_store));
+    let engine = StubEngine::start(Behaviour::Stream(vec!["id: 2\ndata: two\n\n"])).await;
+    let entry = |id: &str, software_version| EngineEntry {
+        service: "draft".to_owned(),
+        address: engine.address.to_string(),
+        draining: false,
+        started_at_ms: None,
+        cold_left_ms: 0,
+        software_version,
+        ..view_samples::engine(id)
+    };
+    let put = |id: &str| cluster.store.put(Kind::Engines, id, ObjectBody::Engine(entry(id, Some("v1".to_owned()))));
+    put("e1");
+    let store = cluster.store.clone_for_one_node();
+    let gateway = RunningGateway::start_customized(&cluster, GATEWAY, store.clone(), |settings| {
+        settings.times.zone_drain_ms = None;
+    })
+    .await;
+    gateway.wait_ready().await;
+    tokio::time::sleep(Duration::from_millis(3500)).await;
+    // From now on, the gateway hears of changes from the older gateway alone.
+    store.silence_watches_of_this_node();
+    let revision = put("e2");
+    let partial = ViewUpdate {
+        engines_revision: revision,
+        engines: encode_view_part(&[entry("e1", None), entry("e2", None)]),
+        ..ViewUpdate::default()
+    };
+    let answer = encode_rpc_in_version(ProtocolVersion::Seven, NodeId(8), 0, RpcBody::View(partial))
+        .expect("the message can be encoded");
+    let address = SocketAddrV4::new(cluster.ip(8), 7380);
+    let node = OlderNode::start_at(address, BTreeMap::from([(PULL_VIEW, answer)])).await;
+    let nodes = vec![cluster.peer_address(GATEWAY)];
+    let _older = OlderGateway::start_with_engines(NodeId(8), address, nodes, revision).await;
+    eventually("the gateway has asked the older node for its list", || !node.received(PULL_VIEW).is_empty()).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    for number in 0..16 {
+        let headers =
+            format!("t-attempt: r{number}\r\nt-deadline: 1400\r\nt-resumes: unrecorded{number}\r\nt-last-event: 1\r\n");
+        let answer = gateway.send("POST /draft/", &headers, "in").await;
+        assert_eq!((answer.status, answer.is_whole), (200, true), "{answer:?}");
+    }
+}
+
 /// Starts two gateways of version 7 that watch the store for the other nodes.
 async fn start_older_watchers(cluster: &Cluster) -> Vec<OlderGateway> {
     let mut older = Vec::new();
