--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -11,6 +11,7 @@
 use foxnotch_scheduler::residency::Residency;
 use foxnotch_scheduler::retry::RepeatLimit;
 use foxnotch_scheduler::tenants::Tenant;
+use foxnotch_turns::identity::{request_key, RequestKey};
 use foxnotch_turns::stream_origin::StreamOrigin;
 use foxnotch_wire::RunLocation;
 use http::{header, HeaderMap, Request};
@@ -69,6 +70,8 @@
     pub head: http::request::Parts,
     /// The body that the caller sent.
     pub input: Bytes,
+    /// Identifies the request across its attempts.
+    pub request_key: RequestKey,
 }
 
 impl Call {
@@ -85,7 +88,6 @@
         let timeout_ms = metadata.deadline_ms.map_or(route.timeout_ms, |deadline| deadline.min(route.timeout_ms));
         let expires_at = arrived_at + Duration::from_millis(timeout_ms);
         Self {
-            metadata,
             tenant: None,
             configuration_version: 0,
             stage: program_stage::PLAIN_REQUEST_STAGE,
@@ -97,6 +99,8 @@
             required_origin: None,
             arrived_at,
             expires_at,
+            request_key: request_key_of("", &metadata, &head, &input),
+            metadata,
             head,
             input,
         }
@@ -109,7 +113,9 @@
             Some(tenant) => self.route.residency.intersection(&tenant.residency),
             None => self.residency,
         };
-        Self { tenant, configuration_version, residency, ..self }
+        let tenant_name = tenant.as_ref().map_or("", |tenant| &tenant.name);
+        let request_key = request_key_of(tenant_name, &self.metadata, &self.head, &self.input);
+        Self { tenant, configuration_version, residency, request_key, ..self }
     }
 
     /// The name of the call's tenant; empty when the call has none.
@@ -208,6 +214,16 @@
     }
 }
 
+/// The key of a request. Attempts to resume a stream have the key of the request that began it.
+fn request_key_of(tenant: &str, metadata: &CallMetadata, head: &http::request::Parts, input: &[u8]) -> RequestKey {
+    let host = head.headers.get(header::HOST).map_or(&[][..], http::HeaderValue::as_bytes);
+    let target = head.uri.path_and_query().map_or(head.uri.path(), http::uri::PathAndQuery::as_str);
+    let parts = [tenant.as_bytes(), head.method.as_str().as_bytes(), host, target.as_bytes()];
+    let names = [&metadata.program, &metadata.session, &metadata.previous]
+        .map(|name| name.as_deref().unwrap_or_default().as_bytes());
+    request_key(parts.into_iter().chain(names).chain([input]))
+}
+
 /// Removes hop-by-hop headers, including those that the `Connection` header names.
 pub fn remove_connection_headers(headers: &mut HeaderMap) {
     let named: Vec<String> = headers
--- a/crates/gateway/src/edge/send_log.rs
+++ b/crates/gateway/src/edge/send_log.rs
@@ -83,6 +83,7 @@
 /// - `engines`: the revision of the list of engines
 /// - `version`: the version of the engine's software, `-` if unknown
 /// - `resumes`: the attempt that brought the first event of the stream that the call resumes, `-` if it resumes none
+/// - `request`: the same for all attempts of a request
 fn log_engine_choice(view: &View, call: &Call, choice: &Choice) {
     let metadata = &call.metadata;
     let Choice { engine, candidates, missing_tokens, in_flight_requests, prices, .. } = choice;
@@ -92,7 +93,8 @@
         target: part::ENGINE,
         "Call {} sent: program={} tenant={} route={} engine={} number={} before={previous_engine} avoided={} \
          of={candidates} own={} all={in_flight_requests:.0} missing={missing_tokens:.0}/{} token_ms={token_ms:.4} \
-         request_ms={request_ms:.2} left={:?} configuration={} engines={} version={} resumes={}.",
+         request_ms={request_ms:.2} left={:?} configuration={} engines={} version={} resumes={} \
+         request={}.",
         metadata.attempt,
         metadata.program.as_deref().unwrap_or("-"),
         call.tenant_name(),
@@ -107,5 +109,6 @@
         view.engines.revision,
         engine.software_version().unwrap_or("-"),
         metadata.resumes.as_deref().unwrap_or("-"),
+        call.request_key,
     );
 }
--- a/crates/turns/src/identity.rs
+++ b/crates/turns/src/identity.rs
@@ -1,7 +1,7 @@
 //! Derives fixed-size identifiers from names by hashing.
 
 use foxnotch_wire::{NodeId, ProgramKey, RegionId, TurnId};
-use xxhash_rust::xxh3::{xxh3_128, xxh3_64};
+use xxhash_rust::xxh3::{xxh3_128, xxh3_64, Xxh3};
 
 /// Prefixes a name with its tenant, unless `tenant` is empty. The separator is a byte that tenant names do not contain.
 fn qualified_name(tenant: &str, name: &str) -> String {
@@ -27,6 +27,27 @@
     ProgramKey(xxh3_64(qualified_name(tenant, name).as_bytes()))
 }
 
+/// Identifies a request across its attempts, which have different identifiers: a hash of what the caller asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct RequestKey(u64);
+
+impl std::fmt::Display for RequestKey {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
+
+/// The key of the request that consists of these parts, in this order. All attempts of a request have the same parts.
+pub fn request_key<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> RequestKey {
+    let mut hasher = Xxh3::new();
+    for part in parts {
+        // The length keeps neighbouring parts apart.
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    RequestKey(hasher.digest())
+}
+
 /// The identifier of the node with this name; never 0. The probability that any two of 500 names collide is 1 in
 /// 34,000.
 pub fn node_id(name: &str) -> NodeId {
