Test, failing: a request is not sent on after three engines have ended under it

The stub engine can end its process under a marked request. Plain requests, turns and resumed streams, tried at the same gateway, another, one that started anew, and after a loss of all power with a lost disk.

--- /dev/null
+++ b/crates/gateway/tests/ended_engine_tests.rs
@@ -0,0 +1,177 @@
+//! A request under which engines end is not sent to further engines, over tries, gateways, restarts and lost disks.
+
+mod support;
+
+use foxnotch_gateway::ports::configuration::{Configuration, Route, RouteKind};
+use foxnotch_gateway::ports::store::{Kind, ObjectBody};
+use rstest::rstest;
+use std::time::Duration;
+use support::cluster::Cluster;
+use support::engine::{Behaviour, StubEngine};
+use support::gateway::{configuration, put_engine_entry, route, Answer, RunningGateway};
+
+/// Number of engines that may end under one request.
+const MAX_ENDED_ENGINES: usize = 3;
+/// Number of engines of the service.
+const ENGINES: usize = 9;
+/// Number of tries of the caller.
+const TRIES: usize = 7;
+/// Text in the body of the request under which engines end.
+const MARKER: &str = "fatal";
+/// Number of the gateway that gets the first try.
+const FIRST_GATEWAY: u8 = 50;
+/// Number of the other gateway.
+const OTHER_GATEWAY: u8 = 51;
+
+/// What happens between two tries of the caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Between {
+    /// The caller tries again at the same gateway.
+    Nothing,
+    /// The caller tries again at the other gateway.
+    OtherGateway,
+    /// The gateway is killed and starts again.
+    GatewayRestart,
+    /// Gateways and replicas are killed and start again; one replica loses its disk.
+    PowerLossWithLostDisk,
+}
+
+/// The kinds of requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Request {
+    /// May run more than once.
+    Repeatable,
+    /// Runs at most once for each try.
+    Unrepeatable,
+    /// A turn that is stored, of a program with a token budget.
+    Turn,
+    /// A stream whose engines end after its first event; later tries resume the stream.
+    ResumedStream,
+}
+
+impl Request {
+    fn route(self) -> &'static str {
+        match self {
+            Self::Repeatable => "read",
+            Self::Unrepeatable => "write",
+            Self::Turn => "turn",
+            Self::ResumedStream => "draft",
+        }
+    }
+
+    /// The events that an engine sends before it ends.
+    fn events(self) -> Vec<&'static str> {
+        match self {
+            Self::ResumedStream => vec!["id: 1\ndata: one\n\n"],
+            Self::Turn => vec!["data: one\n\n"],
+            Self::Repeatable | Self::Unrepeatable => Vec::new(),
+        }
+    }
+
+    fn headers(self, attempt: usize) -> String {
+        let kind = match self {
+            Self::Repeatable | Self::Unrepeatable => "t-program: p\r\n",
+            Self::Turn => "t-program: p\r\nt-budget: 5000\r\nt-most: 100\r\n",
+            Self::ResumedStream if attempt > 0 => "t-resumes: a0\r\nt-last-event: 1\r\n",
+            Self::ResumedStream => "",
+        };
+        format!("t-attempt: a{attempt}\r\nt-deadline: 2500\r\n{kind}")
+    }
+
+    async fn send(self, gateway: &RunningGateway, attempt: usize) -> Answer {
+        gateway.send(&format!("POST /{}/", self.route()), &self.headers(attempt), MARKER).await
+    }
+}
+
+/// A deployment of three replicas, whose engines end under a request with [`MARKER`].
+struct Deployment {
+    cluster: Cluster,
+    engines: Vec<StubEngine>,
+}
+
+impl Deployment {
+    async fn start(net: u8, request: Request) -> Self {
+        let cluster = Cluster::start(net, 3).await;
+        let ObjectBody::Configuration(base) = configuration(1) else {
+            unreachable!("configuration() returned an object of another kind")
+        };
+        let resumable = Route { retain: false, resumable: true, ..route("draft", RouteKind::Streaming, 1) };
+        let routes = base.routes.into_iter().filter(|route| route.name != "draft").chain([resumable]).collect();
+        cluster.store.put(Kind::Configuration, "main", ObjectBody::Configuration(Configuration { routes, ..base }));
+        let mut engines = Vec::new();
+        for number in 0..ENGINES {
+            let engine = StubEngine::start(Behaviour::EndUnder(MARKER, request.events())).await;
+            put_engine_entry(&cluster, &format!("e{number}"), request.route(), engine.address);
+            engines.push(engine);
+        }
+        Self { cluster, engines }
+    }
+
+    async fn start_gateway(&self, number: u8) -> RunningGateway {
+        let gateway = RunningGateway::start_with(&self.cluster, number, self.cluster.store.clone()).await;
+        gateway.wait_ready().await;
+        gateway
+    }
+
+    fn ended_engines(&self) -> usize {
+        self.engines.iter().filter(|engine| engine.has_ended()).count()
+    }
+
+    /// Kills all replicas and starts them again, the last of them with an empty disk.
+    async fn lose_power(&mut self) {
+        (1..=3).for_each(|number| self.cluster.kill(number));
+        self.cluster.wipe(3);
+        (1..=3).for_each(|number| self.cluster.start_replica(number, false));
+        self.cluster.wait_until_complete(3).await;
+    }
+}
+
+/// Callers try the request again and again. At most [`MAX_ENDED_ENGINES`] engines end under it, and the others serve.
+#[rstest]
+#[case(160, Request::Repeatable, Between::Nothing)]
+#[case(161, Request::Repeatable, Between::OtherGateway)]
+#[case(162, Request::Repeatable, Between::GatewayRestart)]
+#[case(163, Request::Repeatable, Between::PowerLossWithLostDisk)]
+#[case(164, Request::Unrepeatable, Between::OtherGateway)]
+#[case(165, Request::Turn, Between::Nothing)]
+#[case(166, Request::Turn, Between::OtherGateway)]
+#[case(167, Request::Turn, Between::GatewayRestart)]
+#[case(168, Request::Turn, Between::PowerLossWithLostDisk)]
+#[case(169, Request::ResumedStream, Between::OtherGateway)]
+#[case(170, Request::ResumedStream, Between::PowerLossWithLostDisk)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_is_not_sent_on_after_three_engines_have_ended_under_it(
+    #[case] net: u8,
+    #[case] request: Request,
+    #[case] between: Between,
+) {
+    let mut deployment = Deployment::start(net, request).await;
+    let mut gateway = deployment.start_gateway(FIRST_GATEWAY).await;
+    let mut other = deployment.start_gateway(OTHER_GATEWAY).await;
+    let mut statuses = Vec::new();
+    for attempt in 0..TRIES {
+        statuses.push(request.send(&gateway, attempt).await.status);
+        match between {
+            Between::Nothing => {}
+            Between::OtherGateway => std::mem::swap(&mut gateway, &mut other),
+            Between::GatewayRestart => {
+                gateway.kill();
+                gateway = deployment.start_gateway(FIRST_GATEWAY).await;
+            }
+            Between::PowerLossWithLostDisk => {
+                gateway.kill();
+                other.kill();
+                deployment.lose_power().await;
+                gateway = deployment.start_gateway(FIRST_GATEWAY).await;
+                other = deployment.start_gateway(OTHER_GATEWAY).await;
+            }
+        }
+    }
+    let ended = deployment.ended_engines();
+    assert!(ended <= MAX_ENDED_ENGINES, "{ended} engines ended under one request; its tries got {statuses:?}");
+    assert!(!statuses.iter().any(|status| [408, 421, 429, 503].contains(status)), "it has run: {statuses:?}");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let headers = "t-attempt: harmless\r\nt-deadline: 2500\r\n";
+    let harmless = gateway.send(&format!("POST /{}/", request.route()), headers, "harmless").await;
+    assert_eq!((harmless.status, harmless.body.as_str()), (200, "done"));
+}
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 /// A request that an engine received.
@@ -31,8 +32,16 @@
             key.eq_ignore_ascii_case(name).then_some(value.trim())
         })
     }
+
+    /// Returns whether the head or the body contains this text.
+    pub fn contains(&self, text: &str) -> bool {
+        self.head.contains(text) || String::from_utf8_lossy(&self.body).contains(text)
+    }
 }
 
+/// Time between the last event of a stream and the end of the engine's process.
+const EVENT_DELIVERY_TIME: Duration = Duration::from_millis(30);
+
 /// How an engine responds to a request.
 #[derive(Clone, Debug)]
 pub enum Behaviour {
@@ -64,6 +73,9 @@
     ExtraBytes,
     /// Never responds.
     Hang,
+    /// Sends these events, then the engine's process ends, if head or body of the request contain the marker. Other
+    /// requests get a response with the body `done`.
+    EndUnder(&'static str, Vec<&'static str>),
 }
 
 /// A running stub engine. Dropping it stops it from accepting connections.
@@ -74,6 +86,7 @@
     behaviour: Arc<Mutex<Behaviour>>,
     closed: Arc<AtomicUsize>,
     connections: Arc<AtomicUsize>,
+    ended: watch::Sender<bool>,
     task: JoinHandle<()>,
 }
 
@@ -97,19 +110,40 @@
         let behaviour = Arc::new(Mutex::new(behaviour));
         let closed = Arc::new(AtomicUsize::new(0));
         let connections = Arc::new(AtomicUsize::new(0));
-        let shared = (received.clone(), behaviour.clone(), closed.clone(), connections.clone());
+        let ended = watch::Sender::new(false);
+        let shared = (received.clone(), behaviour.clone(), closed.clone(), connections.clone(), ended.clone());
         let task = tokio::spawn(async move {
-            let (received, behaviour, closed, connections) = shared;
-            while let Ok((stream, _)) = listener.accept().await {
+            let (received, behaviour, closed, connections, ended) = shared;
+            let mut end = ended.subscribe();
+            loop {
+                let stream = tokio::select! {
+                    accepted = listener.accept() => accepted,
+                    _ = end.wait_for(|ended| *ended) => return,
+                };
+                let Ok((stream, _)) = stream else { return };
                 connections.fetch_add(1, Ordering::SeqCst);
                 let (received, behaviour, closed) = (received.clone(), behaviour.clone(), closed.clone());
+                let (ended, mut end) = (ended.clone(), ended.subscribe());
                 tokio::spawn(async move {
-                    serve(stream, &received, &behaviour).await;
+                    tokio::select! {
+                        () = serve(stream, &received, &behaviour, &ended) => {}
+                        _ = end.wait_for(|ended| *ended) => {}
+                    }
                     closed.fetch_add(1, Ordering::SeqCst);
                 });
             }
         });
-        Self { address, received, behaviour, closed, connections, task }
+        Self { address, received, behaviour, closed, connections, ended, task }
+    }
+
+    /// Ends the engine's process: closes all its connections and its listener.
+    pub fn end(&self) {
+        self.ended.send_replace(true);
+    }
+
+    /// Returns whether the engine's process has ended.
+    pub fn has_ended(&self) -> bool {
+        *self.ended.borrow()
     }
 
     /// Sets how the engine responds to requests from now on.
@@ -133,17 +167,45 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, received: &Mutex<Vec<ReceivedRequest>>, behaviour: &Mutex<Behaviour>) {
+async fn serve(
+    mut stream: TcpStream,
+    received: &Mutex<Vec<ReceivedRequest>>,
+    behaviour: &Mutex<Behaviour>,
+    ended: &watch::Sender<bool>,
+) {
     while let Some(request) = read_request(&mut stream).await {
         let attempt = request.header("t-attempt").unwrap_or_default().to_owned();
-        received.lock().expect("no thread panicked while holding the lock").push(request);
         let behaviour = behaviour.lock().expect("no thread panicked while holding the lock").clone();
+        let behaviour = match behaviour {
+            Behaviour::EndUnder(marker, events) if request.contains(marker) => {
+                received.lock().expect("no thread panicked while holding the lock").push(request);
+                send_events_and_end(&mut stream, &attempt, events, ended).await;
+                return;
+            }
+            Behaviour::EndUnder(..) => Behaviour::Answer("done"),
+            other => other,
+        };
+        received.lock().expect("no thread panicked while holding the lock").push(request);
         if !respond(&mut stream, &attempt, behaviour).await {
             return;
         }
     }
 }
 
+/// Sends the first events of a stream, if there are any, and ends the engine's process.
+async fn send_events_and_end(
+    stream: &mut TcpStream,
+    attempt: &str,
+    events: Vec<&'static str>,
+    ended: &watch::Sender<bool>,
+) {
+    if !events.is_empty() {
+        respond(stream, attempt, Behaviour::BrokenStream(events)).await;
+        tokio::time::sleep(EVENT_DELIVERY_TIME).await;
+    }
+    ended.send_replace(true);
+}
+
 async fn read_request(stream: &mut TcpStream) -> Option<ReceivedRequest> {
     let mut bytes = Vec::new();
     let end = loop {
@@ -213,6 +275,7 @@
             let second = complete_response("200 OK", "t-attempt: other\r\nt-seal: s\r\n", "surplus");
             Bytes::from([first, second].concat())
         }
+        Behaviour::EndUnder(..) => unreachable!("serve() handles this behaviour"),
         Behaviour::Hang => {
             let mut ignored = [0; 1];
             // The read ends when the gateway closes the connection.
