Send a request to no further engine once three have ended under it

What callers saw: a request under which engines end was sent on and on, a try of the caller after the other, at any gateway and after restarts; up to 9 of 9 engines of a service ended under one request.

Cause: nothing counted over tries. A send record lives as long as one try, and a request that is tried again has another identifier. The one thing that was remembered, the engines at which a program's turns failed, sent the next try to an engine that still lived.

Change: a request has a key, a hash of what the caller asks for. When the connection to an engine breaks under it, the gateway stores that on the replicas before it sends again or answers, as an entry that replicas of every build store, and the answer tells all earlier losses. From the second on it tells the other gateways by the same message, which older ones answer with 'not served'. Gateways read the losses of a request only if they know it as a suspect, or have started in the last minute and found no gateway that knows all. After three losses the gateway finds out which engines have ended (no longer listed, refuse connections, another engine at the address) and answers 502 engines_ended; after two the request goes to the engine with the fewest requests.

Not refused: requests whose engines go on running; requests that were served since; requests at a third or fewer of the recent ends that no other suspect explains. Engines that leave as planned do not count.

One assertion of the failing test was wrong: the stub answered streams with no event; it streams one now.

--- a/crates/gateway/src/edge/dispatch.rs
+++ b/crates/gateway/src/edge/dispatch.rs
@@ -4,6 +4,7 @@
 //! sends once. After a send without an answer, [`foxnotch_scheduler::retry`] decides the next step.
 
 use crate::edge::call::Call;
+use crate::edge::engine_losses::EngineLossTracker;
 use crate::edge::refusal::Refusal;
 use crate::edge::send_record::SendRecord;
 use crate::edge::slow_start::ColdPermitClient;
@@ -63,6 +64,8 @@
     pub metrics: Arc<Metrics>,
     /// The rules for drained zones: how long programs may stay there, and which unknown zones were logged.
     pub zone_drain_rules: ZoneDrainRules,
+    /// Knows the engines that were lost under requests.
+    pub losses: Arc<EngineLossTracker>,
     /// Asks replicas for permits to send to cold engines.
     pub cold_permits: ColdPermitClient,
     /// Which optional mechanisms are enabled.
@@ -83,6 +86,7 @@
         sends: &mut SendRecord,
     ) -> Result<EngineAnswer, Refusal> {
         loop {
+            self.check_engine_losses(call, sends).await?;
             let Some(choice) = self.choose_engine(call, body, sends) else {
                 self.check_candidates(call, &self.candidates(call))
                     .map_err(|refusal| refusal_after_sends(refusal, sends))?;
@@ -98,6 +102,9 @@
                 Ok(answer) => return Ok(answer),
                 Err(error) => error,
             };
+            if matches!(error, AttemptError::ConnectionLost(_)) {
+                self.note_engine_loss(call, &engine, sends).await;
+            }
             match sends.note_outcome(&engine, error.outcome(), call.stage, call.repetition_limit()) {
                 NextStep::TryAnother => {}
                 NextStep::Pause => self.pause_before_retry(call, sends).await?,
@@ -109,8 +116,9 @@
 
     /// Chooses the engine of least cost among those that can be reached and are not excluded.
     fn choose_engine(&self, call: &Call, body: &Bytes, sends: &SendRecord) -> Option<Choice> {
-        let candidates = self.reachable_candidates(call);
+        let mut candidates = self.reachable_candidates(call);
         let loads = self.loads_of_other_gateways(&candidates);
+        self.isolate_suspect(&mut candidates, &loads, sends);
         let paths = self.round_trips.paths(candidates.iter().map(|engine| engine.entry.zone.as_str()));
         let placement = Placement {
             prompt: &call.metadata.parts,
--- a/crates/gateway/src/edge/parts.rs
+++ b/crates/gateway/src/edge/parts.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::SteadyClock;
 use crate::edge::dispatch::EngineDispatcher;
+use crate::edge::engine_losses::EngineLossTracker;
 use crate::edge::gateway::Gateway;
 use crate::edge::quotas::QuotaClient;
 use crate::edge::slow_start::ColdPermitClient;
@@ -119,6 +120,12 @@
                 settings.times.zone_drain_limit(),
                 self.members.watcher_role().times(),
             ),
+            losses: Arc::new(EngineLossTracker::new(
+                self.turns.clone(),
+                self.members.clone(),
+                self.client.clone(),
+                settings.first_start,
+            )),
             cold_permits,
             policy: settings.policy,
         }
--- a/crates/gateway/src/edge/peer_answers.rs
+++ b/crates/gateway/src/edge/peer_answers.rs
@@ -1,11 +1,12 @@
 //! Answers RPC requests that other nodes send to a gateway.
 
+use crate::edge::engine_losses::EngineLossTracker;
 use crate::peers::members::Members;
 use crate::peers::replica_client::ReplicaClient;
 use crate::peers::rpc_server::RpcHandler;
 use crate::peers::view::ViewHolder;
 use crate::peers::view_exchange;
-use foxnotch_wire::{NodeId, ReplicaSetUpdate, RpcBody};
+use foxnotch_wire::{NodeId, ReplicaSetUpdate, RpcBody, StoreEntry};
 use futures_util::future::BoxFuture;
 use std::sync::Arc;
 
@@ -14,6 +15,7 @@
     pub(super) members: Arc<Members>,
     pub(super) view: Arc<ViewHolder>,
     pub(super) replicas: Arc<ReplicaClient>,
+    pub(super) losses: Arc<EngineLossTracker>,
 }
 
 impl RpcHandler for GatewayRpcHandler {
@@ -22,6 +24,12 @@
             RpcBody::Relay(relay) => {
                 return Box::pin(async move { self.replicas.answer_relay(&self.view.replica_set(), relay).await });
             }
+            RpcBody::StoreEntry(StoreEntry { entry, .. }) => {
+                self.losses.learn_from_gateway(&entry);
+                // Only replicas store entries, so the answer must not count towards a quorum.
+                RpcBody::NotServed
+            }
+            RpcBody::ReadProgram(request) => self.losses.answer_suspect_list(&request),
             RpcBody::PullMembers(requester) => self.members.answer_member_pull(requester),
             RpcBody::ShowMembers => self.members.list_members(),
             RpcBody::ShowSet => {
--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -53,13 +53,14 @@
         .context("the TCP port peer_port cannot be bound; check that no other process uses it")?;
     let node = NodeParts::build(&settings, platform.store.clone()).await?;
     let gateway = node.build_gateway(&settings, &platform);
-    spawn_rpc_servers(&settings, &node, peer_listener)?;
+    spawn_rpc_servers(&settings, &node, &gateway, peer_listener)?;
     tokio::spawn(log_process_pauses());
     tokio::spawn(node.members.clone().run());
     tokio::spawn(view_loops::apply_view_changes(gateway.clone()));
     let (engines, members, metrics) = (&gateway.dispatcher.engines, &node.members, &node.metrics);
     tokio::spawn(load_exchange::run(engines.clone(), members.clone(), metrics.clone()));
     tokio::spawn(reachability_checks::run(engines.clone(), members.clone(), metrics.clone()));
+    tokio::spawn(gateway.dispatcher.losses.clone().learn_at_start());
     spawn_store_tasks(&node, &gateway);
     tokio::spawn(metrics::serve(settings.metrics_address(), metrics.clone()));
     tokio::spawn(readiness::serve_readiness(readiness_listener, gateway.clone()));
@@ -80,9 +81,15 @@
 
 /// Starts the servers for RPC requests of other nodes: one at the port for nodes, and one at the contact address if the
 /// settings contain a contact address.
-fn spawn_rpc_servers(settings: &ProcessSettings, node: &NodeParts, peer_listener: TcpListener) -> anyhow::Result<()> {
+fn spawn_rpc_servers(
+    settings: &ProcessSettings,
+    node: &NodeParts,
+    gateway: &Gateway,
+    peer_listener: TcpListener,
+) -> anyhow::Result<()> {
     let (members, view, replicas) = (node.members.clone(), node.view.clone(), node.replicas.clone());
-    let answers = Arc::new(GatewayRpcHandler { members, view, replicas });
+    let losses = gateway.dispatcher.losses.clone();
+    let answers = Arc::new(GatewayRpcHandler { members, view, replicas, losses });
     tokio::spawn(rpc_server::serve(peer_listener, node.id, answers.clone()));
     if let Some(address) = settings.contact_address {
         let contact_listener = network::listen(address)
--- a/crates/gateway/src/edge/refusal.rs
+++ b/crates/gateway/src/edge/refusal.rs
@@ -89,6 +89,9 @@
     /// Not run: too little of the request's time was left when it could be sent to an engine.
     #[error("the time was over before an engine had room; ask again with more time")]
     OutOfTime,
+    /// The request may have run: this number of engines ended while they ran it, so it is not sent to another one.
+    #[error("{0} engines ended while they ran this request, so it is sent to no other engine; change the request, or have the engines' logs looked at")]
+    EnginesEnded(usize),
     /// The request may have run: an engine's answer was lost or may not be forwarded, and no other engine answered.
     /// Holds the reason.
     #[error("the answer was lost ({0}); it may have run")]
@@ -125,7 +128,7 @@
             | Self::StreamVersionUnknown
             | Self::StreamVersionGone
             | Self::OutOfTime => StatusCode::SERVICE_UNAVAILABLE,
-            Self::MayHaveRun(_) => StatusCode::BAD_GATEWAY,
+            Self::EnginesEnded(_) | Self::MayHaveRun(_) => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -166,6 +169,7 @@
             Self::StreamVersionUnknown => RefusalKind::StreamVersionUnknown,
             Self::StreamVersionGone => RefusalKind::StreamVersionGone,
             Self::OutOfTime => RefusalKind::OutOfTime,
+            Self::EnginesEnded(_) => RefusalKind::EnginesEnded,
             Self::MayHaveRun(_) => RefusalKind::MayHaveRun,
             Self::TimedOut => RefusalKind::TimedOut,
         }
--- a/crates/gateway/src/edge/send_record.rs
+++ b/crates/gateway/src/edge/send_record.rs
@@ -4,6 +4,7 @@
 use crate::engines::selector::Choice;
 use foxnotch_scheduler::quota::ProgramStage;
 use foxnotch_scheduler::retry::{NextStep, PauseDecision, RepeatLimit, SendCounts, SendOutcome};
+use foxnotch_turns::engine_losses::EngineLosses;
 use std::time::Duration;
 
 /// The record of one request's sends: which engines it was sent to, and the counts from which
@@ -20,6 +21,10 @@
     /// The engine that the request was sent to last, with the facts by which that engine was chosen.
     last_choice: Option<Choice>,
     counts: SendCounts,
+    /// The engines that were lost under the request in all attempts; `None` until they are known.
+    losses: Option<EngineLosses>,
+    /// Number of lost engines when the request was last allowed to be sent on.
+    checked_losses: usize,
 }
 
 impl SendRecord {
@@ -39,6 +44,24 @@
         &self.counts
     }
 
+    /// The engines that were lost under the request in all attempts; `None` until they are known.
+    pub fn losses(&self) -> Option<&EngineLosses> {
+        self.losses.as_ref()
+    }
+
+    /// Sets the engines that were lost under the request in all attempts.
+    pub fn set_losses(&mut self, losses: EngineLosses) {
+        self.losses = Some(losses);
+    }
+
+    /// The losses, if there are at least `minimum`, and more than when this method last returned them.
+    pub fn losses_to_check(&mut self, minimum: usize) -> Option<EngineLosses> {
+        let losses =
+            self.losses.as_ref().filter(|losses| losses.since_served() >= minimum.max(self.checked_losses + 1))?;
+        self.checked_losses = losses.since_served();
+        Some(losses.clone())
+    }
+
     /// Whether an engine may have run the request.
     pub fn may_have_run(&self) -> bool {
         self.counts.may_have_run()
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -209,6 +209,10 @@
             Ok(()) => self.store_turn().await,
             Err(error) => Err(error),
         };
+        if matches!(outcome, Err(StreamError::EngineAborted(_))) && self.in_flight.engine().accepts_requests() {
+            // The caller's next attempt has to count the loss, so the connection to the caller stays open until then.
+            self.gateway.dispatcher.losses.record_loss(&self.call, self.in_flight.engine()).await;
+        }
         let name = outcome.as_ref().err().map_or("answered", StreamError::name);
         self.gateway.metrics.count_call(name, self.call.arrived_at.elapsed());
         let attempt = &self.call.metadata.attempt;
@@ -216,6 +220,7 @@
         match outcome {
             Ok(()) => {
                 self.account.note_completed();
+                self.gateway.dispatcher.losses.note_served(&self.call);
                 // Sending fails when the caller has disconnected and needs no end of the stream.
                 let _ = self.pieces.send(Piece::End).await;
                 log::info!(
--- a/crates/gateway/src/edge/turns.rs
+++ b/crates/gateway/src/edge/turns.rs
@@ -17,7 +17,7 @@
 use foxnotch_turns::zone_regions::ZoneRegions;
 use foxnotch_wire::{
     text_regions, ProgramKey, ReadProgram, RegionId, ReplicaMember, ReplicaSet, ReplicaSetUpdate, ReplicaStanding,
-    RpcBody, StoreEntries, StoreEntry, Stored, TurnEntry,
+    RpcBody, RunLocation, StoreEntries, StoreEntry, Stored, TurnEntry,
 };
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use std::sync::Arc;
@@ -320,6 +320,18 @@
             .await
     }
 
+    /// Reads the run locations of a program from a quorum.
+    ///
+    /// # Errors
+    /// [`TurnError`].
+    pub async fn read_run_locations(
+        &self,
+        program: ProgramKey,
+        deadline: Instant,
+    ) -> Result<Vec<RunLocation>, TurnError> {
+        Ok(self.read_budget_entries(program, deadline).await?.run_locations().to_vec())
+    }
+
     /// Reads the origin of the stream that an attempt of a caller of `tenant` began. `None` if a quorum of replicas
     /// stores none. One replica that stores it is enough, because an origin is written once.
     ///
--- a/crates/gateway/src/edge/whole_call.rs
+++ b/crates/gateway/src/edge/whole_call.rs
@@ -63,6 +63,7 @@
         let (outcome, refusal) = match read_whole_answer(call, answer).await {
             Ok(answer) if !answer.is_failure() || !gateway.policy.retry_failures => {
                 learn_answer_time(gateway, call, &sends);
+                gateway.dispatcher.losses.note_served(call);
                 return Ok(answer.finish_call(&gateway.metrics, call));
             }
             Ok(answer) => {
@@ -71,7 +72,10 @@
                 (SendOutcome::Failed, Refusal::MayHaveRun("the engine failed".to_owned()))
             }
             Err(Refusal::TimedOut) => (SendOutcome::TimedOut, Refusal::TimedOut),
-            Err(refusal) => (SendOutcome::AnswerLost, refusal),
+            Err(refusal) => {
+                gateway.dispatcher.note_engine_loss(call, &engine, &mut sends).await;
+                (SendOutcome::AnswerLost, refusal)
+            }
         };
         if sends.note_outcome(&engine, outcome, call.stage, call.repetition_limit()) != NextStep::TryAnother {
             break refusal;
--- a/crates/gateway/src/engines/attempt.rs
+++ b/crates/gateway/src/engines/attempt.rs
@@ -30,8 +30,10 @@
     /// Not run: no connection to the engine could be opened, or it closed before the request was sent.
     #[error("the engine cannot be reached ({1})")]
     Unreachable(io::ErrorKind, String),
-    /// May have run: the connection failed after the request was sent, or the answer was not valid (it answers another
-    /// attempt, or it reports success without a signature).
+    /// May have run: the connection failed after the request was sent. The engine may have ended.
+    #[error("the engine's answer was lost ({0})")]
+    ConnectionLost(String),
+    /// May have run: the answer was not valid (it answers another attempt, or it reports success without a signature).
     #[error("the engine's answer was lost ({0})")]
     AnswerLost(String),
     /// May have run: the head of the answer did not arrive before the deadline.
@@ -48,7 +50,7 @@
             Self::Replaced => "replaced",
             Self::PermitLapsed => "leave_lapsed",
             Self::Unreachable(..) => "unreachable",
-            Self::AnswerLost(_) => "answer_lost",
+            Self::ConnectionLost(_) | Self::AnswerLost(_) => "answer_lost",
             Self::TimedOut => "timed_out",
         }
     }
@@ -60,7 +62,7 @@
             Self::Replaced => SendOutcome::Replaced,
             Self::PermitLapsed => SendOutcome::PermitLapsed,
             Self::Unreachable(..) => SendOutcome::Unreachable,
-            Self::AnswerLost(_) => SendOutcome::AnswerLost,
+            Self::ConnectionLost(_) | Self::AnswerLost(_) => SendOutcome::AnswerLost,
             Self::TimedOut => SendOutcome::TimedOut,
         }
     }
@@ -163,7 +165,7 @@
         match connection.send(request).await {
             Ok(response) => return Ok((response, connection)),
             Err(SendError::NotSent(unsent)) => request = *unsent,
-            Err(SendError::MayHaveRun(reason)) => return Err(AttemptError::AnswerLost(reason)),
+            Err(SendError::MayHaveRun(reason)) => return Err(AttemptError::ConnectionLost(reason)),
         }
     }
     let opened = EngineConnection::open(engine.address).await;
@@ -178,7 +180,7 @@
         Err(SendError::NotSent(_)) => {
             Err(AttemptError::Unreachable(io::ErrorKind::ConnectionAborted, "the connection closed".to_owned()))
         }
-        Err(SendError::MayHaveRun(reason)) => Err(AttemptError::AnswerLost(reason)),
+        Err(SendError::MayHaveRun(reason)) => Err(AttemptError::ConnectionLost(reason)),
     }
 }
 
--- a/crates/gateway/src/metrics/mod.rs
+++ b/crates/gateway/src/metrics/mod.rs
@@ -109,6 +109,8 @@
     pub under_replicated_turns: Counter,
     /// Streams that callers resume, by outcome: how their software version was found, or why it was not.
     pub resumed_streams: Family<Outcome, Counter>,
+    /// Requests under which several engines were lost, by decision: sent to another engine, or refused.
+    pub suspect_requests: Family<Outcome, Counter>,
     /// Seconds from the start of the check of a tenant's rate limit until the request was admitted or rejected.
     pub quota_seconds: Histogram,
     /// Seconds from a turn's request for a ticket for tokens reserved ahead to the answer or the timeout.
@@ -162,6 +164,7 @@
             zone_drain_moves: Counter::default(),
             under_replicated_turns: Counter::default(),
             resumed_streams: Family::default(),
+            suspect_requests: Family::default(),
             quota_seconds: latency_histogram(),
             ticket_seconds: latency_histogram(),
             tickets: Family::default(),
@@ -235,6 +238,11 @@
              have begun the stream), unknown, or gone (no engine has it)",
             self.resumed_streams.clone(),
         );
+        registry.register(
+            "suspect_requests",
+            "Requests under which several engines were lost, by decision: sent (to another engine), or refused",
+            self.suspect_requests.clone(),
+        );
         registry.register(
             "quota_seconds",
             "Seconds that a request waited until it was admitted or rejected by its tenant's rate limit",
@@ -365,6 +373,11 @@
         self.resumed_streams.get_or_create(&Outcome { outcome }).inc();
     }
 
+    /// Counts, by decision, a request under which several engines were lost.
+    pub fn count_suspect_request(&self, decision: &'static str) {
+        self.suspect_requests.get_or_create(&Outcome { outcome: decision }).inc();
+    }
+
     /// Counts, by network distance, an engine that was chosen for a request.
     pub fn count_engine_proximity(&self, place: &'static str) {
         self.engine_paths.get_or_create(&PathLabel { place }).inc();
--- a/crates/gateway/src/peers/member_table.rs
+++ b/crates/gateway/src/peers/member_table.rs
@@ -127,7 +127,7 @@
     }
 
     /// Other gateways that are not dead. Gateways are the members with a port for callers.
-    fn other_live_gateways(&self) -> Vec<MemberUpdate> {
+    pub(super) fn other_live_gateways(&self) -> Vec<MemberUpdate> {
         let mut alive = self.other_live_members();
         alive.retain(|update| update.address.caller_port != 0);
         alive
--- a/crates/gateway/src/peers/members.rs
+++ b/crates/gateway/src/peers/members.rs
@@ -113,6 +113,11 @@
         self.table.live_replicas()
     }
 
+    /// The other gateways that are not dead.
+    pub fn live_gateways(&self) -> Vec<MemberUpdate> {
+        self.table.other_live_gateways()
+    }
+
     /// The number of other gateways that are not dead.
     pub fn other_gateway_count(&self) -> usize {
         self.table.other_gateway_count()
--- a/crates/gateway/tests/ended_engine_tests.rs
+++ b/crates/gateway/tests/ended_engine_tests.rs
@@ -90,7 +90,12 @@
 }
 
 impl Deployment {
+    /// Starts engines that end under a request with [`MARKER`].
     async fn start(net: u8, request: Request) -> Self {
+        Self::start_with_engines(net, request, ENGINES, &Behaviour::EndUnder(MARKER, request.events())).await
+    }
+
+    async fn start_with_engines(net: u8, request: Request, count: usize, behaviour: &Behaviour) -> Self {
         let cluster = Cluster::start(net, 3).await;
         let ObjectBody::Configuration(base) = configuration(1) else {
             unreachable!("configuration() returned an object of another kind")
@@ -99,8 +104,8 @@
         let routes = base.routes.into_iter().filter(|route| route.name != "draft").chain([resumable]).collect();
         cluster.store.put(Kind::Configuration, "main", ObjectBody::Configuration(Configuration { routes, ..base }));
         let mut engines = Vec::new();
-        for number in 0..ENGINES {
-            let engine = StubEngine::start(Behaviour::EndUnder(MARKER, request.events())).await;
+        for number in 0..count {
+            let engine = StubEngine::start(behaviour.clone()).await;
             put_engine_entry(&cluster, &format!("e{number}"), request.route(), engine.address);
             engines.push(engine);
         }
@@ -173,5 +178,82 @@
     tokio::time::sleep(Duration::from_millis(300)).await;
     let headers = "t-attempt: harmless\r\nt-deadline: 2500\r\n";
     let harmless = gateway.send(&format!("POST /{}/", request.route()), headers, "harmless").await;
-    assert_eq!((harmless.status, harmless.body.as_str()), (200, "done"));
+    assert!(harmless.status == 200 && harmless.is_whole && harmless.body.contains("done"), "{harmless:?}");
+}
+
+/// Connections break under a request while its engines go on running. The request is sent in each try, and served once
+/// an engine answers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_whose_engines_go_on_running_is_not_refused() {
+    let request = Request::Repeatable;
+    let deployment = Deployment::start_with_engines(171, request, ENGINES, &Behaviour::CloseWithoutAnswer).await;
+    let gateway = deployment.start_gateway(FIRST_GATEWAY).await;
+    let received = || deployment.engines.iter().map(|engine| engine.received().len()).sum::<usize>();
+    for attempt in 0..TRIES {
+        let before = received();
+        let answer = request.send(&gateway, attempt).await;
+        assert_eq!((answer.status, received() - before), (502, 2), "{answer:?}");
+    }
+    deployment.engines.iter().for_each(|engine| engine.set(Behaviour::Answer("done")));
+    assert_eq!(request.send(&gateway, TRIES).await.status, 200);
+}
+
+/// Sends a request that an engine does not answer, and ends this engine. Returns whether an engine received it.
+async fn lose_engine_under(deployment: &Deployment, gateway: &RunningGateway, attempt: usize) -> bool {
+    let name = format!("a{attempt}");
+    let is_running = |engine: &&StubEngine| {
+        engine.received().iter().any(|received| received.header("t-attempt") == Some(name.as_str()))
+    };
+    let end_engine = async {
+        for _ in 0..100 {
+            if let Some(engine) = deployment.engines.iter().find(is_running) {
+                engine.end();
+                return true;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        false
+    };
+    let (answer, has_ended) = tokio::join!(Request::Unrepeatable.send(gateway, attempt), end_engine);
+    assert_eq!(answer.status, 502, "{answer:?}");
+    has_ended
+}
+
+/// Engines end one after the other, whatever they run. A request that was running at three of them is not refused.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_was_running_at_a_few_of_many_ending_engines_is_not_refused() {
+    let deployment = Deployment::start_with_engines(172, Request::Unrepeatable, 14, &Behaviour::Hang).await;
+    let gateway = deployment.start_gateway(FIRST_GATEWAY).await;
+    for attempt in 0..MAX_ENDED_ENGINES {
+        assert!(lose_engine_under(&deployment, &gateway, attempt).await);
+    }
+    deployment.engines.iter().filter(|engine| !engine.has_ended()).take(6).for_each(StubEngine::end);
+    // The gateway finds out by other requests that these engines have ended.
+    deployment.engines.iter().for_each(|engine| engine.set(Behaviour::Answer("done")));
+    for number in 0..60 {
+        let headers = format!("t-attempt: other{number}\r\nt-deadline: 2500\r\n");
+        assert_eq!(gateway.send("POST /write/", &headers, "other").await.status, 200);
+    }
+    assert_eq!(Request::Unrepeatable.send(&gateway, MAX_ENDED_ENGINES).await.status, 200);
+}
+
+/// Engines end under a request, and others under other requests that were served in between. The engines from before a
+/// request was served do not count.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn engines_that_ended_before_a_request_was_served_do_not_count() {
+    let deployment = Deployment::start_with_engines(173, Request::Unrepeatable, ENGINES, &Behaviour::Hang).await;
+    let gateway = deployment.start_gateway(FIRST_GATEWAY).await;
+    let other = deployment.start_gateway(OTHER_GATEWAY).await;
+    for attempt in 0..2 {
+        assert!(lose_engine_under(&deployment, &gateway, attempt).await);
+    }
+    deployment.engines.iter().for_each(|engine| engine.set(Behaviour::Answer("done")));
+    assert_eq!(Request::Unrepeatable.send(&other, 2).await.status, 200);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    deployment.engines.iter().for_each(|engine| engine.set(Behaviour::Hang));
+    for attempt in 3..5 {
+        assert!(lose_engine_under(&deployment, &gateway, attempt).await);
+    }
+    deployment.engines.iter().for_each(|engine| engine.set(Behaviour::Answer("done")));
+    assert_eq!(Request::Unrepeatable.send(&gateway, 5).await.status, 200);
 }
--- a/crates/gateway/tests/metrics_format_tests.rs
+++ b/crates/gateway/tests/metrics_format_tests.rs
@@ -55,6 +55,7 @@
     metrics.count_engine_proximity("same_zone");
     metrics.count_ticket("given");
     metrics.count_resumed_stream("recorded");
+    metrics.count_suspect_request("refused");
     metrics.count_tenant_request("hule930", "let_in");
     metrics.count_store_call(StoreCall { kind: "engines", verb: "list", outcome: "done" });
     let text = metrics.to_text();
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -74,7 +74,7 @@
     /// Never responds.
     Hang,
     /// Sends these events, then the engine's process ends, if head or body of the request contain the marker. Other
-    /// requests get a response with the body `done`.
+    /// requests get the response `done`, as a stream if there are events.
     EndUnder(&'static str, Vec<&'static str>),
 }
 
@@ -182,7 +182,8 @@
                 send_events_and_end(&mut stream, &attempt, events, ended).await;
                 return;
             }
-            Behaviour::EndUnder(..) => Behaviour::Answer("done"),
+            Behaviour::EndUnder(_, events) if events.is_empty() => Behaviour::Answer("done"),
+            Behaviour::EndUnder(..) => Behaviour::Stream(vec!["data: done\n\n"]),
             other => other,
         };
         received.lock().expect("no thread panicked while holding the lock").push(request);
--- a/crates/node/src/explain.rs
+++ b/crates/node/src/explain.rs
@@ -101,6 +101,10 @@
         "cause=stream_version_gone",
         "refused, not run: no engine of the software version that began the stream it resumes was in service",
     ),
+    (
+        "cause=engines_ended",
+        "failed: engines ended while they ran it, so it was sent to no other engine; it may have run (see the line 'engines ended under it')",
+    ),
     ("cause=out_of_time", "refused, not run: its deadline passed before an engine had free capacity"),
     ("cause=may_have_run", "failed: the engine's answer was lost; it may have run and was not sent again"),
     ("cause=timed_out", "failed: no answer came before its deadline; it may have run"),
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod eligibility;
 pub mod engine_choice;
 pub mod engine_health;
+pub mod engine_losses;
 pub mod outliers;
 pub mod placement_timeout;
 pub mod program_stage;
--- a/crates/scheduler/src/refusal.rs
+++ b/crates/scheduler/src/refusal.rs
@@ -76,6 +76,8 @@
     ZonesDrained => "zones_drained",
     /// No engine that may serve the request can be reached.
     NoEngineReachable => "no_engine_reachable",
+    /// Engines ended while they ran the request; the request may have run.
+    EnginesEnded => "engines_ended",
     /// No engine has capacity left.
     NoRoom => "no_room",
     /// Too little of the request's time limit was left when the gateway could send the request to an engine.
@@ -90,6 +92,6 @@
     /// Whether the request may have run. All other kinds guarantee that the request has not run, so the caller may send
     /// it again without a second run.
     pub fn may_have_run(self) -> bool {
-        matches!(self, Self::MayHaveRun | Self::TimedOut)
+        matches!(self, Self::EnginesEnded | Self::MayHaveRun | Self::TimedOut)
     }
 }
--- a/crates/scheduler/src/retry_after.rs
+++ b/crates/scheduler/src/retry_after.rs
@@ -74,6 +74,7 @@
             | RefusalKind::TooLarge
             | RefusalKind::NoSuchTurn
             | RefusalKind::BudgetSpent
+            | RefusalKind::EnginesEnded
             | RefusalKind::MayHaveRun
             | RefusalKind::TimedOut => Self::Never,
         }
--- a/crates/turns/src/lib.rs
+++ b/crates/turns/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod ahead_entry;
 pub mod budget;
 pub mod chain;
+pub mod engine_losses;
 pub mod identity;
 pub mod ledger;
 pub mod quorum;
