Replicas start and sync without several times the memory of their turns

What callers saw: after all machines had lost power, no turn was served any more on a deployment whose machines with a disk have 58 MB.

Cause: a start read all records of all segments into one list before it merged them, several records for each turn; a replica asked all members for their lists of all turns at the same time and answered all at the same time; and the table of entries held entries of 160 bytes in place, so that it needed three times its size while it doubled.

--- a/crates/gateway/src/edge/loss_checks.rs
+++ b/crates/gateway/src/edge/loss_checks.rs
@@ -35,25 +35,24 @@
         }
         let Some(losses) = sends.losses_to_check(MAX_ENDED_ENGINES) else { return Ok(()) };
         let ends = self.count_ends(call, &losses).await;
-        let is_allowed = ends.allow_another_send();
-        self.metrics.count_suspect_request(if is_allowed { "sent" } else { "refused" });
+        if ends.allow_another_send() {
+            self.metrics.count_suspect_request("sent");
+            log::info!(
+                target: part::CALL,
+                "Call {} is sent on although engines ended under it: {}.",
+                call.metadata.attempt,
+                describe_ends(call, &losses, ends),
+            );
+            return Ok(());
+        }
+        self.metrics.count_suspect_request("refused");
         log::info!(
             target: part::CALL,
-            "Call {} {}: request={} service={} lost={} ended={} unrelated={}; of the `lost` engines of this request, \
-             `ended` have ended, and `unrelated` others ended without it.",
+            "Call {} is not sent: engines ended under it: {}.",
             call.metadata.attempt,
-            if is_allowed { "is sent on although engines ended under it" } else { "is not sent: engines ended under it" },
-            call.request_key,
-            call.service,
-            losses.since_served(),
-            ends.under_request,
-            ends.unrelated,
+            describe_ends(call, &losses, ends),
         );
-        if is_allowed {
-            Ok(())
-        } else {
-            Err(Refusal::EnginesEnded(ends.under_request))
-        }
+        Err(Refusal::EnginesEnded(ends.under_request))
     }
 
     /// Records that the connection to an engine broke while the engine ran a call. An engine that leaves as planned
@@ -106,6 +105,18 @@
     }
 }
 
+fn describe_ends(call: &Call, losses: &EngineLosses, ends: EngineEnds) -> String {
+    format!(
+        "request={} service={} lost={} ended={} unrelated={}; of the `lost` engines of this request, `ended` have \
+         ended, and `unrelated` others ended without it",
+        call.request_key,
+        call.service,
+        losses.since_served(),
+        ends.under_request,
+        ends.unrelated,
+    )
+}
+
 fn refuses_connections(engine: &Engine) -> bool {
     engine.reachability.connect_failure() == Some(ConnectFailure::Refused)
 }
--- a/crates/gateway/src/replica/disk/mod.rs
+++ b/crates/gateway/src/replica/disk/mod.rs
@@ -20,7 +20,7 @@
 use foxnotch_wire::ProgramKey;
 use records::program_of;
 use segments::{segment_numbers, segment_path, ClosedSegment};
-use std::collections::{HashSet, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::fs;
 use std::io;
 use std::path::Path;
@@ -55,14 +55,26 @@
 }
 
 impl Disk {
-    /// Reads all segments of a folder and starts the writer thread. Returns the records, oldest first.
+    /// Like [`Self::open_with`], but returns all records, oldest first. They need more memory than the turns.
+    ///
+    /// # Errors
+    /// Those of [`Self::open_with`].
+    pub fn open(folder: &Path) -> io::Result<(Self, Vec<Record>)> {
+        let mut records = Vec::new();
+        let disk = Self::open_with(folder, |record| records.push(record))?;
+        Ok((disk, records))
+    }
+
+    /// Reads all segments of a folder, passes their records to `on_record`, oldest first, and starts the writer thread.
+    /// Holds the records of only one segment at a time, because a folder has several records for each turn.
     ///
     /// # Errors
     /// When the folder cannot be created or read, or a segment has a record in a format that this version does not
     /// know.
-    pub fn open(folder: &Path) -> io::Result<(Self, Vec<Record>)> {
+    pub fn open_with(folder: &Path, mut on_record: impl FnMut(Record)) -> io::Result<Self> {
         fs::create_dir_all(folder)?;
-        let mut records = Vec::new();
+        let mut state = None;
+        let mut caps = BTreeMap::new();
         let mut closed = VecDeque::new();
         for number in segment_numbers(folder)? {
             let path = segment_path(folder, number);
@@ -78,19 +90,21 @@
             }
             let programs = content.records.iter().filter_map(program_of).collect();
             closed.push_back(ClosedSegment { number, programs });
-            records.extend(content.records);
+            state = newest_state(&content.records).cloned().or(state);
+            caps.extend(newest_caps(&content.records));
+            content.records.into_iter().for_each(&mut on_record);
         }
         let writer = Writer {
             folder: folder.to_owned(),
             next_number: closed.back().map_or(1, |segment| segment.number + 1),
             open: None,
             closed,
-            state: newest_state(&records).cloned(),
-            caps: newest_caps(&records),
+            state,
+            caps,
         };
         let (jobs, queue) = channel();
         std::thread::Builder::new().name("disk".to_owned()).spawn(move || writer.run(&queue))?;
-        Ok((Self { jobs }, records))
+        Ok(Self { jobs })
     }
 
     /// Writes records; returns once they are synced.
--- a/crates/gateway/src/replica/process.rs
+++ b/crates/gateway/src/replica/process.rs
@@ -12,7 +12,7 @@
 use crate::ports::store::{Kind, MetadataStore};
 use crate::replica::cold_permit_service::ColdPermitService;
 use crate::replica::cold_start::ColdStart;
-use crate::replica::disk::{newest_state, Disk};
+use crate::replica::disk::Disk;
 use crate::replica::durable_state::DurableState;
 use crate::replica::quota_service::{prior_grants_on_disk, QuotaService};
 use crate::replica::replica_metrics::create_replica_metrics;
@@ -28,7 +28,10 @@
 use anyhow::Context;
 use foxnotch_scheduler::quota::PriorGrants;
 use foxnotch_turns::identity::{node_id, zone_hash};
+use foxnotch_turns::ledger::Ledger;
+use foxnotch_turns::segment::Record;
 use foxnotch_wire::ReplicaMember;
+use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
@@ -93,14 +96,20 @@
 /// Opens the data folder and creates the replica from its contents.
 fn open_replica(settings: &ProcessSettings, folder: &Path, shared: &SharedParts) -> anyhow::Result<ReplicaService> {
     let own = node_id(&settings.node);
-    let (disk, records) =
-        Disk::open(folder).context("the data folder cannot be used; check the setting data_folder and the disk")?;
-    let prior_grants = prior_grants_on_disk(&records, settings.first_start);
+    let mut ledger = Ledger::for_zone(zone_hash(&settings.zone), settings.zone_regions());
+    let mut state = None;
+    let mut caps = BTreeMap::new();
+    let disk = Disk::open_with(folder, |record| match record {
+        Record::Entry(entry) => ledger.add_entry(entry, shared.clock.now()),
+        Record::State(newer) => state = Some(newer),
+        Record::QuotaCaps(newer) => caps.extend(newer.caps.iter().map(|cap| (cap.tenant, cap.requests))),
+    })
+    .context("the data folder cannot be used; check the setting data_folder and the disk")?;
+    let prior_grants = prior_grants_on_disk(state.as_ref(), caps, settings.first_start);
     let is_new_deployment = prior_grants == PriorGrants::None;
     let cold_permits = ColdPermitService::new(settings.slow_start.excess_tolerance(), is_new_deployment);
     let quotas = QuotaService::new(settings.quota.rules(), settings.policy.quota_admission(), prior_grants);
     let stored_view = Arc::new(StoredView::open(folder, own));
-    let state = newest_state(&records).cloned().unwrap_or_default();
     let turns = TurnStoreParts {
         zone: zone_hash(&settings.zone),
         regions: settings.zone_regions(),
@@ -110,8 +119,8 @@
     };
     Ok(ReplicaService::new(ReplicaServiceParts {
         own,
-        state: DurableState::new(own, disk.clone(), state),
-        turns: TurnStore::new(turns, records),
+        state: DurableState::new(own, disk.clone(), state.unwrap_or_default()),
+        turns: TurnStore::new(turns, ledger),
         disk,
         view: shared.view.clone(),
         members: shared.members.clone(),
--- a/crates/gateway/src/replica/service.rs
+++ b/crates/gateway/src/replica/service.rs
@@ -23,6 +23,7 @@
 use futures_util::future::BoxFuture;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::Semaphore;
 
 /// Timeout of an answer from a replica that membership considers dead. Membership may be wrong, so the replica is still
 /// called; with a timeout of 1.5 s, the removal of a dead member began only after 3.2 s.
@@ -40,6 +41,8 @@
     cold_permits: ColdPermitService,
     stored_view: Arc<StoredView>,
     tickets: TicketService,
+    /// Held while a list of marks is made: several at a time may need as much memory as the turns.
+    listing: Semaphore,
 }
 
 /// The arguments of [`ReplicaService::new`].
@@ -81,7 +84,19 @@
             state_on_disk.set.version,
         );
         let tickets = TicketService::default();
-        Self { own, state, turns, disk, view, members, quotas, cold_permits, stored_view, tickets }
+        Self {
+            own,
+            state,
+            turns,
+            disk,
+            view,
+            members,
+            quotas,
+            cold_permits,
+            stored_view,
+            tickets,
+            listing: Semaphore::new(1),
+        }
     }
 
     /// This node's identifier.
@@ -261,6 +276,7 @@
         self.state.record_peer_disk(request.own).await;
         self.adopt_set(&request.set, Origin::Peer).await;
         let update = self.state.replica_set_update();
+        let _permit = self.listing.acquire().await;
         let marks = self.turns.marks();
         let state = self.state.get();
         // A replica that refills needs the disk identities of all replicas that this one knows, not only of the
--- a/crates/gateway/src/replica/turn_store.rs
+++ b/crates/gateway/src/replica/turn_store.rs
@@ -18,7 +18,7 @@
 /// message.
 const MAX_PAGE_BYTES: usize = 512 * 1024;
 
-/// The arguments of [`TurnStore::new`], except the records.
+/// The arguments of [`TurnStore::new`], except the ledger.
 pub struct TurnStoreParts {
     /// The replica's zone, as a hash of the zone's name.
     pub zone: u32,
@@ -45,16 +45,9 @@
 }
 
 impl TurnStore {
-    /// Creates the store from the records that were read from disk, oldest first.
-    pub fn new(parts: TurnStoreParts, records: Vec<Record>) -> Self {
+    /// Creates the store from the entries that were read from disk.
+    pub fn new(parts: TurnStoreParts, ledger: Ledger) -> Self {
         let TurnStoreParts { zone, regions, clock, disk, memory_limit } = parts;
-        let mut ledger = Ledger::for_zone(zone, regions.clone());
-        for record in records {
-            match record {
-                Record::Entry(entry) => ledger.add_entry(entry, clock.now()),
-                Record::State(_) | Record::QuotaCaps(_) => {}
-            }
-        }
         let ledger = Mutex::new(ledger);
         Self { zone, regions, clock, disk, memory_limit, ledger, entries_sent: AtomicU64::new(0) }
     }
--- a/crates/turns/src/ledger.rs
+++ b/crates/turns/src/ledger.rs
@@ -37,7 +37,8 @@
     zone: u32,
     /// Decides which texts may be stored in `zone`.
     regions: ZoneRegions,
-    entries: HashMap<TurnId, TurnEntry>,
+    /// Boxed, so that growing the table moves and doubles only the keys.
+    entries: HashMap<TurnId, Box<TurnEntry>>,
     programs: HashMap<ProgramKey, StoredProgram>,
     /// Total size of all stored texts, in bytes.
     bytes: usize,
@@ -79,7 +80,7 @@
     fn merge_entry(&mut self, entry: TurnEntry) {
         let Some(known) = self.entries.get_mut(&entry.turn) else {
             self.bytes += entry.text_bytes();
-            self.entries.insert(entry.turn, entry);
+            self.entries.insert(entry.turn, Box::new(entry));
             return;
         };
         known.retention_ms = known.retention_ms.max(entry.retention_ms);
@@ -117,7 +118,7 @@
     pub fn charges(&self, program: ProgramKey) -> Vec<TurnCharge> {
         let Some(stored) = self.programs.get(&program) else { return Vec::new() };
         let entries = stored.turns.iter().filter_map(|turn| self.entries.get(turn));
-        let charge = |entry: &TurnEntry| TurnCharge {
+        let charge = |entry: &Box<TurnEntry>| TurnCharge {
             turn: entry.turn,
             tokens: entry.charged_tokens(),
             settled: u8::from(entry.used != NOT_SETTLED),
@@ -165,7 +166,8 @@
 
     /// Number of turns whose text may be stored in this zone but is only on other replicas.
     pub fn missing_text_count(&self) -> usize {
-        let is_missing = |entry: &&TurnEntry| self.has_record_elsewhere(entry.turn) && self.may_store_text_of(entry);
+        let is_missing =
+            |entry: &&Box<TurnEntry>| self.has_record_elsewhere(entry.turn) && self.may_store_text_of(entry);
         self.entries.values().filter(is_missing).count()
     }
 
@@ -182,7 +184,7 @@
 
     /// A mark for each stored turn: whether the turn is settled, and where its record is stored.
     pub fn marks(&self) -> Vec<TurnMark> {
-        let mark = |entry: &TurnEntry| TurnMark {
+        let mark = |entry: &Box<TurnEntry>| TurnMark {
             turn: entry.turn,
             settled: u8::from(entry.used != NOT_SETTLED),
             recorded: record_location_tag(entry),
@@ -214,7 +216,7 @@
 
     /// The merged entry of a turn, if one is stored.
     pub fn entry(&self, turn: TurnId) -> Option<&TurnEntry> {
-        self.entries.get(&turn)
+        self.entries.get(&turn).map(Box::as_ref)
     }
 
     /// The programs that have an entry in the ledger.
