Do not delay each request while the replicas do not answer a gateway that has started

Found by slow_start_tests in the run of all gateway tests: a gateway that has started reads the losses of each request from the replicas, so with no replica in reach each request waited 400 ms. Now one request a second waits, at most 150 ms.

--- a/crates/gateway/src/edge/engine_losses.rs
+++ b/crates/gateway/src/edge/engine_losses.rs
@@ -30,6 +30,11 @@
 const RECORD_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time limit for reading losses. Without an answer in time, those that this gateway knows count.
 const READ_TIMEOUT: Duration = Duration::from_millis(400);
+/// Like [`READ_TIMEOUT`], for a request that this gateway does not know as a suspect.
+const UNKNOWN_READ_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time after a failed read for which requests that this gateway does not know as suspects are sent without a read, so
+/// that not each of them waits while no replicas answer.
+const FAILED_READ_PAUSE: Duration = Duration::from_secs(1);
 /// Time limit for telling the other gateways.
 const TELL_TIMEOUT: Duration = Duration::from_millis(150);
 /// Number of losses from which the other gateways are told. Most requests that lose one engine are served by the next.
@@ -54,6 +59,8 @@
     client: Arc<RpcClient>,
     suspects: Mutex<HashMap<ProgramKey, Suspect>>,
     started_at: Instant,
+    /// When the replicas last did not answer a read.
+    read_failed_at: Mutex<Option<Instant>>,
     /// Whether this gateway knows all suspects: since its start it was told of all later ones.
     is_complete: AtomicBool,
 }
@@ -62,7 +69,19 @@
     /// Creates a tracker without losses. At the first start of the deployment there are none that it could miss.
     pub fn new(turns: Arc<TurnClient>, members: Arc<Members>, client: Arc<RpcClient>, first_start: bool) -> Self {
         let is_complete = AtomicBool::new(first_start);
-        Self { turns, members, client, suspects: Mutex::default(), started_at: Instant::now(), is_complete }
+        Self {
+            turns,
+            members,
+            client,
+            suspects: Mutex::default(),
+            started_at: Instant::now(),
+            read_failed_at: Mutex::default(),
+            is_complete,
+        }
+    }
+
+    fn has_read_failed_recently(&self) -> bool {
+        lock(&self.read_failed_at).is_some_and(|failed_at| failed_at.elapsed() < FAILED_READ_PAUSE)
     }
 
     fn knows_all_suspects(&self) -> bool {
@@ -73,14 +92,16 @@
     pub async fn losses_of(&self, call: &Call) -> EngineLosses {
         let program = loss_program(call.request_key);
         let known = self.known_losses(program);
-        if known.is_none() && self.knows_all_suspects() {
+        if known.is_none() && (self.knows_all_suspects() || self.has_read_failed_recently()) {
             return EngineLosses::default();
         }
-        let deadline = call.expires_at.min(Instant::now() + READ_TIMEOUT);
+        let timeout = if known.is_some() { READ_TIMEOUT } else { UNKNOWN_READ_TIMEOUT };
+        let deadline = call.expires_at.min(Instant::now() + timeout);
         match self.turns.read_run_locations(program, deadline).await {
             Ok(locations) => self.merge(program, &EngineLosses::from_run_locations(program, &locations)),
             Err(error) => {
                 let known = known.unwrap_or_default();
+                *lock(&self.read_failed_at) = Some(Instant::now());
                 log::warn!(
                     target: part::CALL,
                     "The engines that ended under the request of call {} cannot be read from the replicas, so only \
