Refuse turns before a replica exceeds its memory

Cause: the bound on the memory of turns counted their texts alone, a third of the machine's memory. With many short turns the bookkeeping is larger than the texts: a replica of 58 MB was killed at 70,000 turns with 17 MB of text, below its bound of 19 MB.

Change: the bound counts 400 bytes for each entry beside the texts, and is three quarters of the machine's memory.

--- a/crates/gateway/src/replica/process.rs
+++ b/crates/gateway/src/replica/process.rs
@@ -38,8 +38,9 @@
 
 /// Time between two removals of the programs whose retention time has passed.
 const EXPIRY_PERIOD: Duration = Duration::from_secs(2);
-/// Divisor of the configured memory (`resources.memory_mb`); the result is the memory limit of the turns.
-const TURN_MEMORY_DIVISOR: u64 = 3;
+/// Percentage of the configured memory (`resources.memory_mb`) that the turns may need. The rest is for the process
+/// itself and for the lists of turns that replicas exchange.
+const TURN_MEMORY_PERCENT: u64 = 75;
 
 /// The parts that several tasks of a replica use.
 struct SharedParts {
@@ -115,7 +116,7 @@
         regions: settings.zone_regions(),
         clock: shared.clock,
         disk: disk.clone(),
-        memory_limit: (settings.resources.memory_mb * 1024 * 1024 / TURN_MEMORY_DIVISOR) as usize,
+        memory_limit: (settings.resources.memory_mb * 1024 * 1024 * TURN_MEMORY_PERCENT / 100) as usize,
     };
     Ok(ReplicaService::new(ReplicaServiceParts {
         own,
--- a/crates/gateway/src/replica/turn_store.rs
+++ b/crates/gateway/src/replica/turn_store.rs
@@ -28,7 +28,7 @@
     pub clock: SteadyClock,
     /// The handle for writes to the replica's disk.
     pub disk: Disk,
-    /// Number of bytes of memory that the turns' texts may take.
+    /// Number of bytes of memory that the turns may need.
     pub memory_limit: usize,
 }
 
@@ -62,9 +62,9 @@
         &self.regions
     }
 
-    /// Whether the turns' texts exceed the memory limit.
+    /// Whether the turns exceed the memory limit.
     pub fn is_full(&self) -> bool {
-        lock(&self.ledger).text_bytes() > self.memory_limit
+        lock(&self.ledger).memory_bytes() > self.memory_limit
     }
 
     /// The number of turns whose text may be stored by this replica but is only on other replicas.
--- a/crates/turns/src/ledger.rs
+++ b/crates/turns/src/ledger.rs
@@ -21,15 +21,34 @@
 /// The turns of a program, and the time at which the program expires.
 #[derive(Clone, Debug, Default)]
 struct StoredProgram {
-    turns: HashSet<TurnId>,
+    /// The program's turns, ascending. Most programs have few, for which a list needs less memory than a hash set.
+    turns: Vec<TurnId>,
     /// Other programs that this program continues: they contain the previous turn of one of its turns.
-    parents: HashSet<ProgramKey>,
+    parents: Vec<ProgramKey>,
     /// The longest retention of the program's entries, in milliseconds, including [`RETENTION_MARGIN_MS`].
     retention: u64,
     /// Time at which the program is dropped. A write to the program, or to one that continues it, postpones this time.
     expires_at: Millis,
 }
 
+impl StoredProgram {
+    fn add_turn(&mut self, turn: TurnId) {
+        if let Err(index) = self.turns.binary_search(&turn) {
+            self.turns.insert(index, turn);
+        }
+    }
+
+    fn add_parent(&mut self, parent: ProgramKey) {
+        if !self.parents.contains(&parent) {
+            self.parents.push(parent);
+        }
+    }
+}
+
+/// Approximate number of bytes that an entry needs besides its text: the entry, its place in the table of entries, its
+/// share of a program, and what the allocator adds.
+const ENTRY_BYTES: usize = 400;
+
 /// The budget entries and turn records that one replica stores, with the time at which each program expires.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
@@ -57,18 +76,19 @@
     }
 
     /// Merges an entry with the stored entry of the same turn, and postpones the expiry of the entry's program.
-    pub fn add_entry(&mut self, entry: TurnEntry, now: Millis) {
+    pub fn add_entry(&mut self, mut entry: TurnEntry, now: Millis) {
+        release_spare_capacity(&mut entry);
         let turn = entry.turn;
         let program = entry.program;
         let retention = u64::from(entry.retention_ms) + RETENTION_MARGIN_MS;
         let previous = entry.previous();
         self.merge_entry(entry);
         let stored = self.programs.entry(program).or_default();
-        stored.turns.insert(turn);
+        stored.add_turn(turn);
         stored.retention = stored.retention.max(retention);
         if let Some(parent) = previous.and_then(|previous| self.entries.get(&previous)).map(|entry| entry.program) {
             if parent != program {
-                self.programs.entry(program).or_default().parents.insert(parent);
+                self.programs.entry(program).or_default().add_parent(parent);
             }
         }
         self.extend_expiry(program, now);
@@ -249,12 +269,27 @@
         self.entries.is_empty()
     }
 
+    /// Approximate number of bytes of memory that the stored turns need.
+    pub fn memory_bytes(&self) -> usize {
+        self.bytes + self.entries.len() * ENTRY_BYTES
+    }
+
     /// Total size of all stored texts, in bytes.
     pub fn text_bytes(&self) -> usize {
         self.bytes
     }
 }
 
+/// Releases memory that was allocated while the entry was received or read and that it does not need.
+fn release_spare_capacity(entry: &mut TurnEntry) {
+    entry.record.shrink_to_fit();
+    for record in &mut entry.record {
+        record.regions.shrink_to_fit();
+        record.input.bytes.shrink_to_fit();
+        record.output.bytes.shrink_to_fit();
+    }
+}
+
 /// The [`TurnMark::recorded`] of an entry: its record is stored here, is stored on other replicas, or is unknown.
 fn record_location_tag(entry: &TurnEntry) -> u8 {
     match (entry.record.is_empty(), &entry.elsewhere) {
