Count an engine that ends even if it is unlisted before its connections break

Cause: engines that leave as planned were told by their not being listed. An engine that ends and starts again under another identifier may be unlisted before the gateway sees the connection break, so its end was not counted ('Call ... sent' to e1-0x, 502, and no line 'lost its engine').

Change: only an engine whose entry said that it drains leaves as planned.

--- a/crates/gateway/src/edge/loss_checks.rs
+++ b/crates/gateway/src/edge/loss_checks.rs
@@ -55,10 +55,10 @@
         Err(Refusal::EnginesEnded(ends.under_request))
     }
 
-    /// Records that the connection to an engine broke while the engine ran a call. An engine that leaves as planned
-    /// does not count.
+    /// Records that the connection to an engine broke while the engine ran a call. An engine that has
+    /// announced its end does not count.
     pub(super) async fn note_engine_loss(&self, call: &Call, engine: &Engine, sends: &mut SendRecord) {
-        if engine.accepts_requests() {
+        if !engine.has_announced_drain() {
             sends.set_losses(self.losses.record_loss(call, engine).await);
         }
     }
--- a/crates/turns/src/ledger.rs
+++ b/crates/turns/src/ledger.rs
@@ -137,8 +137,8 @@
     /// The tokens that each turn of a program takes from the budget.
     pub fn charges(&self, program: ProgramKey) -> Vec<TurnCharge> {
         let Some(stored) = self.programs.get(&program) else { return Vec::new() };
-        let entries = stored.turns.iter().filter_map(|turn| self.entries.get(turn));
-        let charge = |entry: &Box<TurnEntry>| TurnCharge {
+        let entries = stored.turns.iter().filter_map(|turn| self.entry(*turn));
+        let charge = |entry: &TurnEntry| TurnCharge {
             turn: entry.turn,
             tokens: entry.charged_tokens(),
             settled: u8::from(entry.used != NOT_SETTLED),
@@ -186,9 +186,8 @@
 
     /// Number of turns whose text may be stored in this zone but is only on other replicas.
     pub fn missing_text_count(&self) -> usize {
-        let is_missing =
-            |entry: &&Box<TurnEntry>| self.has_record_elsewhere(entry.turn) && self.may_store_text_of(entry);
-        self.entries.values().filter(is_missing).count()
+        let is_missing = |entry: &&TurnEntry| self.has_record_elsewhere(entry.turn) && self.may_store_text_of(entry);
+        self.entries.values().map(Box::as_ref).filter(is_missing).count()
     }
 
     /// The region lists to which the texts stored here are restricted, each distinct list once.
@@ -204,12 +203,12 @@
 
     /// A mark for each stored turn: whether the turn is settled, and where its record is stored.
     pub fn marks(&self) -> Vec<TurnMark> {
-        let mark = |entry: &Box<TurnEntry>| TurnMark {
+        let mark = |entry: &TurnEntry| TurnMark {
             turn: entry.turn,
             settled: u8::from(entry.used != NOT_SETTLED),
             recorded: record_location_tag(entry),
         };
-        self.entries.values().map(mark).collect()
+        self.entries.values().map(Box::as_ref).map(mark).collect()
     }
 
     /// The turns to pull from another replica that reported `marks`. For each of these turns, that replica has an
