Soak: requests under which engines end

An engine that gets a marked request ends: its address refuses connections, and another engine comes at another address. Callers try the request eight times at any gateway while gateways and replicas are under the plan's faults; at most three engines may end under each.

--- a/crates/lab/tests/soak/configuration.rs
+++ b/crates/lab/tests/soak/configuration.rs
@@ -19,7 +19,7 @@
     /// Writes an engine's entry in the store's list of engines, with a state.
     pub(super) fn put_engine_entry(&self, number: usize, state: &str) {
         let entry = json!({
-            "service": service_of(number), "address": self.addresses.engine_path(number).to_string(),
+            "service": service_of(number), "address": self.engine_paths[number].address().to_string(),
             "zone": Self::zone_of(number), "slots": 8, "state": state, "version": self.engines[number].version(),
         });
         self.store.put("servers", &self.engine_ids[number], entry);
--- a/crates/lab/tests/soak/engines.rs
+++ b/crates/lab/tests/soak/engines.rs
@@ -46,8 +46,13 @@
     /// Number of requests that named the engine's identifier at their time, including refused ones.
     received: Arc<AtomicU64>,
     streams: bool,
+    /// Whether the engine's process has ended under a request since this was last asked.
+    has_ended: Arc<AtomicBool>,
 }
 
+/// Text in the path or the body of a request under which engines end.
+pub(crate) const FATAL_MARK: &str = "fatal";
+
 /// The service of an engine: the first [`ENGINES`] engines run turns.
 pub(crate) fn service_of(engine: usize) -> &'static str {
     if engine < ENGINES {
@@ -96,7 +101,15 @@
         let streams = service_of(number) == MODEL_SERVICE;
         let (version, id) = (initial_version(number), Arc::new(Mutex::new(id)));
         let version = Arc::new(Mutex::new(version));
-        let engine = Self { ledger, id, version, is_full: Arc::default(), received: Arc::default(), streams };
+        let engine = Self {
+            ledger,
+            id,
+            version,
+            is_full: Arc::default(),
+            received: Arc::default(),
+            streams,
+            has_ended: Arc::default(),
+        };
         let router = Router::new().route("/{*path}", any(answer)).layer(Extension(engine.clone()));
         tokio::spawn(async move {
             if let Err(error) = serve(router, address).await {
@@ -123,6 +136,11 @@
         *version = next_version(&version);
     }
 
+    /// Whether the engine's process has ended under a request since the last call.
+    pub(crate) fn take_has_ended(&self) -> bool {
+        self.has_ended.swap(false, Ordering::SeqCst)
+    }
+
     /// The version of the engine's software.
     pub(crate) fn version(&self) -> String {
         super::lock(&self.version).clone()
@@ -158,7 +176,16 @@
     }
     // The engine does not start a request whose body is incomplete.
     let Ok(collected) = body.collect().await else { return status(StatusCode::BAD_REQUEST) };
-    engine.ledger.record_start(&attempt, &collected.to_bytes());
+    let body = collected.to_bytes();
+    if head.uri.path().contains(FATAL_MARK) || String::from_utf8_lossy(&body).contains(FATAL_MARK) {
+        let program = header_text(&head.headers, "x-program-id");
+        let id = super::lock(&engine.id).clone();
+        engine.ledger.record_fatal_start(&program, &id);
+        engine.has_ended.store(true, Ordering::SeqCst);
+        // The soak closes the connection.
+        std::future::pending::<()>().await;
+    }
+    engine.ledger.record_start(&attempt, &body);
     let mut response = if head.uri.path().starts_with(RESUMABLE_PATH) {
         let last_event = header_text(&head.headers, "last-event-id").parse::<usize>();
         let first = last_event.map_or(0, |last| last + 1);
--- a/crates/lab/tests/soak/faults.rs
+++ b/crates/lab/tests/soak/faults.rs
@@ -86,8 +86,22 @@
         }
     }
 
+    /// Closes the connections of each engine that has ended under a request, and starts another one at another address.
+    fn replace_ended_engines(&mut self) {
+        for number in 0..self.engines.len() {
+            if !self.engines[number].take_has_ended() {
+                continue;
+            }
+            if let Err(error) = self.engine_paths[number].move_to_next_port() {
+                eprintln!("soak: an engine could not be started again: {error}");
+            }
+            self.replace_engine(number);
+        }
+    }
+
     /// Ends the faults whose time has passed, updates each machine's condition, and restarts processes that are due.
     pub(super) fn update_machines(&mut self) {
+        self.replace_ended_engines();
         let now = Instant::now();
         let longest_stop = Duration::from_secs(GRACE_S) + GRACE_MARGIN;
         let (expired, remaining): (Vec<_>, Vec<_>) = self.active_faults.drain(..).partition(|(at, _)| *at <= now);
--- a/crates/lab/tests/soak/ledger.rs
+++ b/crates/lab/tests/soak/ledger.rs
@@ -1,7 +1,7 @@
 //! The oracle's records: requests, starts and refusals as callers and engines observed them, and the violations found.
 
 use super::lock;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 use std::sync::Mutex;
 
@@ -80,6 +80,13 @@
         /// The event that came, and the one expected.
         numbers: [usize; 2],
     },
+    /// A request under which engines end was sent to more engines than may end under it.
+    FatalRequestSentOn {
+        /// Program of the request.
+        program: String,
+        /// Number of engines that ended under it.
+        engines: usize,
+    },
     /// The system did not recover in time after faults.
     NotRecovered {
         /// What does not work, and at which stage of the run.
@@ -111,6 +118,9 @@
                     "false refusal: {attempt} was refused as not run with status {status}, but an engine started it"
                 )
             }
+            Self::FatalRequestSentOn { program, engines } => {
+                write!(formatter, "fatal request: {engines} engines ended under the request of program {program}")
+            }
             Self::NotOwnAnswer { attempt, got } => write!(formatter, "wrong answer: {attempt} received {got:?}"),
             Self::WrongHistory { attempt, got_bytes, wanted_bytes } => {
                 write!(formatter, "wrong history: an engine received {got_bytes} bytes for {attempt}, not the expected {wanted_bytes}")
@@ -167,6 +177,7 @@
     requests: HashMap<String, Request>,
     outcomes: BTreeMap<String, u64>,
     violations: Vec<Violation>,
+    fatal_starts: BTreeMap<String, BTreeSet<String>>,
 }
 
 /// The oracle's records, shared by callers, engines and the soak.
@@ -183,6 +194,16 @@
         lock(&self.state).requests.insert(attempt.to_owned(), request);
     }
 
+    /// Records that an engine starts a request under which it ends.
+    pub(crate) fn record_fatal_start(&self, program: &str, engine: &str) {
+        lock(&self.state).fatal_starts.entry(program.to_owned()).or_default().insert(engine.to_owned());
+    }
+
+    /// The engines that ended under each request under which engines end, by the request's program.
+    pub(crate) fn fatal_starts(&self) -> BTreeMap<String, BTreeSet<String>> {
+        lock(&self.state).fatal_starts.clone()
+    }
+
     /// Records that an engine starts a request, and checks it.
     pub(crate) fn record_start(&self, attempt: &str, body: &[u8]) {
         let mut state = lock(&self.state);
--- a/crates/lab/tests/soak/mod.rs
+++ b/crates/lab/tests/soak/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod configuration;
 pub(crate) mod disk_watch;
 pub(crate) mod engines;
+pub(crate) mod fatal_requests;
 pub(crate) mod faults;
 pub(crate) mod ledger;
 pub(crate) mod plan;
--- a/crates/lab/tests/soak/proxy.rs
+++ b/crates/lab/tests/soak/proxy.rs
@@ -23,8 +23,11 @@
 /// A proxy for one target.
 #[derive(Clone)]
 pub(crate) struct Proxy {
+    address: SocketAddr,
     target: Arc<Mutex<SocketAddr>>,
     fault: watch::Sender<Option<PathFault>>,
+    /// Set when the proxy no longer listens at this address.
+    ended: watch::Sender<bool>,
 }
 
 impl Proxy {
@@ -36,24 +39,51 @@
         let listener = TcpListener::bind(address).await.map_err(|error| {
             anyhow::anyhow!("{address} cannot be bound ({error}); end the process that listens there")
         })?;
-        let proxy = Self { target: Arc::new(Mutex::new(target)), fault: watch::Sender::new(None) };
+        let (fault, ended) = (watch::Sender::new(None), watch::Sender::new(false));
+        let proxy = Self { address, target: Arc::new(Mutex::new(target)), fault, ended };
         tokio::spawn(proxy.clone().accept(listener));
         Ok(proxy)
     }
 
+    /// The address at which the proxy listens.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Closes the listener and all connections, as when the target's process ends, and listens at the next port.
+    ///
+    /// # Errors
+    /// When the next port cannot be bound.
+    pub(crate) fn move_to_next_port(&mut self) -> std::io::Result<()> {
+        self.ended.send_replace(true);
+        self.address.set_port(self.address.port() + 1);
+        let listener = std::net::TcpListener::bind(self.address)?;
+        listener.set_nonblocking(true)?;
+        self.ended = watch::Sender::new(false);
+        tokio::spawn(self.clone().accept(TcpListener::from_std(listener)?));
+        Ok(())
+    }
+
     /// Sets the simulated fault; none for a working path.
     pub(crate) fn set_fault(&self, fault: Option<PathFault>) {
         self.fault.send_replace(fault);
     }
 
     async fn accept(self, listener: TcpListener) {
-        while let Ok((client, _)) = listener.accept().await {
+        let mut ended = self.ended.subscribe();
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = ended.wait_for(|ended| *ended) => return,
+            };
+            let Ok((client, _)) = accepted else { return };
             tokio::spawn(self.clone().forward(client));
         }
     }
 
     async fn forward(self, client: TcpStream) {
         let mut faults = self.fault.subscribe();
+        let mut ended = self.ended.subscribe();
         if *faults.borrow_and_update() == Some(PathFault::Reset) {
             return;
         }
@@ -68,6 +98,7 @@
             () = requests => {}
             () = responses => {}
             _ = faults.wait_for(|fault| *fault == Some(PathFault::Reset)) => {}
+            _ = ended.wait_for(|ended| *ended) => {}
         }
     }
 }
--- a/crates/lab/tests/soak/run.rs
+++ b/crates/lab/tests/soak/run.rs
@@ -152,7 +152,7 @@
     }
 
     /// Injects the fault of each step at its time and updates the machines, until the plan's duration has passed.
-    async fn run_steps(&mut self) {
+    pub(super) async fn run_steps(&mut self) {
         let started_at = Instant::now();
         let steps = self.settings.plan.steps.clone();
         let mut steps = steps.into_iter().peekable();
--- a/crates/lab/tests/soak_tests.rs
+++ b/crates/lab/tests/soak_tests.rs
@@ -5,6 +5,7 @@
 mod soak;
 
 use soak::cold_starts::{generate_cold_starts, plan_without_steps, run_cold_starts};
+use soak::fatal_requests::run_with_fatal_requests;
 use soak::plan::{Fault, Node, Plan};
 use soak::processes::Programs;
 use soak::run::{run, SoakSettings};
@@ -19,6 +20,8 @@
 const VERSIONS_SEED: u64 = 12;
 /// Duration of the faults of that plan in CI, in seconds.
 const VERSIONS_SECONDS: u64 = 30;
+/// Seed of the plan in CI with requests under which engines end.
+const FATAL_SEED: u64 = 8;
 /// Seed of the cold starts in CI. Its two rounds include the loss of a disk and a configuration with 1400 additional
 /// routes.
 const COLD_SEED: u64 = 7;
@@ -99,6 +102,18 @@
     assert!(report.violations.is_empty(), "{report}");
 }
 
+/// Engines end under some requests while gateways and replicas are under faults. At most three end under each.
+#[tokio::test(flavor = "multi_thread")]
+async fn few_engines_end_under_a_request_through_a_soak() {
+    let temporary = tempfile::tempdir().expect("a temporary folder can be created");
+    let folder = std::env::var("SOAK_FOLDER").map_or_else(|_| temporary.path().join("soak"), PathBuf::from);
+    let plan = Plan::draw(number_from_env("SOAK_SEED", FATAL_SEED), number_from_env("SOAK_SECONDS", FAULT_SECONDS));
+    let report = run_with_fatal_requests(SoakSettings { plan, programs: programs(), folder }).await;
+    let report = report.expect("the soak can be started");
+    println!("{report}");
+    assert!(report.violations.is_empty(), "{report}");
+}
+
 #[test]
 fn the_cold_starts_of_ci_include_a_lost_disk_and_many_routes() {
     let starts = generate_cold_starts(COLD_SEED, COLD_STARTS);
