Count the end of an engine that drains too

Cause: engines that leave as planned were not counted, so that requests that a planned end cuts off are not suspected. They need no exemption: a request is suspected only after three engines that have ended in one minute, and without having been served.

Change: each broken connection counts, whatever the engine announced.

--- a/crates/gateway/src/edge/loss_checks.rs
+++ b/crates/gateway/src/edge/loss_checks.rs
@@ -55,12 +55,10 @@
         Err(Refusal::EnginesEnded(ends.under_request))
     }
 
-    /// Records that the connection to an engine broke while the engine ran a call. An engine that has
-    /// announced its end does not count.
+    /// Records that the connection to an engine broke while the engine ran a call. Engines that drain count too: one may
+    /// end under the request before its drain is over.
     pub(super) async fn note_engine_loss(&self, call: &Call, engine: &Engine, sends: &mut SendRecord) {
-        if !engine.has_announced_drain() {
-            sends.set_losses(self.losses.record_loss(call, engine).await);
-        }
+        sends.set_losses(self.losses.record_loss(call, engine).await);
     }
 
     /// Counts the engines that have ended under a request and without it. An engine that does not answer counts as
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -209,7 +209,7 @@
             Ok(()) => self.store_turn().await,
             Err(error) => Err(error),
         };
-        if matches!(outcome, Err(StreamError::EngineAborted(_))) && !self.in_flight.engine().has_announced_drain() {
+        if matches!(outcome, Err(StreamError::EngineAborted(_))) {
             // The caller's next attempt has to count the loss, so the connection to the caller stays open until then.
             self.gateway.dispatcher.losses.record_loss(&self.call, self.in_flight.engine()).await;
         }
--- a/crates/gateway/src/engines/engine.rs
+++ b/crates/gateway/src/engines/engine.rs
@@ -55,8 +55,6 @@
     is_version_stated: AtomicBool,
     in_flight_requests: AtomicU32,
     draining: AtomicBool,
-    /// Whether an entry of the engine has said that it drains.
-    has_announced_drain: AtomicBool,
     /// Whether another engine now has this engine's address.
     replaced: AtomicBool,
     health: Mutex<RecentHealth>,
@@ -73,7 +71,6 @@
     pub fn new(entry: EngineEntry, memory_tokens: u64) -> Option<Self> {
         let address = entry.address.parse().ok()?;
         let draining = AtomicBool::new(entry.draining);
-        let has_announced_drain = AtomicBool::new(entry.draining);
         let number = engine_number(&entry.id);
         let started_at_ms = entry.started_at_ms.map_or_else(OnceLock::new, OnceLock::from);
         let is_version_stated = AtomicBool::new(entry.software_version.is_some());
@@ -89,7 +86,6 @@
             is_version_stated,
             in_flight_requests: AtomicU32::new(0),
             draining,
-            has_announced_drain,
             replaced: AtomicBool::new(false),
             health: Mutex::default(),
             idle_connections: Mutex::default(),
@@ -149,21 +145,9 @@
         InFlightRequest { engine: self.clone() }
     }
 
-    /// Sets whether the engine is draining according to its latest entry.
+    /// Sets whether the engine is draining. It is if its latest entry says so, or if it was removed from the list.
     pub fn set_draining(&self, draining: bool) {
         self.draining.store(draining, Ordering::Relaxed);
-        self.has_announced_drain.fetch_or(draining, Ordering::Relaxed);
-    }
-
-    /// Records that the engine was removed from the list. It gets no new requests from then on.
-    pub fn note_removed(&self) {
-        self.draining.store(true, Ordering::Relaxed);
-    }
-
-    /// Whether the engine has announced that it leaves. An engine that has ended otherwise may be removed from the list
-    /// before its connections are seen to break.
-    pub fn has_announced_drain(&self) -> bool {
-        self.has_announced_drain.load(Ordering::Relaxed)
     }
 
     /// Whether the engine may get new requests. It may if it is not draining and no other engine has its address.
--- a/crates/gateway/src/engines/table.rs
+++ b/crates/gateway/src/engines/table.rs
@@ -146,7 +146,7 @@
         }
         for engine in previous_engines.into_values() {
             self.remember_if_ended(&engine);
-            engine.note_removed();
+            engine.set_draining(true);
             engine.close_idle_connections();
         }
     }
