A listed engine that drains has not ended

The check which of the lost engines have ended took an engine that drains for one that has ended, though it answers connections. Now a listed engine has ended if it refuses connections, another engine is listed at its address, or another one has answered there.

--- a/crates/gateway/src/edge/engine_losses.rs
+++ b/crates/gateway/src/edge/engine_losses.rs
@@ -41,14 +41,17 @@
 const MIN_LOSSES_TO_TELL: usize = 2;
 /// The most requests whose losses a gateway holds in memory.
 const MAX_SUSPECTS: usize = 4096;
-/// The shortest and the longest pause between two attempts to get the suspects from another gateway after the start.
+/// The shortest pause between two attempts to get the suspects from another gateway after the start.
 const MIN_LEARN_PAUSE: Duration = Duration::from_millis(200);
+/// The longest such pause.
 const MAX_LEARN_PAUSE: Duration = Duration::from_secs(5);
 /// The program whose run locations a gateway answers with the suspects that it knows. No replica stores such a program.
 const SUSPECT_LIST: ProgramKey = ProgramKey(0);
 
+/// A request under which engines were lost.
 struct Suspect {
     losses: EngineLosses,
+    /// When the losses last changed.
     changed_at: Instant,
 }
 
--- a/crates/gateway/src/edge/loss_checks.rs
+++ b/crates/gateway/src/edge/loss_checks.rs
@@ -20,7 +20,6 @@
 /// Number of lost engines from which a request is sent to the engine with the fewest requests, so that as few other
 /// requests as possible lose their engine if it ends as well.
 const MIN_LOSSES_TO_ISOLATE: usize = 2;
-
 /// Time limit for the check whether an engine runs. An engine that has ended refuses the connection within a round trip.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -72,7 +71,7 @@
         let has_ended = |number: &&u32| {
             let listed = engines.iter().find(|engine| engine.number == **number);
             listed.is_none_or(|engine| {
-                !engine.accepts_requests() || refuses_connections(engine) || self.has_newer_engine_at_address(engine)
+                engine.is_replaced() || refuses_connections(engine) || self.has_newer_engine_at_address(engine)
             })
         };
         let ended_count = losses.engines().iter().filter(has_ended).count();
--- a/crates/gateway/src/engines/engine.rs
+++ b/crates/gateway/src/engines/engine.rs
@@ -150,6 +150,11 @@
         self.draining.store(draining, Ordering::Relaxed);
     }
 
+    /// Whether another engine has answered at this engine's address.
+    pub fn is_replaced(&self) -> bool {
+        self.replaced.load(Ordering::Relaxed)
+    }
+
     /// Whether the engine may get new requests. It may if it is not draining and no other engine has its address.
     pub fn accepts_requests(&self) -> bool {
         !self.draining.load(Ordering::Relaxed) && !self.replaced.load(Ordering::Relaxed)
--- a/crates/gateway/tests/ended_engine_tests.rs
+++ b/crates/gateway/tests/ended_engine_tests.rs
@@ -237,8 +237,8 @@
     assert_eq!(Request::Unrepeatable.send(&gateway, MAX_ENDED_ENGINES).await.status, 200);
 }
 
-/// Engines end under a request, and others under other requests that were served in between. The engines from before a
-/// request was served do not count.
+/// Two engines end under a request, the request is served, and two more engines end under it. Only those since it was
+/// served count, so it is sent again.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn engines_that_ended_before_a_request_was_served_do_not_count() {
     let deployment = Deployment::start_with_engines(173, Request::Unrepeatable, ENGINES, &Behaviour::Hang).await;
