--- a/crates/gateway/src/edge/engine_losses.rs
+++ b/crates/gateway/src/edge/engine_losses.rs
@@ -30,11 +30,12 @@
 const RECORD_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time limit for reading losses. Without an answer in time, those that this gateway knows count.
 const READ_TIMEOUT: Duration = Duration::from_millis(400);
-/// Like [`READ_TIMEOUT`], for a request that this gateway does not know as a suspect.
-const UNKNOWN_READ_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time after a failed read for which requests that this gateway does not know as suspects are sent without a read, so
 /// that not each of them waits while no replicas answer.
 const FAILED_READ_PAUSE: Duration = Duration::from_secs(1);
+/// Time after the start in which each request waits for its read. After a loss of all power the replicas have started
+/// again too, and take a while to answer.
+const START_PERIOD: Duration = Duration::from_secs(3);
 /// Time limit for telling the other gateways.
 const TELL_TIMEOUT: Duration = Duration::from_millis(150);
 /// Number of losses from which the other gateways are told. Most requests that lose one engine are served by the next.
@@ -83,8 +84,10 @@
         }
     }
 
-    fn has_read_failed_recently(&self) -> bool {
-        lock(&self.read_failed_at).is_some_and(|failed_at| failed_at.elapsed() < FAILED_READ_PAUSE)
+    /// Whether requests are sent without a read because the replicas do not answer.
+    fn skips_reads(&self) -> bool {
+        let has_failed = lock(&self.read_failed_at).is_some_and(|failed_at| failed_at.elapsed() < FAILED_READ_PAUSE);
+        has_failed && self.started_at.elapsed() >= START_PERIOD
     }
 
     fn knows_all_suspects(&self) -> bool {
@@ -95,11 +98,10 @@
     pub async fn losses_of(&self, call: &Call) -> EngineLosses {
         let program = loss_program(call.request_key);
         let known = self.known_losses(program);
-        if known.is_none() && (self.knows_all_suspects() || self.has_read_failed_recently()) {
+        if known.is_none() && (self.knows_all_suspects() || self.skips_reads()) {
             return EngineLosses::default();
         }
-        let timeout = if known.is_some() { READ_TIMEOUT } else { UNKNOWN_READ_TIMEOUT };
-        let deadline = call.expires_at.min(Instant::now() + timeout);
+        let deadline = call.expires_at.min(Instant::now() + READ_TIMEOUT);
         match self.turns.read_run_locations(program, deadline).await {
             Ok(locations) => self.merge(program, &EngineLosses::from_run_locations(program, &locations)),
             Err(error) => {
