Compute a request's key once, and only when it is needed

The key hashes the whole body. It was computed twice for each request, in Call::new and again when the tenant was set, also for requests that are refused before anything reads it. It is computed at its first use now. Behaviour is unchanged.

--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -16,7 +16,7 @@
 use foxnotch_wire::RunLocation;
 use http::{header, HeaderMap, Request};
 use http_body_util::Full;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 /// Hop-by-hop headers, which apply to one connection only and are not forwarded.
@@ -70,8 +70,8 @@
     pub head: http::request::Parts,
     /// The body that the caller sent.
     pub input: Bytes,
-    /// Identifies the request across its attempts.
-    pub request_key: RequestKey,
+    /// The result of [`Self::request_key`], once it was needed.
+    request_key: OnceLock<RequestKey>,
 }
 
 impl Call {
@@ -88,6 +88,7 @@
         let timeout_ms = metadata.deadline_ms.map_or(route.timeout_ms, |deadline| deadline.min(route.timeout_ms));
         let expires_at = arrived_at + Duration::from_millis(timeout_ms);
         Self {
+            metadata,
             tenant: None,
             configuration_version: 0,
             stage: program_stage::PLAIN_REQUEST_STAGE,
@@ -99,10 +100,9 @@
             required_origin: None,
             arrived_at,
             expires_at,
-            request_key: request_key_of("", &metadata, &head, &input),
-            metadata,
             head,
             input,
+            request_key: OnceLock::new(),
         }
     }
 
@@ -113,9 +113,7 @@
             Some(tenant) => self.route.residency.intersection(&tenant.residency),
             None => self.residency,
         };
-        let tenant_name = tenant.as_ref().map_or("", |tenant| &tenant.name);
-        let request_key = request_key_of(tenant_name, &self.metadata, &self.head, &self.input);
-        Self { tenant, configuration_version, residency, request_key, ..self }
+        Self { tenant, configuration_version, residency, request_key: OnceLock::new(), ..self }
     }
 
     /// The name of the call's tenant; empty when the call has none.
@@ -123,6 +121,20 @@
         self.tenant.as_ref().map_or("", |tenant| &tenant.name)
     }
 
+    /// Identifies the request across its attempts. Attempts to resume a stream have the key of the request that began it.
+    pub fn request_key(&self) -> RequestKey {
+        *self.request_key.get_or_init(|| {
+            let host = self.head.headers.get(header::HOST).map_or(&[][..], http::HeaderValue::as_bytes);
+            let uri = &self.head.uri;
+            let target = uri.path_and_query().map_or(uri.path(), http::uri::PathAndQuery::as_str);
+            let method = self.head.method.as_str();
+            let parts = [self.tenant_name().as_bytes(), method.as_bytes(), host, target.as_bytes()];
+            let names = [&self.metadata.program, &self.metadata.session, &self.metadata.previous]
+                .map(|name| name.as_deref().unwrap_or_default().as_bytes());
+            request_key(parts.into_iter().chain(names).chain([&self.input[..]]))
+        })
+    }
+
     /// The tenant's priority if it has one, or else the route's.
     fn priority(&self) -> u8 {
         self.tenant.as_ref().and_then(|tenant| tenant.priority).unwrap_or(self.route.priority)
@@ -214,16 +226,6 @@
     }
 }
 
-/// The key of a request. Attempts to resume a stream have the key of the request that began it.
-fn request_key_of(tenant: &str, metadata: &CallMetadata, head: &http::request::Parts, input: &[u8]) -> RequestKey {
-    let host = head.headers.get(header::HOST).map_or(&[][..], http::HeaderValue::as_bytes);
-    let target = head.uri.path_and_query().map_or(head.uri.path(), http::uri::PathAndQuery::as_str);
-    let parts = [tenant.as_bytes(), head.method.as_str().as_bytes(), host, target.as_bytes()];
-    let names = [&metadata.program, &metadata.session, &metadata.previous]
-        .map(|name| name.as_deref().unwrap_or_default().as_bytes());
-    request_key(parts.into_iter().chain(names).chain([input]))
-}
-
 /// Removes hop-by-hop headers, including those that the `Connection` header names.
 pub fn remove_connection_headers(headers: &mut HeaderMap) {
     let named: Vec<String> = headers
--- a/crates/gateway/src/edge/engine_losses.rs
+++ b/crates/gateway/src/edge/engine_losses.rs
@@ -96,7 +96,7 @@
 
     /// The engines that were lost under a request, to be asked before it is sent.
     pub async fn losses_of(&self, call: &Call) -> EngineLosses {
-        let program = loss_program(call.request_key);
+        let program = loss_program(call.request_key());
         let known = self.known_losses(program);
         if known.is_none() && (self.knows_all_suspects() || self.skips_reads()) {
             return EngineLosses::default();
@@ -112,7 +112,7 @@
                     "The engines that ended under the request of call {} cannot be read from the replicas, so only \
                      those that this gateway knows count: request={} known={}: {error}.",
                     call.metadata.attempt,
-                    call.request_key,
+                    call.request_key(),
                     known.since_served(),
                 );
                 known
@@ -123,7 +123,7 @@
     /// Records that the connection to an engine broke while the engine ran a call. Returns all losses of the request.
     /// The record is written even if the caller leaves meanwhile.
     pub async fn record_loss(self: &Arc<Self>, call: &Call, engine: &Engine) -> EngineLosses {
-        let (tracker, program, number) = (self.clone(), loss_program(call.request_key), engine.number);
+        let (tracker, program, number) = (self.clone(), loss_program(call.request_key()), engine.number);
         let recording = tokio::spawn(async move { tracker.store_and_tell(program, number).await });
         let losses = recording.await.unwrap_or_else(|_| self.known_losses(program).unwrap_or_default());
         log::info!(
@@ -131,7 +131,7 @@
             "Call {} lost its engine, which may have ended under it: request={} engine={} losses={}; `losses` counts \
              the engines that were lost under this request, in all attempts.",
             call.metadata.attempt,
-            call.request_key,
+            call.request_key(),
             engine.entry.id,
             losses.since_served(),
         );
@@ -180,7 +180,7 @@
 
     /// Records that the request of a call was served, so the engines that were lost before are no evidence against it.
     pub fn note_served(self: &Arc<Self>, call: &Call) {
-        let program = loss_program(call.request_key);
+        let program = loss_program(call.request_key());
         let Some(mut losses) = self.known_losses(program).filter(|losses| losses.since_served() > 0) else { return };
         losses.note_served();
         let total = losses.total();
@@ -190,7 +190,7 @@
             "Call {} was served after engines were lost under its request, so these count no longer: request={} \
              losses={total}.",
             call.metadata.attempt,
-            call.request_key,
+            call.request_key(),
         );
         let tracker = self.clone();
         tokio::spawn(async move {
@@ -267,7 +267,7 @@
 
     /// The engines that were lost under other requests that lost several engines.
     pub fn engines_lost_under_other_suspects(&self, call: &Call) -> BTreeSet<u32> {
-        let own = loss_program(call.request_key);
+        let own = loss_program(call.request_key());
         let suspects = lock(&self.suspects);
         let others = suspects
             .iter()
--- a/crates/gateway/src/edge/loss_checks.rs
+++ b/crates/gateway/src/edge/loss_checks.rs
@@ -106,7 +106,7 @@
     format!(
         "request={} service={} lost={} ended={} unrelated={}; of the `lost` engines of this request, `ended` have \
          ended, and `unrelated` others ended without it",
-        call.request_key,
+        call.request_key(),
         call.service,
         losses.since_served(),
         ends.under_request,
--- a/crates/gateway/src/edge/send_log.rs
+++ b/crates/gateway/src/edge/send_log.rs
@@ -109,6 +109,6 @@
         view.engines.revision,
         engine.software_version().unwrap_or("-"),
         metadata.resumes.as_deref().unwrap_or("-"),
-        call.request_key,
+        call.request_key(),
     );
 }
