Remove a function that nothing calls, and a step without gain

EngineLosses::to_run_locations had no caller. Releasing spare capacity of stored entries changed nothing: 62 MB of anonymous memory with and without it (replica_memory_tests). Behaviour is unchanged.

--- a/crates/turns/src/engine_losses.rs
+++ b/crates/turns/src/engine_losses.rs
@@ -80,13 +80,6 @@
         losses
     }
 
-    /// The run locations from which [`Self::from_run_locations`] makes the same losses.
-    pub fn to_run_locations(&self, program: ProgramKey) -> Vec<RunLocation> {
-        let loss = |engine: &u32| RunLocation { engine: *engine, part: loss_part(program, *engine), prompt_tokens: 0 };
-        let served = RunLocation { engine: 0, part: served_part(program), prompt_tokens: self.before_served as u32 };
-        self.engines.iter().map(loss).chain((self.before_served > 0).then_some(served)).collect()
-    }
-
     /// Adds the losses that another node knows.
     pub fn merge(&mut self, other: &Self) {
         self.engines.extend(&other.engines);
--- a/crates/turns/src/ledger.rs
+++ b/crates/turns/src/ledger.rs
@@ -76,8 +76,7 @@
     }
 
     /// Merges an entry with the stored entry of the same turn, and postpones the expiry of the entry's program.
-    pub fn add_entry(&mut self, mut entry: TurnEntry, now: Millis) {
-        release_spare_capacity(&mut entry);
+    pub fn add_entry(&mut self, entry: TurnEntry, now: Millis) {
         let turn = entry.turn;
         let program = entry.program;
         let retention = u64::from(entry.retention_ms) + RETENTION_MARGIN_MS;
@@ -279,16 +278,6 @@
     }
 }
 
-/// Releases memory that was allocated while the entry was received or read and that it does not need.
-fn release_spare_capacity(entry: &mut TurnEntry) {
-    entry.record.shrink_to_fit();
-    for record in &mut entry.record {
-        record.regions.shrink_to_fit();
-        record.input.bytes.shrink_to_fit();
-        record.output.bytes.shrink_to_fit();
-    }
-}
-
 /// The [`TurnMark::recorded`] of an entry: its record is stored here, is stored on other replicas, or is unknown.
 fn record_location_tag(entry: &TurnEntry) -> u8 {
     match (entry.record.is_empty(), &entry.elsewhere) {
