Find the newest state and quota caps of a disk in one place

The start of a replica, the reading of segments and the writer each kept the newest state and caps by code of their own. NewestRecords serves all three. Behaviour is unchanged.

--- a/crates/gateway/src/replica/disk/mod.rs
+++ b/crates/gateway/src/replica/disk/mod.rs
@@ -13,14 +13,14 @@
 mod segments;
 mod writer;
 
-pub use records::{newest_caps, newest_state};
+pub use records::{newest_caps, NewestRecords};
 
 use crate::logging::part;
 use foxnotch_turns::segment::{read_segment, Record};
 use foxnotch_wire::ProgramKey;
 use records::program_of;
 use segments::{segment_numbers, segment_path, ClosedSegment};
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{HashSet, VecDeque};
 use std::fs;
 use std::io;
 use std::path::Path;
@@ -61,20 +61,20 @@
     /// Those of [`Self::open_with`].
     pub fn open(folder: &Path) -> io::Result<(Self, Vec<Record>)> {
         let mut records = Vec::new();
-        let disk = Self::open_with(folder, |record| records.push(record))?;
+        let (disk, _) = Self::open_with(folder, |record| records.push(record))?;
         Ok((disk, records))
     }
 
     /// Reads all segments of a folder, passes their records to `on_record`, oldest first, and starts the writer thread.
-    /// Holds the records of only one segment at a time, because a folder has several records for each turn.
+    /// Holds the records of only one segment at a time, because a folder has several records for each turn. Returns the
+    /// newest state and caps too.
     ///
     /// # Errors
     /// When the folder cannot be created or read, or a segment has a record in a format that this version does not
     /// know.
-    pub fn open_with(folder: &Path, mut on_record: impl FnMut(Record)) -> io::Result<Self> {
+    pub fn open_with(folder: &Path, mut on_record: impl FnMut(Record)) -> io::Result<(Self, NewestRecords)> {
         fs::create_dir_all(folder)?;
-        let mut state = None;
-        let mut caps = BTreeMap::new();
+        let mut newest = NewestRecords::default();
         let mut closed = VecDeque::new();
         for number in segment_numbers(folder)? {
             let path = segment_path(folder, number);
@@ -90,8 +90,7 @@
             }
             let programs = content.records.iter().filter_map(program_of).collect();
             closed.push_back(ClosedSegment { number, programs });
-            state = newest_state(&content.records).cloned().or(state);
-            caps.extend(newest_caps(&content.records));
+            newest.update(&content.records);
             content.records.into_iter().for_each(&mut on_record);
         }
         let writer = Writer {
@@ -99,12 +98,11 @@
             next_number: closed.back().map_or(1, |segment| segment.number + 1),
             open: None,
             closed,
-            state,
-            caps,
+            newest: newest.clone(),
         };
         let (jobs, queue) = channel();
         std::thread::Builder::new().name("disk".to_owned()).spawn(move || writer.run(&queue))?;
-        Ok(Self { jobs })
+        Ok((Self { jobs }, newest))
     }
 
     /// Writes records; returns once they are synced.
--- a/crates/gateway/src/replica/disk/writer.rs
+++ b/crates/gateway/src/replica/disk/writer.rs
@@ -1,12 +1,12 @@
 //! The writer thread: takes all jobs that wait, appends their records and syncs once for all of them.
 
-use super::records::{newest_caps, newest_state};
+use super::records::NewestRecords;
 use super::segments::{segment_path, sync_folder, ClosedSegment, OpenSegment};
 use super::{DiskError, Job};
 use crate::logging::part;
-use foxnotch_turns::segment::{QuotaCap, QuotaCaps, Record, ReplicaState};
+use foxnotch_turns::segment::{QuotaCap, QuotaCaps, Record};
 use foxnotch_wire::ProgramKey;
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{HashSet, VecDeque};
 use std::path::PathBuf;
 use std::sync::mpsc::Receiver;
 use std::{fs, io};
@@ -22,8 +22,7 @@
     pub(super) open: Option<OpenSegment>,
     /// The segments that are no longer written to, oldest first.
     pub(super) closed: VecDeque<ClosedSegment>,
-    pub(super) state: Option<ReplicaState>,
-    pub(super) caps: BTreeMap<u64, u32>,
+    pub(super) newest: NewestRecords,
 }
 
 impl Writer {
@@ -72,10 +71,7 @@
         if self.open.as_ref().is_some_and(OpenSegment::is_full_or_old) {
             self.closed.extend(self.open.take().map(OpenSegment::close));
         }
-        if let Some(state) = newest_state(records) {
-            self.state = Some(state.clone());
-        }
-        self.caps.extend(newest_caps(records));
+        self.newest.update(records);
         let mut open = match self.open.take() {
             Some(open) => open,
             None => self.begin_segment()?,
@@ -109,9 +105,9 @@
 
     /// The records with which each segment begins, since older segments may be removed.
     fn initial_records(&self) -> Vec<Record> {
-        let caps = self.caps.iter().map(|(tenant, requests)| QuotaCap { tenant: *tenant, requests: *requests });
+        let caps = self.newest.caps.iter().map(|(tenant, requests)| QuotaCap { tenant: *tenant, requests: *requests });
         let caps = QuotaCaps { caps: caps.collect() };
-        let state = self.state.clone().map(Record::State);
+        let state = self.newest.state.clone().map(Record::State);
         state.into_iter().chain((!caps.caps.is_empty()).then_some(Record::QuotaCaps(caps))).collect()
     }
 
--- a/crates/gateway/src/replica/process.rs
+++ b/crates/gateway/src/replica/process.rs
@@ -31,7 +31,6 @@
 use foxnotch_turns::ledger::Ledger;
 use foxnotch_turns::segment::Record;
 use foxnotch_wire::ReplicaMember;
-use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
@@ -98,15 +97,14 @@
 fn open_replica(settings: &ProcessSettings, folder: &Path, shared: &SharedParts) -> anyhow::Result<ReplicaService> {
     let own = node_id(&settings.node);
     let mut ledger = Ledger::for_zone(zone_hash(&settings.zone), settings.zone_regions());
-    let mut state = None;
-    let mut caps = BTreeMap::new();
-    let disk = Disk::open_with(folder, |record| match record {
-        Record::Entry(entry) => ledger.add_entry(entry, shared.clock.now()),
-        Record::State(newer) => state = Some(newer),
-        Record::QuotaCaps(newer) => caps.extend(newer.caps.iter().map(|cap| (cap.tenant, cap.requests))),
-    })
-    .context("the data folder cannot be used; check the setting data_folder and the disk")?;
-    let prior_grants = prior_grants_on_disk(state.as_ref(), caps, settings.first_start);
+    let on_record = |record| {
+        if let Record::Entry(entry) = record {
+            ledger.add_entry(entry, shared.clock.now());
+        }
+    };
+    let (disk, newest) = Disk::open_with(folder, on_record)
+        .context("the data folder cannot be used; check the setting data_folder and the disk")?;
+    let prior_grants = prior_grants_on_disk(&newest, settings.first_start);
     let is_new_deployment = prior_grants == PriorGrants::None;
     let cold_permits = ColdPermitService::new(settings.slow_start.excess_tolerance(), is_new_deployment);
     let quotas = QuotaService::new(settings.quota.rules(), settings.policy.quota_admission(), prior_grants);
@@ -120,7 +118,7 @@
     };
     Ok(ReplicaService::new(ReplicaServiceParts {
         own,
-        state: DurableState::new(own, disk.clone(), state.unwrap_or_default()),
+        state: DurableState::new(own, disk.clone(), newest.state.unwrap_or_default()),
         turns: TurnStore::new(turns, ledger),
         disk,
         view: shared.view.clone(),
--- a/crates/gateway/src/replica/quota_service.rs
+++ b/crates/gateway/src/replica/quota_service.rs
@@ -3,14 +3,13 @@
 
 use crate::locks::lock;
 use crate::logging::part;
-use crate::replica::disk::{Disk, DiskError};
+use crate::replica::disk::{Disk, DiskError, NewestRecords};
 use foxnotch_scheduler::quota::{
     Admission, Answer, Cap, Demand, Grant, PriorGrants, ProgramStage, QuotaRules, QuotaShares,
 };
 use foxnotch_scheduler::tenants::RateLimit;
-use foxnotch_turns::segment::{QuotaCap, QuotaCaps, Record, ReplicaState};
+use foxnotch_turns::segment::{QuotaCap, QuotaCaps, Record};
 use foxnotch_wire::{ProgramStageTag, QuotaGiven, RpcBody, TakeQuota};
-use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -42,16 +41,12 @@
     RpcBody::QuotaGiven(QuotaGiven { granted: u8::from(grant.granted), left: grant.left, retry_after_ms })
 }
 
-/// Computes from the newest state and the newest caps on disk what this replica may have granted before this start: no requests in a new
+/// Computes from the newest records on disk what this replica may have granted before this start: no requests in a new
 /// deployment, otherwise at most the caps on disk. If the disk is empty or not refilled yet, it has replaced a lost
 /// disk, so the earlier grants are unknown.
-pub fn prior_grants_on_disk(
-    state: Option<&ReplicaState>,
-    caps: BTreeMap<u64, u32>,
-    is_first_start: bool,
-) -> PriorGrants {
-    match state {
-        Some(state) if state.complete == 1 => PriorGrants::Caps(caps.into_iter().collect()),
+pub fn prior_grants_on_disk(newest: &NewestRecords, is_first_start: bool) -> PriorGrants {
+    match &newest.state {
+        Some(state) if state.complete == 1 => PriorGrants::Caps(newest.caps.clone().into_iter().collect()),
         None if is_first_start => PriorGrants::None,
         Some(_) | None => PriorGrants::Unknown,
     }
--- a/crates/gateway/src/replica/sync/mod.rs
+++ b/crates/gateway/src/replica/sync/mod.rs
@@ -24,8 +24,8 @@
 /// Maximum number of turns in one request for entries: 32 KB of identifiers.
 const MAX_TURNS_PER_REQUEST: usize = 2000;
 
-/// Number of lists of marks that are requested at the same time. A list has every turn of a replica, so all lists together
-/// may need as much memory as the turns.
+/// Number of lists of marks that are requested at the same time. A list has every turn of a replica, so all lists
+/// together may need as much memory as the turns.
 const CONCURRENT_LISTS: usize = 2;
 
 /// Another replica, with its marks: summaries of the turns that it has stored.
@@ -37,8 +37,8 @@
 /// Pulls missing entries and newer parts of the stored view from all other members of the set and of its previous
 /// version. Returns the members from which everything was pulled.
 ///
-/// A few of these members list their marks at a time; the missing entries are fetched from one member after another, the
-/// members in this replica's zone first. Each entry is thus fetched once, mostly from a replica in the same zone.
+/// A few of these members list their marks at a time; the missing entries are fetched from one member after another,
+/// the members in this replica's zone first. Each entry is thus fetched once, mostly from a replica in the same zone.
 pub async fn pull_from_members(
     replica: &Arc<ReplicaService>,
     client: &Arc<RpcClient>,
