--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.."
-exec target/review/stand_in lost-parent review/2/record.txt
+exec target/review/stand_in late-refusal review/2/record.txt
