--- a/review/stand_in/nodes.rs
+++ b/review/stand_in/nodes.rs
@@ -92,10 +92,6 @@
         format!("{class}-{}-{}", ZONES[self.number % ZONES.len()], self.number / ZONES.len() + 1)
     }
 
-    pub fn id(&self) -> u32 {
-        self.child.as_ref().map_or(0, Child::id)
-    }
-
     fn settings(&self, first_start: bool) -> String {
         let net = self.net;
         let is_gateway = self.role == "gateway";
@@ -148,18 +144,6 @@
         Ok(())
     }
 
-    /// Sends a signal to the process by its number.
-    pub fn signal(&self, name: &str) {
-        if let Some(child) = &self.child {
-            let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -{name} {}", child.id())).status();
-        }
-    }
-
-    /// Whether the process still runs.
-    pub fn is_running(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
-    }
-
     /// Ends the process and waits for its end.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/review/stand_in/store.rs
+++ b/review/stand_in/store.rs
@@ -142,19 +142,6 @@
         self.change(&mut state, kind, name, |object| object.spec = spec.to_owned());
     }
 
-    /// Removes an object.
-    pub fn remove(&self, kind: &str, name: &str) {
-        let mut state = self.state.0.lock().unwrap();
-        if let Some(mut object) = state.objects.remove(&(kind.to_owned(), name.to_owned())) {
-            state.revision += 1;
-            object.revision = state.revision;
-            let text = object_text(name, &object);
-            let revision = state.revision;
-            state.events.push(Event { kind: kind.to_owned(), revision, text, gone: true });
-            self.state.1.notify_all();
-        }
-    }
-
     /// The text of an object's `spec` and `status`.
     pub fn get(&self, kind: &str, name: &str) -> Option<(String, String)> {
         let state = self.state.0.lock().unwrap();
