--- a/review/stand_in/cases.rs
+++ b/review/stand_in/cases.rs
@@ -99,6 +99,13 @@
     \"route_type\":\"streaming\",\"timeout_ms\":4000,\"target_ms\":200,\"priority\":1,\"service\":\"rounds-agents\",\
     \"attempts\":1,\"retain\":true,\"retention_s\":60.0,\"sticky\":true,\"resumable\":false,\"gap_aim_ms\":200}]";
 
+/// When the first member loses its disk, counted from the first turns.
+const FIRST_LOSS_S: f64 = 3.5;
+/// Time between two losses. After a disk's machine is back (`DOWN_TIME`), the store is stable after `contact_ms` (3 s), and
+/// the machine counts as lost for `sync_s` (4.3 s) more.
+const LOSS_PERIOD_S: f64 = 8.0;
+const DOWN_TIME: Duration = Duration::from_millis(500);
+
 /// Sleeps until a moment, counted from the start of the case.
 fn wait_until(record: &Record, begun_at: Instant, seconds: f64) {
     std::thread::sleep(Duration::from_secs_f64(seconds).saturating_sub(begun_at.elapsed()));
@@ -113,12 +120,14 @@
     (0..REPLICAS).filter(is_member).collect()
 }
 
-/// Sends the next turns of many programs at the same time. Returns for each program its attempt or the statuses.
+/// Sends the next turns of many programs side by side. Returns for each program its attempt or the statuses.
+/// They begin 25 ms apart, so that few are at the engines at a time.
 fn complete_turns(record: &Arc<Record>, gateways: &[SocketAddr], turns: &[Turn]) -> Vec<Result<String, Vec<Option<u16>>>> {
     let sending: Vec<_> = turns
         .iter()
         .map(|turn| {
             let (record, gateways, turn) = (record.clone(), gateways.to_vec(), turn.clone());
+            std::thread::sleep(Duration::from_millis(25));
             std::thread::spawn(move || complete_turn(&record, &gateways, &turn))
         })
         .collect();
@@ -185,12 +194,12 @@
     let members = members_of_set(&fleet);
     record.line(&format!("members of the replica set: {members:?}"));
     for (step, member) in members.iter().enumerate() {
-        wait_until(&record, begun_at, 2.0 + 6.0 * step as f64);
+        wait_until(&record, begun_at, FIRST_LOSS_S + LOSS_PERIOD_S * step as f64);
         if has_trouble {
             let node = &mut fleet.nodes[GATEWAYS + member];
             node.kill();
             std::fs::remove_dir_all(node.data_folder()).map_err(|error| error.to_string())?;
-            std::thread::sleep(Duration::from_secs(1));
+            std::thread::sleep(DOWN_TIME);
             node.start(false).map_err(|error| error.to_string())?;
             record.line(&format!("{} lost its disk and is back with an empty one", node.name()));
         }
@@ -198,7 +207,8 @@
     wait_until(&record, begun_at, 50.0);
     let third = next_turns(&second, &second_attempts, |number| format!("b{number:04x}"), "third input");
     let third_attempts = completed(&third, &first_gateway)?;
-    wait_until(&record, begun_at, 96.0);
+    engines.iter().for_each(|engine| engine.peak.store(0, Ordering::Relaxed));
+    wait_until(&record, begun_at, 99.0);
     let fourth = next_turns(&third, &third_attempts, |number| format!("b{number:04x}"), "fourth input");
     let outcomes = complete_turns(&record, &other_gateways, &fourth);
     let fresh: Vec<Turn> = (0..20)
@@ -215,6 +225,11 @@
     if served < 18 {
         return Err(format!("only {served} of 20 first turns were served"));
     }
+    let peaks: Vec<u64> = engines.iter().map(|engine| engine.peak.load(Ordering::Relaxed)).collect();
+    record.line(&format!("the most requests at each engine meanwhile: {peaks:?} of 12 places"));
+    if peaks.iter().any(|peak| *peak >= 6) {
+        return Err(format!("the engines were not under half full: {peaks:?} of 12 places"));
+    }
     let mut findings = Vec::new();
     for (number, outcome) in outcomes.iter().enumerate() {
         match outcome {
--- a/review/stand_in/engine.rs
+++ b/review/stand_in/engine.rs
@@ -18,6 +18,17 @@
     CutShort,
 }
 
+/// Whether the other side has closed the connection.
+fn is_closed(stream: &TcpStream) -> bool {
+    let _ = stream.set_nonblocking(true);
+    let outcome = stream.peek(&mut [0]);
+    let _ = stream.set_nonblocking(false);
+    match outcome {
+        Ok(count) => count == 0,
+        Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
+    }
+}
+
 pub struct Engine {
     pub id: String,
     pub slots: usize,
@@ -34,6 +45,10 @@
     pub answers: AtomicU64,
     pub refusals: AtomicU64,
     pub spoiled: AtomicU64,
+    /// Answers given while the fault is on.
+    pub faulty_answers: AtomicU64,
+    /// The most requests that ran or waited at the same time.
+    pub peak: AtomicU64,
     /// The bodies of turns, by attempt.
     pub bodies: Mutex<BTreeMap<String, Vec<u8>>>,
 }
@@ -81,6 +96,8 @@
             answers: AtomicU64::new(0),
             refusals: AtomicU64::new(0),
             spoiled: AtomicU64::new(0),
+            faulty_answers: AtomicU64::new(0),
+            peak: AtomicU64::new(0),
             bodies: Mutex::default(),
         });
         let serving = engine.clone();
@@ -112,11 +129,12 @@
                     return;
                 }
             }
-            let bytes = self.respond(&request, &attempt);
+            let Some(bytes) = self.respond(&request, &attempt, &connection.stream) else { return };
             self.answers.fetch_add(1, Ordering::Relaxed);
+            // Counted, not drawn, so that no more answers are spoiled than the share says.
             let is_spoiled = self.fault != Fault::None
                 && self.is_fault_on.load(Ordering::Relaxed)
-                && self.draw(self.spoils_one_of) == 0;
+                && (self.faulty_answers.fetch_add(1, Ordering::Relaxed) + 1) % self.spoils_one_of == 0;
             if is_spoiled {
                 self.spoiled.fetch_add(1, Ordering::Relaxed);
             }
@@ -142,22 +160,24 @@
         answer(status, &[("X-Not-Executed", "1"), ("X-Attempt-Id", attempt)], b"not run\n")
     }
 
-    fn respond(&self, request: &Message, attempt: &str) -> Vec<u8> {
+    /// The answer to a request; none if its connection closed before a place was free.
+    fn respond(&self, request: &Message, attempt: &str, stream: &TcpStream) -> Option<Vec<u8>> {
         if request.header("x-expect-instance") != self.id {
-            return self.refuse("421 Misdirected Request", attempt);
+            return Some(self.refuse("421 Misdirected Request", attempt));
         }
         let until = Instant::now() + Duration::from_millis(request.header("x-deadline-ms").parse().unwrap_or(0));
         {
             let mut load = self.load.lock().unwrap();
             if load.0 >= self.slots && load.1 >= self.queue {
-                return self.refuse("503 Service Unavailable", attempt);
+                return Some(self.refuse("503 Service Unavailable", attempt));
             }
             load.1 += 1;
+            self.peak.fetch_max((load.0 + load.1) as u64, Ordering::Relaxed);
             while load.0 >= self.slots {
                 let left = until.saturating_duration_since(Instant::now());
                 if left.is_zero() {
                     load.1 -= 1;
-                    return self.refuse("503 Service Unavailable", attempt);
+                    return Some(self.refuse("503 Service Unavailable", attempt));
                 }
                 load = self.changed.wait_timeout(load, left).unwrap().0;
             }
@@ -169,7 +189,12 @@
             self.bodies.lock().unwrap().insert(attempt.to_owned(), request.body.clone());
             self.load.lock().unwrap().0 -= 1;
             self.changed.notify_one();
-            return bytes;
+            return Some(bytes);
+        }
+        if is_closed(stream) {
+            self.load.lock().unwrap().0 -= 1;
+            self.changed.notify_one();
+            return None;
         }
         self.record.ran(attempt, &self.id);
         std::thread::sleep(Duration::from_millis(40 + self.draw(130)));
@@ -177,7 +202,7 @@
         self.changed.notify_one();
         let seal = format!("seal.{attempt}");
         let headers = [("X-Attempt-Id", attempt), ("X-Server-Seal", &seal), ("Content-Type", "text/plain")];
-        answer("200 OK", &headers, format!("answer to {attempt}\n").as_bytes())
+        Some(answer("200 OK", &headers, format!("answer to {attempt}\n").as_bytes()))
     }
 
     /// Answers a request with a stream of events.
--- a/review/stand_in/main.rs
+++ b/review/stand_in/main.rs
@@ -24,6 +24,8 @@
     NotRun(String),
 }
 
+/// A run ends after this time, whatever it waits for. The programs that it started end with it.
+const MAX_RUN_TIME: Duration = Duration::from_secs(118);
 const HOST: &str = "ficu95.example";
 const LIMITS: &str = "{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}";
 
@@ -187,11 +189,12 @@
     let count = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
     for engine in engines {
         record.line(&format!(
-            "engine {} gave {} answers, {} of them refusals; it spoiled {}",
+            "engine {} gave {} answers, {} of them refusals; it spoiled {} of {} while it was faulty",
             engine.id,
             count(&engine.answers),
             count(&engine.refusals),
-            count(&engine.spoiled)
+            count(&engine.spoiled),
+            count(&engine.faulty_answers)
         ));
     }
     if engines.iter().all(|engine| count(&engine.refusals) == 0) {
@@ -262,7 +265,13 @@
     let case = arguments.get(1).map_or("", String::as_str);
     let output = arguments.get(2).map_or("record.txt", String::as_str);
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let verdict = cases::run(case, has_trouble, Path::new(output));
+    std::thread::spawn(|| {
+        std::thread::sleep(MAX_RUN_TIME);
+        println!("not run: the time is over");
+        std::process::exit(2);
+    });
+    let run = || cases::run(case, has_trouble, Path::new(output));
+    let verdict = std::panic::catch_unwind(run).unwrap_or_else(|_| Verdict::NotRun("the case panicked".to_owned()));
     let code = match verdict {
         Verdict::Broken(findings) => {
             println!("broken: {} findings, the first: {}", findings.len(), findings[0]);
--- a/review/stand_in/nodes.rs
+++ b/review/stand_in/nodes.rs
@@ -3,6 +3,7 @@
 use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
+use std::os::unix::process::CommandExt;
 use std::process::{Child, Command, Stdio};
 
 pub const ZONES: [&str; 4] = ["waco-hall", "temple-hall", "bryan-hall", "hico-hall"];
@@ -14,6 +15,15 @@
 const STORE_PORT: u16 = 8142;
 const ENGINE_PORT: u16 = 8080;
 
+extern "C" {
+    /// Of the system's C library, which the standard library links.
+    fn prctl(option: i32, argument: u64, ...) -> i32;
+}
+
+/// `PR_SET_PDEATHSIG` of prctl: the signal that a process gets when the thread that started it ends.
+const SET_PARENT_DEATH_SIGNAL: i32 = 1;
+const SIGKILL: u64 = 9;
+
 /// The loopback addresses of one run: each machine has an address of its own.
 #[derive(Clone, Copy)]
 pub struct Net(u8);
@@ -140,6 +150,14 @@
                 command.env(name, value);
             }
         }
+        // The programs are started by the main thread, so they end with this process, however it ends.
+        // SAFETY: prctl may be called between fork and exec, and only sets an attribute of the new process.
+        unsafe {
+            command.pre_exec(|| match prctl(SET_PARENT_DEATH_SIGNAL, SIGKILL) {
+                0 => Ok(()),
+                _ => Err(std::io::Error::last_os_error()),
+            });
+        }
         self.child = Some(command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log).spawn()?);
         Ok(())
     }
