Tests, failing: a request is sent on after three engines have ended under it

Two tests asked for the exceptions that callers now rule out ("not refused" beside many other ends, and ends that no longer count once the request was served). The promise is that after three ends there is no fourth send, without exception. They are replaced by tests of the same scenes that ask for the refusal.

--- a/crates/gateway/tests/ended_engine_tests.rs
+++ b/crates/gateway/tests/ended_engine_tests.rs
@@ -219,9 +219,16 @@
     has_ended
 }
 
-/// Engines end one after the other, whatever they run. A request that was running at three of them is not refused.
+/// Number of requests with [`MARKER`] that all engines together received.
+fn marked_requests(deployment: &Deployment) -> usize {
+    let count = |engine: &StubEngine| engine.received().iter().filter(|received| received.contains(MARKER)).count();
+    deployment.engines.iter().map(count).sum()
+}
+
+/// Engines end one after the other, whatever they run. A request that was running at three of them is not sent again,
+/// however many others have ended.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_request_that_was_running_at_a_few_of_many_ending_engines_is_not_refused() {
+async fn a_request_is_not_sent_on_after_three_ends_among_many_other_ends() {
     let deployment = Deployment::start_with_engines(172, Request::Unrepeatable, 14, &Behaviour::Hang).await;
     let gateway = deployment.start_gateway(FIRST_GATEWAY).await;
     for attempt in 0..MAX_ENDED_ENGINES {
@@ -234,13 +241,15 @@
         let headers = format!("t-attempt: other{number}\r\nt-deadline: 2500\r\n");
         assert_eq!(gateway.send("POST /write/", &headers, "other").await.status, 200);
     }
-    assert_eq!(Request::Unrepeatable.send(&gateway, MAX_ENDED_ENGINES).await.status, 200);
+    let before = marked_requests(&deployment);
+    assert_eq!(Request::Unrepeatable.send(&gateway, MAX_ENDED_ENGINES).await.status, 502);
+    assert_eq!(marked_requests(&deployment), before);
 }
 
-/// Two engines end under a request, the request is served, and two more engines end under it. Only those since it was
-/// served count, so it is sent again.
+/// Two engines end under a request, the request is served, and a third engine ends under it. All three count, because
+/// the answer may not have reached the caller, whose next try is the same request.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn engines_that_ended_before_a_request_was_served_do_not_count() {
+async fn a_request_is_not_sent_on_after_three_ends_although_it_was_served_between_them() {
     let deployment = Deployment::start_with_engines(173, Request::Unrepeatable, ENGINES, &Behaviour::Hang).await;
     let gateway = deployment.start_gateway(FIRST_GATEWAY).await;
     let other = deployment.start_gateway(OTHER_GATEWAY).await;
@@ -251,9 +260,93 @@
     assert_eq!(Request::Unrepeatable.send(&other, 2).await.status, 200);
     tokio::time::sleep(Duration::from_millis(300)).await;
     deployment.engines.iter().for_each(|engine| engine.set(Behaviour::Hang));
-    for attempt in 3..5 {
-        assert!(lose_engine_under(&deployment, &gateway, attempt).await);
-    }
+    assert!(lose_engine_under(&deployment, &gateway, 3).await);
     deployment.engines.iter().for_each(|engine| engine.set(Behaviour::Answer("done")));
-    assert_eq!(Request::Unrepeatable.send(&gateway, 5).await.status, 200);
+    let before = marked_requests(&deployment);
+    assert_eq!(Request::Unrepeatable.send(&gateway, 5).await.status, 502);
+    assert_eq!(Request::Unrepeatable.send(&other, 6).await.status, 502);
+    assert_eq!(marked_requests(&deployment), before);
+}
+
+/// A gateway is killed while an engine runs the request, so nobody sees the engine's connection break.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn engines_that_end_after_their_gateway_was_killed_count() {
+    let work = Duration::from_millis(250);
+    let behaviour = Behaviour::EndLaterUnder(MARKER, work);
+    let deployment = Deployment::start_with_engines(174, Request::Unrepeatable, ENGINES, &behaviour).await;
+    let mut gateway = deployment.start_gateway(FIRST_GATEWAY).await;
+    assert_eq!(Request::Unrepeatable.send(&gateway, 0).await.status, 502);
+    for attempt in 1..TRIES {
+        let before = marked_requests(&deployment);
+        let killed_while_running = async {
+            for _ in 0..40 {
+                if marked_requests(&deployment) > before {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        tokio::select! {
+            _ = Request::Unrepeatable.send(&gateway, attempt) => {}
+            () = killed_while_running => {}
+        }
+        gateway.kill();
+        tokio::time::sleep(work + Duration::from_millis(50)).await;
+        gateway = deployment.start_gateway(FIRST_GATEWAY).await;
+    }
+    let ended = deployment.ended_engines();
+    assert!(ended <= MAX_ENDED_ENGINES, "{ended} engines ended under one request");
+}
+
+/// The machines of engines restart under a request. Their connections stay silent, so the request ends at its deadline.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn engines_whose_machines_restart_without_closing_connections_count() {
+    let behaviour = Behaviour::RestartMachineUnder(MARKER);
+    let deployment = Deployment::start_with_engines(175, Request::Unrepeatable, ENGINES, &behaviour).await;
+    let gateway = deployment.start_gateway(FIRST_GATEWAY).await;
+    let other = deployment.start_gateway(OTHER_GATEWAY).await;
+    let mut statuses = Vec::new();
+    for attempt in 0..TRIES {
+        let at = if attempt % 2 == 0 { &gateway } else { &other };
+        let headers = format!("t-attempt: a{attempt}\r\nt-deadline: 600\r\nt-program: p\r\n");
+        statuses.push(at.send("POST /write/", &headers, MARKER).await.status);
+    }
+    let ended = deployment.ended_engines();
+    assert!(ended <= MAX_ENDED_ENGINES, "{ended} engines ended under one request; its tries got {statuses:?}");
+}
+
+/// The caller leaves each time before the engine under its request ends.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn engines_that_end_after_the_caller_has_left_count() {
+    let work = Duration::from_millis(250);
+    let behaviour = Behaviour::EndLaterUnder(MARKER, work);
+    let deployment = Deployment::start_with_engines(176, Request::Unrepeatable, ENGINES, &behaviour).await;
+    let gateway = deployment.start_gateway(FIRST_GATEWAY).await;
+    let other = deployment.start_gateway(OTHER_GATEWAY).await;
+    for attempt in 0..TRIES {
+        let at = if attempt % 2 == 0 { &gateway } else { &other };
+        let _ = tokio::time::timeout(work / 2, Request::Unrepeatable.send(at, attempt)).await;
+        tokio::time::sleep(work * 2).await;
+    }
+    let ended = deployment.ended_engines();
+    assert!(ended <= MAX_ENDED_ENGINES, "{ended} engines ended under one request");
+}
+
+/// After a loss of all power the replicas do not come back, so no gateway can find out how many engines have ended.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_whose_ended_engines_cannot_be_read_is_not_sent() {
+    let mut deployment = Deployment::start(177, Request::Repeatable).await;
+    let gateway = deployment.start_gateway(FIRST_GATEWAY).await;
+    for attempt in 0..TRIES {
+        Request::Repeatable.send(&gateway, attempt).await;
+    }
+    assert_eq!(deployment.ended_engines(), MAX_ENDED_ENGINES);
+    gateway.kill();
+    (1..=3).for_each(|number| deployment.cluster.kill(number));
+    let gateway = deployment.start_gateway(FIRST_GATEWAY).await;
+    for attempt in TRIES..2 * TRIES {
+        let answer = Request::Repeatable.send(&gateway, attempt).await;
+        assert!(answer.status == 503 && answer.has_retry_after(), "{answer:?}");
+    }
+    assert_eq!(deployment.ended_engines(), MAX_ENDED_ENGINES);
 }
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -42,6 +42,9 @@
 /// Time between the last event of a stream and the end of the engine's process.
 const EVENT_DELIVERY_TIME: Duration = Duration::from_millis(30);
 
+/// Time for which the connections of a machine that has restarted stay open and silent.
+const SILENT_CONNECTION_TIME: Duration = Duration::from_secs(60);
+
 /// How an engine responds to a request.
 #[derive(Clone, Debug)]
 pub enum Behaviour {
@@ -76,6 +79,12 @@
     /// Sends these events, then the engine's process ends, if head or body of the request contain the marker. Other
     /// requests get the response `done`, as a stream if there are events.
     EndUnder(&'static str, Vec<&'static str>),
+    /// Works on a request that contains the marker for a while, then the engine's process ends, also if the caller has
+    /// left. Other requests get the response `done`.
+    EndLaterUnder(&'static str, Duration),
+    /// Under a request that contains the marker, the engine's machine restarts: open connections stay silent without
+    /// being closed, and new ones are refused. Other requests get the response `done`.
+    RestartMachineUnder(&'static str),
 }
 
 /// A running stub engine. Dropping it stops it from accepting connections.
@@ -182,6 +191,17 @@
                 send_events_and_end(&mut stream, &attempt, events, ended).await;
                 return;
             }
+            Behaviour::EndLaterUnder(marker, time) if request.contains(marker) => {
+                end_after(time, ended.clone());
+                Behaviour::Hang
+            }
+            Behaviour::RestartMachineUnder(marker) if request.contains(marker) => {
+                received.lock().expect("no thread panicked while holding the lock").push(request);
+                keep_silent(stream);
+                ended.send_replace(true);
+                return;
+            }
+            Behaviour::EndLaterUnder(..) | Behaviour::RestartMachineUnder(_) => Behaviour::Answer("done"),
             Behaviour::EndUnder(_, events) if events.is_empty() => Behaviour::Answer("done"),
             Behaviour::EndUnder(..) => Behaviour::Stream(vec!["data: done\n\n"]),
             other => other,
@@ -193,6 +213,22 @@
     }
 }
 
+/// Ends the engine's process after a while.
+fn end_after(time: Duration, ended: watch::Sender<bool>) {
+    tokio::spawn(async move {
+        tokio::time::sleep(time).await;
+        ended.send_replace(true);
+    });
+}
+
+/// Keeps a connection open on which nothing more is sent.
+fn keep_silent(stream: TcpStream) {
+    tokio::spawn(async move {
+        tokio::time::sleep(SILENT_CONNECTION_TIME).await;
+        drop(stream);
+    });
+}
+
 /// Sends the first events of a stream, if there are any, and ends the engine's process.
 async fn send_events_and_end(
     stream: &mut TcpStream,
@@ -276,7 +312,9 @@
             let second = complete_response("200 OK", "t-attempt: other\r\nt-seal: s\r\n", "surplus");
             Bytes::from([first, second].concat())
         }
-        Behaviour::EndUnder(..) => unreachable!("serve() handles this behaviour"),
+        Behaviour::EndUnder(..) | Behaviour::EndLaterUnder(..) | Behaviour::RestartMachineUnder(_) => {
+            unreachable!("serve() handles this behaviour")
+        }
         Behaviour::Hang => {
             let mut ignored = [0; 1];
             // The read ends when the gateway closes the connection.
