Link a program to one that it continues, whichever entry comes first

Cause: the link from a program to the one that it continues, which keeps the older one stored, was made only if the previous turn's entry was there when the later one was added; a refill adds entries in the order of a hash table. Class: a result that depends on the order of messages that come in any order. Also found: a link made later did not pass on the time until which the later program's own successors keep it.

Change: a program waits for the entry of a turn that it continues, and is linked when it comes; a program never expires before one that continues it.

--- a/crates/turns/src/ledger/mod.rs
+++ b/crates/turns/src/ledger/mod.rs
@@ -3,7 +3,7 @@
 //! The ledger merges all entries of one turn, and never reverts a settlement (the number of tokens that the turn used)
 //! or a record (its input and output). It drops a program with all of its turns at once. A write to a program postpones
 //! the expiry of that program, and of all programs that it continues, until the retention of the written program has
-//! passed.
+//! passed. What the ledger holds does not depend on the order in which entries are added.
 //!
 //! A ledger holds a value of type `R` for each record: the record itself ([`Ledger`]), or where it is stored, so that
 //! the memory of a replica does not grow with the length of texts.
@@ -60,6 +60,8 @@
     elsewhere: HashMap<TurnId, RecordElsewhere>,
     /// Each list of regions that records are restricted to, once. The first one is empty.
     region_lists: Vec<Vec<RegionId>>,
+    /// Programs with a turn that continues a turn without an entry, by that turn. The entry may still come.
+    waiting_for: HashMap<TurnId, Vec<ProgramKey>>,
     /// Total size of all stored records, in bytes.
     record_bytes: usize,
 }
@@ -73,6 +75,7 @@
             programs: HashMap::new(),
             elsewhere: HashMap::new(),
             region_lists: vec![Vec::new()],
+            waiting_for: HashMap::new(),
             record_bytes: 0,
         }
     }
@@ -99,6 +102,7 @@
         if let Some(previous) = entry.previous().filter(|previous| *previous != crate::chain::NO_TURN) {
             self.link_to_previous(entry.program, previous);
         }
+        self.link_waiting_programs(entry);
         let retention = self.programs.get(&entry.program).map_or(0, |stored| u64::from(stored.retention_ms));
         self.extend_expiry(entry.program, now.plus(retention + RETENTION_MARGIN_MS));
     }
@@ -141,8 +145,24 @@
 
     /// Links a program to the program of the turn that one of its turns continues.
     fn link_to_previous(&mut self, program: ProgramKey, previous: TurnId) {
-        if let Some(parent) = self.entries.get(previous).map(|entry| entry.program) {
-            self.add_parent(program, parent);
+        match self.entries.get(previous).map(|entry| entry.program) {
+            Some(parent) => self.add_parent(program, parent),
+            None => {
+                let waiting = self.waiting_for.entry(previous).or_default();
+                if !waiting.contains(&program) {
+                    waiting.push(program);
+                }
+            }
+        }
+    }
+
+    /// Links the programs that continue the turn of an entry to the program of the entry, and stores the latter as long
+    /// as them.
+    fn link_waiting_programs(&mut self, entry: &TurnEntry) {
+        for child in self.waiting_for.remove(&entry.turn).unwrap_or_default() {
+            let Some(expires_at) = self.programs.get(&child).map(|stored| stored.expires_at) else { continue };
+            self.add_parent(child, entry.program);
+            self.extend_expiry(entry.program, expires_at);
         }
     }
 
@@ -323,6 +343,13 @@
                 self.elsewhere.remove(&turn);
             }
         }
+        if !expired.is_empty() {
+            let programs = &self.programs;
+            self.waiting_for.retain(|_, waiting| {
+                waiting.retain(|program| programs.contains_key(program));
+                !waiting.is_empty()
+            });
+        }
         expired.len()
     }
 
