Remove a member that is gone for good from a set at its smallest size

Cause: a dead member left a set only if 2 x losses + 1 members remained or a standby joined. A set of three with one gone needs two complete members for a refill and has one after the loss of a disk, although that one holds every write. Class: a rule for the size that is wished decided whether a member still counts.

Change: a member that has been dead for 5 s, longer than a restart takes, is removed as long as more members than losses remain. The next version is still written only by compare-and-swap once a majority is synced; a member that comes back joins again. A member that is merely dark for less is kept, as before.

The reference rules of the tests follow; the test that a member which is merely silent is removed only from a larger set stands as it was.

--- a/crates/gateway/src/replica/set_manager/retiring.rs
+++ b/crates/gateway/src/replica/set_manager/retiring.rs
@@ -9,6 +9,7 @@
 use foxnotch_turns::identity::node_id;
 use foxnotch_turns::replica_set::{
     self, check_retirement_complete, decide_retirement, member_to_remove, RetirementDecision, RetirementFacts,
+    SilentNodes,
 };
 use foxnotch_wire::{NodeId, RegionId, ReplicaSet};
 use std::time::{Duration, Instant};
@@ -113,9 +114,11 @@
     /// Removes a member that has been silent for long, if this replica is the first live member of the set and
     /// enough members remain.
     pub(super) async fn remove_dead_member(&self, set: &ReplicaSet) -> Result<bool, StepError> {
-        let gone = self.silent_members.update_and_list_gone(set);
+        let long_silent = self.silent_members.update_and_list_gone(set);
+        let gone_for_good = self.silent_members.list_gone_for_good(set);
+        let silent = SilentNodes { long_silent: &long_silent, gone_for_good: &gone_for_good };
         let is_dead = |node| self.members.is_dead(node);
-        let removed = member_to_remove(set, self.own.node, self.target.tolerance, &gone, is_dead);
+        let removed = member_to_remove(set, self.own.node, self.target.tolerance, silent, is_dead);
         let Some(node) = removed else { return Ok(false) };
         log::info!(
             target: part::REPLICA,
--- a/crates/gateway/src/replica/set_manager/silent_members.rs
+++ b/crates/gateway/src/replica/set_manager/silent_members.rs
@@ -14,6 +14,10 @@
 /// process membership may not have found the member yet.
 const UNKNOWN_MEMBER_DELAY: Duration = Duration::from_secs(6);
 
+/// Time after which a member that membership considers dead counts as gone for good. It exceeds the time that a machine
+/// or a process takes to start again, because a member that is removed has to join again.
+const GONE_FOR_GOOD_DELAY: Duration = Duration::from_secs(5);
+
 /// The time since which each member has been silent, as observed by this replica.
 pub(super) struct SilentMembers {
     own: NodeId,
@@ -43,4 +47,15 @@
         };
         silent.into_iter().filter(is_gone).collect()
     }
+
+    /// The members that membership has considered dead for longer than a restart takes, in the order of the set. As of
+    /// the last update.
+    pub(super) fn list_gone_for_good(&self, set: &ReplicaSet) -> Vec<NodeId> {
+        let silent_since = lock(&self.silent_since);
+        let is_gone = |node: &NodeId| {
+            let silent_for = silent_since.get(node).map(Instant::elapsed);
+            self.members.is_dead(*node) && silent_for.is_some_and(|time| time > GONE_FOR_GOOD_DELAY)
+        };
+        set.members.iter().map(|member| member.node).filter(is_gone).collect()
+    }
 }
--- a/crates/turns/src/replica_set/changes.rs
+++ b/crates/turns/src/replica_set/changes.rs
@@ -77,9 +77,7 @@
     dead_member: Option<NodeId>,
 ) -> Option<ReplicaSet> {
     let dead = dead_member.filter(|_| set.members.len() > 2)?;
-    let set_without_member = without_member(set, dead);
-    let losses = tolerance.max_losses(&set_without_member.members);
-    (set_without_member.members.len() > losses).then_some(set_without_member)
+    may_lose_member(set, tolerance, dead).then(|| without_member(set, dead))
 }
 
 /// The inputs of [`decide_join`].
@@ -215,18 +213,40 @@
     set.members.len() > 2 * tolerance.max_losses(&set.members) + 1
 }
 
-/// The member that the replica `own` has to remove from the set: the first of `long_silent`, the members that have not
-/// replied for long. `None` if the set may not shrink, or if `own` is not the first living member of the set: only the
-/// first one removes another member, so that two members do not act at the same time.
+/// Members of the set that do not reply, each list in the order of the set.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SilentNodes<'a> {
+    /// Those that have not replied for long.
+    pub long_silent: &'a [NodeId],
+    /// Those that have not replied for longer than a restart takes.
+    pub gone_for_good: &'a [NodeId],
+}
+
+/// The member that the replica `own` has to remove from the set. `None` if no member is to be removed, or if `own` is
+/// not the first living member of the set: only the first one removes another member, so that two members do not act
+/// at the same time.
+///
+/// A member that has not replied for long is removed if the set is still large enough without it. A member that is gone
+/// for good is removed as long as more members than losses remain: while it is counted, an empty disk needs more
+/// complete members for its refill than a tolerated loss leaves, so the loss of one disk could end all service although
+/// another member holds everything.
 pub fn member_to_remove(
     set: &ReplicaSet,
     own: NodeId,
     tolerance: Tolerance,
-    long_silent: &[NodeId],
+    silent: SilentNodes<'_>,
     is_dead: impl Fn(NodeId) -> bool,
 ) -> Option<NodeId> {
     let is_alive = |member: &&ReplicaMember| member.node == own || !is_dead(member.node);
     let first_alive = set.members.iter().find(is_alive).map(|member| member.node);
-    let silent = long_silent.first().copied();
-    silent.filter(|_| may_shrink(set, tolerance) && first_alive == Some(own))
+    let long_silent = silent.long_silent.first().filter(|_| may_shrink(set, tolerance));
+    let gone_for_good = silent.gone_for_good.first().filter(|node| may_lose_member(set, tolerance, **node));
+    long_silent.or(gone_for_good).copied().filter(|_| first_alive == Some(own))
+}
+
+/// Whether more members than losses remain without this member, so that one of them holds each acknowledged write after
+/// every tolerated loss.
+fn may_lose_member(set: &ReplicaSet, tolerance: Tolerance, node: NodeId) -> bool {
+    let remaining = without_member(set, node).members;
+    remaining.len() > tolerance.max_losses(&remaining)
 }
--- a/crates/turns/src/replica_set/mod.rs
+++ b/crates/turns/src/replica_set/mod.rs
@@ -30,7 +30,7 @@
 pub use changes::{
     check_change_allowed, check_retirement_complete, decide_bootstrap, decide_join, decide_removal_before_join,
     decide_replacement, decide_retirement, has_synced_majority, may_shrink, member_to_remove, BootstrapDecision,
-    JoinChange, JoinFacts, RetirementDecision, RetirementFacts,
+    JoinChange, JoinFacts, RetirementDecision, RetirementFacts, SilentNodes,
 };
 pub use coverage::{covers_previous_version, MissingTexts, PulledReplica, SyncedMember};
 pub use quorum_sizes::{denial_quorum, majority, majority_overlap_quorum, refill_quorum, write_quorum};
--- a/crates/turns/tests/set_guarantees_tests.rs
+++ b/crates/turns/tests/set_guarantees_tests.rs
@@ -4,7 +4,9 @@
 mod support;
 
 use foxnotch_turns::replica_set::{
-    denial_quorum, majority, majority_overlap_quorum, refill_quorum, write_quorum, SyncedMember, Tolerance,
+    check_change_allowed, decide_refill_completion, denial_quorum, majority, majority_overlap_quorum, member_to_remove,
+    refill_quorum, without_member, write_quorum, MissingTexts, NewestVersion, PulledReplica, RefillDecision,
+    RefillFacts, SilentNodes, SyncedMember, Tolerance,
 };
 use foxnotch_wire::{NodeId, ReplicaSet};
 use rstest::rstest;
@@ -171,7 +173,8 @@
 ) {
     let set = grown_set(size);
     let remaining = set.members.len() - 1;
-    let removed = reference_rules::remove(&set, OWN, tolerance(losses), &[NodeId(size)], |node| node == NodeId(size));
+    let removed =
+        reference_rules::remove(&set, OWN, tolerance(losses), &[NodeId(size)], &[], |node| node == NodeId(size));
     assert_eq!(removed.is_some(), remaining > 2 * losses);
     let retired = reference_rules::retire(&set, OWN, tolerance(losses), false, true);
     assert_eq!(retired.is_ok(), remaining > losses);
@@ -186,3 +189,62 @@
         .expect("node 2 may be replaced once node 1 is synced");
     assert_eq!(nodes(&next), vec![NodeId(1), NodeId(9)]);
 }
+
+/// Removes the members that are gone for good as the members that are left would, one version of the set after the
+/// other. Between two versions all members that are left sync.
+fn remove_gone_members(set: &ReplicaSet, tolerance: Tolerance, gone: &[NodeId]) -> ReplicaSet {
+    let is_gone = |node: NodeId| gone.contains(&node);
+    let mut set = set.clone();
+    loop {
+        let present = nodes(&set);
+        let left: Vec<NodeId> = present.iter().copied().filter(|node| !is_gone(*node)).collect();
+        let still_gone: Vec<NodeId> = present.iter().copied().filter(|node| is_gone(*node)).collect();
+        let silent = SilentNodes { long_silent: &still_gone, gone_for_good: &still_gone };
+        let removed = left.iter().find_map(|own| member_to_remove(&set, *own, tolerance, silent, is_gone));
+        match removed {
+            Some(node) if check_change_allowed(&set, &left, false).is_ok() => set = without_member(&set, node),
+            _ => return set,
+        }
+    }
+}
+
+/// Whether an empty member of the set is refilled from complete ones that are synced to it.
+fn is_refilled_from(set: &ReplicaSet, tolerance: Tolerance, own: NodeId, complete: &[NodeId]) -> bool {
+    let pulled =
+        |node: &NodeId| PulledReplica { node: *node, complete: true, synced: set.version, known_replicas: nodes(set) };
+    let pulled: Vec<PulledReplica> = complete.iter().map(pulled).collect();
+    let facts = RefillFacts { set, tolerance, own, pulled: &pulled, newest: NewestVersion::Confirmed };
+    matches!(decide_refill_completion(&facts, MissingTexts::default), RefillDecision::Refilled(_))
+}
+
+/// A set kept a member that was gone for good, and the loss of one more disk ended all service, although another member
+/// held every write.
+#[rstest]
+fn a_tolerated_loss_of_disks_is_refilled_after_members_are_gone_for_good(
+    #[values(1, 2, 3, 4, 5, 6, 7)] size: u32,
+    #[values(1, 2, 3)] machines: usize,
+) {
+    let tolerance = tolerance(machines);
+    let first = grown_set(size);
+    let members = nodes(&first);
+    for gone_count in 0..=machines {
+        // More members than losses have to be left, and a majority of the first set, which removes the others.
+        let left_count = members.len().saturating_sub(gone_count);
+        if left_count <= machines || left_count < majority(members.len()) {
+            continue;
+        }
+        for gone in subsets_of_size(&members, gone_count) {
+            let set = remove_gone_members(&first, tolerance, &gone);
+            assert!(set.members.len() > machines, "set {set:?}");
+            let left: Vec<NodeId> = nodes(&set).into_iter().filter(|node| !gone.contains(node)).collect();
+            assert!(left.len() >= write_quorum(set.members.len(), machines), "writes stop: set {set:?}, gone {gone:?}");
+            for lost in subsets_of_size(&left, machines) {
+                let complete: Vec<NodeId> = left.iter().copied().filter(|node| !lost.contains(node)).collect();
+                for own in &lost {
+                    let is_refilled = is_refilled_from(&set, tolerance, *own, &complete);
+                    assert!(is_refilled, "set {set:?}, gone {gone:?}, lost {lost:?}");
+                }
+            }
+        }
+    }
+}
--- a/crates/turns/tests/set_rules_tests.rs
+++ b/crates/turns/tests/set_rules_tests.rs
@@ -6,8 +6,8 @@
     self, check_change_allowed, check_pull_sufficient, check_retirement_complete, decide_bootstrap, decide_join,
     decide_refill_completion, decide_removal_before_join, decide_replacement, decide_retirement,
     majority_overlap_quorum, member_to_remove, refill_quorum, BootstrapDecision, JoinChange, JoinFacts, MissingTexts,
-    NewestVersion, PulledReplica, RefillDecision, RefillFacts, RetirementDecision, RetirementFacts, SyncedMember,
-    Tolerance, WaitReason,
+    NewestVersion, PulledReplica, RefillDecision, RefillFacts, RetirementDecision, RetirementFacts, SilentNodes,
+    SyncedMember, Tolerance, WaitReason,
 };
 use foxnotch_wire::{NodeId, ReplicaMember, ReplicaSet};
 use rstest::rstest;
@@ -200,10 +200,12 @@
                 assert_eq!(retired, reference_rules::retired(&set, &selected, up));
             }
             for own in members.iter().copied().chain([NON_MEMBER]) {
-                for silent in [Vec::new(), selected.clone()] {
-                    let removed = member_to_remove(&set, own, tolerance, &silent, |node| selected.contains(&node));
-                    let expected =
-                        reference_rules::remove(&set, own, tolerance, &silent, |node| selected.contains(&node));
+                let nobody = Vec::new();
+                for (long_silent, gone_for_good) in [(&nobody, &nobody), (&selected, &nobody), (&selected, &selected)] {
+                    let silent = SilentNodes { long_silent, gone_for_good };
+                    let is_dead = |node| selected.contains(&node);
+                    let removed = member_to_remove(&set, own, tolerance, silent, is_dead);
+                    let expected = reference_rules::remove(&set, own, tolerance, long_silent, gone_for_good, is_dead);
                     assert_eq!(removed, expected);
                 }
             }
--- a/crates/turns/tests/support/reference_rules.rs
+++ b/crates/turns/tests/support/reference_rules.rs
@@ -197,11 +197,19 @@
     own: NodeId,
     tolerance: Tolerance,
     long_silent: &[NodeId],
+    gone_for_good: &[NodeId],
     is_dead: impl Fn(NodeId) -> bool,
 ) -> Option<NodeId> {
     let alive = |member: &&ReplicaMember| member.node == own || !is_dead(member.node);
-    let first = set.members.iter().find(alive).map(|member| member.node);
-    long_silent.first().copied().filter(|_| may_shrink(set, tolerance) && first == Some(own))
+    if set.members.iter().find(alive).map(|member| member.node) != Some(own) {
+        return None;
+    }
+    if may_shrink(set, tolerance) && !long_silent.is_empty() {
+        return Some(long_silent[0]);
+    }
+    let gone = *gone_for_good.first()?;
+    let rest = without_member(set, gone).members;
+    (rest.len() > tolerance.max_losses(&rest)).then_some(gone)
 }
 
 /// Whether the next version of the set may be written.
