An answer to another attempt is no answer to this one, whatever its status

Cause: a refusal (marked as not run, or 421) was acted on before its attempt identifier was compared; an engine's late copy of a refusal on a kept connection was taken for the answer to the next request. Class: a message is acted on before it is known whom it is about.

Change: the identifier is compared first. An answer that names another attempt says nothing of this one: the request may have run, and the connection is closed. A refusal without an identifier is read as before.

--- a/crates/gateway/src/engines/attempt.rs
+++ b/crates/gateway/src/engines/attempt.rs
@@ -141,6 +141,10 @@
     };
     connection.set_idle_timeout(keep_alive_seconds(response.headers()));
     let metadata = dialect.read_answer(response.headers());
+    // A late answer to an earlier attempt on this connection tells nothing of this one, even if it is a refusal.
+    if metadata.attempt.as_deref().is_some_and(|answered| answered != attempt) {
+        return Err(other_attempt_answered(&metadata));
+    }
     if response.status() != http::StatusCode::MISDIRECTED_REQUEST {
         engine.note_answer();
     }
@@ -148,8 +152,7 @@
         return Err(read_refusal(engine, response, connection).await);
     }
     if metadata.attempt.as_deref() != Some(attempt) {
-        let reason = format!("an answer to {:?} came", metadata.attempt);
-        return Err(AttemptError::AnswerLost(reason));
+        return Err(other_attempt_answered(&metadata));
     }
     if response.status().is_success() && !metadata.sealed {
         return Err(AttemptError::AnswerLost("it is not signed".to_owned()));
@@ -157,6 +160,10 @@
     Ok(EngineAnswer { response, metadata, connection, in_flight })
 }
 
+fn other_attempt_answered(metadata: &AnswerMetadata) -> AttemptError {
+    AttemptError::AnswerLost(format!("an answer to {:?} came", metadata.attempt))
+}
+
 /// Sends a request over an idle connection or, if none can carry the request, over a new one. A new connection is not
 /// used after `send_by`, when the permit to send to a cold engine expires.
 async fn send_over_idle_or_new_connection(
--- /dev/null
+++ b/crates/gateway/tests/engine_answer_tests.rs
@@ -0,0 +1,92 @@
+//! Answers of engines that belong to another attempt.
+
+mod support;
+
+use foxnotch_gateway::ports::store::Kind;
+use rstest::rstest;
+use support::cluster::{eventually, Cluster};
+use support::engine::{Behaviour, StubEngine};
+use support::gateway::{configuration, put_engine_entry, Answer, RunningGateway};
+
+/// The deadline of requests, in milliseconds.
+const DEADLINE_MS: u64 = 2500;
+
+struct Deployment {
+    _cluster: Cluster,
+    gateway: RunningGateway,
+    engines: Vec<StubEngine>,
+}
+
+impl Deployment {
+    async fn start(net: u8, service: &str, behaviours: &[Behaviour]) -> Self {
+        let cluster = Cluster::start(net, 3).await;
+        cluster.store.put(Kind::Configuration, "main", configuration(1));
+        let mut engines = Vec::new();
+        for (number, behaviour) in behaviours.iter().enumerate() {
+            let engine = StubEngine::start(behaviour.clone()).await;
+            put_engine_entry(&cluster, &format!("e{number}"), service, engine.address);
+            engines.push(engine);
+        }
+        let gateway = RunningGateway::start(&cluster).await;
+        gateway.wait_ready().await;
+        Self { _cluster: cluster, gateway, engines }
+    }
+
+    async fn send(&self, service: &str, attempt: &str) -> Answer {
+        let headers = format!(
+            "t-attempt: {attempt}\r\nt-deadline: {DEADLINE_MS}\r\nt-program: p\r\nt-budget: 500\r\nt-most: 30\r\n"
+        );
+        self.gateway.send(&format!("POST /{service}/"), &headers, "input").await
+    }
+
+    /// Number of engines that received the attempt.
+    fn engines_with(&self, attempt: &str) -> usize {
+        let has_received =
+            |engine: &&StubEngine| engine.received().iter().any(|request| request.header("t-attempt") == Some(attempt));
+        self.engines.iter().filter(has_received).count()
+    }
+}
+
+/// A late copy of an engine's answer to another attempt is no answer to this one, whatever its status: the request is
+/// not sent to a second engine, and its caller is not told that it has not run.
+#[rstest]
+#[case(180, "write", "503 Service Unavailable")]
+#[case(181, "write", "429 Too Many Requests")]
+#[case(182, "write", "421 Misdirected Request")]
+#[case(183, "write", "408 Request Timeout")]
+#[case(184, "write", "500 Internal Server Error")]
+#[case(185, "write", "200 OK")]
+#[case(186, "turn", "503 Service Unavailable")]
+#[case(187, "turn", "421 Misdirected Request")]
+#[case(188, "turn", "200 OK")]
+#[case(189, "draft", "503 Service Unavailable")]
+#[case(190, "draft", "421 Misdirected Request")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_late_answer_to_another_attempt_is_no_answer(
+    #[case] net: u8,
+    #[case] service: &str,
+    #[case] status: &'static str,
+) {
+    let behaviours = vec![Behaviour::LateCopyBeforeAnswer(status); 2];
+    let deployment = Deployment::start(net, service, &behaviours).await;
+    for attempt in ["a0", "a1", "a2"] {
+        let answer = deployment.send(service, attempt).await;
+        assert_eq!((answer.status, deployment.engines_with(attempt)), (502, 1), "{answer:?}");
+    }
+    // The connections on which the copies came are not used again.
+    eventually("the connections are closed", || {
+        deployment.engines.iter().all(|engine| engine.closed_connections() == engine.connections())
+    })
+    .await;
+}
+
+/// A request that may be repeated is sent to another engine after a late answer to another attempt.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_repeatable_request_goes_on_after_a_late_answer_to_another_attempt() {
+    let behaviours = [Behaviour::LateCopyBeforeAnswer("503 Service Unavailable"), Behaviour::Answer("right")];
+    let deployment = Deployment::start(191, "read", &behaviours).await;
+    for attempt in ["a0", "a1", "a2", "a3"] {
+        let answer = deployment.send("read", attempt).await;
+        assert_eq!((answer.status, answer.body.as_str()), (200, "right"), "{answer:?}");
+    }
+}
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -42,6 +42,8 @@
 /// Time between the last event of a stream and the end of the engine's process.
 const EVENT_DELIVERY_TIME: Duration = Duration::from_millis(30);
 
+/// Size of each piece of a body that never ends.
+const ENDLESS_PIECE_BYTES: usize = 64 * 1024;
 /// Time for which the connections of a machine that has restarted stay open and silent.
 const SILENT_CONNECTION_TIME: Duration = Duration::from_secs(60);
 
@@ -72,6 +74,13 @@
     Failure,
     /// Status 503 without the header that marks the request as not run.
     UnmarkedRefusal,
+    /// First a copy of an answer to another attempt, with this status and the mark that the attempt was not run; then
+    /// the complete answer to the request.
+    LateCopyBeforeAnswer(&'static str),
+    /// The head of a refusal that was not run and a part of its body; the connection stays open.
+    CutRefusal,
+    /// Status 200 and a body of one kind that never ends; as an event if it is true.
+    Endless(bool),
     /// A complete response, followed by a response that belongs to no request.
     ExtraBytes,
     /// Never responds.
@@ -304,6 +313,28 @@
             return false;
         }
         Behaviour::WrongAttempt => complete_response("200 OK", "t-attempt: other\r\nt-seal: s\r\n", "not yours"),
+        Behaviour::LateCopyBeforeAnswer(status) => {
+            let copy = complete_response(status, "t-attempt: other\r\nt-not-run: 1\r\nt-seal: s\r\n", "");
+            Bytes::from([copy, complete_response("200 OK", &signed, "late")].concat())
+        }
+        Behaviour::CutRefusal => {
+            let head = format!("HTTP/1.1 503 Service Unavailable\r\nt-attempt: {attempt}\r\nt-not-run: 1\r\n");
+            let cut = format!("{head}content-length: 100\r\n\r\nhalf");
+            let mut ignored = [0; 1];
+            // The write fails, and the read ends, when the gateway closes the connection.
+            let _ = stream.write_all(cut.as_bytes()).await;
+            let _ = stream.read(&mut ignored).await;
+            return false;
+        }
+        Behaviour::Endless(is_event) => {
+            let head = if is_event { format!("{streamed}6\r\ndata: \r\n") } else { streamed };
+            let piece = chunk(&"x".repeat(ENDLESS_PIECE_BYTES));
+            let mut is_open = stream.write_all(head.as_bytes()).await.is_ok();
+            while is_open {
+                is_open = stream.write_all(piece.as_bytes()).await.is_ok();
+            }
+            return false;
+        }
         Behaviour::Unsigned => complete_response("200 OK", &format!("t-attempt: {attempt}\r\n"), "unsigned"),
         Behaviour::Failure => complete_response("500 Internal Server Error", &signed, "broken"),
         Behaviour::UnmarkedRefusal => complete_response("503 Service Unavailable", &signed, "doubtful"),
