--- a/crates/gateway/src/replica/disk/reader.rs
+++ b/crates/gateway/src/replica/disk/reader.rs
@@ -50,12 +50,14 @@
     Segment(#[from] SegmentError),
 }
 
+/// The open files with their segment numbers, the most recently used last.
+type OpenFiles = VecDeque<(u32, Arc<File>)>;
+
 /// Reads records, and keeps the files of a few segments open.
 #[derive(Clone)]
 pub(super) struct Reader {
     folder: Arc<PathBuf>,
-    /// The open files with their segment numbers, the most recently used last.
-    files: Arc<Mutex<VecDeque<(u32, Arc<File>)>>>,
+    files: Arc<Mutex<OpenFiles>>,
 }
 
 impl Reader {
