Limit the time and size of each read from an engine

Cause: the body of a refusal was read without a limit of time, outside of the time limit of the send; a whole answer, an event and the output of a turn had no limit of size. Class: a read without a bound.

Change: 100 ms and 64 KB for the body of a refusal, which stands all the same; 8 MB for a whole answer and for the output of a stored turn, 1 MB for an event; beyond that the answer is lost and the engine counts as failing.

--- a/crates/gateway/src/edge/events.rs
+++ b/crates/gateway/src/edge/events.rs
@@ -2,6 +2,9 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// The longest event, in bytes. An engine that sends more without the end of an event is considered faulty.
+pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
 /// One complete event of a stream of server-sent events.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
@@ -33,6 +36,11 @@
         self.buffer.len()
     }
 
+    /// Whether the buffer holds the start of an event that is longer than [`MAX_EVENT_BYTES`].
+    pub fn is_over_limit(&self) -> bool {
+        self.buffer.len() > MAX_EVENT_BYTES
+    }
+
     /// Removes the next complete event from the buffer and returns it; `None` while the buffer holds no complete event.
     pub fn next_event(&mut self) -> Option<Event> {
         let end = self.find_event_end()?;
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -37,6 +37,8 @@
 
 /// The most events that are queued for a caller that reads slowly.
 const MAX_QUEUED_PIECES: usize = 16;
+/// The longest output of a turn that is stored, in bytes; replicas accept no longer text.
+const MAX_OUTPUT_BYTES: usize = 8 * 1024 * 1024;
 /// Time limit, from a call's arrival, for reserving tokens, reading the chain and checking the tenant's limit.
 /// A gateway that receives nothing from other nodes uses the same limit: with a limit of 60 ms, such a gateway served
 /// programs no better.
@@ -288,6 +290,10 @@
             while let Some(event) = splitter.next_event() {
                 self.forward_event(event).await?;
             }
+            if splitter.is_over_limit() || self.output.len() > MAX_OUTPUT_BYTES {
+                self.in_flight.engine().note_failure();
+                return Err(StreamError::EngineAborted("it sent more than an event or a turn may have".to_owned()));
+            }
         }
         if splitter.buffered_bytes() > 0 {
             return Err(StreamError::EngineAborted("its last event is incomplete".to_owned()));
--- a/crates/gateway/src/edge/whole_call.rs
+++ b/crates/gateway/src/edge/whole_call.rs
@@ -12,9 +12,12 @@
 use bytes::Bytes;
 use foxnotch_scheduler::retry::{NextStep, SendOutcome};
 use http::{header, Response, StatusCode};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use std::sync::Arc;
 
+/// The longest answer that is buffered, in bytes; the limit of a turn's text is the same.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
 /// An engine's answer that was read to its end.
 pub struct WholeAnswer {
     /// The engine that gave this answer.
@@ -113,7 +116,8 @@
 pub async fn read_whole_answer(call: &Call, answer: EngineAnswer) -> Result<WholeAnswer, Refusal> {
     let EngineAnswer { response, connection, in_flight, .. } = answer;
     let (head, body) = response.into_parts();
-    let collected = match tokio::time::timeout_at(call.expires_at.into(), body.collect()).await {
+    let body = Limited::new(body, MAX_ANSWER_BYTES).collect();
+    let collected = match tokio::time::timeout_at(call.expires_at.into(), body).await {
         Ok(Ok(collected)) => collected,
         Ok(Err(error)) => {
             in_flight.engine().note_failure();
--- a/crates/gateway/src/engines/attempt.rs
+++ b/crates/gateway/src/engines/attempt.rs
@@ -5,11 +5,16 @@
 use crate::ports::dialect::{AnswerMetadata, Dialect};
 use bytes::Bytes;
 use foxnotch_scheduler::retry::SendOutcome;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use std::io;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Time limit for the body of a refusal. The request waits meanwhile for the next engine.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
+/// The longest body of a refusal that is read, in bytes.
+const MAX_REFUSAL_BYTES: usize = 64 * 1024;
 
 /// The reason why an attempt got no valid answer from the engine. The comment of each variant says whether the engine
 /// may have run the request.
@@ -195,15 +200,16 @@
 }
 
 /// Returns and records why the engine refused the request. Reads the refusal's body to its end, so that the connection
-/// can be used again.
+/// can be used again. The connection is closed if the body does not end soon; the refusal stands all the same.
 async fn read_refusal(
     engine: &Arc<Engine>,
     response: http::Response<Incoming>,
     connection: EngineConnection,
 ) -> AttemptError {
-    use http_body_util::BodyExt;
     let replaced = response.status() == http::StatusCode::MISDIRECTED_REQUEST;
-    if response.into_body().collect().await.is_ok() && !replaced {
+    let body = Limited::new(response.into_body(), MAX_REFUSAL_BYTES).collect();
+    let is_whole = matches!(tokio::time::timeout(REFUSAL_BODY_TIMEOUT, body).await, Ok(Ok(_)));
+    if is_whole && !replaced {
         engine.return_connection(connection);
     }
     if replaced {
--- a/crates/gateway/tests/engine_answer_tests.rs
+++ b/crates/gateway/tests/engine_answer_tests.rs
@@ -1,15 +1,18 @@
-//! Answers of engines that belong to another attempt.
+//! Answers of engines that belong to another attempt, are cut short or never end.
 
 mod support;
 
 use foxnotch_gateway::ports::store::Kind;
 use rstest::rstest;
+use std::time::{Duration, Instant};
 use support::cluster::{eventually, Cluster};
 use support::engine::{Behaviour, StubEngine};
 use support::gateway::{configuration, put_engine_entry, Answer, RunningGateway};
 
 /// The deadline of requests, in milliseconds.
 const DEADLINE_MS: u64 = 2500;
+/// Time within which a request is answered that does not wait for its deadline.
+const PROMPT: Duration = Duration::from_millis(1500);
 
 struct Deployment {
     _cluster: Cluster,
@@ -90,3 +93,37 @@
         assert_eq!((answer.status, answer.body.as_str()), (200, "right"), "{answer:?}");
     }
 }
+
+/// An engine cuts a refusal short and keeps the connection open. The refusal counts, and the next engine serves.
+#[rstest]
+#[case(192, "read")]
+#[case(193, "write")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refusal_that_is_cut_short_does_not_hold_the_request(#[case] net: u8, #[case] service: &str) {
+    let cut = Behaviour::CutRefusal;
+    let behaviours = [cut.clone(), cut.clone(), cut, Behaviour::Answer("right")];
+    let deployment = Deployment::start(net, service, &behaviours).await;
+    let attempts = ["a0", "a1", "a2", "a3", "a4", "a5"];
+    for attempt in attempts {
+        let asked_at = Instant::now();
+        let answer = deployment.send(service, attempt).await;
+        assert_eq!((answer.status, answer.body.as_str()), (200, "right"), "{answer:?}");
+        assert!(asked_at.elapsed() < PROMPT, "answered after {:?}", asked_at.elapsed());
+    }
+    let sends: usize = attempts.iter().map(|attempt| deployment.engines_with(attempt)).sum();
+    assert!(sends > attempts.len(), "no engine cut a refusal");
+}
+
+/// An engine sends a body or an event that never ends. The connection to it is closed long before the deadline.
+#[rstest]
+#[case(194, "read", false)]
+#[case(195, "draft", true)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_without_an_end_is_cut_off(#[case] net: u8, #[case] service: &str, #[case] is_event: bool) {
+    let deployment = Deployment::start(net, service, &[Behaviour::Endless(is_event)]).await;
+    let asked_at = Instant::now();
+    let answer = deployment.send(service, "a0").await;
+    assert!(answer.status == 502 || !answer.is_whole, "{answer:?}");
+    assert!(asked_at.elapsed() < PROMPT, "ended after {:?}", asked_at.elapsed());
+    eventually("the engine's connection is closed", || deployment.engines[0].closed_connections() > 0).await;
+}
