End a request whose body does not arrive at its deadline

A caller that sent a part of a body and kept the connection open held the request and its connection without an end. Cause and class: a read without a bound, found when all reads were listed. Change: the body has until the caller's deadline or the route's timeout; then 503 out_of_time, not run.

--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -152,11 +152,13 @@
         let matching_route = routes.find(host, head.uri.path());
         let route = matching_route.ok_or_else(|| self.no_route_refusal(&routes, &metadata))?.clone();
         let tenant = self.identify_tenant(&routes, &route, &metadata)?;
-        let input =
-            read_body(body, routes.configuration().limits.body_bytes).await.map_err(|refusal| match refusal {
-                Refusal::TooLarge(_) => self.denial_unless_outdated(refusal),
-                other => other,
-            })?;
+        let time = Duration::from_millis(metadata.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms));
+        let reading = read_body(body, routes.configuration().limits.body_bytes);
+        let read = tokio::time::timeout_at((arrived_at + time).into(), reading).await;
+        let input = read.unwrap_or(Err(Refusal::OutOfTime)).map_err(|refusal| match refusal {
+            Refusal::TooLarge(_) => self.denial_unless_outdated(refusal),
+            other => other,
+        })?;
         let service =
             self.service_balancer.next_service(&route).ok_or_else(|| self.denial_unless_outdated(Refusal::NoRoute))?;
         let version = routes.configuration().version;
--- a/crates/gateway/tests/gateway_tests.rs
+++ b/crates/gateway/tests/gateway_tests.rs
@@ -7,7 +7,7 @@
 use foxnotch_gateway::ports::store::{Kind, ObjectBody};
 use foxnotch_gateway::settings::ProcessSettings;
 use rstest::rstest;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use support::cluster::{eventually, Cluster};
 use support::engine::{Behaviour, StubEngine, CLOSE_TIME};
 use support::gateway::{configuration, exchange, put_engine_entry, RunningGateway};
@@ -521,3 +521,16 @@
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
+
+/// A caller sends a part of a body and keeps the connection open. The request ends at its deadline.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_body_that_does_not_arrive_ends_the_request_at_its_deadline() {
+    let deployment = Deployment::start(196, "write", vec![Behaviour::Answer("right")]).await;
+    let request = "POST /write/ HTTP/1.1\r\nhost: h.example\r\nconnection: close\r\nt-attempt: a\r\n\
+                   t-deadline: 600\r\ncontent-length: 100\r\n\r\nhalf";
+    let asked_at = Instant::now();
+    let answer = exchange(deployment.gateway.callers, request.as_bytes()).await;
+    assert_eq!((answer.status, answer.has_retry_after()), (503, true), "{answer:?}");
+    assert!(asked_at.elapsed() < Duration::from_secs(3), "answered after {:?}", asked_at.elapsed());
+    assert_eq!(deployment.received_count(), 0);
+}
