Send an attempt over no connection that carried it before

Change: a send record keeps the connections over which its request was sent, and the request goes over no such connection again.

Evidence: a_late_copy_of_a_refusal_of_the_same_attempt_does_not_make_it_run_twice failed before ('a0 came 3 times to an engine that refuses it once') and holds now, 18 of 18 of engine_answer_tests and 33 of 33 of gateway_tests.

--- a/crates/gateway/src/edge/dispatch.rs
+++ b/crates/gateway/src/edge/dispatch.rs
@@ -109,7 +109,7 @@
                 }
             };
             sends.set_watch(watch);
-            let error = match self.send_once(call, &engine, request, send_by).await {
+            let error = match self.send_once(call, &engine, request, send_by, sends).await {
                 Ok(answer) => return Ok(answer),
                 Err(error) => error,
             };
@@ -213,10 +213,12 @@
         engine: &Arc<Engine>,
         request: Request<Full<Bytes>>,
         send_by: Option<Instant>,
+        sends: &mut SendRecord,
     ) -> Result<EngineAnswer, AttemptError> {
         let attempt = &call.metadata.attempt;
         let limits = SendLimits { send_by, give_up_at: call.expires_at };
-        let mut outcome = attempt::send(engine, request, attempt, &*self.dialect, limits).await;
+        let mut outcome =
+            attempt::send(engine, request, attempt, &*self.dialect, limits, sends.used_connections()).await;
         if let Some(time) = outcome.as_mut().ok().and_then(|answer| answer.connection.take_connect_time()) {
             self.round_trips.record_round_trip(&engine.entry.zone, time);
         }
--- a/crates/gateway/src/edge/send_record.rs
+++ b/crates/gateway/src/edge/send_record.rs
@@ -1,6 +1,7 @@
 //! Records the engines that one request was sent to, and how each send ended.
 
 use crate::edge::send_watch::SendWatch;
+use crate::engines::connection::ConnectionId;
 use crate::engines::engine::Engine;
 use crate::engines::selector::Choice;
 use foxnotch_scheduler::quota::ProgramStage;
@@ -22,6 +23,8 @@
     /// The engine that the request was sent to last, with the facts by which that engine was chosen.
     last_choice: Option<Choice>,
     counts: SendCounts,
+    /// The connections over which the request was sent.
+    used_connections: Vec<ConnectionId>,
     /// The engines that were lost under the request in all attempts; `None` until they are known.
     losses: Option<EngineLosses>,
     /// The watch of the send whose answer has not been read to its end.
@@ -40,6 +43,11 @@
         &self.excluded_engines
     }
 
+    /// The connections over which the request was sent, to be extended by each send.
+    pub(super) fn used_connections(&mut self) -> &mut Vec<ConnectionId> {
+        &mut self.used_connections
+    }
+
     /// The counts of the sends so far, by outcome.
     pub fn counts(&self) -> &SendCounts {
         &self.counts
--- a/crates/gateway/src/engines/attempt.rs
+++ b/crates/gateway/src/engines/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt: sends a request to one engine at most once, and waits for the head of the answer.
 
-use crate::engines::connection::{EngineConnection, SendError};
+use crate::engines::connection::{ConnectionId, EngineConnection, SendError};
 use crate::engines::engine::{Engine, InFlightRequest};
 use crate::ports::dialect::{AnswerMetadata, Dialect};
 use bytes::Bytes;
@@ -113,7 +113,7 @@
 }
 
 /// Sends a request to an engine and waits for the head of its answer. `attempt` is the identifier that the answer has
-/// to repeat.
+/// to repeat. The request is sent over none of the `used` connections, and the one that carries it is added to them.
 ///
 /// # Errors
 /// [`AttemptError`].
@@ -123,10 +123,11 @@
     attempt: &str,
     dialect: &dyn Dialect,
     limits: SendLimits,
+    used: &mut Vec<ConnectionId>,
 ) -> Result<EngineAnswer, AttemptError> {
     let in_flight = engine.begin_request();
     let waiting = engine.begin_waiting_for_head();
-    let exchange = send_over_idle_or_new_connection(engine, request, limits.send_by);
+    let exchange = send_over_idle_or_new_connection(engine, request, limits.send_by, used);
     let outcome = tokio::time::timeout_at(limits.give_up_at.into(), exchange).await;
     drop(waiting);
     let (response, mut connection) = match outcome {
@@ -169,14 +170,17 @@
     AttemptError::AnswerLost(format!("an answer to {:?} came", metadata.attempt))
 }
 
-/// Sends a request over an idle connection or, if none can carry the request, over a new one. A new connection is not
-/// used after `send_by`, when the permit to send to a cold engine expires.
+/// Sends a request over an idle connection or, if none can carry the request, over a new one. The engine may repeat its
+/// refusal of an earlier send of the same attempt later on the connection of that send, and the identifier would not
+/// tell it from an answer to this one, so the `used` connections are not used again. A new connection is not used after `send_by`, when the permit to send to a cold engine expires.
 async fn send_over_idle_or_new_connection(
     engine: &Arc<Engine>,
     mut request: http::Request<Full<Bytes>>,
     send_by: Option<Instant>,
+    used: &mut Vec<ConnectionId>,
 ) -> Result<(http::Response<Incoming>, EngineConnection), AttemptError> {
-    while let Some(mut connection) = engine.take_idle_connection() {
+    while let Some(mut connection) = engine.take_idle_connection(used) {
+        used.push(connection.id());
         match connection.send(request).await {
             Ok(response) => return Ok((response, connection)),
             Err(SendError::NotSent(unsent)) => request = *unsent,
@@ -190,6 +194,7 @@
         engine.return_connection(connection);
         return Err(AttemptError::PermitLapsed);
     }
+    used.push(connection.id());
     match connection.send(request).await {
         Ok(response) => Ok((response, connection)),
         Err(SendError::NotSent(_)) => {
--- a/crates/gateway/src/engines/connection.rs
+++ b/crates/gateway/src/engines/connection.rs
@@ -38,9 +38,14 @@
     MayHaveRun(String),
 }
 
+/// Identifies a connection among all that this process has opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionId(u64);
+
 /// An open connection to an engine. Dropping it closes the socket at once.
 #[derive(Debug)]
 pub struct EngineConnection {
+    id: ConnectionId,
     sender: SendRequest<Full<Bytes>>,
     driver_task: AbortHandle,
     idle_since: Instant,
@@ -65,10 +70,16 @@
         let stream = network::connect(address, CONNECT_TIMEOUT).await?;
         let connect_time = Some(started_at.elapsed());
         let (sender, connection) = Builder::new().handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
-        CONNECTIONS_OPENED.fetch_add(1, Ordering::Relaxed);
+        let id = ConnectionId(CONNECTIONS_OPENED.fetch_add(1, Ordering::Relaxed));
         // The error of this task needs no handling, since the code that waits for an answer gets an error too.
         let driver_task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
-        Ok(Self { sender, driver_task, idle_since: Instant::now(), idle_timeout: DEFAULT_IDLE_TIMEOUT, connect_time })
+        let idle_since = Instant::now();
+        Ok(Self { id, sender, driver_task, idle_since, idle_timeout: DEFAULT_IDLE_TIMEOUT, connect_time })
+    }
+
+    /// The connection's identifier.
+    pub fn id(&self) -> ConnectionId {
+        self.id
     }
 
     /// Whether a request can be sent over the connection: it is open, carries no request, and its idle timeout has not
--- a/crates/gateway/src/engines/engine.rs
+++ b/crates/gateway/src/engines/engine.rs
@@ -1,7 +1,7 @@
 //! One engine: its entry in the list of engines, this gateway's requests in flight at it, its health, and idle
 //! connections to it.
 
-use crate::engines::connection::EngineConnection;
+use crate::engines::connection::{ConnectionId, EngineConnection};
 use crate::engines::part_cache::PromptPartCache;
 use crate::engines::peer_loads::engine_number;
 use crate::engines::reachability::EngineReachability;
@@ -262,15 +262,12 @@
     }
 
     /// Takes the usable connection that has been idle longest, so that all connections stay in use. Closes the unusable
-    /// connections that it finds before that one.
-    pub fn take_idle_connection(&self) -> Option<EngineConnection> {
+    /// connections that it finds before that one, and passes over those in `used`.
+    pub fn take_idle_connection(&self, used: &[ConnectionId]) -> Option<EngineConnection> {
         let mut idle_connections = lock(&self.idle_connections);
-        while let Some(connection) = idle_connections.pop_front() {
-            if connection.is_usable() {
-                return Some(connection);
-            }
-        }
-        None
+        idle_connections.retain(EngineConnection::is_usable);
+        let unused = idle_connections.iter().position(|connection| !used.contains(&connection.id()))?;
+        idle_connections.remove(unused)
     }
 
     /// Whether a usable idle connection exists.
--- a/crates/gateway/tests/engine_answer_tests.rs
+++ b/crates/gateway/tests/engine_answer_tests.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 use std::time::{Duration, Instant};
 use support::cluster::{eventually, Cluster};
-use support::engine::{Behaviour, StubEngine};
+use support::engine::{Behaviour, ReceivedRequest, StubEngine};
 use support::gateway::{configuration, put_engine_entry, Answer, RunningGateway};
 
 /// The deadline of requests, in milliseconds.
@@ -94,6 +94,25 @@
     }
 }
 
+/// An engine refuses an attempt that it gets again later. The late copy of the refusal has the identifier of the
+/// attempt, so it must not come on the connection of the second send.
+#[rstest]
+#[case(197, "write")]
+#[case(198, "turn")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_late_copy_of_a_refusal_of_the_same_attempt_does_not_make_it_run_twice(
+    #[case] net: u8,
+    #[case] service: &str,
+) {
+    let deployment = Deployment::start(net, service, &[Behaviour::RefuseOnceAndRepeat]).await;
+    for attempt in ["a0", "a1", "a2"] {
+        deployment.send(service, attempt).await;
+        let is_attempt = |request: &&ReceivedRequest| request.header("t-attempt") == Some(attempt);
+        let received = deployment.engines[0].received().iter().filter(is_attempt).count();
+        assert!(received <= 2, "{attempt} came {received} times to an engine that refuses it once");
+    }
+}
+
 /// An engine cuts a refusal short and keeps the connection open. The refusal counts, and the next engine serves.
 #[rstest]
 #[case(192, "read")]
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -77,6 +77,9 @@
     /// First a copy of an answer to another attempt, with this status and the mark that the attempt was not run; then
     /// the complete answer to the request.
     LateCopyBeforeAnswer(&'static str),
+    /// Refuses each attempt once, as not run. When the attempt comes again on the same connection, a copy of that
+    /// refusal comes before the answer `right`.
+    RefuseOnceAndRepeat,
     /// The head of a refusal that was not run and a part of its body; the connection stays open.
     CutRefusal,
     /// Status 200 and a body of one kind that never ends; as an event if it is true.
@@ -191,6 +194,7 @@
     behaviour: &Mutex<Behaviour>,
     ended: &watch::Sender<bool>,
 ) {
+    let mut refused = Vec::new();
     while let Some(request) = read_request(&mut stream).await {
         let attempt = request.header("t-attempt").unwrap_or_default().to_owned();
         let behaviour = behaviour.lock().expect("no thread panicked while holding the lock").clone();
@@ -200,6 +204,20 @@
                 send_events_and_end(&mut stream, &attempt, events, ended).await;
                 return;
             }
+            Behaviour::RefuseOnceAndRepeat => {
+                let is_copied = refused.contains(&attempt);
+                let is_refused = !push_and_check_known(received, request, &attempt);
+                if is_refused {
+                    refused.push(attempt.clone());
+                }
+                if (is_refused || is_copied) && !respond(&mut stream, &attempt, Behaviour::Full).await {
+                    return;
+                }
+                if !is_refused && !respond(&mut stream, &attempt, Behaviour::Answer("right")).await {
+                    return;
+                }
+                continue;
+            }
             Behaviour::EndLaterUnder(marker, time) if request.contains(marker) => {
                 end_after(time, ended.clone());
                 Behaviour::Hang
@@ -222,6 +240,14 @@
     }
 }
 
+/// Adds a request to the received ones. Returns whether its attempt was received before.
+fn push_and_check_known(received: &Mutex<Vec<ReceivedRequest>>, request: ReceivedRequest, attempt: &str) -> bool {
+    let mut received = received.lock().expect("no thread panicked while holding the lock");
+    let is_known = received.iter().any(|other| other.header("t-attempt") == Some(attempt));
+    received.push(request);
+    is_known
+}
+
 /// Ends the engine's process after a while.
 fn end_after(time: Duration, ended: watch::Sender<bool>) {
     tokio::spawn(async move {
@@ -303,7 +329,10 @@
             let _ = stream.write_all(format!("{streamed}{chunks}").as_bytes()).await;
             return false;
         }
-        Behaviour::Full => complete_response("503 Service Unavailable", "t-not-run: 1\r\n", ""),
+        Behaviour::Full => {
+            let headers = format!("t-attempt: {attempt}\r\nt-not-run: 1\r\n");
+            complete_response("503 Service Unavailable", &headers, "")
+        }
         Behaviour::Replaced => complete_response("421 Misdirected Request", "", ""),
         Behaviour::CloseWithoutAnswer => return false,
         Behaviour::TruncatedAnswer => {
@@ -343,7 +372,10 @@
             let second = complete_response("200 OK", "t-attempt: other\r\nt-seal: s\r\n", "surplus");
             Bytes::from([first, second].concat())
         }
-        Behaviour::EndUnder(..) | Behaviour::EndLaterUnder(..) | Behaviour::RestartMachineUnder(_) => {
+        Behaviour::RefuseOnceAndRepeat
+        | Behaviour::EndUnder(..)
+        | Behaviour::EndLaterUnder(..)
+        | Behaviour::RestartMachineUnder(_) => {
             unreachable!("serve() handles this behaviour")
         }
         Behaviour::Hang => {
