--- a/crates/gateway/src/edge/engine_losses.rs
+++ b/crates/gateway/src/edge/engine_losses.rs
@@ -146,6 +146,7 @@
 
     /// Records in the background that the engine of a send was not lost, or that the send was not made.
     pub(super) fn record_outcome(self: &Arc<Self>, program: ProgramKey, send: RecordedSend) {
+        self.merge(program, &EngineLosses::of_records(&[LossRecord::Outcome(send)]));
         let tracker = self.clone();
         // Without the record the send counts as one that may have ended its engine.
         tokio::spawn(async move { tracker.store(program, &[LossRecord::Outcome(send)]).await.ok() });
@@ -239,9 +240,7 @@
 
     /// Stores records on a quorum of replicas. Returns all records of the request.
     async fn store(&self, program: ProgramKey, records: &[LossRecord]) -> Result<EngineLosses, LossesUnknown> {
-        let mut added = EngineLosses::default();
-        records.iter().for_each(|record| added.add(*record));
-        self.merge(program, &added);
+        self.merge(program, &EngineLosses::of_records(records));
         let entries: Vec<_> = records.iter().map(|record| record.entry(program, LOSS_RETENTION)).collect();
         match self.turns.write_entries(&entries, Instant::now() + RECORD_TIMEOUT).await {
             Ok(view) => Ok(self.merge(program, &EngineLosses::from_run_locations(program, view.run_locations()))),
--- a/crates/gateway/src/edge/loss_checks.rs
+++ b/crates/gateway/src/edge/loss_checks.rs
@@ -21,7 +21,7 @@
 /// requests as possible lose their engine if it ends as well.
 const MIN_LOSSES_TO_ISOLATE: usize = 2;
 
-/// Which of the engines of a request have ended.
+/// Which of the lost engines of a request have ended.
 struct LostEngines {
     /// The engines that have ended for certain.
     ended: BTreeSet<u32>,
@@ -40,6 +40,9 @@
                 Ok(losses) => sends.set_losses(losses),
                 Err(_) => return Err(self.refuse_unknown_losses(sends)),
             }
+        } else if let Some(losses) = self.losses.known_losses(loss_program(call.request_key())) {
+            // The outcomes of this call's earlier sends are known since.
+            sends.set_losses(losses);
         }
         let losses = sends.losses().cloned().unwrap_or_default();
         self.decide_send(call, &losses, losses.open_sends().len(), sends).await
@@ -59,30 +62,23 @@
         }
         let engines = self.find_ended_engines(call, losses).await;
         let ends = EngineEnds { ended: engines.ended.len() + engines.silent, open_sends };
-        let decision = ends.decide_send();
-        let (label, verb) = match decision {
-            SendDecision::Send => ("sent", "is sent on although engines were lost under it"),
-            SendDecision::RefuseEnded => ("refused", "is not sent: engines ended under it"),
-            SendDecision::RefuseUnknown => ("refused_unknown", "is not sent: engines may have ended under it"),
-        };
-        self.metrics.count_suspect_request(label);
-        log::info!(
-            target: part::CALL,
-            "Call {} {verb}: request={} service={} lost={} ended={} silent={} open={open_sends}; of the `lost` engines \
-             of this request, `ended` have ended and `silent` do not answer, and `open` others may run it now or may \
-             have ended.",
-            call.metadata.attempt,
-            call.request_key(),
-            call.service,
-            losses.lost().len(),
-            engines.ended.len(),
-            engines.silent,
-        );
-        match decision {
-            SendDecision::Send => Ok(()),
-            SendDecision::RefuseEnded => Err(Refusal::EnginesEnded(ends.ended)),
-            SendDecision::RefuseUnknown if sends.may_have_run() => Err(Refusal::EnginesEnded(losses.possible_ends())),
-            SendDecision::RefuseUnknown => Err(Refusal::EngineLossesUnknown),
+        let attempt = &call.metadata.attempt;
+        let facts = describe_losses(call, losses, &engines, open_sends);
+        match ends.decide_send() {
+            SendDecision::Send => {
+                self.metrics.count_suspect_request("sent");
+                log::info!(target: part::CALL, "Call {attempt} is sent on although engines were lost under it: {facts}.");
+                Ok(())
+            }
+            SendDecision::RefuseEnded => {
+                self.metrics.count_suspect_request("refused");
+                log::info!(target: part::CALL, "Call {attempt} is not sent: engines ended under it: {facts}.");
+                Err(Refusal::EnginesEnded(ends.ended))
+            }
+            SendDecision::RefuseUnknown => {
+                log::info!(target: part::CALL, "Call {attempt} is not sent: engines may have ended under it: {facts}.");
+                Err(self.refuse_unknown_losses(sends))
+            }
         }
     }
 
@@ -190,3 +186,15 @@
         candidates.retain(|engine| load(engine) <= lowest);
     }
 }
+
+fn describe_losses(call: &Call, losses: &EngineLosses, engines: &LostEngines, open_sends: usize) -> String {
+    format!(
+        "request={} service={} lost={} ended={} silent={} open={open_sends}; of the `lost` engines of this request, \
+         `ended` have ended and `silent` do not answer, and `open` others may run it now or may have ended",
+        call.request_key(),
+        call.service,
+        losses.lost().len(),
+        engines.ended.len(),
+        engines.silent,
+    )
+}
--- a/crates/gateway/src/edge/suspect_exchange.rs
+++ b/crates/gateway/src/edge/suspect_exchange.rs
@@ -13,7 +13,7 @@
 use crate::logging::part;
 use crate::peers::addresses::member_socket_address;
 use crate::peers::rpc_client::RpcError;
-use foxnotch_turns::engine_losses::EngineLosses;
+use foxnotch_turns::engine_losses::{EngineLosses, LossRecord};
 use foxnotch_wire::{
     DiskIdentity, MemberUpdate, ProgramKey, ReadProgram, ReplicaReport, ReplicaStanding, RpcBody, RunLocation,
     StoreEntry, Stored, TurnEntry,
@@ -54,9 +54,10 @@
         match *lock(&self.contact_at) {
             Some(contact_at) => contact_at.elapsed() < CONTACT_LEASE,
             None => {
-                let is_alone =
-                    !self.has_known_gateway.load(Ordering::Relaxed) && self.started_at.elapsed() >= DISCOVERY_TIME;
-                self.first_start || is_alone
+                let is_alone = !self.has_known_gateway.load(Ordering::Relaxed);
+                let since_start = self.started_at.elapsed();
+                let is_first = self.first_start && (is_alone || since_start < CONTACT_LEASE);
+                is_first || (is_alone && since_start >= DISCOVERY_TIME)
             }
         }
     }
@@ -164,7 +165,7 @@
             Err(_) => return,
         };
         for location in &answer.run_locations {
-            self.merge(ProgramKey(location.part), &EngineLosses::of_engines([location.engine]));
+            self.merge(ProgramKey(location.part), &EngineLosses::of_records(&[LossRecord::Loss(location.engine)]));
         }
         *lock(&self.contact_at) = Some(Instant::now());
         let is_complete = answer.report.standing == ReplicaStanding::Counts;
--- a/crates/gateway/tests/ended_engine_tests.rs
+++ b/crates/gateway/tests/ended_engine_tests.rs
@@ -382,3 +382,22 @@
     }
     assert_eq!(ended, MAX_ENDED_ENGINES);
 }
+
+/// Two engines ended under a request, and others are full. A refusal ends no engine, so the request goes on until an
+/// engine serves it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn engines_that_refuse_a_request_do_not_count() {
+    let deployment = Deployment::start_with_engines(179, Request::Unrepeatable, ENGINES, &Behaviour::Hang).await;
+    let gateway = deployment.start_gateway(FIRST_GATEWAY).await;
+    for attempt in 0..2 {
+        assert!(lose_engine_under(&deployment, &gateway, attempt).await);
+    }
+    deployment.engines.iter().for_each(|engine| engine.set(Behaviour::Full));
+    let living = deployment.engines.iter().filter(|engine| !engine.has_ended());
+    living.take(1).for_each(|engine| engine.set(Behaviour::Answer("done")));
+    let before = marked_requests(&deployment);
+    for attempt in 2..TRIES {
+        assert_eq!(Request::Unrepeatable.send(&gateway, attempt).await.status, 200);
+    }
+    assert!(marked_requests(&deployment) - before > TRIES - 2, "no engine refused the request");
+}
--- a/crates/turns/src/engine_losses.rs
+++ b/crates/turns/src/engine_losses.rs
@@ -148,15 +148,15 @@
 impl EngineLosses {
     /// The records in the run locations that replicas or gateways return for the program of a request.
     pub fn from_run_locations(program: ProgramKey, locations: &[RunLocation]) -> Self {
-        let mut losses = Self::default();
         let records = locations.iter().filter_map(|location| LossRecord::from_location(program, *location));
-        records.for_each(|record| losses.add(record));
-        losses
+        Self::of_records(&records.collect::<Vec<_>>())
     }
 
-    /// The losses of these engines.
-    pub fn of_engines(engines: impl IntoIterator<Item = u32>) -> Self {
-        Self { lost: engines.into_iter().collect(), ..Self::default() }
+    /// What these records tell.
+    pub fn of_records(records: &[LossRecord]) -> Self {
+        let mut losses = Self::default();
+        records.iter().for_each(|record| losses.add(*record));
+        losses
     }
 
     /// Adds a record. An end and a send of the same engine count once.
