--- a/crates/gateway/src/engines/attempt.rs
+++ b/crates/gateway/src/engines/attempt.rs
@@ -170,9 +170,11 @@
     AttemptError::AnswerLost(format!("an answer to {:?} came", metadata.attempt))
 }
 
-/// Sends a request over an idle connection or, if none can carry the request, over a new one. The engine may repeat its
-/// refusal of an earlier send of the same attempt later on the connection of that send, and the identifier would not
-/// tell it from an answer to this one, so the `used` connections are not used again. A new connection is not used after `send_by`, when the permit to send to a cold engine expires.
+/// Sends a request over an idle connection or, if none can carry the request, over a new one. A new connection is not
+/// used after `send_by`, when the permit to send to a cold engine expires.
+///
+/// The `used` connections are not used again: the engine may repeat its refusal of an earlier send there, and the
+/// identifier of the attempt would not tell it from an answer to this send.
 async fn send_over_idle_or_new_connection(
     engine: &Arc<Engine>,
     mut request: http::Request<Full<Bytes>>,
--- a/crates/gateway/src/replica/disk/mod.rs
+++ b/crates/gateway/src/replica/disk/mod.rs
@@ -6,8 +6,8 @@
 //! and its quota caps, since older segments may be removed.
 //!
 //! [`Disk`] is the handle through which other modules write and read. `writer` is the thread, `reader` reads single
-//! records, `segments` handles the files, and `records` finds the newest state and quota caps among records. The format of a frame is defined in
-//! `foxnotch_turns::segment`.
+//! records, `segments` handles the files, and `records` finds the newest state and quota caps among records. The format
+//! of a frame is defined in `foxnotch_turns::segment`.
 
 mod reader;
 mod records;
