An engine runs only if it has answered since; equal requests without a program don't share a limit for good

Change: a lost engine counts unless it has answered another request since, 200 ms after the loss or later; a send that was given up counts until its engine answers. A request that no program names is known by its content alone, so an answer ends its count, and its sends are not recorded. What a program names keeps the limit without exception.

--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -135,6 +135,11 @@
         })
     }
 
+    /// Whether the request can be told from equal ones of other callers, because a program names it.
+    pub fn is_named(&self) -> bool {
+        self.metadata.program.is_some()
+    }
+
     /// The tenant's priority if it has one, or else the route's.
     fn priority(&self) -> u8 {
         self.tenant.as_ref().and_then(|tenant| tenant.priority).unwrap_or(self.route.priority)
--- a/crates/gateway/src/edge/engine_losses.rs
+++ b/crates/gateway/src/edge/engine_losses.rs
@@ -45,6 +45,8 @@
 /// A request under which engines were lost.
 pub(super) struct Suspect {
     pub(super) losses: EngineLosses,
+    /// When this gateway learned of each loss.
+    lost_at: HashMap<u32, Instant>,
     /// When the losses last changed.
     changed_at: Instant,
 }
@@ -152,6 +154,19 @@
         tokio::spawn(async move { tracker.store(program, &[LossRecord::Outcome(send)]).await.ok() });
     }
 
+    /// Records in the background that a request was answered, so that the losses before do not count for equal ones.
+    pub(super) fn record_served(self: &Arc<Self>, call: &Call) {
+        let program = loss_program(call.request_key());
+        let Some(known) = self.known_losses(program).filter(|known| known.lost().len() > known.served_after()) else {
+            return;
+        };
+        let served = LossRecord::Served(u32::try_from(known.lost().len()).unwrap_or(u32::MAX - 1));
+        self.merge(program, &EngineLosses::of_records(&[served]));
+        let tracker = self.clone();
+        // Without the record, other gateways may refuse equal requests.
+        tokio::spawn(async move { tracker.store(program, &[served]).await.ok() });
+    }
+
     /// Records that an engine was lost while it ran a call. `has_ended` states whether the engine was found to have
     /// ended. Returns all records of the request. They are written even if the caller leaves meanwhile.
     pub(super) async fn record_loss(self: &Arc<Self>, call: &Call, engine: &Engine, has_ended: bool) -> EngineLosses {
@@ -223,7 +238,8 @@
         let mut suspects = lock(&self.suspects);
         if !suspects.contains_key(&program) {
             self.make_room(&mut suspects);
-            suspects.insert(program, Suspect { losses: EngineLosses::default(), changed_at: Instant::now() });
+            let (losses, lost_at) = (EngineLosses::default(), HashMap::new());
+            suspects.insert(program, Suspect { losses, lost_at, changed_at: Instant::now() });
         }
     }
 
@@ -260,6 +276,11 @@
         lock(&self.suspects).get(&program).map(|suspect| suspect.losses.clone())
     }
 
+    /// When this gateway learned that an engine was lost under a request.
+    pub(super) fn lost_at(&self, program: ProgramKey, engine: u32) -> Option<Instant> {
+        lock(&self.suspects).get(&program)?.lost_at.get(&engine).copied()
+    }
+
     /// Adds records to those that this gateway knows of a request, and returns all that it knows.
     pub(super) fn merge(&self, program: ProgramKey, losses: &EngineLosses) -> EngineLosses {
         if !losses.is_empty() {
@@ -269,6 +290,10 @@
         let Some(suspect) = suspects.get_mut(&program) else { return EngineLosses::default() };
         let before = suspect.losses.clone();
         suspect.losses.merge(losses);
+        let now = Instant::now();
+        for engine in losses.lost() {
+            suspect.lost_at.entry(*engine).or_insert(now);
+        }
         if suspect.losses != before {
             suspect.changed_at = Instant::now();
         }
--- a/crates/gateway/src/edge/loss_checks.rs
+++ b/crates/gateway/src/edge/loss_checks.rs
@@ -1,7 +1,7 @@
 //! Checks before each send whether too many engines have ended under the request.
 //!
 //! [`foxnotch_scheduler::engine_losses`] decides. A connection to an engine also breaks when only an answer is lost, so
-//! this module first finds out which of the lost engines run. Once a request has lost an engine, each further send is
+//! this module first finds out which of the lost engines run: those that have answered since. Once a request has lost an engine, each further send is
 //! recorded before it is made, so that its engine counts also if this gateway is killed.
 
 use crate::edge::call::Call;
@@ -16,17 +16,22 @@
 use foxnotch_turns::engine_losses::{loss_program, EngineLosses};
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Number of lost engines from which a request is sent to the engine with the fewest requests, so that as few other
 /// requests as possible lose their engine if it ends as well.
 const MIN_LOSSES_TO_ISOLATE: usize = 2;
 
+/// Time after a loss from which an answer of the engine proves that it runs. A process that ends may answer for a moment.
+const PROOF_DELAY: Duration = Duration::from_millis(200);
+
 /// Which of the lost engines of a request have ended.
 struct LostEngines {
     /// The engines that have ended for certain.
     ended: BTreeSet<u32>,
-    /// Lost engines that do not answer.
-    silent: usize,
+    /// Lost engines that have answered nothing since. One may accept connections and end all the same, or another
+    /// process may listen at its address.
+    unproven: usize,
 }
 
 impl EngineDispatcher {
@@ -57,11 +62,13 @@
         open_sends: usize,
         sends: &SendRecord,
     ) -> Result<(), Refusal> {
-        if losses.lost().len() + open_sends < MAX_ENDED_ENGINES {
+        let served_after = if call.is_named() { 0 } else { losses.served_after() };
+        if losses.lost().len().saturating_sub(served_after) + open_sends < MAX_ENDED_ENGINES {
             return Ok(());
         }
         let engines = self.find_ended_engines(call, losses).await;
-        let ends = EngineEnds { ended: engines.ended.len() + engines.silent, open_sends };
+        let ended = (engines.ended.len() + engines.unproven).saturating_sub(served_after);
+        let ends = EngineEnds { ended, open_sends };
         let attempt = &call.metadata.attempt;
         let facts = describe_losses(call, losses, &engines, open_sends);
         match ends.decide_send() {
@@ -104,7 +111,8 @@
     ) -> Result<SendWatch, Refusal> {
         let program = loss_program(call.request_key());
         let watch = |recorded| SendWatch::begin(self.losses.clone(), program, engine.clone(), recorded);
-        if sends.losses().is_none_or(EngineLosses::is_empty) {
+        // Equal requests of other callers would count each other's sends.
+        if !call.is_named() || sends.losses().is_none_or(EngineLosses::is_empty) {
             return Ok(watch(None));
         }
         let (send, losses) = match self.losses.record_send(call, engine).await {
@@ -123,6 +131,14 @@
         }
     }
 
+    /// Records that a call was answered by an engine.
+    pub(super) fn note_served(&self, call: &Call, sends: &mut SendRecord) {
+        sends.finish_watch();
+        if !call.is_named() {
+            self.losses.record_served(call);
+        }
+    }
+
     /// Records that an engine was lost while it ran a call: its connection broke, or it gave no answer in time and does
     /// not accept connections. Engines that drain count too: one may end under the request before its drain is over.
     pub(super) async fn note_engine_loss(&self, call: &Call, engine: &Arc<Engine>, sends: &mut SendRecord) {
@@ -148,23 +164,29 @@
     /// Finds out which of the lost engines of a request have ended.
     async fn find_ended_engines(&self, call: &Call, losses: &EngineLosses) -> LostEngines {
         let engines = self.engines.engines_of(&call.service);
+        let program = loss_program(call.request_key());
         let mut ended = losses.ended().clone();
         let mut unclear = Vec::new();
         for number in losses.lost().difference(losses.ended()) {
             match engines.iter().find(|engine| engine.start_number() == *number) {
                 Some(engine) if !engine.is_replaced() && !self.has_newer_engine_at_address(engine) => {
-                    unclear.push(engine.clone());
+                    let lost_at = self.losses.lost_at(program, *number);
+                    if !lost_at.is_some_and(|lost_at| engine.has_answered_since(lost_at + PROOF_DELAY)) {
+                        unclear.push(engine.clone());
+                    }
                 }
                 _ => drop(ended.insert(*number)),
             }
         }
         let checks = futures_util::future::join_all(unclear.iter().map(check_by_connecting)).await;
         let refusing = unclear.iter().zip(&checks).filter(|(_, check)| **check == EngineCheck::Refuses);
-        ended.extend(refusing.map(|(engine, _)| engine.start_number()));
-        let silent = checks.iter().filter(|check| **check == EngineCheck::Silent).count();
+        let refusing: Vec<u32> = refusing.map(|(engine, _)| engine.start_number()).collect();
+        let refusing_count = refusing.len();
+        ended.extend(refusing);
+        let unproven = unclear.len() - refusing_count;
         // An engine may start again at the same address, so what was found out has to be remembered.
-        self.losses.record_ends(loss_program(call.request_key()), ended.difference(losses.ended()).copied());
-        LostEngines { ended, silent }
+        self.losses.record_ends(program, ended.difference(losses.ended()).copied());
+        LostEngines { ended, unproven }
     }
 
     /// Whether another engine is listed at the address of this one. The entry of an engine that has ended stays listed
@@ -189,12 +211,13 @@
 
 fn describe_losses(call: &Call, losses: &EngineLosses, engines: &LostEngines, open_sends: usize) -> String {
     format!(
-        "request={} service={} lost={} ended={} silent={} open={open_sends}; of the `lost` engines of this request, \
-         `ended` have ended and `silent` do not answer, and `open` others may run it now or may have ended",
+        "request={} service={} lost={} ended={} unproven={} open={open_sends}; of the `lost` engines of this request, \
+         `ended` have ended and `unproven` have answered nothing since, and `open` others may run it now or may have \
+         ended",
         call.request_key(),
         call.service,
         losses.lost().len(),
         engines.ended.len(),
-        engines.silent,
+        engines.unproven,
     )
 }
--- a/crates/gateway/src/edge/send_watch.rs
+++ b/crates/gateway/src/edge/send_watch.rs
@@ -121,11 +121,14 @@
                 break;
             }
         }
-        if last == EngineCheck::Accepts {
-            self.record_outcome();
-        } else {
-            let has_ended = last == EngineCheck::Refuses;
-            self.tracker.store_and_tell_loss(self.program, self.engine.start_number(), has_ended).await;
+        match last {
+            EngineCheck::Accepts if self.engine.has_answered_since(abandoned_at) => self.record_outcome(),
+            // Without an answer, a recorded send goes on to count.
+            EngineCheck::Accepts => {}
+            EngineCheck::Refuses | EngineCheck::Silent => {
+                let has_ended = last == EngineCheck::Refuses;
+                self.tracker.store_and_tell_loss(self.program, self.engine.start_number(), has_ended).await;
+            }
         }
     }
 }
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -259,7 +259,7 @@
     async fn record_engine_state(&mut self, outcome: &Result<(), StreamError>) {
         let (dispatcher, engine) = (&self.gateway.dispatcher, self.in_flight.engine());
         match outcome {
-            Ok(()) | Err(StreamError::NotStored(_)) => self.sends.finish_watch(),
+            Ok(()) | Err(StreamError::NotStored(_)) => dispatcher.note_served(&self.call, &mut self.sends),
             Err(StreamError::EngineAborted(_)) => {
                 dispatcher.note_engine_loss(&self.call, engine, &mut self.sends).await;
             }
--- a/crates/gateway/src/edge/whole_call.rs
+++ b/crates/gateway/src/edge/whole_call.rs
@@ -66,7 +66,7 @@
         let (outcome, refusal) = match read_whole_answer(call, answer).await {
             Ok(answer) if !answer.is_failure() || !gateway.policy.retry_failures => {
                 learn_answer_time(gateway, call, &sends);
-                sends.finish_watch();
+                gateway.dispatcher.note_served(call, &mut sends);
                 return Ok(answer.finish_call(&gateway.metrics, call));
             }
             Ok(answer) => {
--- a/crates/turns/src/engine_losses.rs
+++ b/crates/turns/src/engine_losses.rs
@@ -7,11 +7,12 @@
 //! Each start of an engine counts by itself. It is named by its start number: a hash of the engine's identifier and of
 //! the time of the start, or the engine number where that time is unknown.
 //!
-//! There are four kinds of records. A *loss* states that the connection to an engine broke, or that the engine gave no
+//! There are five kinds of records. A *loss* states that the connection to an engine broke, or that the engine gave no
 //! answer and could not be reached. An *end* states that a lost engine was found to have ended. A *send* is stored
 //! before the request is sent to an engine, once the request has a loss. An *outcome* states that the send ended
 //! otherwise than by a loss. A send without an outcome counts like a loss, because the gateway that made it may have
-//! been killed before it could record one.
+//! been killed before it could record one. *Served* states that a request which no program names was answered: equal
+//! requests of other callers have the same records, so the losses before may be those of another request.
 
 use crate::identity::RequestKey;
 use foxnotch_wire::{ProgramKey, RunLocation, TurnEntry, TurnId, NOT_SETTLED};
@@ -98,6 +99,8 @@
     Send(RecordedSend),
     /// A send has ended, and its engine was not lost.
     Outcome(RecordedSend),
+    /// A request that no program names was answered after this number of engines had been lost.
+    Served(u32),
 }
 
 impl LossRecord {
@@ -108,6 +111,8 @@
             Self::End(engine) => format!("{engine} ended"),
             Self::Send(send) => format!("{} sent {}", send.engine, send.number.0),
             Self::Outcome(send) => format!("{} outcome {}", send.engine, send.number.0),
+            // Replicas return the greatest number, since all such records have one name.
+            Self::Served(_) => "served".to_owned(),
         }
     }
 
@@ -118,6 +123,7 @@
         let (engine, number) = match self {
             Self::Loss(engine) | Self::End(engine) => (engine, 0),
             Self::Send(send) | Self::Outcome(send) => (send.engine, send.number.0),
+            Self::Served(losses) => (0, losses),
         };
         RunLocation { engine, part, prompt_tokens: number }
     }
@@ -126,13 +132,18 @@
     fn from_location(program: ProgramKey, location: RunLocation) -> Option<Self> {
         let RunLocation { engine, prompt_tokens, .. } = location;
         let send = RecordedSend { engine, number: SendNumber(prompt_tokens) };
-        let records = [Self::Loss(engine), Self::End(engine), Self::Send(send), Self::Outcome(send)];
+        let served = Self::Served(prompt_tokens);
+        let records = [Self::Loss(engine), Self::End(engine), Self::Send(send), Self::Outcome(send), served];
         records.into_iter().find(|record| record.location(program) == location)
     }
 
     /// The entry that stores the record.
     pub fn entry(self, program: ProgramKey, retention: Duration) -> TurnEntry {
-        location_entry(program, &self.name(), self.location(program), retention)
+        let name = match self {
+            Self::Served(losses) => format!("served {losses}"),
+            _ => self.name(),
+        };
+        location_entry(program, &name, self.location(program), retention)
     }
 }
 
@@ -143,6 +154,8 @@
     ended: BTreeSet<u32>,
     sends: BTreeSet<RecordedSend>,
     outcomes: BTreeSet<RecordedSend>,
+    /// Number of engines that had been lost when the request was last answered.
+    served_after: u32,
 }
 
 impl EngineLosses {
@@ -169,6 +182,7 @@
             }
             LossRecord::Send(send) => drop(self.sends.insert(send)),
             LossRecord::Outcome(send) => drop(self.outcomes.insert(send)),
+            LossRecord::Served(losses) => self.served_after = self.served_after.max(losses),
         }
     }
 
@@ -178,6 +192,7 @@
         self.ended.extend(&other.ended);
         self.sends.extend(&other.sends);
         self.outcomes.extend(&other.outcomes);
+        self.served_after = self.served_after.max(other.served_after);
     }
 
     /// Whether no record is known.
@@ -195,6 +210,11 @@
         &self.ended
     }
 
+    /// Number of engines that had been lost when the request was last answered.
+    pub fn served_after(&self) -> usize {
+        self.served_after as usize
+    }
+
     /// The engines of sends whose outcome is not known, without those that are lost.
     pub fn open_sends(&self) -> BTreeSet<u32> {
         let open = self.sends.difference(&self.outcomes).map(|send| send.engine);
