--- a/crates/gateway/src/edge/loss_checks.rs
+++ b/crates/gateway/src/edge/loss_checks.rs
@@ -67,7 +67,9 @@
             return Ok(());
         }
         let engines = self.find_ended_engines(call, losses).await;
-        let ended = (engines.ended.len() + engines.unproven).saturating_sub(served_after);
+        // Equal requests of other callers may all have lost an engine that runs.
+        let unproven = if call.is_named() { engines.unproven } else { 0 };
+        let ended = (engines.ended.len() + unproven).saturating_sub(served_after);
         let ends = EngineEnds { ended, open_sends };
         let attempt = &call.metadata.attempt;
         let facts = describe_losses(call, losses, &engines, open_sends);
