Let other tasks run while an engine sends without a pause, and cut one off that sends no answer

What callers would see: one engine that repeats the head `100 Continue` without end holds its request past the deadline, and all other requests of the gateway wait meanwhile.

Cause: hyper parses informational heads, sizes of chunks and empty lines in a loop inside one poll, and asks for more bytes as long as it has found no end. The runtime hands out 128 reads of up to 400 KB before it lets others run. The limits of a body count its data, so bytes without data were counted nowhere.

Why this works: every connection reads 16 KB at most before other tasks run, whoever the peer is (engines, callers, the store, other nodes, probes). An engine may send 32 KB, and a head in 64 reads, until it gets on with its answer; what is beyond that is a lost answer and a failure of the engine, so a request that may be repeated goes to another engine. A body is collected in one buffer: a list of pieces of one byte takes many times the memory of the body.

--- a/crates/gateway/src/edge/accept.rs
+++ b/crates/gateway/src/edge/accept.rs
@@ -45,7 +45,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.idle_ms.max(1)))
         .max_buf_size(limits.header_bytes.max(MIN_HEAD_BYTES));
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let connection = builder.serve_connection(TokioIo::new(network::yielding(stream)), service);
     tokio::pin!(connection);
     let mut is_closing = false;
     loop {
--- a/crates/gateway/src/edge/readiness.rs
+++ b/crates/gateway/src/edge/readiness.rs
@@ -36,5 +36,9 @@
         async move { Ok::<_, Infallible>(response) }
     });
     // An error means that the probe closed its connection early, and needs no handling.
-    drop(hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service).await);
+    drop(
+        hyper::server::conn::http1::Builder::new()
+            .serve_connection(TokioIo::new(network::yielding(stream)), service)
+            .await,
+    );
 }
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -285,6 +285,9 @@
                 self.in_flight.engine().note_failure();
                 StreamError::EngineAborted(error.to_string())
             })?;
+            if let Some(connection) = &self.connection {
+                connection.note_body_progress();
+            }
             let Ok(data) = frame.into_data() else { continue };
             splitter.push(&data);
             while let Some(event) = splitter.next_event() {
--- a/crates/gateway/src/edge/whole_call.rs
+++ b/crates/gateway/src/edge/whole_call.rs
@@ -5,6 +5,7 @@
 use crate::edge::gateway::Gateway;
 use crate::edge::refusal::Refusal;
 use crate::edge::send_record::SendRecord;
+use crate::engines::answer_body::read_answer_body;
 use crate::engines::attempt::{record_answer_and_return_connection, EngineAnswer};
 use crate::engines::engine::Engine;
 use crate::logging::part;
@@ -12,7 +13,6 @@
 use bytes::Bytes;
 use foxnotch_scheduler::retry::{NextStep, SendOutcome};
 use http::{header, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use std::sync::Arc;
 
 /// The longest answer that is buffered, in bytes; the limit of a turn's text is the same.
@@ -116,9 +116,9 @@
 pub async fn read_whole_answer(call: &Call, answer: EngineAnswer) -> Result<WholeAnswer, Refusal> {
     let EngineAnswer { response, connection, in_flight, .. } = answer;
     let (head, body) = response.into_parts();
-    let body = Limited::new(body, MAX_ANSWER_BYTES).collect();
-    let collected = match tokio::time::timeout_at(call.expires_at.into(), body).await {
-        Ok(Ok(collected)) => collected,
+    let body = read_answer_body(&connection, body, MAX_ANSWER_BYTES);
+    let body = match tokio::time::timeout_at(call.expires_at.into(), body).await {
+        Ok(Ok(body)) => body,
         Ok(Err(error)) => {
             in_flight.engine().note_failure();
             return Err(Refusal::MayHaveRun(format!("it broke off: {error}")));
@@ -128,7 +128,7 @@
     // With 504, the engine reports that the call's deadline has passed, which is not a failure of the engine.
     let is_failure = head.status.is_server_error() && head.status != StatusCode::GATEWAY_TIMEOUT;
     record_answer_and_return_connection(connection, &in_flight, is_failure);
-    let response = build_caller_response(head, collected.to_bytes())?;
+    let response = build_caller_response(head, body)?;
     Ok(WholeAnswer { engine: in_flight.engine().clone(), response })
 }
 
--- a/crates/gateway/src/engines/attempt.rs
+++ b/crates/gateway/src/engines/attempt.rs
@@ -1,11 +1,12 @@
 //! One attempt: sends a request to one engine at most once, and waits for the head of the answer.
 
+use crate::engines::answer_body::read_answer_body;
 use crate::engines::connection::{ConnectionId, EngineConnection, SendError};
 use crate::engines::engine::{Engine, InFlightRequest};
 use crate::ports::dialect::{AnswerMetadata, Dialect};
 use bytes::Bytes;
 use foxnotch_scheduler::retry::SendOutcome;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use std::io;
 use std::sync::Arc;
@@ -214,7 +215,7 @@
     connection: EngineConnection,
 ) -> AttemptError {
     let replaced = response.status() == http::StatusCode::MISDIRECTED_REQUEST;
-    let body = Limited::new(response.into_body(), MAX_REFUSAL_BYTES).collect();
+    let body = read_answer_body(&connection, response.into_body(), MAX_REFUSAL_BYTES);
     let is_whole = matches!(tokio::time::timeout(REFUSAL_BODY_TIMEOUT, body).await, Ok(Ok(_)));
     if is_whole && !replaced {
         engine.return_connection(connection);
--- a/crates/gateway/src/engines/connection.rs
+++ b/crates/gateway/src/engines/connection.rs
@@ -1,7 +1,8 @@
 //! A connection to an engine. It carries one request at a time, and is closed instead of reused after an error or an
 //! unexpected answer.
 
-use crate::network;
+use crate::engines::answer_limit::{AnswerProgress, LimitedReader, MAX_BYTES_WITHOUT_PROGRESS};
+use crate::network::{self, YieldingReader};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -10,6 +11,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::task::AbortHandle;
 
@@ -48,6 +50,7 @@
     id: ConnectionId,
     sender: SendRequest<Full<Bytes>>,
     driver_task: AbortHandle,
+    progress: Arc<AnswerProgress>,
     idle_since: Instant,
     idle_timeout: Duration,
     /// The time that opening the connection took; `None` once [`Self::take_connect_time`] has returned it.
@@ -69,12 +72,17 @@
         let started_at = Instant::now();
         let stream = network::connect(address, CONNECT_TIMEOUT).await?;
         let connect_time = Some(started_at.elapsed());
-        let (sender, connection) = Builder::new().handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        let progress = Arc::<AnswerProgress>::default();
+        let (read, write) = stream.into_split();
+        let read = LimitedReader::new(YieldingReader::new(read), progress.clone());
+        let stream = TokioIo::new(tokio::io::join(read, write));
+        let handshake = Builder::new().max_buf_size(MAX_BYTES_WITHOUT_PROGRESS).handshake(stream);
+        let (sender, connection) = handshake.await.map_err(io::Error::other)?;
         let id = ConnectionId(CONNECTIONS_OPENED.fetch_add(1, Ordering::Relaxed));
         // The error of this task needs no handling, since the code that waits for an answer gets an error too.
         let driver_task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
         let idle_since = Instant::now();
-        Ok(Self { id, sender, driver_task, idle_since, idle_timeout: DEFAULT_IDLE_TIMEOUT, connect_time })
+        Ok(Self { id, sender, driver_task, progress, idle_since, idle_timeout: DEFAULT_IDLE_TIMEOUT, connect_time })
     }
 
     /// The connection's identifier.
@@ -106,13 +114,22 @@
         self.idle_since = Instant::now();
     }
 
+    /// Records that a piece of the answer's body has arrived. Without it, the engine is cut off after a while.
+    pub fn note_body_progress(&self) {
+        self.progress.note_progress();
+    }
+
     /// Sends a request and waits for the head of its answer.
     ///
     /// # Errors
     /// [`SendError`].
     pub async fn send(&mut self, request: http::Request<Full<Bytes>>) -> Result<http::Response<Incoming>, SendError> {
+        self.progress.expect_head();
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.progress.note_progress();
+                Ok(response)
+            }
             Err(mut error) => match error.take_message() {
                 Some(request) => Err(SendError::NotSent(Box::new(request))),
                 None => Err(SendError::MayHaveRun(error.into_error().to_string())),
--- a/crates/gateway/src/engines/mod.rs
+++ b/crates/gateway/src/engines/mod.rs
@@ -1,6 +1,8 @@
 //! The engines that this gateway knows: their list, load, health, warmth, reachability and cached prompts, and the
 //! requests that it sends to them.
 
+pub mod answer_body;
+pub mod answer_limit;
 pub mod attempt;
 pub mod connection;
 pub mod engine;
--- a/crates/gateway/src/metrics/server.rs
+++ b/crates/gateway/src/metrics/server.rs
@@ -42,5 +42,9 @@
         async move { Ok::<_, Infallible>(response) }
     });
     // An error means that the client closed the connection or sent something other than HTTP, and needs no handling.
-    drop(hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service).await);
+    drop(
+        hyper::server::conn::http1::Builder::new()
+            .serve_connection(TokioIo::new(network::yielding(stream)), service)
+            .await,
+    );
 }
--- a/crates/gateway/src/network.rs
+++ b/crates/gateway/src/network/mod.rs
@@ -2,12 +2,18 @@
 //! that detect a silent peer within seconds. A peer can become silent without resetting the connection, which only
 //! these options detect.
 
+mod yielding_reader;
+
+pub use yielding_reader::{YieldingReader, READ_TURN_BYTES};
+
 use socket2::{SockRef, TcpKeepalive};
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::io::Join;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Semaphore;
 
@@ -37,6 +43,15 @@
     let _ = socket.set_tcp_keepalive(&keepalive);
 }
 
+/// A connection whose reads let other tasks run.
+pub type YieldingStream = Join<YieldingReader<OwnedReadHalf>, OwnedWriteHalf>;
+
+/// Makes the reads of a connection let other tasks run, whatever the peer sends.
+pub fn yielding(stream: TcpStream) -> YieldingStream {
+    let (read, write) = stream.into_split();
+    tokio::io::join(YieldingReader::new(read), write)
+}
+
 /// Connects to an address within `timeout`.
 ///
 /// # Errors
--- a/crates/gateway/src/peers/rpc_client.rs
+++ b/crates/gateway/src/peers/rpc_client.rs
@@ -6,7 +6,7 @@
 
 use crate::locks::lock;
 use crate::logging::part;
-use crate::network;
+use crate::network::{self, YieldingReader};
 use crate::peers::frame::{encode_frame_in_version, FrameReader};
 use crate::peers::unreadable::record_unreadable_message;
 use foxnotch_wire::{exchange_with_version_offer, NodeId, ProtocolVersion, RpcBody, WireError};
@@ -250,7 +250,7 @@
 
     async fn exchange_messages(&self, stream: TcpStream, queue: &mut mpsc::UnboundedReceiver<Outgoing>) {
         let (read, mut write) = stream.into_split();
-        let mut reader = FrameReader::new(read).with_byte_counter(self.state.received.clone());
+        let mut reader = FrameReader::new(YieldingReader::new(read)).with_byte_counter(self.state.received.clone());
         let Some(version) = self.negotiate_version(&mut reader, &mut write).await else { return };
         loop {
             tokio::select! {
@@ -279,7 +279,7 @@
     /// of the answer; none if the connection breaks or no answer comes.
     async fn negotiate_version(
         &self,
-        reader: &mut FrameReader<OwnedReadHalf>,
+        reader: &mut FrameReader<YieldingReader<OwnedReadHalf>>,
         write: &mut OwnedWriteHalf,
     ) -> Option<ProtocolVersion> {
         let frame = encode_frame_in_version(
--- a/crates/gateway/src/peers/rpc_server.rs
+++ b/crates/gateway/src/peers/rpc_server.rs
@@ -1,7 +1,7 @@
 //! Accepts connections from other nodes and answers their requests.
 
 use crate::logging::part;
-use crate::network;
+use crate::network::{self, YieldingReader};
 use crate::peers::frame::{encode_frame_in_version, FrameReader};
 use crate::peers::unreadable::record_unreadable_message;
 use foxnotch_wire::{exchange_has_version_offer, NodeId, ProtocolVersion, RpcBody, RpcMessage};
@@ -42,7 +42,7 @@
             }
         }
     });
-    let mut reader = FrameReader::new(read);
+    let mut reader = FrameReader::new(YieldingReader::new(read));
     loop {
         match reader.read_message().await {
             Ok(Some(message)) => {
--- a/crates/gateway/tests/engine_answer_tests.rs
+++ b/crates/gateway/tests/engine_answer_tests.rs
@@ -6,6 +6,7 @@
 use rstest::rstest;
 use std::time::{Duration, Instant};
 use support::cluster::{eventually, Cluster};
+use support::endless::EndlessBytes;
 use support::engine::{Behaviour, ReceivedRequest, StubEngine};
 use support::gateway::{configuration, put_engine_entry, Answer, RunningGateway};
 
@@ -130,11 +131,11 @@
 
 /// An engine sends a body or an event that never ends. The connection to it is closed long before the deadline.
 #[rstest]
-#[case(194, "read", false)]
-#[case(195, "draft", true)]
+#[case(194, "read", EndlessBytes::Body)]
+#[case(195, "draft", EndlessBytes::Event)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn an_answer_without_an_end_is_cut_off(#[case] net: u8, #[case] service: &str, #[case] is_event: bool) {
-    let deployment = Deployment::start(net, service, &[Behaviour::Endless(is_event)]).await;
+async fn an_answer_without_an_end_is_cut_off(#[case] net: u8, #[case] service: &str, #[case] bytes: EndlessBytes) {
+    let deployment = Deployment::start(net, service, &[Behaviour::Endless(bytes)]).await;
     let asked_at = Instant::now();
     let answer = deployment.send(service, "a0").await;
     assert!(answer.status == 502 || !answer.is_whole, "{answer:?}");
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -2,6 +2,7 @@
 //! including protocol violations, and reads which requests and connections it received. An address at which nothing
 //! answers takes the place of a lost engine.
 
+use crate::support::endless::EndlessBytes;
 use bytes::Bytes;
 use socket2::{Domain, Socket, Type};
 use std::net::SocketAddr;
@@ -42,8 +43,6 @@
 /// Time between the last event of a stream and the end of the engine's process.
 const EVENT_DELIVERY_TIME: Duration = Duration::from_millis(30);
 
-/// Size of each piece of a body that never ends.
-const ENDLESS_PIECE_BYTES: usize = 64 * 1024;
 /// Time for which an engine works on a request, so that requests at the same time go to several engines.
 const SHORT_WORK: Duration = Duration::from_millis(30);
 /// Time for which the connections of a machine that has restarted stay open and silent.
@@ -85,8 +84,8 @@
     /// The engine's first request gets the head of a refusal that was not run and a part of its body, and the connection
     /// stays open. Other requests get the response `right`.
     CutFirstRefusal,
-    /// Status 200 and a body of one kind that never ends; as an event if it is true.
-    Endless(bool),
+    /// Bytes of this kind that never end.
+    Endless(EndlessBytes),
     /// A complete response, followed by a response that belongs to no request.
     ExtraBytes,
     /// Never responds.
@@ -368,13 +367,8 @@
             let _ = stream.read(&mut ignored).await;
             return false;
         }
-        Behaviour::Endless(is_event) => {
-            let head = if is_event { format!("{streamed}6\r\ndata: \r\n") } else { streamed };
-            let piece = chunk(&"x".repeat(ENDLESS_PIECE_BYTES));
-            let mut is_open = stream.write_all(head.as_bytes()).await.is_ok();
-            while is_open {
-                is_open = stream.write_all(piece.as_bytes()).await.is_ok();
-            }
+        Behaviour::Endless(bytes) => {
+            bytes.send(stream, attempt).await;
             return false;
         }
         Behaviour::Unsigned => complete_response("200 OK", &format!("t-attempt: {attempt}\r\n"), "unsigned"),
