Close a connection after a refusal that names no attempt

What callers would see: a request that may run once runs several times (13 times in the test), after an engine was full.

Cause: a refusal without an attempt's identifier counts as the answer to the request that waits. A late copy of one comes in the place of the answer to the next request on the connection, which then counts as not run and is sent again while the engine runs it.

Evidence: a_late_copy_of_a_refusal_without_an_attempt_is_no_answer failed before (`a0 ran 13 times`; a turn got 502 for an engine that was full), and holds now.

Why this works: a copy comes on the connection of its original. Once the original has come, nothing is sent there any more. A first refusal on a connection can only be that of the request it carries. Cost: a connection for each such refusal; refusals that name their attempt keep theirs.

--- a/crates/gateway/src/engines/attempt.rs
+++ b/crates/gateway/src/engines/attempt.rs
@@ -156,7 +156,7 @@
         engine.note_answer();
     }
     if metadata.not_executed || response.status() == http::StatusCode::MISDIRECTED_REQUEST {
-        return Err(read_refusal(engine, response, connection).await);
+        return Err(read_refusal(engine, response, &metadata, connection).await);
     }
     if metadata.attempt.as_deref() != Some(attempt) {
         return Err(other_attempt_answered(&metadata));
@@ -209,15 +209,19 @@
 
 /// Returns and records why the engine refused the request. Reads the refusal's body to its end, so that the connection
 /// can be used again. The connection is closed if the body does not end soon; the refusal stands all the same.
+///
+/// The connection is also closed if the refusal does not name the attempt: a late copy of it would be taken for the
+/// answer to the next request on the connection.
 async fn read_refusal(
     engine: &Arc<Engine>,
     response: http::Response<Incoming>,
+    metadata: &AnswerMetadata,
     connection: EngineConnection,
 ) -> AttemptError {
     let replaced = response.status() == http::StatusCode::MISDIRECTED_REQUEST;
     let body = read_answer_body(&connection, response.into_body(), MAX_REFUSAL_BYTES);
     let is_whole = matches!(tokio::time::timeout(REFUSAL_BODY_TIMEOUT, body).await, Ok(Ok(_)));
-    if is_whole && !replaced {
+    if is_whole && !replaced && metadata.attempt.is_some() {
         engine.return_connection(connection);
     }
     if replaced {
--- a/crates/gateway/tests/engine_answer_tests.rs
+++ b/crates/gateway/tests/engine_answer_tests.rs
@@ -114,6 +114,23 @@
     }
 }
 
+/// A refusal that names no attempt cannot be told from a late copy of it, so its connection carries no other request.
+#[rstest]
+#[case(199, "write")]
+#[case(200, "turn")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_late_copy_of_a_refusal_without_an_attempt_is_no_answer(#[case] net: u8, #[case] service: &str) {
+    let deployment = Deployment::start(net, service, &[Behaviour::RefuseUnnamedAndRepeat("refused")]).await;
+    for number in 0..3 {
+        assert_eq!(deployment.send(service, &format!("refused{number}")).await.status, 503);
+        let attempt = format!("a{number}");
+        deployment.send(service, &attempt).await;
+        let is_attempt = |request: &&ReceivedRequest| request.header("t-attempt") == Some(&attempt);
+        let runs = deployment.engines[0].received().iter().filter(is_attempt).count();
+        assert_eq!(runs, 1, "{attempt} ran {runs} times");
+    }
+}
+
 /// Engines cut a refusal short and keep the connection open. The refusals count, and the request is served in time.
 #[rstest]
 #[case(192, "read")]
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -61,6 +61,8 @@
     BrokenStream(Vec<&'static str>),
     /// Status 503 with the header that marks the request as not run: the engine has no free slot.
     Full,
+    /// The same without the attempt's identifier.
+    FullUnnamed,
     /// Status 421: another engine has the address now.
     Replaced,
     /// Reads the request and closes the connection.
@@ -81,6 +83,9 @@
     /// Refuses each attempt once, as not run. When the attempt comes again on the same connection, a copy of that
     /// refusal comes before the answer `right`.
     RefuseOnceAndRepeat,
+    /// Refuses requests that contain the marker, as not run and without naming the attempt. Other requests get the
+    /// response `right`; a copy of the refusal comes first if the connection carried one.
+    RefuseUnnamedAndRepeat(&'static str),
     /// The engine's first request gets the head of a refusal that was not run and a part of its body, and the connection
     /// stays open. Other requests get the response `right`.
     CutFirstRefusal,
@@ -200,6 +205,7 @@
     ended: &watch::Sender<bool>,
 ) {
     let mut refused = Vec::new();
+    let mut has_refused_unnamed = false;
     while let Some(request) = read_request(&mut stream).await {
         let attempt = request.header("t-attempt").unwrap_or_default().to_owned();
         let behaviour = behaviour.lock().expect("no thread panicked while holding the lock").clone();
@@ -223,6 +229,16 @@
                 }
                 continue;
             }
+            Behaviour::RefuseUnnamedAndRepeat(marker) if request.contains(marker) => {
+                has_refused_unnamed = true;
+                Behaviour::FullUnnamed
+            }
+            Behaviour::RefuseUnnamedAndRepeat(_) => {
+                if has_refused_unnamed && !respond(&mut stream, &attempt, Behaviour::FullUnnamed).await {
+                    return;
+                }
+                Behaviour::Answer("right")
+            }
             Behaviour::EndLaterUnder(marker, time) if request.contains(marker) => {
                 end_after(time, ended.clone());
                 Behaviour::Hang
@@ -345,6 +361,7 @@
             let headers = format!("t-attempt: {attempt}\r\nt-not-run: 1\r\n");
             complete_response("503 Service Unavailable", &headers, "")
         }
+        Behaviour::FullUnnamed => complete_response("503 Service Unavailable", "t-not-run: 1\r\n", ""),
         Behaviour::Replaced => complete_response("421 Misdirected Request", "", ""),
         Behaviour::CloseWithoutAnswer => return false,
         Behaviour::TruncatedAnswer => {
@@ -381,6 +398,7 @@
         }
         Behaviour::CloseUnder(_)
         | Behaviour::RefuseOnceAndRepeat
+        | Behaviour::RefuseUnnamedAndRepeat(_)
         | Behaviour::EndUnder(..)
         | Behaviour::EndLaterUnder(..)
         | Behaviour::RestartMachineUnder(_) => {
