Cut off a stream that brings events without data

What callers would see: a stream of comments or empty events until their deadline, for which their gateway works all the time.

Cause: the limits of a stream are for one event and, if the turn is stored, for the data of all events. What carries no data was counted nowhere.

Why this works: 10,000 events in a row without data, or 1 MB of them, end the stream as a failure of the engine. An event with data begins the count anew, so keep-alive comments do no harm.

--- a/crates/gateway/src/edge/events.rs
+++ b/crates/gateway/src/edge/events.rs
@@ -5,6 +5,9 @@
 /// The longest event, in bytes. An engine that sends more without the end of an event is considered faulty.
 pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
+/// The most events in a row without data, such as comments. A comment each millisecond keeps a connection open for 10 s.
+const MAX_EVENTS_WITHOUT_DATA: usize = 10_000;
+
 /// One complete event of a stream of server-sent events.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
@@ -22,6 +25,8 @@
     buffer: BytesMut,
     /// The number of bytes at the buffer's start in which no event ends.
     searched_bytes: usize,
+    /// The number of events without data since the last one with data, and of their bytes.
+    without_data: (usize, usize),
 }
 
 impl EventSplitter {
@@ -36,9 +41,11 @@
         self.buffer.len()
     }
 
-    /// Whether the buffer holds the start of an event that is longer than [`MAX_EVENT_BYTES`].
+    /// Whether the buffer holds the start of an event that is longer than [`MAX_EVENT_BYTES`], or so many events without
+    /// data have come that the engine is considered faulty.
     pub fn is_over_limit(&self) -> bool {
-        self.buffer.len() > MAX_EVENT_BYTES
+        let (events, bytes) = self.without_data;
+        self.buffer.len() > MAX_EVENT_BYTES || bytes > MAX_EVENT_BYTES || events > MAX_EVENTS_WITHOUT_DATA
     }
 
     /// Removes the next complete event from the buffer and returns it; `None` while the buffer holds no complete event.
@@ -46,7 +53,10 @@
         let end = self.find_event_end()?;
         let raw = self.buffer.split_to(end).freeze();
         self.searched_bytes = 0;
-        Some(parse_event(raw))
+        let event = parse_event(raw);
+        let (events, bytes) = self.without_data;
+        self.without_data = if event.data.is_some() { (0, 0) } else { (events + 1, bytes + end) };
+        Some(event)
     }
 
     /// The index after the first empty line, which ends an event.
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -290,12 +290,14 @@
             }
             let Ok(data) = frame.into_data() else { continue };
             splitter.push(&data);
-            while let Some(event) = splitter.next_event() {
+            while let Some(event) = splitter.next_event().filter(|_| !splitter.is_over_limit()) {
                 self.forward_event(event).await?;
             }
             if splitter.is_over_limit() || self.output.len() > MAX_OUTPUT_BYTES {
                 self.in_flight.engine().note_failure();
-                return Err(StreamError::EngineAborted("it sent more than an event or a turn may have".to_owned()));
+                return Err(StreamError::EngineAborted(
+                    "it sent more than an event or a turn may have, or too many events without data".to_owned(),
+                ));
             }
         }
         if splitter.buffered_bytes() > 0 {
--- a/crates/gateway/tests/endless_bytes_tests.rs
+++ b/crates/gateway/tests/endless_bytes_tests.rs
@@ -147,6 +147,20 @@
     .await;
 }
 
+/// A stream that brings events but no data is cut off before its deadline.
+#[rstest]
+#[case(49, "turn", EndlessBytes::Comments)]
+#[case(50, "turn", EndlessBytes::EmptyEvents)]
+#[case(51, "draft", EndlessBytes::Comments)]
+#[case(58, "draft", EndlessBytes::EmptyEvents)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_stream_without_data_is_cut_off(#[case] net: u8, #[case] service: &str, #[case] bytes: EndlessBytes) {
+    let deployment = Deployment::start(net, service, bytes).await;
+    let ended = ask(deployment.gateway.callers, service, "a0").await;
+    assert!(ended.after < DEADLINE, "{ended:?}");
+    eventually("the engine's connection is closed", || deployment.endless.closed_connections() > 0).await;
+}
+
 /// A refusal without an end is sent to the engine once. Another engine serves the request; without one it is refused at
 /// once, as not run.
 #[rstest]
