Test of a head that comes a byte at a time

What callers would see: a request that is held until its deadline (504) while an engine sends its head a byte at a time; a request that may be repeated is tried at no other engine.

--- a/crates/gateway/tests/endless_bytes_tests.rs
+++ b/crates/gateway/tests/endless_bytes_tests.rs
@@ -24,6 +24,8 @@
 const TOLERANCE: Duration = Duration::from_millis(100);
 /// Number of requests at the same time that get bytes without end.
 const ENDLESS_REQUESTS: usize = 8;
+/// Pause after each byte of a slow head.
+const SLOW_HEAD_PAUSE: Duration = Duration::from_millis(5);
 /// Time between two requests that wait for an engine to be known.
 const POLL_PERIOD: Duration = Duration::from_millis(20);
 /// The most bytes of an answer that a caller keeps.
@@ -161,6 +163,16 @@
     eventually("the engine's connection is closed", || deployment.endless.closed_connections() > 0).await;
 }
 
+/// A head that comes a byte at a time does not hold its request until the deadline.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_head_that_comes_a_byte_at_a_time_is_cut_off() {
+    let deployment = Deployment::start(66, "write", EndlessBytes::HeadLine).await;
+    deployment.endless.set(Behaviour::SlowHead(SLOW_HEAD_PAUSE));
+    let ended = ask(deployment.gateway.callers, "write", "a0").await;
+    assert_eq!(ended.status, 502, "{ended:?}");
+    assert!(ended.after < DEADLINE, "{ended:?}");
+}
+
 /// A refusal without an end is sent to the engine once. Another engine serves the request; without one it is refused at
 /// once, as not run.
 #[rstest]
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -43,6 +43,8 @@
 /// Time between the last event of a stream and the end of the engine's process.
 const EVENT_DELIVERY_TIME: Duration = Duration::from_millis(30);
 
+/// Length of the line that makes a slow head last longer than any request.
+const SLOW_HEAD_LINE_BYTES: usize = 10_000;
 /// Time for which an engine works on a request, so that requests at the same time go to several engines.
 const SHORT_WORK: Duration = Duration::from_millis(30);
 /// Time for which the connections of a machine that has restarted stay open and silent.
@@ -91,6 +93,8 @@
     CutFirstRefusal,
     /// Bytes of this kind that never end.
     Endless(EndlessBytes),
+    /// Sends the head of a response one byte at a time, with this pause after each.
+    SlowHead(Duration),
     /// A complete response, followed by a response that belongs to no request.
     ExtraBytes,
     /// Never responds.
@@ -384,6 +388,16 @@
             let _ = stream.read(&mut ignored).await;
             return false;
         }
+        Behaviour::SlowHead(pause) => {
+            let head = format!("HTTP/1.1 200 OK\r\n{signed}x-line: {}", "x".repeat(SLOW_HEAD_LINE_BYTES));
+            for byte in head.as_bytes() {
+                if stream.write_all(&[*byte]).await.is_err() {
+                    break;
+                }
+                tokio::time::sleep(pause).await;
+            }
+            return false;
+        }
         Behaviour::Endless(bytes) => {
             bytes.send(stream, attempt).await;
             return false;
