Bound what a process holds of bodies and messages together

What callers would see: a few engines that send bodies without end at once end their gateway, on machines of 48 and 88 MB, with everything that runs on it.

Cause: limits of reads are for one read each: 8 MB an answer, 4 MB a caller's body, 16 MB a message of another node or of the store, 16 queued events of up to 1 MB a stream. Nothing bounded their sum. Before, small pieces of a body also took many times their size in a list of pieces.

Why this works: one budget counts what all reads hold, until the last copy of the bytes is dropped: a third of the memory at a gateway, a fifth at a replica. A reader may hold twice what is still free, so the largest are refused first; readers of up to 64 KB, other nodes and the store have a quarter for themselves. A caller's body or a chain of turns that does not fit gets 503 `buffers_full`, not run; an engine's answer that does not fit is a lost answer (502).

--- a/crates/gateway/src/edge/gateway.rs
+++ b/crates/gateway/src/edge/gateway.rs
@@ -3,6 +3,7 @@
 //! `handler`, `stream_call`, `whole_call`, `turn_account` and `residency` depend on this module, which depends on none
 //! of them. `dispatch` chooses engines and sends requests to them.
 
+use crate::buffer_budget::BufferBudget;
 use crate::edge::dispatch::EngineDispatcher;
 use crate::edge::planned_stop::PlannedStop;
 use crate::edge::quotas::QuotaClient;
@@ -27,6 +28,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// The other nodes, with their addresses and states.
     pub members: Arc<Members>,
+    /// Bounds the memory of the bodies and messages that this process holds.
+    pub buffers: Arc<BufferBudget>,
     /// The metrics that this process exports.
     pub metrics: Arc<Metrics>,
     /// Chooses engines and sends requests to them.
--- a/crates/gateway/src/edge/handler.rs
+++ b/crates/gateway/src/edge/handler.rs
@@ -4,6 +4,7 @@
 //! service, check the planned stop, check the regions. Then `stream_call` continues with requests on streaming routes,
 //! and `whole_call` with all others. `docs/DECISIONS.md` lists the rules in the same order.
 
+use crate::buffer_budget::{BodyBuffer, BufferBudget, Source};
 use crate::edge::abandoned::AbandonedCallGuard;
 use crate::edge::body::AnswerBody;
 use crate::edge::call::Call;
@@ -20,7 +21,7 @@
 use foxnotch_scheduler::refusal::RefusalKind;
 use foxnotch_scheduler::tenants::Tenant;
 use http::{header, Request, Response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -153,7 +154,7 @@
         let route = matching_route.ok_or_else(|| self.no_route_refusal(&routes, &metadata))?.clone();
         let tenant = self.identify_tenant(&routes, &route, &metadata)?;
         let time = Duration::from_millis(metadata.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms));
-        let reading = read_body(body, routes.configuration().limits.body_bytes);
+        let reading = read_body(body, routes.configuration().limits.body_bytes, &self.buffers);
         let read = tokio::time::timeout_at((arrived_at + time).into(), reading).await;
         let input = read.unwrap_or(Err(Refusal::OutOfTime)).map_err(|refusal| match refusal {
             Refusal::TooLarge(_) => self.denial_unless_outdated(refusal),
@@ -178,10 +179,15 @@
 }
 
 /// Reads a body of at most `limit` bytes.
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::TooLarge(limit)),
-        Err(_) => Err(Refusal::Malformed("its body ends early")),
+async fn read_body(mut body: Incoming, limit: usize, budget: &Arc<BufferBudget>) -> Result<Bytes, Refusal> {
+    let mut read = BodyBuffer::new(budget, Source::Payload);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Refusal::Malformed("its body ends early"))?;
+        let Ok(data) = frame.into_data() else { continue };
+        if read.len() + data.len() > limit {
+            return Err(Refusal::TooLarge(limit));
+        }
+        read.append(&data).map_err(Refusal::BuffersFull)?;
     }
+    Ok(read.freeze())
 }
--- a/crates/gateway/src/edge/parts.rs
+++ b/crates/gateway/src/edge/parts.rs
@@ -1,5 +1,6 @@
 //! Builds the components of a gateway from its settings.
 
+use crate::buffer_budget::BufferBudget;
 use crate::clock::SteadyClock;
 use crate::edge::dispatch::EngineDispatcher;
 use crate::edge::engine_losses::EngineLossTracker;
@@ -30,6 +31,9 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex, OnceLock};
 
+/// Percentage of the configured memory that the bodies and messages which a gateway reads may hold. The rest is for the
+/// process itself, its cache of turns and its connections.
+pub const GATEWAY_BUFFER_PERCENT: u64 = 33;
 /// The turn cache may use the configured memory divided by this number.
 const CACHE_MEMORY_DIVISOR: u64 = 10;
 
@@ -39,6 +43,8 @@
     pub store: Arc<dyn MetadataStore>,
     /// Reads and writes the platform's HTTP headers.
     pub dialect: Arc<dyn Dialect>,
+    /// Bounds what the process holds; the client of the store uses it too.
+    pub buffers: Arc<BufferBudget>,
 }
 
 /// The components that connect a gateway to other nodes and to the store. They are built before the gateway accepts
@@ -67,11 +73,11 @@
     ///
     /// # Errors
     /// When the UDP port cannot be bound.
-    pub(super) async fn build(settings: &ProcessSettings, store: Arc<dyn MetadataStore>) -> anyhow::Result<Self> {
+    pub(super) async fn build(settings: &ProcessSettings, platform: &Platform) -> anyhow::Result<Self> {
         let clock = SteadyClock::start();
         let id = node_id(&settings.node);
         let view = Arc::new(ViewHolder::default());
-        let client = Arc::new(RpcClient::new(id));
+        let client = Arc::new(RpcClient::new(id).with_buffers(platform.buffers.clone()));
         let members = Members::bind(settings, clock, client.clone(), view.clone())
             .await
             .context("the UDP port peer_port cannot be bound; check that no other process uses it")?;
@@ -79,8 +85,8 @@
         let cache = TurnCache::new((settings.resources.memory_mb * 1024 * 1024 / CACHE_MEMORY_DIVISOR) as usize);
         let round_trips =
             GatewayDistances::new(settings.topology(), &settings.zone, &settings.zones, settings.distance.prices());
-        let metrics = build_metrics(&view, &members, &round_trips);
-        let store: Arc<dyn MetadataStore> = Arc::new(CountedStore::new(store, metrics.clone()));
+        let metrics = build_metrics(&view, &members, &round_trips, &platform.buffers);
+        let store: Arc<dyn MetadataStore> = Arc::new(CountedStore::new(platform.store.clone(), metrics.clone()));
         let regions = settings.zone_regions();
         let relays = RelayGateways::new(members.clone()).with_regions(zone_hash(&settings.zone), regions.clone());
         let replicas = build_replica_client(client.clone(), relays, &metrics, &round_trips, settings.policy);
@@ -144,6 +150,7 @@
             view: self.view.clone(),
             dialect: platform.dialect.clone(),
             members: self.members.clone(),
+            buffers: platform.buffers.clone(),
             metrics: metrics.clone(),
             dispatcher,
             turns: turns.clone(),
@@ -177,8 +184,14 @@
 }
 
 /// Creates the gateway's metrics, with gauges that read the view, the members and the round trips.
-fn build_metrics(view: &Arc<ViewHolder>, members: &Arc<Members>, round_trips: &Arc<GatewayDistances>) -> Arc<Metrics> {
+fn build_metrics(
+    view: &Arc<ViewHolder>,
+    members: &Arc<Members>,
+    round_trips: &Arc<GatewayDistances>,
+    buffers: &Arc<BufferBudget>,
+) -> Arc<Metrics> {
     let mut metrics = Metrics::default();
+    buffers.add_metrics(&mut metrics);
     round_trips.add_metrics(&mut metrics);
     let shared_view = view.clone();
     metrics.add_gauge("configuration_version", "Version of the configuration in force", move || {
--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -5,7 +5,7 @@
 use crate::edge::accept;
 use crate::edge::gateway::Gateway;
 use crate::edge::parts::NodeParts;
-pub use crate::edge::parts::Platform;
+pub use crate::edge::parts::{Platform, GATEWAY_BUFFER_PERCENT};
 use crate::edge::peer_answers::GatewayRpcHandler;
 use crate::edge::planned_stop::PlannedStop;
 use crate::edge::{readiness, view_loops};
@@ -51,7 +51,7 @@
         .context("readiness_address cannot be bound; check the address and that no other process uses it")?;
     let peer_listener = network::listen(settings.peer_address())
         .context("the TCP port peer_port cannot be bound; check that no other process uses it")?;
-    let node = NodeParts::build(&settings, platform.store.clone()).await?;
+    let node = NodeParts::build(&settings, &platform).await?;
     let gateway = node.build_gateway(&settings, &platform);
     spawn_rpc_servers(&settings, &node, &gateway, peer_listener)?;
     tokio::spawn(log_process_pauses());
@@ -88,13 +88,13 @@
     peer_listener: TcpListener,
 ) -> anyhow::Result<()> {
     let (members, view, replicas) = (node.members.clone(), node.view.clone(), node.replicas.clone());
-    let losses = gateway.dispatcher.losses.clone();
+    let (losses, buffers) = (gateway.dispatcher.losses.clone(), gateway.buffers.clone());
     let answers = Arc::new(GatewayRpcHandler { members, view, replicas, losses });
-    tokio::spawn(rpc_server::serve(peer_listener, node.id, answers.clone()));
+    tokio::spawn(rpc_server::serve(peer_listener, node.id, answers.clone(), buffers.clone()));
     if let Some(address) = settings.contact_address {
         let contact_listener = network::listen(address)
             .context("contact_address cannot be bound; check the address and that no other process uses it")?;
-        tokio::spawn(rpc_server::serve(contact_listener, node.id, answers));
+        tokio::spawn(rpc_server::serve(contact_listener, node.id, answers, buffers));
     }
     Ok(())
 }
--- a/crates/gateway/src/edge/refusal.rs
+++ b/crates/gateway/src/edge/refusal.rs
@@ -1,5 +1,6 @@
 //! Error responses that the gateway generates itself, without an engine's answer.
 
+use crate::buffer_budget::BuffersFull;
 use crate::edge::body::AnswerBody;
 pub use foxnotch_scheduler::refusal::RefusalKind;
 use foxnotch_scheduler::residency::ResidencyDenial;
@@ -45,6 +46,10 @@
     /// Not run: the request's body is longer than the limit. Holds the limit in bytes.
     #[error("the body is over {0} bytes; send less")]
     TooLarge(usize),
+    /// Not run: this process holds as many bytes of bodies as it may, so that it could not read the request or the turns
+    /// that it continues.
+    #[error("this gateway holds too much data to take this in ({0}); ask again after the time given")]
+    BuffersFull(BuffersFull),
     /// Not run: no engine has room. Holds the time after which to retry.
     #[error("no engine has room; ask again after the time given")]
     NoRoom(Duration),
@@ -118,6 +123,7 @@
             | Self::ConfigurationBehind
             | Self::ConfigurationUnconfirmed
             | Self::Stopping
+            | Self::BuffersFull(_)
             | Self::NoRoom(_)
             | Self::NoEngineReachable
             | Self::ZonesDrained
@@ -159,6 +165,7 @@
             Self::LimitUnknown => RefusalKind::LimitUnknown,
             Self::Malformed(_) => RefusalKind::Malformed,
             Self::TooLarge(_) => RefusalKind::TooLarge,
+            Self::BuffersFull(_) => RefusalKind::BuffersFull,
             Self::NoRoom(_) => RefusalKind::NoRoom,
             Self::NoEngineReachable => RefusalKind::NoEngineReachable,
             Self::ZonesDrained => RefusalKind::ZonesDrained,
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -5,6 +5,7 @@
 //! caller's connection is closed without the end of the body, so that the caller does not consider the response
 //! complete.
 
+use crate::buffer_budget::{BodyBuffer, BuffersFull, Source};
 use crate::edge::body::{AnswerBody, Piece};
 use crate::edge::call::{remove_connection_headers, Call};
 use crate::edge::chain_reader::{ChainError, ChainRecords};
@@ -82,7 +83,13 @@
         call.avoided = budget.as_ref().map_or(Vec::new(), BudgetView::failed_engines);
     }
     call.previous_engine = previous_engine(&gateway, &call, &chain, budget);
-    let body = if chain.is_empty() { call.input.clone() } else { Bytes::from(compose_body(&chain, &call.input)) };
+    let body = if chain.is_empty() {
+        call.input.clone()
+    } else {
+        let body = Bytes::from(compose_body(&chain, &call.input));
+        gateway.buffers.hold(Source::Payload, body).map_err(Refusal::BuffersFull)?
+    };
+    drop(chain);
     let mut sends = SendRecord::default();
     let outcome = gateway.dispatcher.dispatch(&call, &body, call.metadata.last_event.as_deref(), &mut sends).await;
     if outcome.is_err() && sends.may_have_run() {
@@ -94,7 +101,7 @@
         if answer.response.status().is_server_error() {
             account.note_engine_failure(&sends);
         }
-        let answer = read_whole_answer(&call, answer).await?;
+        let answer = read_whole_answer(&call, answer, &gateway.buffers).await?;
         sends.finish_watch();
         return Ok(answer.finish_call(&gateway.metrics, &call));
     }
@@ -139,6 +146,7 @@
     head.headers.remove(header::CONTENT_LENGTH);
     let (pieces, queue) = mpsc::channel(MAX_QUEUED_PIECES);
     let work = WorkGuard::new(&gateway.pending_work);
+    let output = BodyBuffer::new(&gateway.buffers, Source::Payload);
     let stream = EventStream {
         gateway,
         call,
@@ -147,7 +155,7 @@
         connection: Some(connection),
         in_flight,
         pieces,
-        output: Vec::new(),
+        output,
         pace,
         sends,
     };
@@ -167,6 +175,8 @@
     CallerLeft,
     #[error("the time was over")]
     TimedOut,
+    #[error("{0}")]
+    BuffersFull(BuffersFull),
     #[error("the turn could not be kept ({0})")]
     NotStored(TurnError),
 }
@@ -183,6 +193,7 @@
             Self::EngineAborted(_) => "engine_broke",
             Self::CallerLeft => "caller_left",
             Self::TimedOut => "stream_timed_out",
+            Self::BuffersFull(_) => "buffers_full",
             Self::NotStored(_) => "not_kept",
         }
     }
@@ -201,7 +212,7 @@
     /// The queue from which the caller's connection takes the pieces of the response's body.
     pieces: mpsc::Sender<Piece>,
     /// The data of all events received so far, each followed by a line feed; empty if the route stores no turns.
-    output: Vec<u8>,
+    output: BodyBuffer,
     /// Counts and times the events. When the engine's answer is complete, the service's costs are learned from these
     /// measurements. `None` when no engine was chosen.
     pace: Option<TurnPace>,
@@ -259,7 +270,9 @@
     async fn record_engine_state(&mut self, outcome: &Result<(), StreamError>) {
         let (dispatcher, engine) = (&self.gateway.dispatcher, self.in_flight.engine());
         match outcome {
-            Ok(()) | Err(StreamError::NotStored(_)) => dispatcher.note_served(&self.call, &mut self.sends),
+            Ok(()) | Err(StreamError::NotStored(_) | StreamError::BuffersFull(_)) => {
+                dispatcher.note_served(&self.call, &mut self.sends)
+            }
             Err(StreamError::EngineAborted(_)) => {
                 dispatcher.note_engine_loss(&self.call, engine, &mut self.sends).await;
             }
@@ -274,6 +287,7 @@
     /// Forwards events to the caller until the engine's answer is complete.
     async fn forward_events(&mut self, mut body: Incoming) -> Result<(), StreamError> {
         let mut splitter = EventSplitter::default();
+        let mut reservation = self.gateway.buffers.begin_read(Source::Payload);
         loop {
             let frame = tokio::select! {
                 frame = body.frame() => frame,
@@ -289,6 +303,7 @@
                 connection.note_body_progress();
             }
             let Ok(data) = frame.into_data() else { continue };
+            reservation.resize(splitter.buffered_bytes() + data.len()).map_err(StreamError::BuffersFull)?;
             splitter.push(&data);
             while let Some(event) = splitter.next_event().filter(|_| !splitter.is_over_limit()) {
                 self.forward_event(event).await?;
@@ -320,11 +335,12 @@
                 pace.note_event();
             }
             if self.call.route.retain {
-                self.output.extend_from_slice(data);
-                self.output.push(b'\n');
+                self.output.append(data).map_err(StreamError::BuffersFull)?;
+                self.output.append(b"\n").map_err(StreamError::BuffersFull)?;
             }
         }
-        let sending = self.pieces.send(Piece::Data(event.raw));
+        let raw = self.gateway.buffers.hold(Source::Payload, event.raw).map_err(StreamError::BuffersFull)?;
+        let sending = self.pieces.send(Piece::Data(raw));
         match tokio::time::timeout_at(self.call.expires_at.into(), sending).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_)) => Err(StreamError::CallerLeft),
@@ -337,12 +353,14 @@
         if !self.call.route.retain {
             return Ok(());
         }
+        let output = BodyBuffer::new(&self.gateway.buffers, Source::Payload);
+        let (output, _reservation) = std::mem::replace(&mut self.output, output).into_parts();
         let record = TurnRecord {
             previous: self.previous,
             engine: self.in_flight.engine().number,
             regions: self.gateway.turn_region_ids(&self.call),
             input: Content::from(self.call.input.to_vec()),
-            output: Content::from(std::mem::take(&mut self.output)),
+            output: Content::from(Vec::from(output)),
         };
         let deadline = self.call.expires_at.max(Instant::now() + MIN_STORE_TIME);
         self.account.store_turn(record, deadline).await.map_err(StreamError::NotStored)
--- a/crates/gateway/src/edge/whole_call.rs
+++ b/crates/gateway/src/edge/whole_call.rs
@@ -1,5 +1,6 @@
 //! Serves requests whose answers are buffered until they are complete and then returned to the caller.
 
+use crate::buffer_budget::BufferBudget;
 use crate::edge::body::AnswerBody;
 use crate::edge::call::{remove_connection_headers, Call};
 use crate::edge::gateway::Gateway;
@@ -63,7 +64,7 @@
             Err(refusal) => break refusal,
         };
         let engine = answer.in_flight.engine().clone();
-        let (outcome, refusal) = match read_whole_answer(call, answer).await {
+        let (outcome, refusal) = match read_whole_answer(call, answer, &gateway.buffers).await {
             Ok(answer) if !answer.is_failure() || !gateway.policy.retry_failures => {
                 learn_answer_time(gateway, call, &sends);
                 gateway.dispatcher.note_served(call, &mut sends);
@@ -113,10 +114,14 @@
 /// # Errors
 /// [`Refusal::MayHaveRun`] when the answer ends early or its status may not be forwarded, [`Refusal::TimedOut`] at the
 /// call's deadline.
-pub async fn read_whole_answer(call: &Call, answer: EngineAnswer) -> Result<WholeAnswer, Refusal> {
+pub async fn read_whole_answer(
+    call: &Call,
+    answer: EngineAnswer,
+    budget: &Arc<BufferBudget>,
+) -> Result<WholeAnswer, Refusal> {
     let EngineAnswer { response, connection, in_flight, .. } = answer;
     let (head, body) = response.into_parts();
-    let body = read_answer_body(&connection, body, MAX_ANSWER_BYTES);
+    let body = read_answer_body(&connection, body, MAX_ANSWER_BYTES, budget);
     let body = match tokio::time::timeout_at(call.expires_at.into(), body).await {
         Ok(Ok(body)) => body,
         Ok(Err(error)) => {
--- a/crates/gateway/src/engines/answer_body.rs
+++ b/crates/gateway/src/engines/answer_body.rs
@@ -1,9 +1,11 @@
 //! Reads the bodies of engines' answers.
 
+use crate::buffer_budget::{BodyBuffer, BufferBudget, BuffersFull, Source};
 use crate::engines::connection::EngineConnection;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use std::sync::Arc;
 
 /// Why a body was not read to its end.
 #[derive(Debug, thiserror::Error)]
@@ -14,6 +16,9 @@
     /// The body is longer than this number of bytes.
     #[error("its body is over {0} bytes")]
     TooLong(usize),
+    /// The process holds as many bytes as it may.
+    #[error("{0}")]
+    BuffersFull(#[from] BuffersFull),
 }
 
 /// Reads a body of at most `limit` bytes to its end.
@@ -24,9 +29,10 @@
     connection: &EngineConnection,
     mut body: Incoming,
     limit: usize,
+    budget: &Arc<BufferBudget>,
 ) -> Result<Bytes, AnswerBodyError> {
     // One buffer, since a list of pieces needs many times the memory of a body that comes in pieces of a few bytes.
-    let mut read = BytesMut::new();
+    let mut read = BodyBuffer::new(budget, Source::Payload);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(AnswerBodyError::Broken)?;
         connection.note_body_progress();
@@ -34,7 +40,28 @@
         if read.len() + data.len() > limit {
             return Err(AnswerBodyError::TooLong(limit));
         }
-        read.extend_from_slice(&data);
+        read.append(&data)?;
     }
     Ok(read.freeze())
 }
+
+/// Reads a body of at most `limit` bytes to its end and keeps nothing of it.
+///
+/// # Errors
+/// [`AnswerBodyError`].
+pub async fn discard_answer_body(
+    connection: &EngineConnection,
+    mut body: Incoming,
+    limit: usize,
+) -> Result<(), AnswerBodyError> {
+    let mut length = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(AnswerBodyError::Broken)?;
+        connection.note_body_progress();
+        length += frame.data_ref().map_or(0, Bytes::len);
+        if length > limit {
+            return Err(AnswerBodyError::TooLong(limit));
+        }
+    }
+    Ok(())
+}
--- a/crates/gateway/src/engines/attempt.rs
+++ b/crates/gateway/src/engines/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt: sends a request to one engine at most once, and waits for the head of the answer.
 
-use crate::engines::answer_body::{read_answer_body, AnswerBodyError};
+use crate::engines::answer_body::{discard_answer_body, AnswerBodyError};
 use crate::engines::connection::{ConnectionId, EngineConnection, SendError};
 use crate::engines::engine::{Engine, InFlightRequest};
 use crate::ports::dialect::{AnswerMetadata, Dialect};
@@ -224,7 +224,7 @@
     connection: EngineConnection,
 ) -> AttemptError {
     let replaced = response.status() == http::StatusCode::MISDIRECTED_REQUEST;
-    let body = read_answer_body(&connection, response.into_body(), MAX_REFUSAL_BYTES);
+    let body = discard_answer_body(&connection, response.into_body(), MAX_REFUSAL_BYTES);
     let read = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, body).await;
     if replaced {
         engine.note_replaced();
@@ -242,7 +242,7 @@
             engine.note_failure();
             AttemptError::EndlessRefusal
         }
-        Ok(Err(AnswerBodyError::Broken(_))) | Err(_) => {
+        Ok(Err(_)) | Err(_) => {
             engine.note_failure();
             AttemptError::Full
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! messages with other nodes, [`replica`] is the process on machines with a disk. [`store_watch`] and
 //! [`store_followers`] copy the contents of the platform's store into this node's view.
 
+pub mod buffer_budget;
 pub mod clock;
 pub mod edge;
 pub mod engines;
--- a/crates/gateway/src/peers/frame.rs
+++ b/crates/gateway/src/peers/frame.rs
@@ -1,5 +1,6 @@
 //! Frames on a TCP stream between nodes: the message's length (32 bits, little-endian), then the encoded message.
 
+use crate::buffer_budget::{BufferBudget, BufferReservation, Source};
 use bytes::{Buf, BytesMut};
 use foxnotch_wire::{
     decode_rpc, encode_rpc_in_version, NodeId, ProtocolVersion, RpcBody, RpcMessage, WireError, MAX_MESSAGE_BYTES,
@@ -45,12 +46,15 @@
     buffer: BytesMut,
     /// Number of bytes received so far.
     received: Arc<AtomicU64>,
+    /// Counts the frame that is read now.
+    reservation: BufferReservation,
 }
 
 impl<S: AsyncRead + Unpin> FrameReader<S> {
     /// Creates a reader that has read nothing yet.
     pub fn new(stream: S) -> Self {
-        Self { stream, buffer: BytesMut::with_capacity(READ_BYTES), received: Arc::default() }
+        let reservation = BufferBudget::unlimited().begin_read(Source::Control);
+        Self { stream, buffer: BytesMut::with_capacity(READ_BYTES), received: Arc::default(), reservation }
     }
 
     /// Makes the reader add the number of bytes that it reads to `received`.
@@ -58,10 +62,16 @@
         Self { received, ..self }
     }
 
+    /// Makes the reader count the frames that it holds.
+    pub fn with_buffers(self, buffers: &Arc<BufferBudget>) -> Self {
+        Self { reservation: buffers.begin_read(Source::Control), ..self }
+    }
+
     /// Reads the next message; none at the end of the stream.
     ///
     /// # Errors
-    /// The stream's error, or `InvalidData` for a frame that is too long or cannot be decoded.
+    /// The stream's error, `InvalidData` for a frame that is too long or cannot be decoded, `OutOfMemory` for one that the
+    /// process has no room for.
     pub async fn read_message(&mut self) -> io::Result<Option<RpcMessage>> {
         loop {
             if let Some(message) = self.decode_next_frame()? {
@@ -85,8 +95,10 @@
             )));
         }
         if self.buffer.len() < LENGTH_BYTES + length {
+            self.reservation.resize(length).map_err(|error| io::Error::new(io::ErrorKind::OutOfMemory, error))?;
             return Ok(None);
         }
+        self.reservation.release();
         self.buffer.advance(LENGTH_BYTES);
         let bytes = self.buffer.split_to(length);
         let message = decode_rpc(&bytes).map_err(|error| invalid_data(&error.to_string()))?;
--- a/crates/gateway/src/peers/rpc_client.rs
+++ b/crates/gateway/src/peers/rpc_client.rs
@@ -4,6 +4,7 @@
 //! version. The version of the answer is used for the whole connection. If a node restarts with another build, its
 //! next connection negotiates the version again.
 
+use crate::buffer_budget::BufferBudget;
 use crate::locks::lock;
 use crate::logging::part;
 use crate::network::{self, YieldingReader};
@@ -103,6 +104,7 @@
     own: NodeId,
     connections: Mutex<HashMap<SocketAddr, Connection>>,
     next_exchange: AtomicU64,
+    buffers: Arc<BufferBudget>,
 }
 
 /// Guard of an exchange for whose answer a caller waits. Dropping it removes the exchange from the pending ones.
@@ -120,7 +122,13 @@
 impl RpcClient {
     /// Creates a client without connections. It connects to a node when a request to that node is made.
     pub fn new(own: NodeId) -> Self {
-        Self { own, connections: Mutex::default(), next_exchange: AtomicU64::new(1) }
+        let buffers = BufferBudget::unlimited();
+        Self { own, connections: Mutex::default(), next_exchange: AtomicU64::new(1), buffers }
+    }
+
+    /// Bounds the answers that are read.
+    pub fn with_buffers(self, buffers: Arc<BufferBudget>) -> Self {
+        Self { buffers, ..self }
     }
 
     /// The identifier of this node, which sends the requests.
@@ -197,7 +205,8 @@
         let (outgoing, queue) = mpsc::unbounded_channel();
         let connection = Connection { outgoing, state: ConnectionState::default() };
         connections.insert(address, connection.clone());
-        let running = RunningConnection { own: self.own, address, state: connection.state.clone() };
+        let (state, buffers) = (connection.state.clone(), self.buffers.clone());
+        let running = RunningConnection { own: self.own, address, state, buffers };
         tokio::spawn(running.run(queue));
         connection
     }
@@ -230,6 +239,7 @@
     own: NodeId,
     address: SocketAddr,
     state: ConnectionState,
+    buffers: Arc<BufferBudget>,
 }
 
 impl RunningConnection {
@@ -250,7 +260,8 @@
 
     async fn exchange_messages(&self, stream: TcpStream, queue: &mut mpsc::UnboundedReceiver<Outgoing>) {
         let (read, mut write) = stream.into_split();
-        let mut reader = FrameReader::new(YieldingReader::new(read)).with_byte_counter(self.state.received.clone());
+        let reader = FrameReader::new(YieldingReader::new(read)).with_buffers(&self.buffers);
+        let mut reader = reader.with_byte_counter(self.state.received.clone());
         let Some(version) = self.negotiate_version(&mut reader, &mut write).await else { return };
         loop {
             tokio::select! {
--- a/crates/gateway/src/peers/rpc_server.rs
+++ b/crates/gateway/src/peers/rpc_server.rs
@@ -1,5 +1,6 @@
 //! Accepts connections from other nodes and answers their requests.
 
+use crate::buffer_budget::BufferBudget;
 use crate::logging::part;
 use crate::network::{self, YieldingReader};
 use crate::peers::frame::{encode_frame_in_version, FrameReader};
@@ -22,14 +23,20 @@
     fn handle(self: Arc<Self>, from: NodeId, body: RpcBody) -> BoxFuture<'static, RpcBody>;
 }
 
-/// Accepts and serves connections; never returns.
-pub async fn serve(listener: TcpListener, own: NodeId, handler: Arc<dyn RpcHandler>) {
+/// Accepts and serves connections; never returns. `buffers` bounds the messages that are read.
+pub async fn serve(listener: TcpListener, own: NodeId, handler: Arc<dyn RpcHandler>, buffers: Arc<BufferBudget>) {
     let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
-    let serve = |stream, from| serve_connection(stream, from, own, handler.clone());
+    let serve = |stream, from| serve_connection(stream, from, own, handler.clone(), buffers.clone());
     network::accept_connections(listener, permits, part::PEER, serve).await;
 }
 
-async fn serve_connection(stream: TcpStream, from: SocketAddr, own: NodeId, handler: Arc<dyn RpcHandler>) {
+async fn serve_connection(
+    stream: TcpStream,
+    from: SocketAddr,
+    own: NodeId,
+    handler: Arc<dyn RpcHandler>,
+    buffers: Arc<BufferBudget>,
+) {
     let (read, mut write) = stream.into_split();
     let (answers, mut queue) = mpsc::unbounded_channel::<Vec<u8>>();
     let writer = tokio::spawn(async move {
@@ -42,7 +49,7 @@
             }
         }
     });
-    let mut reader = FrameReader::new(YieldingReader::new(read));
+    let mut reader = FrameReader::new(YieldingReader::new(read)).with_buffers(&buffers);
     loop {
         match reader.read_message().await {
             Ok(Some(message)) => {
--- a/crates/gateway/src/replica/process.rs
+++ b/crates/gateway/src/replica/process.rs
@@ -1,5 +1,6 @@
 //! The replica process: builds its parts from the settings and starts their tasks.
 
+use crate::buffer_budget::BufferBudget;
 use crate::clock::{log_process_pauses, SteadyClock};
 use crate::logging::part;
 use crate::metrics;
@@ -40,6 +41,9 @@
 /// itself and for the lists of turns that replicas exchange.
 const TURN_MEMORY_PERCENT: u64 = 50;
 
+/// Percentage of the configured memory that the messages which a replica reads may hold.
+pub const REPLICA_BUFFER_PERCENT: u64 = 20;
+
 /// The parts that several tasks of a replica use.
 struct SharedParts {
     clock: SteadyClock,
@@ -48,16 +52,21 @@
     members: Arc<Members>,
 }
 
-/// Runs a replica until a signal stops the process.
+/// Runs a replica until a signal stops the process. `buffers` bounds the messages that it reads.
 ///
 /// # Errors
 /// When an address cannot be bound or the data folder cannot be used.
-pub async fn run(settings: ProcessSettings, path: PathBuf, store: Arc<dyn MetadataStore>) -> anyhow::Result<()> {
+pub async fn run(
+    settings: ProcessSettings,
+    path: PathBuf,
+    store: Arc<dyn MetadataStore>,
+    buffers: Arc<BufferBudget>,
+) -> anyhow::Result<()> {
     let folder = settings.data_folder.clone().ok_or(SettingsError::Missing("data_folder", "replica"))?;
     let own = node_id(&settings.node);
     let clock = SteadyClock::start();
     let view = Arc::new(ViewHolder::default());
-    let client = Arc::new(RpcClient::new(own));
+    let client = Arc::new(RpcClient::new(own).with_buffers(buffers.clone()));
     let listener = network::listen(settings.peer_address())
         .context("the TCP port peer_port cannot be bound; check that no other process uses it")?;
     let members = Members::bind(&settings, clock, client.clone(), view.clone())
@@ -68,11 +77,11 @@
     let replica = Arc::new(open_replica(&settings, &folder, &shared)?);
     let identified = replica.state().ensure_disk_identity(settings.first_start).await;
     identified.context("the disk's identity cannot be written; check the disk")?;
-    let metrics = create_replica_metrics(&replica, &shared.view, &shared.members);
+    let metrics = create_replica_metrics(&replica, &shared.view, &shared.members, &buffers);
     let store: Arc<dyn MetadataStore> = Arc::new(CountedStore::new(store, metrics.clone()));
     let set_manager = new_set_manager(&settings, &replica, &shared, store.clone());
 
-    tokio::spawn(rpc_server::serve(listener, own, replica.clone()));
+    tokio::spawn(rpc_server::serve(listener, own, replica.clone(), buffers));
     tokio::spawn(log_process_pauses());
     tokio::spawn(shared.members.clone().run());
     tokio::spawn(set_manager.run());
--- a/crates/gateway/src/replica/replica_metrics.rs
+++ b/crates/gateway/src/replica/replica_metrics.rs
@@ -1,6 +1,7 @@
 //! The metrics of a replica: its stored turns and view, its shares, and its state in the set.
 
 use super::service::ReplicaService;
+use crate::buffer_budget::BufferBudget;
 use crate::metrics::Metrics;
 use crate::peers::members::Members;
 use crate::peers::view::ViewHolder;
@@ -23,8 +24,10 @@
     replica: &Arc<ReplicaService>,
     view: &Arc<ViewHolder>,
     members: &Arc<Members>,
+    buffers: &Arc<BufferBudget>,
 ) -> Arc<Metrics> {
     let mut metrics = Metrics::default();
+    buffers.add_metrics(&mut metrics);
     metrics.add_unconfirmed_configuration_gauges(view);
     metrics.add_nodes_not_on_newest_protocol_gauge(members);
     let mut add = |name, help, value: fn(&ReplicaService) -> i64| add_gauge(&mut metrics, replica, name, help, value);
--- a/crates/gateway/tests/decision_table_tests.rs
+++ b/crates/gateway/tests/decision_table_tests.rs
@@ -1,5 +1,6 @@
 //! Decision tables for overload, failures and time limits: each rule is tested over the whole range of its inputs.
 
+use foxnotch_gateway::buffer_budget::BuffersFull;
 use foxnotch_gateway::edge::call::Call;
 use foxnotch_gateway::edge::refusal::{Refusal, RefusalKind};
 use foxnotch_gateway::edge::send_record::SendRecord;
@@ -42,6 +43,7 @@
         (Refusal::LimitUnknown, "limit_unknown", 503, Some("0.200")),
         (Refusal::Malformed("x"), "malformed", 400, None),
         (Refusal::TooLarge(1), "too_large", 413, None),
+        (Refusal::BuffersFull(BuffersFull { held: 2, limit: 1 }), "buffers_full", 503, Some("0.200")),
         (Refusal::NoRoom(ms(300)), "no_room", 503, Some("0.300")),
         (Refusal::NoRoom(ms(1_000)), "no_room", 503, Some("1.000")),
         (Refusal::NoEngineReachable, "no_engine_reachable", 503, Some("0.200")),
--- a/crates/gateway/tests/large_configuration_tests.rs
+++ b/crates/gateway/tests/large_configuration_tests.rs
@@ -5,6 +5,7 @@
 
 mod support;
 
+use foxnotch_gateway::buffer_budget::BufferBudget;
 use foxnotch_gateway::clock::SteadyClock;
 use foxnotch_gateway::peers::members::Members;
 use foxnotch_gateway::peers::rpc_client::RpcClient;
@@ -83,7 +84,7 @@
     let address = listener.local_addr().expect("the listener is bound");
     let source =
         ViewSource { holder: view_with_large_configuration(), answer_delay: Duration::ZERO, pulls: Arc::default() };
-    tokio::spawn(rpc_server::serve(listener, NodeId(1), Arc::new(source)));
+    tokio::spawn(rpc_server::serve(listener, NodeId(1), Arc::new(source), BufferBudget::unlimited()));
     let proxy_address = start_throttled_proxy(address).await;
     let client = Arc::new(RpcClient::new(NodeId(2)));
     let view = ViewHolder::default();
@@ -109,7 +110,7 @@
     let listener = TcpListener::bind((ip, port)).await.expect("the address is free");
     let holder = view_with_large_configuration();
     let source = ViewSource { holder, answer_delay, pulls };
-    tokio::spawn(rpc_server::serve(listener, node, Arc::new(source)));
+    tokio::spawn(rpc_server::serve(listener, node, Arc::new(source), BufferBudget::unlimited()));
     let socket = UdpSocket::bind((ip, port)).await.expect("the address is free");
     let address = MemberAddress { ip: ip.to_ipv6_mapped().octets(), peer_port: port, caller_port: 1 };
     let own =
--- a/crates/gateway/tests/refusal_format_tests.rs
+++ b/crates/gateway/tests/refusal_format_tests.rs
@@ -4,6 +4,7 @@
 //!
 //! When a refusal is added: add a case here and its sentence in `explain.rs`.
 
+use foxnotch_gateway::buffer_budget::BuffersFull;
 use foxnotch_gateway::edge::refusal::Refusal;
 use foxnotch_scheduler::residency::ResidencyDenial;
 use foxnotch_scheduler::tenants::KeyDenial;
@@ -21,6 +22,7 @@
 #[case(Refusal::LimitUnknown, "limit_unknown", 503, Some("0.200"))]
 #[case(Refusal::Malformed("x"), "malformed", 400, None)]
 #[case(Refusal::TooLarge(1), "too_large", 413, None)]
+#[case(Refusal::BuffersFull(BuffersFull { held: 2, limit: 1 }), "buffers_full", 503, Some("0.200"))]
 #[case(Refusal::NoRoom(Duration::from_millis(70)), "no_room", 503, Some("0.070"))]
 #[case(Refusal::NoEngineReachable, "no_engine_reachable", 503, Some("0.200"))]
 #[case(Refusal::ZonesDrained, "zones_drained", 503, Some("1.000"))]
--- a/crates/gateway/tests/support/cluster.rs
+++ b/crates/gateway/tests/support/cluster.rs
@@ -6,6 +6,7 @@
 //! environment variable SHOW_LOGS is set, the log goes to standard output.
 
 use crate::support::store::StubStore;
+use foxnotch_gateway::buffer_budget::BufferBudget;
 use foxnotch_gateway::edge::turn_cache::TurnCache;
 use foxnotch_gateway::edge::turns::TurnClient;
 use foxnotch_gateway::peers::replica_client::ReplicaClient;
@@ -30,7 +31,7 @@
 use tokio::runtime::{Builder, Runtime};
 
 /// The port at which every node accepts connections of other nodes.
-const PEER_PORT: u16 = 7380;
+pub const PEER_PORT: u16 = 7380;
 /// Maximum time that a test waits for a condition.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -263,7 +264,8 @@
         let runtime =
             Builder::new_multi_thread().worker_threads(1).enable_all().build().expect("a runtime can be created");
         runtime.spawn(async move {
-            if let Err(error) = process::run(settings, PathBuf::new(), store).await {
+            let buffers = BufferBudget::of_machine(settings.resources.memory_mb, process::REPLICA_BUFFER_PERCENT);
+            if let Err(error) = process::run(settings, PathBuf::new(), store, buffers).await {
                 eprintln!("replica {number} failed: {error:#}");
             }
         });
--- a/crates/gateway/tests/support/gateway.rs
+++ b/crates/gateway/tests/support/gateway.rs
@@ -6,7 +6,8 @@
 
 use crate::support::cluster::{eventually, Cluster};
 use crate::support::store::StubStore;
-use foxnotch_gateway::edge::process::{self, Platform};
+use foxnotch_gateway::buffer_budget::BufferBudget;
+use foxnotch_gateway::edge::process::{self, Platform, GATEWAY_BUFFER_PERCENT};
 use foxnotch_gateway::ports::configuration::{
     Backend, Configuration, EngineEntry, ModelService, RequestLimits, Route, RouteKind, Service,
 };
@@ -244,7 +245,8 @@
         settings.caller_address = Some(callers);
         settings.readiness_address = Some(readiness);
         settings.data_folder = None;
-        let platform = Platform { store: Arc::new(store), dialect: Arc::new(TestDialect) };
+        let buffers = BufferBudget::of_machine(settings.resources.memory_mb, GATEWAY_BUFFER_PERCENT);
+        let platform = Platform { store: Arc::new(store), dialect: Arc::new(TestDialect), buffers };
         let runtime =
             Builder::new_multi_thread().worker_threads(1).enable_all().build().expect("a runtime can be created");
         runtime.spawn(async move {
--- a/crates/node/src/cli/processes.rs
+++ b/crates/node/src/cli/processes.rs
@@ -2,6 +2,7 @@
 
 use crate::operator::CommandError;
 use clap::Args;
+use foxnotch_gateway::buffer_budget::BufferBudget;
 use foxnotch_gateway::settings::ProcessSettings;
 use foxnotch_gateway::{edge, replica};
 use foxnotch_platform::{PlatformDialect, PlatformStore};
@@ -37,15 +38,20 @@
         .build()
         .map_err(|error| CommandError::Other(error.into()))?;
     foxnotch_gateway::logging::start(&settings.log_level)?;
-    let store = Arc::new(PlatformStore::new(settings.store_address));
+    let percent = match role {
+        Role::Gateway => edge::process::GATEWAY_BUFFER_PERCENT,
+        Role::Replica => replica::process::REPLICA_BUFFER_PERCENT,
+    };
+    let buffers = BufferBudget::of_machine(settings.resources.memory_mb, percent);
+    let store = Arc::new(PlatformStore::new(settings.store_address, buffers.clone()));
     let path = flags.settings.clone();
     let outcome = runtime.block_on(async {
         match role {
             Role::Gateway => {
-                let platform = edge::process::Platform { store, dialect: Arc::new(PlatformDialect) };
+                let platform = edge::process::Platform { store, dialect: Arc::new(PlatformDialect), buffers };
                 edge::process::run(settings, path, platform).await
             }
-            Role::Replica => replica::process::run(settings, path, store).await,
+            Role::Replica => replica::process::run(settings, path, store, buffers).await,
         }
     });
     foxnotch_gateway::logging::flush_pending_lines();
--- a/crates/node/src/explain.rs
+++ b/crates/node/src/explain.rs
@@ -65,6 +65,7 @@
     ("cause=limit_unknown", "refused, not run: no replica answered, so it was unknown whether its tenant was over its limit"),
     ("cause=malformed", "refused, not run: the request could not be read"),
     ("cause=too_large", "refused, not run: its body is larger than the limit"),
+    ("cause=buffers_full", "refused, not run: the gateway held as many bytes as its memory allows"),
     ("cause=no_room", "refused, not run: no engine had free capacity"),
     (
         "cause=no_engine_reachable",
--- a/crates/node/tests/explain_format_tests.rs
+++ b/crates/node/tests/explain_format_tests.rs
@@ -101,6 +101,7 @@
 #[case("limit_unknown", 503, "no replica answered, so it was unknown whether its tenant")]
 #[case("malformed", 400, "the request could not be read")]
 #[case("too_large", 413, "its body is larger than the limit")]
+#[case("buffers_full", 503, "held as many bytes as its memory allows")]
 #[case("no_room", 503, "no engine had free capacity")]
 #[case("zones_drained", 503, "an operator has drained every zone")]
 #[case("no_common_region", 503, "allow no region in common")]
--- a/crates/scheduler/src/refusal.rs
+++ b/crates/scheduler/src/refusal.rs
@@ -37,6 +37,8 @@
     KeyDenied => "key_denied",
     /// The body is longer than the configuration allows.
     TooLarge => "too_large",
+    /// The gateway holds as many bytes of bodies as its memory allows.
+    BuffersFull => "buffers_full",
     /// The request would be denied, but another node has a newer configuration than this gateway.
     ConfigurationBehind => "configuration_behind",
     /// The request would be denied, but the configuration comes from the replicas' disks and the store has not
--- a/crates/scheduler/src/retry_after.rs
+++ b/crates/scheduler/src/retry_after.rs
@@ -52,6 +52,7 @@
         match kind {
             RefusalKind::Stopping
             | RefusalKind::OutOfTime
+            | RefusalKind::BuffersFull
             | RefusalKind::NoEngineReachable
             | RefusalKind::NoQuorum
             | RefusalKind::ChainUnknown
