Soak with paths to engines that send bytes without end, and the memory of each process

Paths to engines send informational heads, lines of a head, garbage, a body or bytes after a response, without end and overlapping with each other and with the other faults; one engine of each service stays sound. Every soak now also checks that no process holds more memory than its machine has, and the machines have 48 MB in place of 128.

--- a/crates/lab/tests/soak/faults.rs
+++ b/crates/lab/tests/soak/faults.rs
@@ -110,6 +110,9 @@
             self.end_fault(&fault);
         }
         for (node, (machine, condition)) in &mut self.machines {
+            if let Some(kilobytes) = machine.take_exceeded_memory() {
+                self.ledger.record_violation(Violation::MemoryExceeded { node: node_name(*node), kilobytes });
+            }
             let (runs, ended) = machine.poll_exit();
             *condition = match *condition {
                 Condition::Running if !runs => {
--- a/crates/lab/tests/soak/ledger.rs
+++ b/crates/lab/tests/soak/ledger.rs
@@ -57,6 +57,13 @@
         /// The newest version that the process had served.
         served: u64,
     },
+    /// A process has held more memory than its machine has.
+    MemoryExceeded {
+        /// Name of the process.
+        node: String,
+        /// The most memory that it held, in kilobytes.
+        kilobytes: u64,
+    },
     /// Engines of a drained zone received requests.
     DrainedZoneUsed {
         /// Name of the zone.
@@ -137,6 +144,9 @@
                     "older configuration: gateway {gateway} did not know version {version} after it had served {served}"
                 )
             }
+            Self::MemoryExceeded { node, kilobytes } => {
+                write!(formatter, "{node} held {kilobytes} KB of memory, more than its machine has")
+            }
             Self::DrainedZoneUsed { zone, requests } => {
                 write!(
                     formatter,
--- a/crates/lab/tests/soak/plan.rs
+++ b/crates/lab/tests/soak/plan.rs
@@ -21,6 +21,8 @@
 const VERSION_CHANGE_GAP_MS: std::ops::RangeInclusive<u64> = 500..=2500;
 /// Time for which an engine drains before it is replaced by one of another software version, milliseconds.
 const VERSION_CHANGE_DRAIN_MS: std::ops::RangeInclusive<u64> = 100..=1500;
+/// Time between the starts of two faults that send bytes without end, milliseconds.
+const ENDLESS_GAP_MS: std::ops::RangeInclusive<u64> = 200..=1200;
 /// Maximum duration of a fault.
 const MAX_FAULT_MS: u64 = 3500;
 
@@ -48,6 +50,27 @@
     Late,
     /// The path forwards responses a few bytes at a time.
     Trickle,
+    /// In place of responses, the path sends heads of informational answers without end.
+    EndlessHeads,
+    /// In place of responses, the path sends lines of a head without end.
+    EndlessHeadLines,
+    /// In place of responses, the path sends bytes without end that are no HTTP.
+    EndlessGarbage,
+    /// In place of responses, the path sends a valid head and a body without end.
+    EndlessBody,
+    /// After responses, the path sends bytes without end.
+    EndlessAfterResponse,
+}
+
+impl PathFault {
+    /// The faults that send bytes without end.
+    pub(crate) const ENDLESS: [Self; 5] = [
+        Self::EndlessHeads,
+        Self::EndlessHeadLines,
+        Self::EndlessGarbage,
+        Self::EndlessBody,
+        Self::EndlessAfterResponse,
+    ];
 }
 
 /// One action of a plan.
@@ -175,6 +198,25 @@
     }
 }
 
+impl Plan {
+    /// Generates a plan as [`Plan::draw`] does, and adds overlapping faults of paths to engines that send bytes without
+    /// end. One engine of each service has none of them.
+    pub(crate) fn draw_with_endless_bytes(seed: u64, seconds: u64) -> Self {
+        let mut plan = Self::draw(seed, seconds);
+        let mut random = StdRng::seed_from_u64(!seed);
+        let mut at_ms = FAULT_FREE_START_MS;
+        while at_ms < seconds * 1000 {
+            let engine = random.random_range(0..2) * ENGINES + random.random_range(1..ENGINES);
+            let how = PathFault::ENDLESS[random.random_range(0..PathFault::ENDLESS.len())];
+            let for_ms = random.random_range(200..=MAX_FAULT_MS);
+            plan.steps.push(Step { at_ms, for_ms, fault: Fault::EnginePath { engine, how } });
+            at_ms += random.random_range(ENDLESS_GAP_MS);
+        }
+        plan.steps.sort_by_key(|step| step.at_ms);
+        plan
+    }
+}
+
 fn loses_a_replica(fault: &Fault) -> bool {
     match fault {
         Fault::Kill { node } | Fault::Pause { node } | Fault::Stop { node } | Fault::Wipe { node } => {
--- a/crates/lab/tests/soak/processes.rs
+++ b/crates/lab/tests/soak/processes.rs
@@ -25,7 +25,7 @@
 /// Time from SIGTERM within which a process must end, in seconds.
 pub(crate) const GRACE_S: u64 = 8;
 /// Memory limit of a process in megabytes.
-const MEMORY_LIMIT_MB: u64 = 128;
+const MEMORY_LIMIT_MB: u64 = 48;
 
 /// Addresses of all nodes and stand-ins: each has its own IP address in the loopback network.
 #[derive(Clone, Copy, Debug)]
@@ -104,6 +104,8 @@
     is_upgraded: bool,
     folder: PathBuf,
     child: Option<Child>,
+    /// Whether the process was found to hold more memory than its machine has.
+    has_exceeded_memory: bool,
 }
 
 /// The builds of the product that machines run.
@@ -119,7 +121,15 @@
     /// Creates a machine without a process.
     pub(crate) fn new(node: Node, addresses: Addresses, programs: &Programs, folder: &Path) -> Self {
         let (programs, is_upgraded) = (programs.clone(), programs.older.is_none());
-        Self { node, addresses, programs, is_upgraded, folder: folder.to_owned(), child: None }
+        Self {
+            node,
+            addresses,
+            programs,
+            is_upgraded,
+            folder: folder.to_owned(),
+            child: None,
+            has_exceeded_memory: false,
+        }
     }
 
     /// Whether the machine's next process runs the newest build.
@@ -163,6 +173,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn();
+        self.has_exceeded_memory = false;
         self.child = Some(child.with_context(|| format!("{} cannot be started", program.display()))?);
         Ok(())
     }
@@ -213,6 +224,15 @@
         Ok(())
     }
 
+    /// Returns the most memory that the process has held, in kilobytes, if that is more than its machine has. Returns it
+    /// once for each process.
+    pub(crate) fn take_exceeded_memory(&mut self) -> Option<u64> {
+        let peak = self.child.as_ref().and_then(|child| peak_memory_kilobytes(child.id()))?;
+        let is_new = peak > MEMORY_LIMIT_MB * 1024 && !self.has_exceeded_memory;
+        self.has_exceeded_memory |= is_new;
+        is_new.then_some(peak)
+    }
+
     /// Returns whether the process runs, and its exit status at the first call after it has ended.
     pub(crate) fn poll_exit(&mut self) -> (bool, Option<ExitStatus>) {
         let Some(child) = &mut self.child else { return (false, None) };
@@ -250,6 +270,13 @@
     }
 }
 
+/// The most memory that a process has held, in kilobytes; none if it has ended.
+fn peak_memory_kilobytes(process: u32) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+    line.trim().strip_suffix(" kB")?.parse().ok()
+}
+
 impl Drop for Machine {
     fn drop(&mut self) {
         self.kill();
--- a/crates/lab/tests/soak/proxy.rs
+++ b/crates/lab/tests/soak/proxy.rs
@@ -130,8 +130,30 @@
         if discards(&faults.borrow_and_update()) {
             std::future::pending::<()>().await;
         }
+        if let Some(fault) = fault.filter(|fault| is_response && PathFault::ENDLESS.contains(fault)) {
+            send_endless_bytes(&mut to, fault, &bytes[..length]).await;
+            return;
+        }
         if to.write_all(&bytes[..length]).await.is_err() {
             return;
         }
     }
 }
+
+/// Sends bytes without end in place of a response or after it, until the connection is closed.
+async fn send_endless_bytes(to: &mut OwnedWriteHalf, fault: PathFault, response: &[u8]) {
+    let text = String::from_utf8_lossy(response);
+    let attempt = text.lines().find(|line| line.to_ascii_lowercase().starts_with("x-attempt-id:")).unwrap_or_default();
+    let (start, unit) = match fault {
+        PathFault::EndlessHeads => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n"),
+        PathFault::EndlessHeadLines => ("HTTP/1.1 200 OK\r\n".to_owned(), "x-line: x\r\n"),
+        PathFault::EndlessBody => (format!("HTTP/1.1 200 OK\r\n{attempt}\r\nx-server-seal: s\r\n\r\n"), "x"),
+        PathFault::EndlessAfterResponse => (text.clone().into_owned(), "x"),
+        _ => (String::new(), "x"),
+    };
+    let bytes = unit.repeat(MAX_CHUNK_BYTES / unit.len());
+    let mut is_open = to.write_all(start.as_bytes()).await.is_ok();
+    while is_open {
+        is_open = to.write_all(bytes.as_bytes()).await.is_ok();
+    }
+}
--- a/crates/lab/tests/soak_tests.rs
+++ b/crates/lab/tests/soak_tests.rs
@@ -22,6 +22,8 @@
 const VERSIONS_SECONDS: u64 = 30;
 /// Seed of the plan in CI with requests under which engines end.
 const FATAL_SEED: u64 = 8;
+/// Seed of the plan in CI with engines that send bytes without end.
+const ENDLESS_SEED: u64 = 31;
 /// Seed of the cold starts in CI. Its two rounds include the loss of a disk and a configuration with 1400 additional
 /// routes.
 const COLD_SEED: u64 = 7;
@@ -114,6 +116,19 @@
     assert!(report.violations.is_empty(), "{report}");
 }
 
+/// Paths to engines send bytes without end while gateways and replicas are under faults. All promises hold, and no process
+/// holds more memory than its machine has.
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_beside_bytes_without_end_through_a_soak() {
+    let temporary = tempfile::tempdir().expect("a temporary folder can be created");
+    let folder = std::env::var("SOAK_FOLDER").map_or_else(|_| temporary.path().join("soak"), PathBuf::from);
+    let (seed, seconds) = (number_from_env("SOAK_SEED", ENDLESS_SEED), number_from_env("SOAK_SECONDS", FAULT_SECONDS));
+    let plan = Plan::draw_with_endless_bytes(seed, seconds);
+    let report = run(SoakSettings { plan, programs: programs(), folder }).await.expect("the soak can be started");
+    println!("{report}");
+    assert!(report.violations.is_empty(), "{report}");
+}
+
 #[test]
 fn the_cold_starts_of_ci_include_a_lost_disk_and_many_routes() {
     let starts = generate_cold_starts(COLD_SEED, COLD_STARTS);
