Let a request wait for an engine when none can be reached

The rule that refuses a request at once if all engines send refusals without an end also held with no engine at all. A request of a running program then got 503 in place of waiting for an engine until its objective. Found by reading the diff; a_request_waits_for_an_engine_that_is_listed_meanwhile fails without the condition (503) and holds with it. A stream that is cut because its unfinished event does not fit into the memory is a failure of the engine too.

--- a/crates/gateway/src/buffer_budget.rs
+++ b/crates/gateway/src/buffer_budget.rs
@@ -162,9 +162,7 @@
         self.bytes = bytes;
         Ok(())
     }
-}
 
-impl BufferReservation {
     /// Releases all bytes that the read holds.
     pub fn release(&mut self) {
         self.budget.held.fetch_sub(std::mem::take(&mut self.bytes), Ordering::Relaxed);
--- a/crates/gateway/src/edge/dispatch.rs
+++ b/crates/gateway/src/edge/dispatch.rs
@@ -90,7 +90,7 @@
             let Some(choice) = self.choose_engine(call, body, sends) else {
                 self.check_candidates(call, &self.candidates(call))
                     .map_err(|refusal| refusal_after_sends(refusal, sends))?;
-                if self.has_only_ruled_out_engines(call, sends) {
+                if self.has_only_faulty_engines(call, sends) {
                     return Err(self.no_room_refusal(call, sends));
                 }
                 self.pause_before_retry(call, sends).await?;
@@ -239,10 +239,11 @@
         outcome
     }
 
-    /// Whether no engine that could still serve the call is left, so that a pause would not help. A call that may have run
-    /// waits all the same: its engines were lost, and others are started in their place.
-    fn has_only_ruled_out_engines(&self, call: &Call, sends: &SendRecord) -> bool {
-        !sends.may_have_run() && self.reachable_candidates(call).iter().all(|engine| sends.rules_out(engine))
+    /// Whether all engines that can be reached do not end their refusals of the call, so that a pause would not help. A
+    /// call that may have run waits all the same: its engines were lost, and others are started in their place.
+    fn has_only_faulty_engines(&self, call: &Call, sends: &SendRecord) -> bool {
+        let engines = self.reachable_candidates(call);
+        !engines.is_empty() && !sends.may_have_run() && engines.iter().all(|engine| sends.rules_out(engine))
     }
 
     /// Pauses before engines are tried again. Called when no engine is left to choose, or enough engines had no room.
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -303,7 +303,10 @@
                 connection.note_body_progress();
             }
             let Ok(data) = frame.into_data() else { continue };
-            reservation.resize(splitter.buffered_bytes() + data.len()).map_err(StreamError::BuffersFull)?;
+            reservation.resize(splitter.buffered_bytes() + data.len()).map_err(|full| {
+                self.in_flight.engine().note_failure();
+                StreamError::BuffersFull(full)
+            })?;
             splitter.push(&data);
             while let Some(event) = splitter.next_event().filter(|_| !splitter.is_over_limit()) {
                 self.forward_event(event).await?;
--- a/crates/gateway/tests/engine_answer_tests.rs
+++ b/crates/gateway/tests/engine_answer_tests.rs
@@ -15,6 +15,9 @@
 /// Time within which a request is answered that does not wait for its deadline.
 const PROMPT: Duration = Duration::from_millis(1500);
 
+/// Time from a request until an engine for it is listed.
+const LISTING_DELAY: Duration = Duration::from_millis(40);
+
 struct Deployment {
     _cluster: Cluster,
     gateway: RunningGateway,
@@ -131,6 +134,19 @@
     }
 }
 
+/// A request for which no engine is listed waits for one, as far as its route's objective allows.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_waits_for_an_engine_that_is_listed_meanwhile() {
+    let deployment = Deployment::start(202, "write", &[]).await;
+    let engine = StubEngine::start(Behaviour::Answer("right")).await;
+    let list_engine = async {
+        tokio::time::sleep(LISTING_DELAY).await;
+        put_engine_entry(&deployment._cluster, "e0", "write", engine.address);
+    };
+    let (answer, ()) = tokio::join!(deployment.send("write", "a0"), list_engine);
+    assert_eq!((answer.status, answer.body.as_str()), (200, "right"), "{answer:?}");
+}
+
 /// Engines cut a refusal short and keep the connection open. The refusals count, and the request is served in time.
 #[rstest]
 #[case(192, "read")]
