Read a replica's memory values at one moment in a test

Cause: the test read the peak (VmHWM) and then, with a second read of /proc, the memory in use (VmRSS); a process that grows between the two is above the peak that was read. Within one read the peak is never below the memory in use. Both values now come from one read; the bound is as it was.

--- a/crates/node/tests/replica_memory_tests.rs
+++ b/crates/node/tests/replica_memory_tests.rs
@@ -86,15 +86,19 @@
         assert!(lines.any(|line| is_read(&line)), "the replica ended before it had read its disk");
     }
 
-    /// A value of the process's memory in megabytes, by its name in `/proc`.
-    fn memory_mb(&self, name: &str) -> u64 {
+    /// Values of the process's memory in megabytes, by their names in `/proc`, all of the same moment.
+    fn memory_mb<const COUNT: usize>(&self, names: [&str; COUNT]) -> [u64; COUNT] {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.0.id())).expect("the process runs");
-        let value = status.lines().find_map(|line| line.strip_prefix(name)?.split_whitespace().nth(1)?.parse().ok());
-        let kilobytes: u64 = value.expect("the status has the value");
-        kilobytes / KILOBYTES_PER_MEGABYTE
+        names.map(|name| memory_value_mb(&status, name))
     }
 }
 
+fn memory_value_mb(status: &str, name: &str) -> u64 {
+    let value = status.lines().find_map(|line| line.strip_prefix(name)?.split_whitespace().nth(1)?.parse().ok());
+    let kilobytes: u64 = value.expect("the status has the value");
+    kilobytes / KILOBYTES_PER_MEGABYTE
+}
+
 /// The memory of a replica's machine, in megabytes.
 const MACHINE_MB: u64 = 58;
 
@@ -105,7 +109,7 @@
     write_turns(&folder.path().join("data")).await;
     let mut replica = Replica::start(folder.path(), 1);
     replica.wait_until_disk_is_read();
-    let used = replica.memory_mb("RssAnon");
+    let [used] = replica.memory_mb(["RssAnon"]);
     assert!(used <= MACHINE_MB / 2, "{TURNS} turns need {used} MB of {MACHINE_MB} MB");
 }
 
@@ -115,8 +119,8 @@
     write_turns(&folder.path().join("data")).await;
     let mut replica = Replica::start(folder.path(), 2);
     replica.wait_until_disk_is_read();
-    let (peak, afterwards) = (replica.memory_mb("VmHWM"), replica.memory_mb("VmRSS"));
-    println!("anonymous memory afterwards: {} MB", replica.memory_mb("RssAnon"));
+    let [peak, afterwards, anonymous] = replica.memory_mb(["VmHWM", "VmRSS", "RssAnon"]);
+    println!("anonymous memory afterwards: {anonymous} MB");
     let excess = peak - afterwards;
     assert!(excess <= MAX_EXCESS_MB, "the start needed {excess} MB more than the {afterwards} MB in use afterwards");
 }
