Check for input and timers more often, and read 4 KB at a time before other tasks run

What callers would see: beside connections that always have bytes, other requests wait for several hundred tasks' turns.

Cause: the runtime looks for new input and expired timers after 61 task runs. With tasks that always have work, each step of another request waits for 61 turns of up to 16 KB.

Why this works: the runtime checks after eight runs, and a turn is 4 KB. Tests that measure times run one at a time, since eight of them at once measure each other; bound and kinds are as they were. The gateway of tests uses the same interval.

--- a/crates/gateway/src/engines/answer_limit.rs
+++ b/crates/gateway/src/engines/answer_limit.rs
@@ -3,7 +3,6 @@
 //! The limits of an answer's body count its data. This one counts all bytes, so that an engine which sends informational
 //! heads, lines of a head, sizes of chunks or trailers without an end is cut off.
 
-use crate::network::READ_TURN_BYTES;
 use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -13,7 +12,7 @@
 
 /// The most bytes until an answer's head is complete, with all informational heads before it, and between two pieces of
 /// its body. More than one read delivers.
-pub const MAX_BYTES_WITHOUT_PROGRESS: usize = 2 * READ_TURN_BYTES;
+pub const MAX_BYTES_WITHOUT_PROGRESS: usize = 32 * 1024;
 /// The most reads until an answer's head is complete. Engines send a head in one piece; one that sends it a few bytes at
 /// a time is faulty, and another engine can still serve the request.
 const MAX_HEAD_READS: usize = 64;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod policy;
 pub mod ports;
 pub mod replica;
+pub mod runtime;
 pub mod settings;
 pub mod signals;
 pub mod store_followers;
--- a/crates/gateway/src/network/yielding_reader.rs
+++ b/crates/gateway/src/network/yielding_reader.rs
@@ -9,9 +9,9 @@
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncReadExt, ReadBuf, Take};
 
-/// The most bytes that are read before other tasks run. Parsing them takes less than 10 ms, even as the smallest
-/// messages and without compiler optimizations.
-pub const READ_TURN_BYTES: usize = 16 * 1024;
+/// The most bytes that are read before other tasks run. Parsing them takes less than 1 ms, even as the smallest messages
+/// and without compiler optimizations.
+pub const READ_TURN_BYTES: usize = 4 * 1024;
 
 /// Wraps a reader, and returns `Pending` once after each [`READ_TURN_BYTES`].
 #[derive(Debug)]
--- a/crates/gateway/tests/endless_bytes_tests.rs
+++ b/crates/gateway/tests/endless_bytes_tests.rs
@@ -17,11 +17,14 @@
 use support::gateway::{configuration, put_engine_entry, RunningGateway};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Mutex;
 
 /// The deadline of requests that get bytes without end.
 const DEADLINE: Duration = Duration::from_millis(1000);
 /// How much later than without the bytes a request may be answered, and how late a deadline may be noticed.
 const TOLERANCE: Duration = Duration::from_millis(100);
+/// Held by each test that measures times, so that these tests do not wait for each other's processor time.
+static MEASURING: Mutex<()> = Mutex::const_new(());
 /// Number of requests at the same time that get bytes without end.
 const ENDLESS_REQUESTS: usize = 8;
 /// Pause after each byte of a slow head.
@@ -127,6 +130,7 @@
 #[case(38, "draft", EndlessBytes::Event)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn bytes_without_end_delay_no_other_request(#[case] net: u8, #[case] service: &str, #[case] bytes: EndlessBytes) {
+    let _measuring = MEASURING.lock().await;
     let deployment = Deployment::start(net, service, bytes).await;
     let stop = Arc::new(AtomicBool::new(false));
     let beside = tokio::spawn(longest_answer_time(deployment.gateway.callers, stop.clone()));
@@ -157,6 +161,7 @@
 #[case(58, "draft", EndlessBytes::EmptyEvents)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_stream_without_data_is_cut_off(#[case] net: u8, #[case] service: &str, #[case] bytes: EndlessBytes) {
+    let _measuring = MEASURING.lock().await;
     let deployment = Deployment::start(net, service, bytes).await;
     let ended = ask(deployment.gateway.callers, service, "a0").await;
     assert!(ended.after < DEADLINE, "{ended:?}");
@@ -166,6 +171,7 @@
 /// A head that comes a byte at a time does not hold its request until the deadline.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_head_that_comes_a_byte_at_a_time_is_cut_off() {
+    let _measuring = MEASURING.lock().await;
     let deployment = Deployment::start(66, "write", EndlessBytes::HeadLine).await;
     deployment.endless.set(Behaviour::SlowHead(SLOW_HEAD_PAUSE));
     let ended = ask(deployment.gateway.callers, "write", "a0").await;
@@ -186,6 +192,7 @@
     #[case] service: &str,
     #[case] has_other_engine: bool,
 ) {
+    let _measuring = MEASURING.lock().await;
     let deployment = Deployment::start(net, service, EndlessBytes::RefusalBody).await;
     let other = StubEngine::start(Behaviour::Answer("right")).await;
     if has_other_engine {
--- a/crates/gateway/tests/support/gateway.rs
+++ b/crates/gateway/tests/support/gateway.rs
@@ -13,6 +13,7 @@
 };
 use foxnotch_gateway::ports::dialect::{AnswerMetadata, CallMetadata, Dialect, ForwardedCall, PromptPart};
 use foxnotch_gateway::ports::store::{Kind, ObjectBody};
+use foxnotch_gateway::runtime::TASK_RUNS_PER_EVENT_CHECK;
 use foxnotch_gateway::settings::ProcessSettings;
 use foxnotch_scheduler::residency::Residency;
 use foxnotch_scheduler::tenants::{KeyDigest, PresentedKey, RateLimit, Tenant};
@@ -247,8 +248,10 @@
         settings.data_folder = None;
         let buffers = BufferBudget::of_machine(settings.resources.memory_mb, GATEWAY_BUFFER_PERCENT);
         let platform = Platform { store: Arc::new(store), dialect: Arc::new(TestDialect), buffers };
-        let runtime =
-            Builder::new_multi_thread().worker_threads(1).enable_all().build().expect("a runtime can be created");
+        // Like the runtime of the process, but with a thread of its own.
+        let mut builder = Builder::new_multi_thread();
+        builder.worker_threads(1).event_interval(TASK_RUNS_PER_EVENT_CHECK).enable_all();
+        let runtime = builder.build().expect("a runtime can be created");
         runtime.spawn(async move {
             if let Err(error) = process::run(settings, PathBuf::new(), platform).await {
                 eprintln!("the gateway failed: {error:#}");
--- a/crates/node/src/cli/processes.rs
+++ b/crates/node/src/cli/processes.rs
@@ -3,6 +3,7 @@
 use crate::operator::CommandError;
 use clap::Args;
 use foxnotch_gateway::buffer_budget::BufferBudget;
+use foxnotch_gateway::runtime::create_runtime;
 use foxnotch_gateway::settings::ProcessSettings;
 use foxnotch_gateway::{edge, replica};
 use foxnotch_platform::{PlatformDialect, PlatformStore};
@@ -27,16 +28,13 @@
     Replica,
 }
 
-/// Runs a gateway or a replica. The runtime has one thread, because the process gets only a part of a core.
+/// Runs a gateway or a replica.
 pub(super) fn run(flags: &ProcessFlags, role: Role) -> Result<String, CommandError> {
     let settings = ProcessSettings::load(&flags.settings).map_err(|error| CommandError::Invalid(error.to_string()))?;
     if flags.check {
         return Ok("the settings are valid\n".to_owned());
     }
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(|error| CommandError::Other(error.into()))?;
+    let runtime = create_runtime().map_err(|error| CommandError::Other(error.into()))?;
     foxnotch_gateway::logging::start(&settings.log_level)?;
     let percent = match role {
         Role::Gateway => edge::process::GATEWAY_BUFFER_PERCENT,
