Use the common engine entry in the tests of cold engines

slow_start_tests wrote out field by field what engine_entry of the test support returns. No assertion changes; 11 of 11 tests of the program pass, formatter and linter are clean.

--- a/crates/gateway/tests/slow_start_tests.rs
+++ b/crates/gateway/tests/slow_start_tests.rs
@@ -22,7 +22,7 @@
 use std::time::{Duration, Instant};
 use support::cluster::{eventually, Cluster, ZoneLayout};
 use support::engine::{Behaviour, ReceivedRequest, StubEngine};
-use support::gateway::{configuration, exchange, Answer, RunningGateway};
+use support::gateway::{configuration, engine_entry, exchange, Answer, RunningGateway};
 use tokio::net::TcpListener;
 
 /// Requests that a cold engine can serve in a second; the tests' deployment tolerates no more.
@@ -66,17 +66,7 @@
 }
 
 fn entry(id: &str, address: SocketAddr) -> EngineEntry {
-    EngineEntry {
-        id: id.to_owned(),
-        service: "read".to_owned(),
-        address: address.to_string(),
-        zone: "a".to_owned(),
-        slots: 4,
-        draining: false,
-        started_at_ms: None,
-        cold_left_ms: 0,
-        software_version: Some(String::new()),
-    }
+    engine_entry(id, "read", address)
 }
 
 fn list(cluster: &Cluster, entry: EngineEntry) {
