--- a/crates/gateway/tests/ended_engine_tests.rs
+++ b/crates/gateway/tests/ended_engine_tests.rs
@@ -2,26 +2,15 @@
 
 mod support;
 
-use foxnotch_gateway::ports::configuration::{Configuration, EngineEntry, Route, RouteKind};
+use foxnotch_gateway::ports::configuration::EngineEntry;
 use foxnotch_gateway::ports::store::{Kind, ObjectBody};
 use rstest::rstest;
 use std::time::Duration;
-use support::cluster::Cluster;
+use support::ended_engines::{
+    Deployment, Request, ENGINES, FIRST_GATEWAY, MARKER, MAX_ENDED_ENGINES, OTHER_GATEWAY, TRIES,
+};
 use support::engine::{Behaviour, StubEngine};
-use support::gateway::{configuration, engine_entry, put_engine_entry, route, Answer, RunningGateway};
-
-/// Number of engines that may end under one request.
-const MAX_ENDED_ENGINES: usize = 3;
-/// Number of engines of the service.
-const ENGINES: usize = 9;
-/// Number of tries of the caller.
-const TRIES: usize = 7;
-/// Text in the body of the request under which engines end.
-const MARKER: &str = "fatal";
-/// Number of the gateway that gets the first try.
-const FIRST_GATEWAY: u8 = 50;
-/// Number of the other gateway.
-const OTHER_GATEWAY: u8 = 51;
+use support::gateway::{engine_entry, RunningGateway};
 
 /// What happens between two tries of the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,101 +25,6 @@
     PowerLossWithLostDisk,
 }
 
-/// The kinds of requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Request {
-    /// May run more than once.
-    Repeatable,
-    /// Runs at most once for each try.
-    Unrepeatable,
-    /// A turn that is stored, of a program with a token budget.
-    Turn,
-    /// A stream whose engines end after its first event; later tries resume the stream.
-    ResumedStream,
-}
-
-impl Request {
-    fn route(self) -> &'static str {
-        match self {
-            Self::Repeatable => "read",
-            Self::Unrepeatable => "write",
-            Self::Turn => "turn",
-            Self::ResumedStream => "draft",
-        }
-    }
-
-    /// The events that an engine sends before it ends.
-    fn events(self) -> Vec<&'static str> {
-        match self {
-            Self::ResumedStream => vec!["id: 1\ndata: one\n\n"],
-            Self::Turn => vec!["data: one\n\n"],
-            Self::Repeatable | Self::Unrepeatable => Vec::new(),
-        }
-    }
-
-    fn headers(self, attempt: usize) -> String {
-        let kind = match self {
-            Self::Repeatable | Self::Unrepeatable => "t-program: p\r\n",
-            Self::Turn => "t-program: p\r\nt-budget: 5000\r\nt-most: 100\r\n",
-            Self::ResumedStream if attempt > 0 => "t-resumes: a0\r\nt-last-event: 1\r\n",
-            Self::ResumedStream => "",
-        };
-        format!("t-attempt: a{attempt}\r\nt-deadline: 2500\r\n{kind}")
-    }
-
-    async fn send(self, gateway: &RunningGateway, attempt: usize) -> Answer {
-        gateway.send(&format!("POST /{}/", self.route()), &self.headers(attempt), MARKER).await
-    }
-}
-
-/// A deployment of three replicas, whose engines end under a request with [`MARKER`].
-struct Deployment {
-    cluster: Cluster,
-    engines: Vec<StubEngine>,
-}
-
-impl Deployment {
-    /// Starts engines that end under a request with [`MARKER`].
-    async fn start(net: u8, request: Request) -> Self {
-        Self::start_with_engines(net, request, ENGINES, &Behaviour::EndUnder(MARKER, request.events())).await
-    }
-
-    async fn start_with_engines(net: u8, request: Request, count: usize, behaviour: &Behaviour) -> Self {
-        let cluster = Cluster::start(net, 3).await;
-        let ObjectBody::Configuration(base) = configuration(1) else {
-            unreachable!("configuration() returned an object of another kind")
-        };
-        let resumable = Route { retain: false, resumable: true, ..route("draft", RouteKind::Streaming, 1) };
-        let routes = base.routes.into_iter().filter(|route| route.name != "draft").chain([resumable]).collect();
-        cluster.store.put(Kind::Configuration, "main", ObjectBody::Configuration(Configuration { routes, ..base }));
-        let mut engines = Vec::new();
-        for number in 0..count {
-            let engine = StubEngine::start(behaviour.clone()).await;
-            put_engine_entry(&cluster, &format!("e{number}"), request.route(), engine.address);
-            engines.push(engine);
-        }
-        Self { cluster, engines }
-    }
-
-    async fn start_gateway(&self, number: u8) -> RunningGateway {
-        let gateway = RunningGateway::start_with(&self.cluster, number, self.cluster.store.clone()).await;
-        gateway.wait_ready().await;
-        gateway
-    }
-
-    fn ended_engines(&self) -> usize {
-        self.engines.iter().filter(|engine| engine.has_ended()).count()
-    }
-
-    /// Kills all replicas and starts them again, the last of them with an empty disk.
-    async fn lose_power(&mut self) {
-        (1..=3).for_each(|number| self.cluster.kill(number));
-        self.cluster.wipe(3);
-        (1..=3).for_each(|number| self.cluster.start_replica(number, false));
-        self.cluster.wait_until_complete(3).await;
-    }
-}
-
 /// Callers try the request again and again. At most [`MAX_ENDED_ENGINES`] engines end under it, and the others serve.
 #[rstest]
 #[case(160, Request::Repeatable, Between::Nothing)]
@@ -190,9 +84,9 @@
     let gateway = deployment.start_gateway(FIRST_GATEWAY).await;
     let answered = |engine: &StubEngine| engine.received().iter().filter(|request| !request.contains(MARKER)).count();
     for attempt in 0..TRIES {
-        let before = marked_requests(&deployment);
+        let before = deployment.marked_requests();
         let answer = request.send(&gateway, attempt).await;
-        assert_eq!((answer.status, marked_requests(&deployment) - before), (502, 2), "{answer:?}");
+        assert_eq!((answer.status, deployment.marked_requests() - before), (502, 2), "{answer:?}");
         tokio::time::sleep(Duration::from_millis(300)).await;
         // Each engine answers one other request and then refuses, so that the next one goes to another engine.
         for number in 0..deployment.engines.len() {
@@ -269,12 +163,6 @@
     has_ended
 }
 
-/// Number of requests with [`MARKER`] that all engines together received.
-fn marked_requests(deployment: &Deployment) -> usize {
-    let count = |engine: &StubEngine| engine.received().iter().filter(|received| received.contains(MARKER)).count();
-    deployment.engines.iter().map(count).sum()
-}
-
 /// Engines end one after the other, whatever they run. A request that was running at three of them is not sent again,
 /// however many others have ended.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -291,9 +179,9 @@
         let headers = format!("t-attempt: other{number}\r\nt-deadline: 2500\r\n");
         assert_eq!(gateway.send("POST /write/", &headers, "other").await.status, 200);
     }
-    let before = marked_requests(&deployment);
+    let before = deployment.marked_requests();
     assert_eq!(Request::Unrepeatable.send(&gateway, MAX_ENDED_ENGINES).await.status, 502);
-    assert_eq!(marked_requests(&deployment), before);
+    assert_eq!(deployment.marked_requests(), before);
 }
 
 /// Two engines end under a request, the request is served, and a third engine ends under it. All three count, because
@@ -312,10 +200,10 @@
     deployment.engines.iter().for_each(|engine| engine.set(Behaviour::Hang));
     assert!(lose_engine_under(&deployment, &gateway, 3).await);
     deployment.engines.iter().for_each(|engine| engine.set(Behaviour::Answer("done")));
-    let before = marked_requests(&deployment);
+    let before = deployment.marked_requests();
     assert_eq!(Request::Unrepeatable.send(&gateway, 5).await.status, 502);
     assert_eq!(Request::Unrepeatable.send(&other, 6).await.status, 502);
-    assert_eq!(marked_requests(&deployment), before);
+    assert_eq!(deployment.marked_requests(), before);
 }
 
 /// A gateway is killed while an engine runs the request, so nobody sees the engine's connection break.
@@ -327,10 +215,10 @@
     let mut gateway = deployment.start_gateway(FIRST_GATEWAY).await;
     assert_eq!(Request::Unrepeatable.send(&gateway, 0).await.status, 502);
     for attempt in 1..TRIES {
-        let before = marked_requests(&deployment);
+        let before = deployment.marked_requests();
         let killed_while_running = async {
             for _ in 0..40 {
-                if marked_requests(&deployment) > before {
+                if deployment.marked_requests() > before {
                     return;
                 }
                 tokio::time::sleep(Duration::from_millis(10)).await;
@@ -443,9 +331,9 @@
         assert!(lose_engine_under(&deployment, &gateway, attempt).await);
     }
     deployment.engines.iter().for_each(|engine| engine.set(Behaviour::RefuseOnceAndRepeat));
-    let before = marked_requests(&deployment);
+    let before = deployment.marked_requests();
     for attempt in 2..TRIES {
         assert_eq!(Request::Unrepeatable.send(&gateway, attempt).await.status, 200);
     }
-    assert!(marked_requests(&deployment) - before > TRIES - 2, "no engine refused the request");
+    assert!(deployment.marked_requests() - before > TRIES - 2, "no engine refused the request");
 }
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -105,6 +105,12 @@
     /// Works on a request that contains the marker for a while, then the engine's process ends, also if the caller has
     /// left. Other requests get the response `done`.
     EndLaterUnder(&'static str, Duration),
+    /// If the request contains the marker, sends an answer to another attempt, and then the engine's process ends. Other
+    /// requests get the response `done`.
+    EndAfterOtherAnswerUnder(&'static str),
+    /// If the request contains the marker, begins a response with status 500, and the engine's process ends before the
+    /// body is complete. Other requests get the response `done`.
+    EndInFailureUnder(&'static str),
     /// Closes the connection without an answer if the request contains the marker. Other requests get the response `done`
     /// after a short time.
     CloseUnder(&'static str),
@@ -253,6 +259,25 @@
                 ended.send_replace(true);
                 return;
             }
+            Behaviour::EndAfterOtherAnswerUnder(marker) | Behaviour::EndInFailureUnder(marker)
+                if request.contains(marker) =>
+            {
+                received.lock().expect("no thread panicked while holding the lock").push(request);
+                let bytes = match behaviour {
+                    Behaviour::EndInFailureUnder(_) => format!(
+                        "HTTP/1.1 500 Internal Server Error\r\nt-attempt: {attempt}\r\nt-seal: s\r\n\
+                         content-length: 100\r\n\r\nhalf"
+                    )
+                    .into(),
+                    _ => complete_response("200 OK", "t-attempt: other\r\nt-seal: s\r\n", "not yours"),
+                };
+                // The write fails if the gateway has closed the connection.
+                let _ = stream.write_all(&bytes).await;
+                tokio::time::sleep(EVENT_DELIVERY_TIME).await;
+                ended.send_replace(true);
+                return;
+            }
+            Behaviour::EndAfterOtherAnswerUnder(_) | Behaviour::EndInFailureUnder(_) => Behaviour::Answer("done"),
             Behaviour::CutFirstRefusal if has_received(received) => Behaviour::Answer("right"),
             Behaviour::CloseUnder(marker) if request.contains(marker) => Behaviour::CloseWithoutAnswer,
             Behaviour::CloseUnder(_) => Behaviour::AnswerAfter(SHORT_WORK, "done"),
@@ -415,6 +440,8 @@
         | Behaviour::RefuseUnnamedAndRepeat(_)
         | Behaviour::EndUnder(..)
         | Behaviour::EndLaterUnder(..)
+        | Behaviour::EndAfterOtherAnswerUnder(_)
+        | Behaviour::EndInFailureUnder(_)
         | Behaviour::RestartMachineUnder(_) => {
             unreachable!("serve() handles this behaviour")
         }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -7,6 +7,7 @@
 #![allow(dead_code, reason = "each test binary uses only some of the helpers")]
 
 pub mod cluster;
+pub mod ended_engines;
 pub mod endless;
 pub mod engine;
 pub mod fixtures;
--- /dev/null
+++ b/crates/gateway/tests/unrecorded_engine_end_tests.rs
@@ -0,0 +1,104 @@
+//! Engines that end under a request count although no gateway sees the end, can store it or can tell the others in time.
+
+mod support;
+
+use rstest::rstest;
+use std::time::Duration;
+use support::ended_engines::{Deployment, Request, ENGINES, MARKER, MAX_ENDED_ENGINES, TRIES};
+use support::engine::Behaviour;
+use support::gateway::RunningGateway;
+
+/// Number of the first gateway; the others follow.
+const FIRST_GATEWAY: u8 = 50;
+/// Number of gateways.
+const GATEWAYS: u8 = 4;
+/// Time after which a caller leaves that does not wait for an answer.
+const PATIENCE: Duration = Duration::from_millis(150);
+/// Time for which an engine works on a request before it ends.
+const WORK: Duration = Duration::from_millis(400);
+
+/// What hides the end of an engine from its gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Hidden {
+    /// The caller leaves and tries again at another gateway at once, while the engine still works.
+    CallerLeaves,
+    /// The same, and the engine's machine falls silent instead of closing its connections.
+    CallerLeavesSilentEngine,
+    /// The gateway is killed while the engine works.
+    GatewayKilled,
+    /// No replica answers, so no record can be stored.
+    NoReplica,
+    /// The engine sends an answer to another request before it ends.
+    OtherAnswerFirst,
+    /// The engine reports a failure, and ends before the answer is complete.
+    FailureCutShort,
+}
+
+impl Hidden {
+    fn behaviour(self) -> Behaviour {
+        match self {
+            Self::CallerLeaves | Self::GatewayKilled => Behaviour::EndLaterUnder(MARKER, WORK),
+            Self::CallerLeavesSilentEngine => Behaviour::RestartMachineUnder(MARKER),
+            Self::NoReplica => Behaviour::EndUnder(MARKER, Vec::new()),
+            Self::OtherAnswerFirst => Behaviour::EndAfterOtherAnswerUnder(MARKER),
+            Self::FailureCutShort => Behaviour::EndInFailureUnder(MARKER),
+        }
+    }
+}
+
+/// Callers try a request again and again at one gateway after the other. At most [`MAX_ENDED_ENGINES`] engines end.
+#[rstest]
+#[case(180, Request::Repeatable, Hidden::CallerLeaves)]
+#[case(181, Request::Turn, Hidden::CallerLeaves)]
+#[case(182, Request::Unrepeatable, Hidden::CallerLeavesSilentEngine)]
+#[case(183, Request::Turn, Hidden::CallerLeavesSilentEngine)]
+#[case(184, Request::Unrepeatable, Hidden::GatewayKilled)]
+#[case(185, Request::Turn, Hidden::GatewayKilled)]
+#[case(186, Request::Unrepeatable, Hidden::NoReplica)]
+#[case(187, Request::Unrepeatable, Hidden::OtherAnswerFirst)]
+#[case(188, Request::Turn, Hidden::FailureCutShort)]
+#[case(189, Request::ResumedStream, Hidden::CallerLeavesSilentEngine)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn engines_whose_end_is_hidden_from_their_gateway_count(
+    #[case] net: u8,
+    #[case] request: Request,
+    #[case] hidden: Hidden,
+) {
+    let mut deployment = Deployment::start_with_engines(net, request, ENGINES, &hidden.behaviour()).await;
+    let mut gateways = Vec::new();
+    for number in FIRST_GATEWAY..FIRST_GATEWAY + GATEWAYS {
+        gateways.push(Some(deployment.start_gateway(number).await));
+    }
+    // The gateways get to know each other.
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    if hidden == Hidden::NoReplica {
+        (1..=3).for_each(|number| deployment.cluster.kill(number));
+    }
+    let mut statuses = Vec::new();
+    for attempt in 0..TRIES {
+        let place = attempt % gateways.len();
+        let gateway = gateways[place].as_ref().expect("each gateway is started again");
+        let limit = if hidden == Hidden::GatewayKilled { WORK / 2 } else { PATIENCE };
+        match hidden {
+            Hidden::CallerLeaves | Hidden::CallerLeavesSilentEngine | Hidden::GatewayKilled => {
+                statuses.push(send_within(limit, gateway, request, attempt).await);
+            }
+            Hidden::NoReplica | Hidden::OtherAnswerFirst | Hidden::FailureCutShort => {
+                statuses.push(request.send(gateway, attempt).await.status);
+            }
+        }
+        if hidden == Hidden::GatewayKilled {
+            gateways[place].take().expect("the gateway runs").kill();
+            let number = FIRST_GATEWAY + u8::try_from(place).expect("there are few gateways");
+            gateways[place] = Some(deployment.start_gateway(number).await);
+        }
+    }
+    tokio::time::sleep(WORK * 2).await;
+    let ended = deployment.ended_engines();
+    assert!(ended <= MAX_ENDED_ENGINES, "{ended} engines ended under one request; its tries got {statuses:?}");
+}
+
+/// Sends a try, and leaves if there is no answer within this time. Returns the status; 0 without an answer.
+async fn send_within(limit: Duration, gateway: &RunningGateway, request: Request, attempt: usize) -> u16 {
+    tokio::time::timeout(limit, request.send(gateway, attempt)).await.map_or(0, |answer| answer.status)
+}
