--- a/crates/gateway/src/edge/dispatch.rs
+++ b/crates/gateway/src/edge/dispatch.rs
@@ -87,7 +87,10 @@
     ) -> Result<EngineAnswer, Refusal> {
         loop {
             self.check_engine_losses(call, sends).await?;
+            // Registering takes a round trip, so the engine is chosen afterwards.
+            let mut watch = self.watch_send(call, sends).await?;
             let Some(choice) = self.choose_engine(call, body, sends) else {
+                sends.set_watch(watch);
                 self.check_candidates(call, &self.candidates(call))
                     .map_err(|refusal| refusal_after_sends(refusal, sends))?;
                 if self.has_only_faulty_engines(call, sends) {
@@ -97,29 +100,23 @@
                 continue;
             };
             let engine = choice.engine.clone();
-            let watch = self.watch_send(call, &engine, sends).await?;
             let Permit::SendBy(send_by) = self.acquire_permit(call, &engine, sends).await else {
-                watch.finish();
+                sends.set_watch(watch);
                 continue;
             };
             self.record_send(call, &choice);
             sends.note_choice(choice);
-            let request = match self.prepare_request(&engine, call, body, last_event, sends) {
-                Ok(request) => request,
-                Err(refusal) => {
-                    watch.finish();
-                    return Err(refusal);
-                }
-            };
+            let request = self.prepare_request(&engine, call, body, last_event, sends)?;
+            watch.note_sent(&engine);
             sends.set_watch(watch);
             let error = match self.send_once(call, &engine, request, send_by, sends).await {
                 Ok(answer) => return Ok(answer),
                 Err(error) => error,
             };
-            match error {
-                AttemptError::ConnectionLost(_) => self.note_engine_loss(call, &engine, sends).await,
-                AttemptError::TimedOut => self.check_silent_engine(call, &engine, sends).await,
-                _ => sends.finish_watch(),
+            if error.outcome().has_certainly_not_run() {
+                sends.note_not_run();
+            } else {
+                self.note_lost_send(&engine, sends).await;
             }
             match sends.note_outcome(&engine, error.outcome(), call.stage, call.repetition_limit()) {
                 NextStep::TryAnother => {}
--- a/crates/gateway/src/edge/engine_losses.rs
+++ b/crates/gateway/src/edge/engine_losses.rs
@@ -1,23 +1,28 @@
-//! Knows the engines that may have ended while they ran a request, over all attempts of the request and all gateways.
+//! Knows the sends of requests under which engines may have ended, over all attempts of a request and all gateways.
 //!
-//! The replicas store what is known ([`foxnotch_turns::engine_losses`]). Requests under which no engine was lost need no
-//! message: a gateway reads the records of a request only if it knows the request as a suspect, or if it may have
-//! missed some. What cannot be read or stored counts as unknown, and a request whose losses are unknown is not sent.
+//! Before a request is sent, its gateway registers the send at two other gateways, which hold it in memory
+//! ([`crate::edge::send_witnesses`]). A send that is lost is stored on the replicas
+//! ([`foxnotch_turns::engine_losses`]), and so is each further send of its request. The replicas also take the place of
+//! witnesses that do not answer. What cannot be recorded anywhere counts as unknown, and the request is not sent.
+//!
+//! Equal requests that no program names may come from different callers. Their sends are not registered, because equal
+//! requests under way would count for each other; their losses are stored.
 
 use crate::edge::call::Call;
+use crate::edge::send_witnesses::SendWitnesses;
 use crate::edge::turns::TurnClient;
-use crate::engines::engine::Engine;
 use crate::locks::lock;
 use crate::logging::part;
 use crate::peers::members::Members;
 use crate::peers::rpc_client::RpcClient;
 use foxnotch_turns::engine_losses::{
-    loss_program, suspect_index, suspect_index_entry, suspects_in_index, EngineLosses, LossRecord, RecordedSend,
-    SendNumber,
+    loss_program, suspect_index, suspect_index_entry, suspects_in_index, EngineLosses, LossRecord, LostSend,
+    RecordedSend, SendNumber,
 };
-use foxnotch_wire::ProgramKey;
-use std::collections::HashMap;
-use std::sync::atomic::AtomicBool;
+use foxnotch_wire::{ProgramKey, TurnEntry};
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -35,19 +40,43 @@
 const START_PERIOD: Duration = Duration::from_secs(3);
 /// Number of losses from which the other gateways are told. Most requests that lose one engine are served by the next.
 pub(super) const MIN_LOSSES_TO_TELL: usize = 2;
-/// The most requests whose losses a gateway holds in memory.
-const MAX_SUSPECTS: usize = 4096;
+/// The most requests whose sends a gateway holds in memory.
+pub(super) const MAX_SUSPECTS: usize = 4096;
+/// Time between two removals of requests whose records are too old.
+const PRUNE_PERIOD: Duration = Duration::from_secs(1);
 
 /// The losses of a request cannot be read from the replicas or stored there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct LossesUnknown;
 
-/// A request under which engines were lost.
+/// Why a send cannot be registered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RegistrationError {
+    /// This gateway or all witnesses have just started, and have not learned of earlier sends yet.
+    Starting,
+    /// Neither another gateway nor a quorum of replicas holds the record, or there may be records that only the replicas
+    /// have, and they do not answer.
+    Unknown,
+}
+
+/// A send that other nodes know of.
+#[derive(Debug)]
+pub(super) struct RegisteredSend {
+    pub(super) send: RecordedSend,
+    /// The gateways that may hold the record of the send.
+    witnesses: Vec<SocketAddr>,
+    /// Whether replicas may hold it too.
+    is_stored: bool,
+}
+
+/// A request that is under way, or under which sends were lost.
 pub(super) struct Suspect {
     pub(super) losses: EngineLosses,
-    /// When this gateway learned of each loss.
-    lost_at: HashMap<u32, Instant>,
-    /// When the losses last changed.
+    /// When this gateway learned of each lost send.
+    lost_at: HashMap<LostSend, Instant>,
+    /// Whether the replicas list the request, and their records of it were not read.
+    is_unread: bool,
+    /// When the records last changed.
     changed_at: Instant,
 }
 
@@ -56,14 +85,19 @@
     pub(super) turns: Arc<TurnClient>,
     pub(super) members: Arc<Members>,
     pub(super) client: Arc<RpcClient>,
+    witnesses: Arc<SendWitnesses>,
     pub(super) suspects: Mutex<HashMap<ProgramKey, Suspect>>,
+    /// When records that are too old were last removed.
+    pruned_at: Mutex<Instant>,
     pub(super) started_at: Instant,
-    /// When the replicas last did not answer a read.
-    read_failed_at: Mutex<Option<Instant>>,
+    /// When the replicas last did not answer in time.
+    quorum_failed_at: Mutex<Option<Instant>>,
     /// When a suspect was last dropped before its retention had passed.
     pub(super) dropped_at: Mutex<Option<Instant>>,
     /// Whether this gateway knows all suspects from before its start, or there are none.
     pub(super) knows_earlier_suspects: AtomicBool,
+    /// Whether this gateway holds the sends that it held before its start, or there are none.
+    pub(super) holds_earlier_sends: AtomicBool,
     /// Whether the deployment started together with this gateway.
     pub(super) first_start: bool,
     /// When another gateway last answered with its suspects.
@@ -74,29 +108,44 @@
 
 impl EngineLossTracker {
     /// Creates a tracker without losses. At the first start of the deployment there are none that it could miss.
-    pub fn new(turns: Arc<TurnClient>, members: Arc<Members>, client: Arc<RpcClient>, first_start: bool) -> Self {
+    /// `region_zones` are the numbers of the zones of this gateway's region; `None` if there is only one region.
+    pub fn new(
+        turns: Arc<TurnClient>,
+        members: Arc<Members>,
+        client: Arc<RpcClient>,
+        first_start: bool,
+        region_zones: Option<HashSet<u8>>,
+    ) -> Self {
+        let witnesses = Arc::new(SendWitnesses::new(members.clone(), client.clone(), region_zones));
         Self {
             turns,
             members,
             client,
+            witnesses,
             suspects: Mutex::default(),
+            pruned_at: Mutex::new(Instant::now()),
             started_at: Instant::now(),
-            read_failed_at: Mutex::default(),
+            quorum_failed_at: Mutex::default(),
             dropped_at: Mutex::default(),
             knows_earlier_suspects: AtomicBool::new(first_start),
+            holds_earlier_sends: AtomicBool::new(first_start),
             first_start,
             contact_at: Mutex::default(),
             has_known_gateway: AtomicBool::new(false),
         }
     }
 
-    /// Whether no read is tried because the replicas do not answer.
-    fn skips_reads(&self) -> bool {
-        let has_failed = lock(&self.read_failed_at).is_some_and(|failed_at| failed_at.elapsed() < FAILED_READ_PAUSE);
+    /// Whether the replicas are not asked because they do not answer.
+    fn skips_quorum(&self) -> bool {
+        let has_failed = lock(&self.quorum_failed_at).is_some_and(|failed_at| failed_at.elapsed() < FAILED_READ_PAUSE);
         has_failed && self.started_at.elapsed() >= START_PERIOD
     }
 
-    /// The records of a request, to be asked before it is sent.
+    fn note_quorum_failure(&self) {
+        *lock(&self.quorum_failed_at) = Some(Instant::now());
+    }
+
+    /// The records of a request that is not registered, to be asked before it is sent.
     ///
     /// # Errors
     /// [`LossesUnknown`] when there may be records that this gateway does not know, and no quorum of replicas answers.
@@ -105,18 +154,22 @@
         if self.known_losses(program).is_none() && self.knows_all_suspects() {
             return Ok(EngineLosses::default());
         }
-        if self.skips_reads() {
+        if self.skips_quorum() {
             return Err(LossesUnknown);
         }
         let deadline = call.expires_at.min(Instant::now() + READ_TIMEOUT);
         match self.turns.read_run_locations(program, deadline).await {
-            Ok(locations) => Ok(self.merge(program, &EngineLosses::from_run_locations(program, &locations))),
+            Ok(locations) => {
+                self.set_unread(program, false);
+                let stored = EngineLosses::from_run_locations(program, &locations);
+                Ok(self.merge(program, &stored.without_open_sends()))
+            }
             Err(error) => {
-                *lock(&self.read_failed_at) = Some(Instant::now());
+                self.note_quorum_failure();
                 log::warn!(
                     target: part::CALL,
-                    "The engines that ended under the request of call {} cannot be read from the replicas, so it is \
-                     not sent: request={}: {error}.",
+                    "The sends of the request of call {} cannot be read from the replicas, so it is not sent: \
+                     request={}: {error}.",
                     call.metadata.attempt,
                     call.request_key(),
                 );
@@ -125,80 +178,80 @@
         }
     }
 
-    /// Records a send of a call to an engine before it is made. Returns the send and all records of the request,
-    /// including those of other gateways that record a send at the same time.
+    /// Registers a send of a request before it is made. Returns all records of the request that the asked nodes know,
+    /// with this one.
     ///
     /// # Errors
-    /// [`LossesUnknown`] when no quorum of replicas stores the record. It may be stored on some of them.
-    pub(super) async fn record_send(
+    /// [`RegistrationError`].
+    pub(super) async fn register_send(
         self: &Arc<Self>,
-        call: &Call,
-        engine: &Engine,
-    ) -> Result<(RecordedSend, EngineLosses), LossesUnknown> {
-        let program = loss_program(call.request_key());
-        let send = RecordedSend { engine: engine.start_number(), number: SendNumber::from_random(rand::random()) };
-        match self.store(program, &[LossRecord::Send(send)]).await {
-            Ok(losses) => Ok((send, losses)),
-            Err(LossesUnknown) => {
-                self.record_outcome(program, send);
-                Err(LossesUnknown)
+        program: ProgramKey,
+    ) -> Result<(RegisteredSend, EngineLosses), RegistrationError> {
+        if !self.holds_earlier_sends.load(Ordering::Relaxed) {
+            return Err(RegistrationError::Starting);
+        }
+        let send = RecordedSend::before_choice(SendNumber::from_random(rand::random()));
+        let record = LossRecord::Send(send);
+        let mut known = self.merge(program, &EngineLosses::of_records(&[record]));
+        let answers = self.witnesses.store(program, &[record.entry(program, LOSS_RETENTION)]).await;
+        known.merge(&EngineLosses::from_run_locations(program, &answers.locations));
+        self.merge(program, &known.without_open_sends());
+        let mut registered = RegisteredSend { send, witnesses: answers.asked, is_stored: false };
+        if answers.held_by == 0 && answers.has_starting {
+            self.finish_send(program, registered);
+            return Err(RegistrationError::Starting);
+        }
+        let knows_all = self.knows_suspects_since_start();
+        let has_stored_records = self.is_unread(program) || known.lost().next().is_some();
+        if answers.held_by == 0 || !knows_all || has_stored_records {
+            registered.is_stored = true;
+            match self.store_unless_silent(program, &[record]).await {
+                Ok(stored) => known.merge(&stored),
+                Err(LossesUnknown) if knows_all && (answers.held_by > 0 || self.is_alone()) => {}
+                Err(LossesUnknown) => {
+                    self.finish_send(program, registered);
+                    return Err(RegistrationError::Unknown);
+                }
             }
         }
+        Ok((registered, known))
     }
 
-    /// Records in the background that the engine of a send was not lost, or that the send was not made.
-    pub(super) fn record_outcome(self: &Arc<Self>, program: ProgramKey, send: RecordedSend) {
-        self.merge(program, &EngineLosses::of_records(&[LossRecord::Outcome(send)]));
-        let tracker = self.clone();
-        // Without the record the send counts as one that may have ended its engine.
-        tokio::spawn(async move { tracker.store(program, &[LossRecord::Outcome(send)]).await.ok() });
-    }
-
-    /// Records in the background that a request was answered, so that the losses before do not count for equal ones.
-    pub(super) fn record_served(self: &Arc<Self>, call: &Call) {
-        let program = loss_program(call.request_key());
-        let Some(known) = self.known_losses(program).filter(|known| known.lost().len() > known.served_after()) else {
-            return;
-        };
-        let served = LossRecord::Served(u32::try_from(known.lost().len()).unwrap_or(u32::MAX - 1));
-        self.merge(program, &EngineLosses::of_records(&[served]));
-        let tracker = self.clone();
-        // Without the record, other gateways may refuse equal requests.
-        tokio::spawn(async move { tracker.store(program, &[served]).await.ok() });
-    }
-
-    /// Records that an engine was lost while it ran a call. `has_ended` states whether the engine was found to have
-    /// ended. Returns all records of the request. They are written even if the caller leaves meanwhile.
-    pub(super) async fn record_loss(self: &Arc<Self>, call: &Call, engine: &Engine, has_ended: bool) -> EngineLosses {
-        let program = loss_program(call.request_key());
-        let (tracker, number) = (self.clone(), engine.start_number());
-        let recording = tokio::spawn(async move { tracker.store_and_tell_loss(program, number, has_ended).await });
-        let losses = recording.await.unwrap_or_else(|_| self.known_losses(program).unwrap_or_default());
-        log::info!(
-            target: part::CALL,
-            "Call {} lost its engine, which may have ended under it: request={} engine={} ended={has_ended} losses={}; \
-             `losses` counts the engines that were lost under this request, in all attempts.",
-            call.metadata.attempt,
-            call.request_key(),
-            engine.entry.id,
-            losses.lost().len(),
-        );
-        losses
+    /// Records that the engine has answered or refused the request, or that the request was not sent.
+    pub(super) fn finish_send(self: &Arc<Self>, program: ProgramKey, registered: RegisteredSend) {
+        let RegisteredSend { send, witnesses, is_stored } = registered;
+        let record = LossRecord::Outcome(send);
+        self.merge(program, &EngineLosses::of_records(&[record]));
+        self.witnesses.tell_outcome(witnesses, vec![record.entry(program, LOSS_RETENTION)]);
+        if is_stored {
+            let tracker = self.clone();
+            // Without the record the send counts as one that may be lost.
+            tokio::spawn(async move { tracker.store(program, &[record]).await.ok() });
+        }
     }
 
-    /// Stores the loss of an engine, and tells the other gateways from the second loss on.
-    pub(super) async fn store_and_tell_loss(
+    /// Records that a send to an engine was lost, and tells the other gateways. `registered` is `None` if the send was
+    /// not registered. Returns all records of the request.
+    pub(super) async fn record_loss(
         self: &Arc<Self>,
         program: ProgramKey,
         engine: u32,
-        has_ended: bool,
+        registered: Option<RegisteredSend>,
     ) -> EngineLosses {
+        let number = registered.as_ref().map(|registered| registered.send.number);
+        let number = number.unwrap_or_else(|| SendNumber::from_random(rand::random()));
         let loss = LossRecord::Loss(engine);
-        let records = [loss, LossRecord::End(engine)];
-        let records = if has_ended { &records[..] } else { &records[..1] };
-        let stored = self.store(program, records).await;
+        let mut records = vec![LossRecord::LostSend(RecordedSend { engine, number }), loss];
+        // The lost send takes the place of the registered one.
+        records.extend(registered.as_ref().map(|registered| LossRecord::Outcome(registered.send)));
+        self.merge(program, &EngineLosses::of_records(&records));
+        if let Some(registered) = registered {
+            self.witnesses.tell_outcome(registered.witnesses, entries_of(program, &records));
+        }
+        let stored = self.store(program, &records).await;
+        let is_stored = stored.is_ok();
         let losses = stored.unwrap_or_else(|LossesUnknown| self.known_losses(program).unwrap_or_default());
-        if losses.lost().len() >= MIN_LOSSES_TO_TELL {
+        if !is_stored || losses.lost().count() >= MIN_LOSSES_TO_TELL {
             tokio::join!(self.add_to_index(program), self.tell_gateways(loss.entry(program, LOSS_RETENTION)));
         }
         losses
@@ -224,6 +277,7 @@
         };
         for program in suspects_in_index(&locations) {
             self.note_suspect(program);
+            self.set_unread(program, true);
         }
         log::info!(
             target: part::PROCESS,
@@ -233,38 +287,55 @@
         true
     }
 
-    /// Marks a request as a suspect whose records have to be read.
+    /// Makes room for the records of a request, if there is none.
     fn note_suspect(&self, program: ProgramKey) {
         let mut suspects = lock(&self.suspects);
         if !suspects.contains_key(&program) {
             self.make_room(&mut suspects);
             let (losses, lost_at) = (EngineLosses::default(), HashMap::new());
-            suspects.insert(program, Suspect { losses, lost_at, changed_at: Instant::now() });
+            suspects.insert(program, Suspect { losses, lost_at, is_unread: false, changed_at: Instant::now() });
         }
     }
 
-    /// Stores that lost engines were found to have ended, in the background.
-    pub(super) fn record_ends(self: &Arc<Self>, program: ProgramKey, engines: impl IntoIterator<Item = u32>) {
-        let records: Vec<LossRecord> = engines.into_iter().map(LossRecord::End).collect();
-        if records.is_empty() {
-            return;
+    /// Whether the replicas list a request, and their records of it were not read.
+    fn is_unread(&self, program: ProgramKey) -> bool {
+        lock(&self.suspects).get(&program).is_some_and(|suspect| suspect.is_unread)
+    }
+
+    fn set_unread(&self, program: ProgramKey, is_unread: bool) {
+        if let Some(suspect) = lock(&self.suspects).get_mut(&program) {
+            suspect.is_unread = is_unread;
         }
-        let tracker = self.clone();
-        // Without the records, the next check finds out again.
-        tokio::spawn(async move { tracker.store(program, &records).await.ok() });
+    }
+
+    /// Stores records like [`Self::store`], unless the replicas did not answer a moment ago.
+    async fn store_unless_silent(
+        &self,
+        program: ProgramKey,
+        records: &[LossRecord],
+    ) -> Result<EngineLosses, LossesUnknown> {
+        if self.skips_quorum() {
+            return Err(LossesUnknown);
+        }
+        self.store(program, records).await
     }
 
     /// Stores records on a quorum of replicas. Returns all records of the request.
     async fn store(&self, program: ProgramKey, records: &[LossRecord]) -> Result<EngineLosses, LossesUnknown> {
-        self.merge(program, &EngineLosses::of_records(records));
-        let entries: Vec<_> = records.iter().map(|record| record.entry(program, LOSS_RETENTION)).collect();
+        let entries = entries_of(program, records);
         match self.turns.write_entries(&entries, Instant::now() + RECORD_TIMEOUT).await {
-            Ok(view) => Ok(self.merge(program, &EngineLosses::from_run_locations(program, view.run_locations()))),
+            Ok(view) => {
+                self.set_unread(program, false);
+                let mut stored = EngineLosses::from_run_locations(program, view.run_locations());
+                stored.merge(&self.merge(program, &stored.without_open_sends()));
+                Ok(stored)
+            }
             Err(error) => {
+                self.note_quorum_failure();
                 log::warn!(
                     target: part::CALL,
-                    "What is known of the engines under a request may not be stored, so other gateways may not know \
-                     it: program={:016x} records={records:?}: {error}.",
+                    "What is known of the sends of a request may not be stored, so other gateways may not know it: \
+                     program={:016x} records={records:?}: {error}.",
                     program.0,
                 );
                 Err(LossesUnknown)
@@ -272,18 +343,27 @@
         }
     }
 
+    /// The records that this gateway holds of a request.
     pub(super) fn known_losses(&self, program: ProgramKey) -> Option<EngineLosses> {
         lock(&self.suspects).get(&program).map(|suspect| suspect.losses.clone())
     }
 
-    /// When this gateway learned that an engine was lost under a request.
-    pub(super) fn lost_at(&self, program: ProgramKey, engine: u32) -> Option<Instant> {
-        lock(&self.suspects).get(&program)?.lost_at.get(&engine).copied()
+    /// Number of sends of a request that this gateway learned to be lost within a time.
+    pub(super) fn recent_losses(&self, program: ProgramKey, time: Duration) -> usize {
+        let suspects = lock(&self.suspects);
+        let Some(suspect) = suspects.get(&program) else { return 0 };
+        let is_recent = |lost: &LostSend| suspect.lost_at.get(lost).is_some_and(|lost_at| lost_at.elapsed() < time);
+        suspect.losses.lost().filter(is_recent).count()
+    }
+
+    /// Whether this gateway has room for the records of another request.
+    pub(super) fn has_room(&self) -> bool {
+        lock(&self.suspects).len() < MAX_SUSPECTS
     }
 
-    /// Adds records to those that this gateway knows of a request, and returns all that it knows.
+    /// Adds records to those that this gateway holds of a request, and returns all that it holds.
     pub(super) fn merge(&self, program: ProgramKey, losses: &EngineLosses) -> EngineLosses {
-        if !losses.is_empty() {
+        if !losses.is_settled() {
             self.note_suspect(program);
         }
         let mut suspects = lock(&self.suspects);
@@ -291,18 +371,27 @@
         let before = suspect.losses.clone();
         suspect.losses.merge(losses);
         let now = Instant::now();
-        for engine in losses.lost() {
-            suspect.lost_at.entry(*engine).or_insert(now);
+        for lost in suspect.losses.lost() {
+            suspect.lost_at.entry(lost).or_insert(now);
         }
         if suspect.losses != before {
-            suspect.changed_at = Instant::now();
+            suspect.changed_at = now;
+        }
+        let known = suspect.losses.clone();
+        if known.is_settled() && !suspect.is_unread {
+            suspects.remove(&program);
         }
-        suspect.losses.clone()
+        known
     }
 
     /// Removes suspects whose last record is too old, and the oldest one if there are too many.
     fn make_room(&self, suspects: &mut HashMap<ProgramKey, Suspect>) {
-        suspects.retain(|_, suspect| suspect.changed_at.elapsed() < LOSS_RETENTION);
+        let mut pruned_at = lock(&self.pruned_at);
+        if pruned_at.elapsed() >= PRUNE_PERIOD || suspects.len() >= MAX_SUSPECTS {
+            suspects.retain(|_, suspect| suspect.changed_at.elapsed() < LOSS_RETENTION);
+            *pruned_at = Instant::now();
+        }
+        drop(pruned_at);
         if suspects.len() < MAX_SUSPECTS {
             return;
         }
@@ -313,3 +402,7 @@
         }
     }
 }
+
+fn entries_of(program: ProgramKey, records: &[LossRecord]) -> Vec<TurnEntry> {
+    records.iter().map(|record| record.entry(program, LOSS_RETENTION)).collect()
+}
--- a/crates/gateway/src/edge/mod.rs
+++ b/crates/gateway/src/edge/mod.rs
@@ -25,6 +25,7 @@
 mod send_log;
 pub mod send_record;
 mod send_watch;
+mod send_witnesses;
 pub mod slow_start;
 pub mod stream_call;
 mod stream_origins;
--- a/crates/gateway/src/edge/parts.rs
+++ b/crates/gateway/src/edge/parts.rs
@@ -131,6 +131,7 @@
                 self.members.clone(),
                 self.client.clone(),
                 settings.first_start,
+                settings.region_zone_numbers(),
             )),
             cold_permits,
             policy: settings.policy,
--- a/crates/gateway/src/edge/peer_answers.rs
+++ b/crates/gateway/src/edge/peer_answers.rs
@@ -29,7 +29,8 @@
                 // Only replicas store entries, so the answer must not count towards a quorum.
                 RpcBody::NotServed
             }
-            RpcBody::ReadProgram(request) => self.losses.answer_suspect_list(&request),
+            RpcBody::StoreEntries(request) => self.losses.hold_records(&request),
+            RpcBody::ReadProgram(request) => self.losses.answer_list(&request),
             RpcBody::PullMembers(requester) => self.members.answer_member_pull(requester),
             RpcBody::ShowMembers => self.members.list_members(),
             RpcBody::ShowSet => {
--- a/crates/gateway/src/edge/process.rs
+++ b/crates/gateway/src/edge/process.rs
@@ -60,6 +60,7 @@
     let (engines, members, metrics) = (&gateway.dispatcher.engines, &node.members, &node.metrics);
     tokio::spawn(load_exchange::run(engines.clone(), members.clone(), metrics.clone()));
     tokio::spawn(reachability_checks::run(engines.clone(), members.clone(), metrics.clone()));
+    tokio::spawn(gateway.dispatcher.losses.clone().pull_earlier_sends());
     tokio::spawn(gateway.dispatcher.losses.clone().exchange_suspects());
     spawn_store_tasks(&node, &gateway);
     tokio::spawn(metrics::serve(settings.metrics_address(), metrics.clone()));
--- a/crates/gateway/src/edge/send_record.rs
+++ b/crates/gateway/src/edge/send_record.rs
@@ -6,7 +6,6 @@
 use crate::engines::selector::Choice;
 use foxnotch_scheduler::quota::ProgramStage;
 use foxnotch_scheduler::retry::{NextStep, PauseDecision, RepeatLimit, SendCounts, SendOutcome};
-use foxnotch_turns::engine_losses::EngineLosses;
 use std::time::Duration;
 
 /// The record of one request's sends: which engines it was sent to, and the counts from which
@@ -25,9 +24,9 @@
     counts: SendCounts,
     /// The connections over which the request was sent.
     used_connections: Vec<ConnectionId>,
-    /// The engines that were lost under the request in all attempts; `None` until they are known.
-    losses: Option<EngineLosses>,
-    /// The watch of the send whose answer has not been read to its end.
+    /// Number of sends of the request, in all attempts, under which engines may have ended.
+    possible_ends: usize,
+    /// The watch of the send whose answer has not been read to its end, or of the next one.
     watch: Option<SendWatch>,
 }
 
@@ -53,27 +52,34 @@
         &self.counts
     }
 
-    /// The engines that were lost under the request in all attempts; `None` until they are known.
-    pub fn losses(&self) -> Option<&EngineLosses> {
-        self.losses.as_ref()
+    /// Number of sends of the request, in all attempts, under which engines may have ended.
+    pub fn possible_ends(&self) -> usize {
+        self.possible_ends
     }
 
-    /// Sets the engines that were lost under the request in all attempts.
-    pub fn set_losses(&mut self, losses: EngineLosses) {
-        self.losses = Some(losses);
+    /// Sets the number of sends under which engines may have ended.
+    pub fn set_possible_ends(&mut self, possible_ends: usize) {
+        self.possible_ends = possible_ends;
     }
 
-    /// Sets the watch of the send that is made now.
+    /// Sets the watch of the send that is made now, or of the next one.
     pub(super) fn set_watch(&mut self, watch: SendWatch) {
         self.watch = Some(watch);
     }
 
-    /// Takes the watch of the last send. Dropping it means that the send was given up.
+    /// Takes the watch of the last send, or of the next one.
     pub(super) fn take_watch(&mut self) -> Option<SendWatch> {
         self.watch.take()
     }
 
-    /// Ends the watch of the last send: its engine was not lost.
+    /// The last engine has not run the request. Its watch serves for the next engine.
+    pub(super) fn note_not_run(&mut self) {
+        if let Some(watch) = &mut self.watch {
+            watch.note_not_run();
+        }
+    }
+
+    /// Ends the watch of the last send: its engine has answered.
     pub(super) fn finish_watch(&mut self) {
         if let Some(watch) = self.watch.take() {
             watch.finish();
--- a/crates/gateway/src/edge/send_watch.rs
+++ b/crates/gateway/src/edge/send_watch.rs
@@ -1,134 +1,122 @@
 //! Watches one send of a request until it is known whether the request may have ended the engine.
 //!
-//! A send that ends before the engine has answered, because the caller has left or the time is over, shows nothing of
-//! the engine. The watch then looks for a while whether the engine runs.
+//! A send that ends before the engine has answered or refused, because the caller has left or the time is over, shows
+//! nothing of the engine, so it counts as lost.
 
-use crate::edge::engine_losses::EngineLossTracker;
+use crate::edge::engine_losses::{EngineLossTracker, RegisteredSend};
 use crate::engines::connection::EngineConnection;
 use crate::engines::engine::Engine;
-use foxnotch_turns::engine_losses::RecordedSend;
-use foxnotch_wire::ProgramKey;
-use std::io;
+use crate::logging::part;
+use foxnotch_turns::engine_losses::{loss_program, EngineLosses, RecordedSend};
+use foxnotch_turns::identity::RequestKey;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-/// Time limit for the check whether an engine runs. An engine that has ended refuses the connection within a round trip.
+/// Time limit for the check whether an engine can be reached. One that has ended refuses the connection within a round
+/// trip.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
-/// The pauses before the checks of an engine whose request was given up. Most engines drop such a request soon after
-/// its connection has closed.
-const CHECK_PAUSES: [Duration; 3] =
-    [Duration::from_millis(100), Duration::from_millis(300), Duration::from_millis(700)];
 
-/// The outcome of the check whether an engine runs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum EngineCheck {
-    /// The engine, or another process at its address, accepts connections.
-    Accepts,
-    /// Nothing listens at the engine's address.
-    Refuses,
-    /// No answer came in time: the engine may have ended, stand still or be cut off.
-    Silent,
-}
-
-/// Opens a connection to an engine to find out whether it runs.
-pub(super) async fn check_by_connecting(engine: &Arc<Engine>) -> EngineCheck {
-    match tokio::time::timeout(CHECK_TIMEOUT, EngineConnection::open(engine.address)).await {
-        Ok(Ok(connection)) => {
-            engine.reachability.note_contact(&engine.entry.id);
-            engine.return_connection(connection);
-            EngineCheck::Accepts
-        }
-        Ok(Err(error)) => {
-            engine.note_unreachable(error.kind());
-            let is_refused = matches!(error.kind(), io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset);
-            if is_refused {
-                EngineCheck::Refuses
-            } else {
-                EngineCheck::Silent
+/// Opens a connection to an engine under which a send was lost, so that an engine that cannot be reached gets no other
+/// requests.
+pub(super) async fn check_reachability(engine: Arc<Engine>) {
+    if let Ok(opened) = tokio::time::timeout(CHECK_TIMEOUT, EngineConnection::open(engine.address)).await {
+        match opened {
+            Ok(connection) => {
+                engine.reachability.note_contact(&engine.entry.id);
+                engine.return_connection(connection);
             }
+            Err(error) => engine.note_unreachable(error.kind()),
         }
-        Err(_) => EngineCheck::Silent,
     }
 }
 
-/// A send of a request to an engine. Dropping the watch means that the send was given up.
+/// A send of a request to an engine, from its registration on. Dropping the watch of a send that was made means that the
+/// send is lost.
 pub(super) struct SendWatch {
-    /// `None` once the outcome is known.
-    send: Option<WatchedSend>,
-}
-
-struct WatchedSend {
     tracker: Arc<EngineLossTracker>,
-    program: ProgramKey,
-    engine: Arc<Engine>,
-    /// The record of the send, if there is one.
-    recorded: Option<RecordedSend>,
+    request: RequestKey,
+    /// The attempt of the caller, for the logs.
+    attempt: String,
+    /// The registration; `None` if the send is not registered.
+    registered: Option<RegisteredSend>,
+    /// The engine that may run the request; `None` while no engine does.
+    running_at: Option<Arc<Engine>>,
 }
 
 impl SendWatch {
-    /// Watches a send that is about to be made.
+    /// Watches a send that is not made yet.
     pub(super) fn begin(
         tracker: Arc<EngineLossTracker>,
-        program: ProgramKey,
-        engine: Arc<Engine>,
-        recorded: Option<RecordedSend>,
+        request: RequestKey,
+        attempt: &str,
+        registered: Option<RegisteredSend>,
     ) -> Self {
-        Self { send: Some(WatchedSend { tracker, program, engine, recorded }) }
+        Self { tracker, request, attempt: attempt.to_owned(), registered, running_at: None }
+    }
+
+    /// The record of the send, if it is registered.
+    pub(super) fn recorded_send(&self) -> Option<RecordedSend> {
+        self.registered.as_ref().map(|registered| registered.send)
+    }
+
+    /// The request is now sent to an engine.
+    pub(super) fn note_sent(&mut self, engine: &Arc<Engine>) {
+        self.running_at = Some(engine.clone());
     }
 
-    /// Ends the watch: the engine was not lost under the request.
+    /// The engine has refused the request without running it. The watch serves for the next engine.
+    pub(super) fn note_not_run(&mut self) {
+        self.running_at = None;
+    }
+
+    /// Ends the watch: the engine has answered.
     pub(super) fn finish(mut self) {
-        let Some(send) = self.send.take() else { return };
-        send.record_outcome();
+        self.note_not_run();
     }
 
-    /// Ends the watch without an outcome, because the loss of the engine is recorded. If that record is not stored, the
-    /// record of the send counts in its place.
-    pub(super) fn finish_lost(mut self) {
-        self.send = None;
+    /// Ends the watch of a send that was lost. Returns all records of the request, once they are stored.
+    pub(super) async fn finish_lost(mut self) -> EngineLosses {
+        let Some(engine) = self.running_at.take() else { return EngineLosses::default() };
+        // The records are written even if the caller leaves meanwhile.
+        let losing = tokio::spawn(self.detach().record_loss(engine));
+        losing.await.unwrap_or_default()
     }
-}
 
-impl Drop for SendWatch {
-    fn drop(&mut self) {
-        let Some(send) = self.send.take() else { return };
-        // There is no runtime while the process ends.
-        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
-            runtime.spawn(send.watch_abandoned());
+    /// Moves the watched send into a watch of its own, so that dropping this one does nothing.
+    fn detach(&mut self) -> Self {
+        Self {
+            tracker: self.tracker.clone(),
+            request: self.request,
+            attempt: std::mem::take(&mut self.attempt),
+            registered: self.registered.take(),
+            running_at: None,
         }
     }
-}
 
-impl WatchedSend {
-    fn record_outcome(&self) {
-        if let Some(recorded) = self.recorded {
-            self.tracker.record_outcome(self.program, recorded);
-        }
+    async fn record_loss(mut self, engine: Arc<Engine>) -> EngineLosses {
+        let (program, number) = (loss_program(self.request), engine.start_number());
+        let losses = self.tracker.record_loss(program, number, self.registered.take()).await;
+        log::info!(
+            target: part::CALL,
+            "Call {} lost its engine, which may have ended under it: request={} engine={} losses={}; `losses` \
+             counts the sends of this request that got neither an answer nor a refusal, in all attempts.",
+            self.attempt,
+            self.request,
+            engine.entry.id,
+            losses.lost().count(),
+        );
+        losses
     }
+}
 
-    /// Looks several times whether the engine runs after its request was given up, and records it as lost if not.
-    async fn watch_abandoned(self) {
-        let abandoned_at = Instant::now();
-        let mut last = EngineCheck::Silent;
-        for pause in CHECK_PAUSES {
-            tokio::time::sleep(pause).await;
-            last = if self.engine.has_answered_since(abandoned_at) {
-                EngineCheck::Accepts
-            } else {
-                check_by_connecting(&self.engine).await
-            };
-            if last == EngineCheck::Refuses {
-                break;
-            }
-        }
-        match last {
-            EngineCheck::Accepts if self.engine.has_answered_since(abandoned_at) => self.record_outcome(),
-            // Without an answer, a recorded send goes on to count.
-            EngineCheck::Accepts => {}
-            EngineCheck::Refuses | EngineCheck::Silent => {
-                let has_ended = last == EngineCheck::Refuses;
-                self.tracker.store_and_tell_loss(self.program, self.engine.start_number(), has_ended).await;
-            }
+impl Drop for SendWatch {
+    fn drop(&mut self) {
+        // There is no runtime while the process ends.
+        let Ok(runtime) = tokio::runtime::Handle::try_current() else { return };
+        if let Some(engine) = self.running_at.take() {
+            runtime.spawn(self.detach().record_loss(engine));
+        } else if let Some(registered) = self.registered.take() {
+            self.tracker.finish_send(loss_program(self.request), registered);
         }
     }
 }
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -101,9 +101,17 @@
         if answer.response.status().is_server_error() {
             account.note_engine_failure(&sends);
         }
-        let answer = read_whole_answer(&call, answer, &gateway.buffers).await?;
-        sends.finish_watch();
-        return Ok(answer.finish_call(&gateway.metrics, &call));
+        let engine = answer.in_flight.engine().clone();
+        return match read_whole_answer(&call, answer, &gateway.buffers).await {
+            Ok(answer) => {
+                sends.finish_watch();
+                Ok(answer.finish_call(&gateway.metrics, &call))
+            }
+            Err(refusal) => {
+                gateway.dispatcher.note_lost_send(&engine, &mut sends).await;
+                Err(refusal)
+            }
+        };
     }
     Ok(start_stream(gateway, call, account, answer, previous.unwrap_or(NO_TURN), pace, sends))
 }
@@ -271,15 +279,12 @@
         let (dispatcher, engine) = (&self.gateway.dispatcher, self.in_flight.engine());
         match outcome {
             Ok(()) | Err(StreamError::NotStored(_) | StreamError::BuffersFull(_)) => {
-                dispatcher.note_served(&self.call, &mut self.sends)
-            }
-            Err(StreamError::EngineAborted(_)) => {
-                dispatcher.note_engine_loss(&self.call, engine, &mut self.sends).await;
+                self.sends.finish_watch();
             }
-            Err(StreamError::TimedOut) => {
-                dispatcher.check_silent_engine(&self.call, engine, &mut self.sends).await;
+            Err(StreamError::EngineAborted(_) | StreamError::TimedOut) => {
+                dispatcher.note_lost_send(engine, &mut self.sends).await;
             }
-            // The watch finds out whether the engine ends all the same.
+            // Nobody waits for the record, so it is written when the watch is dropped.
             Err(StreamError::CallerLeft) => {}
         }
     }
--- a/crates/gateway/src/edge/suspect_exchange.rs
+++ b/crates/gateway/src/edge/suspect_exchange.rs
@@ -1,9 +1,8 @@
 //! Exchanges between gateways which requests have lost several engines.
 //!
-//! A gateway that learns of a second loss tells all other gateways, and each gateway regularly asks another one for all
-//! that it knows. A gateway that starts also reads the list of suspects from the replicas. Until it has done so, and
-//! while it cannot reach another gateway, it may have missed some, and reads the records of each request from the
-//! replicas.
+//! A gateway that learns of a second loss, or that cannot store a loss, tells all other gateways. Each gateway regularly
+//! asks another one for all that it knows. A gateway that starts also reads the list of suspects from the replicas. Until
+//! it has done so it may have missed some, and records each send on the replicas, which answer with what they have.
 //!
 //! Gateways of older builds use the same messages: a loss is sent as the entry that the replicas store, and the list of
 //! suspects is asked for as a program that no replica stores.
@@ -13,10 +12,10 @@
 use crate::logging::part;
 use crate::peers::addresses::member_socket_address;
 use crate::peers::rpc_client::RpcError;
-use foxnotch_turns::engine_losses::{EngineLosses, LossRecord};
+use foxnotch_turns::engine_losses::{EngineLosses, LossRecord, LostSend, RecordedSend};
 use foxnotch_wire::{
     DiskIdentity, MemberUpdate, ProgramKey, ReadProgram, ReplicaReport, ReplicaStanding, RpcBody, RunLocation,
-    StoreEntry, Stored, TurnEntry,
+    StoreEntries, StoreEntry, Stored, TurnEntry,
 };
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -24,6 +23,12 @@
 
 /// The program whose run locations a gateway answers with the suspects that it knows. No replica stores such a program.
 const SUSPECT_LIST: ProgramKey = ProgramKey(0);
+/// The programs whose run locations a gateway answers with all sends that it holds: those whose outcome it does not know,
+/// and those that were lost. Gateways of older builds, which hold none, do not serve them.
+const OPEN_SEND_LIST: ProgramKey = ProgramKey(u64::MAX);
+const LOST_SEND_LIST: ProgramKey = ProgramKey(u64::MAX - 1);
+/// The most sends in one list.
+const MAX_LISTED_SENDS: usize = 8192;
 /// Time limit for telling the other gateways.
 const TELL_TIMEOUT: Duration = Duration::from_millis(150);
 /// Pause before gateways that have not answered are told again.
@@ -36,6 +41,8 @@
 const LIST_PERIOD: Duration = Duration::from_secs(1);
 /// Time between two questions until this gateway knows the suspects from before its start.
 const FIRST_LIST_PERIOD: Duration = Duration::from_millis(200);
+/// Time between two looks at the start whether other gateways are known.
+const PULL_PAUSE: Duration = Duration::from_millis(20);
 /// Time after the start within which a gateway gets to know the others.
 const DISCOVERY_TIME: Duration = Duration::from_secs(1);
 /// Time without an answer of another gateway after which this one may have missed suspects. It allows for two questions
@@ -45,8 +52,38 @@
 impl EngineLossTracker {
     /// Whether this gateway knows all requests under which several engines were lost.
     pub(super) fn knows_all_suspects(&self) -> bool {
+        self.knows_suspects_since_start() && self.hears_of_later_suspects()
+    }
+
+    /// Whether this gateway has learned of the suspects from before its start, and has dropped none since.
+    pub(super) fn knows_suspects_since_start(&self) -> bool {
         let has_dropped = lock(&self.dropped_at).is_some_and(|dropped_at| dropped_at.elapsed() < LOSS_RETENTION);
-        self.knows_earlier_suspects.load(Ordering::Relaxed) && self.hears_of_later_suspects() && !has_dropped
+        let knows_earlier = self.knows_earlier_suspects.load(Ordering::Relaxed);
+        knows_earlier && self.holds_earlier_sends.load(Ordering::Relaxed) && !has_dropped
+    }
+
+    /// Whether this gateway is the only one, so that no other can hold or make records.
+    pub(super) fn is_alone(&self) -> bool {
+        let is_alone = !self.has_known_gateway.load(Ordering::Relaxed) && self.members.other_gateway_count() == 0;
+        is_alone && (self.first_start || self.started_at.elapsed() >= DISCOVERY_TIME)
+    }
+
+    /// Holds the records of a request's sends that another gateway makes, and answers with all that this one holds of the
+    /// request.
+    pub(super) fn hold_records(&self, request: &StoreEntries) -> RpcBody {
+        let Some(program) = request.entries.first().map(|entry| entry.program) else { return RpcBody::NotServed };
+        let locations: Vec<RunLocation> = request.entries.iter().filter_map(|entry| entry.run_location).collect();
+        let records = EngineLosses::from_run_locations(program, &locations);
+        let has_room = self.known_losses(program).is_some() || self.has_room();
+        if records == EngineLosses::default() || !has_room {
+            return RpcBody::NotServed;
+        }
+        let run_locations = self.merge(program, &records).run_locations(program);
+        let own = DiskIdentity { node: self.client.own_node(), disk: 0 };
+        let is_complete = self.holds_earlier_sends.load(Ordering::Relaxed);
+        let standing = if is_complete { ReplicaStanding::Counts } else { ReplicaStanding::Refilling };
+        let report = ReplicaReport { own, standing, others: Vec::new() };
+        RpcBody::Stored(Stored { report, charges: Vec::new(), run_locations })
     }
 
     /// Whether other gateways can tell this one of suspects, or there are no others.
@@ -118,22 +155,26 @@
         self.merge(entry.program, &EngineLosses::from_run_locations(entry.program, &locations));
     }
 
-    /// Answers the question of another gateway for the suspects. The answer is complete if this gateway knows all.
-    pub(super) fn answer_suspect_list(&self, request: &ReadProgram) -> RpcBody {
-        if request.program != SUSPECT_LIST {
-            return RpcBody::NotServed;
-        }
-        let standing = if self.knows_all_suspects() { ReplicaStanding::Counts } else { ReplicaStanding::Refilling };
-        let own = DiskIdentity { node: self.client.own_node(), disk: 0 };
-        let report = ReplicaReport { own, standing, others: Vec::new() };
+    /// Answers the question of another gateway for the suspects, or for all sends that this one holds. The answer is
+    /// complete if this gateway knows all suspects.
+    pub(super) fn answer_list(&self, request: &ReadProgram) -> RpcBody {
+        let min_losses = match request.program {
+            SUSPECT_LIST => MIN_LOSSES_TO_TELL,
+            LOST_SEND_LIST | OPEN_SEND_LIST => 0,
+            _ => return RpcBody::NotServed,
+        };
         let mut run_locations = Vec::new();
         for (program, suspect) in lock(&self.suspects).iter() {
-            let lost = suspect.losses.lost();
-            if lost.len() >= MIN_LOSSES_TO_TELL {
-                let location = |engine: &u32| RunLocation { engine: *engine, part: program.0, prompt_tokens: 0 };
-                run_locations.extend(lost.iter().map(location));
+            if request.program == OPEN_SEND_LIST {
+                run_locations.extend(suspect.losses.open_sends().map(|send| send.listed_location(*program)));
+            } else if suspect.losses.lost().count() >= min_losses {
+                run_locations.extend(suspect.losses.lost().map(|lost| lost.listed_location(*program)));
             }
         }
+        run_locations.truncate(MAX_LISTED_SENDS);
+        let standing = if self.knows_all_suspects() { ReplicaStanding::Counts } else { ReplicaStanding::Refilling };
+        let own = DiskIdentity { node: self.client.own_node(), disk: 0 };
+        let report = ReplicaReport { own, standing, others: Vec::new() };
         RpcBody::Stored(Stored { report, charges: Vec::new(), run_locations })
     }
 
@@ -150,6 +191,55 @@
         }
     }
 
+    /// Pulls the sends that other gateways hold, once this gateway knows others or has looked for them long enough.
+    pub async fn pull_earlier_sends(self: Arc<Self>) {
+        while !self.holds_earlier_sends.load(Ordering::Relaxed) {
+            tokio::time::sleep(PULL_PAUSE).await;
+            if self.members.other_gateway_count() > 0 || self.started_at.elapsed() >= DISCOVERY_TIME {
+                self.pull_held_sends().await;
+                self.holds_earlier_sends.store(true, Ordering::Relaxed);
+            }
+        }
+    }
+
+    /// Asks all gateways for the sends that they hold. This gateway may have held the records of some before it was
+    /// started again, and other witnesses may be started again next.
+    async fn pull_held_sends(&self) {
+        let gateways = self.members.live_gateways();
+        let (lost, open) =
+            tokio::join!(self.pull_list(&gateways, LOST_SEND_LIST), self.pull_list(&gateways, OPEN_SEND_LIST));
+        for location in &lost {
+            let (program, record) = LostSend::from_listed_location(*location);
+            self.merge(program, &EngineLosses::of_records(&[record]));
+        }
+        for location in &open {
+            let (program, send) = RecordedSend::from_listed_location(*location);
+            self.merge(program, &EngineLosses::of_records(&[LossRecord::Send(send)]));
+        }
+        log::info!(
+            target: part::PROCESS,
+            "The sends that other gateways hold were pulled: gateways={} lost={} open={}.",
+            gateways.len(),
+            lost.len(),
+            open.len(),
+        );
+    }
+
+    /// The run locations of a list, from all gateways that answer.
+    async fn pull_list(&self, gateways: &[MemberUpdate], list: ProgramKey) -> Vec<RunLocation> {
+        let pull = |gateway: &MemberUpdate| {
+            let request = RpcBody::ReadProgram(ReadProgram { set_version: 0, program: list });
+            let address = member_socket_address(&gateway.address);
+            async move { self.client.call(address?, request, LIST_TIMEOUT).await.ok() }
+        };
+        let answers = futures_util::future::join_all(gateways.iter().map(pull)).await;
+        let locations = |answer| match answer {
+            Some(RpcBody::Stored(Stored { run_locations, .. })) => run_locations,
+            _ => Vec::new(),
+        };
+        answers.into_iter().flat_map(locations).collect()
+    }
+
     async fn ask_for_suspects(&self) {
         let gateway = self.members.pick_gateway(None, |_| true);
         let Some(address) = gateway.and_then(|gateway| member_socket_address(&gateway.address)) else { return };
@@ -165,7 +255,8 @@
             Err(_) => return,
         };
         for location in &answer.run_locations {
-            self.merge(ProgramKey(location.part), &EngineLosses::of_records(&[LossRecord::Loss(location.engine)]));
+            let (program, record) = LostSend::from_listed_location(*location);
+            self.merge(program, &EngineLosses::of_records(&[record]));
         }
         *lock(&self.contact_at) = Some(Instant::now());
         let is_complete = answer.report.standing == ReplicaStanding::Counts;
--- a/crates/gateway/src/edge/whole_call.rs
+++ b/crates/gateway/src/edge/whole_call.rs
@@ -67,7 +67,7 @@
         let (outcome, refusal) = match read_whole_answer(call, answer, &gateway.buffers).await {
             Ok(answer) if !answer.is_failure() || !gateway.policy.retry_failures => {
                 learn_answer_time(gateway, call, &sends);
-                gateway.dispatcher.note_served(call, &mut sends);
+                sends.finish_watch();
                 return Ok(answer.finish_call(&gateway.metrics, call));
             }
             Ok(answer) => {
@@ -76,13 +76,10 @@
                 last_failure = Some(answer);
                 (SendOutcome::Failed, Refusal::MayHaveRun("the engine failed".to_owned()))
             }
-            Err(Refusal::TimedOut) => {
-                gateway.dispatcher.check_silent_engine(call, &engine, &mut sends).await;
-                (SendOutcome::TimedOut, Refusal::TimedOut)
-            }
             Err(refusal) => {
-                gateway.dispatcher.note_engine_loss(call, &engine, &mut sends).await;
-                (SendOutcome::AnswerLost, refusal)
+                gateway.dispatcher.note_lost_send(&engine, &mut sends).await;
+                let has_timed_out = matches!(refusal, Refusal::TimedOut);
+                (if has_timed_out { SendOutcome::TimedOut } else { SendOutcome::AnswerLost }, refusal)
             }
         };
         if sends.note_outcome(&engine, outcome, call.stage, call.repetition_limit()) != NextStep::TryAnother {
--- a/crates/gateway/src/engines/attempt.rs
+++ b/crates/gateway/src/engines/attempt.rs
@@ -157,9 +157,6 @@
     if metadata.attempt.as_deref().is_some_and(|answered| answered != attempt) {
         return Err(other_attempt_answered(&metadata));
     }
-    if response.status() != http::StatusCode::MISDIRECTED_REQUEST {
-        engine.note_answer();
-    }
     if metadata.not_executed || response.status() == http::StatusCode::MISDIRECTED_REQUEST {
         return Err(read_refusal(engine, response, &metadata, connection).await);
     }
--- a/crates/gateway/src/engines/engine.rs
+++ b/crates/gateway/src/engines/engine.rs
@@ -59,8 +59,6 @@
     replaced: AtomicBool,
     health: Mutex<RecentHealth>,
     idle_connections: Mutex<VecDeque<EngineConnection>>,
-    /// When this engine last answered a request of this gateway.
-    answered_at: Mutex<Option<Instant>>,
     /// When the engine was first listed. The times in the record and the outcomes of `health` are relative to this
     /// moment.
     listed_at: Instant,
@@ -91,7 +89,6 @@
             replaced: AtomicBool::new(false),
             health: Mutex::default(),
             idle_connections: Mutex::default(),
-            answered_at: Mutex::default(),
             listed_at: Instant::now(),
             prompt_parts: Mutex::new(PromptPartCache::new(memory_tokens)),
         })
@@ -185,16 +182,6 @@
         lock(&self.idle_connections).clear();
     }
 
-    /// Records that this engine, and no other at its address, answered a request.
-    pub fn note_answer(&self) {
-        *lock(&self.answered_at) = Some(Instant::now());
-    }
-
-    /// Whether the engine has answered a request of this gateway after `moment`.
-    pub fn has_answered_since(&self, moment: Instant) -> bool {
-        lock(&self.answered_at).is_some_and(|answered_at| answered_at > moment)
-    }
-
     /// Records that the engine refused a request because it was full.
     pub fn note_full(&self) {
         let now = self.listed_at.elapsed();
--- a/crates/gateway/src/settings/derived.rs
+++ b/crates/gateway/src/settings/derived.rs
@@ -9,6 +9,7 @@
 use foxnotch_scheduler::topology::Topology;
 use foxnotch_turns::replica_set::{SetTarget, Tolerance};
 use foxnotch_turns::zone_regions::ZoneRegions;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -59,6 +60,12 @@
         self.zones.iter().filter(|zone| topology.is_same_region(zone, &self.zone)).cloned().collect()
     }
 
+    /// The numbers of the zones of this node's region; `None` if the deployment has only one region.
+    pub fn region_zone_numbers(&self) -> Option<HashSet<u8>> {
+        let has_regions = self.topology().has_several_regions();
+        has_regions.then(|| self.zones_of_region().iter().map(|zone| self.zone_number(zone)).collect())
+    }
+
     /// The time within which any change in the platform's store must be in force on this node: the shortest of
     /// `drain_ms`, `apply_ms` and `zone_drain_ms`.
     pub fn shortest_change_limit(&self) -> Duration {
--- a/crates/scheduler/src/engine_losses.rs
+++ b/crates/scheduler/src/engine_losses.rs
@@ -1,20 +1,22 @@
-//! Decides whether a request may be sent to another engine after engines have ended while they ran it.
+//! Decides whether a request may be sent to another engine after sends of it were lost.
 //!
 //! A request can make every engine end that runs it, because of its content or of a fault in the engine's software.
 //! Without a limit over all attempts of the caller, at all gateways, such a request ends one engine after the other.
-//! Neither other ends nor an answer in between lift the limit: nothing tells a request that met ending engines by chance
-//! from one that ends them.
+//!
+//! The limit counts sends, not engines: a send that ended without an answer or a refusal is lost, whatever became of its
+//! engine. Whether the engine has ended cannot be found out reliably: another start may answer at its address, and an
+//! engine that has ended may fall silent. A send whose outcome is unknown counts as well, because it may be lost.
 
-/// Number of engines that may end under a request, over all of its attempts.
-pub const MAX_ENDED_ENGINES: usize = 3;
+/// Number of sends of a request that may be lost, over all of its attempts. At most as many engines end under it.
+pub const MAX_LOST_SENDS: usize = 3;
 
-/// What is known about the engines that ran one request.
+/// The sends of one request that ended its engines, or may have done so.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct EngineEnds {
-    /// Number of engines that have ended, or that were lost and do not prove that they run.
-    pub ended: usize,
-    /// Number of other engines that may run the request now, or may have ended without a record of it.
-    pub open_sends: usize,
+pub struct UnansweredSends {
+    /// Number of sends that were lost.
+    pub lost: usize,
+    /// Number of other sends whose outcome is unknown: an engine may run the request now.
+    pub open: usize,
 }
 
 /// Whether a request may be sent to an engine.
@@ -22,21 +24,26 @@
 pub enum SendDecision {
     /// The request may be sent.
     Send,
-    /// Too many engines have ended under the request.
-    RefuseEnded,
-    /// Too many engines will have ended if the sends whose outcome is unknown ended theirs.
-    RefuseUnknown,
+    /// The request may be sent only if one of the open sends ends with an answer or a refusal.
+    AwaitOutcome,
+    /// Too many sends were lost.
+    Refuse,
 }
 
-impl EngineEnds {
+impl UnansweredSends {
     /// Decides whether the request may be sent to one more engine.
     pub fn decide_send(self) -> SendDecision {
-        if self.ended >= MAX_ENDED_ENGINES {
-            SendDecision::RefuseEnded
-        } else if self.ended + self.open_sends >= MAX_ENDED_ENGINES {
-            SendDecision::RefuseUnknown
+        if self.lost >= MAX_LOST_SENDS {
+            SendDecision::Refuse
+        } else if self.lost + self.open >= MAX_LOST_SENDS {
+            SendDecision::AwaitOutcome
         } else {
             SendDecision::Send
         }
     }
+
+    /// Number of sends that may have ended their engines.
+    pub fn possible_ends(self) -> usize {
+        self.lost + self.open
+    }
 }
--- a/crates/turns/src/engine_losses.rs
+++ b/crates/turns/src/engine_losses.rs
@@ -1,18 +1,17 @@
-//! Records of the engines that may have ended while they ran a request, over all attempts of the request.
+//! Records of a request's sends under which engines may have ended, over all attempts of the request.
 //!
-//! The gateways store these records on the replicas, as entries of a program that belongs to the request. Replicas of
-//! all builds store such entries and return them with the program's run locations, so any gateway can count the
-//! engines, also after gateways and replicas have started again.
+//! The records have the form of entries of a program that belongs to the request. Other gateways hold the records of
+//! sends under way in memory; the replicas store those of requests that have lost a send. Replicas of all builds store
+//! such entries and return them with the program's run locations, so any gateway can count the sends, also after
+//! gateways and replicas have started again.
 //!
-//! Each start of an engine counts by itself. It is named by its start number: a hash of the engine's identifier and of
-//! the time of the start, or the engine number where that time is unknown.
+//! A record names an engine by its start number: a hash of the engine's identifier and of the time of the start, or the
+//! engine number where that time is unknown.
 //!
-//! There are five kinds of records. A *loss* states that the connection to an engine broke, or that the engine gave no
-//! answer and could not be reached. An *end* states that a lost engine was found to have ended. A *send* is stored
-//! before the request is sent to an engine, once the request has a loss. An *outcome* states that the send ended
-//! otherwise than by a loss. A send without an outcome counts like a loss, because the gateway that made it may have
-//! been killed before it could record one. *Served* states that a request which no program names was answered: equal
-//! requests of other callers have the same records, so the losses before may be those of another request.
+//! A *send* is recorded before the request is sent to an engine. An *outcome* states that the engine has answered or
+//! refused the request, or that it was not sent. A *lost send* ended without either. A send with neither record may be
+//! lost too, because the gateway that made it may have been killed. Older builds record a *loss* or an *end* of an
+//! engine, which counts as one lost send; this build records the loss as well, because older builds read no lost sends.
 
 use crate::identity::RequestKey;
 use foxnotch_wire::{ProgramKey, RunLocation, TurnEntry, TurnId, NOT_SETTLED};
@@ -70,12 +69,30 @@
 /// One send of a request to an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RecordedSend {
-    /// The start number of the engine.
+    /// The start number of the engine, or the number of the send before an engine is chosen.
     pub engine: u32,
     /// Tells this send from the request's other sends to the same engine.
     pub number: SendNumber,
 }
 
+impl RecordedSend {
+    /// A send for which no engine is chosen yet. Older builds count engines, so each such send names another.
+    pub fn before_choice(number: SendNumber) -> Self {
+        Self { engine: number.0, number }
+    }
+
+    /// The run location by which gateways tell each other of a send of the request with the records of `program`.
+    pub fn listed_location(self, program: ProgramKey) -> RunLocation {
+        RunLocation { engine: self.engine, part: program.0, prompt_tokens: self.number.0 }
+    }
+
+    /// The send that such a run location names, with the program of its request.
+    pub fn from_listed_location(location: RunLocation) -> (ProgramKey, Self) {
+        let RunLocation { engine, part, prompt_tokens } = location;
+        (ProgramKey(part), Self { engine, number: SendNumber(prompt_tokens) })
+    }
+}
+
 /// A random number that identifies a send of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SendNumber(u32);
@@ -83,8 +100,8 @@
 impl SendNumber {
     /// Creates the number from random bits.
     pub fn from_random(random: u32) -> Self {
-        // The highest value marks a failed turn in a run location.
-        Self(random >> 1)
+        // The highest value marks a failed turn in a run location, and 0 a loss without a number.
+        Self((random >> 1).max(1))
     }
 }
 
@@ -93,14 +110,14 @@
 pub enum LossRecord {
     /// The engine with this start number was lost while it ran the request.
     Loss(u32),
-    /// The lost engine with this start number has ended.
+    /// The lost engine with this start number has ended. Only older builds write it.
     End(u32),
     /// The request is sent to an engine.
     Send(RecordedSend),
-    /// A send has ended, and its engine was not lost.
+    /// The engine has answered or refused the request, or the request was not sent.
     Outcome(RecordedSend),
-    /// A request that no program names was answered after this number of engines had been lost.
-    Served(u32),
+    /// The send ended without an answer or a refusal.
+    LostSend(RecordedSend),
 }
 
 impl LossRecord {
@@ -111,8 +128,7 @@
             Self::End(engine) => format!("{engine} ended"),
             Self::Send(send) => format!("{} sent {}", send.engine, send.number.0),
             Self::Outcome(send) => format!("{} outcome {}", send.engine, send.number.0),
-            // Replicas return the greatest number, since all such records have one name.
-            Self::Served(_) => "served".to_owned(),
+            Self::LostSend(send) => format!("{} lost {}", send.engine, send.number.0),
         }
     }
 
@@ -122,8 +138,7 @@
         let part = xxh3_64(format!("{:016x} {}", program.0, self.name()).as_bytes());
         let (engine, number) = match self {
             Self::Loss(engine) | Self::End(engine) => (engine, 0),
-            Self::Send(send) | Self::Outcome(send) => (send.engine, send.number.0),
-            Self::Served(losses) => (0, losses),
+            Self::Send(send) | Self::Outcome(send) | Self::LostSend(send) => (send.engine, send.number.0),
         };
         RunLocation { engine, part, prompt_tokens: number }
     }
@@ -132,30 +147,25 @@
     fn from_location(program: ProgramKey, location: RunLocation) -> Option<Self> {
         let RunLocation { engine, prompt_tokens, .. } = location;
         let send = RecordedSend { engine, number: SendNumber(prompt_tokens) };
-        let served = Self::Served(prompt_tokens);
-        let records = [Self::Loss(engine), Self::End(engine), Self::Send(send), Self::Outcome(send), served];
+        let records =
+            [Self::Loss(engine), Self::End(engine), Self::Send(send), Self::Outcome(send), Self::LostSend(send)];
         records.into_iter().find(|record| record.location(program) == location)
     }
 
     /// The entry that stores the record.
     pub fn entry(self, program: ProgramKey, retention: Duration) -> TurnEntry {
-        let name = match self {
-            Self::Served(losses) => format!("served {losses}"),
-            _ => self.name(),
-        };
-        location_entry(program, &name, self.location(program), retention)
+        location_entry(program, &self.name(), self.location(program), retention)
     }
 }
 
-/// What is known about the engines that may have ended under one request.
+/// What is known about the sends of one request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EngineLosses {
-    lost: BTreeSet<u32>,
-    ended: BTreeSet<u32>,
+    /// Engines that were lost, by the records that older builds read.
+    lost_engines: BTreeSet<u32>,
     sends: BTreeSet<RecordedSend>,
     outcomes: BTreeSet<RecordedSend>,
-    /// Number of engines that had been lost when the request was last answered.
-    served_after: u32,
+    lost_sends: BTreeSet<RecordedSend>,
 }
 
 impl EngineLosses {
@@ -172,57 +182,79 @@
         losses
     }
 
-    /// Adds a record. An end and a send of the same engine count once.
+    /// Adds a record.
     pub fn add(&mut self, record: LossRecord) {
         match record {
-            LossRecord::Loss(engine) => drop(self.lost.insert(engine)),
-            LossRecord::End(engine) => {
-                self.lost.insert(engine);
-                self.ended.insert(engine);
-            }
+            LossRecord::Loss(engine) | LossRecord::End(engine) => drop(self.lost_engines.insert(engine)),
             LossRecord::Send(send) => drop(self.sends.insert(send)),
             LossRecord::Outcome(send) => drop(self.outcomes.insert(send)),
-            LossRecord::Served(losses) => self.served_after = self.served_after.max(losses),
+            LossRecord::LostSend(send) => drop(self.lost_sends.insert(send)),
         }
     }
 
     /// Adds what another node knows.
     pub fn merge(&mut self, other: &Self) {
-        self.lost.extend(&other.lost);
-        self.ended.extend(&other.ended);
+        self.lost_engines.extend(&other.lost_engines);
         self.sends.extend(&other.sends);
         self.outcomes.extend(&other.outcomes);
-        self.served_after = self.served_after.max(other.served_after);
+        self.lost_sends.extend(&other.lost_sends);
     }
 
-    /// Whether no record is known.
-    pub fn is_empty(&self) -> bool {
-        *self == Self::default()
+    /// The run locations that hold the lost sends and the sends without an outcome.
+    pub fn run_locations(&self, program: ProgramKey) -> Vec<RunLocation> {
+        let engines = self.lost_engines.iter().map(|engine| LossRecord::Loss(*engine));
+        let lost = self.lost_sends.iter().map(|send| LossRecord::LostSend(*send));
+        let open = self.open_sends().map(LossRecord::Send);
+        engines.chain(lost).chain(open).map(|record| record.location(program)).collect()
     }
 
-    /// The lost engines, whether they have ended or not.
-    pub fn lost(&self) -> &BTreeSet<u32> {
-        &self.lost
+    /// These records without the sends that are under way.
+    pub fn without_open_sends(&self) -> Self {
+        Self { sends: BTreeSet::new(), outcomes: BTreeSet::new(), ..self.clone() }
     }
 
-    /// The engines that were found to have ended.
-    pub fn ended(&self) -> &BTreeSet<u32> {
-        &self.ended
+    /// Whether no send was lost, and the outcome of every send is known.
+    pub fn is_settled(&self) -> bool {
+        self.lost().next().is_none() && self.open_sends().next().is_none()
     }
 
-    /// Number of engines that had been lost when the request was last answered.
-    pub fn served_after(&self) -> usize {
-        self.served_after as usize
+    /// The lost sends. One that only an older build recorded has no number.
+    pub fn lost(&self) -> impl Iterator<Item = LostSend> + '_ {
+        let has_send = |engine: u32| self.lost_sends.iter().any(|send| send.engine == engine);
+        let without_send = self.lost_engines.iter().copied().filter(move |engine| !has_send(*engine));
+        let recorded = self.lost_sends.iter().map(|send| LostSend { engine: send.engine, number: Some(send.number) });
+        recorded.chain(without_send.map(|engine| LostSend { engine, number: None }))
     }
 
-    /// The engines of sends whose outcome is not known, without those that are lost.
-    pub fn open_sends(&self) -> BTreeSet<u32> {
-        let open = self.sends.difference(&self.outcomes).map(|send| send.engine);
-        open.filter(|engine| !self.lost.contains(engine)).collect()
+    /// The sends whose outcome is not known.
+    pub fn open_sends(&self) -> impl Iterator<Item = RecordedSend> + '_ {
+        self.sends.difference(&self.outcomes).filter(|send| !self.lost_sends.contains(send)).copied()
+    }
+}
+
+/// A send of a request that was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct LostSend {
+    /// The start number of the engine.
+    pub engine: u32,
+    /// The number of the send; `None` if only the loss of the engine is recorded.
+    pub number: Option<SendNumber>,
+}
+
+impl LostSend {
+    /// The run location by which gateways tell each other of the lost send of the request with these records.
+    pub fn listed_location(self, program: ProgramKey) -> RunLocation {
+        let prompt_tokens = self.number.map_or(0, |number| number.0);
+        RunLocation { engine: self.engine, part: program.0, prompt_tokens }
     }
 
-    /// The greatest number of engines that may have ended under the request, as far as these records tell.
-    pub fn possible_ends(&self) -> usize {
-        self.lost.len() + self.open_sends().len()
+    /// The lost send that such a run location names, with the program of its request.
+    pub fn from_listed_location(location: RunLocation) -> (ProgramKey, LossRecord) {
+        let RunLocation { engine, part, prompt_tokens } = location;
+        let record = match prompt_tokens {
+            0 => LossRecord::Loss(engine),
+            number => LossRecord::LostSend(RecordedSend { engine, number: SendNumber(number) }),
+        };
+        (ProgramKey(part), record)
     }
 }
--- a/crates/turns/src/lib.rs
+++ b/crates/turns/src/lib.rs
@@ -13,6 +13,7 @@
 //!   selects the newest copy of each of them when a deployment starts while the platform's store is unavailable.
 //! - [`zone_regions`] decides in which zones text that is restricted to regions may be stored. [`identity`] derives
 //!   identifiers from names. [`stream_origin`] is the entry that tells at which software version a stream began.
+//! - [`engine_losses`] are the records of a request's sends, and [`witness_choice`] ranks the gateways that hold them.
 
 pub mod ahead_entry;
 pub mod budget;
@@ -29,4 +30,5 @@
 pub mod stored_view_file;
 pub mod stream_origin;
 pub mod ticket_book;
+pub mod witness_choice;
 pub mod zone_regions;
