--- a/crates/lab/tests/soak/engines.rs
+++ b/crates/lab/tests/soak/engines.rs
@@ -52,6 +52,8 @@
 
 /// Text in the path or the body of a request under which engines end.
 pub(crate) const FATAL_MARK: &str = "fatal";
+/// The longest time for which an engine works on a request under which it ends.
+const MAX_FATAL_WORK: Duration = Duration::from_millis(300);
 
 /// The service of an engine: the first [`ENGINES`] engines run turns.
 pub(crate) fn service_of(engine: usize) -> &'static str {
@@ -181,7 +183,12 @@
         let program = header_text(&head.headers, "x-program-id");
         let id = super::lock(&engine.id).clone();
         engine.ledger.record_fatal_start(&program, &id);
-        engine.has_ended.store(true, Ordering::SeqCst);
+        let (work, has_ended) = (rand::rng().random_range(Duration::ZERO..=MAX_FATAL_WORK), engine.has_ended.clone());
+        // The engine ends also if the gateway has closed the connection.
+        tokio::spawn(async move {
+            tokio::time::sleep(work).await;
+            has_ended.store(true, Ordering::SeqCst);
+        });
         // The soak closes the connection.
         std::future::pending::<()>().await;
     }
