Store a send on the replicas too while a gateway that ranks first as its witness does not answer

What callers would have seen: one engine more than three, when the gateway that sent and a witness were killed or cut off together, since the next try then asked other witnesses.

Change: a send is stored on a quorum of replicas as well while one of the two gateways that rank first does not hold it, and the next try, which finds the same, reads it there. If the replicas are silent, the witnesses that did answer do.

--- a/crates/gateway/src/edge/engine_losses.rs
+++ b/crates/gateway/src/edge/engine_losses.rs
@@ -203,7 +203,7 @@
         }
         let knows_all = self.knows_suspects_since_start();
         let has_stored_records = self.is_unread(program) || known.lost().next().is_some();
-        if answers.held_by == 0 || !knows_all || has_stored_records {
+        if answers.held_by == 0 || answers.has_replaced || !knows_all || has_stored_records {
             registered.is_stored = true;
             match self.store_unless_silent(program, &[record]).await {
                 Ok(stored) => known.merge(&stored),
--- a/crates/gateway/src/edge/send_witnesses.rs
+++ b/crates/gateway/src/edge/send_witnesses.rs
@@ -51,6 +51,8 @@
     pub(super) held_by: usize,
     /// Whether a gateway holds the record that has just started, and may lack earlier ones.
     pub(super) has_starting: bool,
+    /// Whether a gateway that ranks first does not hold the record, so that the next attempt may ask others.
+    pub(super) has_replaced: bool,
     /// The records of the request that they hold.
     pub(super) locations: Vec<RunLocation>,
 }
@@ -72,8 +74,16 @@
 
     /// Stores entries of a request's records at its witnesses.
     pub(super) async fn store(&self, program: ProgramKey, entries: &[TurnEntry]) -> WitnessAnswers {
-        let mut waiting = self.ranked_gateways(program).into_iter();
-        let mut answers = WitnessAnswers { asked: Vec::new(), held_by: 0, has_starting: false, locations: Vec::new() };
+        let gateways = self.possible_witnesses();
+        let mut waiting = self.rank(program, &gateways).into_iter();
+        let mut answers = WitnessAnswers {
+            asked: Vec::new(),
+            held_by: 0,
+            has_starting: false,
+            has_replaced: false,
+            locations: Vec::new(),
+        };
+        let mut holders = HashSet::new();
         let mut requests = FuturesUnordered::new();
         for _ in 0..MAX_ROUNDS {
             let missing = WITNESSES - answers.held_by;
@@ -85,6 +95,7 @@
             let round = async {
                 while let Some(answer) = requests.next().await {
                     let Some(Stored { report, run_locations, .. }) = answer else { continue };
+                    holders.insert(report.own.node);
                     let is_complete = report.standing == ReplicaStanding::Counts;
                     answers.held_by += usize::from(is_complete);
                     answers.has_starting |= !is_complete;
@@ -99,6 +110,9 @@
                 break;
             }
         }
+        let nodes: Vec<NodeId> = gateways.iter().map(|gateway| gateway.node).collect();
+        let mut first = rank_witnesses(program, &nodes, |_| false).into_iter().take(WITNESSES);
+        answers.has_replaced = first.any(|node| !holders.contains(&node));
         answers
     }
 
@@ -134,16 +148,22 @@
         lock(&self.pauses).insert(node, pause);
     }
 
-    /// The gateways that may be witnesses of a request, in the order in which they are asked.
-    fn ranked_gateways(&self, program: ProgramKey) -> Vec<MemberUpdate> {
+    /// The gateways that may be witnesses, those that did not answer a moment ago included.
+    fn possible_witnesses(&self) -> Vec<MemberUpdate> {
         let mut gateways = self.members.live_gateways();
         let is_in_region = |zone: u8| self.region_zones.as_ref().is_none_or(|zones| zones.contains(&zone));
-        gateways.retain(|gateway| is_in_region(gateway.zone));
         let now = Instant::now();
         let mut pauses = lock(&self.pauses);
         pauses.retain(|_, pause| matches!(pause, Pause::Silent(until) | Pause::NotServed(until) if now < *until));
-        gateways.retain(|gateway| !matches!(pauses.get(&gateway.node), Some(Pause::NotServed(_))));
+        let serves = |node: NodeId| !matches!(pauses.get(&node), Some(Pause::NotServed(_)));
+        gateways.retain(|gateway| is_in_region(gateway.zone) && serves(gateway.node));
+        gateways
+    }
+
+    /// Puts gateways into the order in which they are asked to hold the records of a request.
+    fn rank(&self, program: ProgramKey, gateways: &[MemberUpdate]) -> Vec<MemberUpdate> {
         let nodes: Vec<NodeId> = gateways.iter().map(|gateway| gateway.node).collect();
+        let pauses = lock(&self.pauses);
         let ranked = rank_witnesses(program, &nodes, |node| pauses.contains_key(&node));
         let find = |node: NodeId| gateways.iter().find(|gateway| gateway.node == node).copied();
         ranked.into_iter().filter_map(find).collect()
--- a/crates/gateway/tests/unrecorded_engine_end_tests.rs
+++ b/crates/gateway/tests/unrecorded_engine_end_tests.rs
@@ -26,6 +26,8 @@
     CallerLeavesSilentEngine,
     /// The gateway is killed while the engine works.
     GatewayKilled,
+    /// The gateway and another one are killed while the engine works.
+    TwoGatewaysKilled,
     /// No replica answers, so no record can be stored.
     NoReplica,
     /// The engine sends an answer to another request before it ends.
@@ -37,7 +39,9 @@
 impl Hidden {
     fn behaviour(self) -> Behaviour {
         match self {
-            Self::CallerLeaves | Self::GatewayKilled => Behaviour::EndLaterUnder(MARKER, WORK),
+            Self::CallerLeaves | Self::GatewayKilled | Self::TwoGatewaysKilled => {
+                Behaviour::EndLaterUnder(MARKER, WORK)
+            }
             Self::CallerLeavesSilentEngine => Behaviour::RestartMachineUnder(MARKER),
             Self::NoReplica => Behaviour::EndUnder(MARKER, Vec::new()),
             Self::OtherAnswerFirst => Behaviour::EndAfterOtherAnswerUnder(MARKER),
@@ -46,6 +50,17 @@
     }
 }
 
+impl Hidden {
+    /// Number of gateways that are killed in each try.
+    fn killed_gateways(self) -> usize {
+        match self {
+            Self::GatewayKilled => 1,
+            Self::TwoGatewaysKilled => 2,
+            _ => 0,
+        }
+    }
+}
+
 /// Callers try a request again and again at one gateway after the other. At most [`MAX_ENDED_ENGINES`] engines end.
 #[rstest]
 #[case(180, Request::Repeatable, Hidden::CallerLeaves)]
@@ -58,6 +73,9 @@
 #[case(187, Request::Unrepeatable, Hidden::OtherAnswerFirst)]
 #[case(188, Request::Turn, Hidden::FailureCutShort)]
 #[case(189, Request::ResumedStream, Hidden::CallerLeavesSilentEngine)]
+#[case(194, Request::Unrepeatable, Hidden::TwoGatewaysKilled)]
+#[case(195, Request::Turn, Hidden::TwoGatewaysKilled)]
+#[case(196, Request::Repeatable, Hidden::NoReplica)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn engines_whose_end_is_hidden_from_their_gateway_count(
     #[case] net: u8,
@@ -78,17 +96,24 @@
     for attempt in 0..TRIES {
         let place = attempt % gateways.len();
         let gateway = gateways[place].as_ref().expect("each gateway is started again");
-        let limit = if hidden == Hidden::GatewayKilled { WORK / 2 } else { PATIENCE };
+        let killed_gateways = hidden.killed_gateways();
+        let limit = if killed_gateways > 0 { WORK / 2 } else { PATIENCE };
         match hidden {
-            Hidden::CallerLeaves | Hidden::CallerLeavesSilentEngine | Hidden::GatewayKilled => {
+            Hidden::CallerLeaves
+            | Hidden::CallerLeavesSilentEngine
+            | Hidden::GatewayKilled
+            | Hidden::TwoGatewaysKilled => {
                 statuses.push(send_within(limit, gateway, request, attempt).await);
             }
             Hidden::NoReplica | Hidden::OtherAnswerFirst | Hidden::FailureCutShort => {
                 statuses.push(request.send(gateway, attempt).await.status);
             }
         }
-        if hidden == Hidden::GatewayKilled {
-            gateways[place].take().expect("the gateway runs").kill();
+        let killed: Vec<usize> = (place..place + killed_gateways).map(|place| place % gateways.len()).collect();
+        for place in &killed {
+            gateways[*place].take().expect("the gateway runs").kill();
+        }
+        for place in killed {
             let number = FIRST_GATEWAY + u8::try_from(place).expect("there are few gateways");
             gateways[place] = Some(deployment.start_gateway(number).await);
         }
