--- a/crates/gateway/tests/unrecorded_engine_end_tests.rs
+++ b/crates/gateway/tests/unrecorded_engine_end_tests.rs
@@ -2,16 +2,22 @@
 
 mod support;
 
+use foxnotch_wire::NodeId;
 use rstest::rstest;
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
 use std::time::Duration;
 use support::ended_engines::{Deployment, Request, ENGINES, MARKER, MAX_ENDED_ENGINES, TRIES};
 use support::engine::{Behaviour, StubEngine};
 use support::gateway::RunningGateway;
+use support::older_node::{OlderGateway, OlderNode};
 
 /// Number of the first gateway; the others follow.
 const FIRST_GATEWAY: u8 = 50;
 /// Number of gateways.
 const GATEWAYS: u8 = 4;
+/// The port at which nodes accept connections of other nodes.
+const PEER_PORT: u16 = 7380;
 /// Time after which a caller leaves that does not wait for an answer.
 const PATIENCE: Duration = Duration::from_millis(150);
 /// Time for which an engine works on a request before it ends.
@@ -177,6 +183,28 @@
     assert!(ended <= MAX_ENDED_ENGINES, "engines ended {ended} times under one request");
 }
 
+/// The only other gateway runs an older build, which holds no records and gets nothing that it cannot read. The replicas
+/// hold the sends of callers who leave.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn sends_beside_a_gateway_of_an_older_build_count() {
+    let request = Request::Repeatable;
+    let behaviour = Behaviour::EndLaterUnder(MARKER, WORK);
+    let deployment = Deployment::start_with_engines(197, request, ENGINES, &behaviour).await;
+    let gateway = deployment.start_gateway(FIRST_GATEWAY).await;
+    let address = SocketAddrV4::new(deployment.cluster.ip(8), PEER_PORT);
+    let node = OlderNode::start_at(address, BTreeMap::new()).await;
+    let nodes = vec![deployment.cluster.peer_address(FIRST_GATEWAY)];
+    let _older = OlderGateway::start(NodeId(8), address, nodes).await;
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    for attempt in 0..TRIES {
+        send_within(PATIENCE, &gateway, request, attempt).await;
+    }
+    tokio::time::sleep(WORK * 2).await;
+    let ended = deployment.ended_engines();
+    assert!((1..=MAX_ENDED_ENGINES).contains(&ended), "{ended} engines ended under one request");
+    assert_eq!(node.unreadable_count(), 0);
+}
+
 /// Sends a try, and leaves if there is no answer within this time. Returns the status; 0 without an answer.
 async fn send_within(limit: Duration, gateway: &RunningGateway, request: Request, attempt: usize) -> u16 {
     tokio::time::timeout(limit, request.send(gateway, attempt)).await.map_or(0, |answer| answer.status)
