Resumed streams without a program count by their name, a lost send counts once, and calls wait while replicas start

Besides, beside a load of 13, one case of ended_engine_tests got 503 for a request that had lost two sends (case 05) and one for a request right after a loss of all power (case 04).

Cause: a caller that resumes names its stream, and the key of the request did not use it. A send is recorded before its engine is chosen and lost at that engine; where the outcome was not stored in time, the two records counted twice. A gateway that starts refused at once when its replicas did not answer within 0.4 s, where the former code waited for its read.

Change: without a program, a resumed stream has the key of its name, counts and is registered like a request of a program; the send that begins it counts under that name from its first event on. A send is identified by its number. In the first 3 s a call waits for replicas as long as for an engine.

--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -121,9 +121,13 @@
         self.tenant.as_ref().map_or("", |tenant| &tenant.name)
     }
 
-    /// Identifies the request across its attempts. Attempts to resume a stream have the key of the request that began it.
+    /// Identifies the request across its attempts. Attempts to resume a stream of a program have the key of the request
+    /// that began it; others have the key of the stream.
     pub fn request_key(&self) -> RequestKey {
         *self.request_key.get_or_init(|| {
+            if let (None, Some(stream)) = (&self.metadata.program, self.resumed_stream()) {
+                return self.stream_key(stream);
+            }
             let host = self.head.headers.get(header::HOST).map_or(&[][..], http::HeaderValue::as_bytes);
             let uri = &self.head.uri;
             let target = uri.path_and_query().map_or(uri.path(), http::uri::PathAndQuery::as_str);
@@ -135,9 +139,25 @@
         })
     }
 
-    /// Whether the request can be told from equal ones of other callers, because a program names it.
+    /// Whether the request can be told from equal ones of other callers, because it names a program or a stream.
     pub fn is_named(&self) -> bool {
-        self.metadata.program.is_some()
+        self.metadata.program.is_some() || self.resumed_stream().is_some()
+    }
+
+    /// The attempt that began the stream which the call resumes, if the call names it.
+    fn resumed_stream(&self) -> Option<&str> {
+        self.metadata.resumes.as_deref().filter(|_| self.resumes_stream())
+    }
+
+    /// The key that attempts to resume the stream of this call will have, if they can be told from equal requests only by
+    /// the stream.
+    pub fn begun_stream_key(&self) -> Option<RequestKey> {
+        let is_resumable = self.route.resumable && self.is_model_call();
+        (is_resumable && !self.is_named()).then(|| self.stream_key(&self.metadata.attempt))
+    }
+
+    fn stream_key(&self, begun_by: &str) -> RequestKey {
+        request_key([self.tenant_name().as_bytes(), b"stream", begun_by.as_bytes()])
     }
 
     /// The tenant's priority if it has one, or else the route's.
--- a/crates/gateway/src/edge/engine_losses.rs
+++ b/crates/gateway/src/edge/engine_losses.rs
@@ -52,7 +52,8 @@
 /// Why a send cannot be registered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum RegistrationError {
-    /// This gateway or all witnesses have just started, and have not learned of earlier sends yet.
+    /// This gateway or all witnesses have just started, and have not learned of earlier sends yet, or the replicas do not
+    /// answer yet.
     Starting,
     /// Neither another gateway nor a quorum of replicas holds the record, or there may be records that only the replicas
     /// have, and they do not answer.
@@ -210,7 +211,8 @@
                 Err(LossesUnknown) if knows_all && (answers.held_by > 0 || self.is_alone()) => {}
                 Err(LossesUnknown) => {
                     self.finish_send(program, registered);
-                    return Err(RegistrationError::Unknown);
+                    let is_starting = self.started_at.elapsed() < START_PERIOD;
+                    return Err(if is_starting { RegistrationError::Starting } else { RegistrationError::Unknown });
                 }
             }
         }
--- a/crates/gateway/src/edge/send_record.rs
+++ b/crates/gateway/src/edge/send_record.rs
@@ -6,6 +6,7 @@
 use crate::engines::selector::Choice;
 use foxnotch_scheduler::quota::ProgramStage;
 use foxnotch_scheduler::retry::{NextStep, PauseDecision, RepeatLimit, SendCounts, SendOutcome};
+use foxnotch_turns::identity::RequestKey;
 use std::time::Duration;
 
 /// The record of one request's sends: which engines it was sent to, and the counts from which
@@ -72,6 +73,13 @@
         self.watch.take()
     }
 
+    /// The send now counts for the request with this key.
+    pub(super) fn set_request(&mut self, request: RequestKey) {
+        if let Some(watch) = &mut self.watch {
+            watch.set_request(request);
+        }
+    }
+
     /// The last engine has not run the request. Its watch serves for the next engine.
     pub(super) fn note_not_run(&mut self) {
         if let Some(watch) = &mut self.watch {
--- a/crates/gateway/src/edge/send_watch.rs
+++ b/crates/gateway/src/edge/send_watch.rs
@@ -64,6 +64,11 @@
         self.running_at = Some(engine.clone());
     }
 
+    /// The caller has received events and resumes the stream by its name, so the send counts under that name.
+    pub(super) fn set_request(&mut self, request: RequestKey) {
+        self.request = request;
+    }
+
     /// The engine has refused the request without running it. The watch serves for the next engine.
     pub(super) fn note_not_run(&mut self) {
         self.running_at = None;
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -338,6 +338,11 @@
     /// Sends one event to the caller, and adds its data to the output of a turn that is stored.
     async fn forward_event(&mut self, event: Event) -> Result<(), StreamError> {
         if let Some(data) = &event.data {
+            if self.account.events == 0 {
+                if let Some(stream) = self.call.begun_stream_key() {
+                    self.sends.set_request(stream);
+                }
+            }
             self.account.events += 1;
             if let Some(pace) = &mut self.pace {
                 pace.note_event();
--- a/crates/turns/src/engine_losses.rs
+++ b/crates/turns/src/engine_losses.rs
@@ -71,7 +71,7 @@
 pub struct RecordedSend {
     /// The start number of the engine, or the number of the send before an engine is chosen.
     pub engine: u32,
-    /// Tells this send from the request's other sends to the same engine.
+    /// Tells this send from the request's other sends.
     pub number: SendNumber,
 }
 
@@ -226,9 +226,11 @@
         recorded.chain(without_send.map(|engine| LostSend { engine, number: None }))
     }
 
-    /// The sends whose outcome is not known.
+    /// The sends whose outcome is not known. A send is recorded before its engine is chosen, and lost at that engine, so
+    /// its number identifies it.
     pub fn open_sends(&self) -> impl Iterator<Item = RecordedSend> + '_ {
-        self.sends.difference(&self.outcomes).filter(|send| !self.lost_sends.contains(send)).copied()
+        let is_lost = |send: &RecordedSend| self.lost_sends.iter().any(|lost| lost.number == send.number);
+        self.sends.difference(&self.outcomes).filter(move |send| !is_lost(send)).copied()
     }
 }
 
--- a/crates/turns/tests/engine_losses_tests.rs
+++ b/crates/turns/tests/engine_losses_tests.rs
@@ -80,6 +80,17 @@
     assert_eq!(lost_engines(&losses_in(&ledger, key("a"))), [8, 7, 10]);
 }
 
+/// A node that has not heard of the outcome of a send counts it once, together with another that knows it as lost.
+#[test]
+fn a_send_that_is_lost_at_the_engine_chosen_later_counts_once() {
+    let number = SendNumber::from_random(14);
+    let records = [
+        LossRecord::Send(RecordedSend::before_choice(number)),
+        LossRecord::LostSend(RecordedSend { engine: 3, number }),
+    ];
+    assert_eq!(possible_ends(&EngineLosses::of_records(&records)), 1);
+}
+
 /// An engine that was lost, was started again and was lost once more counts twice.
 #[test]
 fn two_lost_sends_to_one_engine_count_twice() {
