List a suspect only where its losses were recorded or told

What callers would see: a request of which two sends were lost within a minute stays refused, or equal requests without a program are refused for a deadline once a minute, for as long as gateways run.

Cause: each gateway forgets a suspect a minute after its last record, and learns every second what another one lists. One that has forgotten learns it anew from one that has not, which forgets later and learns it back.

Change: a gateway does not list what it knows only from lists.

Why this works: a list comes from gateways that recorded the losses, were told of them or pulled them at their start, a minute after which nobody lists them.

Evidence: a_suspect_is_listed_only_by_gateways_that_were_told_of_it failed before, with 3 listed by the second gateway where none is right.

--- a/crates/gateway/src/edge/engine_losses.rs
+++ b/crates/gateway/src/edge/engine_losses.rs
@@ -77,6 +77,9 @@
     lost_at: HashMap<LostSend, Instant>,
     /// Whether the replicas list the request, and their records of it were not read.
     is_unread: bool,
+    /// Whether this gateway knows of the request only by the lists of others. It does not list such a request itself:
+    /// gateways would tell each other of it for good.
+    pub(super) is_hearsay: bool,
     /// When the records last changed.
     changed_at: Instant,
 }
@@ -295,7 +298,9 @@
         if !suspects.contains_key(&program) {
             self.make_room(&mut suspects);
             let (losses, lost_at) = (EngineLosses::default(), HashMap::new());
-            suspects.insert(program, Suspect { losses, lost_at, is_unread: false, changed_at: Instant::now() });
+            let changed_at = Instant::now();
+            let suspect = Suspect { losses, lost_at, is_unread: false, is_hearsay: true, changed_at };
+            suspects.insert(program, suspect);
         }
     }
 
@@ -363,8 +368,18 @@
         lock(&self.suspects).len() < MAX_SUSPECTS
     }
 
-    /// Adds records to those that this gateway holds of a request, and returns all that it holds.
+    /// Adds records that this gateway makes, or that another tells it of, to those that it holds of a request. Returns all
+    /// that it holds.
     pub(super) fn merge(&self, program: ProgramKey, losses: &EngineLosses) -> EngineLosses {
+        let known = self.merge_listed(program, losses);
+        if let Some(suspect) = lock(&self.suspects).get_mut(&program) {
+            suspect.is_hearsay = false;
+        }
+        known
+    }
+
+    /// Adds records from the list of another gateway.
+    pub(super) fn merge_listed(&self, program: ProgramKey, losses: &EngineLosses) -> EngineLosses {
         if !losses.is_settled() {
             self.note_suspect(program);
         }
--- a/crates/gateway/src/edge/suspect_exchange.rs
+++ b/crates/gateway/src/edge/suspect_exchange.rs
@@ -167,7 +167,7 @@
         for (program, suspect) in lock(&self.suspects).iter() {
             if request.program == OPEN_SEND_LIST {
                 run_locations.extend(suspect.losses.open_sends().map(|send| send.listed_location(*program)));
-            } else if suspect.losses.lost().count() >= min_losses {
+            } else if !suspect.is_hearsay && suspect.losses.lost().count() >= min_losses {
                 run_locations.extend(suspect.losses.lost().map(|lost| lost.listed_location(*program)));
             }
         }
@@ -256,7 +256,7 @@
         };
         for location in &answer.run_locations {
             let (program, record) = LostSend::from_listed_location(*location);
-            self.merge(program, &EngineLosses::of_records(&[record]));
+            self.merge_listed(program, &EngineLosses::of_records(&[record]));
         }
         *lock(&self.contact_at) = Some(Instant::now());
         let is_complete = answer.report.standing == ReplicaStanding::Counts;
--- a/crates/gateway/tests/unrecorded_engine_end_tests.rs
+++ b/crates/gateway/tests/unrecorded_engine_end_tests.rs
@@ -2,7 +2,8 @@
 
 mod support;
 
-use foxnotch_wire::NodeId;
+use foxnotch_turns::engine_losses::LossRecord;
+use foxnotch_wire::{NodeId, ProgramKey, ReadProgram, RpcBody, StoreEntry};
 use rstest::rstest;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
@@ -205,6 +206,29 @@
     assert_eq!(node.unreadable_count(), 0);
 }
 
+/// Gateways that only heard of a suspect from the lists of others do not list it, or they would tell each other of it for
+/// good.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_suspect_is_listed_only_by_gateways_that_were_told_of_it() {
+    let deployment = Deployment::start_with_engines(198, Request::Repeatable, 1, &Behaviour::Hang).await;
+    let cluster = &deployment.cluster;
+    let _told = deployment.start_gateway(FIRST_GATEWAY).await;
+    let _other = deployment.start_gateway(FIRST_GATEWAY + 1).await;
+    let suspect = ProgramKey(77);
+    for engine in 1..=3 {
+        let entry = LossRecord::Loss(engine).entry(suspect, Duration::from_secs(60));
+        cluster.call_replica(FIRST_GATEWAY, RpcBody::StoreEntry(StoreEntry { set_version: 0, entry })).await;
+    }
+    // Each gateway asks another for its list once a second.
+    tokio::time::sleep(Duration::from_millis(3500)).await;
+    let list = async |number: u8| {
+        let request = RpcBody::ReadProgram(ReadProgram { set_version: 0, program: ProgramKey(0) });
+        let RpcBody::Stored(list) = cluster.call_replica(number, request).await else { panic!("no list came") };
+        list.run_locations.iter().filter(|location| location.part == suspect.0).count()
+    };
+    assert_eq!((list(FIRST_GATEWAY).await, list(FIRST_GATEWAY + 1).await), (3, 0));
+}
+
 /// Sends a try, and leaves if there is no answer within this time. Returns the status; 0 without an answer.
 async fn send_within(limit: Duration, gateway: &RunningGateway, request: Request, attempt: usize) -> u16 {
     tokio::time::timeout(limit, request.send(gateway, attempt)).await.map_or(0, |answer| answer.status)
