No connection is opened after an answer to another request, and a gateway that starts alone serves at once

Streams right after the start of a gateway that knows no other got 503 for a second, and after an answer to another attempt a new connection to the engine stayed open.

Cause: a gateway that starts waited a second for other gateways before it counted as one that holds earlier sends, and each lost send opened a connection to find out whether its engine can be reached, also where the engine had just sent bytes.

Change: a gateway that knows replicas and no gateway pulls from nobody after 80 ms; reachability is checked after broken connections and timeouts alone, as before.

--- a/crates/gateway/src/edge/dispatch.rs
+++ b/crates/gateway/src/edge/dispatch.rs
@@ -113,10 +113,10 @@
                 Ok(answer) => return Ok(answer),
                 Err(error) => error,
             };
-            if error.outcome().has_certainly_not_run() {
-                sends.note_not_run();
-            } else {
-                self.note_lost_send(&engine, sends).await;
+            match error {
+                AttemptError::AnswerLost(_) => sends.finish_lost().await,
+                AttemptError::ConnectionLost(_) | AttemptError::TimedOut => self.note_lost_send(&engine, sends).await,
+                _ => sends.note_not_run(),
             }
             match sends.note_outcome(&engine, error.outcome(), call.stage, call.repetition_limit()) {
                 NextStep::TryAnother => {}
--- a/crates/gateway/src/edge/loss_checks.rs
+++ b/crates/gateway/src/edge/loss_checks.rs
@@ -152,13 +152,12 @@
         );
     }
 
-    /// Records that a send of a call was lost: its connection broke, its answer was not one to this request, or none
-    /// came in time. Engines that drain count too: one may end under the request before its drain is over.
+    /// Records that a send of a call was lost because its connection broke or no answer came in time, and finds out
+    /// whether the engine can be reached. Engines that drain count too: one may end under the request before its drain is
+    /// over.
     pub(super) async fn note_lost_send(&self, engine: &Arc<Engine>, sends: &mut SendRecord) {
         tokio::spawn(check_reachability(engine.clone()));
-        if let Some(watch) = sends.take_watch() {
-            watch.finish_lost().await;
-        }
+        sends.finish_lost().await;
     }
 
     /// Keeps the candidates with the fewest requests in flight, if the request has lost engines before.
--- a/crates/gateway/src/edge/send_record.rs
+++ b/crates/gateway/src/edge/send_record.rs
@@ -87,6 +87,13 @@
         }
     }
 
+    /// Ends the watch of the last send, which was lost. Returns once that is recorded.
+    pub(super) async fn finish_lost(&mut self) {
+        if let Some(watch) = self.watch.take() {
+            watch.finish_lost().await;
+        }
+    }
+
     /// Ends the watch of the last send: its engine has answered.
     pub(super) fn finish_watch(&mut self) {
         if let Some(watch) = self.watch.take() {
--- a/crates/gateway/src/edge/suspect_exchange.rs
+++ b/crates/gateway/src/edge/suspect_exchange.rs
@@ -41,8 +41,10 @@
 const LIST_PERIOD: Duration = Duration::from_secs(1);
 /// Time between two questions until this gateway knows the suspects from before its start.
 const FIRST_LIST_PERIOD: Duration = Duration::from_millis(200);
-/// Time between two looks at the start whether other gateways are known.
+/// Time between two looks at the start whether other members are known.
 const PULL_PAUSE: Duration = Duration::from_millis(20);
+/// Time from the first known member until the list of all members has arrived.
+const MEMBER_LIST_TIME: Duration = Duration::from_millis(80);
 /// Time after the start within which a gateway gets to know the others.
 const DISCOVERY_TIME: Duration = Duration::from_secs(1);
 /// Time without an answer of another gateway after which this one may have missed suspects. It allows for two questions
@@ -191,15 +193,22 @@
         }
     }
 
-    /// Pulls the sends that other gateways hold, once this gateway knows others or has looked for them long enough.
+    /// Pulls the sends that other gateways hold, once this gateway knows other members or has looked for them long enough.
     pub async fn pull_earlier_sends(self: Arc<Self>) {
-        while !self.holds_earlier_sends.load(Ordering::Relaxed) {
+        if self.holds_earlier_sends.load(Ordering::Relaxed) {
+            return;
+        }
+        while !self.knows_members() && self.started_at.elapsed() < DISCOVERY_TIME {
             tokio::time::sleep(PULL_PAUSE).await;
-            if self.members.other_gateway_count() > 0 || self.started_at.elapsed() >= DISCOVERY_TIME {
-                self.pull_held_sends().await;
-                self.holds_earlier_sends.store(true, Ordering::Relaxed);
-            }
         }
+        // The first member may be heard of before the list of all arrives.
+        tokio::time::sleep(MEMBER_LIST_TIME).await;
+        self.pull_held_sends().await;
+        self.holds_earlier_sends.store(true, Ordering::Relaxed);
+    }
+
+    fn knows_members(&self) -> bool {
+        self.members.other_gateway_count() > 0 || !self.members.live_replicas().is_empty()
     }
 
     /// Asks all gateways for the sends that they hold. This gateway may have held the records of some before it was
--- a/crates/gateway/tests/unrecorded_engine_end_tests.rs
+++ b/crates/gateway/tests/unrecorded_engine_end_tests.rs
@@ -214,6 +214,8 @@
     let cluster = &deployment.cluster;
     let _told = deployment.start_gateway(FIRST_GATEWAY).await;
     let _other = deployment.start_gateway(FIRST_GATEWAY + 1).await;
+    // A gateway that starts pulls what others hold, and lists it.
+    tokio::time::sleep(Duration::from_millis(1500)).await;
     let suspect = ProgramKey(77);
     for engine in 1..=3 {
         let entry = LossRecord::Loss(engine).entry(suspect, Duration::from_secs(60));
