Rank witnesses once a send, and merge records under one lock

Each registration ranked all gateways twice, once for the order in which they are asked and once to see whether the first ones hold the record. They are ranked once now, and the silent ones moved back. Each merge of records took the lock three times and copied the records twice to see whether they had changed; it takes it once, and the merge says whether anything was new. Answers of gateways in the form of a replica's are built in one place. Two results that nobody used are gone: of SendWatch::finish_lost, and of losses_of, which is read_losses now. is_hearsay is is_known_from_lists.

--- a/crates/gateway/src/edge/engine_losses.rs
+++ b/crates/gateway/src/edge/engine_losses.rs
@@ -79,7 +79,7 @@
     is_unread: bool,
     /// Whether this gateway knows of the request only by the lists of others. It does not list such a request itself:
     /// gateways would tell each other of it for good.
-    pub(super) is_hearsay: bool,
+    pub(super) is_known_from_lists: bool,
     /// When the records last changed.
     changed_at: Instant,
 }
@@ -149,14 +149,14 @@
         *lock(&self.quorum_failed_at) = Some(Instant::now());
     }
 
-    /// The records of a request that is not registered, to be asked before it is sent.
+    /// Reads the records of a request that is not registered, before it is sent, if this gateway may not know all.
     ///
     /// # Errors
     /// [`LossesUnknown`] when there may be records that this gateway does not know, and no quorum of replicas answers.
-    pub(super) async fn losses_of(&self, call: &Call) -> Result<EngineLosses, LossesUnknown> {
+    pub(super) async fn read_losses(&self, call: &Call) -> Result<(), LossesUnknown> {
         let program = loss_program(call.request_key());
         if self.known_losses(program).is_none() && self.knows_all_suspects() {
-            return Ok(EngineLosses::default());
+            return Ok(());
         }
         if self.skips_quorum() {
             return Err(LossesUnknown);
@@ -166,7 +166,8 @@
             Ok(locations) => {
                 self.set_unread(program, false);
                 let stored = EngineLosses::from_run_locations(program, &locations);
-                Ok(self.merge(program, &stored.without_open_sends()))
+                self.merge(program, &stored.without_open_sends());
+                Ok(())
             }
             Err(error) => {
                 self.note_quorum_failure();
@@ -210,7 +211,7 @@
         if answers.held_by == 0 || answers.has_replaced || !knows_all || has_stored_records {
             registered.is_stored = true;
             match self.store_unless_silent(program, &[record]).await {
-                Ok(stored) => known.merge(&stored),
+                Ok(stored) => drop(known.merge(&stored)),
                 Err(LossesUnknown) if knows_all && (answers.held_by > 0 || self.is_alone()) => {}
                 Err(LossesUnknown) => {
                     self.finish_send(program, registered);
@@ -281,7 +282,7 @@
             return false;
         };
         for program in suspects_in_index(&locations) {
-            self.note_suspect(program);
+            self.note_suspect(&mut lock(&self.suspects), program);
             self.set_unread(program, true);
         }
         log::info!(
@@ -293,13 +294,12 @@
     }
 
     /// Makes room for the records of a request, if there is none.
-    fn note_suspect(&self, program: ProgramKey) {
-        let mut suspects = lock(&self.suspects);
+    fn note_suspect(&self, suspects: &mut HashMap<ProgramKey, Suspect>, program: ProgramKey) {
         if !suspects.contains_key(&program) {
-            self.make_room(&mut suspects);
+            self.make_room(suspects);
             let (losses, lost_at) = (EngineLosses::default(), HashMap::new());
             let changed_at = Instant::now();
-            let suspect = Suspect { losses, lost_at, is_unread: false, is_hearsay: true, changed_at };
+            let suspect = Suspect { losses, lost_at, is_unread: false, is_known_from_lists: true, changed_at };
             suspects.insert(program, suspect);
         }
     }
@@ -371,29 +371,28 @@
     /// Adds records that this gateway makes, or that another tells it of, to those that it holds of a request. Returns all
     /// that it holds.
     pub(super) fn merge(&self, program: ProgramKey, losses: &EngineLosses) -> EngineLosses {
-        let known = self.merge_listed(program, losses);
-        if let Some(suspect) = lock(&self.suspects).get_mut(&program) {
-            suspect.is_hearsay = false;
-        }
-        known
+        self.merge_from(program, losses, false)
     }
 
     /// Adds records from the list of another gateway.
-    pub(super) fn merge_listed(&self, program: ProgramKey, losses: &EngineLosses) -> EngineLosses {
+    pub(super) fn merge_listed(&self, program: ProgramKey, losses: &EngineLosses) {
+        self.merge_from(program, losses, true);
+    }
+
+    fn merge_from(&self, program: ProgramKey, losses: &EngineLosses, is_known_from_lists: bool) -> EngineLosses {
+        let mut suspects = lock(&self.suspects);
         if !losses.is_settled() {
-            self.note_suspect(program);
+            self.note_suspect(&mut suspects, program);
         }
-        let mut suspects = lock(&self.suspects);
         let Some(suspect) = suspects.get_mut(&program) else { return EngineLosses::default() };
-        let before = suspect.losses.clone();
-        suspect.losses.merge(losses);
+        suspect.is_known_from_lists &= is_known_from_lists;
         let now = Instant::now();
+        if suspect.losses.merge(losses) {
+            suspect.changed_at = now;
+        }
         for lost in suspect.losses.lost() {
             suspect.lost_at.entry(lost).or_insert(now);
         }
-        if suspect.losses != before {
-            suspect.changed_at = now;
-        }
         let known = suspect.losses.clone();
         if known.is_settled() && !suspect.is_unread {
             suspects.remove(&program);
--- a/crates/gateway/src/edge/loss_checks.rs
+++ b/crates/gateway/src/edge/loss_checks.rs
@@ -35,7 +35,7 @@
         let lost = if call.is_named() {
             self.losses.known_losses(program).unwrap_or_default().lost().count()
         } else {
-            if self.losses.losses_of(call).await.is_err() {
+            if self.losses.read_losses(call).await.is_err() {
                 return Err(self.refuse_unknown_losses(sends));
             }
             // Equal requests may come from other callers. A caller repeats its own only until its deadline.
--- a/crates/gateway/src/edge/send_watch.rs
+++ b/crates/gateway/src/edge/send_watch.rs
@@ -7,7 +7,7 @@
 use crate::engines::connection::EngineConnection;
 use crate::engines::engine::Engine;
 use crate::logging::part;
-use foxnotch_turns::engine_losses::{loss_program, EngineLosses, RecordedSend};
+use foxnotch_turns::engine_losses::{loss_program, RecordedSend};
 use foxnotch_turns::identity::RequestKey;
 use std::sync::Arc;
 use std::time::Duration;
@@ -79,12 +79,11 @@
         self.note_not_run();
     }
 
-    /// Ends the watch of a send that was lost. Returns all records of the request, once they are stored.
-    pub(super) async fn finish_lost(mut self) -> EngineLosses {
-        let Some(engine) = self.running_at.take() else { return EngineLosses::default() };
-        // The records are written even if the caller leaves meanwhile.
-        let losing = tokio::spawn(self.detach().record_loss(engine));
-        losing.await.unwrap_or_default()
+    /// Ends the watch of a send that was lost. Returns once that is recorded.
+    pub(super) async fn finish_lost(mut self) {
+        let Some(engine) = self.running_at.take() else { return };
+        // The records are written even if the caller leaves meanwhile. The task logs what it could not record.
+        tokio::spawn(self.detach().record_loss(engine)).await.ok();
     }
 
     /// Moves the watched send into a watch of its own, so that dropping this one does nothing.
@@ -98,7 +97,7 @@
         }
     }
 
-    async fn record_loss(mut self, engine: Arc<Engine>) -> EngineLosses {
+    async fn record_loss(mut self, engine: Arc<Engine>) {
         let (program, number) = (loss_program(self.request), engine.start_number());
         let losses = self.tracker.record_loss(program, number, self.registered.take()).await;
         log::info!(
@@ -110,7 +109,6 @@
             engine.entry.id,
             losses.lost().count(),
         );
-        losses
     }
 }
 
--- a/crates/gateway/src/edge/send_witnesses.rs
+++ b/crates/gateway/src/edge/send_witnesses.rs
@@ -11,9 +11,9 @@
 use crate::peers::addresses::member_socket_address;
 use crate::peers::members::Members;
 use crate::peers::rpc_client::{RpcClient, RpcError};
-use foxnotch_turns::witness_choice::rank_witnesses;
+use foxnotch_turns::witness_choice::{rank_witnesses, silent_last};
 use foxnotch_wire::{
-    MemberUpdate, NodeId, ProgramKey, ReplicaStanding, RpcBody, RunLocation, StoreEntries, Stored, TurnEntry,
+    MemberAddress, NodeId, ProgramKey, ReplicaStanding, RpcBody, RunLocation, StoreEntries, Stored, TurnEntry,
 };
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use std::collections::{HashMap, HashSet};
@@ -75,7 +75,9 @@
     /// Stores entries of a request's records at its witnesses.
     pub(super) async fn store(&self, program: ProgramKey, entries: &[TurnEntry]) -> WitnessAnswers {
         let gateways = self.possible_witnesses();
-        let mut waiting = self.rank(program, &gateways).into_iter();
+        let ranked = rank_witnesses(program, &gateways.keys().copied().collect::<Vec<_>>());
+        let first: Vec<NodeId> = ranked.iter().copied().take(WITNESSES).collect();
+        let mut waiting = self.silent_last(ranked).into_iter();
         let mut answers = WitnessAnswers {
             asked: Vec::new(),
             held_by: 0,
@@ -87,10 +89,10 @@
         let mut requests = FuturesUnordered::new();
         for _ in 0..MAX_ROUNDS {
             let missing = WITNESSES - answers.held_by;
-            for gateway in waiting.by_ref().take(missing) {
-                let Some(address) = member_socket_address(&gateway.address) else { continue };
+            for node in waiting.by_ref().take(missing) {
+                let Some(address) = gateways.get(&node).and_then(member_socket_address) else { continue };
                 answers.asked.push(address);
-                requests.push(self.ask(gateway.node, address, entries.to_vec()));
+                requests.push(self.ask(node, address, entries.to_vec()));
             }
             let round = async {
                 while let Some(answer) = requests.next().await {
@@ -110,9 +112,7 @@
                 break;
             }
         }
-        let nodes: Vec<NodeId> = gateways.iter().map(|gateway| gateway.node).collect();
-        let mut first = rank_witnesses(program, &nodes, |_| false).into_iter().take(WITNESSES);
-        answers.has_replaced = first.any(|node| !holders.contains(&node));
+        answers.has_replaced = first.iter().any(|node| !holders.contains(node));
         answers
     }
 
@@ -148,24 +148,20 @@
         lock(&self.pauses).insert(node, pause);
     }
 
-    /// The gateways that may be witnesses, those that did not answer a moment ago included.
-    fn possible_witnesses(&self) -> Vec<MemberUpdate> {
-        let mut gateways = self.members.live_gateways();
-        let is_in_region = |zone: u8| self.region_zones.as_ref().is_none_or(|zones| zones.contains(&zone));
+    /// The addresses of the gateways that may be witnesses, those that did not answer a moment ago included.
+    fn possible_witnesses(&self) -> HashMap<NodeId, MemberAddress> {
         let now = Instant::now();
         let mut pauses = lock(&self.pauses);
         pauses.retain(|_, pause| matches!(pause, Pause::Silent(until) | Pause::NotServed(until) if now < *until));
+        let is_in_region = |zone: u8| self.region_zones.as_ref().is_none_or(|zones| zones.contains(&zone));
         let serves = |node: NodeId| !matches!(pauses.get(&node), Some(Pause::NotServed(_)));
-        gateways.retain(|gateway| is_in_region(gateway.zone) && serves(gateway.node));
-        gateways
+        let gateways = self.members.live_gateways().into_iter();
+        let possible = gateways.filter(|gateway| is_in_region(gateway.zone) && serves(gateway.node));
+        possible.map(|gateway| (gateway.node, gateway.address)).collect()
     }
 
-    /// Puts gateways into the order in which they are asked to hold the records of a request.
-    fn rank(&self, program: ProgramKey, gateways: &[MemberUpdate]) -> Vec<MemberUpdate> {
-        let nodes: Vec<NodeId> = gateways.iter().map(|gateway| gateway.node).collect();
+    fn silent_last(&self, ranked: Vec<NodeId>) -> Vec<NodeId> {
         let pauses = lock(&self.pauses);
-        let ranked = rank_witnesses(program, &nodes, |node| pauses.contains_key(&node));
-        let find = |node: NodeId| gateways.iter().find(|gateway| gateway.node == node).copied();
-        ranked.into_iter().filter_map(find).collect()
+        silent_last(ranked, |node| pauses.contains_key(&node))
     }
 }
--- a/crates/gateway/src/edge/suspect_exchange.rs
+++ b/crates/gateway/src/edge/suspect_exchange.rs
@@ -81,9 +81,13 @@
             return RpcBody::NotServed;
         }
         let run_locations = self.merge(program, &records).run_locations(program);
-        let own = DiskIdentity { node: self.client.own_node(), disk: 0 };
-        let is_complete = self.holds_earlier_sends.load(Ordering::Relaxed);
+        self.answer_with(run_locations, self.holds_earlier_sends.load(Ordering::Relaxed))
+    }
+
+    /// An answer in the form of a replica's. `is_complete` states whether nothing may be missing.
+    fn answer_with(&self, run_locations: Vec<RunLocation>, is_complete: bool) -> RpcBody {
         let standing = if is_complete { ReplicaStanding::Counts } else { ReplicaStanding::Refilling };
+        let own = DiskIdentity { node: self.client.own_node(), disk: 0 };
         let report = ReplicaReport { own, standing, others: Vec::new() };
         RpcBody::Stored(Stored { report, charges: Vec::new(), run_locations })
     }
@@ -169,15 +173,12 @@
         for (program, suspect) in lock(&self.suspects).iter() {
             if request.program == OPEN_SEND_LIST {
                 run_locations.extend(suspect.losses.open_sends().map(|send| send.listed_location(*program)));
-            } else if !suspect.is_hearsay && suspect.losses.lost().count() >= min_losses {
+            } else if !suspect.is_known_from_lists && suspect.losses.lost().count() >= min_losses {
                 run_locations.extend(suspect.losses.lost().map(|lost| lost.listed_location(*program)));
             }
         }
         run_locations.truncate(MAX_LISTED_SENDS);
-        let standing = if self.knows_all_suspects() { ReplicaStanding::Counts } else { ReplicaStanding::Refilling };
-        let own = DiskIdentity { node: self.client.own_node(), disk: 0 };
-        let report = ReplicaReport { own, standing, others: Vec::new() };
-        RpcBody::Stored(Stored { report, charges: Vec::new(), run_locations })
+        self.answer_with(run_locations, self.knows_all_suspects())
     }
 
     /// Reads the suspects from the replicas, and asks other gateways for theirs, one at a time, until the process ends.
--- a/crates/turns/src/engine_losses.rs
+++ b/crates/turns/src/engine_losses.rs
@@ -192,12 +192,18 @@
         }
     }
 
-    /// Adds what another node knows.
-    pub fn merge(&mut self, other: &Self) {
+    /// Adds what another node knows. Returns whether any of it was new.
+    pub fn merge(&mut self, other: &Self) -> bool {
+        let before = self.record_count();
         self.lost_engines.extend(&other.lost_engines);
         self.sends.extend(&other.sends);
         self.outcomes.extend(&other.outcomes);
         self.lost_sends.extend(&other.lost_sends);
+        self.record_count() > before
+    }
+
+    fn record_count(&self) -> usize {
+        self.lost_engines.len() + self.sends.len() + self.outcomes.len() + self.lost_sends.len()
     }
 
     /// The run locations that hold the lost sends and the sends without an outcome.
--- a/crates/turns/tests/witness_choice_tests.rs
+++ b/crates/turns/tests/witness_choice_tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the choice of the gateways that hold the records of a request's sends.
 
-use foxnotch_turns::witness_choice::rank_witnesses;
+use foxnotch_turns::witness_choice::{rank_witnesses, silent_last};
 use foxnotch_wire::{NodeId, ProgramKey};
 use proptest::prelude::*;
 use std::collections::BTreeSet;
@@ -11,7 +11,7 @@
 /// The nodes that hold a send of a gateway: itself and its witnesses among the other nodes that it knows.
 fn holders(program: ProgramKey, known: &BTreeSet<u32>, gateway: u32) -> Vec<u32> {
     let others: Vec<NodeId> = known.iter().filter(|node| **node != gateway).map(|node| NodeId(*node)).collect();
-    let ranked = rank_witnesses(program, &others, |_| false);
+    let ranked = rank_witnesses(program, &others);
     ranked.iter().take(WITNESSES).map(|node| node.0).chain([gateway]).collect()
 }
 
@@ -59,9 +59,9 @@
 fn silent_nodes_rank_last() {
     let nodes: Vec<NodeId> = (1..=9).map(NodeId).collect();
     let program = ProgramKey(7);
-    let ranked = rank_witnesses(program, &nodes, |_| false);
+    let ranked = rank_witnesses(program, &nodes);
     let silent = ranked[0];
     let mut expected = ranked[1..].to_vec();
     expected.push(silent);
-    assert_eq!(rank_witnesses(program, &nodes, |node| node == silent), expected);
+    assert_eq!(silent_last(ranked, |node| node == silent), expected);
 }
