A gateway does not hold records that are written to a replica set

What callers would have seen: a loss that counted as stored on a quorum with one disk less. By reading: a gateway answers the message that stores entries, so a write to a replica set that still names the address of a former replica, where a gateway runs now, would count its answer.

Cause: requests to witnesses and writes to replicas are told apart by nothing.

Change: requests between gateways name version 0 of the replica set, which no write does; others are not served. The constant has a name now.

Evidence: a_gateway_holds_no_records_that_are_written_to_a_replica_set failed before, with an answer where there must be none.

--- a/crates/gateway/src/edge/send_witnesses.rs
+++ b/crates/gateway/src/edge/send_witnesses.rs
@@ -7,6 +7,7 @@
 //! Witnesses are asked by the message that stores entries on a replica, and answer like a replica with the request's
 //! records. Gateways of older builds answer that they do not serve it.
 
+use crate::edge::suspect_exchange::NO_REPLICA_SET;
 use crate::locks::lock;
 use crate::peers::addresses::member_socket_address;
 use crate::peers::members::Members;
@@ -121,7 +122,7 @@
         for address in asked {
             let (witnesses, entries) = (self.clone(), entries.clone());
             tokio::spawn(async move {
-                let request = RpcBody::StoreEntries(StoreEntries { set_version: 0, entries });
+                let request = RpcBody::StoreEntries(StoreEntries { set_version: NO_REPLICA_SET, entries });
                 // Without the outcome, the witness counts the send as one that may be lost.
                 witnesses.client.call(address, request, OUTCOME_TIMEOUT).await.ok()
             });
@@ -130,7 +131,7 @@
 
     /// Asks one gateway to hold records. Returns what it knows of the request; `None` if it does not hold them.
     async fn ask(&self, node: NodeId, address: SocketAddr, entries: Vec<TurnEntry>) -> Option<Stored> {
-        let request = RpcBody::StoreEntries(StoreEntries { set_version: 0, entries });
+        let request = RpcBody::StoreEntries(StoreEntries { set_version: NO_REPLICA_SET, entries });
         match self.client.call(address, request, ANSWER_TIMEOUT).await {
             Ok(RpcBody::Stored(stored)) => Some(stored),
             Ok(_) | Err(RpcError::UnsupportedByNode(_) | RpcError::EncodingFailed(_)) => {
--- a/crates/gateway/src/edge/suspect_exchange.rs
+++ b/crates/gateway/src/edge/suspect_exchange.rs
@@ -27,6 +27,8 @@
 /// and those that were lost. Gateways of older builds, which hold none, do not serve them.
 const OPEN_SEND_LIST: ProgramKey = ProgramKey(u64::MAX);
 const LOST_SEND_LIST: ProgramKey = ProgramKey(u64::MAX - 1);
+/// The version of the replica set in requests to gateways, which belong to none.
+pub(super) const NO_REPLICA_SET: u64 = 0;
 /// The most sends in one list.
 const MAX_LISTED_SENDS: usize = 8192;
 /// Time limit for telling the other gateways.
@@ -77,7 +79,9 @@
         let locations: Vec<RunLocation> = request.entries.iter().filter_map(|entry| entry.run_location).collect();
         let records = EngineLosses::from_run_locations(program, &locations);
         let has_room = self.known_losses(program).is_some() || self.has_room();
-        if records == EngineLosses::default() || !has_room {
+        // A write to a replica set that still names this address must not count this gateway's answer.
+        let is_for_replica = request.set_version != NO_REPLICA_SET;
+        if is_for_replica || records == EngineLosses::default() || !has_room {
             return RpcBody::NotServed;
         }
         let run_locations = self.merge(program, &records).run_locations(program);
@@ -143,7 +147,7 @@
     /// Sends an entry to gateways. Returns those that did not answer.
     async fn tell(&self, gateways: Vec<MemberUpdate>, entry: &TurnEntry) -> Vec<MemberUpdate> {
         let tell = |gateway: MemberUpdate| {
-            let request = RpcBody::StoreEntry(StoreEntry { set_version: 0, entry: entry.clone() });
+            let request = RpcBody::StoreEntry(StoreEntry { set_version: NO_REPLICA_SET, entry: entry.clone() });
             async move {
                 let address = member_socket_address(&gateway.address)?;
                 let answer = self.client.call(address, request, TELL_TIMEOUT).await;
@@ -238,7 +242,7 @@
     /// The run locations of a list, from all gateways that answer.
     async fn pull_list(&self, gateways: &[MemberUpdate], list: ProgramKey) -> Vec<RunLocation> {
         let pull = |gateway: &MemberUpdate| {
-            let request = RpcBody::ReadProgram(ReadProgram { set_version: 0, program: list });
+            let request = RpcBody::ReadProgram(ReadProgram { set_version: NO_REPLICA_SET, program: list });
             let address = member_socket_address(&gateway.address);
             async move { self.client.call(address?, request, LIST_TIMEOUT).await.ok() }
         };
@@ -254,7 +258,7 @@
         let gateway = self.members.pick_gateway(None, |_| true);
         let Some(address) = gateway.and_then(|gateway| member_socket_address(&gateway.address)) else { return };
         self.has_known_gateway.store(true, Ordering::Relaxed);
-        let request = RpcBody::ReadProgram(ReadProgram { set_version: 0, program: SUSPECT_LIST });
+        let request = RpcBody::ReadProgram(ReadProgram { set_version: NO_REPLICA_SET, program: SUSPECT_LIST });
         let answer = match self.client.call(address, request, LIST_TIMEOUT).await {
             Ok(RpcBody::Stored(answer)) => answer,
             // A gateway of an older build, which has nothing to tell.
--- a/crates/gateway/tests/unrecorded_engine_end_tests.rs
+++ b/crates/gateway/tests/unrecorded_engine_end_tests.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use foxnotch_turns::engine_losses::LossRecord;
-use foxnotch_wire::{NodeId, ProgramKey, ReadProgram, RpcBody, StoreEntry};
+use foxnotch_wire::{NodeId, ProgramKey, ReadProgram, RpcBody, StoreEntries, StoreEntry};
 use rstest::rstest;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
@@ -231,6 +231,20 @@
     assert_eq!((list(FIRST_GATEWAY).await, list(FIRST_GATEWAY + 1).await), (3, 0));
 }
 
+/// A gateway at the former address of a replica does not answer writes to the replica set, whose writer would count it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_gateway_holds_no_records_that_are_written_to_a_replica_set() {
+    let deployment = Deployment::start_with_engines(199, Request::Repeatable, 1, &Behaviour::Hang).await;
+    let _gateway = deployment.start_gateway(FIRST_GATEWAY).await;
+    let answer_to = async |set_version: u64| {
+        let entries = vec![LossRecord::Loss(1).entry(ProgramKey(77), Duration::from_secs(60))];
+        let request = RpcBody::StoreEntries(StoreEntries { set_version, entries });
+        deployment.cluster.call_replica(FIRST_GATEWAY, request).await
+    };
+    assert!(matches!(answer_to(0).await, RpcBody::Stored(_)));
+    assert_eq!(answer_to(1).await, RpcBody::NotServed);
+}
+
 /// Sends a try, and leaves if there is no answer within this time. Returns the status; 0 without an answer.
 async fn send_within(limit: Duration, gateway: &RunningGateway, request: Request, attempt: usize) -> u16 {
     tokio::time::timeout(limit, request.send(gateway, attempt)).await.map_or(0, |answer| answer.status)
