Review case 5: the restarted engine's entry is new after 0.6 s

Cause sought: whether the case needs a late entry. Done: the entry is written half a heartbeat after the start, as one of a sound engine may be, instead of 1.0 s after it.

--- a/review/stand_in-2/case_versions.rs
+++ b/review/stand_in-2/case_versions.rs
@@ -48,11 +48,12 @@
     let mut flapping = fleet.engine_arguments(0, SERVICE);
     flapping.event_period = slow;
     flapping.version = "v2".to_owned();
-    flapping.first_beat = Duration::from_millis(1000);
+    // Half of the time between two writes of an entry.
+    flapping.first_beat = Duration::from_millis(600);
     if has_trouble {
         fleet.kill_engine(&flapping.id);
         fleet.start_engine(flapping.clone())?;
-        std::thread::sleep(Duration::from_millis(200));
+        std::thread::sleep(Duration::from_millis(60));
     }
     let (sender, receiver) = channel();
     for number in 0..STREAMS {
