--- a/review/stand_in-2/fleet.rs
+++ b/review/stand_in-2/fleet.rs
@@ -289,17 +289,6 @@
         says_ready(self.readiness(gateway))
     }
 
-    /// The memory that a node's process holds now and has held at most, in kilobytes.
-    pub fn memory_kilobytes(&mut self, node: Node) -> Option<(u64, u64)> {
-        let process = self.child(node)?.id();
-        let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
-        let value = |name: &str| {
-            let line = status.lines().find_map(|line| line.strip_prefix(name))?;
-            line.trim().strip_suffix(" kB")?.trim().parse().ok()
-        };
-        Some((value("VmRSS:")?, value("VmHWM:")?))
-    }
-
     /// Starts the whole deployment for the first time and waits until it serves.
     pub fn start_all(&mut self, gateways: usize, replicas: usize) -> Result<(), String> {
         for number in 0..replicas {
