Review: programs of a case end with it, however it ends

Cause sought: a case that is killed left its gateways and replicas running. Done: a guard process kills what has not ended when the case is gone.

--- a/review/stand_in-2/fleet.rs
+++ b/review/stand_in-2/fleet.rs
@@ -6,9 +6,10 @@
 use crate::record::Record;
 use crate::store::Store;
 use std::fs::File;
+use std::io::Write;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdin, Command, Stdio};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
@@ -31,25 +32,60 @@
 /// The processes that were started, by their ids.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+/// Where the guard is told which processes were started and have ended.
+static GUARD: Mutex<Option<ChildStdin>> = Mutex::new(None);
+
+fn tell_guard(text: &str) {
+    if let Some(guard) = GUARD.lock().unwrap().as_mut() {
+        // Without the guard the processes still end with the case.
+        let _ = guard.write_all(text.as_bytes());
+    }
+}
+
 fn note_start(child: &Child) {
     STARTED.lock().unwrap().push(child.id());
+    tell_guard(&format!("+{}\n", child.id()));
 }
 
 fn note_end(process: u32) {
     STARTED.lock().unwrap().retain(|known| *known != process);
+    tell_guard(&format!("-{process}\n"));
 }
 
-/// Ends the case and its processes when its time is over.
+fn kill_processes(processes: &[u32]) {
+    if processes.is_empty() {
+        return;
+    }
+    let ids: Vec<String> = processes.iter().map(u32::to_string).collect();
+    let _ = Command::new("sh").args(["-c", &format!("kill -KILL {}", ids.join(" "))]).status();
+}
+
+/// Starts the guard, and ends the case and its processes when its time is over.
 pub fn limit_time() {
+    let guard =
+        std::env::current_exe().and_then(|program| Command::new(program).arg("guard").stdin(Stdio::piped()).spawn());
+    *GUARD.lock().unwrap() = guard.ok().and_then(|mut guard| guard.stdin.take());
     std::thread::spawn(|| {
         std::thread::sleep(CASE_TIME);
-        let processes: Vec<String> = STARTED.lock().unwrap().iter().map(u32::to_string).collect();
-        let _ = Command::new("sh").args(["-c", &format!("kill -KILL {}", processes.join(" "))]).status();
+        kill_processes(&STARTED.lock().unwrap());
         eprintln!("the case could not run: its time is over");
         std::process::exit(2);
     });
 }
 
+/// Runs the guard: when the case ends, however it does, it kills the processes that have not ended.
+pub fn guard() {
+    let mut processes: Vec<u32> = Vec::new();
+    for line in std::io::stdin().lines().map_while(Result::ok) {
+        match (line.get(..1), line.get(1..).and_then(|id| id.parse().ok())) {
+            (Some("+"), Some(process)) => processes.push(process),
+            (Some("-"), Some(process)) => processes.retain(|known| *known != process),
+            _ => {}
+        }
+    }
+    kill_processes(&processes);
+}
+
 /// The kinds of nodes.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Node {
--- a/review/stand_in-2/main.rs
+++ b/review/stand_in-2/main.rs
@@ -58,6 +58,10 @@
                 ExitCode::from(2)
             }
         },
+        ["guard"] => {
+            fleet::guard();
+            ExitCode::SUCCESS
+        }
         ["case", name, folder] => match run_case(name, folder) {
             Ok(verdict) => {
                 println!("{}: {}", if verdict.is_broken { "BROKEN" } else { "held" }, verdict.text);
