--- a/review/stand_in-2/case_resume.rs
+++ b/review/stand_in-2/case_resume.rs
@@ -1,6 +1,6 @@
 //! Engines crash under streams whose programs have a budget for just these turns; their callers take them up again.
 
-use crate::caller::{has_run, send_turn, write_configuration, Turn, SERVICE};
+use crate::caller::{deadline_from_now, has_run, send_turn, write_configuration, Turn, SERVICE};
 use crate::case_versions::events_of;
 use crate::engine::EngineArguments;
 use crate::fleet::Fleet;
@@ -43,13 +43,14 @@
     }
     std::thread::sleep(Duration::from_millis(150));
     let second = Turn { input: format!("turn 0 and turn 1 of {program}\n").into_bytes(), ..first };
+    let deadline = Some(deadline_from_now());
     let (begun_by, answer) = send_turn(&record, gateway, &second, |_| {});
     let (_, last) = events_of(&answer.body);
     let mut outcome = Outcome { status: answer.status, ..Outcome::default() };
     outcome.tokens = last.map_or(0, |last| u64::from(last + 1) * u64::from(crate::engine::TOKENS_PER_EVENT));
     if let (false, Some(last)) = (answer.is_whole, last) {
         std::thread::sleep(Duration::from_millis(150));
-        let resumed = Turn { resumed: Some((last, begun_by)), ..second };
+        let resumed = Turn { resumed: Some((last, begun_by)), deadline, ..second };
         let (attempt, rest) = send_turn(&record, gateways[(number + 1) % GATEWAYS], &resumed, |_| {});
         outcome = Outcome {
             is_resumed: true,
--- a/review/stand_in-2/main.rs
+++ b/review/stand_in-2/main.rs
@@ -48,6 +48,11 @@
     Ok(verdict)
 }
 
+/// Runs a case; one that panics could not run. Its processes have ended by then.
+fn run_without_panic(name: &str, folder: &str) -> Result<Verdict, String> {
+    std::panic::catch_unwind(|| run_case(name, folder)).unwrap_or_else(|_| Err("it panicked".to_owned()))
+}
+
 fn main() -> ExitCode {
     let words: Vec<String> = std::env::args().skip(1).collect();
     match words.iter().map(String::as_str).collect::<Vec<_>>().as_slice() {
@@ -62,7 +67,7 @@
             fleet::guard();
             ExitCode::SUCCESS
         }
-        ["case", name, folder] => match run_case(name, folder) {
+        ["case", name, folder] => match run_without_panic(name, folder) {
             Ok(verdict) => {
                 println!("{}: {}", if verdict.is_broken { "BROKEN" } else { "held" }, verdict.text);
                 ExitCode::from(u8::from(verdict.is_broken))
