A reservation counts what the replies to its own write reported

What callers could see: two turns of a program at once could be handed more tokens than its budget.

Cause: a reservation that is not granted from the replies to its write reads the charges again, and threw those replies away. A second, small reservation that was on one replica when the first was written, and on no other when it was read, was in those replies alone; the small one is granted from the replies of two replicas of which none has the first.

With a budget of 100, 40 and 70 tokens are granted in the order of the new test.

Why this works: writes to two quorums meet at one replica, which reports both to whichever came second. That report is either among those from which the small reservation was granted, or among the replies to the large one's write, which are now merged with the read.

The test a_reservation_that_was_reported_only_by_the_reply_to_the_write_counts did not compile before (there was no way to merge two views); it shows that the read alone grants.

--- a/crates/gateway/src/edge/turns.rs
+++ b/crates/gateway/src/edge/turns.rs
@@ -273,7 +273,7 @@
         let mut program = written;
         let mut verdict = program.verdict_after_write(budget);
         if verdict == BudgetVerdict::ReadAgain {
-            program = self.read_budget_entries(entry.program, deadline).await?;
+            program.merge(&self.read_budget_entries(entry.program, deadline).await?);
             verdict = program.verdict_after_read(budget);
         }
         Ok(Reservation { granted: verdict == BudgetVerdict::Granted, program })
--- a/crates/turns/src/budget.rs
+++ b/crates/turns/src/budget.rs
@@ -44,6 +44,16 @@
         }
     }
 
+    /// Merges another view of the same program.
+    pub fn merge(&mut self, other: &Self) {
+        for (turn, reported) in &other.charges {
+            let known = self.charges.entry(*turn).or_insert(*reported);
+            known.tokens = known.tokens.min(reported.tokens);
+            known.is_settled |= reported.is_settled;
+        }
+        self.locations.extend_from_slice(&other.locations);
+    }
+
     /// Creates the budget view for a turn that runs under a ticket. The view contains the ticket's reservation and run
     /// locations, and no charges of other turns.
     pub fn from_ticket(ticket: &Ticket) -> Self {
@@ -115,11 +125,14 @@
         }
     }
 
-    /// Decides whether the reservation is granted, from charges that were read from a quorum. The read must begin after
-    /// a quorum has stored the reservation. `budget` is in tokens.
+    /// Decides whether the reservation is granted, from charges that were read from a quorum, merged with those in the
+    /// replies to the write of the reservation. The read must begin after a quorum has stored the reservation. `budget`
+    /// is in tokens.
     ///
     /// The sum of all granted reservations never exceeds the budget: the one that was written last was granted from
-    /// charges that include all the others.
+    /// charges that include all the others. A reservation that was on fewer replicas than a quorum during the read may
+    /// be granted without another read, from replies without this reservation; then the replies to the write of this
+    /// reservation include it.
     pub fn verdict_after_read(&self, budget: u64) -> BudgetVerdict {
         if self.charged_tokens() <= budget {
             BudgetVerdict::Granted
--- a/crates/turns/tests/budget_tests.rs
+++ b/crates/turns/tests/budget_tests.rs
@@ -19,6 +19,27 @@
     verdict: Option<BudgetVerdict>,
 }
 
+/// A small reservation reaches replicas 0 and 2 and is granted from their replies. A large one reaches replicas 0 and 1
+/// between these two writes, and reads replicas 1 and 2 before the second of them. Only the reply of replica 0 to the
+/// large one's write has both.
+#[test]
+fn a_reservation_that_was_reported_only_by_the_reply_to_the_write_counts() {
+    let budget = 100;
+    let (small, large) = (charge(1, 40), charge(2, 70));
+    let mut written = BudgetView::default();
+    written.merge_charges(&[small, large]);
+    written.merge_charges(&[large]);
+    assert_eq!(written.verdict_after_write(budget), BudgetVerdict::ReadAgain);
+    let mut read = BudgetView::default();
+    read.merge_charges(&[large]);
+    let mut replies_to_small = BudgetView::default();
+    replies_to_small.merge_charges(&[small]);
+    assert_eq!(replies_to_small.verdict_after_write(budget), BudgetVerdict::Granted);
+    assert_eq!(read.verdict_after_read(budget), BudgetVerdict::Granted, "the read alone does not show the small one");
+    written.merge(&read);
+    assert_eq!(written.verdict_after_read(budget), BudgetVerdict::Exhausted);
+}
+
 fn charge(turn: u128, tokens: u32) -> TurnCharge {
     TurnCharge { turn: TurnId(turn), tokens, settled: 0 }
 }
@@ -39,8 +60,6 @@
             let verdict = pending.view.verdict_after_write(budget);
             if verdict == BudgetVerdict::Granted {
                 pending.verdict = Some(verdict);
-            } else {
-                pending.view = BudgetView::default();
             }
         }
         return;
