Turns claim the tokens of a ticket on a quorum before any are handed out

Cause: a turn with a ticket ran under the reservation made ahead without a trace on the replicas until it ended, and which tickets were taken was known to the memory of one replica. Once that was gone, nobody could tell a reservation that no turn used from one whose tokens were being handed out; so it could neither be released nor counted.

Change: a ticket is a forecast and no right. A turn with one is sent at once; meanwhile one write reserves its tokens under its own entry and releases the entry ahead, and is judged like any reservation. No event is forwarded before it is granted. What is not claimed was not handed out, so any gateway releases it when a turn would be refused for it; a ticket that was just taken has 250 ms to be claimed.

Why no token is handed out twice: tokens go out under reservations alone that a quorum granted, each by the rule that holds their sum within the budget, however often a ticket was issued, lost, copied or claimed late. A property test issues each ticket to several turns and releases each entry beside them.

Beside older builds: tickets of this kind are kept under a key that older gateways never ask for, with message forms that they and older holders know; they read the entries as reserved ahead. Tickets of older builds are handled as before.

--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -113,6 +113,10 @@
             }
         };
     }
+    if let Err(refusal) = account.wait_for_claim().await {
+        sends.finish_watch();
+        return Err(refusal);
+    }
     Ok(start_stream(gateway, call, account, answer, previous.unwrap_or(NO_TURN), pace, sends))
 }
 
--- a/crates/gateway/src/edge/tickets.rs
+++ b/crates/gateway/src/edge/tickets.rs
@@ -1,6 +1,7 @@
 //! Tickets for tokens that are reserved ahead. When a turn ends, the gateway reserves tokens for the program's next
 //! turn, and deposits a ticket for the reservation at one replica, the ticket holder. If the next turn gets this
-//! ticket, it is sent to an engine without first asking a quorum of replicas.
+//! ticket, it is sent to an engine while a quorum of replicas is asked. Until the quorum has granted the turn a
+//! reservation of its own, none of its tokens are handed out.
 
 use crate::edge::turns::{TurnClient, TurnError};
 use crate::edge::work::WorkGuard;
@@ -10,11 +11,12 @@
 use crate::peers::addresses::replica_socket_address;
 use crate::peers::members::Members;
 use crate::peers::rpc_client::RpcClient;
-use foxnotch_turns::ahead_entry::{ahead_entry_id, ticket_holder};
+use foxnotch_turns::ahead_entry::{is_revocable, revocable_entry_id, revocable_ticket_key, ticket_holder};
 use foxnotch_turns::budget::BudgetView;
 use foxnotch_turns::identity::zone_hash;
 use foxnotch_turns::reserve_ahead::{
-    choose_ticket_holder, run_locations_for_ticket, tokens_to_reserve_ahead, verdict_with_reclaimed, ReclaimVerdict,
+    choose_ticket_holder, run_locations_for_ticket, tokens_to_reserve_ahead, verdict_with_reclaimed,
+    with_revoked_entries, ReclaimVerdict, TakenTickets,
 };
 use foxnotch_wire::{
     NodeId, ProgramKey, ReclaimTickets, ReclaimedTickets, ReplicaMember, ReplicaSet, RpcBody, TakeTicket, Ticket,
@@ -39,6 +41,11 @@
 /// Timeout for reclaiming tickets from their holders before a turn is refused: enough for a round trip to the farthest
 /// region.
 const RECLAIM_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time that a turn with a ticket has to claim the ticket's tokens on a quorum, before another turn that would be refused
+/// because of them releases them. It exceeds a write and a read across regions.
+const CLAIM_TIME: Duration = Duration::from_millis(250);
+/// Time between two looks for such a claim.
+const CLAIM_POLL_PERIOD: Duration = Duration::from_millis(25);
 /// Time for which a holder that did not answer is not asked, so that not every turn waits for it.
 const SILENCE_PAUSE: Duration = Duration::from_secs(1);
 /// Timeout for settling a turn, for deciding on a reservation ahead, or for releasing a reservation. All of these run
@@ -162,7 +169,7 @@
         let holder = self.responsive_holder(&self.turns.view.replica_set(), request.program)?;
         let begun_at = Instant::now();
         let mut pending = PendingTake { client: self.clone(), holder, request, is_answered: false };
-        let answer = self.ask_holder(&holder, TicketRequest::Take(request), TAKE_TIMEOUT).await;
+        let answer = self.ask_holder(&holder, take_revocable(request), TAKE_TIMEOUT).await;
         pending.is_answered = answer.is_some();
         self.metrics.ticket_seconds.observe(begun_at.elapsed().as_secs_f64());
         if answer.is_none() {
@@ -197,14 +204,14 @@
     async fn release_late_ticket(self: Arc<Self>, holder: ReplicaMember, request: TakeTicket) {
         // If the holder has already issued a ticket to the request's `asker`, it returns this ticket again. Otherwise,
         // it issues the smallest sufficient ticket now.
-        match self.ask_holder(&holder, TicketRequest::Take(request), LATE_ANSWER_TIMEOUT).await {
+        match self.ask_holder(&holder, take_revocable(request), LATE_ANSWER_TIMEOUT).await {
             Some(TicketAnswer::Given(ticket)) => {
-                let entries = vec![ticket.entry];
-                let reclaim = ReclaimTickets { program: request.program, asker: request.asker, entries };
+                let program = revocable_ticket_key(request.program);
+                let reclaim = ReclaimTickets { program, asker: request.asker, entries: vec![ticket.entry] };
                 // Reports to the holder that no turn uses the ticket. If the holder does not answer, which
-                // [`Self::ask_holder`] logs, another turn may be refused as though the ticket were in use.
+                // [`Self::ask_holder`] logs, another turn may wait as though the ticket were in use.
                 let _ = self.ask_holder(&holder, TicketRequest::Reclaim(reclaim), LATE_ANSWER_TIMEOUT).await;
-                self.release_reservation(&budget_entry_of_ticket(&ticket)).await;
+                self.release_reservation(&budget_entry_of_ticket(&ticket, request.program)).await;
             }
             Some(_) => {}
             None => {
@@ -212,7 +219,7 @@
                 log::info!(
                     target: part::TURN,
                     "A ticket may have been issued to a turn that no longer waits for it; the ticket's tokens then \
-                     stay reserved in the program's budget: program={:016x} holder={}.",
+                     stay reserved until another turn needs them: program={:016x} holder={}.",
                     request.program.0,
                     holder.node,
                 );
@@ -237,7 +244,7 @@
         }
         let reserved = tokens_to_reserve_ahead(entry.reserved, known_total, budget)?;
         let holder = self.responsive_holder(&self.turns.view.replica_set(), entry.program)?;
-        let turn = ahead_entry_id(holder.node, rand::random());
+        let turn = revocable_entry_id(holder.node, rand::random());
         let entry =
             TurnEntry { turn, reserved, used: NOT_SETTLED, run_location: None, record: Vec::new(), ..entry.clone() };
         Some(AheadReservation { entry, holder, budget })
@@ -305,7 +312,7 @@
         };
         let ticket = Ticket {
             entry: entry.turn,
-            program: entry.program,
+            program: revocable_ticket_key(entry.program),
             reserved: entry.reserved,
             budget,
             other_turns_tokens: program.charged_tokens().saturating_sub(u64::from(entry.reserved)),
@@ -319,15 +326,15 @@
                 self.release_reservation(&entry).await;
             }
             None => {
-                // The deposit may have arrived, and a turn may use the ticket, so its reservation cannot be released
-                // here.
+                // The deposit may have arrived, and a turn may be under way with the ticket. Releasing the reservation here
+                // could let the tokens go to another turn.
                 self.metrics.count_ticket("deposit_unanswered");
                 self.note_silence(holder.node);
                 log::info!(
                     target: part::TURN,
                     "A ticket may be lost: entry={} program={:016x} holder={} tokens={}. The holder did not confirm \
-                     that it has the ticket. If the ticket is lost, its tokens stay reserved in the program's \
-                     budget.",
+                     that it has the ticket. If the ticket is lost, its tokens stay reserved until another turn \
+                     needs them.",
                     entry.turn,
                     entry.program.0,
                     holder.node,
@@ -337,7 +344,8 @@
         }
     }
 
-    /// Releases a reservation: settles its entry with no tokens used. Only the owner of its ticket may do so.
+    /// Releases a reservation: settles its entry with no tokens used. Only the owner of its ticket may release the
+    /// reservation of an exclusive entry ([`foxnotch_turns::ahead_entry`]).
     async fn release_reservation(&self, entry: &TurnEntry) {
         self.metrics.count_ticket("given_up");
         // If the write fails, [`Self::write_settled_entry`] logs it and the whole reservation counts as used.
@@ -345,7 +353,8 @@
     }
 
     /// Decides on a turn that does not fit into the budget while all tokens reserved ahead count as used. If releasing
-    /// the reservations that no turn uses may free enough tokens, first reclaims their tickets and releases them.
+    /// the reservations that no turn uses may free enough tokens, releases them. If the outcome depends on turns that have
+    /// taken tickets and not claimed the tokens yet, waits up to [`CLAIM_TIME`] for them.
     pub async fn reclaim_before_refusal(
         self: &Arc<Self>,
         refused: &TurnEntry,
@@ -353,14 +362,42 @@
         budget: u64,
         asker: u64,
     ) -> ReclaimVerdict {
-        let nothing = ReclaimedTickets::default();
-        let verdict = verdict_with_reclaimed(program, budget, &nothing);
+        let verdict = verdict_with_reclaimed(program, budget, &ReclaimedTickets::default());
         if verdict != ReclaimVerdict::Unknown {
             return verdict;
         }
-        let entries: Vec<TurnId> = program.unsettled_ahead_entries().iter().map(|(entry, _)| *entry).collect();
-        let reclaimed = self.reclaim_tickets(refused.program, &entries, asker).await;
-        let verdict = verdict_with_reclaimed(program, budget, &reclaimed);
+        let mut program = program.clone();
+        let claim_deadline = Instant::now() + CLAIM_TIME;
+        loop {
+            let answers = self.reclaim_tickets(refused.program, &program, asker).await;
+            let released = with_revoked_entries(&program, answers.clone(), TakenTickets::Release);
+            let reclaimed = with_revoked_entries(&program, answers, TakenTickets::CountAsUsed);
+            let verdict = verdict_with_reclaimed(&program, budget, &reclaimed);
+            let verdict_if_released = verdict_with_reclaimed(&program, budget, &released);
+            if verdict == verdict_if_released {
+                self.finish_reclaim(refused, &program, verdict, reclaimed);
+                return verdict;
+            }
+            if Instant::now() >= claim_deadline {
+                self.finish_reclaim(refused, &program, verdict_if_released, released);
+                return verdict_if_released;
+            }
+            tokio::time::sleep(CLAIM_POLL_PERIOD).await;
+            match self.turns.read_budget_entries(refused.program, claim_deadline + RECLAIM_TIMEOUT).await {
+                Ok(newer) => program.merge(&newer),
+                Err(_) => return ReclaimVerdict::Unknown,
+            }
+        }
+    }
+
+    /// Logs the outcome of a reclaim, and releases in the background the reservations that no turn uses.
+    fn finish_reclaim(
+        self: &Arc<Self>,
+        refused: &TurnEntry,
+        program: &BudgetView,
+        verdict: ReclaimVerdict,
+        reclaimed: ReclaimedTickets,
+    ) {
         log::info!(
             target: part::TURN,
             "Tickets reclaimed: turn={} program={:016x} entries={} given={} in_use={} outcome={verdict:?}. The turn \
@@ -368,7 +405,7 @@
              these, `given` were unused and no longer count; `in_use` were granted to other turns.",
             refused.turn,
             refused.program.0,
-            entries.len(),
+            program.unsettled_ahead_entries().len(),
             reclaimed.given.len(),
             reclaimed.in_use.len(),
         );
@@ -378,20 +415,21 @@
             let client = self.clone();
             self.run_in_background(async move { client.release_reservation(&entry).await });
         }
-        verdict
     }
 
-    /// Asks the holders of the tickets for these entries to return those tickets that no turn uses.
-    async fn reclaim_tickets(&self, program: ProgramKey, entries: &[TurnId], asker: u64) -> ReclaimedTickets {
+    /// Asks the holders of the tickets for a program's entries reserved ahead to return those tickets that no turn uses.
+    async fn reclaim_tickets(&self, program: ProgramKey, view: &BudgetView, asker: u64) -> ReclaimedTickets {
         let set = self.turns.view.replica_set();
-        let holders = set.members.iter().filter_map(|member| {
-            let entries_of_holder = entries.iter().filter(|entry| ticket_holder(**entry) == Some(member.node));
-            let entries: Vec<TurnId> = entries_of_holder.copied().collect();
-            (!entries.is_empty()).then_some((member, entries))
-        });
-        let requests = holders.map(|(holder, entries)| {
-            let request = ReclaimTickets { program, asker, entries };
-            self.ask_holder(holder, TicketRequest::Reclaim(request), RECLAIM_TIMEOUT)
+        let ahead = view.unsettled_ahead_entries();
+        let requests = set.members.iter().flat_map(|holder| {
+            let entries = ahead.iter().map(|(entry, _)| *entry);
+            let of_holder = entries.filter(|entry| ticket_holder(*entry) == Some(holder.node));
+            let (revocable, exclusive): (Vec<TurnId>, Vec<TurnId>) = of_holder.partition(|entry| is_revocable(*entry));
+            let by_key = [(revocable_ticket_key(program), revocable), (program, exclusive)];
+            by_key.into_iter().filter(|(_, entries)| !entries.is_empty()).map(move |(program, entries)| {
+                let request = ReclaimTickets { program, asker, entries };
+                self.ask_holder(holder, TicketRequest::Reclaim(request), RECLAIM_TIMEOUT)
+            })
         });
         let mut all = ReclaimedTickets::default();
         for answer in join_all(requests).await.into_iter().flatten() {
@@ -421,11 +459,16 @@
     }
 }
 
-/// Builds the budget entry of a ticket, with the fields that are needed to release the ticket's tokens.
-fn budget_entry_of_ticket(ticket: &Ticket) -> TurnEntry {
+/// The request for the ticket of a revocable entry, for the turn of `request`.
+fn take_revocable(request: TakeTicket) -> TicketRequest {
+    TicketRequest::Take(TakeTicket { program: revocable_ticket_key(request.program), ..request })
+}
+
+/// Builds the budget entry of a ticket of `program`, with the fields that are needed to release the ticket's tokens.
+pub(super) fn budget_entry_of_ticket(ticket: &Ticket, program: ProgramKey) -> TurnEntry {
     TurnEntry {
         turn: ticket.entry,
-        program: ticket.program,
+        program,
         retention_ms: ticket.retention_ms,
         reserved: ticket.reserved,
         used: NOT_SETTLED,
--- a/crates/gateway/src/edge/turn_account.rs
+++ b/crates/gateway/src/edge/turn_account.rs
@@ -5,8 +5,8 @@
 use crate::edge::gateway::Gateway;
 use crate::edge::refusal::Refusal;
 use crate::edge::send_record::SendRecord;
-use crate::edge::tickets::AheadReservation;
-use crate::edge::turns::TurnError;
+use crate::edge::tickets::{budget_entry_of_ticket, AheadReservation};
+use crate::edge::turns::{Reservation, TurnError};
 use crate::logging::part;
 use foxnotch_turns::budget::BudgetView;
 use foxnotch_turns::identity::{program_key, turn_id};
@@ -14,6 +14,7 @@
 use foxnotch_wire::{RunLocation, TakeTicket, Ticket, TurnEntry, TurnId, TurnRecord, NOT_SETTLED};
 use std::sync::Arc;
 use std::time::Instant;
+use tokio::sync::oneshot;
 
 /// The facts known about a program when tokens are reserved for one of its turns.
 #[derive(Clone, Debug)]
@@ -36,6 +37,9 @@
     budget: Option<u64>,
     /// Whether the entry may be stored on replicas and is not settled yet.
     is_reserved: bool,
+    /// The outcome of the claim of the tokens of the turn's ticket, until the turn has waited for it. `None` without a
+    /// ticket.
+    pending_claim: Option<oneshot::Receiver<Result<BudgetView, Refusal>>>,
     /// Number of tokens that each event from the service's model counts as.
     event_tokens: u32,
     /// Number of the turn's events that were sent to the caller.
@@ -70,6 +74,7 @@
             entry,
             budget: metadata.token_budget,
             is_reserved: false,
+            pending_claim: None,
             event_tokens: model.map_or(1, |model| model.event_tokens.max(1)),
             events: 0,
             other_turns_tokens: 0,
@@ -78,7 +83,8 @@
     }
 
     /// Reserves the most tokens that the turn may use, and returns the facts known about its program. Asks a quorum of
-    /// replicas unless the turn gets a ticket. Without a budget, reserves nothing and returns `None`.
+    /// replicas, and does not wait for its answer if the turn gets a ticket; see [`Self::wait_for_claim`]. Without a
+    /// budget, reserves nothing and returns `None`.
     ///
     /// # Errors
     /// [`Refusal::BudgetSpent`], [`Refusal::BudgetUnknown`], [`Refusal::NoQuorum`].
@@ -88,72 +94,71 @@
         let request = TakeTicket { program: self.entry.program, asker, min_tokens: self.entry.reserved, budget };
         let asked_at = Instant::now();
         if let Some(ticket) = self.gateway.tickets.take_ticket(request).await {
-            return Ok(Some(self.use_ticket(&ticket, asked_at)));
+            return Ok(Some(self.use_ticket(&ticket, asker, asked_at, deadline)));
         }
         self.is_reserved = true;
         let reserved = self.gateway.turns.reserve_tokens(&self.entry, budget, deadline).await;
-        let reservation = reserved.map_err(|error| Refusal::NoQuorum(error.to_string()))?;
-        let budget_view = reservation.program;
-        if !reservation.granted {
-            self.reclaim_or_refuse(&budget_view, budget, asker).await?;
-        }
+        let attempt = ReservationAttempt { gateway: &self.gateway, entry: &self.entry, budget, asker };
+        let budget_view = attempt.grant_or_refuse(reserved).await?;
         self.other_turns_tokens = budget_view.charged_tokens().saturating_sub(u64::from(self.entry.reserved));
         let has_earlier_turns = budget_view.started_turn_count() > 1;
         Ok(Some(ProgramSnapshot { budget: budget_view, has_earlier_turns }))
     }
 
-    /// Lets the turn use the entry that a ticket reserved ahead.
-    fn use_ticket(&mut self, ticket: &Ticket, asked_at: Instant) -> ProgramSnapshot {
+    /// Starts to claim the tokens of a ticket: reserves the turn's tokens on a quorum in place of the ticket's entry.
+    fn use_ticket(&mut self, ticket: &Ticket, asker: u64, asked_at: Instant, deadline: Instant) -> ProgramSnapshot {
         log::info!(
             target: part::TURN,
             "Ticket taken: turn={} program={:016x} entry={} tokens={} after={:?}. The ticket has reserved `tokens` \
-             for the turn, so no quorum of replicas is asked.",
+             for the turn, so the turn does not wait for a quorum of replicas before it is sent.",
             self.turn,
             self.entry.program.0,
             ticket.entry,
             ticket.reserved,
             asked_at.elapsed(),
         );
-        self.entry.turn = ticket.entry;
-        self.entry.reserved = ticket.reserved;
         self.is_reserved = true;
         self.other_turns_tokens = ticket.other_turns_tokens;
+        let (outcome, pending_claim) = oneshot::channel();
+        self.pending_claim = Some(pending_claim);
+        let (gateway, entry) = (self.gateway.clone(), self.entry.clone());
+        let budget = self.budget.unwrap_or(ticket.budget);
+        let ticket_entry = budget_entry_of_ticket(ticket, entry.program);
+        self.gateway.tickets.run_in_background(async move {
+            let reserved = gateway.turns.reserve_in_place_of(ticket_entry, &entry, budget, deadline).await;
+            let attempt = ReservationAttempt { gateway: &gateway, entry: &entry, budget, asker };
+            // Fails when the turn has ended without waiting for the claim.
+            let _ = outcome.send(attempt.grant_or_refuse(reserved).await);
+        });
         // A gateway makes a ticket only after a completed turn, so the program has an earlier turn.
         ProgramSnapshot { budget: BudgetView::from_ticket(ticket), has_earlier_turns: true }
     }
 
-    /// Reclaims tokens that are reserved ahead and not in use, and refuses the turn if it still does not fit into the
-    /// budget. Called when the turn does not fit at first.
-    async fn reclaim_or_refuse(&self, budget_view: &BudgetView, budget: u64, asker: u64) -> Result<(), Refusal> {
-        let verdict = self.gateway.tickets.reclaim_before_refusal(&self.entry, budget_view, budget, asker).await;
-        match verdict {
-            ReclaimVerdict::Granted => Ok(()),
-            ReclaimVerdict::Exhausted => {
-                log::info!(
-                    target: part::TURN,
-                    "Turn refused because it does not fit its program's token budget (`total` counts the tokens \
-                     used and reserved, with those of this turn): turn={} program={:016x} total={} budget={budget}.",
-                    self.turn,
-                    self.entry.program.0,
-                    budget_view.charged_tokens(),
-                );
-                Err(Refusal::BudgetSpent)
-            }
-            ReclaimVerdict::Unknown => {
-                log::info!(
-                    target: part::TURN,
-                    "Budget not known: turn={} program={:016x} total={} budget={budget} ahead={}. The turn is \
-                     refused, because it is unknown whether it fits its program's budget: `total` includes the `ahead` \
-                     reservations for later turns, and the replicas that hold their tickets did not report which are \
-                     unused.",
-                    self.turn,
-                    self.entry.program.0,
-                    budget_view.charged_tokens(),
-                    budget_view.unsettled_ahead_entries().len(),
-                );
-                Err(Refusal::BudgetUnknown)
+    /// Waits until a quorum has granted the tokens of a turn that was sent to an engine with a ticket. Until then, none of
+    /// its tokens may be handed out. Returns at once if the turn took no ticket.
+    ///
+    /// # Errors
+    /// [`Refusal::MayHaveRun`] if the tokens are not granted: the ticket was revoked, or no quorum answers.
+    pub(super) async fn wait_for_claim(&mut self) -> Result<(), Refusal> {
+        let Some(pending_claim) = self.pending_claim.take() else { return Ok(()) };
+        let refusal = match pending_claim.await {
+            Ok(Ok(budget_view)) => {
+                self.gateway.metrics.count_ticket("claimed");
+                self.other_turns_tokens = budget_view.charged_tokens().saturating_sub(u64::from(self.entry.reserved));
+                return Ok(());
             }
-        }
+            Ok(Err(refusal)) => refusal.to_string(),
+            Err(_) => "the claim of its tokens was abandoned".to_owned(),
+        };
+        self.gateway.metrics.count_ticket("claim_failed");
+        log::warn!(
+            target: part::TURN,
+            "Turn {} was sent with a ticket whose tokens it could not claim, so its answer is not forwarded: \
+             program={:016x}: {refusal}.",
+            self.turn,
+            self.entry.program.0,
+        );
+        Err(Refusal::MayHaveRun(refusal))
     }
 
     /// Records that the turn failed at the engine that it was sent to last.
@@ -223,6 +228,57 @@
     }
 }
 
+/// A turn whose reservation a quorum has stored or may have stored.
+struct ReservationAttempt<'a> {
+    gateway: &'a Gateway,
+    entry: &'a TurnEntry,
+    /// The program's token budget.
+    budget: u64,
+    /// The random number that identifies the turn to ticket holders.
+    asker: u64,
+}
+
+impl ReservationAttempt<'_> {
+    /// Returns the program's budget entries if the turn's reservation is granted. Before refusing it, reclaims tokens that
+    /// are reserved ahead and not in use.
+    async fn grant_or_refuse(&self, reserved: Result<Reservation, TurnError>) -> Result<BudgetView, Refusal> {
+        let reservation = reserved.map_err(|error| Refusal::NoQuorum(error.to_string()))?;
+        let program = reservation.program;
+        if reservation.granted {
+            return Ok(program);
+        }
+        let (tickets, budget) = (&self.gateway.tickets, self.budget);
+        match tickets.reclaim_before_refusal(self.entry, &program, budget, self.asker).await {
+            ReclaimVerdict::Granted => Ok(program),
+            ReclaimVerdict::Exhausted => {
+                log::info!(
+                    target: part::TURN,
+                    "Turn refused because it does not fit its program's token budget (`total` counts the tokens \
+                     used and reserved, with those of this turn): turn={} program={:016x} total={} budget={budget}.",
+                    self.entry.turn,
+                    self.entry.program.0,
+                    program.charged_tokens(),
+                );
+                Err(Refusal::BudgetSpent)
+            }
+            ReclaimVerdict::Unknown => {
+                log::info!(
+                    target: part::TURN,
+                    "Budget not known: turn={} program={:016x} total={} budget={budget} ahead={}. The turn is \
+                     refused, because it is unknown whether it fits its program's budget: `total` includes the `ahead` \
+                     reservations for later turns, and the replicas that hold their tickets did not report which are \
+                     unused.",
+                    self.entry.turn,
+                    self.entry.program.0,
+                    program.charged_tokens(),
+                    program.unsettled_ahead_entries().len(),
+                );
+                Err(Refusal::BudgetUnknown)
+            }
+        }
+    }
+}
+
 impl Drop for TurnAccount {
     fn drop(&mut self) {
         if !self.is_reserved {
--- a/crates/gateway/src/edge/turns.rs
+++ b/crates/gateway/src/edge/turns.rs
@@ -258,6 +258,23 @@
         self.decide_reservation(entry, written, budget, deadline).await
     }
 
+    /// Like [`Self::reserve_tokens`], and releases the entry `replaced` of the same program in the same write. No replica
+    /// counts both entries, and none counts neither.
+    ///
+    /// # Errors
+    /// [`TurnError`]; see [`Self::reserve_tokens`].
+    pub async fn reserve_in_place_of(
+        &self,
+        replaced: TurnEntry,
+        entry: &TurnEntry,
+        budget: u64,
+        deadline: Instant,
+    ) -> Result<Reservation, TurnError> {
+        let released = TurnEntry { used: 0, ..replaced };
+        let written = self.write_entries(&[entry.clone(), released], deadline).await?;
+        self.decide_reservation(entry, written, budget, deadline).await
+    }
+
     /// Decides whether a reservation that a quorum has stored is granted. `written` holds the program's budget entries
     /// as the replicas reported them when they stored the reservation.
     ///
@@ -315,7 +332,14 @@
     }
 
     /// Reads a program's budget entries from a quorum.
-    async fn read_budget_entries(&self, program: ProgramKey, deadline: Instant) -> Result<BudgetView, TurnError> {
+    ///
+    /// # Errors
+    /// [`TurnError`].
+    pub(super) async fn read_budget_entries(
+        &self,
+        program: ProgramKey,
+        deadline: Instant,
+    ) -> Result<BudgetView, TurnError> {
         self.ask_quorum(deadline, &[], |_, set_version| RpcBody::ReadProgram(ReadProgram { set_version, program }))
             .await
     }
--- a/crates/gateway/src/replica/ticket_service.rs
+++ b/crates/gateway/src/replica/ticket_service.rs
@@ -1,5 +1,5 @@
-//! Tickets that a replica holds for tokens that were reserved ahead. They are in memory only: a ticket that is lost
-//! with the process leaves its tokens reserved until the program's retention has passed.
+//! Tickets that a replica holds for tokens that were reserved ahead. They are in memory only: when a ticket is lost
+//! with the process, gateways release its tokens once a turn needs them.
 
 use crate::locks::lock;
 use foxnotch_turns::ticket_book::TicketBook;
--- a/crates/turns/src/reserve_ahead.rs
+++ b/crates/turns/src/reserve_ahead.rs
@@ -1,11 +1,14 @@
 //! Rules for tokens reserved ahead of a program's next turn: how many to reserve, which replica holds the ticket, and
 //! how a refusal takes such reservations into account.
 //!
-//! A reservation ahead is an entry of the program with an identifier of its own ([`crate::ahead_entry`]). The right to
-//! run a turn under the entry, or to release its tokens, is a ticket. One replica holds the ticket until a turn takes
-//! it ([`crate::ticket_book`]); the identifier of the entry names this replica. If a ticket is lost, its entry stays
-//! reserved until the program expires: the budget then has fewer tokens available, and no token is used twice.
+//! A reservation ahead is an entry of the program with an identifier of its own ([`crate::ahead_entry`]). One replica
+//! holds the entry's ticket until a turn takes it ([`crate::ticket_book`]); the identifier of the entry names this
+//! replica. A turn with the ticket is sent to an engine at once. Before any of its tokens are handed out, a quorum has to
+//! grant the turn a reservation of its own, in a write that also releases the entry. So a ticket is only a forecast that
+//! this reservation will be granted: an entry whose ticket is lost can be released by anyone, and a ticket that was issued
+//! twice spends no token twice.
 
+use crate::ahead_entry::is_revocable;
 use crate::budget::BudgetView;
 use foxnotch_wire::{ProgramKey, ReclaimedTickets, ReplicaMember, RunLocation, TurnId};
 use std::cmp::Reverse;
@@ -64,6 +67,29 @@
     Unknown,
 }
 
+/// Whether an unclaimed entry whose ticket another turn has taken counts as used in [`with_revoked_entries`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TakenTickets {
+    /// The turn may be about to claim the entry.
+    CountAsUsed,
+    /// The turn has had enough time to claim the entry. If it claims the entry later, the claim is decided like any other
+    /// reservation.
+    Release,
+}
+
+/// Completes the answers of the ticket holders: adds to [`ReclaimedTickets::given`] the revocable entries that may be
+/// released without their tickets, because no turn is known to have taken them.
+pub fn with_revoked_entries(program: &BudgetView, answers: ReclaimedTickets, taken: TakenTickets) -> ReclaimedTickets {
+    let mut reclaimed = answers;
+    if taken == TakenTickets::Release {
+        reclaimed.in_use.retain(|entry| !is_revocable(*entry));
+    }
+    let known: HashSet<TurnId> = reclaimed.given.iter().chain(&reclaimed.in_use).copied().collect();
+    let unclaimed = program.unsettled_ahead_entries().into_iter().map(|(entry, _)| entry);
+    reclaimed.given.extend(unclaimed.filter(|entry| is_revocable(*entry) && !known.contains(entry)));
+    reclaimed
+}
+
 /// Decides on a turn that does not fit the budget while all reservations ahead count as used. `budget` is in tokens. Of
 /// the reservations ahead, those in `reclaimed.given` are subtracted from the charges, and those in `reclaimed.in_use`
 /// are not. Whether the tickets of all other reservations ahead are used is unknown.
--- a/crates/turns/src/ticket_book.rs
+++ b/crates/turns/src/ticket_book.rs
@@ -3,6 +3,7 @@
 //! No I/O and no clock: callers pass the time since the holder's start. The holder issues each ticket to one asker,
 //! which is a turn. It issues the ticket again only to the same asker, since the first reply may have been lost.
 
+use crate::ahead_entry::revocable_ticket_key;
 use crate::reserve_ahead::run_locations_for_ticket;
 use foxnotch_wire::{
     ProgramKey, ReclaimTickets, ReclaimedTickets, TakeTicket, Ticket, TicketAnswer, TicketRequest, TurnId,
@@ -16,8 +17,8 @@
 /// takes up to some 800 bytes, including map entries and run locations. So held and issued tickets together take at
 /// most 32 MB on a machine with 100 MB.
 const MAX_TICKETS: usize = 20_000;
-/// Time for which an issued ticket is remembered. If its turn runs longer, the ticket's state is unknown: a refusal
-/// that depends on it is answered with 503, since the ticket can no longer be counted as in use.
+/// Time for which an issued ticket is remembered. After that its state is unknown to the holder. If its entry is revocable
+/// and not claimed by then, gateways release it; a refusal that depends on an exclusive entry is answered with 503.
 const ISSUED_TICKET_RETENTION: Duration = Duration::from_secs(30);
 /// Interval between two removals of expired tickets.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
@@ -118,7 +119,8 @@
 
     /// Issues the tickets of the given entries so that the asker can release their reservations. An asker may also
     /// release a ticket that it took itself for a turn. A ticket that another asker took for a turn is reported as in
-    /// use.
+    /// use. Also looks for the tickets of revocable entries, which gateways of older builds ask for by the program's own
+    /// key.
     fn reclaim(&mut self, request: &ReclaimTickets, now: Duration) -> ReclaimedTickets {
         let mut reclaimed = ReclaimedTickets::default();
         for entry in &request.entries {
@@ -130,7 +132,10 @@
                 Some(known) if known.purpose == Purpose::Turn => reclaimed.in_use.push(*entry),
                 Some(_) => {}
                 None => {
-                    let given = self.issue((request.program, *entry), request.asker, Purpose::Release, now);
+                    let keys = [request.program, revocable_ticket_key(request.program)];
+                    let given = keys
+                        .into_iter()
+                        .find_map(|key| self.issue((key, *entry), request.asker, Purpose::Release, now));
                     reclaimed.given.extend(given.map(|ticket| ticket.entry));
                 }
             }
--- a/crates/turns/tests/reserve_ahead_tests.rs
+++ b/crates/turns/tests/reserve_ahead_tests.rs
@@ -3,10 +3,12 @@
 //! issued until it is released.
 
 use foxnotch_membership::Millis;
-use foxnotch_turns::ahead_entry::{ahead_entry_id, ticket_holder};
+use foxnotch_turns::ahead_entry::{ahead_entry_id, revocable_entry_id, ticket_holder};
 use foxnotch_turns::budget::{BudgetVerdict, BudgetView};
 use foxnotch_turns::ledger::Ledger;
-use foxnotch_turns::reserve_ahead::{tokens_to_reserve_ahead, verdict_with_reclaimed, ReclaimVerdict};
+use foxnotch_turns::reserve_ahead::{
+    tokens_to_reserve_ahead, verdict_with_reclaimed, with_revoked_entries, ReclaimVerdict, TakenTickets,
+};
 use foxnotch_turns::ticket_book::TicketBook;
 use foxnotch_wire::{
     NodeId, ProgramKey, ReclaimTickets, ReclaimedTickets, TakeTicket, Ticket, TicketAnswer, TicketRequest, TurnEntry,
@@ -438,3 +440,87 @@
         prop_assert!(tokens_returned <= budget, "the program used {tokens_returned} tokens with a budget of {budget}: a ticket was used twice");
     }
 }
+
+/// A turn that claims the tokens of a revocable entry, or one without a ticket. Both write to a quorum, then read from one
+/// if they have to.
+#[derive(Clone, Debug)]
+struct Claimant {
+    own: TurnEntry,
+    /// The entry whose ticket the turn has taken.
+    ticket_entry: Option<TurnEntry>,
+    first_replica: usize,
+    steps: usize,
+    view: BudgetView,
+    granted: Option<bool>,
+}
+
+impl Claimant {
+    /// Does the write to the next replica, or the read from it, and decides once a quorum has been reached.
+    fn step(&mut self, replicas: &mut [Ledger], budget: u64) {
+        if self.granted.is_some() {
+            return;
+        }
+        let replica = &mut replicas[(self.first_replica + self.steps) % REPLICAS];
+        if self.steps < QUORUM {
+            replica.add_entry(self.own.clone(), Millis(0));
+            if let Some(entry) = &self.ticket_entry {
+                replica.add_entry(TurnEntry { used: 0, ..entry.clone() }, Millis(0));
+            }
+        }
+        self.view.merge_charges(&replica.charges(PROGRAM));
+        self.steps += 1;
+        if self.steps == QUORUM && self.view.verdict_after_write(budget) == BudgetVerdict::Granted {
+            self.granted = Some(true);
+        } else if self.steps == 2 * QUORUM {
+            let reclaimed = with_revoked_entries(&self.view, ReclaimedTickets::default(), TakenTickets::Release);
+            let verdict = verdict_with_reclaimed(&self.view, budget, &reclaimed);
+            assert_ne!(verdict, ReclaimVerdict::Unknown, "revocable entries leave nothing unknown");
+            self.granted = Some(verdict == ReclaimVerdict::Granted);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 3000, rng_seed: proptest::test_runner::RngSeed::Fixed(76), ..ProptestConfig::default() })]
+
+    /// Each ticket may have been issued to several turns, because its holder lost its memory, and each entry is released
+    /// by turns that do not know of them. A turn alone is refused only if the budget does not hold it.
+    #[test]
+    fn claims_never_exceed_the_budget_however_often_a_ticket_was_issued(
+        tickets in prop::collection::vec(1_u32..60, 1..4),
+        turns in prop::collection::vec((prop::option::of(0_usize..4), 1_u32..60, 0_usize..REPLICAS), 1..7),
+        order in prop::collection::vec(0_usize..7, 0..60),
+    ) {
+        let budget = 100;
+        let mut replicas = vec![Ledger::default(); REPLICAS];
+        let ahead: Vec<TurnEntry> = (0..).zip(&tickets)
+            .map(|(number, tokens)| entry(revocable_entry_id(NodeId(1), number), *tokens)).collect();
+        for (index, entry) in ahead.iter().enumerate() {
+            for replica in 0..QUORUM {
+                replicas[(index + replica) % REPLICAS].add_entry(entry.clone(), Millis(0));
+            }
+        }
+        let mut claimants: Vec<Claimant> = (100..).zip(&turns).map(|(number, (ticket, tokens, first_replica))| {
+            let ticket_entry = ticket.and_then(|index| ahead.get(index)).cloned();
+            let tokens = ticket_entry.as_ref().map_or(*tokens, |entry| entry.reserved);
+            let own = entry(TurnId(number), tokens);
+            let view = BudgetView::default();
+            Claimant { own, ticket_entry, first_replica: *first_replica, steps: 0, view, granted: None }
+        }).collect();
+        for index in order {
+            let count = claimants.len();
+            claimants[index % count].step(&mut replicas, budget);
+        }
+        for claimant in &mut claimants {
+            while claimant.granted.is_none() {
+                claimant.step(&mut replicas, budget);
+            }
+        }
+        let reserved = |claimant: &Claimant| u64::from(claimant.own.reserved);
+        let granted: u64 = claimants.iter().filter(|claimant| claimant.granted == Some(true)).map(reserved).sum();
+        prop_assert!(granted <= budget, "{granted} tokens were granted");
+        if let [alone] = claimants.as_slice() {
+            prop_assert_eq!(alone.granted, Some(true), "a turn was refused because of tickets that no turn uses");
+        }
+    }
+}
--- a/crates/wire/src/tickets.rs
+++ b/crates/wire/src/tickets.rs
@@ -27,14 +27,15 @@
     pub entries: Vec<TurnEntry>,
 }
 
-/// The right to run one turn under a reservation that a quorum of replicas stores.
+/// The right to send one turn before a quorum has granted its reservation, because a quorum stores one for it.
 #[deku_derive(DekuRead, DekuWrite)]
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
 pub struct Ticket {
-    /// The reservation's entry, under which the turn is settled.
+    /// The reservation's entry, which the turn replaces by its own.
     pub entry: TurnId,
-    /// The only program whose turns may use the ticket.
+    /// The key under which the holder keeps the ticket: that of the only program whose turns may use it. Tickets of
+    /// revocable entries have a key of their own, derived from the program's.
     pub program: ProgramKey,
     /// Number of reserved tokens: the maximum that the turn may generate.
     pub reserved: u32,
@@ -56,7 +57,7 @@
 #[derive(DekuRead, DekuWrite, Clone, Copy, Debug, PartialEq, Eq)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
 pub struct TakeTicket {
-    /// The program of the turn.
+    /// The key under which the holder keeps the ticket ([`Ticket::program`]).
     pub program: ProgramKey,
     /// A random number that identifies the requesting turn. A repeated request of a turn is answered with the same
     /// ticket.
@@ -72,7 +73,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
 pub struct ReclaimTickets {
-    /// The program that the entries belong to.
+    /// The key under which the holder keeps the tickets ([`Ticket::program`]), or that of their program.
     pub program: ProgramKey,
     /// A random number that identifies the requesting turn. The holder also gives the turn the tickets that the turn
     /// has taken itself.
@@ -89,8 +90,8 @@
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
 #[deku(id_type = "u8")]
 pub enum TicketRequest {
-    /// Asks the replica to hold a ticket. This request is sent once and without relays. Otherwise a holder that
-    /// restarted between two copies of the request could grant the ticket twice.
+    /// Asks the replica to hold a ticket. This request is sent once and without relays, so that a holder that restarted
+    /// between two copies of the request does not grant the ticket twice: only one of the two turns could be answered.
     #[deku(id = "0")]
     Deposit(Ticket),
     /// Asks for a ticket for a turn that will run under it.
