A stream takes the most of its turn from the budget once, however often it is resumed

A 402 ends the program.

Cause: an attempt that resumes a stream reserved the most of a whole turn beside what the attempt before it had used, and beside the whole reservation of an attempt whose gateway had died. The budget was charged for attempts; it counts turns.

Change: a resuming attempt reserves the rest of the turn, by the caller's last event. Entries of one stream share the upper half of their identifiers, so any gateway finds what its other attempts are charged. What that is beyond what the caller has received does not count against the attempt, up to the most of one turn.

Why this works: each reservation is granted only while all charges together are within the budget and the most of one turn, which is the bound of BUDGET; so it holds for any last event that a caller states and for any number of gateways. A property test tries both, and one that a stream which breaks again and again is never refused within its budget.

No form on the wire or on disk changes; older builds read the entries as those of other turns.

--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -145,7 +145,7 @@
     }
 
     /// The attempt that began the stream which the call resumes, if the call names it.
-    fn resumed_stream(&self) -> Option<&str> {
+    pub fn resumed_stream(&self) -> Option<&str> {
         self.metadata.resumes.as_deref().filter(|_| self.resumes_stream())
     }
 
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -347,6 +347,9 @@
                     self.sends.set_request(stream);
                 }
             }
+            if !self.account.covers_another_event() {
+                return Err(StreamError::EngineAborted("it sent more than the rest of the turn may have".to_owned()));
+            }
             self.account.events += 1;
             if let Some(pace) = &mut self.pace {
                 pace.note_event();
--- a/crates/gateway/src/edge/tickets.rs
+++ b/crates/gateway/src/edge/tickets.rs
@@ -18,6 +18,7 @@
     choose_ticket_holder, run_locations_for_ticket, tokens_to_reserve_ahead, verdict_with_reclaimed,
     with_revoked_entries, ReclaimVerdict, TakenTickets,
 };
+use foxnotch_turns::resumed_stream::BudgetLimit;
 use foxnotch_wire::{
     NodeId, ProgramKey, ReclaimTickets, ReclaimedTickets, ReplicaMember, ReplicaSet, RpcBody, TakeTicket, Ticket,
     TicketAnswer, TicketRequest, TurnEntry, TurnId, NOT_SETTLED,
@@ -359,10 +360,12 @@
         self: &Arc<Self>,
         refused: &TurnEntry,
         program: &BudgetView,
-        budget: u64,
+        limit: impl Into<BudgetLimit>,
         asker: u64,
     ) -> ReclaimVerdict {
-        let verdict = verdict_with_reclaimed(program, budget, &ReclaimedTickets::default());
+        let limit = limit.into();
+        let tokens = limit.tokens(program, refused.turn);
+        let verdict = verdict_with_reclaimed(program, tokens, &ReclaimedTickets::default());
         if verdict != ReclaimVerdict::Unknown {
             return verdict;
         }
@@ -372,8 +375,9 @@
             let answers = self.reclaim_tickets(refused.program, &program, asker).await;
             let released = with_revoked_entries(&program, answers.clone(), TakenTickets::Release);
             let reclaimed = with_revoked_entries(&program, answers, TakenTickets::CountAsUsed);
-            let verdict = verdict_with_reclaimed(&program, budget, &reclaimed);
-            let verdict_if_released = verdict_with_reclaimed(&program, budget, &released);
+            let tokens = limit.tokens(&program, refused.turn);
+            let verdict = verdict_with_reclaimed(&program, tokens, &reclaimed);
+            let verdict_if_released = verdict_with_reclaimed(&program, tokens, &released);
             if verdict == verdict_if_released {
                 self.finish_reclaim(refused, &program, verdict, reclaimed);
                 return verdict;
--- a/crates/gateway/src/edge/turn_account.rs
+++ b/crates/gateway/src/edge/turn_account.rs
@@ -11,6 +11,7 @@
 use foxnotch_turns::budget::BudgetView;
 use foxnotch_turns::identity::{program_key, turn_id};
 use foxnotch_turns::reserve_ahead::ReclaimVerdict;
+use foxnotch_turns::resumed_stream::{resuming_entry_id, BudgetLimit, ResumedStream};
 use foxnotch_wire::{RunLocation, TakeTicket, Ticket, TurnEntry, TurnId, TurnRecord, NOT_SETTLED};
 use std::sync::Arc;
 use std::time::Instant;
@@ -35,6 +36,10 @@
     pub(super) entry: TurnEntry,
     /// The program's token budget; `None` when the call states none.
     budget: Option<u64>,
+    /// The most tokens that the turn may use. An attempt that resumes its stream reserves fewer.
+    turn_maximum: u32,
+    /// The stream that the turn resumes.
+    resumed: Option<ResumedStream>,
     /// Whether the entry may be stored on replicas and is not settled yet.
     is_reserved: bool,
     /// The outcome of the claim of the tokens of the turn's ticket, until the turn has waited for it. `None` without a
@@ -57,12 +62,18 @@
         let program = metadata.program.as_deref().unwrap_or(&metadata.attempt);
         let configuration = gateway.view.get().configuration.value;
         let model = configuration.service(&call.service).and_then(|service| service.model.as_ref());
+        let event_tokens = model.map_or(1, |model| model.event_tokens.max(1));
         let turn = turn_id(call.tenant_name(), &metadata.attempt);
+        let turn_maximum = if metadata.token_budget.is_some() { metadata.max_tokens } else { 0 };
+        let begun_by = call.resumed_stream().map(|attempt| turn_id(call.tenant_name(), attempt));
+        let resumed = call
+            .resumes_stream()
+            .then(|| ResumedStream::new(begun_by, metadata.last_event.as_deref(), turn_maximum, event_tokens));
         let entry = TurnEntry {
-            turn,
+            turn: begun_by.map_or(turn, |begun_by| resuming_entry_id(begun_by, rand::random())),
             program: program_key(call.tenant_name(), program),
             retention_ms: u32::try_from(call.route.retention_ms).unwrap_or(u32::MAX),
-            reserved: if metadata.token_budget.is_some() { metadata.max_tokens } else { 0 },
+            reserved: resumed.map_or(turn_maximum, |stream| stream.remaining_tokens()),
             used: NOT_SETTLED,
             run_location: None,
             elsewhere: None,
@@ -73,9 +84,11 @@
             turn,
             entry,
             budget: metadata.token_budget,
+            turn_maximum,
+            resumed,
             is_reserved: false,
             pending_claim: None,
-            event_tokens: model.map_or(1, |model| model.event_tokens.max(1)),
+            event_tokens,
             events: 0,
             other_turns_tokens: 0,
             is_completed: false,
@@ -93,12 +106,16 @@
         let asker: u64 = rand::random();
         let request = TakeTicket { program: self.entry.program, asker, min_tokens: self.entry.reserved, budget };
         let asked_at = Instant::now();
-        if let Some(ticket) = self.gateway.tickets.take_ticket(request).await {
-            return Ok(Some(self.use_ticket(&ticket, asker, asked_at, deadline)));
+        // A ticket is for the whole of a turn, and counts beside the earlier attempts of a stream that is resumed.
+        if self.resumed.is_none() {
+            if let Some(ticket) = self.gateway.tickets.take_ticket(request).await {
+                return Ok(Some(self.use_ticket(&ticket, asker, asked_at, deadline)));
+            }
         }
         self.is_reserved = true;
-        let reserved = self.gateway.turns.reserve_tokens(&self.entry, budget, deadline).await;
-        let attempt = ReservationAttempt { gateway: &self.gateway, entry: &self.entry, budget, asker };
+        let limit = BudgetLimit { budget, resumed: self.resumed };
+        let reserved = self.gateway.turns.reserve_tokens(&self.entry, limit, deadline).await;
+        let attempt = ReservationAttempt { gateway: &self.gateway, entry: &self.entry, limit, asker };
         let budget_view = attempt.grant_or_refuse(reserved).await?;
         self.other_turns_tokens = budget_view.charged_tokens().saturating_sub(u64::from(self.entry.reserved));
         let has_earlier_turns = budget_view.started_turn_count() > 1;
@@ -126,7 +143,7 @@
         let ticket_entry = budget_entry_of_ticket(ticket, entry.program);
         self.gateway.tickets.run_in_background(async move {
             let reserved = gateway.turns.reserve_in_place_of(ticket_entry, &entry, budget, deadline).await;
-            let attempt = ReservationAttempt { gateway: &gateway, entry: &entry, budget, asker };
+            let attempt = ReservationAttempt { gateway: &gateway, entry: &entry, limit: budget.into(), asker };
             // Fails when the turn has ended without waiting for the claim.
             let _ = outcome.send(attempt.grant_or_refuse(reserved).await);
         });
@@ -219,7 +236,15 @@
     /// The reservation for the program's next turn, if one is to be made.
     fn plan_reservation_ahead(&self) -> Option<AheadReservation> {
         let known_total = self.other_turns_tokens.saturating_add(u64::from(self.used_tokens()));
-        self.gateway.tickets.plan_reservation(&self.entry, self.budget?, known_total)
+        let turn = TurnEntry { reserved: self.turn_maximum, ..self.entry.clone() };
+        self.gateway.tickets.plan_reservation(&turn, self.budget?, known_total)
+    }
+
+    /// Whether the tokens of another event may be handed out. An engine that numbers events in an unusual way may send
+    /// more to the caller of a resumed stream than the caller's last event let expect.
+    pub(super) fn covers_another_event(&self) -> bool {
+        let tokens = (self.events + 1).saturating_mul(self.event_tokens);
+        self.budget.is_none() || self.resumed.is_none() || tokens <= self.entry.reserved
     }
 
     /// The number of tokens that were sent to the caller, at most the reserved number.
@@ -232,8 +257,8 @@
 struct ReservationAttempt<'a> {
     gateway: &'a Gateway,
     entry: &'a TurnEntry,
-    /// The program's token budget.
-    budget: u64,
+    /// The number of tokens that may be charged to the program.
+    limit: BudgetLimit,
     /// The random number that identifies the turn to ticket holders.
     asker: u64,
 }
@@ -247,8 +272,8 @@
         if reservation.granted {
             return Ok(program);
         }
-        let (tickets, budget) = (&self.gateway.tickets, self.budget);
-        match tickets.reclaim_before_refusal(self.entry, &program, budget, self.asker).await {
+        let (tickets, budget) = (&self.gateway.tickets, self.limit.tokens(&program, self.entry.turn));
+        match tickets.reclaim_before_refusal(self.entry, &program, self.limit, self.asker).await {
             ReclaimVerdict::Granted => Ok(program),
             ReclaimVerdict::Exhausted => {
                 log::info!(
--- a/crates/gateway/src/edge/turns.rs
+++ b/crates/gateway/src/edge/turns.rs
@@ -13,6 +13,7 @@
 use foxnotch_turns::quorum::Tally;
 use foxnotch_turns::record_quorum::RecordQuorum;
 use foxnotch_turns::replica_set::Tolerance;
+use foxnotch_turns::resumed_stream::BudgetLimit;
 use foxnotch_turns::stream_origin::{origin_in, origin_program, StreamOrigin};
 use foxnotch_turns::zone_regions::ZoneRegions;
 use foxnotch_wire::{
@@ -242,7 +243,7 @@
         }
     }
 
-    /// Reserves the most tokens that a turn may use, if they fit into the budget. If the reservation is not granted,
+    /// Reserves the most tokens that a turn may use, if they fit into the limit. If the reservation is not granted,
     /// the code that called this function has to release it.
     ///
     /// # Errors
@@ -251,11 +252,11 @@
     pub async fn reserve_tokens(
         &self,
         entry: &TurnEntry,
-        budget: u64,
+        limit: impl Into<BudgetLimit>,
         deadline: Instant,
     ) -> Result<Reservation, TurnError> {
         let written = self.write_entry(entry, deadline).await?;
-        self.decide_reservation(entry, written, budget, deadline).await
+        self.decide_reservation(entry, written, limit, deadline).await
     }
 
     /// Like [`Self::reserve_tokens`], and releases the entry `replaced` of the same program in the same write. No replica
@@ -284,14 +285,15 @@
         &self,
         entry: &TurnEntry,
         written: BudgetView,
-        budget: u64,
+        limit: impl Into<BudgetLimit>,
         deadline: Instant,
     ) -> Result<Reservation, TurnError> {
+        let limit = limit.into();
         let mut program = written;
-        let mut verdict = program.verdict_after_write(budget);
+        let mut verdict = program.verdict_after_write(limit.budget);
         if verdict == BudgetVerdict::ReadAgain {
             program.merge(&self.read_budget_entries(entry.program, deadline).await?);
-            verdict = program.verdict_after_read(budget);
+            verdict = program.verdict_after_read(limit.tokens(&program, entry.turn));
         }
         Ok(Reservation { granted: verdict == BudgetVerdict::Granted, program })
     }
--- a/crates/turns/src/budget.rs
+++ b/crates/turns/src/budget.rs
@@ -108,7 +108,13 @@
 
     /// Tokens charged for all turns of the program.
     pub fn charged_tokens(&self) -> u64 {
-        self.charges.values().map(|charge| u64::from(charge.tokens)).sum()
+        self.charged_tokens_of(|_| true)
+    }
+
+    /// Tokens charged for the turns whose entries are selected.
+    pub fn charged_tokens_of(&self, is_selected: impl Fn(TurnId) -> bool) -> u64 {
+        let selected = self.charges.iter().filter(|(entry, _)| is_selected(**entry));
+        selected.map(|(_, charge)| u64::from(charge.tokens)).sum()
     }
 
     /// Decides after the write of the reservation, from the charges in the replies to that write. `budget` is in
--- a/crates/turns/src/lib.rs
+++ b/crates/turns/src/lib.rs
@@ -4,8 +4,8 @@
 //!   decides whether a token reservation fits the program's budget. [`chain`] assembles the earlier turns that a turn
 //!   continues.
 //! - [`reserve_ahead`] decides how many tokens to reserve for a program's next turn. [`ticket_book`] holds the tickets
-//!   (the rights to use such reservations) on one replica. [`ahead_entry`] encodes and decodes the identifiers of the
-//!   reservations' entries.
+//!   of such reservations on one replica. [`ahead_entry`] encodes and decodes the identifiers of the reservations'
+//!   entries. [`resumed_stream`] decides what an attempt that resumes a stream takes from the budget.
 //! - A replica stores the entries that it receives in a [`ledger`] and writes them to disk in checksummed frames
 //!   ([`segment`]).
 //! - [`replica_set`] defines which replicas are members of the set, and when the set may change.
@@ -25,6 +25,7 @@
 pub mod record_quorum;
 pub mod replica_set;
 pub mod reserve_ahead;
+pub mod resumed_stream;
 pub mod segment;
 pub mod stored_view;
 pub mod stored_view_file;
--- a/crates/turns/tests/budget_tests.rs
+++ b/crates/turns/tests/budget_tests.rs
@@ -2,6 +2,7 @@
 //! exceed the budget.
 
 use foxnotch_turns::budget::{BudgetVerdict, BudgetView};
+use foxnotch_turns::resumed_stream::{resuming_entry_id, BudgetLimit, ResumedStream};
 use foxnotch_wire::{RunLocation, TurnCharge, TurnId};
 use proptest::prelude::*;
 use rstest::rstest;
@@ -178,3 +179,65 @@
     view.merge_charges(&[charge(3, 9)]);
     assert_eq!(view.started_turn_count(), 2);
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 3000, rng_seed: proptest::test_runner::RngSeed::Fixed(8), ..ProptestConfig::default() })]
+
+    /// Attempts resume one stream from any event that a caller states, and are settled late, or never because their gateway
+    /// died. Attempts that broke with an event lost on the way are resumed as long as the budget holds the turn once.
+    #[test]
+    fn attempts_of_a_stream_use_at_most_the_budget_and_one_turn(
+        attempts in prop::collection::vec((0_u32..40, 0_u32..33, any::<bool>()), 1..12),
+        other_turns in 0_u32..300,
+    ) {
+        let (budget, most, event_tokens) = (576_u64, 288_u32, 9_u32);
+        let begun_by = TurnId(0xabcd << 64 | 1);
+        let mut view = BudgetView::default();
+        view.merge_charges(&[charge(1, other_turns), charge(begun_by.0, most)]);
+        let mut used = u64::from(other_turns) + u64::from(most);
+        for (number, (last_event, events, is_settled)) in (2..).zip(attempts) {
+            let stream = ResumedStream::new(Some(begun_by), Some(&last_event.to_string()), most, event_tokens);
+            let own = resuming_entry_id(begun_by, number);
+            let limit = BudgetLimit { budget, resumed: Some(stream) };
+            view.merge_charges(&[charge(own.0, stream.remaining_tokens())]);
+            let is_granted = view.verdict_after_read(limit.tokens(&view, own)) == BudgetVerdict::Granted;
+            let tokens = if is_granted { (events * event_tokens).min(stream.remaining_tokens()) } else { 0 };
+            used += u64::from(tokens);
+            if is_settled || !is_granted {
+                view.merge_charges(&[TurnCharge { turn: own, tokens, settled: 1 }]);
+            }
+        }
+        prop_assert!(used <= budget + u64::from(most), "{used} tokens were used");
+    }
+
+    /// Each attempt breaks after an event that the caller has not received, and only the first one's gateway may die.
+    #[test]
+    fn a_stream_that_breaks_again_and_again_is_granted_within_its_budget(
+        breaks in prop::collection::vec(1_u32..8, 1..12),
+        is_first_settled in any::<bool>(),
+    ) {
+        let (budget, most, event_tokens) = (576_u64, 288_u32, 9_u32);
+        let begun_by = TurnId(0xabcd << 64 | 1);
+        let mut view = BudgetView::default();
+        view.merge_charges(&[charge(1, most), charge(begun_by.0, most)]);
+        let (mut received, mut own, mut sent) = (0, begun_by, 0);
+        for (number, events) in (2..).zip(breaks) {
+            received += events;
+            if received * event_tokens >= most {
+                break;
+            }
+            sent += events + u32::from(own == begun_by);
+            if own != begun_by || is_first_settled {
+                view.merge_charges(&[TurnCharge { turn: own, tokens: sent * event_tokens, settled: 1 }]);
+            }
+            sent = 0;
+            own = resuming_entry_id(begun_by, number);
+            let last_event = (received - 1).to_string();
+            let stream = ResumedStream::new(Some(begun_by), Some(&last_event), most, event_tokens);
+            let limit = BudgetLimit { budget, resumed: Some(stream) };
+            view.merge_charges(&[charge(own.0, stream.remaining_tokens())]);
+            let verdict = view.verdict_after_read(limit.tokens(&view, own));
+            prop_assert_eq!(verdict, BudgetVerdict::Granted, "after {} events", received);
+        }
+    }
+}
