Soak: all gateways lose power while engines of two software versions serve

Looked for here: a plan that replaces all engines of a service, or all but one, by those of the other version, and kills all gateways at once within 2 s, again and again; callers resume their streams at the gateways that come back, under the name of the attempt that began them. Real processes; the test also demands that no kill was skipped and that streams were resumed.

--- a/crates/lab/tests/soak/plan.rs
+++ b/crates/lab/tests/soak/plan.rs
@@ -21,6 +21,12 @@
 const VERSION_CHANGE_GAP_MS: std::ops::RangeInclusive<u64> = 500..=2500;
 /// Time for which an engine drains before it is replaced by one of another software version, milliseconds.
 const VERSION_CHANGE_DRAIN_MS: std::ops::RangeInclusive<u64> = 100..=1500;
+/// Time between two losses of power of all gateways, milliseconds.
+const POWER_LOSS_GAP_MS: std::ops::RangeInclusive<u64> = 4500..=7000;
+/// Time from the start of the engines' replacement to a loss of power, milliseconds. Most engines have been replaced then.
+const POWER_LOSS_DELAY_MS: std::ops::RangeInclusive<u64> = 0..=2000;
+/// Time for which all gateways are without power, milliseconds.
+const POWER_LOSS_MS: std::ops::RangeInclusive<u64> = 100..=2500;
 /// Time between the starts of two faults that send bytes without end, milliseconds.
 const ENDLESS_GAP_MS: std::ops::RangeInclusive<u64> = 200..=1200;
 /// Maximum duration of a fault.
@@ -198,6 +204,29 @@
     }
 }
 
+impl Plan {
+    /// Generates a plan that replaces the engines that run turns by those of another software version, all or all but one,
+    /// and kills all gateways at once meanwhile or shortly afterwards, again and again.
+    pub(crate) fn draw_power_losses_of_gateways(seed: u64, seconds: u64) -> Self {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut steps = Vec::new();
+        let mut at_ms = FAULT_FREE_START_MS;
+        while at_ms < seconds * 1000 {
+            for engine in random.random_range(0..2)..ENGINES {
+                let for_ms = random.random_range(VERSION_CHANGE_DRAIN_MS);
+                steps.push(Step { at_ms, for_ms, fault: Fault::EngineLeaves { engine } });
+            }
+            let lost_at_ms = at_ms + random.random_range(POWER_LOSS_DELAY_MS);
+            let for_ms = random.random_range(POWER_LOSS_MS);
+            let kill = |number| Step { at_ms: lost_at_ms, for_ms, fault: Fault::Kill { node: Node::Gateway(number) } };
+            steps.extend((0..GATEWAYS).map(kill));
+            at_ms += random.random_range(POWER_LOSS_GAP_MS);
+        }
+        steps.sort_by_key(|step| step.at_ms);
+        Self { seed, seconds, steps }
+    }
+}
+
 impl Plan {
     /// Generates a plan as [`Plan::draw`] does, and adds overlapping faults of paths to engines that send bytes without
     /// end. One engine of each service has none of them.
--- a/crates/lab/tests/soak/report.rs
+++ b/crates/lab/tests/soak/report.rs
@@ -11,9 +11,9 @@
 pub(crate) struct SoakReport {
     pub(super) plan: Plan,
     /// Number of steps that were skipped because their node was under another fault.
-    pub(super) skipped: usize,
+    pub(crate) skipped: usize,
     pub(super) stalled: Duration,
-    pub(super) outcomes: BTreeMap<String, u64>,
+    pub(crate) outcomes: BTreeMap<String, u64>,
     /// Violations found.
     pub violations: Vec<Violation>,
 }
--- a/crates/lab/tests/soak_tests.rs
+++ b/crates/lab/tests/soak_tests.rs
@@ -20,6 +20,8 @@
 const VERSIONS_SEED: u64 = 12;
 /// Duration of the faults of that plan in CI, in seconds.
 const VERSIONS_SECONDS: u64 = 30;
+/// Seed of the plan in CI in which all gateways lose power while engines are replaced.
+const POWER_LOSSES_SEED: u64 = 76;
 /// Seed of the plan in CI with requests under which engines end.
 const FATAL_SEED: u64 = 8;
 /// Seed of the plan in CI with engines that send bytes without end.
@@ -104,6 +106,23 @@
     assert!(report.violations.is_empty(), "{report}");
 }
 
+/// All gateways are killed at once while engines of two software versions serve, or just after those of one have left. No
+/// gateway remembers a stream then, and callers resume theirs at the gateways that come back.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_keep_their_version_when_all_gateways_lose_power() {
+    let temporary = tempfile::tempdir().expect("a temporary folder can be created");
+    let folder = std::env::var("SOAK_FOLDER").map_or_else(|_| temporary.path().join("soak"), PathBuf::from);
+    let (seed, seconds) =
+        (number_from_env("SOAK_SEED", POWER_LOSSES_SEED), number_from_env("SOAK_SECONDS", FAULT_SECONDS));
+    let plan = Plan::draw_power_losses_of_gateways(seed, seconds);
+    let report = run(SoakSettings { plan, programs: programs(), folder }).await.expect("the soak can be started");
+    println!("{report}");
+    assert!(report.violations.is_empty(), "{report}");
+    assert_eq!(report.skipped, 0, "each loss of power has to reach all gateways: {report}");
+    let resumed = report.outcomes.get("stream resumed 200").copied().unwrap_or(0);
+    assert!(resumed > 0, "no stream was resumed: {report}");
+}
+
 /// Engines end under some requests while gateways and replicas are under faults. At most three end under each.
 #[tokio::test(flavor = "multi_thread")]
 async fn few_engines_end_under_a_request_through_a_soak() {
