A turn with a ticket waits for its claim as long as its caller waits

Cause: the claim had the time for preparing a turn (900 ms from its arrival). A turn with a ticket has been sent by then, so what followed was a 502 for a turn that had run, where the caller would have waited longer for a slow quorum.

Change: the claim may take the call's whole time. The tests of tickets and of resumed streams pass; one of them waits for a quorum that does not come.

--- a/crates/gateway/src/edge/tickets.rs
+++ b/crates/gateway/src/edge/tickets.rs
@@ -42,8 +42,8 @@
 /// Timeout for reclaiming tickets from their holders before a turn is refused: enough for a round trip to the farthest
 /// region.
 const RECLAIM_TIMEOUT: Duration = Duration::from_millis(250);
-/// Time that a turn with a ticket has to claim the ticket's tokens on a quorum, before another turn that would be refused
-/// because of them releases them. It exceeds a write and a read across regions.
+/// Time that a turn with a ticket has to claim the ticket's tokens on a quorum, before another turn that would be
+/// refused because of them releases them. It exceeds a write and a read across regions.
 const CLAIM_TIME: Duration = Duration::from_millis(250);
 /// Time between two looks for such a claim.
 const CLAIM_POLL_PERIOD: Duration = Duration::from_millis(25);
@@ -327,8 +327,8 @@
                 self.release_reservation(&entry).await;
             }
             None => {
-                // The deposit may have arrived, and a turn may be under way with the ticket. Releasing the reservation here
-                // could let the tokens go to another turn.
+                // The deposit may have arrived, and a turn may be under way with the ticket. Releasing the reservation
+                // here could let the tokens go to another turn.
                 self.metrics.count_ticket("deposit_unanswered");
                 self.note_silence(holder.node);
                 log::info!(
@@ -354,8 +354,8 @@
     }
 
     /// Decides on a turn that does not fit into the budget while all tokens reserved ahead count as used. If releasing
-    /// the reservations that no turn uses may free enough tokens, releases them. If the outcome depends on turns that have
-    /// taken tickets and not claimed the tokens yet, waits up to [`CLAIM_TIME`] for them.
+    /// the reservations that no turn uses may free enough tokens, releases them. If the outcome depends on turns that
+    /// have taken tickets and not claimed the tokens yet, waits up to [`CLAIM_TIME`] for them.
     pub async fn reclaim_before_refusal(
         self: &Arc<Self>,
         refused: &TurnEntry,
@@ -421,7 +421,8 @@
         }
     }
 
-    /// Asks the holders of the tickets for a program's entries reserved ahead to return those tickets that no turn uses.
+    /// Asks the holders of the tickets for a program's entries reserved ahead to return those tickets that no turn
+    /// uses.
     async fn reclaim_tickets(&self, program: ProgramKey, view: &BudgetView, asker: u64) -> ReclaimedTickets {
         let set = self.turns.view.replica_set();
         let ahead = view.unsettled_ahead_entries();
--- a/crates/gateway/src/edge/turn_account.rs
+++ b/crates/gateway/src/edge/turn_account.rs
@@ -42,6 +42,8 @@
     resumed: Option<ResumedStream>,
     /// Whether the entry may be stored on replicas and is not settled yet.
     is_reserved: bool,
+    /// The time by which the call has to be answered.
+    expires_at: Instant,
     /// The outcome of the claim of the tokens of the turn's ticket, until the turn has waited for it. `None` without a
     /// ticket.
     pending_claim: Option<oneshot::Receiver<Result<BudgetView, Refusal>>>,
@@ -87,6 +89,7 @@
             turn_maximum,
             resumed,
             is_reserved: false,
+            expires_at: call.expires_at,
             pending_claim: None,
             event_tokens,
             events: 0,
@@ -109,7 +112,7 @@
         // A ticket is for the whole of a turn, and counts beside the earlier attempts of a stream that is resumed.
         if self.resumed.is_none() {
             if let Some(ticket) = self.gateway.tickets.take_ticket(request).await {
-                return Ok(Some(self.use_ticket(&ticket, asker, asked_at, deadline)));
+                return Ok(Some(self.use_ticket(&ticket, asker, asked_at)));
             }
         }
         self.is_reserved = true;
@@ -123,7 +126,8 @@
     }
 
     /// Starts to claim the tokens of a ticket: reserves the turn's tokens on a quorum in place of the ticket's entry.
-    fn use_ticket(&mut self, ticket: &Ticket, asker: u64, asked_at: Instant, deadline: Instant) -> ProgramSnapshot {
+    /// The quorum may take all of the call's time, since the turn cannot be said not to have run.
+    fn use_ticket(&mut self, ticket: &Ticket, asker: u64, asked_at: Instant) -> ProgramSnapshot {
         log::info!(
             target: part::TURN,
             "Ticket taken: turn={} program={:016x} entry={} tokens={} after={:?}. The ticket has reserved `tokens` \
@@ -139,7 +143,7 @@
         let (outcome, pending_claim) = oneshot::channel();
         self.pending_claim = Some(pending_claim);
         let (gateway, entry) = (self.gateway.clone(), self.entry.clone());
-        let budget = self.budget.unwrap_or(ticket.budget);
+        let (budget, deadline) = (self.budget.unwrap_or(ticket.budget), self.expires_at);
         let ticket_entry = budget_entry_of_ticket(ticket, entry.program);
         self.gateway.tickets.run_in_background(async move {
             let reserved = gateway.turns.reserve_in_place_of(ticket_entry, &entry, budget, deadline).await;
@@ -151,8 +155,8 @@
         ProgramSnapshot { budget: BudgetView::from_ticket(ticket), has_earlier_turns: true }
     }
 
-    /// Waits until a quorum has granted the tokens of a turn that was sent to an engine with a ticket. Until then, none of
-    /// its tokens may be handed out. Returns at once if the turn took no ticket.
+    /// Waits until a quorum has granted the tokens of a turn that was sent to an engine with a ticket. Until then, none
+    /// of its tokens may be handed out. Returns at once if the turn took no ticket.
     ///
     /// # Errors
     /// [`Refusal::MayHaveRun`] if the tokens are not granted: the ticket was revoked, or no quorum answers.
@@ -264,8 +268,8 @@
 }
 
 impl ReservationAttempt<'_> {
-    /// Returns the program's budget entries if the turn's reservation is granted. Before refusing it, reclaims tokens that
-    /// are reserved ahead and not in use.
+    /// Returns the program's budget entries if the turn's reservation is granted. Before refusing it, reclaims tokens
+    /// that are reserved ahead and not in use.
     async fn grant_or_refuse(&self, reserved: Result<Reservation, TurnError>) -> Result<BudgetView, Refusal> {
         let reservation = reserved.map_err(|error| Refusal::NoQuorum(error.to_string()))?;
         let program = reservation.program;
--- a/crates/gateway/src/edge/turns.rs
+++ b/crates/gateway/src/edge/turns.rs
@@ -259,8 +259,8 @@
         self.decide_reservation(entry, written, limit, deadline).await
     }
 
-    /// Like [`Self::reserve_tokens`], and releases the entry `replaced` of the same program in the same write. No replica
-    /// counts both entries, and none counts neither.
+    /// Like [`Self::reserve_tokens`], and releases the entry `replaced` of the same program in the same write. No
+    /// replica counts both entries, and none counts neither.
     ///
     /// # Errors
     /// [`TurnError`]; see [`Self::reserve_tokens`].
--- a/crates/gateway/src/metrics/mod.rs
+++ b/crates/gateway/src/metrics/mod.rs
@@ -257,9 +257,9 @@
         registry.register(
             "tickets",
             "Tickets, which reserve tokens for a program's next turn, by outcome: taken by a turn, claimed (a quorum \
-             granted the turn's tokens), claim_failed, missed (a turn found none), deposited with a replica, refused by that replica, given_up (released unused), \
-             not_granted (over the budget, or unknown); take_unanswered, late_unanswered and \
-             deposit_unanswered (the replica did not answer)",
+             granted the turn's tokens), claim_failed, missed (a turn found none), deposited with a replica, refused \
+             by that replica, given_up (released unused), not_granted (over the budget, or unknown); take_unanswered, \
+             late_unanswered and deposit_unanswered (the replica did not answer)",
             self.tickets.clone(),
         );
         registry.register(
--- a/crates/gateway/tests/reserve_ahead_tests.rs
+++ b/crates/gateway/tests/reserve_ahead_tests.rs
@@ -1,6 +1,6 @@
 //! Tests tokens that are reserved ahead of a program's next turn, with real replicas and gateways. A replica holds the
-//! ticket for the reserved tokens. A turn that takes the ticket is sent before a quorum answers. Whatever fails, a program
-//! uses no more than its budget, and no turn is refused because of a ticket that no turn uses.
+//! ticket for the reserved tokens. A turn that takes the ticket is sent before a quorum answers. Whatever fails, a
+//! program uses no more than its budget, and no turn is refused because of a ticket that no turn uses.
 
 mod support;
 
@@ -280,8 +280,8 @@
     assert_eq!(deployment.run_count(), 3);
 }
 
-/// The ticket of 30 tokens is lost with its holder, which does not come back. 18 tokens are used and the turn needs 30, so
-/// it fits into the budget of 70 only because no turn uses the ticket.
+/// The ticket of 30 tokens is lost with its holder, which does not come back. 18 tokens are used and the turn needs 30,
+/// so it fits into the budget of 70 only because no turn uses the ticket.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_turn_is_not_refused_because_of_a_ticket_that_was_lost_with_its_holder() {
     let (mut deployment, holder) = Deployment::start_with_ticket(224, 70).await;
@@ -302,8 +302,8 @@
         deployment.cluster.start_replica(number, false);
     }
     deployment.cluster.wait_until_synced(&[1, 2, 3]).await;
-    // 18 tokens are used, so a turn of 30 fits into the budget of 60, and not beside the lost ticket of 30. Replicas that
-    // have just started may not answer within the time that a turn waits for them.
+    // 18 tokens are used, so a turn of 30 fits into the budget of 60, and not beside the lost ticket of 30. Replicas
+    // that have just started may not answer within the time that a turn waits for them.
     let until = Instant::now() + MAX_WAIT;
     let mut answer = send_turn(&deployment.gateway, "draft", "t2", 60, 30).await;
     while answer.status == 503 && !answer.body.contains("budget") && Instant::now() < until {
@@ -317,8 +317,8 @@
     assert_eq!(deployment.run_count(), 2);
 }
 
-/// The gateway that took the ticket was cut off before it claimed the tokens, and goes on once another turn has used them.
-/// The same ticket is claimed twice in the end, as after a late copy of its deposit.
+/// The gateway that took the ticket was cut off before it claimed the tokens, and goes on once another turn has used
+/// them. The same ticket is claimed twice in the end, as after a late copy of its deposit.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn tokens_of_a_ticket_are_not_used_twice_when_it_is_claimed_late_or_twice() {
     let (deployment, holder) = Deployment::start_with_ticket(225, 90).await;
--- a/crates/gateway/tests/resumed_stream_budget_tests.rs
+++ b/crates/gateway/tests/resumed_stream_budget_tests.rs
@@ -1,5 +1,6 @@
-//! Streams of a program whose budget holds just its turns, which break and are resumed. Whatever broke them, and however
-//! often, the rest of a turn within the budget is served, and callers get at most the budget and the most of one turn.
+//! Streams of a program whose budget holds just its turns, which break and are resumed. Whatever broke them, and
+//! however often, the rest of a turn within the budget is served, and callers get at most the budget and the most of
+//! one turn.
 
 mod support;
 
@@ -95,7 +96,8 @@
         self.engine.set(if is_end { Behaviour::Stream(sent) } else { Behaviour::BrokenStream(sent) });
     }
 
-    /// Begins a stream that gets two events, and leaves the reservation that a gateway which died under it never settles.
+    /// Begins a stream that gets two events, and leaves the reservation that a gateway which died under it never
+    /// settles.
     async fn begin_at_gateway_that_dies(&self, attempt: &str) {
         self.serve(0..2);
         // Without a budget this gateway neither reserves nor settles tokens.
--- a/crates/lab/tests/soak/plan.rs
+++ b/crates/lab/tests/soak/plan.rs
@@ -23,7 +23,8 @@
 const VERSION_CHANGE_DRAIN_MS: std::ops::RangeInclusive<u64> = 100..=1500;
 /// Time between two losses of power of all gateways, milliseconds.
 const POWER_LOSS_GAP_MS: std::ops::RangeInclusive<u64> = 4500..=7000;
-/// Time from the start of the engines' replacement to a loss of power, milliseconds. Most engines have been replaced then.
+/// Time from the start of the engines' replacement to a loss of power, milliseconds. Most engines have been replaced
+/// then.
 const POWER_LOSS_DELAY_MS: std::ops::RangeInclusive<u64> = 0..=2000;
 /// Time for which all gateways are without power, milliseconds.
 const POWER_LOSS_MS: std::ops::RangeInclusive<u64> = 100..=2500;
@@ -205,8 +206,8 @@
 }
 
 impl Plan {
-    /// Generates a plan that replaces the engines that run turns by those of another software version, all or all but one,
-    /// and kills all gateways at once meanwhile or shortly afterwards, again and again.
+    /// Generates a plan that replaces the engines that run turns by those of another software version, all or all but
+    /// one, and kills all gateways at once meanwhile or shortly afterwards, again and again.
     pub(crate) fn draw_power_losses_of_gateways(seed: u64, seconds: u64) -> Self {
         let mut random = StdRng::seed_from_u64(seed);
         let mut steps = Vec::new();
--- a/crates/lab/tests/soak_tests.rs
+++ b/crates/lab/tests/soak_tests.rs
@@ -106,8 +106,8 @@
     assert!(report.violations.is_empty(), "{report}");
 }
 
-/// All gateways are killed at once while engines of two software versions serve, or just after those of one have left. No
-/// gateway remembers a stream then, and callers resume theirs at the gateways that come back.
+/// All gateways are killed at once while engines of two software versions serve, or just after those of one have left.
+/// No gateway remembers a stream then, and callers resume theirs at the gateways that come back.
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_keep_their_version_when_all_gateways_lose_power() {
     let temporary = tempfile::tempdir().expect("a temporary folder can be created");
--- a/crates/turns/src/ahead_entry.rs
+++ b/crates/turns/src/ahead_entry.rs
@@ -18,8 +18,8 @@
 /// Separates a program's number from the rest of the name of [`revocable_ticket_key`].
 const TICKET_KEY_PREFIX: &str = "\0\0revocable tickets of ";
 
-/// The identifier of an exclusive entry reserved ahead: the prefix in the highest 32 bits, then 64 random bits that make
-/// the identifier unique, then the 32-bit identifier of the node that holds the entry's ticket (`holder`).
+/// The identifier of an exclusive entry reserved ahead: the prefix in the highest 32 bits, then 64 random bits that
+/// make the identifier unique, then the 32-bit identifier of the node that holds the entry's ticket (`holder`).
 pub fn ahead_entry_id(holder: NodeId, random: u64) -> TurnId {
     TurnId(AHEAD_PREFIX << 96 | u128::from(random) << 32 | u128::from(holder.0))
 }
--- a/crates/turns/src/reserve_ahead.rs
+++ b/crates/turns/src/reserve_ahead.rs
@@ -3,10 +3,10 @@
 //!
 //! A reservation ahead is an entry of the program with an identifier of its own ([`crate::ahead_entry`]). One replica
 //! holds the entry's ticket until a turn takes it ([`crate::ticket_book`]); the identifier of the entry names this
-//! replica. A turn with the ticket is sent to an engine at once. Before any of its tokens are handed out, a quorum has to
-//! grant the turn a reservation of its own, in a write that also releases the entry. So a ticket is only a forecast that
-//! this reservation will be granted: an entry whose ticket is lost can be released by anyone, and a ticket that was issued
-//! twice spends no token twice.
+//! replica. A turn with the ticket is sent to an engine at once. Before any of its tokens are handed out, a quorum has
+//! to grant the turn a reservation of its own, in a write that also releases the entry. So a ticket is only a forecast
+//! that this reservation will be granted: an entry whose ticket is lost can be released by anyone, and a ticket that
+//! was issued twice spends no token twice.
 
 use crate::ahead_entry::is_revocable;
 use crate::budget::BudgetView;
@@ -72,8 +72,8 @@
 pub enum TakenTickets {
     /// The turn may be about to claim the entry.
     CountAsUsed,
-    /// The turn has had enough time to claim the entry. If it claims the entry later, the claim is decided like any other
-    /// reservation.
+    /// The turn has had enough time to claim the entry. If it claims the entry later, the claim is decided like any
+    /// other reservation.
     Release,
 }
 
--- a/crates/turns/src/resumed_stream.rs
+++ b/crates/turns/src/resumed_stream.rs
@@ -1,9 +1,9 @@
 //! The token budget of streams that callers resume.
 //!
 //! A stream takes the most that its turn may use from the budget once, however often it breaks and is resumed. Each
-//! attempt reserves and settles tokens of its own, and an attempt that resumes the stream reserves only what the turn may
-//! still use. The charge of an earlier attempt can exceed what the caller has received of it: events were lost with the
-//! connection, or the attempt's gateway died and never settled it. This excess does not count against the resuming
+//! attempt reserves and settles tokens of its own, and an attempt that resumes the stream reserves only what the turn
+//! may still use. The charge of an earlier attempt can exceed what the caller has received of it: events were lost with
+//! the connection, or the attempt's gateway died and never settled it. This excess does not count against the resuming
 //! attempt, up to the most that the turn may use. So all attempts of a program together use at most its budget and the
 //! most of one turn, whatever callers state about what they have received.
 
@@ -13,8 +13,8 @@
 /// Number of the lowest bits of an entry's identifier that differ between the attempts of one stream.
 const ATTEMPT_BITS: u32 = 64;
 
-/// The identifier of the budget entry of an attempt that resumes the stream which the turn `begun_by` began. `random` makes
-/// it unique.
+/// The identifier of the budget entry of an attempt that resumes the stream which the turn `begun_by` began. `random`
+/// makes it unique.
 pub fn resuming_entry_id(begun_by: TurnId, random: u64) -> TurnId {
     TurnId(begun_by.0 >> ATTEMPT_BITS << ATTEMPT_BITS | u128::from(random))
 }
@@ -40,8 +40,8 @@
 impl ResumedStream {
     /// A stream of which the caller has received the event with the identifier `last_event`, and all before it.
     ///
-    /// Engines number the events of a stream from 0 or 1. With any other identifier, the caller counts as having received
-    /// nothing.
+    /// Engines number the events of a stream from 0 or 1. With any other identifier, the caller counts as having
+    /// received nothing.
     pub fn new(begun_by: Option<TurnId>, last_event: Option<&str>, turn_maximum: u32, event_tokens: u32) -> Self {
         let number = last_event.and_then(|last_event| last_event.parse::<u32>().ok()).unwrap_or(0);
         let received = number.checked_mul(event_tokens).filter(|received| *received < turn_maximum);
@@ -53,9 +53,9 @@
         self.turn_maximum - self.received_tokens
     }
 
-    /// The tokens charged for the stream's other attempts than `own` beyond what the caller has received: those by which the
-    /// program's charges may exceed the budget. At least one event, because it is unknown from which number the engine
-    /// counts.
+    /// The tokens charged for the stream's other attempts than `own` beyond what the caller has received: those by
+    /// which the program's charges may exceed the budget. At least one event, because it is unknown from which number
+    /// the engine counts.
     fn excess_tokens(&self, program: &BudgetView, own: TurnId) -> u64 {
         let is_other_attempt =
             |entry: TurnId| entry != own && self.begun_by.is_some_and(|begun_by| is_entry_of_stream(entry, begun_by));
--- a/crates/turns/src/ticket_book.rs
+++ b/crates/turns/src/ticket_book.rs
@@ -17,8 +17,9 @@
 /// takes up to some 800 bytes, including map entries and run locations. So held and issued tickets together take at
 /// most 32 MB on a machine with 100 MB.
 const MAX_TICKETS: usize = 20_000;
-/// Time for which an issued ticket is remembered. After that its state is unknown to the holder. If its entry is revocable
-/// and not claimed by then, gateways release it; a refusal that depends on an exclusive entry is answered with 503.
+/// Time for which an issued ticket is remembered. After that its state is unknown to the holder. If its entry is
+/// revocable and not claimed by then, gateways release it; a refusal that depends on an exclusive entry is answered
+/// with 503.
 const ISSUED_TICKET_RETENTION: Duration = Duration::from_secs(30);
 /// Interval between two removals of expired tickets.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
@@ -119,8 +120,8 @@
 
     /// Issues the tickets of the given entries so that the asker can release their reservations. An asker may also
     /// release a ticket that it took itself for a turn. A ticket that another asker took for a turn is reported as in
-    /// use. Also looks for the tickets of revocable entries, which gateways of older builds ask for by the program's own
-    /// key.
+    /// use. Also looks for the tickets of revocable entries, which gateways of older builds ask for by the program's
+    /// own key.
     fn reclaim(&mut self, request: &ReclaimTickets, now: Duration) -> ReclaimedTickets {
         let mut reclaimed = ReclaimedTickets::default();
         for entry in &request.entries {
--- a/crates/turns/tests/budget_tests.rs
+++ b/crates/turns/tests/budget_tests.rs
@@ -183,8 +183,9 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 3000, rng_seed: proptest::test_runner::RngSeed::Fixed(8), ..ProptestConfig::default() })]
 
-    /// Attempts resume one stream from any event that a caller states, and are settled late, or never because their gateway
-    /// died. Attempts that broke with an event lost on the way are resumed as long as the budget holds the turn once.
+    /// Attempts resume one stream from any event that a caller states, and are settled late, or never because their
+    /// gateway died. Attempts that broke with an event lost on the way are resumed as long as the budget holds the turn
+    /// once.
     #[test]
     fn attempts_of_a_stream_use_at_most_the_budget_and_one_turn(
         attempts in prop::collection::vec((0_u32..40, 0_u32..33, any::<bool>()), 1..12),
--- a/crates/turns/tests/reserve_ahead_tests.rs
+++ b/crates/turns/tests/reserve_ahead_tests.rs
@@ -441,8 +441,8 @@
     }
 }
 
-/// A turn that claims the tokens of a revocable entry, or one without a ticket. Both write to a quorum, then read from one
-/// if they have to.
+/// A turn that claims the tokens of a revocable entry, or one without a ticket. Both write to a quorum, then read from
+/// one if they have to.
 #[derive(Clone, Debug)]
 struct Claimant {
     own: TurnEntry,
@@ -483,8 +483,8 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 3000, rng_seed: proptest::test_runner::RngSeed::Fixed(76), ..ProptestConfig::default() })]
 
-    /// Each ticket may have been issued to several turns, because its holder lost its memory, and each entry is released
-    /// by turns that do not know of them. A turn alone is refused only if the budget does not hold it.
+    /// Each ticket may have been issued to several turns, because its holder lost its memory, and each entry is
+    /// released by turns that do not know of them. A turn alone is refused only if the budget does not hold it.
     #[test]
     fn claims_never_exceed_the_budget_however_often_a_ticket_was_issued(
         tickets in prop::collection::vec(1_u32..60, 1..4),
