--- a/crates/gateway/src/edge/turn_account.rs
+++ b/crates/gateway/src/edge/turn_account.rs
@@ -32,7 +32,8 @@
     gateway: Arc<Gateway>,
     /// The turn's own identifier, by which later turns name the turn that they continue.
     turn: TurnId,
-    /// The budget entry that the turn uses: the turn's own entry, or an entry that was reserved ahead.
+    /// The budget entry that the turn uses: the entry with the turn's own identifier, or that of one attempt of a
+    /// stream that is resumed.
     pub(super) entry: TurnEntry,
     /// The program's token budget; `None` when the call states none.
     budget: Option<u64>,
@@ -244,8 +245,8 @@
         self.gateway.tickets.plan_reservation(&turn, self.budget?, known_total)
     }
 
-    /// Whether the tokens of another event may be handed out. An engine that numbers events in an unusual way may send
-    /// more to the caller of a resumed stream than the caller's last event let expect.
+    /// Whether the tokens of another event may be handed out. When a stream is resumed at an engine that numbers events
+    /// in an unusual way, more events may follow the caller's last event than were reserved for.
     pub(super) fn covers_another_event(&self) -> bool {
         let tokens = (self.events + 1).saturating_mul(self.event_tokens);
         self.budget.is_none() || self.resumed.is_none() || tokens <= self.entry.reserved
