Answers go to callers in HTTP/1.1, whatever version an engine speaks

What callers saw: a stream of an engine that answers in HTTP/1.0 looked complete when the engine broke it off, also in the middle of an event. So did a whole answer in that version whose gateway is killed.

Cause: the head of the engine's answer was passed on with its version. In HTTP/1.0 the gateway cannot send chunks, so the end of the connection ended the body, and the gateway closes the connection both at the end of a stream and when it breaks off.

Change: the head for the caller is prepared in one place, which sets the version of the gateway's own protocol beside what the two places did before.

--- a/crates/gateway/src/edge/call.rs
+++ b/crates/gateway/src/edge/call.rs
@@ -251,8 +251,16 @@
     }
 }
 
+/// Prepares the head of an engine's answer for the caller, to whom the gateway frames the body itself. An answer in
+/// HTTP/1.0 is framed by the end of its connection, so the caller could not tell whether it is complete.
+pub fn prepare_answer_head(head: &mut http::response::Parts) {
+    head.version = http::Version::HTTP_11;
+    remove_connection_headers(&mut head.headers);
+    head.headers.remove(header::CONTENT_LENGTH);
+}
+
 /// Removes hop-by-hop headers, including those that the `Connection` header names.
-pub fn remove_connection_headers(headers: &mut HeaderMap) {
+fn remove_connection_headers(headers: &mut HeaderMap) {
     let named: Vec<String> = headers
         .get_all(header::CONNECTION)
         .iter()
--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -7,7 +7,7 @@
 
 use crate::buffer_budget::{BodyBuffer, BuffersFull, Source};
 use crate::edge::body::{AnswerBody, Piece};
-use crate::edge::call::{remove_connection_headers, Call};
+use crate::edge::call::{prepare_answer_head, Call};
 use crate::edge::chain_reader::{ChainError, ChainRecords};
 use crate::edge::events::{Event, EventSplitter};
 use crate::edge::gateway::Gateway;
@@ -29,7 +29,7 @@
 use foxnotch_turns::chain::{compose_body, NO_TURN};
 use foxnotch_turns::identity::turn_id;
 use foxnotch_wire::{Content, RunLocation, TurnId, TurnRecord};
-use http::{header, Response, StatusCode};
+use http::{Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::sync::Arc;
@@ -154,8 +154,7 @@
     account.entry.run_location = call.run_location_at(in_flight.engine());
     gateway.record_stream_origin(&call, in_flight.engine());
     let (mut head, body) = response.into_parts();
-    remove_connection_headers(&mut head.headers);
-    head.headers.remove(header::CONTENT_LENGTH);
+    prepare_answer_head(&mut head);
     let (pieces, queue) = mpsc::channel(MAX_QUEUED_PIECES);
     let work = WorkGuard::new(&gateway.pending_work);
     let output = BodyBuffer::new(&gateway.buffers, Source::Payload);
--- a/crates/gateway/src/edge/whole_call.rs
+++ b/crates/gateway/src/edge/whole_call.rs
@@ -2,7 +2,7 @@
 
 use crate::buffer_budget::BufferBudget;
 use crate::edge::body::AnswerBody;
-use crate::edge::call::{remove_connection_headers, Call};
+use crate::edge::call::{prepare_answer_head, Call};
 use crate::edge::gateway::Gateway;
 use crate::edge::refusal::Refusal;
 use crate::edge::send_record::SendRecord;
@@ -13,7 +13,7 @@
 use crate::metrics::Metrics;
 use bytes::Bytes;
 use foxnotch_scheduler::retry::{NextStep, SendOutcome};
-use http::{header, Response, StatusCode};
+use http::{Response, StatusCode};
 use std::sync::Arc;
 
 /// The longest answer that is buffered, in bytes; the limit of a turn's text is the same.
@@ -149,8 +149,7 @@
             head.status
         )));
     }
-    remove_connection_headers(&mut head.headers);
-    head.headers.remove(header::CONTENT_LENGTH);
+    prepare_answer_head(&mut head);
     Ok(Response::from_parts(head, AnswerBody::whole(body)))
 }
 
--- a/crates/gateway/tests/engine_answer_tests.rs
+++ b/crates/gateway/tests/engine_answer_tests.rs
@@ -175,3 +175,21 @@
     assert!(asked_at.elapsed() < PROMPT, "ended after {:?}", asked_at.elapsed());
     eventually("the engine's connection is closed", || deployment.engines[0].closed_connections() > 0).await;
 }
+
+/// The head of an answer that states no length, as far as an engine sent it before it ended.
+const HEAD_WITHOUT_LENGTH: &str =
+    "HTTP/1.1 200 OK\r\nt-attempt: {attempt}\r\nt-seal: s\r\ncontent-type: text/event-stream\r\n\r\n";
+
+/// Guards against answers that were passed on in HTTP/1.0, the version that their engine speaks: the end of the
+/// connection then ended the body, so a stream that broke off looked complete.
+#[rstest]
+#[case(251, "turn")]
+#[case(252, "draft")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_in_http_1_0_that_breaks_off_is_not_complete(#[case] net: u8, #[case] service: &str) {
+    let head = HEAD_WITHOUT_LENGTH.replacen("HTTP/1.1", "HTTP/1.0", 1);
+    let broken = Behaviour::Cut(format!("{head}id: 1\ndata: x\n\nid: 2\nda"));
+    let deployment = Deployment::start(net, service, &[broken]).await;
+    let answer = deployment.send(service, "a0").await;
+    assert!(answer.status == 502 || !answer.is_whole, "{answer:?}");
+}
--- a/crates/gateway/tests/support/engine.rs
+++ b/crates/gateway/tests/support/engine.rs
@@ -50,6 +50,9 @@
 /// Time for which the connections of a machine that has restarted stay open and silent.
 const SILENT_CONNECTION_TIME: Duration = Duration::from_secs(60);
 
+/// Time from the last byte until a connection is reset, so that the gateway has read the byte.
+const RESET_DELAY: Duration = Duration::from_millis(30);
+
 /// How an engine responds to a request.
 #[derive(Clone, Debug)]
 pub enum Behaviour {
@@ -71,6 +74,10 @@
     CloseWithoutAnswer,
     /// Begins a response and closes the connection in the middle of its body.
     TruncatedAnswer,
+    /// Sends this text of an answer, in which `{attempt}` stands for the attempt, and closes the connection.
+    Cut(String),
+    /// The same, but resets the connection.
+    Reset(String),
     /// Responds with the attempt identifier of another request.
     WrongAttempt,
     /// Status 200 without a signature.
@@ -399,6 +406,18 @@
             let _ = stream.write_all(incomplete.as_bytes()).await;
             return false;
         }
+        Behaviour::Cut(text) => {
+            // The write fails if the gateway has closed the connection.
+            let _ = stream.write_all(text.replace("{attempt}", attempt).as_bytes()).await;
+            return false;
+        }
+        Behaviour::Reset(text) => {
+            let _ = stream.write_all(text.replace("{attempt}", attempt).as_bytes()).await;
+            tokio::time::sleep(RESET_DELAY).await;
+            // Closing such a socket resets its connection.
+            stream.set_zero_linger().expect("the socket is open");
+            return false;
+        }
         Behaviour::WrongAttempt => complete_response("200 OK", "t-attempt: other\r\nt-seal: s\r\n", "not yours"),
         Behaviour::LateCopyBeforeAnswer(status) => {
             let copy = complete_response(status, "t-attempt: other\r\nt-not-run: 1\r\nt-seal: s\r\n", "");
