An answer without a length that ends before its body is not complete

What callers saw: 200 with an empty body, framed as whole, when an engine's head stated neither a length nor chunks and the engine then closed the connection: turns, streams that can be resumed and plain requests alike. Such a turn was stored with an empty output, and a later turn of the program could continue it.

Cause: a body without a length ends with its connection, also when the engine ends. Nothing told an engine that had finished from one that had ended before the first byte.

Change: a success whose body is framed by its connection alone is complete only with content: a byte of a plain answer, an event with data of a stream. Otherwise it counts as broken off: 502 (a request that may be repeated goes to another engine), or a stream that is not ended; the send counts as lost, and nothing is stored.

Why this works: an engine that answers sends at least one event or byte. Where nothing came, both readings are possible, and only one of them may be told to a caller. A body with content that ends with its connection stays whole, as the protocol allows.

--- a/crates/gateway/src/edge/stream_call.rs
+++ b/crates/gateway/src/edge/stream_call.rs
@@ -19,6 +19,7 @@
 use crate::edge::turns::TurnError;
 use crate::edge::whole_call::read_whole_answer;
 use crate::edge::work::WorkGuard;
+use crate::engines::answer_body::ends_with_connection;
 use crate::engines::attempt::{record_answer_and_return_connection, EngineAnswer};
 use crate::engines::connection::EngineConnection;
 use crate::engines::engine::InFlightRequest;
@@ -154,6 +155,7 @@
     account.entry.run_location = call.run_location_at(in_flight.engine());
     gateway.record_stream_origin(&call, in_flight.engine());
     let (mut head, body) = response.into_parts();
+    let ends_with_connection = ends_with_connection(&head);
     prepare_answer_head(&mut head);
     let (pieces, queue) = mpsc::channel(MAX_QUEUED_PIECES);
     let work = WorkGuard::new(&gateway.pending_work);
@@ -164,6 +166,7 @@
         account,
         previous,
         connection: Some(connection),
+        ends_with_connection,
         in_flight,
         pieces,
         output,
@@ -219,6 +222,8 @@
     previous: TurnId,
     /// The connection to the engine; `None` once it was closed or returned to the engine's idle connections.
     connection: Option<EngineConnection>,
+    /// Whether only the end of that connection ends the engine's answer.
+    ends_with_connection: bool,
     in_flight: InFlightRequest,
     /// The queue from which the caller's connection takes the pieces of the response's body.
     pieces: mpsc::Sender<Piece>,
@@ -329,6 +334,10 @@
         if splitter.buffered_bytes() > 0 {
             return Err(StreamError::EngineAborted("its last event is incomplete".to_owned()));
         }
+        if self.ends_with_connection && self.account.events == 0 {
+            self.in_flight.engine().note_failure();
+            return Err(StreamError::EngineAborted("it closed the connection before the first event".to_owned()));
+        }
         if let Some(connection) = self.connection.take() {
             record_answer_and_return_connection(connection, &self.in_flight, false);
         }
--- a/crates/gateway/src/edge/whole_call.rs
+++ b/crates/gateway/src/edge/whole_call.rs
@@ -6,7 +6,7 @@
 use crate::edge::gateway::Gateway;
 use crate::edge::refusal::Refusal;
 use crate::edge::send_record::SendRecord;
-use crate::engines::answer_body::read_answer_body;
+use crate::engines::answer_body::{ends_with_connection, read_answer_body};
 use crate::engines::attempt::{record_answer_and_return_connection, EngineAnswer};
 use crate::engines::engine::Engine;
 use crate::logging::part;
@@ -127,6 +127,10 @@
         }
         Err(_) => return Err(Refusal::TimedOut),
     };
+    if head.status.is_success() && body.is_empty() && ends_with_connection(&head) {
+        in_flight.engine().note_failure();
+        return Err(Refusal::MayHaveRun("it broke off before the first byte of its body".to_owned()));
+    }
     // With 504, the engine reports that the call's deadline has passed, which is not a failure of the engine.
     let is_failure = head.status.is_server_error() && head.status != StatusCode::GATEWAY_TIMEOUT;
     record_answer_and_return_connection(connection, &in_flight, is_failure);
--- a/crates/gateway/src/engines/answer_body.rs
+++ b/crates/gateway/src/engines/answer_body.rs
@@ -3,6 +3,7 @@
 use crate::buffer_budget::{BodyBuffer, BufferBudget, BuffersFull, Source};
 use crate::engines::connection::EngineConnection;
 use bytes::Bytes;
+use http::{header, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::sync::Arc;
@@ -21,6 +22,16 @@
     BuffersFull(#[from] BuffersFull),
 }
 
+/// Whether an answer has a body that ends only with its connection: the head states no length and no chunks. The end of
+/// such a body looks the same whether the engine finished it or ended before the first byte, so an empty one is not
+/// complete.
+pub fn ends_with_connection(head: &http::response::Parts) -> bool {
+    let has_body = !matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    let is_framed =
+        head.headers.contains_key(header::CONTENT_LENGTH) || head.headers.contains_key(header::TRANSFER_ENCODING);
+    has_body && !is_framed
+}
+
 /// Reads a body of at most `limit` bytes to its end.
 ///
 /// # Errors
--- a/crates/gateway/tests/engine_answer_tests.rs
+++ b/crates/gateway/tests/engine_answer_tests.rs
@@ -180,6 +180,58 @@
 const HEAD_WITHOUT_LENGTH: &str =
     "HTTP/1.1 200 OK\r\nt-attempt: {attempt}\r\nt-seal: s\r\ncontent-type: text/event-stream\r\n\r\n";
 
+/// Distance of the places at which a head is cut, besides those at the ends of its lines.
+const CUT_STEP: usize = 7;
+
+/// Answers of an engine that ends before the first byte of a body: the head is cut in its lines and at their ends, or it
+/// is complete, with or without a promise of a body.
+fn answers_cut_before_their_body() -> Vec<String> {
+    let head = HEAD_WITHOUT_LENGTH;
+    let is_at_line_end = |length: usize| head.as_bytes()[length - 1].is_ascii_control();
+    let lengths = (1..head.len()).filter(|length| length % CUT_STEP == 0 || is_at_line_end(*length));
+    let cut_heads = lengths.map(|length| head[..length].to_owned());
+    let with_field = |field: &str| head.replacen("\r\n\r\n", &format!("\r\n{field}\r\n\r\n"), 1);
+    let whole_heads = [
+        head.to_owned(),
+        with_field("content-length: 100"),
+        with_field("transfer-encoding: chunked"),
+        with_field("connection: close"),
+        format!("HTTP/1.1 100 Continue\r\n\r\n{head}"),
+        head.replacen("HTTP/1.1", "HTTP/1.0", 1),
+    ];
+    cut_heads.chain(whole_heads).collect()
+}
+
+/// Guards against answers that an engine cut before their body, and that callers got as complete answers without
+/// content. An answer whose head states no length ends with its connection, also when its engine ends.
+#[rstest]
+#[case(240, "read", Behaviour::Cut)]
+#[case(241, "write", Behaviour::Cut)]
+#[case(242, "turn", Behaviour::Cut)]
+#[case(243, "draft", Behaviour::Cut)]
+#[case(244, "read", Behaviour::Reset)]
+#[case(245, "write", Behaviour::Reset)]
+#[case(246, "turn", Behaviour::Reset)]
+#[case(247, "draft", Behaviour::Reset)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_that_is_cut_before_its_body_is_not_complete(
+    #[case] net: u8,
+    #[case] service: &str,
+    #[case] cut: fn(String) -> Behaviour,
+) {
+    let deployment = Deployment::start(net, service, &[Behaviour::Answer("right")]).await;
+    for (number, text) in answers_cut_before_their_body().into_iter().enumerate() {
+        deployment.engines[0].set(cut(text.clone()));
+        let attempt = format!("a{number}");
+        let headers = format!(
+            "t-attempt: {attempt}\r\nt-deadline: {DEADLINE_MS}\r\nt-program: p{number}\r\nt-budget: 500\r\nt-most: 30\r\n"
+        );
+        let answer = deployment.gateway.send(&format!("POST /{service}/"), &headers, "input").await;
+        assert_eq!(deployment.engines_with(&attempt), 1, "{attempt} reached the engine once");
+        assert!(answer.status == 502 || !answer.is_whole, "after {text:?}: {answer:?}");
+    }
+}
+
 /// Guards against answers that were passed on in HTTP/1.0, the version that their engine speaks: the end of the
 /// connection then ended the body, so a stream that broke off looked complete.
 #[rstest]
@@ -193,3 +245,33 @@
     let answer = deployment.send(service, "a0").await;
     assert!(answer.status == 502 || !answer.is_whole, "{answer:?}");
 }
+
+/// A turn without an answer is no turn that another can continue.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_turn_whose_answer_is_cut_before_its_body_is_not_stored() {
+    let deployment = Deployment::start(248, "turn", &[Behaviour::Cut(HEAD_WITHOUT_LENGTH.to_owned())]).await;
+    deployment.send("turn", "a0").await;
+    deployment.engines[0].set(Behaviour::Stream(vec!["id: 1\ndata: x\n\n"]));
+    let headers = format!(
+        "t-attempt: a1\r\nt-deadline: {DEADLINE_MS}\r\nt-program: p\r\nt-budget: 500\r\nt-most: 30\r\nt-previous: a0\r\n"
+    );
+    let answer = deployment.gateway.send("POST /turn/", &headers, "input").await;
+    assert_eq!((answer.status, deployment.engines_with("a1")), (404, 0), "{answer:?}");
+}
+
+/// A body that ends with its connection and has content is a whole answer.
+#[rstest]
+#[case(249, "write", "right", "right")]
+#[case(250, "draft", "id: 1\ndata: x\n\n", "id: 1\ndata: x\n\n")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_without_a_length_ends_with_its_connection(
+    #[case] net: u8,
+    #[case] service: &str,
+    #[case] sent: &str,
+    #[case] received: &str,
+) {
+    let answer_text = format!("{HEAD_WITHOUT_LENGTH}{sent}");
+    let deployment = Deployment::start(net, service, &[Behaviour::Cut(answer_text)]).await;
+    let answer = deployment.send(service, "a0").await;
+    assert_eq!((answer.status, answer.body.as_str(), answer.is_whole), (200, received, true), "{answer:?}");
+}
