--- a/crates/gateway/src/edge/dispatch.rs
+++ b/crates/gateway/src/edge/dispatch.rs
@@ -12,7 +12,6 @@
 use crate::engines::attempt::{self, AttemptError, EngineAnswer, SendLimits};
 use crate::engines::engine::Engine;
 use crate::engines::learned_costs::{LearnedCosts, ServicePrices};
-use crate::engines::peer_loads::LoadEstimate;
 use crate::engines::round_trips::GatewayDistances;
 use crate::engines::selector::{choose_engine, Choice, Placement};
 use crate::engines::table::EngineTable;
@@ -24,10 +23,12 @@
 use crate::ports::dialect::Dialect;
 use bytes::Bytes;
 use foxnotch_scheduler::admission;
+use foxnotch_scheduler::load_sharing::estimate::LoadEstimate;
 use foxnotch_scheduler::retry::{NextStep, PauseDecision};
 use foxnotch_scheduler::topology::Topology;
 use http::Request;
 use http_body_util::Full;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -157,8 +158,12 @@
         if !self.policy.shared_loads {
             return LoadEstimate::default();
         }
-        let engines: Vec<u32> = candidates.iter().map(|engine| engine.number).collect();
-        self.members.peer_loads().estimate_loads(self.members.other_gateway_count(), &engines)
+        let mut engines_by_zone: BTreeMap<&str, Vec<u32>> = BTreeMap::new();
+        for engine in candidates {
+            engines_by_zone.entry(&engine.entry.zone).or_default().push(engine.number);
+        }
+        let engines_by_zone: Vec<Vec<u32>> = engines_by_zone.into_values().collect();
+        self.members.peer_loads().estimate_loads(&self.members.load_sharing_peers(), &engines_by_zone)
     }
 
     /// The learned prices of a service, or the defaults when the policy `learned_prices` is off.
--- a/crates/gateway/src/engines/load_exchange.rs
+++ b/crates/gateway/src/engines/load_exchange.rs
@@ -6,18 +6,10 @@
 use crate::engines::table::EngineTable;
 use crate::metrics::Metrics;
 use crate::peers::members::Members;
-use foxnotch_wire::{EngineLoad, LoadReport, Message, MAX_LOADS, MAX_UNREACHABLE};
+use foxnotch_scheduler::load_sharing::recipients::{ReportContent, ReportSchedule, REPORT_PERIOD};
+use foxnotch_wire::{EngineLoad, LoadReport, Message, NodeId, MAX_LOADS, MAX_UNREACHABLE};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
-
-/// The shortest time between two reports, and the time between two checks whether the load has changed.
-const CHANGE_REPORT_PERIOD: Duration = Duration::from_millis(120);
-/// The time after which an unchanged report is sent again. It is shorter than the 1.2 s after which receivers ignore a
-/// report.
-const REPEAT_PERIOD: Duration = Duration::from_millis(500);
-/// The number of gateways, chosen at random, to which each report is sent. It bounds the number of messages in a large
-/// fleet.
-const GATEWAYS_PER_REPORT: usize = 4;
+use std::time::Instant;
 
 fn build_load_report(engines: &EngineTable) -> LoadReport {
     let engines = engines.all_engines();
@@ -41,22 +33,26 @@
     }
 }
 
-/// Sends a report whenever the load has changed, and repeats an unchanged report unless it is empty. Runs until the
-/// process ends. Also updates the gauge of cold engines.
+/// Sends reports as [`ReportSchedule`] plans them. Runs until the process ends. Also updates the gauge of cold engines.
 pub async fn run(engines: Arc<EngineTable>, members: Arc<Members>, metrics: Arc<Metrics>) {
+    let started_at = Instant::now();
+    let mut schedule = ReportSchedule::default();
     let mut last_sent = LoadReport { loads: Vec::new(), unreachable: Vec::new() };
-    let mut sent_at = Instant::now();
     loop {
-        tokio::time::sleep(CHANGE_REPORT_PERIOD).await;
+        tokio::time::sleep(REPORT_PERIOD).await;
         metrics.engines_cold.set(engines.cold_count() as i64);
-        let current = build_load_report(&engines);
-        let is_empty = current.loads.is_empty() && current.unreachable.is_empty();
-        let is_repeat_due = !is_empty && sent_at.elapsed() >= REPEAT_PERIOD;
-        if current == last_sent && !is_repeat_due {
-            continue;
-        }
-        sent_at = Instant::now();
-        members.send_to_random_gateways(GATEWAYS_PER_REPORT, &Message::LoadReport(current.clone()));
-        last_sent = current;
+        let report = build_load_report(&engines);
+        let is_empty = report.loads.is_empty() && report.unreachable.is_empty();
+        let content = match (report == last_sent, is_empty) {
+            (false, _) => ReportContent::Changed,
+            (true, false) => ReportContent::Unchanged,
+            (true, true) => ReportContent::UnchangedEmpty,
+        };
+        let peers = members.load_sharing_peers();
+        let random_below = |limit| members.random_below(limit);
+        let recipients = schedule.next_recipients(content, &peers, started_at.elapsed(), random_below);
+        let nodes: Vec<NodeId> = recipients.into_iter().map(NodeId).collect();
+        members.send_to(&nodes, &Message::LoadReport(report.clone()));
+        last_sent = report;
     }
 }
--- a/crates/gateway/src/engines/selector.rs
+++ b/crates/gateway/src/engines/selector.rs
@@ -3,11 +3,11 @@
 
 use crate::engines::engine::Engine;
 use crate::engines::learned_costs::ServicePrices;
-use crate::engines::peer_loads::LoadEstimate;
 use crate::engines::round_trips::{NetworkPath, NetworkPaths};
 use crate::ports::dialect::PromptPart;
 use foxnotch_scheduler::cost::Cost;
 use foxnotch_scheduler::engine_choice::{self, Affinity, EngineFacts, ServiceFacts, SuccessorRank};
+use foxnotch_scheduler::load_sharing::estimate::LoadEstimate;
 use foxnotch_scheduler::outliers::{FailureRates, Outcomes};
 use rand::Rng;
 use std::sync::Arc;
--- a/crates/gateway/src/peers/member_table.rs
+++ b/crates/gateway/src/peers/member_table.rs
@@ -10,6 +10,7 @@
 use crate::peers::unreadable::record_unreadable_message;
 use crate::settings::ProcessSettings;
 use foxnotch_membership::{Datagram, Membership};
+use foxnotch_scheduler::load_sharing::peers::{GatewayPlace, Peers};
 use foxnotch_turns::identity::node_id;
 use foxnotch_wire::{
     decode, encode_in_version, sequence_has_version_offer, sequence_with_version_offer, sequence_without_version_offer,
@@ -169,14 +170,11 @@
         gateways.get(index).copied()
     }
 
-    /// Sends a message to `count` other gateways, chosen at random.
-    pub(super) fn send_to_random_gateways(&self, count: usize, message: &Message) {
-        let mut gateways = self.other_live_gateways();
-        for _ in 0..count.min(gateways.len()) {
-            let index = self.random_below(gateways.len());
-            let update = gateways.swap_remove(index);
-            self.send(vec![Datagram { to: update.node, address: update.address, message: message.clone() }]);
-        }
+    /// The other gateways that are not dead, as a load report distinguishes them.
+    pub(super) fn load_sharing_peers(&self) -> Peers {
+        let place = |update: &MemberUpdate| GatewayPlace { node: update.node.0, zone: update.zone };
+        let gateways: Vec<GatewayPlace> = self.other_live_gateways().iter().map(place).collect();
+        Peers::of(place(&self.own_member()), &gateways)
     }
 
     /// Sends a message to those of the given nodes whose address is known.
--- a/crates/gateway/src/peers/members.rs
+++ b/crates/gateway/src/peers/members.rs
@@ -23,6 +23,7 @@
 use crate::peers::view_pulls::ViewPulls;
 use crate::peers::watcher_role::{WatcherRole, WatcherTimes};
 use crate::settings::ProcessSettings;
+use foxnotch_scheduler::load_sharing::peers::Peers;
 use foxnotch_wire::{MemberUpdate, Message, NodeId, RpcBody};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -139,9 +140,19 @@
         self.table.pick_gateway(preferred, fits)
     }
 
-    /// Sends a datagram to `count` other gateways, chosen at random.
-    pub fn send_to_random_gateways(&self, count: usize, message: &Message) {
-        self.table.send_to_random_gateways(count, message);
+    /// The other gateways that are not dead, as a load report distinguishes them.
+    pub fn load_sharing_peers(&self) -> Peers {
+        self.table.load_sharing_peers()
+    }
+
+    /// A random number below `limit`.
+    pub fn random_below(&self, limit: usize) -> usize {
+        self.table.random_below(limit)
+    }
+
+    /// Sends a datagram to the given nodes.
+    pub fn send_to(&self, nodes: &[NodeId], message: &Message) {
+        self.table.send_to(nodes, message);
     }
 
     /// Starts the tasks that receive datagrams, discover members and announce changes of the view. Then runs the SWIM
--- a/crates/gateway/tests/edge_tests.rs
+++ b/crates/gateway/tests/edge_tests.rs
@@ -8,12 +8,14 @@
 use foxnotch_gateway::engines::engine::Engine;
 use foxnotch_gateway::engines::learned_costs::ServicePrices;
 use foxnotch_gateway::engines::part_cache::PromptPartCache;
-use foxnotch_gateway::engines::peer_loads::{engine_number, LoadEstimate, PeerLoads};
+use foxnotch_gateway::engines::peer_loads::{engine_number, PeerLoads};
 use foxnotch_gateway::engines::round_trips::{NetworkPath, NetworkPaths};
 use foxnotch_gateway::engines::selector::{choose_engine, Placement};
 use foxnotch_gateway::ports::configuration::{Backend, Configuration, EngineEntry, Route, RouteKind};
 use foxnotch_gateway::ports::dialect::PromptPart;
 use foxnotch_scheduler::distance::{Proximity, TrafficPrices};
+use foxnotch_scheduler::load_sharing::estimate::LoadEstimate;
+use foxnotch_scheduler::load_sharing::peers::Peers;
 use foxnotch_scheduler::residency::Residency;
 use foxnotch_wire::{Content, EngineLoad, NodeId, TurnId, TurnRecord};
 use rstest::rstest;
@@ -261,6 +263,12 @@
     EngineLoad { engine, in_flight, answered: 0, failed: 0 }
 }
 
+/// Estimates the load of engines of one zone from the reports of the other gateways, which are these nodes.
+fn estimate_loads(peer_loads: &PeerLoads, gateways: std::ops::Range<u32>, engines: &[u32]) -> LoadEstimate {
+    let peers = Peers { group: gateways.collect(), others: Vec::new() };
+    peer_loads.estimate_loads(&peers, &[engines.to_vec()])
+}
+
 /// An engine that fails requests immediately has few requests in flight and looks idle. A gateway avoids it because of
 /// the outcomes that other gateways report, even before one of its own requests fails.
 #[test]
@@ -274,7 +282,7 @@
     });
     peer_loads.record_report(NodeId(7), &reports.collect::<Vec<_>>(), &[]);
     let numbers: Vec<u32> = engines.iter().map(|engine| engine.number).collect();
-    let loads = peer_loads.estimate_loads(1, &numbers);
+    let loads = estimate_loads(&peer_loads, 7..8, &numbers);
     let plain = Placement { is_model: false, ..placement(&[], &loads, "") };
     for _ in 0..20 {
         assert_ne!(choose_engine(&engines, &plain, &[]).expect("an engine is chosen").engine.entry.id, "e0");
@@ -303,7 +311,7 @@
     let report = engine_load(engine_number("e0"), 5);
     peer_loads.record_report(NodeId(7), &[report], &[]);
     let numbers = [engine_number("e0"), engine_number("e1")];
-    let loads = peer_loads.estimate_loads(3, &numbers);
+    let loads = estimate_loads(&peer_loads, 7..10, &numbers);
     // One gateway of three reported 5 requests at two engines, a mean of 2.5. The estimate for each of the other two
     // gateways at e0 is (2 + 5) / (2 / 2.5 + 1), where 2 is the weight of the mean in requests.
     assert!(
@@ -319,7 +327,7 @@
         assert_eq!(choose_engine(&engines, &plain, &[]).expect("an engine is chosen").engine.entry.id, "e1");
     }
     peer_loads.record_report(NodeId(7), &[], &[]);
-    assert!(peer_loads.estimate_loads(3, &numbers).estimated_requests(engine_number("e0")) < 0.01);
+    assert!(estimate_loads(&peer_loads, 7..10, &numbers).estimated_requests(engine_number("e0")) < 0.01);
 }
 
 /// A gateway estimates loads only for gateways that have not reported.
@@ -329,7 +337,7 @@
     for (gateway, in_flight) in [(7, 5), (8, 2)] {
         peer_loads.record_report(NodeId(gateway), &[engine_load(1, in_flight)], &[]);
     }
-    let loads = peer_loads.estimate_loads(2, &[1, 2]);
+    let loads = estimate_loads(&peer_loads, 7..9, &[1, 2]);
     assert!((loads.estimated_requests(1) - 7.0).abs() < 0.01 && loads.estimated_requests(2) < 0.01);
 }
 
@@ -343,7 +351,7 @@
     for gateway in 0..40 {
         peer_loads.record_report(NodeId(gateway + 1), &[engine_load(gateway, 1)], &[]);
     }
-    let loads = peer_loads.estimate_loads(258, &numbers);
+    let loads = estimate_loads(&peer_loads, 1..259, &numbers);
     let (reported, unreported) = (loads.estimated_requests(0), loads.estimated_requests(90));
     assert!(
         reported > unreported && reported < 4.5,
--- a/crates/gateway/tests/region_choice_tests.rs
+++ b/crates/gateway/tests/region_choice_tests.rs
@@ -2,12 +2,12 @@
 
 use foxnotch_gateway::engines::engine::Engine;
 use foxnotch_gateway::engines::learned_costs::ServicePrices;
-use foxnotch_gateway::engines::peer_loads::LoadEstimate;
 use foxnotch_gateway::engines::round_trips::{GatewayDistances, NetworkPaths};
 use foxnotch_gateway::engines::selector::{choose_engine, Choice, Placement};
 use foxnotch_gateway::ports::configuration::EngineEntry;
 use foxnotch_gateway::ports::dialect::PromptPart;
 use foxnotch_scheduler::distance::{Proximity, TrafficPrices};
+use foxnotch_scheduler::load_sharing::estimate::LoadEstimate;
 use foxnotch_scheduler::slow_start::SlowStart;
 use foxnotch_scheduler::topology::Topology;
 use foxnotch_turns::identity::zone_hash;
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -10,8 +10,8 @@
 //!   that get no new work), [`reachability`] (engines that cannot be reached), [`eligibility`] (all of these together),
 //!   [`stream_version`] (the software version at which a stream may be resumed) with [`version_history`] (the versions
 //!   that engines have had);
-//! - which engine gets it: [`engine_choice`], by [`cost`], with [`distance`], [`engine_health`] and [`outliers`];
-//!   [`slow_start`] for cold engines;
+//! - which engine gets it: [`engine_choice`], by [`cost`], with [`load_sharing`], [`distance`], [`engine_health`] and
+//!   [`outliers`]; [`slow_start`] for cold engines;
 //! - what happens when engines have too little capacity: [`program_stage`], [`admission`], [`placement_timeout`],
 //!   [`retry`];
 //! - what a refused caller is sent: [`refusal`] and [`retry_after`].
@@ -24,6 +24,7 @@
 pub mod engine_choice;
 pub mod engine_health;
 pub mod engine_losses;
+pub mod load_sharing;
 pub mod outliers;
 pub mod placement_timeout;
 pub mod program_stage;
